Contracts: model, result codes, ports, messages, policy interfaces

The types that every part is written against, before any part exists, so that entry, side, planner, policy and stand-ins can be written at the same time.

--- /dev/null
+++ b/src/bergamotmast/adapters/memory.py
@@ -0,0 +1,124 @@
+"""Connections inside one process, for virtual time, with faults on demand.
+
+A :class:`MemoryNetwork` carries frames between dialers and listeners in order, after
+a latency, and can cut an address off: while it is cut, frames wait as they would in
+the buffers of a socket, and are delivered when the cut ends.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+
+from ..errors import NotReachedError
+
+DEFAULT_LATENCY = 0.001
+"""One way between availability zones, in seconds."""
+
+
+class MemoryNetwork:
+    """Every address of one process.
+
+    :param latency: seconds a frame takes one way.
+    """
+
+    def __init__(self, latency: float = DEFAULT_LATENCY) -> None:
+        self.latency = latency
+        self.listeners: dict[str, MemoryListener] = {}
+        self.cut: set[str] = set()
+        self.held: dict[str, list[tuple[asyncio.Queue[_Frame], _Frame]]] = {}
+        self.peers = itertools.count(1)
+
+    def listen(self, address: str) -> MemoryListener:
+        """Bind an address exclusively.
+
+        :raises OSError: if it is bound already.
+        """
+        if address in self.listeners:
+            raise OSError(f"{address} is in use")
+        listener = MemoryListener(self, address)
+        self.listeners[address] = listener
+        return listener
+
+    def dial(self, address: str) -> MemoryLink:
+        """Open a connection to an address, bound or not."""
+        return MemoryLink(self, address, b"peer-%d" % next(self.peers))
+
+    def partition(self, address: str) -> None:
+        """Hold every frame from and to an address until :meth:`heal`."""
+        self.cut.add(address)
+
+    def heal(self, address: str) -> None:
+        """Deliver what was held, in order."""
+        self.cut.discard(address)
+        for queue, frame in self.held.pop(address, []):
+            self._deliver(queue, frame)
+
+    def carry(self, address: str, queue: asyncio.Queue[_Frame], frame: _Frame) -> None:
+        """Put a frame on its way."""
+        if address in self.cut:
+            self.held.setdefault(address, []).append((queue, frame))
+        else:
+            self._deliver(queue, frame)
+
+    def _deliver(self, queue: asyncio.Queue[_Frame], frame: _Frame) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.latency, queue.put_nowait, frame)
+
+
+_Frame = tuple[bytes, bytes]
+
+
+class MemoryLink:
+    """The entry's end of a connection."""
+
+    def __init__(self, network: MemoryNetwork, address: str, peer: bytes) -> None:
+        self.network = network
+        self.address = address
+        self.peer = peer
+        self.incoming: asyncio.Queue[_Frame] = asyncio.Queue()
+        self.listener: MemoryListener | None = None
+        self.closed = False
+
+    async def send(self, frame: bytes) -> None:
+        """Hand a frame over, if the address is bound."""
+        listener = self.network.listeners.get(self.address)
+        if self.closed or listener is None:
+            raise NotReachedError(f"{self.address} is not bound")
+        listener.links[self.peer] = self
+        self.network.carry(self.address, listener.incoming, (self.peer, frame))
+
+    async def receive(self) -> bytes:
+        """Return the next frame."""
+        _, frame = await self.incoming.get()
+        return frame
+
+    def close(self) -> None:
+        """Drop the connection; frames under way to the listener still arrive."""
+        self.closed = True
+
+
+class MemoryListener:
+    """The side's end of all its connections."""
+
+    def __init__(self, network: MemoryNetwork, address: str) -> None:
+        self.network = network
+        self.address = address
+        self.incoming: asyncio.Queue[_Frame] = asyncio.Queue()
+        self.links: dict[bytes, MemoryLink] = {}
+
+    async def receive(self) -> tuple[bytes, bytes]:
+        """Return the next frame with the identity of its peer."""
+        return await self.incoming.get()
+
+    async def send(self, peer: bytes, frame: bytes) -> None:
+        """Hand a frame over to a peer that has not closed."""
+        link = self.links.get(peer)
+        if link is None or link.closed:
+            self.links.pop(peer, None)
+            raise NotReachedError("the peer is gone")
+        self.network.carry(self.address, link.incoming, (peer, frame))
+
+    def close(self) -> None:
+        """Release the address."""
+        self.network.listeners.pop(self.address, None)
--- /dev/null
+++ b/src/bergamotmast/config.py
@@ -0,0 +1,205 @@
+"""The configuration document: labels, selectors, classes, tenants and routes."""
+
+from __future__ import annotations
+
+import enum
+import functools
+
+import msgspec
+
+from .model import Priority
+from .model import Role
+
+
+class SelectorState(enum.Enum):
+    """What the operators want of the engines a selector names."""
+
+    SERVING = "serving"
+    DRAINING = "draining"
+    WITHDRAWN = "withdrawn"
+
+
+class _Part(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Common base: unknown fields are errors, not silent typing mistakes."""
+
+
+class Match(_Part, frozen=True):
+    """Which kinds of request a selector takes; an empty list takes all."""
+
+    classes: tuple[str, ...] = ()
+    tenants: tuple[str, ...] = ()
+    models: tuple[str, ...] = ()
+    routes: tuple[str, ...] = ()
+
+
+class RoleBounds(_Part, frozen=True):
+    """How many engines of a group may have one role.
+
+    :param least: the planner never goes below this.
+    :param most: the planner never goes above this; ``None`` for no bound.
+    """
+
+    least: int = 0
+    most: int | None = None
+
+
+class Selector(_Part, frozen=True):
+    """A rule that joins kinds of request to a group of upstreams.
+
+    :param name: unique name, used in every message about it.
+    :param group: label expression, for instance ``pool=main,tier!=old``.
+    :param match: the kinds of request that go to the group.
+    :param models: what the group's engines carry, ``name@version``.
+    :param adapters: adapters they carry, ``name@version``.
+    :param roles: bounds for each role.
+    :param state: whether the group serves, drains or is withdrawn.
+    """
+
+    name: str
+    group: str
+    match: Match = Match()
+    models: tuple[str, ...] = ()
+    adapters: tuple[str, ...] = ()
+    roles: dict[Role, RoleBounds] = {}
+    state: SelectorState = SelectorState.SERVING
+
+
+class RequestClass(_Part, frozen=True):
+    """What callers of a class may expect.
+
+    :param priority: order among waiting work.
+    :param first_token: seconds until the first token must be out.
+    :param total: seconds until the whole answer must be out.
+    :param between_tokens: seconds allowed between tokens, on average.
+    """
+
+    priority: Priority = Priority.STANDARD
+    first_token: float = 10.0
+    total: float = 120.0
+    between_tokens: float = 1.0
+
+
+class Tenant(_Part, frozen=True):
+    """One paying customer.
+
+    :param weight: share of a full upstream, against other tenants' weights.
+    :param keys: SHA-256 hex digests of its caller keys; empty admits by header.
+    """
+
+    weight: float = 1.0
+    keys: tuple[str, ...] = ()
+
+
+class Route(_Part, frozen=True):
+    """One path of a plain service.
+
+    :param prefix: path prefix at the entry, below ``/services/``.
+    :param repeatable: whether a call may run more than once.
+    :param request_class: class of its calls.
+    """
+
+    prefix: str
+    repeatable: bool = True
+    request_class: str = "default"
+
+
+class Scope(enum.Enum):
+    """What an administration key allows."""
+
+    READ = "read"
+    EDIT = "edit"
+
+
+class AdminKey(_Part, frozen=True):
+    """A team's key to the administration interface.
+
+    :param team: name shown in the history.
+    :param digest: SHA-256 hex digest of the key.
+    :param scopes: what it allows.
+    :param groups: names of the selectors it may edit; empty for all.
+    """
+
+    team: str
+    digest: str
+    scopes: tuple[Scope, ...] = (Scope.READ,)
+    groups: tuple[str, ...] = ()
+
+
+class Configuration(_Part, frozen=True):
+    """The whole document that is in force.
+
+    :param generation: raised by one with each accepted edit.
+    :param labels: labels of each upstream, by its name.
+    """
+
+    generation: int = 0
+    labels: dict[str, dict[str, str]] = {}
+    selectors: tuple[Selector, ...] = ()
+    classes: dict[str, RequestClass] = {}
+    tenants: dict[str, Tenant] = {}
+    routes: dict[str, Route] = {}
+    admin_keys: tuple[AdminKey, ...] = ()
+
+    def request_class(self, name: str) -> RequestClass:
+        """Return a class, or the default one where the name is not configured."""
+        return self.classes.get(name, RequestClass())
+
+    def group(self, upstream: str) -> tuple[Selector, ...]:
+        """Return the selectors whose label expression names an upstream."""
+        labels = self.labels.get(upstream, {})
+        return tuple(s for s in self.selectors if expression(s.group).matches(labels))
+
+
+class Term(msgspec.Struct, frozen=True):
+    """One comparison of a label expression."""
+
+    label: str
+    value: str
+    equal: bool
+
+    def matches(self, labels: dict[str, str]) -> bool:
+        """Return whether an upstream's labels satisfy the comparison."""
+        return (labels.get(self.label) == self.value) is self.equal
+
+
+class Expression(msgspec.Struct, frozen=True):
+    """A conjunction of comparisons; without any it matches nothing."""
+
+    terms: tuple[Term, ...]
+
+    def matches(self, labels: dict[str, str]) -> bool:
+        """Return whether an upstream's labels satisfy every comparison."""
+        return bool(self.terms) and all(term.matches(labels) for term in self.terms)
+
+
+@functools.lru_cache(maxsize=4096)
+def expression(text: str) -> Expression:
+    """Parse ``label=value,label!=value``.
+
+    :raises ValueError: naming the part that is neither.
+    """
+    return Expression(tuple(_term(part) for part in text.split(",") if part.strip()))
+
+
+def _term(part: str) -> Term:
+    label, operator, value = part.partition("=")
+    if not operator or not label.strip("! ") or not value.strip():
+        raise ValueError(f"{part.strip()!r} is not label=value or label!=value")
+    return Term(label.strip("! "), value.strip(), not label.rstrip().endswith("!"))
+
+
+_ENCODER = msgspec.json.Encoder(order="sorted")
+_DECODER = msgspec.json.Decoder(Configuration)
+
+
+def encode_configuration(configuration: Configuration) -> bytes:
+    """Encode a document as JSON with sorted keys."""
+    return _ENCODER.encode(configuration)
+
+
+def decode_configuration(data: bytes) -> Configuration:
+    """Decode what :func:`encode_configuration` wrote.
+
+    :raises msgspec.ValidationError: for anything else.
+    """
+    return _DECODER.decode(data)
--- /dev/null
+++ b/src/bergamotmast/policy/__init__.py
@@ -0,0 +1,25 @@
+"""Decisions under load: pure code without sockets, tasks or a clock of its own."""
+
+from __future__ import annotations
+
+from .interfaces import Candidate
+from .interfaces import Choice
+from .interfaces import EngineView
+from .interfaces import EntryPolicy
+from .interfaces import FleetPicture
+from .interfaces import QueueItem
+from .interfaces import RoleChange
+from .interfaces import ShiftPolicy
+from .interfaces import SidePolicy
+
+__all__ = [
+    "Candidate",
+    "Choice",
+    "EngineView",
+    "EntryPolicy",
+    "FleetPicture",
+    "QueueItem",
+    "RoleChange",
+    "ShiftPolicy",
+    "SidePolicy",
+]
--- /dev/null
+++ b/src/bergamotmast/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between the system's own processes."""
--- /dev/null
+++ b/src/bergamotmast/protocol/messages.py
@@ -0,0 +1,249 @@
+"""Messages between an entry and a side.
+
+Every message is a tagged msgpack array; a later protocol version may add fields at
+the end of one, with defaults. Times on the wire are budgets in seconds, because the
+clocks of different instances differ; they become deadlines at receipt.
+"""
+
+from __future__ import annotations
+
+import typing as t
+
+import msgspec
+
+from ..errors import ResultCode
+from ..model import Priority
+from ..model import SideReport
+
+PROTOCOL_VERSION = 1
+
+
+class Message(msgspec.Struct, frozen=True, array_like=True, tag_field="type"):
+    """Base of every message."""
+
+
+class Hello(Message, frozen=True, tag=1):
+    """Entry to side: open a session, ending any earlier one of this incarnation.
+
+    :param incarnation: random for each start of the entry.
+    :param counter: raised with each hello of this incarnation.
+    :param generation: configuration the entry has in force.
+    """
+
+    version: int
+    entry: str
+    incarnation: str
+    counter: int
+    generation: int
+
+
+class Welcome(Message, frozen=True, tag=2):
+    """Side to entry: the session is open.
+
+    :param session: names the session in every later message.
+    :param incarnation: random for each start of the side.
+    """
+
+    version: int
+    upstream: str
+    session: str
+    incarnation: str
+    counter: int
+    generation: int
+
+
+class Heartbeat(Message, frozen=True, tag=3):
+    """Entry to side: alive, and how far the entry's knowledge goes."""
+
+    session: str
+    generation: int
+
+
+class ReportBeat(Message, frozen=True, tag=4):
+    """Side to entry: alive, with its exact state.
+
+    :param sequence: counts beats of the session.
+    """
+
+    session: str
+    sequence: int
+    generation: int
+    report: SideReport
+
+
+class SessionUnknown(Message, frozen=True, tag=5):
+    """Side to entry: no such session; say hello again."""
+
+    session: str
+
+
+class ModelWork(Message, frozen=True, tag=1):
+    """The work of an offer to an engine."""
+
+    model: str
+    prompt: str
+    prompt_tokens: int
+    max_tokens: int
+    predicted_tokens: int
+    prefix_key: str
+    first_token_budget: float
+    resume_text: str
+    resume_tokens: int
+    kv_handle: str
+    prefill_only: bool
+
+
+class ServiceWork(Message, frozen=True, tag=2):
+    """The work of an offer to a plain service."""
+
+    route: str
+    method: str
+    path: str
+    body: bytes
+    content_type: str
+    repeatable: bool
+    idempotency_key: str
+
+
+class Offer(Message, frozen=True, tag=6):
+    """Entry to side: run this.
+
+    :param attempt: unique over the life of the system.
+    :param budget: seconds left until the caller's deadline.
+    :param credit: chunks the side may send before it hears more.
+    """
+
+    session: str
+    attempt: str
+    request_id: str
+    tenant: str
+    weight: float
+    request_class: str
+    priority: Priority
+    budget: float
+    credit: int
+    work: ModelWork | ServiceWork
+
+
+class Refused(Message, frozen=True, tag=7):
+    """Side to entry: not started, and a tombstone keeps it from starting."""
+
+    attempt: str
+    code: ResultCode
+    retry_after: float
+
+
+class Started(Message, frozen=True, tag=8):
+    """Side to entry: handed to the upstream."""
+
+    attempt: str
+
+
+class Chunk(Message, frozen=True, tag=9):
+    """Side to entry: a run of tokens."""
+
+    attempt: str
+    index: int
+    tokens: int
+    text: str
+    finish: str
+    cached_tokens: int
+    kv_handle: str
+
+
+class ServiceDone(Message, frozen=True, tag=10):
+    """Side to entry: the whole answer of a plain service."""
+
+    attempt: str
+    status: int
+    body: bytes
+    content_type: str
+
+
+class Failed(Message, frozen=True, tag=11):
+    """Side to entry: started, and ended without its whole answer."""
+
+    attempt: str
+    code: ResultCode
+    detail: str
+
+
+class Credit(Message, frozen=True, tag=12):
+    """Entry to side: so many more chunks may be sent."""
+
+    session: str
+    attempt: str
+    chunks: int
+
+
+class Cancel(Message, frozen=True, tag=13):
+    """Entry to side: end this attempt and say what became of it."""
+
+    session: str
+    attempt: str
+
+
+class AttemptState(Message, frozen=True, tag=14):
+    """Side to entry: what became of a cancelled attempt.
+
+    :param state: ``never_started`` (with a tombstone), ``started`` or ``done``.
+    """
+
+    attempt: str
+    state: t.Literal["never_started", "started", "done"]
+
+
+class ConfigPull(Message, frozen=True, tag=15):
+    """Either way: send the configuration if it is newer than this."""
+
+    generation: int
+
+
+class ConfigDocument(Message, frozen=True, tag=16):
+    """Either way: a whole configuration, as the key-value service held it."""
+
+    generation: int
+    document: bytes
+
+
+ToSide: t.TypeAlias = (
+    Hello | Heartbeat | Offer | Credit | Cancel | ConfigPull | ConfigDocument
+)
+ToEntry: t.TypeAlias = (
+    Welcome
+    | ReportBeat
+    | SessionUnknown
+    | Refused
+    | Started
+    | Chunk
+    | ServiceDone
+    | Failed
+    | AttemptState
+    | ConfigPull
+    | ConfigDocument
+)
+
+_ENCODER = msgspec.msgpack.Encoder()
+_SIDE_DECODER = msgspec.msgpack.Decoder(ToSide)
+_ENTRY_DECODER = msgspec.msgpack.Decoder(ToEntry)
+
+
+def encode(message: ToSide | ToEntry) -> bytes:
+    """Encode a message."""
+    return _ENCODER.encode(message)
+
+
+def decode_to_side(frame: bytes) -> ToSide:
+    """Decode a frame that a side received.
+
+    :raises msgspec.ValidationError: for anything that is no message to a side.
+    """
+    return _SIDE_DECODER.decode(frame)
+
+
+def decode_to_entry(frame: bytes) -> ToEntry:
+    """Decode a frame that an entry received.
+
+    :raises msgspec.ValidationError: for anything that is no message to an entry.
+    """
+    return _ENTRY_DECODER.decode(frame)
