Key-value stand-in in process, with faults on demand

Everything that keeps state in the platform's service needs it under virtual time: leases that lapse, writes whose reply is lost, writes that take effect after their caller gave up, watches that fall silent, and content that goes back after a restore. A write that names a lapsed lease raises LeaseLapsedError, a kind of 'unavailable': nothing was written, and asking again with the same lease is of no use. Leases lapse during an outage too, the harsher of the two behaviours known.

--- a/src/bergamotmast/errors.py
+++ b/src/bergamotmast/errors.py
@@ -261,6 +261,10 @@
     code = ResultCode.KEY_VALUE_UNAVAILABLE
 
 
+class LeaseLapsedError(KeyValueUnavailableError):
+    """A write named a lease that has lapsed: nothing was written."""
+
+
 class KeyValueOutcomeUnknownError(PortError):
     """The reply to a write was lost: it may or may not have taken effect."""
 
--- a/src/bergamotmast/ports.py
+++ b/src/bergamotmast/ports.py
@@ -119,6 +119,9 @@
     ) -> cabc.AsyncGenerator[WatchEvent | None, None]:
         """Yield changes below a prefix in order; ``None`` is a sign of life.
 
+        :param from_revision: the first revision wanted, so that after a range read it
+            is that one's revision plus 1; 0 for what comes from now on.
+
         Raises when the stream ends or its start was compacted; the caller then
         reads the range again.
         """
--- /dev/null
+++ b/src/bergamotmast/standins/key_value.py
@@ -0,0 +1,364 @@
+"""A key-value service in process, with faults on demand.
+
+Leases lapse by the loop's time, also during an outage: a holder that can't renew
+loses its keys, as the harsher of the services our users run would have it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import collections.abc as cabc
+import dataclasses
+import itertools
+import typing as t
+
+from ..errors import KeyValueOutcomeUnknownError
+from ..errors import KeyValueUnavailableError
+from ..errors import LeaseLapsedError
+from ..ports import Compare
+from ..ports import Delete
+from ..ports import KeyValue
+from ..ports import Put
+from ..ports import RangeResult
+from ..ports import TxnResult
+from ..ports import WatchEvent
+from .key_value_store import KeyValueStore
+from .key_value_store import Snapshot
+
+SIGN_OF_LIFE = 1.0
+"""Seconds after which a quiet watch yields ``None``."""
+
+_T = t.TypeVar("_T")
+
+
+@dataclasses.dataclass(slots=True)
+class _Lease:
+    ttl: int
+    timer: asyncio.TimerHandle
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Watch:
+    client: str
+    prefix: str
+    queue: asyncio.Queue[WatchEvent | None]
+    broken: bool = False
+    silent: bool = False
+
+
+class KeyValueStandIn:
+    """The service itself; processes reach it through :meth:`client`.
+
+    :param delay: seconds each call takes, half of them before it takes effect.
+    :param delays: the same for single clients, by name.
+    :param store: the content, to be looked at by tests.
+    :param reads: calls that read, so far.
+    :param writes: transactions, grants and revocations, so far.
+    :param keep_alives: lease renewals, so far.
+    """
+
+    def __init__(self, delay: float = 0.0) -> None:
+        self.delay = delay
+        self.delays: dict[str, float] = {}
+        self.store = KeyValueStore()
+        self.reads = 0
+        self.writes = 0
+        self.keep_alives = 0
+        self._down = False
+        self._cut: set[str] = set()
+        self._losses: collections.Counter[str | None] = collections.Counter()
+        self._leases: dict[int, _Lease] = {}
+        self._lease_ids = itertools.count(1)
+        self._watches: set[_Watch] = set()
+
+    def client(self, name: str) -> KeyValueClient:
+        """Return one process's way to the service."""
+        return KeyValueClient(self, name)
+
+    @property
+    def waiting_watches(self) -> int:
+        """How many watches are open now."""
+        return len(self._watches)
+
+    @property
+    def down(self) -> bool:
+        """Whether the service refuses every call; going down breaks all watches."""
+        return self._down
+
+    @down.setter
+    def down(self, value: bool) -> None:
+        self._down = value
+        if value:
+            self._break_watches(lambda watch: True)
+
+    def cut(self, client: str) -> None:
+        """Refuse one client's calls and break its watches, until :meth:`heal`."""
+        self._cut.add(client)
+        self._break_watches(lambda watch: watch.client == client)
+
+    def heal(self, client: str) -> None:
+        """End a :meth:`cut`."""
+        self._cut.discard(client)
+
+    def lose_next_reply(self, client: str | None = None, count: int = 1) -> None:
+        """Let the next writes take effect and lose their replies.
+
+        :param client: whose writes; ``None`` for anyone's.
+        """
+        self._losses[client] += count
+
+    def silence_watches(self, client: str | None = None) -> None:
+        """Let the open watches yield nothing more, without an error.
+
+        Watches opened later work. So fails a connection that was cut without a word.
+        """
+        for watch in self._watches:
+            watch.silent = watch.silent or client in (None, watch.client)
+
+    def compact(self, revision: int | None = None) -> None:
+        """Forget the events up to a revision, or up to now."""
+        self.store.compact(self.store.revision if revision is None else revision)
+
+    def snapshot(self) -> Snapshot:
+        """Return the whole content."""
+        leases = {lease: entry.ttl for lease, entry in self._leases.items()}
+        return Snapshot(dict(self.store.items), self.store.revision, leases)
+
+    def restore(self, snapshot: Snapshot) -> None:
+        """Come back with older content; its leases begin anew, watches break."""
+        for lease in self._leases.values():
+            lease.timer.cancel()
+        self.store.restore(snapshot)
+        self._leases = {i: self._begin(i, ttl) for i, ttl in snapshot.leases.items()}
+        self._break_watches(lambda watch: True)
+
+    async def read(self, client: str, answer: cabc.Callable[[], _T]) -> _T:
+        """Carry a client's read.
+
+        :raises KeyValueUnavailableError: if the service is or goes down.
+        """
+        self.reads += 1
+        self._refuse_if_cut(client)
+        half = self._half(client)
+        if half:
+            await asyncio.sleep(half)
+        value = answer()
+        if half:
+            await asyncio.sleep(half)
+        self._refuse_if_cut(client)
+        return value
+
+    async def write(self, client: str, effect: cabc.Callable[[], _T]) -> _T:
+        """Carry a client's write; it takes effect even if the caller stops waiting.
+
+        :raises KeyValueUnavailableError: if the service is down.
+        :raises KeyValueOutcomeUnknownError: if the reply is lost.
+        """
+        self._refuse_if_cut(client)
+        half = self._half(client)
+        if half:
+            outcome = await asyncio.shield(
+                asyncio.ensure_future(self._late(client, effect, half))
+            )
+        else:
+            outcome = _attempt(effect)
+        if isinstance(outcome, Exception):
+            raise outcome
+        if self._loses_reply(client) or self._is_cut(client):
+            raise KeyValueOutcomeUnknownError("the reply was lost")
+        return outcome
+
+    def txn(
+        self, compares: cabc.Sequence[Compare], writes: cabc.Sequence[Put | Delete]
+    ) -> TxnResult:
+        """Apply a transaction at once.
+
+        :raises LeaseLapsedError: for a write with a lease that is no more.
+        """
+        for write in writes:
+            if isinstance(write, Put) and write.lease:
+                self._require(write.lease)
+        result, events = self.store.txn(compares, writes)
+        self._publish(events)
+        return result
+
+    def grant_lease(self, ttl_seconds: int) -> int:
+        """Create a lease at once."""
+        lease = next(self._lease_ids)
+        self._leases[lease] = self._begin(lease, ttl_seconds)
+        return lease
+
+    def keep_alive(self, lease: int) -> bool:
+        """Renew a lease at once; ``False`` if it has lapsed."""
+        entry = self._leases.get(lease)
+        if entry is None:
+            return False
+        entry.timer.cancel()
+        self._leases[lease] = self._begin(lease, entry.ttl)
+        return True
+
+    def end_lease(self, lease: int) -> None:
+        """End a lease at once and delete its keys, if it still is."""
+        entry = self._leases.pop(lease, None)
+        if entry is None:
+            return
+        entry.timer.cancel()
+        keys = [key for key, item in self.store.items.items() if item.lease == lease]
+        _, events = self.store.txn((), [Delete(key) for key in sorted(keys)])
+        self._publish(events)
+
+    async def watch(
+        self, client: str, prefix: str, from_revision: int
+    ) -> cabc.AsyncGenerator[WatchEvent | None, None]:
+        """Yield a client's events below a prefix.
+
+        :param from_revision: first revision wanted; 0 for what comes from now on.
+        :raises KeyValueUnavailableError: when the service is or goes down, or the
+            first revision was compacted.
+        """
+        self._refuse_if_cut(client)
+        if 0 < from_revision <= self.store.compacted:
+            raise KeyValueUnavailableError(f"revision {from_revision} was compacted")
+        watch = _Watch(client, prefix, asyncio.Queue())
+        if from_revision:
+            for event in self.store.events_from(from_revision):
+                _offer(watch, event)
+        self._watches.add(watch)
+        try:
+            while True:
+                found = await _next_event(watch)
+                if found is None or found.mod_revision >= from_revision:
+                    yield found
+        finally:
+            self._watches.discard(watch)
+
+    async def _late(
+        self, client: str, effect: cabc.Callable[[], _T], half: float
+    ) -> _T | Exception:
+        await asyncio.sleep(half)
+        if self._is_cut(client):
+            return KeyValueOutcomeUnknownError("the service went down")
+        outcome = _attempt(effect)
+        await asyncio.sleep(half)
+        return outcome
+
+    def _half(self, client: str) -> float:
+        return self.delays.get(client, self.delay) / 2
+
+    def _is_cut(self, client: str) -> bool:
+        return self._down or client in self._cut
+
+    def _refuse_if_cut(self, client: str) -> None:
+        if self._is_cut(client):
+            raise KeyValueUnavailableError("the key-value service is down")
+
+    def _loses_reply(self, client: str) -> bool:
+        for name in (client, None):
+            if self._losses[name]:
+                self._losses[name] -= 1
+                return True
+        return False
+
+    def _begin(self, lease: int, ttl_seconds: int) -> _Lease:
+        loop = asyncio.get_running_loop()
+        return _Lease(ttl_seconds, loop.call_later(ttl_seconds, self.end_lease, lease))
+
+    def _require(self, lease: int) -> None:
+        if lease not in self._leases:
+            raise LeaseLapsedError(f"lease {lease} has lapsed")
+
+    def _publish(self, events: cabc.Iterable[WatchEvent]) -> None:
+        for event in events:
+            for watch in self._watches:
+                _offer(watch, event)
+
+    def _break_watches(self, chosen: cabc.Callable[[_Watch], bool]) -> None:
+        for watch in self._watches:
+            if chosen(watch):
+                watch.broken = True
+                watch.queue.put_nowait(None)
+
+
+def _attempt(effect: cabc.Callable[[], _T]) -> _T | Exception:
+    try:
+        return effect()
+    except Exception as error:
+        return error
+
+
+def _offer(watch: _Watch, event: WatchEvent) -> None:
+    if event.key.startswith(watch.prefix):
+        watch.queue.put_nowait(event)
+
+
+async def _next_event(watch: _Watch) -> WatchEvent | None:
+    try:
+        async with asyncio.timeout(SIGN_OF_LIFE):
+            event = await watch.queue.get()
+    except TimeoutError:
+        event = None
+    if watch.silent:
+        await asyncio.get_running_loop().create_future()
+    if watch.broken:
+        raise KeyValueUnavailableError("the watch broke")
+    return event
+
+
+class KeyValueClient:
+    """One process's way to a :class:`KeyValueStandIn`.
+
+    :param standin: the service.
+    :param name: by which faults are set for this client alone.
+    """
+
+    def __init__(self, standin: KeyValueStandIn, name: str) -> None:
+        self.standin = standin
+        self.name = name
+
+    async def get(self, key: str) -> KeyValue | None:
+        """Read one key."""
+        return await self.standin.read(
+            self.name, lambda: self.standin.store.items.get(key)
+        )
+
+    async def range(self, prefix: str) -> RangeResult:
+        """Read every key below a prefix, sorted."""
+        store = self.standin.store
+        return await self.standin.read(
+            self.name, lambda: RangeResult(store.below(prefix), store.revision)
+        )
+
+    async def txn(
+        self, compares: cabc.Sequence[Compare], writes: cabc.Sequence[Put | Delete]
+    ) -> TxnResult:
+        """Apply all writes if all conditions hold, else none."""
+        self.standin.writes += 1
+        return await self.standin.write(
+            self.name, lambda: self.standin.txn(compares, writes)
+        )
+
+    async def grant_lease(self, ttl_seconds: int) -> int:
+        """Create a lease and return its id."""
+        self.standin.writes += 1
+        return await self.standin.write(
+            self.name, lambda: self.standin.grant_lease(ttl_seconds)
+        )
+
+    async def keep_alive(self, lease: int) -> bool:
+        """Renew a lease; ``False`` if it has lapsed."""
+        self.standin.keep_alives += 1
+        return await self.standin.write(
+            self.name, lambda: self.standin.keep_alive(lease)
+        )
+
+    async def revoke_lease(self, lease: int) -> None:
+        """End a lease and delete its keys."""
+        self.standin.writes += 1
+        await self.standin.write(self.name, lambda: self.standin.end_lease(lease))
+
+    def watch(
+        self, prefix: str, from_revision: int
+    ) -> cabc.AsyncGenerator[WatchEvent | None, None]:
+        """Yield changes below a prefix in order; ``None`` is a sign of life."""
+        return self.standin.watch(self.name, prefix, from_revision)
--- /dev/null
+++ b/src/bergamotmast/standins/key_value_store.py
@@ -0,0 +1,118 @@
+"""The data of the key-value stand-in: revisions, transactions and their history."""
+
+from __future__ import annotations
+
+import bisect
+import collections.abc as cabc
+import dataclasses
+import operator
+
+from ..errors import PortError
+from ..ports import Compare
+from ..ports import Delete
+from ..ports import KeyValue
+from ..ports import Put
+from ..ports import TxnResult
+from ..ports import WatchEvent
+
+HISTORY_LIMIT = 20_000
+"""Events kept before the older half is compacted."""
+
+VALUE_LIMIT = 1_000_000
+"""Largest value, in bytes."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """The whole content at one revision.
+
+    :param items: every key.
+    :param revision: store revision.
+    :param leases: id and time to live, in seconds, of each lease.
+    """
+
+    items: dict[str, KeyValue]
+    revision: int
+    leases: dict[int, int]
+
+
+class KeyValueStore:
+    """Keys with revisions, and the events that led to them.
+
+    :param items: every key present.
+    :param revision: raised by each transaction that changes anything.
+    :param compacted: events up to this revision are no longer kept.
+    """
+
+    def __init__(self) -> None:
+        self.items: dict[str, KeyValue] = {}
+        self.revision = 0
+        self.compacted = 0
+        self.events: list[WatchEvent] = []
+
+    def txn(
+        self, compares: cabc.Sequence[Compare], writes: cabc.Sequence[Put | Delete]
+    ) -> tuple[TxnResult, list[WatchEvent]]:
+        """Apply all writes if all conditions hold; return what changed too.
+
+        :raises PortError: for a value that is too large.
+        """
+        for write in writes:
+            if isinstance(write, Put) and len(write.value) > VALUE_LIMIT:
+                raise PortError(f"the value of {write.key} is over {VALUE_LIMIT} bytes")
+        if not all(self._holds(compare) for compare in compares):
+            return TxnResult(False, self.revision), []
+        return self._apply(writes)
+
+    def below(self, prefix: str) -> tuple[KeyValue, ...]:
+        """Return every key below a prefix, sorted."""
+        found = [item for key, item in self.items.items() if key.startswith(prefix)]
+        return tuple(sorted(found, key=operator.attrgetter("key")))
+
+    def events_from(self, revision: int) -> list[WatchEvent]:
+        """Return the kept events of this revision and later."""
+        start = bisect.bisect_left(self.events, revision, key=_revision_of)
+        return self.events[start:]
+
+    def compact(self, revision: int) -> None:
+        """Forget the events up to and including a revision."""
+        self.compacted = max(self.compacted, revision)
+        self.events = self.events_from(self.compacted + 1)
+
+    def restore(self, snapshot: Snapshot) -> None:
+        """Become what a snapshot holds; the history is lost, the revision goes back."""
+        self.items = dict(snapshot.items)
+        self.revision = snapshot.revision
+        self.compacted = snapshot.revision
+        self.events = []
+
+    def _holds(self, compare: Compare) -> bool:
+        item = self.items.get(compare.key)
+        revision = item.mod_revision if item else 0
+        return revision == compare.mod_revision
+
+    def _apply(
+        self, writes: cabc.Sequence[Put | Delete]
+    ) -> tuple[TxnResult, list[WatchEvent]]:
+        revision = self.revision + 1
+        events = []
+        for write in writes:
+            if isinstance(write, Put):
+                item = KeyValue(write.key, write.value, revision, write.lease)
+                self.items[write.key] = item
+                events.append(WatchEvent(write.key, write.value, revision))
+            elif self.items.pop(write.key, None) is not None:
+                events.append(WatchEvent(write.key, None, revision))
+        if events:
+            self.revision = revision
+            self._keep(events)
+        return TxnResult(True, self.revision), events
+
+    def _keep(self, events: list[WatchEvent]) -> None:
+        self.events.extend(events)
+        if len(self.events) > HISTORY_LIMIT:
+            self.compact(self.events[HISTORY_LIMIT // 2].mod_revision)
+
+
+def _revision_of(event: WatchEvent) -> int:
+    return event.mod_revision
