A history is checked for every promise

The time a process may take to put a configuration in force needs to know when it ran and could be reached, so history gains the four records of a process's life, and StayingAnnounced for an upstream whose leaving was taken back.

--- /dev/null
+++ b/src/bergamotmast/checker_requests.py
@@ -0,0 +1,155 @@
+"""Checks of what callers were told against what upstreams ran."""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+
+from .checker_types import Check
+from .checker_types import Limits
+from .checker_types import Rule
+from .checker_types import Violation
+from .errors import Outcome
+from .errors import ResultCode
+from .history import AnyRecord
+from .history import Execution
+from .history import RequestAnswered
+from .history import RequestSent
+
+
+def _sent(records: cabc.Iterable[AnyRecord]) -> dict[str, RequestSent]:
+    return {r.request: r for r in records if isinstance(r, RequestSent)}
+
+
+def _answers(records: cabc.Iterable[AnyRecord]) -> list[RequestAnswered]:
+    return [r for r in records if isinstance(r, RequestAnswered)]
+
+
+def check_answered_once(
+    records: cabc.Sequence[AnyRecord], limits: Limits
+) -> cabc.Iterator[Violation]:
+    """Find answers beyond the first, and answers to nothing."""
+    sent: set[str] = set()
+    answered: set[str] = set()
+    for record in records:
+        if isinstance(record, RequestSent):
+            sent.add(record.request)
+        elif isinstance(record, RequestAnswered):
+            if record.request not in sent:
+                yield _of(record, Rule.ANSWERED_ONCE, "answered before it was sent")
+            if record.request in answered:
+                yield _of(record, Rule.ANSWERED_ONCE, "answered again")
+            answered.add(record.request)
+
+
+def check_not_lost(
+    records: cabc.Sequence[AnyRecord], limits: Limits
+) -> cabc.Iterator[Violation]:
+    """Find requests that never ended."""
+    answered = {answer.request for answer in _answers(records)}
+    for request in _sent(records).values():
+        if request.request not in answered:
+            yield Violation(
+                Rule.NOT_LOST, request.at, request.request, "sent and never answered"
+            )
+
+
+def check_not_cut_off(
+    records: cabc.Sequence[AnyRecord], limits: Limits
+) -> cabc.Iterator[Violation]:
+    """Find answers that broke off without a code."""
+    for answer in _answers(records):
+        if answer.cut_off:
+            yield _of(
+                answer,
+                Rule.NOT_CUT_OFF,
+                f"broke off after {len(answer.text)} characters",
+            )
+
+
+def check_whole_answer(
+    records: cabc.Sequence[AnyRecord], limits: Limits
+) -> cabc.Iterator[Violation]:
+    """Find answers that differ from what the upstream gave.
+
+    An answer that ends with a code may be short, but what it holds must be right.
+    """
+    sent = _sent(records)
+    for answer in _answers(records):
+        request = sent.get(answer.request)
+        expected = request.expected_text if request else ""
+        if answer.code == ResultCode.OK and answer.outcome != Outcome.RAN.value:
+            yield _of(answer, Rule.WHOLE_ANSWER, f"code 0, but told {answer.outcome}")
+        if not expected:
+            continue
+        short = answer.code != ResultCode.OK or answer.cut_off
+        right = expected.startswith(answer.text) if short else answer.text == expected
+        if not right:
+            yield _of(answer, Rule.WHOLE_ANSWER, _difference(expected, answer.text))
+
+
+def check_truly_not_run(
+    records: cabc.Sequence[AnyRecord], limits: Limits
+) -> cabc.Iterator[Violation]:
+    """Find requests whose caller was told "not run" and that ran."""
+    runs: dict[str, Execution] = {}
+    for record in records:
+        if isinstance(record, Execution):
+            runs.setdefault(record.request, record)
+    for answer in _answers(records):
+        run = runs.get(answer.request)
+        if answer.outcome == Outcome.NOT_RUN.value and run is not None:
+            detail = f'told "not run" at {answer.at}, ran at {run.upstream}'
+            yield Violation(Rule.TRULY_NOT_RUN, run.at, answer.request, detail)
+
+
+def check_at_most_once(
+    records: cabc.Sequence[AnyRecord], limits: Limits
+) -> cabc.Iterator[Violation]:
+    """Find non-repeatable requests and idempotency keys that ran more than once.
+
+    A key counts over all requests that carry it, at whichever entry. The key of a
+    request that may be repeated promises nothing.
+    """
+    sent = _sent(records)
+    ran: dict[str, Execution] = {}
+    for record in records:
+        if not isinstance(record, Execution):
+            continue
+        for identity in _identities(record, sent.get(record.request)):
+            earlier = ran.setdefault(identity, record)
+            if earlier is not record:
+                detail = f"ran at {earlier.upstream} and again at {record.upstream}"
+                yield Violation(Rule.AT_MOST_ONCE, record.at, identity, detail)
+
+
+def _identities(run: Execution, request: RequestSent | None) -> set[str]:
+    if request is None:
+        return {f"key {run.key}"} if run.key else set()
+    if request.repeatable:
+        return set()
+    keys = {key for key in (run.key, request.idempotency_key) if key}
+    return {f"request {run.request}", *(f"key {key}" for key in keys)}
+
+
+def _difference(expected: str, text: str) -> str:
+    same = 0
+    while same < min(len(expected), len(text)) and expected[same] == text[same]:
+        same += 1
+    return (
+        f"{len(text)} characters for {len(expected)}, the first difference at "
+        f"character {same}"
+    )
+
+
+def _of(answer: RequestAnswered, rule: Rule, detail: str) -> Violation:
+    return Violation(rule, answer.at, answer.request, detail)
+
+
+REQUEST_CHECKS: tuple[Check, ...] = (
+    check_answered_once,
+    check_not_lost,
+    check_not_cut_off,
+    check_whole_answer,
+    check_truly_not_run,
+    check_at_most_once,
+)
--- a/src/bergamotmast/history.py
+++ b/src/bergamotmast/history.py
@@ -115,6 +115,36 @@
     upstream: str
 
 
+class StayingAnnounced(Record, frozen=True, tag="staying_announced"):
+    """Every signal says again that an upstream stays."""
+
+    upstream: str
+
+
+class ProcessStarted(Record, frozen=True, tag="process_started"):
+    """A process began to serve, with nothing in its memory."""
+
+    process: str
+
+
+class ProcessStopped(Record, frozen=True, tag="process_stopped"):
+    """A process ended, in whatever way."""
+
+    process: str
+
+
+class ProcessUnreachable(Record, frozen=True, tag="process_unreachable"):
+    """A process was paused or cut off from every other one."""
+
+    process: str
+
+
+class ProcessReachable(Record, frozen=True, tag="process_reachable"):
+    """A paused or cut-off process is back."""
+
+    process: str
+
+
 class PlannedChange(Record, frozen=True, tag="planned_change"):
     """A planned change of the fleet began."""
 
@@ -133,6 +163,11 @@
     | ConfigAccepted
     | ConfigInForce
     | LeavingAnnounced
+    | StayingAnnounced
+    | ProcessStarted
+    | ProcessStopped
+    | ProcessUnreachable
+    | ProcessReachable
     | PlannedChange
 )
 
