Configuration in the key-value service: edits by compare-and-swap, and a watch

An edit writes the document, a short mark of it and a record with author and nonce in one transaction on the current key's last write. A lost reply is settled by sending the same transaction again: its condition can hold once only, and the nonce in the record says whether an earlier copy was the one. Reading back alone was ruled out, because a copy may still be on its way when the read finds nothing.

A service that comes back older is given the document in force; where it was already edited, that edit is kept under a generation above both.

An edit's unknown outcome now has the code for unknown outcomes; it was the one that says "not run".

--- /dev/null
+++ b/src/bergamotmast/config_diff.py
@@ -0,0 +1,75 @@
+"""What differs between two configuration documents, for people and for programs."""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import typing as t
+
+import msgspec
+
+from .config import Configuration
+
+_KEY_FIELDS = {"selectors": "name", "admin_keys": "digest"}
+"""Lists whose items have a name of their own, so that moving one is no change."""
+
+
+class Change(msgspec.Struct, frozen=True):
+    """One place where two documents differ.
+
+    :param path: where, for instance ``selectors[appraisals].models``.
+    :param before: the older value; ``None`` where there was none.
+    :param after: the newer value; ``None`` where there is none.
+    """
+
+    path: str
+    before: t.Any
+    after: t.Any
+
+    def show(self) -> str:
+        """Return the change as one line."""
+        if self.before is None:
+            return f"+ {self.path}: {_text(self.after)}"
+        if self.after is None:
+            return f"- {self.path}: {_text(self.before)}"
+        return f"~ {self.path}: {_text(self.before)} -> {_text(self.after)}"
+
+
+def diff(before: Configuration, after: Configuration) -> tuple[Change, ...]:
+    """Return every difference in content, in the order of the paths.
+
+    The generation is left out: it differs between any two documents.
+    """
+    return tuple(_compare("", _plain(before), _plain(after)))
+
+
+def show_diff(changes: cabc.Iterable[Change]) -> str:
+    """Return changes as lines for a person."""
+    return "\n".join(change.show() for change in changes)
+
+
+def _plain(configuration: Configuration) -> dict[str, t.Any]:
+    plain: dict[str, t.Any] = msgspec.to_builtins(configuration)
+    del plain["generation"]
+    for field, key in _KEY_FIELDS.items():
+        plain[field] = {item[key]: item for item in plain[field]}
+    return plain
+
+
+def _compare(path: str, before: t.Any, after: t.Any) -> cabc.Iterator[Change]:
+    if isinstance(before, dict) and isinstance(after, dict):
+        for key in sorted(before.keys() | after.keys()):
+            yield from _compare(_join(path, key), before.get(key), after.get(key))
+    elif before != after:
+        yield Change(path, before, after)
+
+
+def _join(path: str, key: str) -> str:
+    if not path:
+        return key
+    if path in _KEY_FIELDS or path in ("labels", "classes", "tenants", "routes"):
+        return f"{path}[{key}]"
+    return f"{path}.{key}"
+
+
+def _text(value: t.Any) -> str:
+    return msgspec.json.encode(value).decode()
--- /dev/null
+++ b/src/bergamotmast/config_store.py
@@ -0,0 +1,292 @@
+"""The configuration in the key-value service, changed by compare-and-swap.
+
+Three kinds of key are written in one transaction for each accepted edit: the current
+document, a short mark of it (so that a process can ask cheaply whether it has missed
+anything), and a record of who proposed it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc as cabc
+import dataclasses
+import hashlib
+import time
+
+import msgspec
+
+from .config import Configuration
+from .config import decode_configuration
+from .config import encode_configuration
+from .config_diff import diff
+from .errors import ConfigError
+from .errors import EditConflictError
+from .errors import KeyValueOutcomeUnknownError
+from .errors import KeyValueUnavailableError
+from .history import ConfigAccepted
+from .history import HistorySink
+from .history import NullHistory
+from .ports import Compare
+from .ports import Delete
+from .ports import KeyValue
+from .ports import KeyValueService
+from .ports import Put
+from .ports import TxnResult
+
+CONFIG_PREFIX = "/bergamotmast/config/"
+CURRENT_KEY = CONFIG_PREFIX + "current"
+MARK_KEY = CONFIG_PREFIX + "mark"
+HISTORY_PREFIX = CONFIG_PREFIX + "history/"
+
+GENERATION_DIGITS = 12
+"""Zero padding of a generation in a key, so that keys sort as numbers do."""
+
+MARK_DIGITS = 32
+"""Hex digits of a document's digest in its mark."""
+
+HISTORY_KEPT = 100
+"""Records kept; the service is small, and each record holds a whole document."""
+
+WRITE_ATTEMPTS = 6
+"""Sends of one transaction while its outcome stays unknown."""
+
+FIRST_RESEND_SECONDS = 0.1
+"""Pause before the second send; doubled before each later one."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredConfiguration:
+    """A document as the key-value service holds it.
+
+    :param document: the configuration as bytes.
+    :param mod_revision: what a compare-and-swap must name; 0 if there is none yet.
+    """
+
+    configuration: Configuration
+    document: bytes
+    mod_revision: int
+
+
+class ConfigRecord(msgspec.Struct, frozen=True):
+    """One accepted edit.
+
+    :param author: who proposed it.
+    :param nonce: names the one proposal that was accepted.
+    :param accepted_at: the proposer's wall clock, seconds since 1970; for people only.
+    :param changes: what it changed, a line each.
+    """
+
+    generation: int
+    author: str
+    nonce: str
+    accepted_at: float
+    changes: tuple[str, ...]
+    configuration: Configuration
+
+
+_RECORD_ENCODER = msgspec.json.Encoder(order="sorted")
+_RECORD_DECODER = msgspec.json.Decoder(ConfigRecord)
+
+
+def history_key(generation: int) -> str:
+    """Return the key of a generation's record."""
+    return f"{HISTORY_PREFIX}{generation:0{GENERATION_DIGITS}d}"
+
+
+def mark(document: bytes) -> bytes:
+    """Return a short value that differs for every two documents."""
+    return hashlib.sha256(document).hexdigest()[:MARK_DIGITS].encode()
+
+
+class ConfigStore:
+    """Reads and edits the configuration.
+
+    :param kv: the key-value service.
+    :param history: where accepted generations are recorded.
+    :param wall_clock: seconds since 1970, for the records that people read.
+    """
+
+    def __init__(
+        self,
+        kv: KeyValueService,
+        history: HistorySink | None = None,
+        wall_clock: cabc.Callable[[], float] = time.time,
+    ) -> None:
+        self.kv = kv
+        self.history_sink = history or NullHistory()
+        self.wall_clock = wall_clock
+
+    async def read(self) -> StoredConfiguration:
+        """Read the current document; an empty one if there is none yet.
+
+        :raises ConfigError: if what is stored is no configuration.
+        """
+        item = await self.kv.get(CURRENT_KEY)
+        if item is None:
+            return StoredConfiguration(Configuration(), b"", 0)
+        return _stored(item)
+
+    async def read_record(self, generation: int) -> ConfigRecord | None:
+        """Read the record of a generation; ``None`` if there is none or no longer."""
+        item = await self.kv.get(history_key(generation))
+        return None if item is None else _record(item)
+
+    async def history(self, limit: int = 20) -> tuple[ConfigRecord, ...]:
+        """Read the newest records, newest first."""
+        found = await self.kv.range(HISTORY_PREFIX)
+        newest = sorted(found.items, key=lambda item: item.key, reverse=True)
+        return tuple(_record(item) for item in newest[:limit])
+
+    async def propose(
+        self,
+        configuration: Configuration,
+        against_generation: int,
+        author: str,
+        nonce: str,
+    ) -> Configuration:
+        """Make a document the current one, if nobody changed it in between.
+
+        :param against_generation: the generation the proposer had read.
+        :param nonce: unique to this proposal; sent again it changes nothing more.
+        :return: the document with its new generation.
+        :raises EditConflictError: if another edit came first.
+        :raises KeyValueUnavailableError: if nothing was written.
+        :raises KeyValueOutcomeUnknownError: if it stayed unknown.
+        """
+        stored = await self.read()
+        proposed = _with_generation(configuration, against_generation + 1)
+        if stored.configuration.generation != against_generation:
+            return await self._settle(proposed, nonce)
+        record = self._new_record(stored, proposed, author, nonce)
+        if await self._swap(stored, record):
+            self.history_sink.record(
+                ConfigAccepted(at=_now(), generation=proposed.generation)
+            )
+            return proposed
+        return await self._settle(proposed, nonce)
+
+    async def put_back(self, document: bytes, author: str, nonce: str) -> bool:
+        """Give a service that lost its newest document the one in force.
+
+        A service restored from a backup holds an older document, which processes
+        refuse: an operator would edit it and see nothing change anywhere. Where both
+        have the same generation and differ, somebody has already edited the restored
+        document; that later edit is kept, under a generation above both.
+
+        :return: whether the service was changed.
+        """
+        ours = decode_configuration(document)
+        stored = await self.read()
+        theirs = stored.configuration
+        if theirs.generation > ours.generation or stored.document == document:
+            return False
+        if theirs.generation == ours.generation:
+            if theirs == ours:
+                return False
+            ours = _with_generation(theirs, theirs.generation + 1)
+        record = self._new_record(stored, ours, author, nonce)
+        return await self._swap(stored, record)
+
+    def _new_record(
+        self,
+        stored: StoredConfiguration,
+        proposed: Configuration,
+        author: str,
+        nonce: str,
+    ) -> ConfigRecord:
+        changes = diff(stored.configuration, proposed)
+        return ConfigRecord(
+            generation=proposed.generation,
+            author=author,
+            nonce=nonce,
+            accepted_at=self.wall_clock(),
+            changes=tuple(change.show() for change in changes),
+            configuration=proposed,
+        )
+
+    async def _swap(self, stored: StoredConfiguration, record: ConfigRecord) -> bool:
+        """Send the transaction until its outcome is known.
+
+        A lost reply leaves open whether the write took effect, or even whether it
+        still will: reading alone can't tell. Sending the very same transaction again
+        is safe, because its condition can hold only once; when it fails, the nonce in
+        the record tells whether an earlier copy was the one that took effect.
+        """
+        compares = [Compare(CURRENT_KEY, stored.mod_revision)]
+        writes = _writes(record)
+        lost: KeyValueOutcomeUnknownError | None = None
+        for attempt in range(WRITE_ATTEMPTS):
+            if attempt:
+                await asyncio.sleep(FIRST_RESEND_SECONDS * 2 ** (attempt - 1))
+            try:
+                result: TxnResult = await self.kv.txn(compares, writes)
+                return result.succeeded or await self._is_ours(record)
+            except KeyValueOutcomeUnknownError as error:
+                lost = error
+            except KeyValueUnavailableError:
+                if lost is None:
+                    raise
+        raise KeyValueOutcomeUnknownError(
+            f"generation {record.generation} may or may not have been accepted;"
+            f" look for nonce {record.nonce} in the history"
+        ) from lost
+
+    async def _is_ours(self, record: ConfigRecord) -> bool:
+        try:
+            found = await self.read_record(record.generation)
+        except KeyValueUnavailableError as error:
+            raise KeyValueOutcomeUnknownError(error.message) from error
+        return found is not None and found.nonce == record.nonce
+
+    async def _settle(self, proposed: Configuration, nonce: str) -> Configuration:
+        """Return the proposal if an earlier send of it was accepted, else raise."""
+        first = await self.read_record(proposed.generation)
+        if first is not None and first.nonce == nonce:
+            return first.configuration
+        current = (await self.read()).configuration
+        newest = await self.read_record(current.generation)
+        author = first.author if first else newest.author if newest else "unknown"
+        changes = diff(current, proposed)
+        raise EditConflictError(
+            f"generation {proposed.generation - 1} is no longer the current one:"
+            f" {author} was first, and {current.generation} is current now."
+            f" The proposal differs from it in {len(changes)} places.",
+            generation=current.generation,
+            author=author,
+            differences=tuple(change.show() for change in changes),
+        )
+
+
+def _writes(record: ConfigRecord) -> list[Put | Delete]:
+    document = encode_configuration(record.configuration)
+    writes: list[Put | Delete] = [
+        Put(CURRENT_KEY, document),
+        Put(MARK_KEY, mark(document)),
+        Put(history_key(record.generation), _RECORD_ENCODER.encode(record)),
+    ]
+    if record.generation > HISTORY_KEPT:
+        writes.append(Delete(history_key(record.generation - HISTORY_KEPT)))
+    return writes
+
+
+def _with_generation(configuration: Configuration, generation: int) -> Configuration:
+    return msgspec.structs.replace(configuration, generation=generation)
+
+
+def _stored(item: KeyValue) -> StoredConfiguration:
+    try:
+        configuration = decode_configuration(item.value)
+    except msgspec.DecodeError as error:
+        raise ConfigError(f"{item.key} holds no configuration: {error}") from error
+    return StoredConfiguration(configuration, item.value, item.mod_revision)
+
+
+def _record(item: KeyValue) -> ConfigRecord:
+    try:
+        return _RECORD_DECODER.decode(item.value)
+    except msgspec.DecodeError as error:
+        raise ConfigError(f"{item.key} holds no record: {error}") from error
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/bergamotmast/errors.py
+++ b/src/bergamotmast/errors.py
@@ -244,11 +244,32 @@
 
 
 class EditConflictError(BergamotmastError):
-    """Somebody else changed the configuration first."""
+    """Somebody else changed the configuration first.
+
+    :param generation: the generation that is in the way.
+    :param author: who wrote it.
+    :param differences: what differs between it and the proposal, a line each.
+    """
 
     exit_code = 4
     code = ResultCode.EDIT_CONFLICT
 
+    def __init__(
+        self,
+        message: str,
+        generation: int = 0,
+        author: str = "",
+        differences: tuple[str, ...] = (),
+    ) -> None:
+        super().__init__(message)
+        self.generation = generation
+        self.author = author
+        self.differences = differences
+
+    def show(self) -> str:
+        """Return the error with the differences below it."""
+        return "\n".join((super().show(), *self.differences))
+
 
 class PortError(BergamotmastError):
     """Something outside the package failed."""
@@ -269,7 +290,7 @@
     """The reply to a write was lost: it may or may not have taken effect."""
 
     exit_code = 5
-    code = ResultCode.KEY_VALUE_UNAVAILABLE
+    code = ResultCode.OUTCOME_UNKNOWN
 
 
 class NotReachedError(PortError):
--- /dev/null
+++ b/tests/test_config_diff.py
@@ -0,0 +1,27 @@
+from __future__ import annotations
+
+from bergamotmast.config import Configuration
+from bergamotmast.config import RequestClass
+from bergamotmast.config import Selector
+from bergamotmast.config_diff import diff
+from bergamotmast.config_diff import show_diff
+
+ONE = Selector(name="one", group="pool=one", models=("m@1",))
+TWO = Selector(name="two", group="pool=two")
+
+
+def test_the_order_of_selectors_and_the_generation_are_no_change():
+    before = Configuration(generation=1, selectors=(ONE, TWO))
+    assert diff(before, Configuration(generation=2, selectors=(TWO, ONE))) == ()
+
+
+def test_each_change_is_one_line_with_its_path():
+    before = Configuration(selectors=(ONE,), labels={"e": {"pool": "one"}})
+    changed = Selector(name="one", group="pool=one", models=("m@2",))
+    after = Configuration(selectors=(changed,), classes={"checks": RequestClass()})
+    assert show_diff(diff(before, after)).splitlines() == [
+        '+ classes[checks]: {"priority":1,"first_token":10.0,"total":120.0,'
+        '"between_tokens":1.0}',
+        '- labels[e]: {"pool":"one"}',
+        '~ selectors[one].models: ["m@1"] -> ["m@2"]',
+    ]
--- /dev/null
+++ b/tests/test_config_store.py
@@ -0,0 +1,142 @@
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from bergamotmast.config import Configuration
+from bergamotmast.config_store import CURRENT_KEY
+from bergamotmast.config_store import HISTORY_KEPT
+from bergamotmast.config_store import WRITE_ATTEMPTS
+from bergamotmast.config_store import ConfigStore
+from bergamotmast.config_store import history_key
+from bergamotmast.errors import ConfigError
+from bergamotmast.errors import EditConflictError
+from bergamotmast.errors import KeyValueOutcomeUnknownError
+from bergamotmast.errors import KeyValueUnavailableError
+from bergamotmast.history import ConfigAccepted
+from bergamotmast.history import MemoryHistory
+from bergamotmast.ports import Put
+from bergamotmast.standins.key_value import KeyValueStandIn
+
+pytestmark = pytest.mark.looptime
+
+
+def labelled(**pools: str) -> Configuration:
+    return Configuration(labels={name: {"pool": pool} for name, pool in pools.items()})
+
+
+def store(service: KeyValueStandIn, name: str = "operator") -> ConfigStore:
+    return ConfigStore(service.client(name), wall_clock=lambda: 1_700_000_000.0)
+
+
+async def test_an_edit_is_current_and_in_the_history():
+    history = MemoryHistory()
+    edits = ConfigStore(KeyValueStandIn().client("a"), history, lambda: 5.0)
+    first = await edits.propose(labelled(one="main"), 0, "ana", "n1")
+    second = await edits.propose(labelled(one="old"), 1, "rui", "n2")
+    assert (first.generation, second.generation) == (1, 2)
+    assert (await edits.read()).configuration == second
+    newest, oldest = await edits.history()
+    assert (newest.author, newest.changes) == (
+        "rui",
+        ('~ labels[one].pool: "main" -> "old"',),
+    )
+    assert oldest.configuration == first
+    assert history.records == [
+        ConfigAccepted(at=0.0, generation=1),
+        ConfigAccepted(at=0.0, generation=2),
+    ]
+
+
+async def test_two_operators_at_once():
+    # Two operators read generation 1 and propose at the same moment. One is accepted;
+    # the other is told who was first and what differs, and nothing of it is written.
+    service = KeyValueStandIn(delay=0.1)
+    await store(service).propose(labelled(one="main"), 0, "ana", "n0")
+    results = await asyncio.gather(
+        store(service, "a").propose(labelled(one="left"), 1, "ana", "n1"),
+        store(service, "b").propose(labelled(one="right"), 1, "rui", "n2"),
+        return_exceptions=True,
+    )
+    assert results[0] == (await store(service).read()).configuration
+    conflict = results[1]
+    assert isinstance(conflict, EditConflictError)
+    assert (conflict.author, conflict.generation) == ("ana", 2)
+    assert conflict.differences == ('~ labels[one].pool: "left" -> "right"',)
+    assert "ana was first" in conflict.show()
+    assert len(await store(service).history()) == 2
+
+
+@pytest.mark.parametrize("losses", [1, 2, WRITE_ATTEMPTS - 1])
+async def test_a_lost_reply_of_an_edit_that_took_effect(losses):
+    # The service takes the edit and its reply is lost, also when it is sent again.
+    # The operator must see success, and the edit must be there once.
+    service = KeyValueStandIn()
+    service.lose_next_reply(count=losses)
+    accepted = await store(service).propose(labelled(one="main"), 0, "ana", "n1")
+    assert accepted.generation == 1
+    assert [r.nonce for r in await store(service).history()] == ["n1"]
+
+
+async def test_a_lost_reply_of_an_edit_that_came_second():
+    # The reply of a failed compare-and-swap is lost while another operator has won.
+    # The loser must see a conflict, never success.
+    service = KeyValueStandIn()
+    slow = store(service, "slow")
+    service.delays["slow"] = 1.0
+    service.lose_next_reply("slow")
+    proposal = asyncio.create_task(slow.propose(labelled(a="x"), 0, "ana", "n1"))
+    await asyncio.sleep(1.2)
+    await store(service).propose(labelled(a="y"), 0, "rui", "n2")
+    with pytest.raises(EditConflictError, match="rui was first"):
+        await proposal
+
+
+async def test_an_outcome_that_stays_unknown_is_said_to_be():
+    # The service takes the edit, loses the reply and goes down before anything can be
+    # read back. The operator must not be told that nothing was written.
+    service = KeyValueStandIn(delay=0.2)
+    proposal = asyncio.create_task(
+        store(service).propose(labelled(a="x"), 0, "ana", "n1")
+    )
+    await asyncio.sleep(0.35)
+    service.down = True
+    with pytest.raises(KeyValueOutcomeUnknownError, match="n1"):
+        await proposal
+    service.down = False
+    assert (await store(service).propose(labelled(a="x"), 0, "ana", "n1")).generation
+
+
+async def test_a_service_that_is_down_takes_nothing():
+    service = KeyValueStandIn()
+    service.down = True
+    with pytest.raises(KeyValueUnavailableError):
+        await store(service).propose(labelled(a="x"), 0, "ana", "n1")
+
+
+async def test_the_same_proposal_sent_twice_counts_once():
+    edits = store(KeyValueStandIn())
+    first = await edits.propose(labelled(a="x"), 0, "ana", "n1")
+    assert await edits.propose(labelled(a="x"), 0, "ana", "n1") == first
+    with pytest.raises(EditConflictError):
+        await edits.propose(labelled(a="x"), 0, "ana", "n2")
+
+
+async def test_old_records_are_removed():
+    edits = store(KeyValueStandIn())
+    for generation in range(HISTORY_KEPT + 3):
+        await edits.propose(labelled(a=str(generation)), generation, "ana", "n")
+    records = await edits.history(limit=1000)
+    assert len(records) == HISTORY_KEPT
+    assert records[0].generation == HISTORY_KEPT + 3
+
+
+async def test_what_is_no_configuration_is_an_error_with_a_code():
+    service = KeyValueStandIn()
+    await service.client("x").txn([], [Put(CURRENT_KEY, b"\xff")])
+    await service.client("x").txn([], [Put(history_key(1), b"[]")])
+    with pytest.raises(ConfigError, match="holds no configuration"):
+        await store(service).read()
+    with pytest.raises(ConfigError, match="holds no record"):
+        await store(service).history()
--- /dev/null
+++ b/tests/test_config_watch.py
@@ -0,0 +1,179 @@
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+
+import pytest
+
+from bergamotmast.config import Configuration
+from bergamotmast.config_holder import ConfigHolder
+from bergamotmast.config_store import CURRENT_KEY
+from bergamotmast.config_store import ConfigStore
+from bergamotmast.config_watch import ConfigWatcher
+from bergamotmast.history import MemoryHistory
+from bergamotmast.ports import Put
+from bergamotmast.standins.key_value import KeyValueStandIn
+
+pytestmark = pytest.mark.looptime
+
+WITHIN_SECONDS = 18.0
+"""Time from an accepted edit to its being in force everywhere."""
+
+
+class Fleet:
+    """Processes that watch one service, and an operator who edits it."""
+
+    def __init__(self) -> None:
+        self.service = KeyValueStandIn(delay=0.002)
+        self.operator = ConfigStore(self.service.client("operator"))
+        self.history = MemoryHistory()
+        self.holders: dict[str, ConfigHolder] = {}
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+
+    def start(self, *names: str) -> None:
+        for name in names:
+            holder = self.holders[name] = ConfigHolder(name, self.history)
+            kv = self.service.client(name)
+            watcher = ConfigWatcher(kv, holder, random.Random(name))
+            self.tasks[name] = asyncio.create_task(watcher.run())
+
+    def kill(self, name: str) -> None:
+        self.tasks.pop(name).cancel()
+        del self.holders[name]
+
+    async def edit(self, pool: str) -> int:
+        stored = await self.operator.read()
+        generation = stored.configuration.generation
+        proposal = Configuration(labels={"engine-1": {"pool": pool}})
+        nonce = f"{pool}-{generation}"
+        accepted = await self.operator.propose(proposal, generation, "ana", nonce)
+        return accepted.generation
+
+    async def in_force(self, generation: int) -> float:
+        """Return the seconds until every process has a generation in force."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        async with asyncio.timeout(WITHIN_SECONDS):
+            for holder in self.holders.values():
+                await holder.wait_newer(generation - 1)
+        return loop.time() - began
+
+    def pools(self) -> set[str]:
+        return {h.current.labels["engine-1"]["pool"] for h in self.holders.values()}
+
+    def assert_never_older(self) -> None:
+        for name in self.holders:
+            seen = [r.generation for r in self.history.records if r.process == name]
+            assert seen == sorted(set(seen))
+
+
+@pytest.fixture
+async def fleet():
+    fleet = Fleet()
+    fleet.start("entry-1", "entry-2", "side-1")
+    yield fleet
+    for task in fleet.tasks.values():
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+
+
+async def test_an_edit_is_in_force_everywhere_at_once(fleet):
+    await asyncio.sleep(5)
+    assert await fleet.in_force(await fleet.edit("main")) < 0.1
+
+
+async def test_a_watch_that_silently_stops(fleet):
+    # All watches stop without an error and an operator's edit is accepted. Callers
+    # would be served by the old rules for ever; the missing signs of life must lead
+    # every process to read again.
+    await asyncio.sleep(5)
+    fleet.service.silence_watches()
+    await fleet.in_force(await fleet.edit("main"))
+    await asyncio.sleep(30)
+    assert await fleet.in_force(await fleet.edit("later")) < 0.1
+
+
+async def test_a_watch_that_shows_life_and_loses_a_change(fleet):
+    # The edit's event never comes although the watch shows signs of life. The re-read
+    # must find the edit, and the watch must be opened anew.
+    await asyncio.sleep(5)
+    for watch in fleet.service._watches:
+        watch.prefix = "/elsewhere/"
+    await fleet.in_force(await fleet.edit("main"))
+    await asyncio.sleep(30)
+    assert await fleet.in_force(await fleet.edit("later")) < 0.1
+
+
+async def test_a_long_outage_with_instances_replaced(fleet):
+    # The service is down for ten minutes. Processes go on with what they have; one
+    # that starts meanwhile learns it from a peer, as its sessions do; when the service
+    # is back the next edit is in force everywhere, and the tries were few.
+    await fleet.in_force(await fleet.edit("main"))
+    fleet.service.down = True
+    await asyncio.sleep(300)
+    fleet.kill("side-1")
+    fleet.start("side-2")
+    await asyncio.sleep(1)
+    assert fleet.holders["side-2"].generation == 0
+    fleet.holders["side-2"].offer(fleet.holders["entry-1"].document)
+    reads = fleet.service.reads
+    await asyncio.sleep(299)
+    assert fleet.pools() == {"main"}
+    assert fleet.service.reads - reads < 3 * 299
+    fleet.service.down = False
+    await fleet.in_force(await fleet.edit("later"))
+    fleet.assert_never_older()
+
+
+async def test_a_service_that_comes_back_older(fleet):
+    # The service is restored from a backup that lacks the newest edit. No process may
+    # go back to the older one, one that starts later must get the newer one, and the
+    # next edit must build on it.
+    await fleet.in_force(await fleet.edit("old"))
+    backup = fleet.service.snapshot()
+    await fleet.in_force(await fleet.edit("new"))
+    fleet.service.down = True
+    await asyncio.sleep(60)
+    fleet.service.restore(backup)
+    fleet.service.down = False
+    await asyncio.sleep(WITHIN_SECONDS)
+    assert fleet.pools() == {"new"}
+    fleet.start("side-2")
+    await asyncio.sleep(1)
+    assert fleet.pools() == {"new"}
+    await fleet.in_force(await fleet.edit("newer"))
+    assert fleet.pools() == {"newer"}
+    fleet.assert_never_older()
+
+
+async def test_a_service_that_comes_back_empty(fleet):
+    # The restored service has nothing at all. Processes give it what is in force.
+    empty = fleet.service.snapshot()
+    await fleet.in_force(await fleet.edit("main"))
+    fleet.service.restore(empty)
+    await asyncio.sleep(WITHIN_SECONDS)
+    assert (await fleet.operator.read()).configuration.generation == 1
+
+
+async def test_an_edit_of_a_restored_service_before_it_is_put_right(fleet):
+    # An operator edits the restored service before any process reads it, so that two
+    # documents have one generation. The operator was told that the edit is accepted:
+    # it must be in force everywhere, under a generation above both.
+    await fleet.in_force(await fleet.edit("old"))
+    backup = fleet.service.snapshot()
+    await fleet.in_force(await fleet.edit("lost"))
+    fleet.service.restore(backup)
+    assert await fleet.edit("kept") == 2
+    assert await fleet.in_force(3) < WITHIN_SECONDS
+    assert fleet.pools() == {"kept"}
+    fleet.assert_never_older()
+
+
+async def test_a_stored_document_that_is_none_changes_nothing(fleet):
+    await fleet.in_force(await fleet.edit("main"))
+    await fleet.service.client("x").txn([], [Put(CURRENT_KEY, b"{")])
+    await asyncio.sleep(30)
+    assert fleet.pools() == {"main"}
+    assert not any(task.done() for task in fleet.tasks.values())
