The plan in the key-value service, with a head to compare and a key for each engine

A side must obey only one planner, although leases lapse while their holder is paused, replies get lost and the service may come back from a backup.

One record for the whole plan was weighed: simplest to swap, but each change would send 600 engines' assignments to 600 sides. A key for each engine sends a side its own engine's part and nothing else; the head alone carries authority.

A test of the restore found that a comparison of the head's revision is not enough: a restored service gives revisions out again, and a planner from before the restore passed. A guard key named by the write's nonce closes this.

--- a/src/bergamotmast/errors.py
+++ b/src/bergamotmast/errors.py
@@ -271,6 +271,13 @@
         return "\n".join((super().show(), *self.differences))
 
 
+class AuthorityLostError(BergamotmastError):
+    """Another process holds the authority that a write was made under."""
+
+    exit_code = 4
+    code = ResultCode.EDIT_CONFLICT
+
+
 class PortError(BergamotmastError):
     """Something outside the package failed."""
 
--- /dev/null
+++ b/src/bergamotmast/planner/authority.py
@@ -0,0 +1,111 @@
+"""Which process plans: a lease in the key-value service, for liveness only.
+
+The lease keeps two planners from getting in each other's way most of the time. It
+proves nothing: its holder may be paused and wake after it lapsed. What keeps a former
+holder from changing anything is the comparison in :mod:`.plan_store`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from ..backoff import Backoff
+from ..errors import KeyValueOutcomeUnknownError
+from ..errors import PortError
+from ..ports import Compare
+from ..ports import KeyValueService
+from ..ports import Put
+from ..protocol.plan import HOLDER_KEY
+
+LEASE_SECONDS = 10
+"""Time to live: the fleet does without a planner for so long after its death."""
+
+RENEWALS_PER_LEASE = 3
+"""Two renewals in a row may fail before the lease lapses."""
+
+LEAST_POLL_SECONDS = 5.0
+MOST_POLL_SECONDS = 15.0
+"""Between a candidate's looks at the holder, evenly drawn: 330 candidates make 33
+reads a second, where as many waiting watches would count as 330 calls."""
+
+
+class Authority:
+    """A candidate's share in the planner's lease.
+
+    :param kv: the key-value service.
+    :param planner: name of the candidate.
+    :param rng: source of jitter and nonces.
+    :param lease: the lease held; 0 for none.
+    """
+
+    def __init__(self, kv: KeyValueService, planner: str, rng: random.Random) -> None:
+        self.kv = kv
+        self.planner = planner
+        self.rng = rng
+        self.lease = 0
+
+    async def acquire(self) -> None:
+        """Wait until this candidate holds the lease.
+
+        The first look is jittered too: candidates that start together, or that wait
+        out the same outage, would otherwise all write in one moment.
+        """
+        pause = self.rng.uniform(0.0, LEAST_POLL_SECONDS)
+        while True:
+            await asyncio.sleep(pause)
+            try:
+                if await self._try():
+                    return
+            except PortError:
+                await self._drop()
+            pause = self.rng.uniform(LEAST_POLL_SECONDS, MOST_POLL_SECONDS)
+
+    async def hold(self) -> None:
+        """Renew the lease and return when it has lapsed."""
+        loop = asyncio.get_running_loop()
+        renewal = LEASE_SECONDS / RENEWALS_PER_LEASE
+        backoff = Backoff(self.rng, longest=renewal)
+        lapses_at = loop.time() + LEASE_SECONDS
+        while loop.time() < lapses_at:
+            sent_at = loop.time()
+            try:
+                if not await self.kv.keep_alive(self.lease):
+                    break
+            except PortError:
+                await asyncio.sleep(backoff.next_delay())
+                continue
+            backoff.reset()
+            lapses_at = sent_at + LEASE_SECONDS
+            await asyncio.sleep(renewal)
+        self.lease = 0
+
+    async def release(self) -> None:
+        """Give the lease up, so that another candidate need not wait for its end."""
+        await self._drop()
+
+    async def _try(self) -> bool:
+        if await self.kv.get(HOLDER_KEY) is not None:
+            return False
+        self.lease = await self.kv.grant_lease(LEASE_SECONDS)
+        value = f"{self.planner} {self.rng.getrandbits(64):016x}".encode()
+        put = Put(HOLDER_KEY, value, self.lease)
+        try:
+            result = await self.kv.txn([Compare(HOLDER_KEY, 0)], [put])
+        except KeyValueOutcomeUnknownError:
+            holder = await self.kv.get(HOLDER_KEY)
+            held = holder is not None and holder.value == value
+        else:
+            held = result.succeeded
+        if not held:
+            await self._drop()
+        return held
+
+    async def _drop(self) -> None:
+        lease, self.lease = self.lease, 0
+        if not lease:
+            return
+        try:
+            await self.kv.revoke_lease(lease)
+        except PortError:
+            return
--- /dev/null
+++ b/src/bergamotmast/planner/plan_store.py
@@ -0,0 +1,211 @@
+"""The plan in the key-value service, written under one planner's authority.
+
+Every write is one transaction that compares the head record's last write. A planner
+that was paused past its lease, or cut off while another took over, therefore fails its
+next write whatever it believes of itself: authority is the comparison, not the lease.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc as cabc
+import contextlib
+import random
+
+from ..errors import AuthorityLostError
+from ..errors import KeyValueOutcomeUnknownError
+from ..errors import KeyValueUnavailableError
+from ..history import HistorySink
+from ..history import PlanWritten
+from ..model import NO_TOKEN
+from ..model import Assignment
+from ..model import FencingToken
+from ..ports import Compare
+from ..ports import Delete
+from ..ports import KeyValueService
+from ..ports import Put
+from ..ports import RangeResult
+from ..protocol.plan import ENGINES_PREFIX
+from ..protocol.plan import HEAD_KEY
+from ..protocol.plan import PLAN_PREFIX
+from ..protocol.plan import EnginePlan
+from ..protocol.plan import PlanHead
+from ..protocol.plan import decode_engine_plan
+from ..protocol.plan import decode_head
+from ..protocol.plan import encode_record
+from ..protocol.plan import engine_key
+from ..protocol.plan import engine_of_key
+from ..protocol.plan import guard_key
+
+MOST_WRITES = 100
+"""Engines changed by one transaction; etcd takes 128 operations by default."""
+
+
+def no_epoch_hint() -> int:
+    """Return 0: the epoch then rises by one with each planner."""
+    return 0
+
+
+class PlanStore:
+    """One planner's hold on the plan.
+
+    :param kv: the key-value service.
+    :param planner: name of this planner, for operators and the history.
+    :param rng: source of nonces.
+    :param history: where accepted writes are recorded.
+    :param epoch_hint: least epoch of a new hold. The composition root gives seconds of
+        the wall clock: after a restore of the service the lost epochs are not known to
+        a new process, and a hint that only rises passes them. It is no safeguard; a
+        clock that is wrong delays obedience after a restore and nothing else.
+    :param plans: the plan as last read or written, by engine.
+    :param seen: highest authority this process has seen.
+    """
+
+    def __init__(
+        self,
+        kv: KeyValueService,
+        planner: str,
+        rng: random.Random,
+        history: HistorySink,
+        epoch_hint: cabc.Callable[[], int] = no_epoch_hint,
+    ) -> None:
+        self.kv = kv
+        self.planner = planner
+        self.rng = rng
+        self.history = history
+        self.epoch_hint = epoch_hint
+        self.plans: dict[str, EnginePlan] = {}
+        self.seen = NO_TOKEN
+        self.head: PlanHead | None = None
+        self.head_revision = 0
+
+    async def open(self) -> FencingToken:
+        """Take authority: read the plan and raise its epoch.
+
+        :raises AuthorityLostError: if another planner wrote in the same moment.
+        :raises KeyValueUnavailableError: if the service is down; nothing changed.
+        """
+        found = await self.kv.range(PLAN_PREFIX)
+        stored = self._read(found)
+        lost = self._lost_by_restore(stored)
+        stored_epoch = self.head.epoch if self.head else 0
+        epoch = max(stored_epoch, self.seen.epoch) + 1
+        stored_revision = self.head.revision if self.head else 0
+        token = FencingToken(
+            max(epoch, self.epoch_hint()),
+            max(stored_revision, self.seen.revision) + 1,
+        )
+        self.plans = stored | lost
+        await self._commit(token, {}, ())
+        if lost:
+            await self.write({name: part.assignment for name, part in lost.items()})
+        return self.seen
+
+    async def write(
+        self,
+        assignments: cabc.Mapping[str, Assignment],
+        removed: cabc.Collection[str] = (),
+    ) -> FencingToken:
+        """Write the parts of some engines and return the authority of the last write.
+
+        :param removed: engines whose parts are taken out of the plan.
+        :raises AuthorityLostError: if the plan is not this planner's any more, or if
+            it can't be told whether the write took effect; open again.
+        :raises KeyValueUnavailableError: if the service is down; nothing changed.
+        """
+        if self.head is None:
+            raise AuthorityLostError("The plan has to be opened first.")
+        names = sorted({*assignments, *removed})
+        for start in range(0, len(names), MOST_WRITES):
+            part = names[start : start + MOST_WRITES]
+            token = FencingToken(self.head.epoch, self.head.revision + 1)
+            wanted = {n: assignments[n] for n in part if n in assignments}
+            await self._commit(token, wanted, [n for n in part if n not in wanted])
+        return self.seen
+
+    def _read(self, found: RangeResult) -> dict[str, EnginePlan]:
+        stored: dict[str, EnginePlan] = {}
+        self.head = None
+        self.head_revision = 0
+        for item in found.items:
+            if item.key == HEAD_KEY:
+                self.head = decode_head(item.value)
+                self.head_revision = item.mod_revision
+            elif item.key.startswith(ENGINES_PREFIX):
+                stored[engine_of_key(item.key)] = decode_engine_plan(item.value)
+        return stored
+
+    def _lost_by_restore(self, stored: dict[str, EnginePlan]) -> dict[str, EnginePlan]:
+        """Return parts that this process has seen and the service has lost.
+
+        A service restored from a backup holds older parts than the sides obey. Sides
+        refuse them, so the plan and the fleet would differ until the next change.
+        """
+        head = self.head.token if self.head else NO_TOKEN
+        gone_back = head < self.seen
+        lost: dict[str, EnginePlan] = {}
+        for name, part in self.plans.items():
+            known = stored.get(name)
+            if (known is None and gone_back) or (known and known.token < part.token):
+                lost[name] = part
+        return lost
+
+    async def _commit(
+        self,
+        token: FencingToken,
+        assignments: cabc.Mapping[str, Assignment],
+        removed: cabc.Collection[str],
+    ) -> None:
+        nonce = f"{self.rng.getrandbits(64):016x}"
+        head = PlanHead(token.epoch, token.revision, nonce, self.planner)
+        parts = {
+            name: EnginePlan(token.epoch, token.revision, assignment)
+            for name, assignment in assignments.items()
+        }
+        writes: list[Put | Delete] = [Put(HEAD_KEY, encode_record(head))]
+        writes.append(Put(guard_key(nonce), b""))
+        if self.head:
+            writes.append(Delete(guard_key(self.head.nonce)))
+        writes += [Put(engine_key(n), encode_record(p)) for n, p in parts.items()]
+        writes += [Delete(engine_key(name)) for name in removed]
+        self.head_revision = await self._swap(writes, nonce)
+        self.head = head
+        self.seen = token
+        self.plans.update(parts)
+        for name in removed:
+            self.plans.pop(name, None)
+        at = asyncio.get_running_loop().time()
+        self.history.record(
+            PlanWritten(
+                at=at, epoch=token.epoch, revision=token.revision, writer=self.planner
+            )
+        )
+
+    async def _swap(self, writes: cabc.Sequence[Put | Delete], nonce: str) -> int:
+        """Replace the head and return its new revision in the store.
+
+        A write whose reply is lost and that reading back does not show may still be
+        under way and take effect later. Going on from the old head would then make two
+        writes of one planner race. Opening again raises the epoch, and with the head
+        changed the late write fails its comparison.
+        """
+        compares = [Compare(HEAD_KEY, self.head_revision)]
+        if self.head:
+            compares.append(Compare(guard_key(self.head.nonce), self.head_revision))
+        try:
+            result = await self.kv.txn(compares, writes)
+        except KeyValueOutcomeUnknownError:
+            self.head = None
+            return await self._read_back(nonce)
+        if not result.succeeded:
+            self.head = None
+            raise AuthorityLostError("Another planner has written the plan.")
+        return result.revision
+
+    async def _read_back(self, nonce: str) -> int:
+        item = None
+        with contextlib.suppress(KeyValueUnavailableError):
+            item = await self.kv.get(HEAD_KEY)
+        if item is None or decode_head(item.value).nonce != nonce:
+            raise AuthorityLostError("A write of the plan has no known end.")
+        return item.mod_revision
