Decisions under load: first working version of the three policies and the baselines

Entry: predicted length by class quantile, a choice among three by predicted time, prefix affinity bounded by the predicted wait, retry budget, ejection with a cap, warm-up. Side: fair queue by token cost over weight within a priority, a tenth of the work owed to waiting lower priorities, refusal at the door by predicted time. Planner: payback rule on a fast and a slow demand.

Ruled out: a pick of the apparent best among all upstreams (herding on old reports), and strict priority (endless checks would starve long work, which test_long_work_starts_during_an_endless_burst_of_checks shows).

Two faults met while testing: upstreams spared by the ejection cap were throttled by a warm-up that lay in the future, and a planner that had just begun followed the first half of a swing. Thresholds are starting values; none is measured against a fleet yet.

--- /dev/null
+++ b/src/bergamotmast/policy/capacity.py
@@ -0,0 +1,101 @@
+"""Which share of a demand a group of engines can serve with given roles.
+
+Prefill engines take prompt tokens, decode engines output tokens, and mixed engines
+divide their time between both; the share is the largest multiple of the demand that
+fits, at most 1.
+"""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import dataclasses
+
+from ..model import Role
+from .demand import Demand
+from .interfaces import EngineView
+
+TARGET_UTILISATION = 0.85
+"""Share of the nominal rates that can be used without queues growing past deadlines."""
+
+LEARN_WEIGHT = 0.2
+"""Weight of one report in a role's learned rates."""
+
+_STEPS = 24
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pair:
+    """Rates of one engine in one role, in tokens a second."""
+
+    prefill: float
+    decode: float
+
+
+PRIOR_RATIOS: dict[Role, Pair] = {
+    Role.MIXED: Pair(1.0, 1.0),
+    Role.PREFILL: Pair(1.25, 0.1),
+    Role.DECODE: Pair(0.1, 1.25),
+}
+"""Rates of each role against those of a mixed engine, until a report gives them."""
+
+
+class RoleRates:
+    """Rates of each role, as the engines of the group report them."""
+
+    def __init__(self) -> None:
+        self.known: dict[Role, Pair] = {}
+
+    def observe(self, engines: cabc.Sequence[EngineView]) -> None:
+        """Take in the rates of engines that are settled in their role."""
+        for engine in engines:
+            report = engine.report
+            if report is None or report.role is not engine.role or engine.changing:
+                continue
+            self._learn(engine.role, Pair(report.prefill_rate, report.decode_rate))
+
+    def _learn(self, role: Role, pair: Pair) -> None:
+        old = self.known.get(role, pair)
+        self.known[role] = Pair(
+            old.prefill + LEARN_WEIGHT * (pair.prefill - old.prefill),
+            old.decode + LEARN_WEIGHT * (pair.decode - old.decode),
+        )
+
+    def of(self, role: Role) -> Pair:
+        """Return a role's rates, from another role's where it was never seen."""
+        if role in self.known:
+            return self.known[role]
+        for other, pair in self.known.items():
+            theirs, ours = PRIOR_RATIOS[other], PRIOR_RATIOS[role]
+            return Pair(
+                pair.prefill * ours.prefill / theirs.prefill,
+                pair.decode * ours.decode / theirs.decode,
+            )
+        return PRIOR_RATIOS[role]
+
+
+def served_share(counts: dict[Role, int], rates: RoleRates, demand: Demand) -> float:
+    """Return the share of a demand that engines in these roles can serve, 0 to 1."""
+    low, high = 0.0, 1.0
+    if _fits(1.0, counts, rates, demand):
+        return 1.0
+    for _ in range(_STEPS):
+        middle = (low + high) / 2.0
+        if _fits(middle, counts, rates, demand):
+            low = middle
+        else:
+            high = middle
+    return low
+
+
+def _fits(
+    share: float, counts: dict[Role, int], rates: RoleRates, demand: Demand
+) -> bool:
+    used = TARGET_UTILISATION
+    prefill = rates.of(Role.PREFILL).prefill * counts[Role.PREFILL] * used
+    decode = rates.of(Role.DECODE).decode * counts[Role.DECODE] * used
+    left_prefill = max(0.0, share * demand.prefill - prefill)
+    left_decode = max(0.0, share * demand.decode - decode)
+    mixed = rates.of(Role.MIXED)
+    seconds = left_prefill / max(mixed.prefill, 1e-9)
+    seconds += left_decode / max(mixed.decode, 1e-9)
+    return seconds <= counts[Role.MIXED] * used + 1e-9
--- /dev/null
+++ b/src/bergamotmast/policy/demand.py
@@ -0,0 +1,77 @@
+"""Tokens a second that a group of engines is offered.
+
+Load pattern: bursts of seconds on top of a mix that moves over minutes.
+
+Without it: a rate taken between two reports is mostly noise, and one taken over the
+whole day never moves. The meter smooths over a time constant that its user chooses.
+"""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import dataclasses
+import math
+
+from .interfaces import EngineView
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demand:
+    """Offered work, in tokens a second."""
+
+    prefill: float
+    decode: float
+
+
+class DemandMeter:
+    """Exponentially smoothed demand from cumulative counters.
+
+    :param seconds: time constant.
+    """
+
+    def __init__(self, seconds: float) -> None:
+        self.seconds = seconds
+        self.counted: dict[str, tuple[int, int]] = {}
+        self.observed_at: float | None = None
+        self.prefill = 0.0
+        self.decode = 0.0
+        self.weight = 0.0
+
+    def observe(self, engines: cabc.Sequence[EngineView], now: float) -> None:
+        """Take in the engines' counters.
+
+        A counter that fell belongs to a side that was restarted: what it counts now
+        is all new. An engine not seen before adds nothing yet, as its counter covers
+        an unknown time.
+        """
+        prefill, decode = 0, 0
+        for engine in engines:
+            more = self._more(engine)
+            prefill += more[0]
+            decode += more[1]
+        if self.observed_at is not None and now > self.observed_at:
+            self._smooth(prefill, decode, now - self.observed_at)
+        self.observed_at = now
+
+    def _more(self, engine: EngineView) -> tuple[int, int]:
+        assert engine.report is not None
+        count = (engine.report.offered_prefill, engine.report.offered_decode)
+        last = self.counted.get(engine.name)
+        self.counted[engine.name] = count
+        if last is None:
+            return (0, 0)
+        if count[0] < last[0] or count[1] < last[1]:
+            return count
+        return (count[0] - last[0], count[1] - last[1])
+
+    def _smooth(self, prefill: int, decode: int, seconds: float) -> None:
+        keep = math.exp(-seconds / self.seconds)
+        self.prefill = keep * self.prefill + (1.0 - keep) * prefill / seconds
+        self.decode = keep * self.decode + (1.0 - keep) * decode / seconds
+        self.weight = keep * self.weight + (1.0 - keep)
+
+    def demand(self) -> Demand:
+        """Return the smoothed demand; 0 before the second look."""
+        if self.weight <= 0.0:
+            return Demand(0.0, 0.0)
+        return Demand(self.prefill / self.weight, self.decode / self.weight)
--- /dev/null
+++ b/src/bergamotmast/policy/entry_policy.py
@@ -0,0 +1,258 @@
+"""What is let in at an entry and where it goes: the parts put together."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc as cabc
+import dataclasses
+import random
+
+from ..errors import ResultCode
+from ..model import Cost
+from ..model import ModelCall
+from ..model import Readiness
+from ..model import Role
+from ..model import ServiceCall
+from .admission import retry_after
+from .admission import too_late_for_entry
+from .affinity import PrefixMap
+from .cost import OutputPredictor
+from .interfaces import Candidate
+from .interfaces import Choice
+from .retries import OutlierEjector
+from .retries import RetryBudget
+from .routing import HANDOFF_SECONDS
+from .routing import LEAST_STAGED_TOKENS
+from .routing import Estimate
+from .routing import Router
+from .routing import staged_names
+
+MAX_ATTEMPTS = 16384
+"""Attempts remembered until they end; the oldest goes first."""
+
+STALE_SECONDS = 5.0
+"""Age beyond which a report no longer shows that its upstream takes work."""
+
+UPSTREAM_FAULTS = frozenset(
+    {ResultCode.UPSTREAM_FAILED, ResultCode.OUTCOME_UNKNOWN, ResultCode.NOT_HANDED_OVER}
+)
+"""Ends of an attempt that count against its upstream."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attempt:
+    """What was predicted for an attempt when it was chosen.
+
+    :param first_at: predicted first token; a point in time.
+    :param chosen_at: when it was chosen; a point in time.
+    :param resumed: output tokens given before it.
+    """
+
+    chosen_at: float
+    first_at: float
+    resumed: int
+    prefill_only: bool
+
+
+class LoadAwareEntryPolicy:
+    """The default entry policy.
+
+    :param rng: seeded source of every draw.
+    :param zone: availability zone of the entry.
+    """
+
+    def __init__(self, rng: random.Random, zone: str) -> None:
+        self.rng = rng
+        self.predictor = OutputPredictor()
+        self.prefixes = PrefixMap()
+        self.budget = RetryBudget()
+        self.ejector = OutlierEjector(rng)
+        self.router = Router(rng, zone)
+        self.attempts: collections.OrderedDict[tuple[str, str], Attempt] = (
+            collections.OrderedDict()
+        )
+
+    def predict(self, call: ModelCall) -> Cost:
+        """Return the predicted work of a whole call."""
+        return self.predictor.cost(call)
+
+    def choose(
+        self,
+        call: ModelCall | ServiceCall,
+        candidates: cabc.Sequence[Candidate],
+        now: float,
+        resumed_tokens: int = 0,
+        excluded: frozenset[str] = frozenset(),
+    ) -> Choice:
+        """Choose an upstream for a call's next attempt."""
+        names = [c.name for c in candidates]
+        self.ejector.see(names, now)
+        ready = _ready(candidates, excluded, now)
+        if not ready:
+            wait = retry_after(0.0, self.rng)
+            return Choice(None, ResultCode.NO_UPSTREAM, wait)
+        fit = set(self.ejector.fit([c.name for c in ready], now))
+        ready = [c for c in ready if c.name in fit]
+        if isinstance(call, ServiceCall):
+            return self._choose_service(call, ready, now)
+        return self._choose_engine(call, ready, now, resumed_tokens)
+
+    def _choose_service(
+        self, call: ServiceCall, ready: list[Candidate], now: float
+    ) -> Choice:
+        estimates = self._estimates(ready, Cost(1, 1), {}, now)
+        best = min(estimates, key=lambda e: e.total)
+        if too_late_for_entry(best.total, call.deadline - now):
+            return self._refuse(best.total - (call.deadline - now))
+        self._remember(call.request_id, best, now, 0, False)
+        return Choice(best.candidate.name)
+
+    def _choose_engine(
+        self, call: ModelCall, ready: list[Candidate], now: float, resumed: int
+    ) -> Choice:
+        work = self.predict(call)
+        if resumed:
+            work = Cost(0, max(1, work.decode - resumed))
+            ready = [c for c in ready if not _is_prefill(c)] or ready
+        cached = self.prefixes.expected(
+            call.prefix_key, [c.name for c in ready], call.prompt_tokens, now
+        )
+        best, staged = self._best(work, ready, cached, now, resumed)
+        late = best.first - (call.first_token_by - now)
+        if not resumed and too_late_for_entry(best.first, call.first_token_by - now):
+            return self._refuse(late)
+        if too_late_for_entry(best.total, call.deadline - now):
+            return self._refuse(best.total - (call.deadline - now))
+        self._remember(call.request_id, best, now, resumed, staged)
+        return Choice(best.candidate.name, prefill_only=staged)
+
+    def _best(
+        self,
+        work: Cost,
+        ready: list[Candidate],
+        cached: dict[str, int],
+        now: float,
+        resumed: int,
+    ) -> tuple[Estimate, bool]:
+        whole = min(
+            self._estimates(ready, work, cached, now), key=lambda e: (e.total, e.first)
+        )
+        if resumed or work.decode < LEAST_STAGED_TOKENS:
+            return whole, False
+        staged = self._staged(work, ready, cached, now)
+        if staged is None or staged.total >= whole.total:
+            return whole, False
+        return staged, True
+
+    def _staged(
+        self,
+        work: Cost,
+        ready: list[Candidate],
+        cached: dict[str, int],
+        now: float,
+    ) -> Estimate | None:
+        """Predict a prefill stage here and a decode stage there."""
+        prefill_names, decode_names = staged_names(ready)
+        first_stage = [c for c in ready if c.name in prefill_names]
+        second_stage = [c for c in ready if c.name in decode_names]
+        if not first_stage or not second_stage:
+            return None
+        prefill = min(
+            self._estimates(first_stage, Cost(work.prefill, 0), cached, now),
+            key=lambda e: e.first,
+        )
+        decode = min(
+            self._estimates(second_stage, Cost(0, work.decode - 1), {}, now),
+            key=lambda e: e.total,
+        )
+        total = prefill.first + HANDOFF_SECONDS + decode.total
+        return Estimate(prefill.candidate, prefill.first, total)
+
+    def _estimates(
+        self,
+        candidates: list[Candidate],
+        work: Cost,
+        cached: dict[str, int],
+        now: float,
+    ) -> list[Estimate]:
+        drawn = set(self.router.sample([c.name for c in candidates], cached))
+        return [
+            self.router.estimate(c, work, cached.get(c.name, 0), now)
+            for c in candidates
+            if c.name in drawn
+        ]
+
+    def _refuse(self, overshoot: float) -> Choice:
+        wait = retry_after(overshoot, self.rng)
+        return Choice(None, ResultCode.DEADLINE_UNREACHABLE, wait)
+
+    def _remember(
+        self, request: str, best: Estimate, now: float, resumed: int, staged: bool
+    ) -> None:
+        attempt = Attempt(now, now + best.first, resumed, staged)
+        self.attempts[request, best.candidate.name] = attempt
+        if len(self.attempts) > MAX_ATTEMPTS:
+            self.attempts.popitem(last=False)
+
+    def may_retry(self, call: ModelCall | ServiceCall, now: float) -> bool:
+        """Spend one retry of the budget; ``False`` if there is none."""
+        return self.budget.spend()
+
+    def on_admitted(self, call: ModelCall | ServiceCall, now: float) -> None:
+        """Learn that a fresh request was let in."""
+        self.budget.earn()
+
+    def on_first_token(
+        self, upstream: str, call: ModelCall, cached_tokens: int, now: float
+    ) -> None:
+        """Learn how many prompt tokens an upstream found in its cache."""
+        attempt = self.attempts.get((call.request_id, upstream))
+        if attempt is None:
+            return
+        if call.prefix_key and not attempt.resumed:
+            self.prefixes.learn(
+                call.prefix_key, upstream, cached_tokens, call.prompt_tokens, now
+            )
+        measured = now - attempt.chosen_at
+        predicted = attempt.first_at - attempt.chosen_at
+        self.router.speeds.learn(upstream, measured, predicted)
+
+    def on_ended(
+        self,
+        upstream: str,
+        call: ModelCall | ServiceCall,
+        code: ResultCode,
+        output_tokens: int,
+        now: float,
+    ) -> None:
+        """Learn how an attempt ended."""
+        attempt = self.attempts.pop((call.request_id, upstream), None)
+        if code in UPSTREAM_FAULTS:
+            self.ejector.failed(upstream, now)
+            return
+        if code is not ResultCode.OK:
+            return
+        self.ejector.succeeded(upstream)
+        if attempt is None or attempt.prefill_only:
+            return
+        if isinstance(call, ModelCall):
+            whole = attempt.resumed + output_tokens
+            self.predictor.learn(call.request_class, whole)
+
+
+def _ready(
+    candidates: cabc.Sequence[Candidate], excluded: frozenset[str], now: float
+) -> list[Candidate]:
+    """Return the candidates that take work, with stale reports only if all are."""
+    ready = [c for c in candidates if c.name not in excluded and _takes(c)]
+    fresh = [c for c in ready if now - c.reported_at <= STALE_SECONDS]
+    return fresh or ready
+
+
+def _takes(candidate: Candidate) -> bool:
+    report = candidate.report
+    return report is not None and report.readiness is Readiness.READY
+
+
+def _is_prefill(candidate: Candidate) -> bool:
+    return candidate.report is not None and candidate.report.role is Role.PREFILL
--- /dev/null
+++ b/src/bergamotmast/policy/presets.py
@@ -0,0 +1,123 @@
+"""Named sets of policies: the default, its earlier versions and the baselines."""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import dataclasses
+import random
+import typing as t
+
+from ..model import Role
+from .baselines import FifoSidePolicy
+from .baselines import FixedShiftPolicy
+from .baselines import GreedyShiftPolicy
+from .baselines import LeastOutstandingEntryPolicy
+from .baselines import RandomEntryPolicy
+from .baselines import RoundRobinEntryPolicy
+from .entry_policy import LoadAwareEntryPolicy
+from .interfaces import EntryPolicy
+from .interfaces import ShiftPolicy
+from .interfaces import SidePolicy
+from .shifting import PaybackShiftPolicy
+from .side_policy import FairSidePolicy
+
+EntryFactory: t.TypeAlias = cabc.Callable[[random.Random, str], EntryPolicy]
+SideFactory: t.TypeAlias = cabc.Callable[[], SidePolicy]
+ShiftFactory: t.TypeAlias = cabc.Callable[[], ShiftPolicy]
+RoleSplit: t.TypeAlias = cabc.Callable[[int], tuple[Role, ...]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PolicySet:
+    """One complete set of decisions.
+
+    :param entry_policy: makes an entry's policy from its random source and zone.
+    :param side_policy: makes a side's policy.
+    :param shift_policy: makes the planner's policy.
+    :param first_roles: roles of a group of so many engines before the first change.
+    """
+
+    name: str
+    entry_policy: EntryFactory
+    side_policy: SideFactory
+    shift_policy: ShiftFactory
+    first_roles: RoleSplit
+
+
+def all_mixed(engines: int) -> tuple[Role, ...]:
+    """Give every engine the mixed role."""
+    return (Role.MIXED,) * engines
+
+
+def half_split(engines: int) -> tuple[Role, ...]:
+    """Give half of the engines, rounded down, to prefill and the rest to decode."""
+    prefill = engines // 2
+    return (Role.PREFILL,) * prefill + (Role.DECODE,) * (engines - prefill)
+
+
+def _least_outstanding(rng: random.Random, zone: str) -> EntryPolicy:
+    return LeastOutstandingEntryPolicy(rng)
+
+
+def _round_robin(rng: random.Random, zone: str) -> EntryPolicy:
+    return RoundRobinEntryPolicy(rng)
+
+
+def _random(rng: random.Random, zone: str) -> EntryPolicy:
+    return RandomEntryPolicy(rng)
+
+
+PRESETS: dict[str, PolicySet] = {
+    p.name: p
+    for p in (
+        PolicySet(
+            "default",
+            LoadAwareEntryPolicy,
+            FairSidePolicy,
+            PaybackShiftPolicy,
+            all_mixed,
+        ),
+        PolicySet(
+            "static-split",
+            _least_outstanding,
+            FifoSidePolicy,
+            FixedShiftPolicy,
+            half_split,
+        ),
+        PolicySet(
+            "round-robin", _round_robin, FifoSidePolicy, FixedShiftPolicy, all_mixed
+        ),
+        PolicySet("random", _random, FifoSidePolicy, FixedShiftPolicy, all_mixed),
+        PolicySet(
+            "least-outstanding",
+            _least_outstanding,
+            FifoSidePolicy,
+            FixedShiftPolicy,
+            all_mixed,
+        ),
+        PolicySet(
+            "greedy-threshold",
+            _least_outstanding,
+            FifoSidePolicy,
+            GreedyShiftPolicy,
+            half_split,
+        ),
+    )
+}
+
+BASELINES = (
+    "static-split",
+    "round-robin",
+    "random",
+    "least-outstanding",
+    "greedy-threshold",
+)
+"""Names of the presets that are only compared with."""
+
+
+def preset(name: str) -> PolicySet:
+    """Return a named set.
+
+    :raises KeyError: if there is none of that name.
+    """
+    return PRESETS[name]
--- /dev/null
+++ b/src/bergamotmast/policy/queueing.py
@@ -0,0 +1,220 @@
+"""Which waiting item starts next: class priority, then tenants' shares, then deadline.
+
+Load pattern: a few tenants bring most of the load; a burst of short checks arrives
+behind long appraisals; saturation lasts.
+
+Without it: the tenant that sends most is served most and the others' requests expire
+behind it; checks wait minutes for an answer of one token; or, with strict priority,
+long work never runs while checks keep coming.
+
+Thresholds: within a priority, tenants share by start-time fair queueing on token cost
+over weight, so a tenant's wait depends on its own backlog and its share alone. A lower
+priority that waits is owed :data:`STARVATION_SHARE` of the work started: small enough
+that checks keep their first token, large enough that an appraisal waiting behind an
+endless burst starts within ten appraisals' worth of checks. A tenant's place in the
+accounts is dropped once it would not differ from a newcomer's, which bounds them by
+the tenants of the last moments.
+"""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import dataclasses
+import operator
+
+from ..model import Cost
+from ..model import Priority
+from .interfaces import QueueItem
+
+STARVATION_SHARE = 0.1
+"""Share of started work owed to lower priorities while they wait."""
+
+MOST_OWED = 5.0
+"""Engine-seconds that can be owed to a lower priority at most."""
+
+MAX_IDLE_ACCOUNTS = 256
+"""Accounts of tenants without waiting work that are kept before they are dropped."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rates:
+    """What an upstream does in a second, in tokens."""
+
+    prefill: float
+    decode: float
+
+    def seconds(self, cost: Cost) -> float:
+        """Return the upstream's time that a cost takes."""
+        return cost.prefill / self.prefill + cost.decode / self.decode
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ahead:
+    """Work that will start before a new item.
+
+    :param count: how many items; a share of a tenant's lane may count.
+    """
+
+    count: float
+    prefill: float
+    decode: float
+
+
+class Lane:
+    """The waiting items of one tenant at one priority, earliest deadline first.
+
+    :param seconds: upstream's time of all of them.
+    """
+
+    def __init__(self) -> None:
+        self.items: list[QueueItem] = []
+        self.seconds = 0.0
+        self.prefill = 0
+        self.decode = 0
+
+    def add(self, item: QueueItem, seconds: float) -> None:
+        """Put an item in its place."""
+        self.items.append(item)
+        self.items.sort(key=operator.attrgetter("deadline", "arrived_at", "attempt"))
+        self.seconds += seconds
+        self.prefill += item.cost.prefill
+        self.decode += item.cost.decode
+
+    def remove(self, item: QueueItem, seconds: float) -> None:
+        """Take an item out."""
+        self.items.remove(item)
+        self.seconds = max(0.0, self.seconds - seconds)
+        self.prefill -= item.cost.prefill
+        self.decode -= item.cost.decode
+
+
+class FairQueue:
+    """Waiting items of all priorities and tenants.
+
+    :param rates: the upstream's rates, by which costs become its time.
+    """
+
+    def __init__(self, rates: Rates, fair: bool = True) -> None:
+        self.rates = rates
+        self.fair = fair
+        self.lanes: dict[Priority, dict[str, Lane]] = {p: {} for p in Priority}
+        self.items: dict[str, tuple[QueueItem, float]] = {}
+        self.accounts: dict[str, float] = {}
+        self.clock = 0.0
+        self.owed: dict[Priority, float] = dict.fromkeys(Priority, 0.0)
+
+    def __len__(self) -> int:
+        return len(self.items)
+
+    def add(self, item: QueueItem) -> None:
+        """Put an item in."""
+        seconds = self.rates.seconds(item.cost)
+        self.items[item.attempt] = (item, seconds)
+        lane = self.lanes[item.priority].setdefault(self._tenant(item), Lane())
+        lane.add(item, seconds)
+
+    def _tenant(self, item: QueueItem) -> str:
+        return item.tenant if self.fair else ""
+
+    def remove(self, attempt: str) -> QueueItem | None:
+        """Take an item out, or return ``None`` if it is not waiting."""
+        found = self.items.pop(attempt, None)
+        if found is None:
+            return None
+        item, seconds = found
+        lanes = self.lanes[item.priority]
+        lane = lanes[self._tenant(item)]
+        lane.remove(item, seconds)
+        if not lane.items:
+            del lanes[self._tenant(item)]
+        return item
+
+    def order(self) -> cabc.Iterator[QueueItem]:
+        """Yield the head of each lane in the order in which they should start."""
+        for priority in self._priorities():
+            lanes = self.lanes[priority]
+            for tenant in sorted(lanes, key=lambda t: (self._start(t), t)):
+                yield lanes[tenant].items[0]
+
+    def _priorities(self) -> list[Priority]:
+        waiting = [p for p in Priority if self.lanes[p]]
+        owed = [p for p in waiting[1:] if self._due(p)]
+        return owed + [p for p in waiting if p not in owed]
+
+    def _due(self, priority: Priority) -> bool:
+        """Return whether what is owed covers the next item, as far as it can."""
+        head = min(lane.items[0].deadline for lane in self.lanes[priority].values())
+        seconds = next(
+            self.items[lane.items[0].attempt][1]
+            for lane in self.lanes[priority].values()
+            if lane.items[0].deadline == head
+        )
+        return self.owed[priority] >= min(seconds, MOST_OWED)
+
+    def _start(self, tenant: str) -> float:
+        return max(self.clock, self.accounts.get(tenant, 0.0))
+
+    def take(self, item: QueueItem) -> None:
+        """Start an item: take it out and charge its tenant."""
+        _, seconds = self.items[item.attempt]
+        self.remove(item.attempt)
+        tenant = self._tenant(item)
+        start = self._start(tenant)
+        self.clock = start
+        self.accounts[tenant] = start + seconds / max(item.weight, 1e-6)
+        self._settle(item.priority, seconds)
+        if len(self.accounts) > MAX_IDLE_ACCOUNTS:
+            self._drop_idle()
+
+    def charge(self, item: QueueItem, decode: int) -> None:
+        """Charge a tenant for output tokens beyond what was predicted."""
+        tenant = self._tenant(item)
+        seconds = decode / self.rates.decode / max(item.weight, 1e-6)
+        self.accounts[tenant] = self._start(tenant) + seconds
+
+    def _settle(self, started: Priority, seconds: float) -> None:
+        self.owed[started] = max(0.0, self.owed[started] - seconds)
+        for priority in Priority:
+            if priority <= started:
+                continue
+            if not self.lanes[priority]:
+                self.owed[priority] = 0.0
+                continue
+            more = self.owed[priority] + STARVATION_SHARE * seconds
+            self.owed[priority] = min(MOST_OWED, more)
+
+    def _drop_idle(self) -> None:
+        self.accounts = {t: v for t, v in self.accounts.items() if v > self.clock}
+
+    def ahead(self, item: QueueItem) -> Ahead:
+        """Return the waiting work that will start before an item offered now.
+
+        Of another tenant of the same priority no more counts than its share allows
+        while this tenant's own backlog is worked off.
+        """
+        count, prefill, decode = 0.0, 0.0, 0.0
+        for priority in Priority:
+            if priority > item.priority:
+                break
+            for tenant, lane in self.lanes[priority].items():
+                share = self._share_ahead(priority, tenant, lane, item)
+                count += share * len(lane.items)
+                prefill += share * lane.prefill
+                decode += share * lane.decode
+        return Ahead(count, prefill, decode)
+
+    def _share_ahead(
+        self, priority: Priority, tenant: str, lane: Lane, item: QueueItem
+    ) -> float:
+        if priority < item.priority:
+            return 1.0
+        mine = self._tenant(item)
+        if tenant == mine:
+            before = [i for i in lane.items if i.deadline <= item.deadline]
+            return len(before) / len(lane.items)
+        own = self.lanes[priority].get(mine)
+        backlog = (own.seconds if own else 0.0) + self.rates.seconds(item.cost)
+        finish = self._start(mine) + backlog / max(item.weight, 1e-6)
+        weight = lane.items[0].weight
+        allowed = max(0.0, finish - self._start(tenant)) * weight
+        return min(1.0, allowed / max(lane.seconds, 1e-9))
--- /dev/null
+++ b/src/bergamotmast/policy/retries.py
@@ -0,0 +1,161 @@
+"""How much is tried again, and which upstreams are left alone for a while.
+
+Load pattern: an outage ends, or one upstream fails or slows, and every call that met
+it is tried again somewhere else at the same moment.
+
+Without it: retries multiply the load exactly when capacity is missing, the queues fill
+with second and third attempts, and the fleet stays down after the cause is gone. One
+failing upstream answers fastest of all and draws the traffic to it.
+
+Thresholds: a retry budget of :data:`RETRY_SHARE` of fresh work bounds the amplification
+of any outage to 1.2 times the offered load. :data:`RETRY_BURST` lets the handful of
+calls that one dying upstream held go elsewhere without waiting for fresh work. An
+upstream is ejected after :data:`FAILURES_TO_EJECT` failures in a row, never more than
+:data:`MAX_EJECTED_SHARE` of those in sight: if most fail, the fault is not theirs. One
+that returns is offered work at a share that rises over :data:`WARM_UP_SECONDS`.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+RETRY_SHARE = 0.2
+"""Retries earned by each fresh request."""
+
+RETRY_BURST = 20.0
+"""Most retries saved up."""
+
+FAILURES_TO_EJECT = 3
+"""Failures in a row that eject an upstream."""
+
+FIRST_EJECTION = 5.0
+"""Seconds of the first ejection; it doubles with each one that follows at once."""
+
+LONGEST_EJECTION = 60.0
+"""Most seconds of one ejection."""
+
+MAX_EJECTED_SHARE = 0.34
+"""Most of the candidates in sight that may be ejected at once."""
+
+WARM_UP_SECONDS = 10.0
+"""Seconds over which a new or returning upstream gets back its whole share."""
+
+LEAST_WARM_SHARE = 0.2
+"""Share offered at the very start of a warm-up, so that it is tried at all."""
+
+
+class RetryBudget:
+    """Retries that fresh work has earned.
+
+    :param saved: retries that may be spent now.
+    """
+
+    def __init__(self, share: float = RETRY_SHARE, burst: float = RETRY_BURST) -> None:
+        self.share = share
+        self.burst = burst
+        self.saved = burst
+
+    def earn(self) -> None:
+        """Count a fresh request."""
+        self.saved = min(self.burst, self.saved + self.share)
+
+    def spend(self) -> bool:
+        """Spend one retry; ``False`` if there is none."""
+        if self.saved < 1.0:
+            return False
+        self.saved -= 1.0
+        return True
+
+
+@dataclasses.dataclass(slots=True)
+class Health:
+    """What an entry knows of one upstream's failures.
+
+    :param warm_from: when its present warm-up began; a point in time.
+    :param seen_at: when it was last a candidate; a point in time.
+    """
+
+    warm_from: float
+    seen_at: float
+    failures: int = 0
+    ejections: int = 0
+    ejected_until: float = 0.0
+
+
+class OutlierEjector:
+    """Ejects failing upstreams and warms up those that return.
+
+    :param rng: draws which requests a warming upstream gets.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.health: dict[str, Health] = {}
+        self.started_at: float | None = None
+
+    def see(self, names: list[str], now: float) -> None:
+        """Note the upstreams that could be chosen now.
+
+        What was there when the entry itself started is taken as warm: else a whole
+        fleet would refuse its share after a restart of the entry.
+        """
+        if self.started_at is None:
+            self.started_at = now - WARM_UP_SECONDS
+        first = len(self.health) == 0
+        for name in names:
+            health = self.health.get(name)
+            if health is None:
+                self.health[name] = Health(self.started_at if first else now, now)
+                continue
+            if now - health.seen_at > WARM_UP_SECONDS:
+                health.warm_from = now
+            health.seen_at = now
+        if len(self.health) > 2 * len(names) + 16:
+            self._forget(now)
+
+    def _forget(self, now: float) -> None:
+        old = [n for n, h in self.health.items() if now - h.seen_at > LONGEST_EJECTION]
+        for name in old:
+            del self.health[name]
+
+    def fit(self, names: list[str], now: float) -> list[str]:
+        """Return the upstreams that may be given this request, never none."""
+        ejected = [n for n in names if self.health[n].ejected_until > now]
+        allowed = int(len(names) * MAX_EJECTED_SHARE)
+        ejected.sort(key=lambda n: self.health[n].ejected_until, reverse=True)
+        away = set(ejected[:allowed])
+        left = [n for n in names if n not in away]
+        warm = [n for n in left if self._takes(n, now)]
+        return warm or left or names
+
+    def _takes(self, name: str, now: float) -> bool:
+        health = self.health[name]
+        if health.ejected_until > now:
+            # Spared by the cap: most upstreams fail, so it is as good as the others.
+            return True
+        age = now - health.warm_from
+        if age >= WARM_UP_SECONDS:
+            return True
+        return self.rng.random() < max(LEAST_WARM_SHARE, age / WARM_UP_SECONDS)
+
+    def succeeded(self, name: str) -> None:
+        """Note an attempt that ended well."""
+        health = self.health.get(name)
+        if health is not None:
+            health.failures = 0
+            health.ejections = 0
+
+    def failed(self, name: str, now: float) -> None:
+        """Note an attempt that the upstream failed."""
+        health = self.health.get(name)
+        if health is None:
+            return
+        health.failures += 1
+        if health.failures < FAILURES_TO_EJECT:
+            return
+        seconds = min(LONGEST_EJECTION, FIRST_EJECTION * 2**health.ejections)
+        health.ejected_until = now + seconds
+        health.warm_from = now + seconds
+        health.ejections = min(health.ejections + 1, 8)
+        health.failures = 0
