--- /dev/null
+++ b/src/bergamotmast/entry/caller.py
@@ -0,0 +1,85 @@
+"""Who calls: tenant, class and request id, from headers and keys."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import re
+import uuid
+
+from aiohttp import web
+
+from ..config import Configuration
+from ..errors import RequestError
+from ..errors import ResultCode
+
+TENANT_HEADER = "X-Tenant"
+CLASS_HEADER = "X-Request-Class"
+REQUEST_ID_HEADER = "X-Request-Id"
+IDEMPOTENCY_HEADER = "Idempotency-Key"
+
+DEFAULT_TENANT = "default"
+DEFAULT_CLASS = "default"
+
+_NAME = re.compile(r"[A-Za-z0-9._:-]{1,64}")
+_KEY = re.compile(r"[\x21-\x7e]{1,255}")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Caller:
+    """What the headers of one request say.
+
+    :param idempotency_key: the caller's key; empty for none.
+    """
+
+    tenant: str
+    request_class: str
+    request_id: str
+    idempotency_key: str
+
+
+def read_caller(request: web.Request, configuration: Configuration) -> Caller:
+    """Read a caller's headers.
+
+    :raises RequestError: ``BAD_HEADER`` or ``UNAUTHENTICATED``.
+    """
+    return Caller(
+        tenant=_tenant(request, configuration),
+        request_class=_header(request, CLASS_HEADER, _NAME) or DEFAULT_CLASS,
+        request_id=_header(request, REQUEST_ID_HEADER, _NAME) or uuid.uuid4().hex,
+        idempotency_key=_header(request, IDEMPOTENCY_HEADER, _KEY),
+    )
+
+
+def _header(request: web.Request, name: str, allowed: re.Pattern[str]) -> str:
+    value = request.headers.get(name, "")
+    if value and not allowed.fullmatch(value):
+        raise RequestError(
+            ResultCode.BAD_HEADER,
+            f"{name}: {value[:80]!r} is not allowed; give {allowed.pattern}.",
+        )
+    return value
+
+
+def _tenant(request: web.Request, configuration: Configuration) -> str:
+    """Return the tenant that a key stands for, else the one named by the header."""
+    authorization = request.headers.get("Authorization", "")
+    if authorization:
+        return _tenant_of_key(authorization, configuration)
+    name = _header(request, TENANT_HEADER, _NAME) or DEFAULT_TENANT
+    tenant = configuration.tenants.get(name)
+    if tenant is not None and tenant.keys:
+        raise RequestError(
+            ResultCode.UNAUTHENTICATED, f"Tenant {name!r} must show its key."
+        )
+    return name
+
+
+def _tenant_of_key(authorization: str, configuration: Configuration) -> str:
+    scheme, _, key = authorization.partition(" ")
+    digest = hashlib.sha256(key.encode()).hexdigest()
+    if scheme.lower() == "bearer":
+        for name, tenant in configuration.tenants.items():
+            if digest in tenant.keys:
+                return name
+    raise RequestError(ResultCode.UNAUTHENTICATED)
--- /dev/null
+++ b/src/bergamotmast/entry/core.py
@@ -0,0 +1,172 @@
+"""The entry without its sockets: what is let in, where it goes, how it is answered."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc as cabc
+import contextlib
+import itertools
+import logging
+import random
+import typing as t
+
+from ..config_holder import ConfigHolder
+from ..errors import RequestError
+from ..errors import ResultCode
+from ..model import InstanceInfo
+from ..model import ModelCall
+from ..model import ServiceAnswer
+from ..model import ServiceCall
+from ..model import TokenChunk
+from ..policy import Candidate
+from ..policy import EntryPolicy
+from ..selection import bare_name
+from ..selection import selection
+from ..selection import wanted_names
+from .membership import Membership
+from .model_run import ModelRun
+from .peer import Peer
+from .service_run import ServiceRun
+
+if t.TYPE_CHECKING:
+    from ..ports import Dialer
+    from ..ports import InstanceList
+    from .service_run import Claims
+
+logger = logging.getLogger(__name__)
+
+
+class EntryCore:
+    """One entry process without its sockets.
+
+    :param name: name of the entry.
+    :param incarnation: random for each start.
+    :param dialer: opens connections to sides.
+    :param policy: what is let in and where it goes.
+    :param holder: the configuration in force.
+    :param claims: claims of calls that run at most once.
+    :param rng: seeded source of jitter.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        incarnation: str,
+        dialer: Dialer,
+        instance_list: InstanceList,
+        policy: EntryPolicy,
+        holder: ConfigHolder,
+        claims: Claims,
+        rng: random.Random,
+    ) -> None:
+        self.name = name
+        self.incarnation = incarnation
+        self.dialer = dialer
+        self.policy = policy
+        self.holder = holder
+        self.claims = claims
+        self.rng = rng
+        self.membership = Membership(instance_list, self._open_peer, holder, rng)
+        self.closing = False
+        self.in_flight = 0
+        self._attempts = itertools.count(1)
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    async def run(self) -> None:
+        """Keep connections to the sides until cancelled."""
+        await self.membership.run()
+
+    async def close(self) -> None:
+        """Refuse new requests and wait until the last answer is out."""
+        self.closing = True
+        await self._idle.wait()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the platform's balancer should send callers here."""
+        if self.closing or self.holder.generation == 0:
+            return False
+        return any(peer.is_ready for peer in self.membership.peers.values())
+
+    async def submit_model(self, call: ModelCall) -> cabc.AsyncGenerator[TokenChunk]:
+        """Yield the answer's chunks, in order and without gaps.
+
+        :raises RequestError: if it ends without its whole answer.
+        """
+        self._check_open()
+        if not selection(self.holder.current).knows_model(call.model):
+            raise RequestError(
+                ResultCode.UNKNOWN_MODEL, f"No selector carries model {call.model!r}."
+            )
+        with self._counted():
+            chunks = ModelRun(self, call).chunks()
+            async with contextlib.aclosing(chunks):
+                async for chunk in chunks:
+                    yield chunk
+
+    async def submit_service(self, call: ServiceCall) -> ServiceAnswer:
+        """Return the whole answer of a plain service.
+
+        :raises RequestError: if it ends without one.
+        """
+        self._check_open()
+        with self._counted():
+            return await ServiceRun(self, call).answer()
+
+    # What a run asks of its entry
+
+    def candidates(self, call: ModelCall | ServiceCall) -> list[Candidate]:
+        """Return the upstreams that may be offered a call now."""
+        allowed = selection(self.holder.current).upstreams(call)
+        wanted = frozenset(wanted_names(call.model)) if _is_model(call) else None
+        return [
+            peer.candidate()
+            for name, peer in self.membership.peers.items()
+            if name in allowed
+            and peer.is_ready
+            and not self.membership.is_leaving(name)
+            and (wanted is None or _carries(peer, wanted))
+        ]
+
+    def peer(self, name: str) -> Peer:
+        """Return the peer of an upstream that was a candidate."""
+        return self.membership.peers[name]
+
+    def new_attempt_name(self) -> str:
+        """Return a name unique over the life of the system."""
+        return f"{self.incarnation}-{next(self._attempts)}"
+
+    def tenant_weight(self, tenant: str) -> float:
+        """Return a tenant's weight in the configuration in force."""
+        configured = self.holder.current.tenants.get(tenant)
+        return configured.weight if configured is not None else 1.0
+
+    def _open_peer(self, info: InstanceInfo) -> Peer:
+        return Peer(self.name, self.incarnation, info, self.dialer, self.holder)
+
+    def _check_open(self) -> None:
+        if self.closing:
+            raise RequestError(ResultCode.SHUTTING_DOWN, retry_after=1.0)
+
+    @contextlib.contextmanager
+    def _counted(self) -> cabc.Iterator[None]:
+        self.in_flight += 1
+        self._idle.clear()
+        try:
+            yield
+        finally:
+            self.in_flight -= 1
+            if self.in_flight == 0:
+                self._idle.set()
+
+
+def _is_model(call: ModelCall | ServiceCall) -> t.TypeGuard[ModelCall]:
+    return isinstance(call, ModelCall)
+
+
+def _carries(peer: Peer, wanted: frozenset[str]) -> bool:
+    report = peer.report
+    if report is None:
+        return False
+    return wanted <= frozenset(map(bare_name, report.models))
--- /dev/null
+++ b/src/bergamotmast/entry/http.py
@@ -0,0 +1,306 @@
+"""The caller interface of an entry over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc as cabc
+import contextlib
+import logging
+import time
+import typing as t
+
+import msgspec
+from aiohttp import web
+
+from ..errors import RequestError
+from ..errors import ResultCode
+from ..model import ModelCall
+from ..model import ServiceCall
+from ..model import TokenChunk
+from .caller import REQUEST_ID_HEADER
+from .caller import Caller
+from .caller import read_caller
+from .core import EntryCore
+from .http_errors import error_body
+from .http_errors import error_response
+from .openai import ChatWording
+from .openai import CompletionBody
+from .openai import CompletionWording
+from .openai import Wording
+from .openai import estimate_tokens
+from .openai import prefix_key
+from .openai import read_chat
+from .openai import read_completion
+
+logger = logging.getLogger(__name__)
+
+MAX_BODY = 8 * 1024 * 1024
+"""Bytes a caller may send."""
+
+MAX_CONTEXT = 131_072
+"""Tokens of prompt and answer together."""
+
+GONE_CHECK_INTERVAL = 0.5
+"""Seconds between two looks whether a caller without a stream is still there."""
+
+_Result = t.TypeVar("_Result")
+_Handler = cabc.Callable[[web.Request], cabc.Awaitable[web.StreamResponse]]
+
+
+class EntryHttp:
+    """Translates between HTTP and an entry.
+
+    :param core: the entry.
+    """
+
+    def __init__(self, core: EntryCore) -> None:
+        self.core = core
+
+    def application(self) -> web.Application:
+        """Return the application that serves callers."""
+        application = web.Application(
+            client_max_size=MAX_BODY, middlewares=[self._errors]
+        )
+        router = application.router
+        router.add_post("/v1/completions", self._completions)
+        router.add_post("/v1/chat/completions", self._chat_completions)
+        router.add_get("/v1/models", self._models)
+        router.add_route("*", "/services/{path:.*}", self._service)
+        router.add_get("/health/live", self._live)
+        router.add_get("/health/ready", self._ready)
+        return application
+
+    @web.middleware
+    async def _errors(
+        self, request: web.Request, handler: _Handler
+    ) -> web.StreamResponse:
+        """Give every failure a numbered code and nothing but a code."""
+        request_id = request.headers.get(REQUEST_ID_HEADER, "")
+        try:
+            return await handler(request)
+        except RequestError as error:
+            return error_response(error, request.get("request_id", request_id))
+        except web.HTTPRequestEntityTooLarge:
+            too_large = RequestError(ResultCode.BODY_TOO_LARGE)
+            return error_response(too_large, request_id)
+        except web.HTTPException as error:
+            if error.status == 404:
+                missing = RequestError(
+                    ResultCode.UNKNOWN_ROUTE, f"No route for {request.path!r}."
+                )
+                return error_response(missing, request_id)
+            raise
+
+    async def _live(self, request: web.Request) -> web.Response:
+        return web.Response(text="ok\n")
+
+    async def _ready(self, request: web.Request) -> web.Response:
+        if self.core.is_ready:
+            return web.Response(text="ready\n")
+        return web.Response(status=503, text="not ready\n")
+
+    async def _models(self, request: web.Request) -> web.Response:
+        names: set[str] = set()
+        for selector in self.core.holder.current.selectors:
+            names.update(m.partition("@")[0] for m in selector.models)
+        data = [{"id": name, "object": "model"} for name in sorted(names)]
+        return web.json_response({"object": "list", "data": data})
+
+    # Models
+
+    async def _completions(self, request: web.Request) -> web.StreamResponse:
+        caller = self._caller(request)
+        body = read_completion(await request.read())
+        return await self._generate(request, caller, body, CompletionWording())
+
+    async def _chat_completions(self, request: web.Request) -> web.StreamResponse:
+        caller = self._caller(request)
+        body = read_chat(await request.read())
+        return await self._generate(request, caller, body, ChatWording())
+
+    def _caller(self, request: web.Request) -> Caller:
+        caller = read_caller(request, self.core.holder.current)
+        request["request_id"] = caller.request_id
+        return caller
+
+    async def _generate(
+        self,
+        request: web.Request,
+        caller: Caller,
+        body: CompletionBody,
+        wording: Wording,
+    ) -> web.StreamResponse:
+        call = self._model_call(caller, body)
+        chunks = self.core.submit_model(call)
+        async with contextlib.aclosing(chunks):
+            if body.stream:
+                return await _stream(request, call, chunks, wording)
+            return await _whole(request, call, chunks, wording)
+
+    def _model_call(self, caller: Caller, body: CompletionBody) -> ModelCall:
+        tokens = estimate_tokens(body.prompt)
+        if tokens + body.max_tokens > MAX_CONTEXT:
+            raise RequestError(
+                ResultCode.PROMPT_TOO_LONG,
+                f"{tokens} prompt tokens and max_tokens={body.max_tokens} exceed "
+                f"{MAX_CONTEXT}.",
+            )
+        now = asyncio.get_running_loop().time()
+        limits = self.core.holder.current.request_class(caller.request_class)
+        return ModelCall(
+            request_id=caller.request_id,
+            tenant=caller.tenant,
+            request_class=caller.request_class,
+            priority=limits.priority,
+            model=body.model,
+            prompt=body.prompt,
+            prompt_tokens=tokens,
+            max_tokens=body.max_tokens,
+            prefix_key=prefix_key(body.prompt),
+            first_token_by=now + limits.first_token,
+            deadline=now + limits.total,
+        )
+
+    # Plain services
+
+    async def _service(self, request: web.Request) -> web.Response:
+        caller = self._caller(request)
+        call = self._service_call(request, caller, await request.read())
+        answer = await self.core.submit_service(call)
+        return web.Response(
+            status=answer.status,
+            body=answer.body,
+            headers={
+                REQUEST_ID_HEADER: caller.request_id,
+                "Content-Type": answer.content_type,
+            },
+        )
+
+    def _service_call(
+        self, request: web.Request, caller: Caller, body: bytes
+    ) -> ServiceCall:
+        path = "/" + request.match_info["path"]
+        configuration = self.core.holder.current
+        found = [
+            (name, route)
+            for name, route in configuration.routes.items()
+            if path == route.prefix or path.startswith(route.prefix.rstrip("/") + "/")
+        ]
+        if not found:
+            raise RequestError(
+                ResultCode.UNKNOWN_ROUTE, f"No route for {request.path!r}."
+            )
+        name, route = max(found, key=lambda item: len(item[1].prefix))
+        request_class = route.request_class
+        limits = configuration.request_class(request_class)
+        query = f"?{request.query_string}" if request.query_string else ""
+        return ServiceCall(
+            request_id=caller.request_id,
+            tenant=caller.tenant,
+            request_class=request_class,
+            priority=limits.priority,
+            route=name,
+            method=request.method,
+            path=path + query,
+            body=body,
+            content_type=request.headers.get("Content-Type", ""),
+            repeatable=route.repeatable,
+            idempotency_key=caller.idempotency_key,
+            deadline=asyncio.get_running_loop().time() + limits.total,
+        )
+
+
+async def _whole(
+    request: web.Request,
+    call: ModelCall,
+    chunks: cabc.AsyncGenerator[TokenChunk],
+    wording: Wording,
+) -> web.Response:
+    text, tokens, finish = await _while_connected(request, _collect(chunks))
+    body = wording.whole(call.request_id, call.model, text, finish)
+    body["created"] = int(time.time())
+    body["usage"] = {
+        "prompt_tokens": call.prompt_tokens,
+        "completion_tokens": tokens,
+        "total_tokens": call.prompt_tokens + tokens,
+    }
+    return web.Response(
+        body=msgspec.json.encode(body),
+        content_type="application/json",
+        headers={REQUEST_ID_HEADER: call.request_id},
+    )
+
+
+async def _while_connected(
+    request: web.Request, work: t.Coroutine[t.Any, t.Any, _Result]
+) -> _Result:
+    """Return what the work gives; a caller that goes away cancels it."""
+    task = asyncio.ensure_future(work)
+    try:
+        while not task.done():
+            await asyncio.wait({task}, timeout=GONE_CHECK_INTERVAL)
+            if request.transport is None or request.transport.is_closing():
+                raise RequestError(ResultCode.CANCELLED_BY_CALLER)
+        return task.result()
+    finally:
+        if not task.done():
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+
+
+async def _collect(chunks: cabc.AsyncGenerator[TokenChunk]) -> tuple[str, int, str]:
+    parts: list[str] = []
+    tokens = 0
+    finish = ""
+    async for chunk in chunks:
+        parts.append(chunk.text)
+        tokens += chunk.tokens
+        finish = chunk.finish
+    return "".join(parts), tokens, finish
+
+
+async def _stream(
+    request: web.Request,
+    call: ModelCall,
+    chunks: cabc.AsyncGenerator[TokenChunk],
+    wording: Wording,
+) -> web.StreamResponse:
+    """Stream an answer as server-sent events.
+
+    Headers go out with the first chunk, so that a refusal still has its own status;
+    what fails later is the last event of the stream.
+    """
+    response = web.StreamResponse(
+        headers={
+            "Content-Type": "text/event-stream",
+            "Cache-Control": "no-cache",
+            REQUEST_ID_HEADER: call.request_id,
+        }
+    )
+    first = await _while_connected(request, _next(chunks))
+    await response.prepare(request)
+    try:
+        await _send_chunk(response, call, first, wording)
+        async for chunk in chunks:
+            await _send_chunk(response, call, chunk, wording)
+        await response.write(b"data: [DONE]\n\n")
+    except RequestError as error:
+        body = error_body(error, call.request_id)
+        await response.write(b"event: error\ndata: " + body + b"\n\n")
+    except ConnectionError:
+        logger.info("caller of %s went away", call.request_id)
+        return response
+    await response.write_eof()
+    return response
+
+
+async def _next(chunks: cabc.AsyncGenerator[TokenChunk]) -> TokenChunk:
+    return await anext(chunks)
+
+
+async def _send_chunk(
+    response: web.StreamResponse, call: ModelCall, chunk: TokenChunk, wording: Wording
+) -> None:
+    part = wording.part(call.request_id, call.model, chunk.text, chunk.finish)
+    await response.write(b"data: " + msgspec.json.encode(part) + b"\n\n")
--- /dev/null
+++ b/src/bergamotmast/entry/membership.py
@@ -0,0 +1,96 @@
+"""Which sides an entry keeps a connection to."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc as cabc
+import logging
+import random
+import typing as t
+
+from ..config_holder import ConfigHolder
+from ..errors import PortError
+from ..model import InstanceInfo
+from ..selection import selection
+from .peer import Peer
+
+if t.TYPE_CHECKING:
+    from ..ports import InstanceList
+
+logger = logging.getLogger(__name__)
+
+POLL_INTERVAL = 1.0
+"""Seconds between two reads of the instance list, before jitter."""
+
+
+class Membership:
+    """The peers of one entry, following the instance list.
+
+    :param instance_list: the platform's list.
+    :param open_peer: makes the peer of an upstream.
+    :param peers: open peers by name of their upstream.
+    """
+
+    def __init__(
+        self,
+        instance_list: InstanceList,
+        open_peer: cabc.Callable[[InstanceInfo], Peer],
+        holder: ConfigHolder,
+        rng: random.Random,
+    ) -> None:
+        self.instance_list = instance_list
+        self.open_peer = open_peer
+        self.holder = holder
+        self.rng = rng
+        self.peers: dict[str, Peer] = {}
+        self.infos: dict[str, InstanceInfo] = {}
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+
+    def is_leaving(self, name: str) -> bool:
+        """Return whether any signal says that an upstream is leaving.
+
+        The side's own word is not here: it comes with its report, and the side
+        refuses work itself.
+        """
+        info = self.infos.get(name)
+        if info is None or info.leaving:
+            return True
+        return name in selection(self.holder.current).leaving
+
+    async def run(self) -> None:
+        """Follow the instance list until cancelled; its outages change nothing."""
+        try:
+            while True:
+                await self._poll()
+                await asyncio.sleep(POLL_INTERVAL * self.rng.uniform(0.8, 1.2))
+        finally:
+            for task in self.tasks.values():
+                task.cancel()
+
+    async def _poll(self) -> None:
+        try:
+            instances = await self.instance_list.instances()
+        except PortError as error:
+            logger.warning("instance list: %s", error.message)
+            return
+        self.infos = {info.name: info for info in instances}
+        for info in instances:
+            self._keep(info)
+        for name in set(self.peers) - set(self.infos):
+            if not self.peers[name].attempts:
+                self._drop(name)
+
+    def _keep(self, info: InstanceInfo) -> None:
+        peer = self.peers.get(info.name)
+        if peer is not None and peer.info.side_address == info.side_address:
+            peer.info = info
+            return
+        if peer is not None:
+            self._drop(info.name)
+        peer = self.open_peer(info)
+        self.peers[info.name] = peer
+        self.tasks[info.name] = asyncio.create_task(peer.run())
+
+    def _drop(self, name: str) -> None:
+        self.tasks.pop(name).cancel()
+        del self.peers[name]
--- /dev/null
+++ b/src/bergamotmast/entry/model_run.py
@@ -0,0 +1,189 @@
+"""One model request at its entry: attempts, resumption and the answer so far."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc as cabc
+import contextlib
+import typing as t
+
+from ..errors import ResultCode
+from ..model import Cost
+from ..model import ModelCall
+from ..model import TokenChunk
+from ..policy import Choice
+from ..protocol import messages
+from ..protocol import timing
+from .attempt import DeadlinePassed
+from .attempt import EntryAttempt
+from .attempt import SessionLost
+from .attempt import SideReplaced
+from .placement import Placement
+
+if t.TYPE_CHECKING:
+    from .core import EntryCore
+
+
+class ModelRun:
+    """Runs one model request until its answer is whole.
+
+    The entry keeps what the caller has been given. When an attempt breaks, the next
+    one resumes from there on another engine; chunks of an earlier attempt are not
+    routed to anyone, and a chunk that would leave a gap ends its attempt.
+
+    :param entry: the entry that runs it.
+    :param call: the request.
+    """
+
+    def __init__(self, entry: EntryCore, call: ModelCall) -> None:
+        self.entry = entry
+        self.call = call
+        self.placement = Placement(entry, call)
+        self.cost = entry.policy.predict(call)
+        self.text: list[str] = []
+        self.tokens = 0
+        self.kv_handle = ""
+        self.finished = False
+
+    async def chunks(self) -> cabc.AsyncGenerator[TokenChunk]:
+        """Yield the answer.
+
+        :raises RequestError: if it can't be made whole.
+        """
+        self.entry.policy.on_admitted(self.call, self.placement.now())
+        while not self.finished:
+            choice = await self.placement.choose(self.tokens, self._wait_until())
+            attempt = await self._offer(choice)
+            if attempt is None:
+                continue
+            followed = self._follow(attempt)
+            async with contextlib.aclosing(followed):
+                async for chunk in followed:
+                    yield chunk
+
+    def _wait_until(self) -> float:
+        return self.call.deadline if self.tokens else self.call.first_token_by
+
+    async def _offer(self, choice: Choice) -> EntryAttempt | None:
+        assert choice.upstream is not None
+        call = self.call
+        now = self.placement.now()
+        work = messages.ModelWork(
+            model=call.model,
+            prompt=call.prompt,
+            prompt_tokens=call.prompt_tokens,
+            max_tokens=call.max_tokens,
+            predicted_tokens=max(1, self.cost.decode - self.tokens),
+            prefix_key=call.prefix_key,
+            first_token_budget=self._wait_until() - now,
+            resume_text="".join(self.text),
+            resume_tokens=self.tokens,
+            kv_handle=self.kv_handle,
+            prefill_only=choice.prefill_only,
+        )
+        return await self.placement.offer(choice.upstream, self._cost_left(), work)
+
+    def _cost_left(self) -> Cost:
+        prefill = 0 if self.kv_handle else self.cost.prefill + self.tokens
+        return Cost(prefill, max(1, self.cost.decode - self.tokens))
+
+    async def _follow(self, attempt: EntryAttempt) -> cabc.AsyncGenerator[TokenChunk]:
+        """Yield what an attempt adds to the answer, until it ends or breaks."""
+        ended = False
+        self.kv_handle = ""
+        before = self.tokens
+        try:
+            while not ended:
+                event = await attempt.events.get()
+                match event:
+                    case messages.Chunk():
+                        if event.index > self.tokens:
+                            self._on_broken(attempt, before)
+                            return
+                        chunk = self._accept(attempt, event)
+                        ended = bool(event.finish)
+                        if ended:
+                            self._on_finish(attempt, event, before)
+                        if chunk is not None:
+                            yield chunk
+                            await self._grant(attempt)
+                    case messages.Refused():
+                        ended = True
+                        self.placement.on_refused(
+                            attempt.upstream, event.code, event.retry_after or None
+                        )
+                    case messages.Failed():
+                        ended = True
+                        self.placement.has_run = True
+                        self._on_broken(attempt, before)
+                    case SessionLost() | SideReplaced():
+                        ended = True
+                        self._on_broken(attempt, before)
+                    case DeadlinePassed():
+                        await self._give_up(attempt)
+                        ended = True
+                    case _:
+                        pass
+        finally:
+            await self._leave(attempt, ended)
+
+    def _accept(
+        self, attempt: EntryAttempt, chunk: messages.Chunk
+    ) -> TokenChunk | None:
+        """Append a chunk to the answer; ``None`` if the caller has it already."""
+        if chunk.index < self.tokens or not chunk.tokens:
+            return None
+        if self.tokens == 0:
+            self.placement.has_run = True
+            self.entry.policy.on_first_token(
+                attempt.upstream, self.call, chunk.cached_tokens, self.placement.now()
+            )
+        self.tokens += chunk.tokens
+        self.text.append(chunk.text)
+        finish = "" if chunk.finish == "handoff" else chunk.finish
+        return TokenChunk(
+            chunk.index, chunk.tokens, chunk.text, finish, chunk.cached_tokens
+        )
+
+    def _on_finish(
+        self, attempt: EntryAttempt, chunk: messages.Chunk, before: int
+    ) -> None:
+        self.placement.on_done(attempt.upstream, self.tokens - before)
+        if chunk.finish == "handoff":
+            self.kv_handle = chunk.kv_handle
+            self.placement.accepted = True
+            self.placement.excluded.clear()
+        else:
+            self.finished = True
+
+    def _on_broken(self, attempt: EntryAttempt, before: int) -> None:
+        self.placement.on_failed(
+            attempt.upstream, ResultCode.UPSTREAM_FAILED, self.tokens - before
+        )
+
+    async def _give_up(self, attempt: EntryAttempt) -> t.NoReturn:
+        """End the request at its deadline and say truly whether it ran."""
+        state = await self.placement.resolve(attempt)
+        if state == "never_started":
+            raise self.placement.error(ResultCode.EXPIRED_IN_QUEUE, None)
+        if state == "unknown" and not (attempt.started or self.tokens):
+            raise self.placement.error(ResultCode.OUTCOME_UNKNOWN, None)
+        raise self.placement.error(ResultCode.DEADLINE_EXCEEDED, None)
+
+    async def _grant(self, attempt: EntryAttempt) -> None:
+        attempt.taken += 1
+        if attempt.taken * 2 >= timing.CHUNK_CREDIT:
+            peer = self.entry.membership.peers.get(attempt.upstream)
+            if peer is not None:
+                await peer.grant(attempt, attempt.taken)
+            attempt.taken = 0
+
+    async def _leave(self, attempt: EntryAttempt, ended: bool) -> None:
+        """Let go of an attempt; one that may still run is cancelled."""
+        self.placement.leave(attempt)
+        if ended:
+            return
+        peer = self.entry.membership.peers.get(attempt.upstream)
+        if peer is not None:
+            with contextlib.suppress(asyncio.CancelledError):
+                await peer.cancel(attempt)
--- /dev/null
+++ b/src/bergamotmast/entry/peer.py
@@ -0,0 +1,284 @@
+"""One entry's connection to one side, in one task written straight down."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import typing as t
+
+import msgspec
+
+from ..config_holder import ConfigHolder
+from ..errors import NotReachedError
+from ..model import Cost
+from ..model import InstanceInfo
+from ..model import Readiness
+from ..model import SideReport
+from ..policy import Candidate
+from ..protocol import messages
+from ..protocol import timing
+from .attempt import EntryAttempt
+from .attempt import SessionLost
+from .attempt import SideReplaced
+
+if t.TYPE_CHECKING:
+    from ..ports import Dialer
+    from ..ports import Link
+
+logger = logging.getLogger(__name__)
+
+
+class Peer:
+    """A side as one entry knows it.
+
+    :param entry: name of the entry.
+    :param incarnation: random for each start of the entry.
+    :param info: the upstream, as the instance list names it.
+    :param session: open session, or ``None``.
+    :param report: the side's last word, or ``None`` without a session.
+    """
+
+    def __init__(
+        self,
+        entry: str,
+        incarnation: str,
+        info: InstanceInfo,
+        dialer: Dialer,
+        holder: ConfigHolder,
+    ) -> None:
+        self.entry = entry
+        self.incarnation = incarnation
+        self.info = info
+        self.dialer = dialer
+        self.holder = holder
+        self.link: Link | None = None
+        self.session: str | None = None
+        self.side_incarnation = ""
+        self.counter = 0
+        self.report: SideReport | None = None
+        self.reported_at = 0.0
+        self.generation = 0
+        self.attempts: dict[str, EntryAttempt] = {}
+        self.since_report = Cost(0, 0)
+
+    # What the rest of the entry asks of it
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new work may be offered."""
+        if self.session is None or self.report is None:
+            return False
+        return self.report.readiness is Readiness.READY
+
+    def candidate(self) -> Candidate:
+        """Return what the policy needs to know."""
+        attempts = self.attempts.values()
+        return Candidate(
+            name=self.info.name,
+            zone=self.info.zone,
+            report=self.report,
+            reported_at=self.reported_at,
+            own_running=len(self.attempts),
+            own_prefill=sum(a.prefill_left for a in attempts),
+            own_decode=sum(a.decode_left for a in attempts),
+            own_since_report=self.since_report,
+        )
+
+    async def offer(self, attempt: EntryAttempt, offer: messages.Offer) -> None:
+        """Hand an offer to the side; the attempt hears what becomes of it.
+
+        :raises NotReachedError: if it was certainly not handed over.
+        """
+        if self.session is None or self.link is None:
+            raise NotReachedError(f"no session with {self.info.name}")
+        self.attempts[attempt.name] = attempt
+        self.since_report = Cost(
+            self.since_report.prefill + attempt.cost.prefill,
+            self.since_report.decode + attempt.cost.decode,
+        )
+        try:
+            await self.link.send(messages.encode(offer))
+        except NotReachedError:
+            self.attempts.pop(attempt.name, None)
+            raise
+
+    async def cancel(self, attempt: EntryAttempt) -> bool:
+        """Ask for an attempt's end; ``False`` if the side can't be asked now."""
+        if self.session is None:
+            return False
+        return await self._send(messages.Cancel(self.session, attempt.name))
+
+    async def grant(self, attempt: EntryAttempt, chunks: int) -> None:
+        """Let the side send more chunks."""
+        if self.session is not None:
+            await self._send(messages.Credit(self.session, attempt.name, chunks))
+
+    def forget(self, attempt: EntryAttempt) -> None:
+        """Ignore everything that still comes of an attempt."""
+        self.attempts.pop(attempt.name, None)
+
+    # The connection
+
+    async def run(self) -> None:
+        """Keep a session with the side until cancelled."""
+        while True:
+            link = self.dialer.dial(self.info.side_address)
+            try:
+                await self._connection(link)
+            except TimeoutError:
+                logger.info("side %s is not heard", self.info.name)
+            finally:
+                self._on_lost()
+                link.close()
+            await asyncio.sleep(timing.HELLO_RETRY)
+
+    async def _connection(self, link: Link) -> None:
+        welcome = await self._open(link)
+        self.link = link
+        await self._on_open(welcome)
+        beats = asyncio.create_task(self._beat(welcome.session))
+        try:
+            await self._receive(link, welcome.session)
+        finally:
+            beats.cancel()
+
+    async def _open(self, link: Link) -> messages.Welcome:
+        """Say hello until the side answers the latest one."""
+        while True:
+            self.counter += 1
+            hello = messages.Hello(
+                version=messages.PROTOCOL_VERSION,
+                entry=self.entry,
+                incarnation=self.incarnation,
+                counter=self.counter,
+                generation=self.holder.generation,
+            )
+            try:
+                await link.send(messages.encode(hello))
+                async with asyncio.timeout(timing.SIDE_TIMEOUT):
+                    return await self._welcome(link)
+            except NotReachedError:
+                await asyncio.sleep(timing.HELLO_RETRY)
+
+    async def _welcome(self, link: Link) -> messages.Welcome:
+        while True:
+            message = self._decode(await link.receive())
+            if isinstance(message, messages.Welcome):
+                if message.counter == self.counter:
+                    return message
+            elif message is not None:
+                await self._on_message(message)
+
+    async def _receive(self, link: Link, session: str) -> None:
+        """Take messages until the side falls silent or does not know us."""
+        while True:
+            async with asyncio.timeout(timing.SIDE_TIMEOUT):
+                frame = await link.receive()
+            message = self._decode(frame)
+            if isinstance(message, messages.SessionUnknown):
+                if message.session == session:
+                    return
+            elif message is not None:
+                await self._on_message(message)
+
+    def _decode(self, frame: bytes) -> messages.ToEntry | None:
+        try:
+            return messages.decode_to_entry(frame)
+        except msgspec.MsgspecError as error:
+            logger.warning("frame of %s refused: %s", self.info.name, error)
+            return None
+
+    async def _on_open(self, welcome: messages.Welcome) -> None:
+        replaced = welcome.incarnation != self.side_incarnation
+        self.side_incarnation = welcome.incarnation
+        self.session = welcome.session
+        for attempt in list(self.attempts.values()):
+            if replaced:
+                attempt.events.put_nowait(SideReplaced())
+                self.forget(attempt)
+            else:
+                await self.cancel(attempt)
+        await self._compare_generation(welcome.generation)
+
+    def _on_lost(self) -> None:
+        if self.session is None:
+            return
+        self.session = None
+        self.report = None
+        self.link = None
+        for attempt in list(self.attempts.values()):
+            attempt.events.put_nowait(SessionLost())
+            if not attempt.survives_session:
+                self.forget(attempt)
+
+    async def _beat(self, session: str) -> None:
+        while True:
+            await self._send(messages.Heartbeat(session, self.holder.generation))
+            await asyncio.sleep(timing.BEAT_INTERVAL)
+
+    async def _on_message(self, message: messages.ToEntry) -> None:
+        match message:
+            case messages.Chunk():
+                self._on_chunk(message)
+            case messages.ReportBeat():
+                await self._on_report(message)
+            case messages.Started():
+                if attempt := self.attempts.get(message.attempt):
+                    attempt.started = True
+                    attempt.events.put_nowait(message)
+            case (
+                messages.Refused()
+                | messages.ServiceDone()
+                | messages.Failed()
+                | messages.AttemptState()
+            ):
+                if attempt := self.attempts.get(message.attempt):
+                    attempt.events.put_nowait(message)
+            case messages.ConfigPull():
+                await self._send_document(message.generation)
+            case messages.ConfigDocument():
+                self._on_document(message)
+
+    def _on_chunk(self, chunk: messages.Chunk) -> None:
+        attempt = self.attempts.get(chunk.attempt)
+        if attempt is None:
+            return
+        attempt.on_progress(chunk.tokens)
+        attempt.events.put_nowait(chunk)
+
+    async def _on_report(self, beat: messages.ReportBeat) -> None:
+        if beat.session != self.session:
+            return
+        self.report = beat.report
+        self.reported_at = asyncio.get_running_loop().time()
+        self.since_report = Cost(0, 0)
+        await self._compare_generation(beat.generation)
+
+    # Configuration
+
+    async def _compare_generation(self, generation: int) -> None:
+        self.generation = generation
+        if generation > self.holder.generation:
+            await self._send(messages.ConfigPull(self.holder.generation))
+
+    async def _send_document(self, generation: int) -> None:
+        if self.holder.generation > generation:
+            document = messages.ConfigDocument(
+                self.holder.generation, self.holder.document
+            )
+            await self._send(document)
+
+    def _on_document(self, message: messages.ConfigDocument) -> None:
+        try:
+            self.holder.offer(message.document)
+        except msgspec.MsgspecError as error:
+            logger.warning("configuration refused: %s", error)
+
+    async def _send(self, message: messages.ToSide) -> bool:
+        if self.link is None:
+            return False
+        try:
+            await self.link.send(messages.encode(message))
+        except NotReachedError:
+            return False
+        return True
--- /dev/null
+++ b/src/bergamotmast/selection.py
@@ -0,0 +1,95 @@
+"""Which upstreams a configuration allows for a request, and which are leaving."""
+
+from __future__ import annotations
+
+import functools
+
+from .config import Configuration
+from .config import Match
+from .config import Selector
+from .config import SelectorState
+from .model import ModelCall
+from .model import ServiceCall
+
+
+def _allows(allowed: tuple[str, ...], value: str) -> bool:
+    return not allowed or value in allowed
+
+
+def _matches(match: Match, call: ModelCall | ServiceCall) -> bool:
+    if not _allows(match.classes, call.request_class):
+        return False
+    if not _allows(match.tenants, call.tenant):
+        return False
+    if isinstance(call, ModelCall):
+        return not match.routes and _allows(match.models, call.model)
+    return call.route in match.routes
+
+
+def bare_name(versioned: str) -> str:
+    """Return ``name`` of ``name@version``."""
+    return versioned.partition("@")[0]
+
+
+def carried_names(selector: Selector) -> frozenset[str]:
+    """Return the model and adapter names that a selector's group carries."""
+    return frozenset(map(bare_name, selector.models + selector.adapters))
+
+
+def wanted_names(model: str) -> tuple[str, ...]:
+    """Return what an engine must carry for ``model`` or ``model:adapter``."""
+    return tuple(model.split(":", 1))
+
+
+class Selection:
+    """One configuration's rules, prepared for many requests.
+
+    :param configuration: the document they come from.
+    """
+
+    def __init__(self, configuration: Configuration) -> None:
+        self.configuration = configuration
+        self.serving = tuple(
+            s for s in configuration.selectors if s.state is SelectorState.SERVING
+        )
+        self.members = {s.name: _members(configuration, s) for s in self.serving}
+        self.leaving = _leaving(configuration)
+        self.known = frozenset().union(*map(carried_names, self.serving))
+
+    def knows_model(self, model: str) -> bool:
+        """Return whether any serving selector carries a model."""
+        return all(name in self.known for name in wanted_names(model))
+
+    def upstreams(self, call: ModelCall | ServiceCall) -> frozenset[str]:
+        """Return the names of the upstreams that may serve a call."""
+        found: set[str] = set()
+        for selector in self.serving:
+            if _matches(selector.match, call) and _carries(selector, call):
+                found |= self.members[selector.name]
+        return frozenset(found) - self.leaving
+
+
+def _carries(selector: Selector, call: ModelCall | ServiceCall) -> bool:
+    if isinstance(call, ServiceCall):
+        return True
+    return carried_names(selector).issuperset(wanted_names(call.model))
+
+
+def _members(configuration: Configuration, selector: Selector) -> frozenset[str]:
+    return frozenset(
+        name for name in configuration.labels if selector in configuration.group(name)
+    )
+
+
+def _leaving(configuration: Configuration) -> frozenset[str]:
+    return frozenset(
+        name
+        for name in configuration.labels
+        if any(s.state is not SelectorState.SERVING for s in configuration.group(name))
+    )
+
+
+@functools.lru_cache(maxsize=4)
+def selection(configuration: Configuration) -> Selection:
+    """Return the prepared rules of a configuration."""
+    return Selection(configuration)
--- /dev/null
+++ b/src/bergamotmast/side/runners.py
@@ -0,0 +1,186 @@
+"""Running an attempt on an upstream: a stream on an engine, a call of a service."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import typing as t
+
+from ..errors import NotReachedError
+from ..errors import PortError
+from ..errors import ReplyLostError
+from ..errors import ResultCode
+from ..model import GenerateRequest
+from ..model import ServiceCall
+from ..protocol import messages
+from .attempt import Attempt
+from .attempt import ChunkBuffer
+
+if t.TYPE_CHECKING:
+    from ..ports import Engine
+    from ..ports import PlainService
+    from .core import SideCore
+
+
+class Runner(t.Protocol):
+    """Runs attempts on one kind of upstream."""
+
+    async def run(self, attempt: Attempt, side: SideCore) -> None:
+        """Run a started attempt to its end and send what it gives."""
+        ...
+
+    def on_credit(self, attempt: Attempt) -> None:
+        """Learn that chunks were taken."""
+        ...
+
+
+class EngineRunner:
+    """Runs streams on an engine.
+
+    :param engine: the engine behind this side.
+    """
+
+    def __init__(self, engine: Engine) -> None:
+        self.engine = engine
+        self.credit_given: dict[str, asyncio.Event] = {}
+
+    def on_credit(self, attempt: Attempt) -> None:
+        """Let a stream that waits for credit go on."""
+        event = self.credit_given.get(attempt.name)
+        if event is not None:
+            event.set()
+
+    async def run(self, attempt: Attempt, side: SideCore) -> None:
+        """Stream an answer, at most as far ahead of its caller as it has credit."""
+        self.credit_given[attempt.name] = asyncio.Event()
+        try:
+            await self._stream(attempt, side)
+        except NotReachedError:
+            await _refused(attempt, side)
+        except PortError as error:
+            await _failed(attempt, side, ResultCode.UPSTREAM_FAILED, error.message)
+        except asyncio.CancelledError:
+            # The task is ended on purpose; closing the generator told the engine.
+            pass
+        finally:
+            del self.credit_given[attempt.name]
+
+    async def _stream(self, attempt: Attempt, side: SideCore) -> None:
+        buffer = ChunkBuffer(attempt.name)
+        work = attempt.offer.work
+        assert isinstance(work, messages.ModelWork)
+        finished = False
+        chunks = self.engine.generate(_generate_request(attempt, work))
+        async with contextlib.aclosing(chunks):
+            async for chunk in chunks:
+                first = buffer.last is None and chunk.index == work.resume_tokens
+                side.on_tokens(attempt, chunk.tokens, work.prompt_tokens * first)
+                buffer.add(chunk)
+                finished = bool(chunk.finish)
+                await self._flush(attempt, side, buffer)
+        if not finished:
+            raise ReplyLostError("the engine's stream broke off")
+        await self._flush_last(attempt, side, buffer)
+
+    async def _flush(
+        self, attempt: Attempt, side: SideCore, buffer: ChunkBuffer
+    ) -> None:
+        if attempt.credit <= 0:
+            return
+        message = buffer.take()
+        if message is not None:
+            attempt.credit -= 1
+            await side.send(attempt.session.peer, message)
+
+    async def _flush_last(
+        self, attempt: Attempt, side: SideCore, buffer: ChunkBuffer
+    ) -> None:
+        """Send what is left, when there is credit; until the caller's deadline."""
+        event = self.credit_given[attempt.name]
+        while buffer.last is not None:
+            await self._flush(attempt, side, buffer)
+            if buffer.last is None:
+                return
+            event.clear()
+            try:
+                async with asyncio.timeout_at(attempt.deadline):
+                    await event.wait()
+            except TimeoutError:
+                return
+
+
+class ServiceRunner:
+    """Runs calls of a plain service.
+
+    :param service: the service behind this side.
+    """
+
+    def __init__(self, service: PlainService) -> None:
+        self.service = service
+
+    def on_credit(self, attempt: Attempt) -> None:
+        """Ignore credit: a plain service's answer is one message."""
+
+    async def run(self, attempt: Attempt, side: SideCore) -> None:
+        """Run a call and send its whole answer."""
+        work = attempt.offer.work
+        assert isinstance(work, messages.ServiceWork)
+        try:
+            answer = await self.service.call(_service_call(attempt, work))
+        except NotReachedError:
+            await _refused(attempt, side)
+            return
+        except PortError as error:
+            await _failed(attempt, side, ResultCode.OUTCOME_UNKNOWN, error.message)
+            return
+        done = messages.ServiceDone(
+            attempt.name, answer.status, answer.body, answer.content_type
+        )
+        attempt.answer = done
+        await side.send(attempt.session.peer, done)
+
+
+async def _refused(attempt: Attempt, side: SideCore) -> None:
+    refused = messages.Refused(attempt.name, ResultCode.ENGINE_NOT_READY, 0.0)
+    await side.send(attempt.session.peer, refused)
+
+
+async def _failed(
+    attempt: Attempt, side: SideCore, code: ResultCode, detail: str
+) -> None:
+    failed = messages.Failed(attempt.name, code, detail)
+    await side.send(attempt.session.peer, failed)
+
+
+def _generate_request(attempt: Attempt, work: messages.ModelWork) -> GenerateRequest:
+    return GenerateRequest(
+        stream_id=attempt.name,
+        model=work.model,
+        prompt=work.prompt,
+        prompt_tokens=work.prompt_tokens,
+        max_tokens=work.max_tokens,
+        priority=attempt.offer.priority,
+        prefix_key=work.prefix_key,
+        resume_text=work.resume_text,
+        resume_tokens=work.resume_tokens,
+        kv_handle=work.kv_handle,
+        prefill_only=work.prefill_only,
+    )
+
+
+def _service_call(attempt: Attempt, work: messages.ServiceWork) -> ServiceCall:
+    offer = attempt.offer
+    return ServiceCall(
+        request_id=offer.request_id,
+        tenant=offer.tenant,
+        request_class=offer.request_class,
+        priority=offer.priority,
+        route=work.route,
+        method=work.method,
+        path=work.path,
+        body=work.body,
+        content_type=work.content_type,
+        repeatable=work.repeatable,
+        idempotency_key=work.idempotency_key,
+        deadline=attempt.deadline,
+    )
--- /dev/null
+++ b/src/bergamotmast/side/session.py
@@ -0,0 +1,113 @@
+"""A side's sessions: which entry may offer work now, and what it offered."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+from ..protocol.messages import Hello
+
+MAX_TOMBSTONES = 4096
+"""Attempts a session remembers so that a copy of their offer never starts.
+
+Frames of one session arrive in order and an older session is refused as a whole, so
+a copy can only follow closely; the bound keeps a long session from growing.
+"""
+
+MAX_INCARNATIONS = 4096
+"""Incarnations of entries whose last hello is remembered; some weeks of restarts."""
+
+
+@dataclasses.dataclass
+class Session:
+    """One entry's standing at this side.
+
+    :param name: names the session in messages.
+    :param peer: transport identity that the session's frames come from.
+    :param incarnation: of the entry.
+    :param counter: of the hello that opened it.
+    :param expires_at: when the entry counts as lost unless it is heard again.
+    """
+
+    name: str
+    peer: bytes
+    entry: str
+    incarnation: str
+    counter: int
+    expires_at: float
+    beats: int = 0
+    seen: collections.OrderedDict[str, None] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+
+    def remember(self, attempt: str) -> bool:
+        """Note an attempt; ``False`` if its offer or cancel was seen before."""
+        if attempt in self.seen:
+            return False
+        self.seen[attempt] = None
+        if len(self.seen) > MAX_TOMBSTONES:
+            self.seen.popitem(last=False)
+        return True
+
+
+class SessionTable:
+    """All sessions of a side, at most one for each incarnation of an entry.
+
+    :param side_incarnation: random for each start of the side.
+    """
+
+    def __init__(self, side_incarnation: str) -> None:
+        self.side_incarnation = side_incarnation
+        self.by_name: dict[str, Session] = {}
+        self.by_incarnation: collections.OrderedDict[str, Session] = (
+            collections.OrderedDict()
+        )
+        self.opened = 0
+
+    def open(
+        self, peer: bytes, hello: Hello, expires_at: float
+    ) -> tuple[Session, Session | None] | None:
+        """Open a session and return it with the one it ends.
+
+        A hello may lie in a buffer while its connection is cut off and arrive after
+        a later one. Taking it would end the session in use and let offers from
+        before the cut start: it is refused by its counter.
+        """
+        earlier = self.by_incarnation.get(hello.incarnation)
+        if earlier is not None and hello.counter <= earlier.counter:
+            return None
+        self.opened += 1
+        session = Session(
+            name=f"{self.side_incarnation}.{self.opened}",
+            peer=peer,
+            entry=hello.entry,
+            incarnation=hello.incarnation,
+            counter=hello.counter,
+            expires_at=expires_at,
+        )
+        if earlier is not None:
+            self.by_name.pop(earlier.name, None)
+        self.by_name[session.name] = session
+        self.by_incarnation[hello.incarnation] = session
+        self.by_incarnation.move_to_end(hello.incarnation)
+        if len(self.by_incarnation) > MAX_INCARNATIONS:
+            self.by_incarnation.popitem(last=False)
+        return session, earlier
+
+    def find(self, name: str, peer: bytes) -> Session | None:
+        """Return a session if it is open and the frame came from its own peer."""
+        session = self.by_name.get(name)
+        if session is None or session.peer != peer:
+            return None
+        return session
+
+    def expired(self, now: float) -> list[Session]:
+        """Take out and return the sessions whose entries were not heard in time.
+
+        Only the name is forgotten: the incarnation stays known with its counter, so
+        that a late hello of it is still told from a new one.
+        """
+        lost = [s for s in self.by_name.values() if s.expires_at <= now]
+        for session in lost:
+            del self.by_name[session.name]
+        return lost
