--- a/src/bergamotmast/config_holder.py
+++ b/src/bergamotmast/config_holder.py
@@ -8,6 +8,7 @@
 from .config import decode_configuration
 from .history import ConfigInForce
 from .history import HistorySink
+from .selection import Selection
 
 
 class ConfigHolder:
@@ -17,6 +18,7 @@
     :param history: where each step forward is recorded.
     :param current: the configuration in force; generation 0 before the first.
     :param document: the same as bytes, to be passed on to peers.
+    :param selection: its rules, prepared for use with each request.
     """
 
     def __init__(self, process: str, history: HistorySink) -> None:
@@ -24,6 +26,7 @@
         self.history = history
         self.current = Configuration()
         self.document = b""
+        self.selection = Selection(self.current)
         self._changed = asyncio.Event()
 
     @property
@@ -46,6 +49,7 @@
             return False
         self.current = configuration
         self.document = document
+        self.selection = Selection(configuration)
         at = asyncio.get_running_loop().time()
         self.history.record(
             ConfigInForce(
--- a/src/bergamotmast/entry/core.py
+++ b/src/bergamotmast/entry/core.py
@@ -21,7 +21,6 @@
 from ..policy import Candidate
 from ..policy import EntryPolicy
 from ..selection import bare_name
-from ..selection import selection
 from ..selection import wanted_names
 from .membership import Membership
 from .model_run import ModelRun
@@ -95,7 +94,7 @@
         :raises RequestError: if it ends without its whole answer.
         """
         self._check_open()
-        if not selection(self.holder.current).knows_model(call.model):
+        if not self.holder.selection.knows_model(call.model):
             raise RequestError(
                 ResultCode.UNKNOWN_MODEL, f"No selector carries model {call.model!r}."
             )
@@ -118,7 +117,7 @@
 
     def candidates(self, call: ModelCall | ServiceCall) -> list[Candidate]:
         """Return the upstreams that may be offered a call now."""
-        allowed = selection(self.holder.current).upstreams(call)
+        allowed = self.holder.selection.upstreams(call)
         wanted = frozenset(wanted_names(call.model)) if _is_model(call) else None
         return [
             peer.candidate()
--- a/src/bergamotmast/entry/membership.py
+++ b/src/bergamotmast/entry/membership.py
@@ -11,7 +11,6 @@
 from ..config_holder import ConfigHolder
 from ..errors import PortError
 from ..model import InstanceInfo
-from ..selection import selection
 from .peer import Peer
 
 if t.TYPE_CHECKING:
@@ -55,7 +54,7 @@
         info = self.infos.get(name)
         if info is None or info.leaving:
             return True
-        return name in selection(self.holder.current).leaving
+        return name in self.holder.selection.leaving
 
     async def run(self) -> None:
         """Follow the instance list until cancelled; its outages change nothing."""
--- a/src/bergamotmast/selection.py
+++ b/src/bergamotmast/selection.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import functools
-
 from .config import Configuration
 from .config import Match
 from .config import Selector
@@ -87,9 +85,3 @@
         for name in configuration.labels
         if any(s.state is not SelectorState.SERVING for s in configuration.group(name))
     )
-
-
-@functools.lru_cache(maxsize=4)
-def selection(configuration: Configuration) -> Selection:
-    """Return the prepared rules of a configuration."""
-    return Selection(configuration)
--- a/src/bergamotmast/side/core.py
+++ b/src/bergamotmast/side/core.py
@@ -26,7 +26,6 @@
 from ..policy import SidePolicy
 from ..protocol import messages
 from ..protocol import timing
-from ..selection import selection
 from .attempt import Attempt
 from .attempt import AttemptPhase
 from .session import Session
@@ -101,7 +100,7 @@
     @property
     def readiness(self) -> Readiness:
         """Whether new work is taken now."""
-        if self.leaving or self.name in selection(self.holder.current).leaving:
+        if self.leaving or self.name in self.holder.selection.leaving:
             return Readiness.LEAVING
         if self.admission_paused:
             return Readiness.CHANGING
--- /dev/null
+++ b/tests/test_services.py
@@ -0,0 +1,97 @@
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from support import fleet
+
+from bergamotmast.errors import Outcome
+from bergamotmast.errors import RequestError
+from bergamotmast.errors import ResultCode
+
+pytestmark = pytest.mark.looptime
+
+
+def runs(f):
+    return sum(len(upstream.runs) for upstream in f.upstreams.values())
+
+
+async def test_a_call_is_answered():
+    async with fleet(services=2) as f:
+        call = f.service_call(body=b"box 12")
+        answer = await f.entries["entry-1"].submit_service(call)
+    assert answer.body == b"ok box 12"
+
+
+async def test_a_repeatable_call_is_repeated_where_its_reply_was_lost():
+    async with fleet(services=2) as f:
+        f.upstreams["service-1"].lose_replies = 1
+        answer = await f.entries["entry-1"].submit_service(f.service_call())
+        assert answer.status == 200
+        assert runs(f) == 2
+
+
+async def test_a_call_that_must_not_repeat_ends_unknown_where_its_reply_was_lost():
+    # The service ran the order and the connection broke. Trying another replica
+    # could place the order twice; the caller is told that the outcome is unknown.
+    async with fleet(services=2) as f:
+        f.upstreams["service-1"].lose_replies = 1
+        with pytest.raises(RequestError) as caught:
+            await f.entries["entry-1"].submit_service(f.service_call("orders"))
+        assert caught.value.code is ResultCode.OUTCOME_UNKNOWN
+        await asyncio.sleep(30.0)
+        assert runs(f) == 1
+
+
+async def test_a_side_killed_between_start_and_answer_leaves_the_outcome_unknown():
+    # The side dies after it handed the order to its service, and a new one takes its
+    # place. Nobody can know whether the order ran: "unknown", and never a second run.
+    async with fleet(services=2) as f:
+        f.upstreams["service-1"].pace = 5.0
+        call = f.service_call("orders")
+        task = asyncio.create_task(f.entries["entry-1"].submit_service(call))
+        await asyncio.sleep(1.0)
+        await f.kill("service-1")
+        f.start_side("service-1")
+        with pytest.raises(RequestError) as caught:
+            await task
+        assert caught.value.info.outcome is Outcome.UNKNOWN
+        assert runs(f) == 1
+
+
+async def test_an_answer_that_a_partition_held_back_is_still_delivered():
+    # The order runs while its side is cut off for a while. The entry keeps the call,
+    # asks again in a new session, and gets the answer that the side kept.
+    async with fleet(services=1) as f:
+        f.upstreams["service-1"].pace = 2.0
+        call = f.service_call("orders", total=30.0)
+        task = asyncio.create_task(f.entries["entry-1"].submit_service(call))
+        await asyncio.sleep(1.0)
+        f.network.partition("service-1")
+        await asyncio.sleep(4.0)
+        f.network.heal("service-1")
+        assert (await task).status == 200
+        assert runs(f) == 1
+
+
+async def test_an_order_held_back_by_a_partition_ends_not_run_or_once():
+    # The order's offer is held back by the cut; the entry opens a new session after
+    # it and learns that the order never started there. It runs once in the end.
+    async with fleet(services=2) as f:
+        f.network.partition("service-1")
+        call = f.service_call("orders", total=30.0)
+        task = asyncio.create_task(f.entries["entry-1"].submit_service(call))
+        await asyncio.sleep(6.0)
+        f.network.heal("service-1")
+        assert (await task).status == 200
+        assert runs(f) == 1
+
+
+async def test_a_service_that_can_not_be_reached_means_not_run():
+    async with fleet(services=1) as f:
+        await f.kill("service-1")
+        await asyncio.sleep(3.0)
+        with pytest.raises(RequestError) as caught:
+            await f.entries["entry-1"].submit_service(f.service_call("orders"))
+        assert caught.value.info.outcome is Outcome.NOT_RUN
+        assert caught.value.retry_after is not None
