--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -3,11 +3,11 @@
 import asyncio
 
 import pytest
-from support import fleet
 
 from bergamotmast.errors import Outcome
 from bergamotmast.errors import RequestError
 from bergamotmast.errors import ResultCode
+from support import fleet
 
 pytestmark = pytest.mark.looptime
 
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -3,13 +3,6 @@
 import asyncio
 
 import pytest
-from support import FirstComeFirstServed
-from support import ScriptedEngine
-from support import ScriptedService
-from support import answer_of
-from support import configuration
-from support import expected_text
-from support import fleet
 
 from bergamotmast.config import encode_configuration
 from bergamotmast.errors import Outcome
@@ -17,6 +10,13 @@
 from bergamotmast.errors import ResultCode
 from bergamotmast.protocol import messages
 from bergamotmast.protocol import timing
+from support import FirstComeFirstServed
+from support import ScriptedEngine
+from support import ScriptedService
+from support import answer_of
+from support import configuration
+from support import expected_text
+from support import fleet
 
 pytestmark = pytest.mark.looptime
 
