--- a/src/bergamotmast/entry/http.py
+++ b/src/bergamotmast/entry/http.py
@@ -43,6 +43,7 @@
 GONE_CHECK_INTERVAL = 0.5
 """Seconds between two looks whether a caller without a stream is still there."""
 
+_REQUEST_ID = web.RequestKey("request_id", str)
 _Result = t.TypeVar("_Result")
 _Handler = cabc.Callable[[web.Request], cabc.Awaitable[web.StreamResponse]]
 
@@ -79,7 +80,7 @@
         try:
             return await handler(request)
         except RequestError as error:
-            return error_response(error, request.get("request_id", request_id))
+            return error_response(error, request.get(_REQUEST_ID, request_id))
         except web.HTTPRequestEntityTooLarge:
             too_large = RequestError(ResultCode.BODY_TOO_LARGE)
             return error_response(too_large, request_id)
@@ -120,7 +121,7 @@
 
     def _caller(self, request: web.Request) -> Caller:
         caller = read_caller(request, self.core.holder.current)
-        request["request_id"] = caller.request_id
+        request[_REQUEST_ID] = caller.request_id
         return caller
 
     async def _generate(
--- a/tests/support.py
+++ b/tests/support.py
@@ -310,6 +310,14 @@
     async def settle(self):
         await asyncio.sleep(3.0)
 
+    async def ready(self):
+        """Wait until every entry has heard every side; quick on a real clock."""
+        for entry in self.entries.values():
+            while len(entry.membership.peers) < len(self.list.infos):
+                await asyncio.sleep(0.01)
+            while not all(p.is_ready for p in entry.membership.peers.values()):
+                await asyncio.sleep(0.01)
+
     async def close(self):
         for name in list(self.tasks):
             await self.kill(name)
@@ -358,7 +366,7 @@
         built.add_upstream(f"service-{number}", ScriptedService())
     for number in range(1, entries + 1):
         built.add_entry(f"entry-{number}")
-    await built.settle()
+    await built.ready()
     try:
         yield built
     finally:
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,164 @@
+"""The caller interface, over real HTTP to an entry with scripted upstreams."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+
+import aiohttp
+import pytest
+from aiohttp.test_utils import TestServer
+
+from bergamotmast.entry.http import MAX_CONTEXT
+from bergamotmast.entry.http import EntryHttp
+from bergamotmast.errors import ResultCode
+from support import MODEL
+from support import expected_text
+from support import fleet
+
+
+@contextlib.asynccontextmanager
+async def served(**counts):
+    async with fleet(**counts) as f:
+        for upstream in f.upstreams.values():
+            upstream.pace = 0.005
+        server = TestServer(EntryHttp(f.entries["entry-1"]).application())
+        await server.start_server()
+        async with aiohttp.ClientSession(server.make_url("/")) as session:
+            yield f, session
+        await server.close()
+
+
+async def events_of(response):
+    events = []
+    async for line in response.content:
+        if line.startswith(b"data: ") and line != b"data: [DONE]\n":
+            events.append(json.loads(line[6:]))
+    return events
+
+
+async def test_a_completion_is_whole():
+    async with served(engines=1) as (_, session):
+        body = {"model": MODEL, "prompt": "a b", "max_tokens": 4}
+        async with session.post("/v1/completions", json=body) as response:
+            answer = await response.json()
+    assert answer["choices"][0]["text"] == expected_text(4)
+    assert answer["usage"]["completion_tokens"] == 4
+
+
+async def test_a_streamed_chat_is_whole():
+    async with served(engines=1) as (_, session):
+        body = {
+            "model": MODEL,
+            "messages": [{"role": "user", "content": "a b"}],
+            "max_tokens": 4,
+            "stream": True,
+        }
+        async with session.post("/v1/chat/completions", json=body) as response:
+            assert response.content_type == "text/event-stream"
+            events = await events_of(response)
+    text = "".join(e["choices"][0]["delta"]["content"] for e in events)
+    assert text == expected_text(4)
+    assert events[-1]["choices"][0]["finish_reason"] == "length"
+
+
+async def test_a_stream_that_fails_late_ends_with_a_code():
+    # Every engine dies at the third token. The caller has two tokens and status 200
+    # already, so the code comes as the stream's last event.
+    async with served(engines=4) as (f, session):
+        for upstream in f.upstreams.values():
+            upstream.break_at = 2
+        body = {"model": MODEL, "prompt": "a", "max_tokens": 4, "stream": True}
+        async with session.post("/v1/completions", json=body) as response:
+            events = await events_of(response)
+    assert events[-1]["error"]["code"] == ResultCode.UPSTREAM_FAILED
+    assert events[-1]["error"]["outcome"] == "ran"
+
+
+async def test_a_service_call_passes_through():
+    async with served(services=1) as (_, session):
+        async with session.post("/services/counter/7", data=b"box") as response:
+            assert await response.read() == b"ok box"
+
+
+GOOD = {"model": MODEL, "prompt": "a", "max_tokens": 1}
+
+
+@pytest.mark.parametrize(
+    ("path", "body", "headers", "code"),
+    [
+        ("/v1/completions", b"{", {}, ResultCode.MALFORMED_BODY),
+        ("/v1/completions", b"\xff\xfe", {}, ResultCode.MALFORMED_BODY),
+        ("/v1/completions", {"model": MODEL}, {}, ResultCode.MALFORMED_BODY),
+        ("/v1/completions", GOOD | {"max_tokens": 0}, {}, ResultCode.MALFORMED_BODY),
+        (
+            "/v1/chat/completions",
+            {"model": MODEL, "messages": []},
+            {},
+            ResultCode.MALFORMED_BODY,
+        ),
+        ("/v1/completions", GOOD | {"model": "no"}, {}, ResultCode.UNKNOWN_MODEL),
+        (
+            "/v1/completions",
+            GOOD | {"max_tokens": MAX_CONTEXT},
+            {},
+            ResultCode.PROMPT_TOO_LONG,
+        ),
+        ("/v1/completions", b"x" * 9_000_000, {}, ResultCode.BODY_TOO_LARGE),
+        ("/v1/completions", GOOD, {"X-Tenant": "a b"}, ResultCode.BAD_HEADER),
+        ("/v1/completions", GOOD, {"X-Request-Class": "é"}, ResultCode.BAD_HEADER),
+        ("/v1/completions", GOOD, {"X-Request-Id": "x" * 99}, ResultCode.BAD_HEADER),
+        (
+            "/v1/completions",
+            GOOD,
+            {"Authorization": "Bearer nobody's"},
+            ResultCode.UNAUTHENTICATED,
+        ),
+        ("/services/nothing", b"", {}, ResultCode.UNKNOWN_ROUTE),
+        ("/nowhere", b"", {}, ResultCode.UNKNOWN_ROUTE),
+    ],
+)
+async def test_bad_input_gets_a_code_and_nothing_runs(path, body, headers, code):
+    async with served(engines=1, services=1) as (f, session):
+        data = body if isinstance(body, bytes) else json.dumps(body)
+        async with session.post(path, data=data, headers=headers) as response:
+            error = (await response.json())["error"]
+        assert error["code"] == code
+        assert error["outcome"] == "not_run"
+        assert error["message"]
+        assert not any(upstream.runs for upstream in f.upstreams.values())
+
+
+async def test_a_refusal_says_when_to_come_back():
+    async with served(engines=1) as (f, session):
+        await f.kill("engine-1")
+        f.list.infos.clear()
+        f.entries["entry-1"].membership.peers["engine-1"].report = None
+        async with session.post("/v1/completions", json=GOOD) as response:
+            assert response.status == 503
+            assert int(response.headers["Retry-After"]) >= 1
+            assert (await response.json())["error"]["outcome"] == "not_run"
+
+
+@pytest.mark.parametrize("stream", [True, False])
+async def test_a_caller_that_hangs_up_before_the_first_token_ends_its_work(stream):
+    async with served(engines=1) as (f, session):
+        engine = f.upstreams["engine-1"]
+        engine.pace = 30.0
+        body = GOOD | {"stream": stream}
+        with pytest.raises(TimeoutError):
+            timeout = aiohttp.ClientTimeout(total=0.2)
+            await session.post("/v1/completions", json=body, timeout=timeout)
+        async with asyncio.timeout(10):
+            while not engine.closed:
+                await asyncio.sleep(0.05)
+
+
+async def test_readiness_follows_the_entry():
+    async with served(engines=1) as (f, session):
+        async with session.get("/health/ready") as response:
+            assert response.status == 200
+        f.entries["entry-1"].closing = True
+        async with session.get("/health/ready") as response:
+            assert response.status == 503
--- /dev/null
+++ b/tests/test_zeromq.py
@@ -0,0 +1,113 @@
+"""Real sockets: the behaviour of ZeroMQ that the protocol relies on."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+import zmq
+import zmq.asyncio
+
+from bergamotmast.adapters.zeromq import CurveKeys
+from bergamotmast.adapters.zeromq import ZmqDialer
+from bergamotmast.adapters.zeromq import ZmqListener
+from bergamotmast.errors import NotReachedError
+
+LOCALHOST = "127.0.0.1"
+
+
+def free_address() -> str:
+    with socket.socket() as probe:
+        probe.bind((LOCALHOST, 0))
+        return f"{LOCALHOST}:{probe.getsockname()[1]}"
+
+
+@pytest.fixture
+async def context():
+    created = zmq.asyncio.Context()
+    yield created
+    created.destroy(linger=0)
+
+
+async def handed_over(link, frame):
+    """Send as soon as the connection is up."""
+    async with asyncio.timeout(20):
+        while True:
+            try:
+                return await link.send(frame)
+            except NotReachedError:
+                await asyncio.sleep(0.01)
+
+
+async def test_frames_go_both_ways(context):
+    address = free_address()
+    listener = ZmqListener(context, address, None)
+    link = ZmqDialer(context, None).dial(address)
+    await handed_over(link, b"question")
+    peer, frame = await listener.receive()
+    assert frame == b"question"
+    await listener.send(peer, b"answer")
+    assert await link.receive() == b"answer"
+    link.close()
+    listener.close()
+
+
+async def test_an_offer_to_nobody_is_known_not_to_be_handed_over(context):
+    # Nothing listens: the send must fail at once, or the frame would be delivered to
+    # whoever listens there minutes later.
+    link = ZmqDialer(context, None).dial(free_address())
+    with pytest.raises(NotReachedError):
+        await link.send(b"offer")
+    link.close()
+
+
+async def test_an_answer_to_a_peer_that_is_gone_fails(context):
+    address = free_address()
+    listener = ZmqListener(context, address, None)
+    with pytest.raises(NotReachedError):
+        await listener.send(b"nobody", b"answer")
+    listener.close()
+
+
+async def test_a_second_side_for_one_slot_can_not_start(context):
+    # A side is stopped and a replacement starts for the same slot. The stopped one
+    # still holds the address, so the new one fails instead of giving orders.
+    address = free_address()
+    listener = ZmqListener(context, address, None)
+    with pytest.raises(OSError, match="can't listen"):
+        ZmqListener(context, address, None)
+    listener.close()
+
+
+def curve_pair():
+    return zmq.curve_keypair()
+
+
+async def test_a_peer_without_an_allowed_key_gets_in_nowhere(context):
+    # Three entries dial a side: one with an allowed key, one with a key of its own,
+    # one without any. Only frames of the first arrive.
+    side_public, side_secret = curve_pair()
+    entry_public, entry_secret = curve_pair()
+    other_public, other_secret = curve_pair()
+    address = free_address()
+    side_keys = CurveKeys(side_public, side_secret, b"", frozenset({entry_public}))
+    listener = ZmqListener(context, address, side_keys)
+    strangers = [
+        ZmqDialer(context, CurveKeys(other_public, other_secret, side_public)),
+        ZmqDialer(context, None),
+    ]
+    links = [dialer.dial(address) for dialer in strangers]
+    entry_keys = CurveKeys(entry_public, entry_secret, side_public)
+    friend = ZmqDialer(context, entry_keys).dial(address)
+    await handed_over(friend, b"friend")
+    for link in links:
+        with pytest.raises(NotReachedError):
+            await link.send(b"stranger")
+    assert (await listener.receive())[1] == b"friend"
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.3):
+            await listener.receive()
+    for link in [*links, friend]:
+        link.close()
+    listener.close()
