Engine stand-in: continuous batching by events, orders and faults on demand

Ways weighed for the batch: a task that sleeps for each decode step (simple, and one wake-up a step for an engine with one stream as for one with a hundred), a timer for each stream (as many events as tokens), and rates that stay constant between events with one timer for the whole batch. The last is taken: several tokens may be given out at once without moving the time of any chunk's last token, and the model has no loop of its own.

Answers are slices of one fixed table of tokens, so that a resumed answer can be checked to the byte at the cost of a slice.

--- /dev/null
+++ b/src/bergamotmast/standins/engine.py
@@ -0,0 +1,388 @@
+"""A model engine in process: continuous batching, orders and faults on demand."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import collections.abc as cabc
+import dataclasses
+
+from ..errors import NotReachedError
+from ..errors import PortError
+from ..errors import ReplyLostError
+from ..history import Execution
+from ..history import HistorySink
+from ..history import NullHistory
+from ..model import Assignment
+from ..model import CacheEvent
+from ..model import EngineLoad
+from ..model import EngineState
+from ..model import GenerateRequest
+from ..model import Order
+from ..model import Role
+from ..model import TokenChunk
+from .engine_batch import NEVER
+from .engine_batch import Batch
+from .engine_batch import Stage
+from .engine_batch import Stream
+from .engine_cache import PrefixCache
+from .engine_orders import Loader
+from .engine_orders import OrderBook
+from .engine_orders import load_nothing
+from .engine_spec import EngineSpec
+from .engine_text import answer_to
+from .engine_text import directive
+from .kv_exchange import KvExchange
+
+DEFAULT_ASSIGNMENT = Assignment(Role.MIXED, ("model@1",))
+
+
+class _Mailbox:
+    """The chunks of one stream on their way to whoever reads them."""
+
+    __slots__ = ("chunks", "error", "stream", "waiter")
+
+    def __init__(self) -> None:
+        self.chunks: collections.deque[TokenChunk] = collections.deque()
+        self.error: PortError | None = None
+        self.waiter: asyncio.Future[None] | None = None
+        self.stream: Stream | None = None
+
+    def put(self, chunk: TokenChunk) -> None:
+        self.chunks.append(chunk)
+        self._wake()
+
+    def fail(self, error: PortError) -> None:
+        self.error = self.error or error
+        self._wake()
+
+    async def get(self) -> TokenChunk:
+        while not self.chunks:
+            if self.error is not None:
+                raise self.error
+            self.waiter = asyncio.get_running_loop().create_future()
+            await self.waiter
+        return self.chunks.popleft()
+
+    def _wake(self) -> None:
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(None)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Sample:
+    at: float
+    running: int
+    waiting: int
+    kv_used: int
+
+
+class EngineStandIn:
+    """One engine, reached through the methods of the port.
+
+    A role change breaks the streams that still run, and so does an order that takes
+    their model away: whoever orders must have drained the engine.
+
+    :param name: name in the history and in handles of exported KV caches.
+    :param assignment: what it is and carries at its first start.
+    :param loader: loads versions, for instance a weight store stand-in's ``load``.
+    :param exchange: shared by engines that import each other's KV caches.
+    :param boot_prefix: makes boot ids differ between processes of the same name.
+    :param reachable: ``False`` cuts the engine off; what it does goes on.
+    :param lost_order_replies: so many orders are taken and their replies lost.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        spec: EngineSpec | None = None,
+        *,
+        assignment: Assignment = DEFAULT_ASSIGNMENT,
+        loader: Loader = load_nothing,
+        exchange: KvExchange | None = None,
+        history: HistorySink | None = None,
+        boot_prefix: str = "",
+    ) -> None:
+        self.name = name
+        self.spec = spec or EngineSpec()
+        self.exchange = exchange or KvExchange()
+        self.history = history or NullHistory()
+        self.boot_prefix = boot_prefix
+        self.boots = 1
+        self.up = True
+        self.reachable = True
+        self.lost_order_replies = 0
+        self.orders = OrderBook(
+            name,
+            assignment,
+            self.spec.change_seconds,
+            self.spec.honours_fencing,
+            loader,
+            self.history,
+            self._on_settled,
+        )
+        self.role = assignment.role
+        self._boot()
+
+    @property
+    def boot_id(self) -> str:
+        """Name of this engine since its last start."""
+        return f"{self.name}-{self.boot_prefix}{self.boots}"
+
+    async def state(self) -> EngineState:
+        """Read what the engine is."""
+        self._refuse_if_unreached()
+        rates = self.batch.rates
+        changing = self.orders.target is not None
+        return EngineState(
+            boot_id=self.boot_id,
+            assignment=None if changing else self.orders.assignment,
+            changing=changing,
+            token=self.orders.token,
+            max_streams=rates.max_streams,
+            kv_capacity=self.spec.kv_capacity,
+            prefill_rate=rates.prefill_rate,
+            decode_rate=rates.decode_rate,
+        )
+
+    async def load(self) -> EngineLoad:
+        """Read the load as it was some time ago."""
+        self._refuse_if_unreached()
+        self._advance()
+        measured_at = _now() - self.spec.load_lag
+        self._forget_samples(measured_at)
+        sample = self._samples[0]
+        return EngineLoad(measured_at, sample.running, sample.waiting, sample.kv_used)
+
+    async def order(self, order: Order) -> None:
+        """Take an order; role changes break the streams that still run.
+
+        :raises OrderRefusedError: for an old fencing token or an order under way.
+        """
+        self._refuse_if_unreached()
+        self.orders.take(order)
+        for stream_id, mailbox in list(self._mailboxes.items()):
+            if mailbox.stream and not self.orders.carries(mailbox.stream.request.model):
+                self._break(stream_id, "the engine changed")
+        if self.lost_order_replies:
+            self.lost_order_replies -= 1
+            raise ReplyLostError("the order's reply was lost")
+
+    async def generate(
+        self, request: GenerateRequest
+    ) -> cabc.AsyncGenerator[TokenChunk, None]:
+        """Yield the answer's chunks; closing the generator cancels the stream."""
+        mailbox = self._accept(request)
+        try:
+            while True:
+                chunk = await mailbox.get()
+                yield chunk
+                if chunk.finish:
+                    return
+        finally:
+            if self._mailboxes.get(request.stream_id) is mailbox:
+                self._remove(request.stream_id)
+
+    async def cancel(self, stream_id: str) -> None:
+        """End a stream that may still run."""
+        self._refuse_if_unreached()
+        if stream_id in self._mailboxes or stream_id in self._orphans:
+            self._break(stream_id, "the stream was cancelled")
+
+    async def cache_events(self, after: int) -> tuple[CacheEvent, ...]:
+        """Read the cache events after a sequence number, late and with gaps."""
+        self._refuse_if_unreached()
+        return self.cache.events(after, _now())
+
+    def crash(self, change_done: bool = False, incomplete: bool = False) -> None:
+        """Stop at once; every stream breaks and nothing is reached until a restart.
+
+        :param change_done: whether a change under way was complete.
+        :param incomplete: whether it comes back not knowing what it is.
+        """
+        self.up = False
+        for stream_id in [*self._mailboxes, *self._orphans]:
+            self._break(stream_id, "the engine crashed")
+        self.exchange.forget(self.boot_id)
+        self.orders.crash(change_done, incomplete)
+
+    def restart(self) -> None:
+        """Come back with a new boot id and empty caches."""
+        self.boots += 1
+        self.up = True
+        self._boot()
+
+    def break_connections(self) -> None:
+        """Break every connection; the streams run on until they are cancelled."""
+        for mailbox in self._mailboxes.values():
+            mailbox.fail(ReplyLostError("the connection broke"))
+        self._orphans.update(self._mailboxes)
+        self._mailboxes.clear()
+
+    def set_speed(self, speed: float) -> None:
+        """Run at a multiple of the specified rates; 0 is stuck."""
+        self._advance()
+        self.batch.speed = speed
+        self._changed()
+
+    @property
+    def running(self) -> int:
+        """Streams inside the engine now, waiting or not."""
+        return self.batch.admitted + self.batch.waiting
+
+    def _boot(self) -> None:
+        spec = self.spec
+        self.cache = PrefixCache(
+            spec.cache_capacity, spec.cache_event_lag, spec.cache_event_gap
+        )
+        self.batch = Batch(
+            spec.roles[self.role],
+            spec.kv_capacity,
+            spec.tokens_per_chunk,
+            self.cache,
+            self._export,
+            self._import,
+        )
+        self._mailboxes: dict[str, _Mailbox] = {}
+        self._orphans: dict[str, _Mailbox] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._due = NEVER
+        self._samples: collections.deque[_Sample] = collections.deque()
+        self._samples.append(_Sample(-NEVER, 0, 0, 0))
+
+    def _accept(self, request: GenerateRequest) -> _Mailbox:
+        self._refuse_if_unreached()
+        if not self.orders.carries(request.model):
+            raise NotReachedError(f"{self.name} does not serve {request.model} now")
+        answer = answer_to(request.model, request.prompt, request.max_tokens)
+        kv_tokens = request.prompt_tokens + answer.tokens
+        if kv_tokens > self.spec.kv_capacity:
+            raise NotReachedError(f"{kv_tokens} tokens exceed the KV memory")
+        if request.stream_id in self._mailboxes or request.stream_id in self._orphans:
+            raise NotReachedError(f"stream {request.stream_id} is running")
+        self.history.record(
+            Execution(at=_now(), upstream=self.name, request=request.stream_id)
+        )
+        mailbox = _Mailbox()
+        if request.resume_tokens >= answer.tokens:
+            mailbox.put(TokenChunk(request.resume_tokens, 0, "", answer.finish))
+            return mailbox
+        imported = self.exchange.take(request.kv_handle) if request.kv_handle else None
+        mailbox.stream = Stream(
+            request,
+            answer,
+            self._prefix_tokens(request),
+            lambda chunk: self._deliver(mailbox, chunk),
+            request.resume_tokens,
+            kv_tokens,
+            importing=imported is not None,
+        )
+        self._mailboxes[request.stream_id] = mailbox
+        self._advance()
+        self.batch.add(mailbox.stream)
+        self._changed()
+        return mailbox
+
+    def _prefix_tokens(self, request: GenerateRequest) -> int:
+        if not request.prefix_key:
+            return 0
+        stated = directive(request.prompt, "prefix")
+        if stated is None:
+            return int(request.prompt_tokens * self.spec.shared_share)
+        return min(stated, request.prompt_tokens)
+
+    def _deliver(self, mailbox: _Mailbox, chunk: TokenChunk) -> None:
+        mailbox.put(chunk)
+        if chunk.finish and mailbox.stream:
+            stream_id = mailbox.stream.request.stream_id
+            self._mailboxes.pop(stream_id, None)
+            self._orphans.pop(stream_id, None)
+
+    def _export(self, stream: Stream) -> str:
+        tokens = stream.request.prompt_tokens + stream.next_index + 1
+        return self.exchange.export(self.boot_id, tokens)
+
+    def _import(self, stream: Stream) -> None:
+        tokens = stream.request.prompt_tokens + stream.request.resume_tokens
+        asyncio.get_running_loop().call_later(
+            tokens / self.spec.transfer_rate, self._imported, self.batch, stream
+        )
+
+    def _imported(self, batch: Batch, stream: Stream) -> None:
+        if batch is self.batch:
+            self._advance()
+            batch.imported(stream)
+            self._changed()
+
+    def _break(self, stream_id: str, reason: str) -> None:
+        mailbox = self._mailboxes.get(stream_id) or self._orphans.get(stream_id)
+        self._remove(stream_id)
+        if mailbox is not None:
+            mailbox.fail(ReplyLostError(reason))
+
+    def _remove(self, stream_id: str) -> None:
+        mailbox = self._mailboxes.pop(stream_id, None)
+        mailbox = mailbox or self._orphans.pop(stream_id, None)
+        if mailbox is None or mailbox.stream is None:
+            return
+        self._advance()
+        if mailbox.stream.stage is not Stage.ENDED:
+            self.batch.remove(mailbox.stream)
+        self._changed()
+
+    def _on_settled(self) -> None:
+        assignment = self.orders.assignment
+        if assignment is not None and assignment.role is not self.role:
+            self.role = assignment.role
+            self._advance()
+            self.cache.clear(_now())
+            self.batch.rates = self.spec.roles[self.role]
+
+    def _refuse_if_unreached(self) -> None:
+        if not self.up or not self.reachable:
+            raise NotReachedError(f"{self.name} is not reached")
+
+    def _advance(self) -> None:
+        self.batch.advance(_now())
+
+    def _tick(self) -> None:
+        # A loop may fire a timer a clock tick early; counted as not yet due, the event
+        # would be set again for the same moment and the loop would spin.
+        self.batch.advance(max(_now(), self._due))
+        self._timer = None
+        self._changed()
+
+    def _changed(self) -> None:
+        """Note the load and set the timer for the batch's next event."""
+        batch = self.batch
+        running = len(batch.decoding)
+        waiting = batch.admitted + batch.waiting - running
+        last = self._samples[-1]
+        if (last.running, last.waiting, last.kv_used) != (
+            running,
+            waiting,
+            batch.kv_used,
+        ):
+            now = _now()
+            self._samples.append(_Sample(now, running, waiting, batch.kv_used))
+            self._forget_samples(now - self.spec.load_lag)
+        self._set_timer(batch.next_event())
+
+    def _set_timer(self, due: float) -> None:
+        if self._timer is not None and due == self._due:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = None
+        self._due = due
+        if due < NEVER:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_at(due, self._tick)
+
+    def _forget_samples(self, at: float) -> None:
+        while len(self._samples) > 1 and self._samples[1].at <= at:
+            self._samples.popleft()
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/bergamotmast/standins/engine_cache.py
@@ -0,0 +1,81 @@
+"""The prefix cache of an engine stand-in and the events it publishes."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+from ..model import CacheEvent
+
+EVENTS_KEPT = 1024
+"""Cache events kept for those who read late."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Published:
+    at: float
+    event: CacheEvent
+
+
+class PrefixCache:
+    """Least recently used prefixes leave first.
+
+    :param capacity: tokens it holds.
+    :param lag: seconds until an event can be read.
+    :param gap: each so manyth event is lost; 0 for none.
+    """
+
+    def __init__(self, capacity: int, lag: float, gap: int) -> None:
+        self.capacity = capacity
+        self.lag = lag
+        self.gap = gap
+        self.used = 0
+        self.sequence = 0
+        self._tokens: collections.OrderedDict[str, int] = collections.OrderedDict()
+        self._events: collections.deque[_Published] = collections.deque(
+            maxlen=EVENTS_KEPT
+        )
+
+    def hit(self, key: str, tokens: int) -> int:
+        """Return how many of a prompt's leading tokens are cached."""
+        if key not in self._tokens:
+            return 0
+        self._tokens.move_to_end(key)
+        return min(tokens, self._tokens[key])
+
+    def add(self, key: str, tokens: int, now: float) -> None:
+        """Keep a prefix, and drop others until it fits."""
+        if not key or not 0 < tokens <= self.capacity:
+            return
+        held = self._tokens.pop(key, 0)
+        self.used += max(tokens, held) - held
+        self._tokens[key] = max(tokens, held)
+        if not held:
+            self._publish(key, True, now)
+        while self.used > self.capacity:
+            self._drop_oldest(now)
+
+    def clear(self, now: float) -> None:
+        """Drop every prefix."""
+        while self._tokens:
+            self._drop_oldest(now)
+
+    def events(self, after: int, now: float) -> tuple[CacheEvent, ...]:
+        """Return the events after a sequence number that can be read by now."""
+        visible = now - self.lag
+        return tuple(
+            published.event
+            for published in self._events
+            if published.event.sequence > after and published.at <= visible
+        )
+
+    def _drop_oldest(self, now: float) -> None:
+        key, tokens = self._tokens.popitem(last=False)
+        self.used -= tokens
+        self._publish(key, False, now)
+
+    def _publish(self, key: str, present: bool, now: float) -> None:
+        self.sequence += 1
+        if self.gap and self.sequence % self.gap == 0:
+            return
+        self._events.append(_Published(now, CacheEvent(self.sequence, key, present)))
--- /dev/null
+++ b/src/bergamotmast/standins/kv_exchange.py
@@ -0,0 +1,35 @@
+"""KV caches that engine stand-ins have exported for each other."""
+
+from __future__ import annotations
+
+import collections
+import itertools
+
+EXPORTS_KEPT = 4096
+"""Exports kept; the oldest leaves first."""
+
+
+class KvExchange:
+    """Exports by handle, shared by the engines of one process."""
+
+    def __init__(self) -> None:
+        self._tokens: collections.OrderedDict[str, int] = collections.OrderedDict()
+        self._numbers = itertools.count(1)
+
+    def export(self, boot_id: str, tokens: int) -> str:
+        """Keep an engine's export and return its handle, which names the engine."""
+        handle = f"{boot_id}/{next(self._numbers)}"
+        self._tokens[handle] = tokens
+        if len(self._tokens) > EXPORTS_KEPT:
+            self._tokens.popitem(last=False)
+        return handle
+
+    def take(self, handle: str) -> int | None:
+        """Remove an export and return its length in tokens, if it is still kept."""
+        return self._tokens.pop(handle, None)
+
+    def forget(self, boot_id: str) -> None:
+        """Drop the exports of an engine that crashed."""
+        for handle in list(self._tokens):
+            if handle.startswith(f"{boot_id}/"):
+                del self._tokens[handle]
--- /dev/null
+++ b/src/bergamotmast/standins/weights.py
@@ -0,0 +1,56 @@
+"""A weight store whose rate all loads share."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc as cabc
+
+from ..errors import PortError
+
+
+class WeightStoreStandIn:
+    """Sizes by version, and loads that take their turn.
+
+    :param versions: size of each model or adapter version, in gigabytes.
+    :param gigabytes_per_second: rate that all loads share.
+    :param down: whether every call is refused.
+    """
+
+    def __init__(
+        self,
+        versions: cabc.Mapping[str, float] | None = None,
+        gigabytes_per_second: float = 10.0,
+    ) -> None:
+        self.versions = dict(versions or {})
+        self.gigabytes_per_second = gigabytes_per_second
+        self.down = False
+        self.loads = 0
+        self._free_at = 0.0
+
+    async def sizes(self) -> dict[str, float]:
+        """Read the size of each version, in gigabytes."""
+        self._refuse_if_down()
+        return dict(self.versions)
+
+    async def rate(self) -> float:
+        """Read the rate that all loads share, in gigabytes a second."""
+        self._refuse_if_down()
+        return self.gigabytes_per_second
+
+    async def load(self, version: str) -> None:
+        """Return when a version has been read, after the loads asked for earlier.
+
+        :raises PortError: for a version the store does not hold, or while down.
+        """
+        self._refuse_if_down()
+        if version not in self.versions:
+            raise PortError(f"the weight store does not hold {version}")
+        self.loads += 1
+        now = asyncio.get_running_loop().time()
+        seconds = self.versions[version] / self.gigabytes_per_second
+        self._free_at = max(now, self._free_at) + seconds
+        await asyncio.sleep(self._free_at - now)
+
+    def _refuse_if_down(self) -> None:
+        if self.down:
+            raise PortError("the weight store is down")
