A stage costs only what is left to do at its engine

A prefill stage was queued with the whole answer's output and a decode stage with the whole prompt, so a split answer counted twice in queues, in the offered counters that shifting reads and at the door. KV memory is another matter, both stages hold all of it: QueueItem says it in a field of its own.

--- a/src/bergamotmast/policy/interfaces.py
+++ b/src/bergamotmast/policy/interfaces.py
@@ -119,6 +119,7 @@
     :param deadline: latest useful end; a point in time.
     :param arrived_at: when it arrived at the side.
     :param resumed: whether it goes on from an earlier attempt.
+    :param kv_tokens: KV memory it will hold; 0 for as much as it costs.
     """
 
     attempt: str
@@ -131,6 +132,7 @@
     deadline: float
     arrived_at: float
     resumed: bool = False
+    kv_tokens: int = 0
 
 
 class SidePolicy(t.Protocol):
--- a/src/bergamotmast/policy/side_policy.py
+++ b/src/bergamotmast/policy/side_policy.py
@@ -59,8 +59,13 @@
 
     def kv_tokens(self) -> int:
         """Return the KV memory promised to it."""
-        cost = self.item.cost
-        return cost.prefill + max(cost.decode, self.produced)
+        beyond = max(0, self.produced - self.item.cost.decode)
+        return kv_tokens(self.item) + beyond
+
+
+def kv_tokens(item: QueueItem) -> int:
+    """Return the KV memory that an item will hold."""
+    return item.kv_tokens or item.cost.prefill + item.cost.decode
 
 
 class FairSidePolicy:
@@ -107,7 +112,7 @@
         """Queue an item and return ``OK``, or refuse it at once with a code."""
         if len(self.queue) >= max(LEAST_QUEUE, QUEUE_BATCHES * self.max_streams):
             return ResultCode.QUEUE_FULL
-        if self._kv_tokens(item) > self.kv_capacity and self.role is not None:
+        if kv_tokens(item) > self.kv_capacity and self.role is not None:
             return ResultCode.DEADLINE_UNREACHABLE
         first = self._first_token_seconds(item)
         if not item.resumed and too_late_for_side(
@@ -169,15 +174,12 @@
             return False
         kept = RESERVED_SHARE if item.priority is Priority.BATCH else 0.0
         room = self.kv_capacity * (1.0 - kept) - self.kv_promised
-        return self._kv_tokens(item) <= room
-
-    def _kv_tokens(self, item: QueueItem) -> int:
-        return item.cost.prefill + item.cost.decode
+        return kv_tokens(item) <= room
 
     def _start(self, item: QueueItem) -> None:
         self.queue.take(item)
         self.started[item.attempt] = Started(item)
-        self.kv_promised += self._kv_tokens(item)
+        self.kv_promised += kv_tokens(item)
         self.prefill_ahead += item.cost.prefill
 
     def on_progress(self, attempt: str, tokens: int, now: float) -> None:
--- a/src/bergamotmast/side/core.py
+++ b/src/bergamotmast/side/core.py
@@ -530,10 +530,12 @@
     deadline = now + offer.budget
     if isinstance(work, messages.ServiceWork):
         cost = Cost(1, 1)
+        kv_tokens = 0
         start_by = deadline
         resumed = False
     else:
-        cost = Cost(work.prompt_tokens, work.predicted_tokens)
+        cost = _stage_cost(work)
+        kv_tokens = work.prompt_tokens + work.resume_tokens + work.predicted_tokens
         start_by = now + work.first_token_budget
         resumed = work.resume_tokens > 0
     return QueueItem(
@@ -547,4 +549,11 @@
         deadline=deadline,
         arrived_at=now,
         resumed=resumed,
+        kv_tokens=kv_tokens,
     )
+
+
+def _stage_cost(work: messages.ModelWork) -> Cost:
+    """Return what is left to do here of an answer that may be made in two stages."""
+    prefill = 0 if work.kv_handle else work.prompt_tokens + work.resume_tokens
+    return Cost(prefill, 1 if work.prefill_only else work.predicted_tokens)
