--- /dev/null
+++ b/src/bergamotmast/cli.py
@@ -0,0 +1,99 @@
+"""The ``bergamotmast`` command.
+
+Each subcommand is a module of :mod:`bergamotmast.commands` with two functions:
+``add_arguments(parser)`` and ``run(arguments)``, which returns the exit code. Only the
+module of the subcommand that is asked for is imported.
+"""
+
+from __future__ import annotations
+
+import argparse
+import collections.abc as cabc
+import dataclasses
+import importlib
+import os
+import sys
+import typing as t
+
+from . import __version__
+from .errors import BergamotmastError
+
+EXIT_INTERRUPTED = 130
+"""128 and the number of SIGINT, as shells have it."""
+
+
+class CommandModule(t.Protocol):
+    """What a subcommand's module offers."""
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Give the subcommand's parser its arguments."""
+        ...
+
+    def run(self, arguments: argparse.Namespace) -> int:
+        """Run the subcommand and return the exit code."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Command:
+    """One subcommand; its module has the same name.
+
+    :param help: what it does, for the list of subcommands.
+    """
+
+    name: str
+    help: str
+
+    def load(self) -> CommandModule:
+        """Import the subcommand's module."""
+        module = importlib.import_module(f".commands.{self.name}", __package__)
+        return t.cast(CommandModule, module)
+
+
+COMMANDS = (Command("config", "check, show, compare, edit the configuration"),)
+
+
+def main(argv: cabc.Sequence[str] | None = None) -> int:
+    """Run a command line and return its exit code."""
+    given = list(sys.argv[1:] if argv is None else argv)
+    try:
+        arguments = build_parser(given).parse_args(given)
+        code: int = arguments.run(arguments)
+        sys.stdout.flush()
+    except BergamotmastError as error:
+        print(error.show(), file=sys.stderr)
+        return error.exit_code
+    except KeyboardInterrupt:
+        return EXIT_INTERRUPTED
+    except BrokenPipeError:
+        # The reader of our output, for instance ``head``, has gone. Python would
+        # complain again when it flushes at exit, so the stream is pointed elsewhere.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return BergamotmastError.exit_code
+    return code
+
+
+def build_parser(argv: cabc.Sequence[str]) -> argparse.ArgumentParser:
+    """Return the parser for a command line, with one subcommand's arguments.
+
+    :param argv: the command line; its first word that is no flag is the subcommand.
+    """
+    parser = argparse.ArgumentParser(prog="bergamotmast", description=_description())
+    parser.add_argument(
+        "--version", action="version", version=f"bergamotmast {__version__}"
+    )
+    chosen = next((word for word in argv if not word.startswith("-")), None)
+    commands = parser.add_subparsers(title="Commands", metavar="COMMAND", required=True)
+    for command in COMMANDS:
+        subparser = commands.add_parser(
+            command.name, help=command.help, description=command.help.capitalize() + "."
+        )
+        if command.name == chosen:
+            module = command.load()
+            module.add_arguments(subparser)
+            subparser.set_defaults(run=module.run)
+    return parser
+
+
+def _description() -> str:
+    return "Serve models and plain services on a fixed fleet whose mix keeps shifting."
--- /dev/null
+++ b/src/bergamotmast/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The subcommands of the ``bergamotmast`` command, a module each."""
--- a/src/bergamotmast/config.py
+++ b/src/bergamotmast/config.py
@@ -194,7 +194,7 @@
 
 def encode_configuration(configuration: Configuration) -> bytes:
     """Encode a document as JSON with sorted keys."""
-    return _ENCODER.encode(configuration)
+    return _ENCODER.encode(msgspec.to_builtins(configuration))
 
 
 def decode_configuration(data: bytes) -> Configuration:
--- /dev/null
+++ b/src/bergamotmast/config_check.py
@@ -0,0 +1,294 @@
+"""What must hold between the parts of a configuration, beyond the type of each."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc as cabc
+import dataclasses
+import difflib
+import math
+import re
+
+from .config import Configuration
+from .config import Match
+from .config import RequestClass
+from .config import RoleBounds
+from .config import Selector
+from .config import expression
+from .config_contradictions import find_contradictions
+from .config_contradictions import group_members
+from .errors import ConfigError
+from .errors import ContradictionError
+from .model import Role
+
+DEFAULT_CLASS = "default"
+"""Class of a request that names none; it needs no entry in the document."""
+
+MOST_GENERATIONS = 10**12
+"""More than can be written; as many digits as a generation has in a key."""
+
+PROBLEMS_SHOWN = 20
+"""Most problems named in one message."""
+
+_DIGEST = re.compile(r"[0-9a-f]{64}")
+_CARRIED = re.compile(r"[^@:\s]+@[^@:\s]+")
+_LABEL = re.compile(r"[^=!,\s]+")
+
+Path = tuple[str | int, ...]
+"""Where a value stands: fields, keys and positions from the outside in."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Problem:
+    """One thing that is wrong.
+
+    :param path: where.
+    :param message: what is wrong, and what was likely meant.
+    """
+
+    path: Path
+    message: str
+
+    def show(self) -> str:
+        """Return the problem as one line."""
+        return f"{show_path(self.path)}: {self.message}" if self.path else self.message
+
+
+def show_path(path: Path) -> str:
+    """Return a path as in ``selectors[0].roles.prefill``."""
+    text = ""
+    for part in path:
+        text += f"[{part}]" if isinstance(part, int) else f".{part}"
+    return text.removeprefix(".")
+
+
+def near_match(word: str, known: cabc.Iterable[str]) -> str:
+    """Return a hint at the known word that was likely meant; empty if none is near."""
+    found = difflib.get_close_matches(word, list(known), n=1)
+    return f"; did you mean {found[0]!r}?" if found else ""
+
+
+def check_configuration(configuration: Configuration) -> None:
+    """Refuse a document that can't be obeyed.
+
+    :raises ContradictionError: if two selectors contradict each other.
+    :raises ConfigError: for anything else that is wrong, naming the first problems.
+    """
+    problems = find_problems(configuration)
+    if problems:
+        raise ConfigError(show_problems(problem.show() for problem in problems))
+    for found in find_contradictions(configuration):
+        raise ContradictionError(found.show(), found.selectors, found.upstream)
+
+
+def show_problems(lines: cabc.Iterable[str]) -> str:
+    """Return problems as one message, a line each."""
+    shown = list(lines)
+    rest = len(shown) - PROBLEMS_SHOWN
+    if rest > 0:
+        shown = [*shown[:PROBLEMS_SHOWN], f"and {rest} more"]
+    return "\n".join(shown)
+
+
+def find_problems(configuration: Configuration) -> tuple[Problem, ...]:
+    """Return everything that is wrong except contradictions between selectors."""
+    return (
+        *_generation_problems(configuration),
+        *_label_problems(configuration),
+        *_selector_problems(configuration),
+        *_class_problems(configuration),
+        *_tenant_problems(configuration),
+        *_route_problems(configuration),
+        *_admin_key_problems(configuration),
+    )
+
+
+def find_warnings(configuration: Configuration) -> tuple[Problem, ...]:
+    """Return what is allowed and still likely a mistake.
+
+    The document must have no problems.
+    """
+    return tuple(
+        Problem(("selectors", index, "group"), f"{selector.group!r} names no upstream")
+        for index, selector in enumerate(configuration.selectors)
+        if not group_members(configuration, selector)
+    )
+
+
+def _generation_problems(configuration: Configuration) -> cabc.Iterator[Problem]:
+    if not 0 <= configuration.generation < MOST_GENERATIONS:
+        yield Problem(("generation",), "a generation counts edits from 0")
+
+
+def _label_problems(configuration: Configuration) -> cabc.Iterator[Problem]:
+    for upstream, labels in configuration.labels.items():
+        for label, value in labels.items():
+            for word in (label, value):
+                if not _LABEL.fullmatch(word):
+                    path = ("labels", upstream, label)
+                    yield Problem(path, f"{word!r} has spaces or one of '=!,'")
+
+
+def _selector_problems(configuration: Configuration) -> cabc.Iterator[Problem]:
+    first: dict[str, int] = {}
+    for index, selector in enumerate(configuration.selectors):
+        path: Path = ("selectors", index)
+        if not selector.name:
+            yield Problem((*path, "name"), "a selector needs a name")
+        if first.setdefault(selector.name, index) != index:
+            message = f"{selector.name!r} is the name of an earlier selector"
+            yield Problem((*path, "name"), message)
+        yield from _match_problems(configuration, selector.match, (*path, "match"))
+        yield from _carried_problems(selector, path)
+        yield from _group_problems(configuration, selector, path)
+
+
+def _group_problems(
+    configuration: Configuration, selector: Selector, path: Path
+) -> cabc.Iterator[Problem]:
+    try:
+        terms = expression(selector.group).terms
+    except ValueError as error:
+        yield Problem((*path, "group"), str(error))
+        return
+    if not terms:
+        yield Problem((*path, "group"), "an empty expression names no upstream")
+    known = {label for labels in configuration.labels.values() for label in labels}
+    for term in terms:
+        if term.label not in known:
+            hint = near_match(term.label, known)
+            message = f"no upstream has a label {term.label!r}{hint}"
+            yield Problem((*path, "group"), message)
+    members = group_members(configuration, selector)
+    yield from _bound_problems(selector.roles, len(members), (*path, "roles"))
+
+
+def _bound_problems(
+    roles: dict[Role, RoleBounds], members: int, path: Path
+) -> cabc.Iterator[Problem]:
+    for role, bounds in roles.items():
+        if bounds.least < 0 or (bounds.most is not None and bounds.most < 0):
+            yield Problem((*path, role.value), "bounds must not be negative")
+        if bounds.most is not None and bounds.least > bounds.most:
+            message = f"least {bounds.least} is above most {bounds.most}"
+            yield Problem((*path, role.value), message)
+    least = sum(bounds.least for bounds in roles.values())
+    if least > members:
+        message = f"at least {least} engines are wanted and {members} are labelled"
+        yield Problem(path, message)
+    most = [roles[role].most if role in roles else None for role in Role]
+    bounded = [bound for bound in most if bound is not None]
+    if len(bounded) == len(most) and sum(bounded) < members:
+        message = f"at most {sum(bounded)} engines may have a role, of {members}"
+        yield Problem(path, message)
+
+
+def _carried_problems(selector: Selector, path: Path) -> cabc.Iterator[Problem]:
+    for field in ("models", "adapters"):
+        seen: dict[str, str] = {}
+        for index, item in enumerate(getattr(selector, field)):
+            here = (*path, field, index)
+            if not _CARRIED.fullmatch(item):
+                yield Problem(here, f"{item!r} is not name@version")
+                continue
+            name = item.partition("@")[0]
+            if name in seen:
+                yield Problem(here, f"{seen[name]!r} is there already")
+            seen[name] = item
+
+
+def _match_problems(
+    configuration: Configuration, match: Match, path: Path
+) -> cabc.Iterator[Problem]:
+    classes = {DEFAULT_CLASS, *configuration.classes}
+    yield from _unknown("class", match.classes, classes, (*path, "classes"))
+    yield from _unknown(
+        "tenant", match.tenants, configuration.tenants, (*path, "tenants")
+    )
+    yield from _unknown("route", match.routes, configuration.routes, (*path, "routes"))
+    yield from _unknown(
+        "model", match.models, _carried_names(configuration), (*path, "models")
+    )
+
+
+def _carried_names(configuration: Configuration) -> set[str]:
+    names = set()
+    for selector in configuration.selectors:
+        models = [item.partition("@")[0] for item in selector.models]
+        adapters = [item.partition("@")[0] for item in selector.adapters]
+        names.update(models)
+        names.update(f"{model}:{own}" for model in models for own in adapters)
+    return names
+
+
+def _unknown(
+    what: str, names: tuple[str, ...], known: cabc.Iterable[str], path: Path
+) -> cabc.Iterator[Problem]:
+    known = set(known)
+    for index, name in enumerate(names):
+        if name not in known:
+            message = f"there is no {what} {name!r}{near_match(name, known)}"
+            yield Problem((*path, index), message)
+
+
+def _class_problems(configuration: Configuration) -> cabc.Iterator[Problem]:
+    for name, request_class in configuration.classes.items():
+        path = ("classes", name)
+        for field in ("first_token", "total", "between_tokens"):
+            yield from _positive(getattr(request_class, field), (*path, field))
+        yield from _order_problems(request_class, path)
+
+
+def _order_problems(request_class: RequestClass, path: Path) -> cabc.Iterator[Problem]:
+    if request_class.total < request_class.first_token:
+        message = f"{request_class.total:g} s is shorter than first_token"
+        yield Problem((*path, "total"), message)
+
+
+def _positive(value: float, path: Path) -> cabc.Iterator[Problem]:
+    if not (math.isfinite(value) and value > 0):
+        yield Problem(path, f"{value:g} is not above 0")
+
+
+def _tenant_problems(configuration: Configuration) -> cabc.Iterator[Problem]:
+    owners: dict[str, str] = {}
+    for name, tenant in configuration.tenants.items():
+        path = ("tenants", name)
+        yield from _positive(tenant.weight, (*path, "weight"))
+        for index, digest in enumerate(tenant.keys):
+            here = (*path, "keys", index)
+            yield from _digest_problems(digest, here)
+            if owners.setdefault(digest, name) != name:
+                yield Problem(here, f"tenant {owners[digest]!r} has the same key")
+
+
+def _digest_problems(digest: str, path: Path) -> cabc.Iterator[Problem]:
+    if not _DIGEST.fullmatch(digest):
+        yield Problem(path, "this is not a SHA-256 digest of 64 lower-case hex digits")
+
+
+def _route_problems(configuration: Configuration) -> cabc.Iterator[Problem]:
+    owners: dict[str, str] = {}
+    classes = {DEFAULT_CLASS, *configuration.classes}
+    for name, route in configuration.routes.items():
+        path = ("routes", name)
+        if not route.prefix.startswith("/") or " " in route.prefix:
+            yield Problem((*path, "prefix"), f"{route.prefix!r} is not /path")
+        prefix = route.prefix.rstrip("/")
+        if owners.setdefault(prefix, name) != name:
+            message = f"route {owners[prefix]!r} has the same prefix"
+            yield Problem((*path, "prefix"), message)
+        yield from _unknown("class", (route.request_class,), classes, path)
+
+
+def _admin_key_problems(configuration: Configuration) -> cabc.Iterator[Problem]:
+    counts = collections.Counter(key.digest for key in configuration.admin_keys)
+    names = {selector.name for selector in configuration.selectors}
+    for index, key in enumerate(configuration.admin_keys):
+        path = ("admin_keys", index)
+        yield from _digest_problems(key.digest, (*path, "digest"))
+        if counts[key.digest] > 1:
+            yield Problem((*path, "digest"), "another team has the same key")
+        if not key.scopes:
+            yield Problem((*path, "scopes"), "a key without a scope allows nothing")
+        yield from _unknown("selector", key.groups, names, (*path, "groups"))
--- /dev/null
+++ b/src/bergamotmast/config_contradictions.py
@@ -0,0 +1,127 @@
+"""Finds selectors that ask for different things of the same upstream."""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import dataclasses
+import itertools
+
+from .config import Configuration
+from .config import RoleBounds
+from .config import Selector
+from .config import expression
+from .model import Role
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Contradiction:
+    """Two selectors that can't both be obeyed.
+
+    :param first: index of one selector in the document.
+    :param second: index of the other; higher.
+    :param selectors: names of both.
+    :param upstream: one upstream that both name.
+    :param reason: what they ask of it.
+    """
+
+    first: int
+    second: int
+    selectors: tuple[str, str]
+    upstream: str
+    reason: str
+
+    def show(self) -> str:
+        """Return the contradiction as one sentence."""
+        one, other = self.selectors
+        return (
+            f"selectors {one!r} and {other!r} contradict each other"
+            f" for {self.upstream!r}: {self.reason}"
+        )
+
+
+def group_members(configuration: Configuration, selector: Selector) -> frozenset[str]:
+    """Return the names of the upstreams in a selector's group.
+
+    :raises ValueError: if its label expression can't be parsed.
+    """
+    terms = expression(selector.group)
+    labels = configuration.labels
+    return frozenset(name for name, own in labels.items() if terms.matches(own))
+
+
+def find_contradictions(configuration: Configuration) -> tuple[Contradiction, ...]:
+    """Return every pair of selectors that contradict each other, once.
+
+    The label expressions must be known to parse.
+    """
+    selectors = configuration.selectors
+    members = [group_members(configuration, selector) for selector in selectors]
+    found = []
+    for first, second in itertools.combinations(range(len(selectors)), 2):
+        shared = members[first] & members[second]
+        if not shared:
+            continue
+        one, other = selectors[first], selectors[second]
+        reason = next(_reasons(one, other, members[first], members[second]), None)
+        if reason is not None:
+            names = (one.name, other.name)
+            found.append(Contradiction(first, second, names, min(shared), reason))
+    return tuple(found)
+
+
+def _reasons(
+    one: Selector,
+    other: Selector,
+    one_members: frozenset[str],
+    other_members: frozenset[str],
+) -> cabc.Iterator[str]:
+    if one.state is not other.state:
+        yield f"one says {one.state.value}, the other {other.state.value}"
+    yield from _version_reasons("model", one.models, other.models)
+    yield from _version_reasons("adapter", one.adapters, other.adapters)
+    yield from _bound_reasons(one, other, one_members, other_members)
+    yield from _bound_reasons(other, one, other_members, one_members)
+    yield from _least_reasons(one, other, one_members | other_members)
+
+
+def _version_reasons(
+    what: str, one: tuple[str, ...], other: tuple[str, ...]
+) -> cabc.Iterator[str]:
+    versions = _versions(other)
+    for name, version in _versions(one).items():
+        if versions.get(name, version) != version:
+            yield f"{what} {name!r} at versions {version!r} and {versions[name]!r}"
+
+
+def _versions(carried: tuple[str, ...]) -> dict[str, str]:
+    parts = (item.partition("@") for item in carried)
+    return {name: version for name, _, version in parts}
+
+
+def _bound_reasons(
+    one: Selector,
+    other: Selector,
+    one_members: frozenset[str],
+    other_members: frozenset[str],
+) -> cabc.Iterator[str]:
+    outside = len(one_members - other_members)
+    for role in Role:
+        least = _bounds(one, role).least
+        most = _bounds(other, role).most
+        if most is not None and least - outside > most:
+            yield (
+                f"{one.name!r} wants at least {least} {role.value} engines,"
+                f" {other.name!r} at most {most}"
+            )
+
+
+def _least_reasons(
+    one: Selector, other: Selector, members: frozenset[str]
+) -> cabc.Iterator[str]:
+    least = sum(max(_bounds(s, role).least for s in (one, other)) for role in Role)
+    if least > len(members):
+        yield f"together they want at least {least} engines of {len(members)}"
+
+
+def _bounds(selector: Selector, role: Role) -> RoleBounds:
+    return selector.roles.get(role, RoleBounds())
--- /dev/null
+++ b/src/bergamotmast/config_file.py
@@ -0,0 +1,266 @@
+"""Reads configuration files in YAML or JSON, with messages that name file and line."""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import dataclasses
+import enum
+import pathlib
+import re
+import typing as t
+
+import msgspec
+import yaml
+
+from .config import Configuration
+from .config_check import Path
+from .config_check import Problem
+from .config_check import find_problems
+from .config_check import near_match
+from .config_check import show_problems
+from .config_contradictions import find_contradictions
+from .errors import ConfigError
+from .errors import ContradictionError
+from .model import Priority
+
+DOCUMENT_LIMIT = 1_000_000
+"""Longest document, in bytes: a value of the key-value service holds no more."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ParsedFile:
+    """A file's plain content with the line that each value begins at.
+
+    :param name: the file, as it is called in messages.
+    :param lines: line numbers from 1, by path.
+    """
+
+    name: str
+    content: t.Any
+    lines: dict[Path, int]
+
+    def locate(self, problem: Problem) -> str:
+        """Return a problem as one line with file, line number and field."""
+        path = problem.path
+        while path and path not in self.lines:
+            path = path[:-1]
+        return f"{self.name}:{self.lines.get(path, 1)}: {problem.show()}"
+
+
+def load_configuration(path: pathlib.Path) -> Configuration:
+    """Read and check a file.
+
+    :raises ConfigError: if it can't be read or is not valid.
+    :raises ContradictionError: if two of its selectors contradict each other.
+    """
+    try:
+        data = path.read_bytes()
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror or error}") from error
+    return parse_configuration(data, str(path))
+
+
+def parse_configuration(data: bytes, name: str) -> Configuration:
+    """Parse and check a document.
+
+    :param name: what to call the document in messages; JSON ends in ``.json``.
+    :raises ConfigError: naming the line and field of each problem.
+    :raises ContradictionError: if two selectors contradict each other.
+    """
+    parsed = _parse(data, name)
+    problems = list(_type_problems(parsed.content, Configuration, ()))
+    if problems:
+        raise ConfigError(show_problems(map(parsed.locate, problems)))
+    configuration = _convert(parsed)
+    problems = list(find_problems(configuration))
+    if problems:
+        raise ConfigError(show_problems(map(parsed.locate, problems)))
+    for found in find_contradictions(configuration):
+        place = parsed.locate(Problem(("selectors", found.second), found.show()))
+        raise ContradictionError(place, found.selectors, found.upstream)
+    return configuration
+
+
+def dump_yaml(configuration: Configuration) -> str:
+    """Return a document as YAML, without fields that are empty."""
+    plain = msgspec.to_builtins(configuration)
+    for name, request_class in configuration.classes.items():
+        plain["classes"][name]["priority"] = request_class.priority.name.lower()
+    return yaml.safe_dump(_without_empty(plain), sort_keys=False, allow_unicode=True)
+
+
+def _without_empty(value: t.Any) -> t.Any:
+    if isinstance(value, list):
+        return [_without_empty(item) for item in value]
+    if not isinstance(value, dict):
+        return value
+    pruned = {key: _without_empty(item) for key, item in value.items()}
+    return {key: item for key, item in pruned.items() if item not in (None, [])}
+
+
+def _parse(data: bytes, name: str) -> ParsedFile:
+    if len(data) > DOCUMENT_LIMIT:
+        raise ConfigError(f"{name}: the document is longer than {DOCUMENT_LIMIT} bytes")
+    try:
+        if name.endswith(".json"):
+            return _parse_json(data, name)
+        return _Reader(name, data.decode()).read()
+    except UnicodeDecodeError as error:
+        raise ConfigError(f"{name}: this is not UTF-8 text: {error}") from error
+    except yaml.MarkedYAMLError as error:
+        mark = error.problem_mark or error.context_mark
+        line = mark.line + 1 if mark else 1
+        raise ConfigError(f"{name}:{line}: {error.problem or error.context}") from error
+    except yaml.YAMLError as error:
+        raise ConfigError(f"{name}: {error}") from error
+    except RecursionError as error:
+        raise ConfigError(f"{name}: the document is nested too deeply") from error
+
+
+def _parse_json(data: bytes, name: str) -> ParsedFile:
+    try:
+        content = msgspec.json.decode(data)
+    except msgspec.DecodeError as error:
+        raise ConfigError(f"{name}:{_json_line(data, error)}: {error}") from error
+    # JSON is nearly YAML; tabs are not, and stand in no JSON string. Where the rest
+    # differs only line numbers are lost.
+    try:
+        lines = _Reader(name, data.decode().replace("\t", " ")).read().lines
+    except yaml.YAMLError:
+        lines = {}
+    return ParsedFile(name, content, lines)
+
+
+def _json_line(data: bytes, error: msgspec.DecodeError) -> int:
+    found = re.search(r"byte (\d+)", str(error))
+    return data.count(b"\n", 0, int(found[1])) + 1 if found else 1
+
+
+def _convert(parsed: ParsedFile) -> Configuration:
+    try:
+        return msgspec.convert(parsed.content, Configuration)
+    except msgspec.ValidationError as error:
+        raise ConfigError(f"{parsed.name}: {error}") from error
+
+
+class _Reader:
+    """Turns the nodes of one document into plain content, noting their lines."""
+
+    def __init__(self, name: str, text: str) -> None:
+        self.name = name
+        self.loader = yaml.SafeLoader(text)
+        self.lines: dict[Path, int] = {}
+        self.seen: set[int] = set()
+
+    def read(self) -> ParsedFile:
+        node = self.loader.get_single_node()
+        content = {} if node is None else self.build(node, ())
+        return ParsedFile(self.name, content, self.lines)
+
+    def build(self, node: yaml.Node, path: Path) -> t.Any:
+        self.lines.setdefault(path, node.start_mark.line + 1)
+        self.refuse_alias(node)
+        if isinstance(node, yaml.MappingNode):
+            return self.build_mapping(node, path)
+        if isinstance(node, yaml.SequenceNode):
+            items = enumerate(node.value)
+            return [self.build(item, (*path, index)) for index, item in items]
+        return self.build_scalar(node)
+
+    def build_mapping(self, node: yaml.MappingNode, path: Path) -> dict[str, t.Any]:
+        content: dict[str, t.Any] = {}
+        for key_node, value_node in node.value:
+            key = key_node.value
+            if not isinstance(key, str):
+                raise self.error(key_node, "a key must be a word")
+            if key in content:
+                raise self.error(key_node, f"{key!r} is there already")
+            here = (*path, key)
+            self.lines[here] = key_node.start_mark.line + 1
+            content[key] = self.build(value_node, here)
+        return content
+
+    def build_scalar(self, node: yaml.Node) -> t.Any:
+        try:
+            value = self.loader.construct_object(node)
+            str(value).encode()  # refuses half of a surrogate pair, which is no text
+            return value
+        except (ValueError, KeyError, IndexError, OverflowError) as error:
+            raise self.error(node, f"{node.value!r} has no value") from error
+
+    def refuse_alias(self, node: yaml.Node) -> None:
+        # A few lines of aliases to aliases stand for more content than memory holds.
+        if id(node) in self.seen:
+            raise self.error(node, "aliases are not allowed")
+        self.seen.add(id(node))
+
+    def error(self, node: yaml.Node, message: str) -> ConfigError:
+        return ConfigError(f"{self.name}:{node.start_mark.line + 1}: {message}")
+
+
+def _type_problems(value: t.Any, kind: t.Any, path: Path) -> cabc.Iterator[Problem]:
+    """Return every value of the wrong type, turning priorities' names to numbers."""
+    origin = t.get_origin(kind)
+    if isinstance(kind, type) and issubclass(kind, msgspec.Struct):
+        yield from _struct_problems(value, kind, path)
+    elif origin is dict and isinstance(value, dict):
+        key_kind, value_kind = t.get_args(kind)
+        for key, item in value.items():
+            yield from _type_problems(key, key_kind, (*path, key))
+            yield from _type_problems(item, value_kind, (*path, key))
+    elif origin is tuple and isinstance(value, list):
+        for index, item in enumerate(value):
+            yield from _type_problems(item, t.get_args(kind)[0], (*path, index))
+    else:
+        yield from _value_problems(value, kind, path)
+
+
+def _struct_problems(
+    value: t.Any, kind: type[msgspec.Struct], path: Path
+) -> cabc.Iterator[Problem]:
+    if not isinstance(value, dict):
+        found = "nothing" if value is None else f"{value!r:.40}"
+        yield Problem(path, f"fields are expected here, not {found}")
+        return
+    fields = {field.name: field for field in msgspec.structs.fields(kind)}
+    for name, field in fields.items():
+        if name in value:
+            if field.type is Priority:
+                value[name] = _priority(value[name])
+            yield from _type_problems(value[name], field.type, (*path, name))
+        elif field.required:
+            yield Problem(path, f"the field {name!r} is missing")
+    for name in value:
+        if name not in fields:
+            message = f"there is no field {name!r} here{near_match(name, fields)}"
+            yield Problem((*path, name), message)
+
+
+def _value_problems(value: t.Any, kind: t.Any, path: Path) -> cabc.Iterator[Problem]:
+    if isinstance(kind, type) and issubclass(kind, enum.Enum):
+        yield from _enum_problems(value, kind, path)
+        return
+    try:
+        msgspec.convert(value, kind)
+    except msgspec.ValidationError as error:
+        hint = "" if isinstance(value, str) or kind is not str else "; put it in quotes"
+        yield Problem(path, f"{error}{hint}")
+
+
+def _enum_problems(
+    value: t.Any, kind: type[enum.Enum], path: Path
+) -> cabc.Iterator[Problem]:
+    try:
+        msgspec.convert(value, kind)
+        return
+    except msgspec.ValidationError:
+        pass
+    named = issubclass(kind, enum.IntEnum)
+    known = [m.name.lower() if named else str(m.value) for m in kind]
+    hint = near_match(str(value), known)
+    yield Problem(path, f"{value!r} is not one of {', '.join(known)}{hint}")
+
+
+def _priority(value: t.Any) -> t.Any:
+    names = {priority.name.lower(): int(priority) for priority in Priority}
+    return names.get(value, value) if isinstance(value, str) else value
--- a/src/bergamotmast/config_store.py
+++ b/src/bergamotmast/config_store.py
@@ -18,6 +18,7 @@
 from .config import Configuration
 from .config import decode_configuration
 from .config import encode_configuration
+from .config_check import check_configuration
 from .config_diff import diff
 from .errors import ConfigError
 from .errors import EditConflictError
@@ -84,7 +85,7 @@
     configuration: Configuration
 
 
-_RECORD_ENCODER = msgspec.json.Encoder(order="sorted")
+_RECORD_ENCODER = msgspec.json.Encoder()
 _RECORD_DECODER = msgspec.json.Decoder(ConfigRecord)
 
 
@@ -149,12 +150,14 @@
         :param against_generation: the generation the proposer had read.
         :param nonce: unique to this proposal; sent again it changes nothing more.
         :return: the document with its new generation.
+        :raises ConfigError: if the document can't be obeyed.
         :raises EditConflictError: if another edit came first.
         :raises KeyValueUnavailableError: if nothing was written.
         :raises KeyValueOutcomeUnknownError: if it stayed unknown.
         """
-        stored = await self.read()
         proposed = _with_generation(configuration, against_generation + 1)
+        check_configuration(proposed)
+        stored = await self.read()
         if stored.configuration.generation != against_generation:
             return await self._settle(proposed, nonce)
         record = self._new_record(stored, proposed, author, nonce)
--- a/src/bergamotmast/errors.py
+++ b/src/bergamotmast/errors.py
@@ -238,10 +238,21 @@
 
 
 class ContradictionError(ConfigError):
-    """Two selectors ask for different things of one engine."""
+    """Two selectors ask for different things of one engine.
+
+    :param selectors: names of both selectors.
+    :param upstream: the engine.
+    """
 
     code = ResultCode.CONTRADICTION
 
+    def __init__(
+        self, message: str, selectors: tuple[str, ...] = (), upstream: str = ""
+    ) -> None:
+        super().__init__(message)
+        self.selectors = selectors
+        self.upstream = upstream
+
 
 class EditConflictError(BergamotmastError):
     """Somebody else changed the configuration first.
--- a/tests/test_config_store.py
+++ b/tests/test_config_store.py
@@ -1,10 +1,12 @@
 from __future__ import annotations
 
 import asyncio
+import pathlib
 
 import pytest
 
 from bergamotmast.config import Configuration
+from bergamotmast.config_file import load_configuration
 from bergamotmast.config_store import CURRENT_KEY
 from bergamotmast.config_store import HISTORY_KEPT
 from bergamotmast.config_store import WRITE_ATTEMPTS
@@ -49,6 +51,14 @@
     ]
 
 
+async def test_a_whole_example_is_stored_and_read_again():
+    example = pathlib.Path(__file__).parent.parent / "examples/trindade/config.yaml"
+    edits = store(KeyValueStandIn())
+    accepted = await edits.propose(load_configuration(example), 0, "ana", "n1")
+    assert (await edits.read()).configuration == accepted
+    assert (await edits.history())[0].configuration == accepted
+
+
 async def test_two_operators_at_once():
     # Two operators read generation 1 and propose at the same moment. One is accepted;
     # the other is told who was first and what differs, and nothing of it is written.
