--- /dev/null
+++ b/src/bergamotmast/adapters/metrics.py
@@ -0,0 +1,132 @@
+"""Measurements through OpenTelemetry, read by Prometheus.
+
+Series are bounded: latencies have one set of histograms by class and one by tenant,
+never the product of both, and tenants beyond a limit share one series named
+``other``. With 1,000 tenants a process keeps at most ``MAX_TENANTS`` times three
+histograms, whatever its callers send.
+"""
+
+from __future__ import annotations
+
+import prometheus_client
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import Histogram
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation
+from opentelemetry.sdk.metrics.view import View
+
+from ..errors import ResultCode
+from ..model import Readiness
+from ..model import SideReport
+
+MAX_TENANTS = 200
+"""Tenants with series of their own in one process."""
+
+MAX_CLASSES = 50
+"""Classes with series of their own in one process."""
+
+OTHER = "other"
+"""Label of everything beyond those."""
+
+_SECONDS = (0.005, 0.01, 0.02, 0.039, 0.08, 0.15, 0.3, 0.54, 1, 2, 5, 10, 30, 120)
+"""Histogram bounds; among them the users' 39 ms and 0.54 s."""
+
+
+class _Bounded:
+    """Lets through the first labels it sees, up to a limit."""
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self.seen: set[str] = set()
+
+    def __call__(self, label: str) -> str:
+        if label in self.seen:
+            return label
+        if len(self.seen) >= self.limit:
+            return OTHER
+        self.seen.add(label)
+        return label
+
+
+class OpenTelemetryMetrics:
+    """The process's measurements.
+
+    :param process: name of the process, a label of every series.
+    """
+
+    def __init__(self, process: str) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        reader = PrometheusMetricReader(
+            disable_target_info=True, scope_info_enabled=False, registry=self.registry
+        )
+        buckets = ExplicitBucketHistogramAggregation(_SECONDS)
+        self.provider = MeterProvider(
+            metric_readers=[reader],
+            views=[View(instrument_name="*.seconds", aggregation=buckets)],
+            shutdown_on_exit=False,
+        )
+        self.process = process
+        self.tenants = _Bounded(MAX_TENANTS)
+        self.classes = _Bounded(MAX_CLASSES)
+        meter = self.provider.get_meter("bergamotmast")
+        self.first_token = self._pair("first_token")
+        self.total = self._pair("total")
+        self.queue_wait = self._pair("queue_wait")
+        self.between = meter.create_histogram("between_tokens.seconds", unit="s")
+        self.ended = meter.create_counter("requests.ended")
+        self.generation = meter.create_gauge("configuration.generation")
+        self.running = meter.create_gauge("side.running")
+        self.queued = meter.create_gauge("side.queued")
+        self.ready = meter.create_gauge("side.ready")
+
+    def _pair(self, name: str) -> tuple[Histogram, Histogram]:
+        meter = self.provider.get_meter("bergamotmast")
+        return (
+            meter.create_histogram(f"class.{name}.seconds", unit="s"),
+            meter.create_histogram(f"tenant.{name}.seconds", unit="s"),
+        )
+
+    def _observe(
+        self,
+        pair: tuple[Histogram, Histogram],
+        tenant: str,
+        request_class: str,
+        seconds: float,
+    ) -> None:
+        by_class, by_tenant = pair
+        by_class.record(seconds, {"class": self.classes(request_class)})
+        by_tenant.record(seconds, {"tenant": self.tenants(tenant)})
+
+    def on_first_token(self, tenant: str, request_class: str, seconds: float) -> None:
+        """Take the time from a request's arrival to its first token."""
+        self._observe(self.first_token, tenant, request_class, seconds)
+
+    def on_between_tokens(self, request_class: str, seconds: float) -> None:
+        """Take the time between two chunks, for each of their tokens."""
+        self.between.record(seconds, {"class": self.classes(request_class)})
+
+    def on_ended(
+        self, tenant: str, request_class: str, code: ResultCode, seconds: float
+    ) -> None:
+        """Take a request's end and its whole time."""
+        self._observe(self.total, tenant, request_class, seconds)
+        labels = {"class": self.classes(request_class), "code": code.name.lower()}
+        self.ended.add(1, labels)
+
+    def on_queue_wait(self, tenant: str, request_class: str, seconds: float) -> None:
+        """Take the time that a request waited at a side."""
+        self._observe(self.queue_wait, tenant, request_class, seconds)
+
+    def on_generation(self, generation: int) -> None:
+        """Take the configuration generation in force."""
+        self.generation.set(generation)
+
+    def on_report(self, report: SideReport) -> None:
+        """Take a side's state."""
+        self.running.set(report.running)
+        self.queued.set(report.queued)
+        self.ready.set(int(report.readiness is Readiness.READY))
+
+    def exposition(self) -> bytes:
+        """Return all series in Prometheus' text format."""
+        return prometheus_client.generate_latest(self.registry)
--- a/src/bergamotmast/entry/core.py
+++ b/src/bergamotmast/entry/core.py
@@ -22,6 +22,8 @@
 from ..policy import EntryPolicy
 from ..selection import bare_name
 from ..selection import wanted_names
+from ..telemetry import NullTelemetry
+from ..telemetry import Telemetry
 from .membership import Membership
 from .model_run import ModelRun
 from .peer import Peer
@@ -57,6 +59,7 @@
         holder: ConfigHolder,
         claims: Claims,
         rng: random.Random,
+        telemetry: Telemetry | None = None,
     ) -> None:
         self.name = name
         self.incarnation = incarnation
@@ -65,6 +68,7 @@
         self.holder = holder
         self.claims = claims
         self.rng = rng
+        self.telemetry = telemetry or NullTelemetry()
         self.membership = Membership(instance_list, self._open_peer, holder, rng)
         self.closing = False
         self.in_flight = 0
@@ -98,10 +102,12 @@
             raise RequestError(
                 ResultCode.UNKNOWN_MODEL, f"No selector carries model {call.model!r}."
             )
-        with self._counted():
+        with self._counted(call):
             chunks = ModelRun(self, call).chunks()
             async with contextlib.aclosing(chunks):
+                last = 0.0
                 async for chunk in chunks:
+                    last = self._measure_chunk(call, chunk, last)
                     yield chunk
 
     async def submit_service(self, call: ServiceCall) -> ServiceAnswer:
@@ -110,7 +116,7 @@
         :raises RequestError: if it ends without one.
         """
         self._check_open()
-        with self._counted():
+        with self._counted(call):
             return await ServiceRun(self, call).answer()
 
     # What a run asks of its entry
@@ -148,13 +154,32 @@
         if self.closing:
             raise RequestError(ResultCode.SHUTTING_DOWN, retry_after=1.0)
 
+    def _measure_chunk(self, call: ModelCall, chunk: TokenChunk, last: float) -> float:
+        now = asyncio.get_running_loop().time()
+        if not last:
+            self.telemetry.on_first_token(
+                call.tenant, call.request_class, now - call.arrived_at
+            )
+        elif chunk.tokens:
+            between = (now - last) / chunk.tokens
+            self.telemetry.on_between_tokens(call.request_class, between)
+        return now
+
     @contextlib.contextmanager
-    def _counted(self) -> cabc.Iterator[None]:
+    def _counted(self, call: ModelCall | ServiceCall) -> cabc.Iterator[None]:
+        """Count a request in flight and measure its end."""
         self.in_flight += 1
         self._idle.clear()
+        code = ResultCode.CANCELLED_BY_CALLER
         try:
             yield
+            code = ResultCode.OK
+        except RequestError as error:
+            code = error.code
+            raise
         finally:
+            seconds = asyncio.get_running_loop().time() - call.arrived_at
+            self.telemetry.on_ended(call.tenant, call.request_class, code, seconds)
             self.in_flight -= 1
             if self.in_flight == 0:
                 self._idle.set()
--- a/src/bergamotmast/entry/http.py
+++ b/src/bergamotmast/entry/http.py
@@ -160,6 +160,7 @@
             prefix_key=prefix_key(body.prompt),
             first_token_by=now + limits.first_token,
             deadline=now + limits.total,
+            arrived_at=now,
         )
 
     # Plain services
@@ -194,6 +195,7 @@
         name, route = max(found, key=lambda item: len(item[1].prefix))
         request_class = route.request_class
         limits = configuration.request_class(request_class)
+        now = asyncio.get_running_loop().time()
         query = f"?{request.query_string}" if request.query_string else ""
         return ServiceCall(
             request_id=caller.request_id,
@@ -207,7 +209,8 @@
             content_type=request.headers.get("Content-Type", ""),
             repeatable=route.repeatable,
             idempotency_key=caller.idempotency_key,
-            deadline=asyncio.get_running_loop().time() + limits.total,
+            deadline=now + limits.total,
+            arrived_at=now,
         )
 
 
--- a/src/bergamotmast/model.py
+++ b/src/bergamotmast/model.py
@@ -75,6 +75,7 @@
     :param prefix_key: hash of the shareable head of the prompt; empty for none.
     :param first_token_by: point on the local monotonic clock, seconds.
     :param deadline: point on the local monotonic clock, seconds.
+    :param arrived_at: point on the local monotonic clock, seconds.
     """
 
     request_id: str
@@ -88,6 +89,7 @@
     prefix_key: str
     first_token_by: float
     deadline: float
+    arrived_at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -106,6 +108,7 @@
     :param repeatable: whether the call may run more than once.
     :param idempotency_key: the caller's key; empty for none.
     :param deadline: point on the local monotonic clock, seconds.
+    :param arrived_at: point on the local monotonic clock, seconds.
     """
 
     request_id: str
@@ -120,6 +123,7 @@
     repeatable: bool
     idempotency_key: str
     deadline: float
+    arrived_at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/bergamotmast/side/core.py
+++ b/src/bergamotmast/side/core.py
@@ -26,6 +26,8 @@
 from ..policy import SidePolicy
 from ..protocol import messages
 from ..protocol import timing
+from ..telemetry import NullTelemetry
+from ..telemetry import Telemetry
 from .attempt import Attempt
 from .attempt import AttemptPhase
 from .session import Session
@@ -73,6 +75,7 @@
         holder: ConfigHolder,
         history: HistorySink,
         incarnation: str,
+        telemetry: Telemetry | None = None,
     ) -> None:
         self.name = name
         self.listener = listener
@@ -80,6 +83,7 @@
         self.policy = policy
         self.holder = holder
         self.history = history
+        self.telemetry = telemetry or NullTelemetry()
         self.sessions = SessionTable(incarnation)
         self.attempts: dict[str, Attempt] = {}
         self.running: set[str] = set()
@@ -335,10 +339,15 @@
             self.running.add(attempt.name)
             self._idle.clear()
             self._record(attempt.offer, "started")
+            self._measure_wait(item)
             task = asyncio.create_task(self._run_attempt(attempt))
             attempt.task = task
             task.add_done_callback(functools.partial(self._on_ended, attempt))
 
+    def _measure_wait(self, item: QueueItem) -> None:
+        seconds = self._now() - item.arrived_at
+        self.telemetry.on_queue_wait(item.tenant, item.request_class, seconds)
+
     async def _run_attempt(self, attempt: Attempt) -> None:
         await self.send(attempt.session.peer, messages.Started(attempt.name))
         await self.runner.run(attempt, self)
@@ -405,6 +414,7 @@
     async def _beat(self) -> None:
         while True:
             self.alive_at = self._now()
+            self.telemetry.on_report(self.report())
             for session in list(self.sessions.by_name.values()):
                 await self._send_report(session)
             await asyncio.sleep(timing.BEAT_INTERVAL)
@@ -471,6 +481,7 @@
         while True:
             configuration = await self.holder.wait_newer(generation)
             generation = configuration.generation
+            self.telemetry.on_generation(generation)
             self._after_readiness_change()
 
     async def _compare_generation(self, peer: bytes, generation: int) -> None:
--- /dev/null
+++ b/src/bergamotmast/telemetry.py
@@ -0,0 +1,62 @@
+"""What entries and sides measure, whoever collects it."""
+
+from __future__ import annotations
+
+import typing as t
+
+from .errors import ResultCode
+from .model import SideReport
+
+
+class Telemetry(t.Protocol):
+    """Takes measurements; every duration is in seconds."""
+
+    def on_first_token(self, tenant: str, request_class: str, seconds: float) -> None:
+        """Take the time from a request's arrival to its first token."""
+        ...
+
+    def on_between_tokens(self, request_class: str, seconds: float) -> None:
+        """Take the time between two chunks, for each of their tokens."""
+        ...
+
+    def on_ended(
+        self, tenant: str, request_class: str, code: ResultCode, seconds: float
+    ) -> None:
+        """Take a request's end and its whole time."""
+        ...
+
+    def on_queue_wait(self, tenant: str, request_class: str, seconds: float) -> None:
+        """Take the time that a request waited at a side."""
+        ...
+
+    def on_generation(self, generation: int) -> None:
+        """Take the configuration generation in force."""
+        ...
+
+    def on_report(self, report: SideReport) -> None:
+        """Take a side's state."""
+        ...
+
+
+class NullTelemetry:
+    """Measures nothing."""
+
+    def on_first_token(self, tenant: str, request_class: str, seconds: float) -> None:
+        """Drop it."""
+
+    def on_between_tokens(self, request_class: str, seconds: float) -> None:
+        """Drop it."""
+
+    def on_ended(
+        self, tenant: str, request_class: str, code: ResultCode, seconds: float
+    ) -> None:
+        """Drop it."""
+
+    def on_queue_wait(self, tenant: str, request_class: str, seconds: float) -> None:
+        """Drop it."""
+
+    def on_generation(self, generation: int) -> None:
+        """Drop it."""
+
+    def on_report(self, report: SideReport) -> None:
+        """Drop it."""
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,32 @@
+from __future__ import annotations
+
+from bergamotmast.adapters.metrics import MAX_TENANTS
+from bergamotmast.adapters.metrics import OpenTelemetryMetrics
+from bergamotmast.errors import ResultCode
+
+
+def test_series_stay_bounded_whatever_callers_send():
+    # A thousand tenants call one process. Their series must not grow with them: the
+    # first ones keep their own, the others share one.
+    metrics = OpenTelemetryMetrics("entry-1")
+    for number in range(1000):
+        metrics.on_first_token(f"tenant-{number}", "check", 0.2)
+    lines = metrics.exposition().decode().splitlines()
+    counts = [x for x in lines if x.startswith("tenant_first_token_seconds_count")]
+    assert len(counts) == MAX_TENANTS + 1
+    other = next(x for x in counts if 'tenant="other"' in x)
+    assert float(other.split()[-1]) == 1000 - MAX_TENANTS
+
+
+def test_ends_are_counted_by_code():
+    metrics = OpenTelemetryMetrics("entry-1")
+    metrics.on_ended("t", "check", ResultCode.QUEUE_FULL, 0.1)
+    assert 'code="queue_full"' in metrics.exposition().decode()
+
+
+def test_two_processes_in_one_keep_their_own_series():
+    first = OpenTelemetryMetrics("entry-1")
+    second = OpenTelemetryMetrics("entry-2")
+    first.on_generation(4)
+    assert "configuration_generation 4.0" in first.exposition().decode()
+    assert "configuration_generation 4.0" not in second.exposition().decode()
