A side keeps its engine at the plan, one order at a time

An engine must never hold two conflicting orders, also when a reply is lost, when the engine ignores fencing tokens, or when it comes back from a crash as something else.

What an engine is, only it says: the keeper reads it back before each order and never takes a reply for it. An order that may still lie in a socket, of this process or of one that was killed before it, holds back the next for a settling time, for engines without fencing. Its part of the plan is read again before an order, so that a side whose watch was silent obeys the present planner.

Weighed: an order as soon as the plan changes, with the engine's refusal as the only guard. It fails at engines that ignore fencing. Weighed too: draining for every change; loading one more model takes nothing away from work in flight.

--- /dev/null
+++ b/src/bergamotmast/side/orders.py
@@ -0,0 +1,398 @@
+"""Gives one engine its orders, one at a time, from its part of the plan.
+
+All orders to an engine go through its side, which is the serial point: an order is
+given only after the engine's state has been read back as settled, and never while an
+earlier order may still be on its way or be carried out. What an engine is, it says
+itself; a reply, or its absence, is never taken for it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import logging
+import random
+import typing as t
+
+import msgspec
+
+from ..backoff import Backoff
+from ..errors import NotReachedError
+from ..errors import OrderRefusedError
+from ..errors import PortError
+from ..key_watch import follow
+from ..model import Assignment
+from ..model import EngineState
+from ..model import Order
+from ..model import Readiness
+from ..ports import Engine
+from ..ports import KeyValueService
+from ..protocol.plan import EnginePlan
+from ..protocol.plan import decode_engine_plan
+from ..protocol.plan import engine_key
+from ..protocol.plan import engine_prefix
+from .order_states import OrderMachine
+from .order_states import OrderState
+
+POLL_SECONDS = 1.0
+"""Between two readings of the engine's state: how late a restart may be noticed."""
+
+STATE_SECONDS = 2.0
+"""Longest wait for the engine's state."""
+
+MISSES_ALLOWED = 2
+"""Failed readings in a row before the engine's state counts as unknown."""
+
+ORDER_REPLY_SECONDS = 5.0
+"""Longest wait for an engine to take an order."""
+
+ORDER_SETTLE_SECONDS = 3.0
+"""How long an order may lie in a socket before its engine takes it.
+
+An order whose sender gave up, or was killed, can still be delivered. Until this time
+has passed, or the engine shows that it has the order, no other is given.
+"""
+
+ORDER_RETRY_SECONDS = 2.0
+LONGEST_RETRY_SECONDS = 30.0
+"""Bounds of the time between orders that the engine refuses or that have no effect.
+
+In between, an engine that is fit for work goes on with it as it is.
+"""
+
+CONFIRM_SECONDS = 1.0
+"""Longest wait for the plan to be read again before an order."""
+
+logger = logging.getLogger(__name__)
+
+
+class Workload(t.Protocol):
+    """The work at a side's engine, as far as a change has to wait for it."""
+
+    def pause_admission(self) -> None:
+        """Start no more work; called again without effect."""
+        ...
+
+    def resume_admission(self) -> None:
+        """Start work again; called again without effect."""
+        ...
+
+    async def drained(self) -> None:
+        """Return when no started work is left.
+
+        Work ends by its deadline at the latest, so this does too.
+        """
+        ...
+
+
+class EngineListener(t.Protocol):
+    """Is told what the engine is and whether it takes work."""
+
+    def __call__(self, state: EngineState | None, readiness: Readiness) -> None:
+        """Take the newest word on the engine; ``None`` while nothing is known."""
+        ...
+
+
+class OrderKeeper:
+    """One side's task that keeps its engine at the plan.
+
+    :param name: name of the engine.
+    :param engine: the engine.
+    :param kv: the key-value service, which holds the plan.
+    :param workload: what a change has to wait for.
+    :param on_engine: told after each reading of the engine.
+    :param rng: source of jitter.
+    :param plan: the highest plan seen; it stays while the service is down.
+    :param engine_state: the last reading.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        engine: Engine,
+        kv: KeyValueService,
+        workload: Workload,
+        on_engine: EngineListener,
+        rng: random.Random,
+    ) -> None:
+        self.name = name
+        self.engine = engine
+        self.kv = kv
+        self.workload = workload
+        self.on_engine = on_engine
+        self.rng = rng
+        self.plan: EnginePlan | None = None
+        self.engine_state: EngineState | None = None
+        self.machine = OrderMachine()
+        self._settled: Assignment | None = None
+        self._in_doubt: Order | None = None
+        self._quiet_until = 0.0
+        self._retry_at = 0.0
+        self._retries = Backoff(rng, ORDER_RETRY_SECONDS, LONGEST_RETRY_SECONDS)
+        self._fit = False
+        self._gentle = False
+        self._misses = 0
+        self._drain: asyncio.Task[None] | None = None
+        self._wake = asyncio.Event()
+
+    @property
+    def state(self) -> OrderState:
+        """Where the side stands with its orders."""
+        return self.machine.state
+
+    @property
+    def readiness(self) -> Readiness:
+        """Whether the engine may be given new work."""
+        if self.state is OrderState.SETTLED:
+            return Readiness.READY
+        if self.state is OrderState.UNKNOWN:
+            return Readiness.UNKNOWN
+        if self._gentle and self.state is not OrderState.DRAINING:
+            return Readiness.READY
+        return Readiness.CHANGING
+
+    async def run(self) -> None:
+        """Keep the engine at the plan until cancelled."""
+        self._quiet_until = _now() + ORDER_SETTLE_SECONDS
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._follow_plan())
+                group.create_task(self._keep())
+        finally:
+            self._stop_drain()
+
+    def offer_plan(self, data: bytes) -> None:
+        """Take a part of the plan if its authority is above all seen."""
+        try:
+            plan = decode_engine_plan(data)
+        except msgspec.DecodeError as error:
+            logger.error("plan of %s can't be read: %s", self.name, error)
+            return
+        if self.plan is None or plan.token > self.plan.token:
+            self.plan = plan
+            self._retry_at = 0.0
+            self._wake.set()
+
+    async def _follow_plan(self) -> None:
+        key = engine_key(self.name)
+        async with contextlib.aclosing(
+            follow(self.kv, engine_prefix(self.name), self.rng)
+        ) as changes:
+            async for change in changes:
+                if change.key == key and change.value is not None:
+                    self.offer_plan(change.value)
+
+    async def _keep(self) -> None:
+        self._publish()
+        while True:
+            self._wake.clear()
+            await self._step()
+            self._publish()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(POLL_SECONDS):
+                    await self._wake.wait()
+
+    async def _step(self) -> None:
+        """Read the engine back and do the one next thing that brings it to the plan."""
+        state = await self._read_back()
+        if state is None:
+            return
+        if state.changing:
+            self._found_changing()
+        elif self._order_may_arrive(state):
+            return
+        elif self._goal(state) is None:
+            self._found_settled(state.assignment)
+            self._retries.reset()
+        elif _now() < self._retry_at:
+            self._found_settled(state.assignment if self._fit else None)
+        elif await self._free_to_order(state.assignment):
+            await self._order_if_still_due(state)
+
+    async def _read_back(self) -> EngineState | None:
+        try:
+            async with asyncio.timeout(STATE_SECONDS):
+                state = await self.engine.state()
+        except (PortError, TimeoutError):
+            self._misses += 1
+            if self._misses > MISSES_ALLOWED:
+                self._lose()
+            return None
+        self._misses = 0
+        self._notice_restart(state)
+        self.engine_state = state
+        return state
+
+    def _notice_restart(self, state: EngineState) -> None:
+        """Forget what was known of an engine that has another boot identity.
+
+        An engine may crash in the middle of a change and be back before any call
+        fails, with the change done, half done or not done. Work sent to it then would
+        meet a role or models it does not have. What it says after its restart is
+        compared with the plan anew, and no work goes there until they agree.
+        """
+        before = self.engine_state
+        if before is not None and before.boot_id != state.boot_id:
+            logger.warning("engine %s has restarted", self.name)
+            self._lose()
+
+    def _lose(self) -> None:
+        self._stop_drain()
+        self._gentle = False
+        self._fit = False
+        self.machine.trigger("lost")
+
+    def _found_changing(self) -> None:
+        self._in_doubt = None
+        if self.state is not OrderState.CHANGING:
+            self._gentle = self._gentle and self.state is OrderState.ORDERING
+            self._stop_drain()
+            self.machine.trigger("found_changing")
+
+    def _found_settled(self, assignment: Assignment | None) -> None:
+        """Let an engine work as it is; ``None`` where it is not fit for that.
+
+        It is unfit from a restart until it has been found at the plan: a crash in
+        the middle of a change may leave anything.
+        """
+        if assignment is None:
+            self._lose()
+            return
+        self._stop_drain()
+        self._gentle = False
+        self._fit = True
+        self._settled = assignment
+        self.machine.trigger("found_settled")
+
+    def _order_may_arrive(self, state: EngineState) -> bool:
+        """Return whether an order may still lie in a socket to the engine.
+
+        The sender was this process, whose reply was lost, or an earlier one that was
+        killed. Ordering something else now would leave an engine that ignores fencing
+        tokens with two orders, the older of which comes last.
+        """
+        doubt = self._in_doubt
+        if doubt is not None:
+            arrived = state.token >= doubt.token or state.assignment == doubt.assignment
+            if arrived:
+                self._quiet_until = _now()
+        if _now() < self._quiet_until:
+            return True
+        self._in_doubt = None
+        if self.state is OrderState.ORDERING:
+            self.machine.trigger("not_taken")
+        return False
+
+    def _goal(self, state: EngineState) -> Order | None:
+        """Return the order that is due, if the engine is not at the plan.
+
+        A plan of less authority than the engine has already obeyed came from a
+        service restored from a backup; the engine stays as it is until a higher one.
+        """
+        plan = self.plan
+        if plan is None or plan.token < state.token:
+            return None
+        if plan.assignment == state.assignment:
+            return None
+        return Order(plan.token, plan.assignment)
+
+    async def _free_to_order(self, present: Assignment | None) -> bool:
+        """Return whether no work stands in the way, else see to it that it ends."""
+        assert self.plan is not None
+        if not needs_drain(present, self.plan.assignment):
+            self._stop_drain()
+            return True
+        if self._drain is None:
+            self._gentle = False
+            self.machine.trigger("drain")
+            self._publish()
+            self._drain = asyncio.create_task(self.workload.drained())
+            self._drain.add_done_callback(lambda _: self._wake.set())
+            return False
+        if not self._drain.done():
+            return False
+        self._drain.result()
+        return True
+
+    async def _order_if_still_due(self, state: EngineState) -> None:
+        """Give the order that the newest plan asks for, if it still asks for one.
+
+        A side that was paused wakes with the plan of before. Reading its part again
+        keeps it from giving an order whose planner was replaced meanwhile. With the
+        service down the last plan counts.
+        """
+        before = self.plan
+        await self._confirm_plan()
+        order = self._goal(state)
+        if order is None or self.plan is not before:
+            self._wake.set()
+            return
+        self._gentle = not needs_drain(state.assignment, order.assignment)
+        await self._give(order)
+
+    async def _confirm_plan(self) -> None:
+        with contextlib.suppress(PortError, TimeoutError):
+            async with asyncio.timeout(CONFIRM_SECONDS):
+                item = await self.kv.get(engine_key(self.name))
+            if item is not None:
+                self.offer_plan(item.value)
+
+    async def _give(self, order: Order) -> None:
+        self.machine.trigger("give")
+        self._publish()
+        self._stop_drain()
+        self._retry_at = _now() + ORDER_RETRY_SECONDS + self._retries.next_delay()
+        try:
+            async with asyncio.timeout(ORDER_REPLY_SECONDS):
+                await self.engine.order(order)
+        except (NotReachedError, OrderRefusedError) as error:
+            logger.warning("engine %s took no order: %s", self.name, error.message)
+            self.machine.trigger("not_taken")
+            self._found_settled(self._settled if self._fit else None)
+        except (PortError, TimeoutError) as error:
+            logger.warning("engine %s: order of unknown end: %r", self.name, error)
+            self._in_doubt = order
+            self._quiet_until = _now() + ORDER_SETTLE_SECONDS
+        else:
+            self.machine.trigger("taken")
+
+    def _stop_drain(self) -> None:
+        if self._drain is not None:
+            self._drain.cancel()
+            self._drain = None
+
+    def _publish(self) -> None:
+        """Open or close admission and say what the engine is.
+
+        An engine that loads beside its work says that it is not settled; what it
+        carried before is still true of it, and work for that goes on.
+        """
+        readiness = self.readiness
+        state = self.engine_state
+        if readiness is Readiness.READY:
+            if state is not None and state.assignment is None:
+                state = dataclasses.replace(state, assignment=self._settled)
+            self.workload.resume_admission()
+        else:
+            self.workload.pause_admission()
+        self.on_engine(state, readiness)
+
+
+def needs_drain(present: Assignment | None, wanted: Assignment) -> bool:
+    """Return whether a change would take something away from work in flight.
+
+    A new role stops the engine for seconds, and dropping a model or an adapter ends
+    its streams. Loading one more goes on beside the work.
+
+    :param present: what the engine is; ``None`` where it does not know.
+    """
+    if present is None:
+        return True
+    kept = {*wanted.models, *wanted.adapters}
+    carried = {*present.models, *present.adapters}
+    return present.role is not wanted.role or not carried <= kept
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
