Entries connect to a bounded, hashed subset of each group; composition root

Without it every entry would keep a session with every side: 330 x 600 sessions of two beats a second each. With 20 upstreams of a group, an entry's heartbeats no longer grow with the fleet. Subsets: 330 entries before 85 upstreams, every upstream within half and one and a half times the mean, and each entry keeps at least half of its candidates when any one of seven zones is lost (tests/test_subset.py).

--- /dev/null
+++ b/src/bergamotmast/app.py
@@ -0,0 +1,188 @@
+"""The composition root: which parts make an entry and a side, and how they are wired.
+
+Both are usable as a library: hand in the ports, and run them in any event loop.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+import typing as t
+
+from .config_holder import ConfigHolder
+from .config_watch import ConfigWatcher
+from .entry.core import EntryCore
+from .entry.http import EntryHttp
+from .history import HistorySink
+from .model import NO_TOKEN
+from .model import EngineState
+from .model import Readiness
+from .policy.presets import PolicySet
+from .side.core import SideCore
+from .side.orders import OrderKeeper
+from .side.runners import EngineRunner
+from .side.runners import Runner
+from .side.runners import ServiceRunner
+from .telemetry import Telemetry
+
+if t.TYPE_CHECKING:
+    from aiohttp import web
+
+    from .entry.service_run import Claims
+    from .ports import Dialer
+    from .ports import Engine
+    from .ports import InstanceList
+    from .ports import KeyValueService
+    from .ports import Listener
+    from .ports import PlainService
+
+SERVICE_RATE = 1e6
+"""Tokens a second of a plain service, whose calls count as one token each."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProcessParts:
+    """What every process is given.
+
+    :param name: unique name; a side has that of its upstream.
+    :param zone: availability zone.
+    :param kv: the key-value service.
+    :param policies: decisions under load.
+    :param rng: seeded source of jitter and of names.
+    """
+
+    name: str
+    zone: str
+    kv: KeyValueService
+    policies: PolicySet
+    history: HistorySink
+    telemetry: Telemetry
+    rng: random.Random
+
+    def incarnation(self) -> str:
+        """Return a name for this start of the process."""
+        return f"{self.name}-{self.rng.getrandbits(48):012x}"
+
+
+class EntryProcess:
+    """One entry: connections to sides, configuration, callers.
+
+    :param holder: the configuration in force.
+    :param core: the entry itself.
+    """
+
+    def __init__(
+        self,
+        parts: ProcessParts,
+        dialer: Dialer,
+        instance_list: InstanceList,
+        claims: Claims,
+    ) -> None:
+        self.holder = ConfigHolder(parts.name, parts.history)
+        self.watcher = ConfigWatcher(parts.kv, self.holder, parts.rng)
+        self.core = EntryCore(
+            name=parts.name,
+            zone=parts.zone,
+            incarnation=parts.incarnation(),
+            dialer=dialer,
+            instance_list=instance_list,
+            policy=parts.policies.entry_policy(parts.rng, parts.zone),
+            holder=self.holder,
+            claims=claims,
+            rng=parts.rng,
+            telemetry=parts.telemetry,
+        )
+
+    def application(self) -> web.Application:
+        """Return the HTTP application that serves callers."""
+        return EntryHttp(self.core).application()
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.watcher.run())
+            group.create_task(self.core.run())
+
+    async def close(self) -> None:
+        """Refuse new requests and wait until the last answer is out."""
+        await self.core.close()
+
+
+class SideProcess:
+    """One side: an upstream, its queue, its orders, connections to entries.
+
+    :param holder: the configuration in force.
+    :param core: the side itself.
+    :param keeper: gives the engine its orders; ``None`` for a plain service.
+    """
+
+    def __init__(
+        self,
+        parts: ProcessParts,
+        listener: Listener,
+        runner: Runner,
+    ) -> None:
+        self.holder = ConfigHolder(parts.name, parts.history)
+        self.watcher = ConfigWatcher(parts.kv, self.holder, parts.rng)
+        self.listener = listener
+        self.core = SideCore(
+            name=parts.name,
+            listener=listener,
+            runner=runner,
+            policy=parts.policies.side_policy(),
+            holder=self.holder,
+            history=parts.history,
+            incarnation=parts.incarnation(),
+            telemetry=parts.telemetry,
+        )
+        self.keeper: OrderKeeper | None = None
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.watcher.run())
+            group.create_task(self.core.run())
+            if self.keeper is not None:
+                group.create_task(self.keeper.run())
+
+    async def close(self) -> None:
+        """Refuse new work and wait until the work in flight is done."""
+        await self.core.leave()
+        self.listener.close()
+
+
+def engine_side(parts: ProcessParts, listener: Listener, engine: Engine) -> SideProcess:
+    """Return the side of a model engine."""
+    side = SideProcess(parts, listener, EngineRunner(engine))
+    side.keeper = OrderKeeper(
+        name=parts.name,
+        engine=engine,
+        kv=parts.kv,
+        workload=side.core,
+        on_engine=side.core.on_engine,
+        rng=parts.rng,
+    )
+    return side
+
+
+def service_side(
+    parts: ProcessParts, listener: Listener, service: PlainService, concurrency: int
+) -> SideProcess:
+    """Return the side of a plain service.
+
+    :param concurrency: most calls the service takes at once.
+    """
+    side = SideProcess(parts, listener, ServiceRunner(service))
+    state = EngineState(
+        boot_id="",
+        assignment=None,
+        changing=False,
+        token=NO_TOKEN,
+        max_streams=concurrency,
+        kv_capacity=concurrency * 2,
+        prefill_rate=SERVICE_RATE,
+        decode_rate=SERVICE_RATE,
+    )
+    side.core.on_engine(state, Readiness.READY)
+    return side
--- a/src/bergamotmast/entry/core.py
+++ b/src/bergamotmast/entry/core.py
@@ -41,6 +41,7 @@
     """One entry process without its sockets.
 
     :param name: name of the entry.
+    :param zone: its availability zone.
     :param incarnation: random for each start.
     :param dialer: opens connections to sides.
     :param policy: what is let in and where it goes.
@@ -52,6 +53,7 @@
     def __init__(
         self,
         name: str,
+        zone: str,
         incarnation: str,
         dialer: Dialer,
         instance_list: InstanceList,
@@ -69,7 +71,9 @@
         self.claims = claims
         self.rng = rng
         self.telemetry = telemetry or NullTelemetry()
-        self.membership = Membership(instance_list, self._open_peer, holder, rng)
+        self.membership = Membership(
+            name, zone, instance_list, self._open_peer, holder, rng
+        )
         self.closing = False
         self.in_flight = 0
         self._attempts = itertools.count(1)
--- a/src/bergamotmast/entry/membership.py
+++ b/src/bergamotmast/entry/membership.py
@@ -11,6 +11,7 @@
 from ..config_holder import ConfigHolder
 from ..errors import PortError
 from ..model import InstanceInfo
+from ..policy.subset import choose_subset
 from .peer import Peer
 
 if t.TYPE_CHECKING:
@@ -25,6 +26,8 @@
 class Membership:
     """The peers of one entry, following the instance list.
 
+    :param entry: name of the entry.
+    :param zone: its availability zone.
     :param instance_list: the platform's list.
     :param open_peer: makes the peer of an upstream.
     :param peers: open peers by name of their upstream.
@@ -32,11 +35,15 @@
 
     def __init__(
         self,
+        entry: str,
+        zone: str,
         instance_list: InstanceList,
         open_peer: cabc.Callable[[InstanceInfo], Peer],
         holder: ConfigHolder,
         rng: random.Random,
     ) -> None:
+        self.entry = entry
+        self.zone = zone
         self.instance_list = instance_list
         self.open_peer = open_peer
         self.holder = holder
@@ -73,12 +80,25 @@
             logger.warning("instance list: %s", error.message)
             return
         self.infos = {info.name: info for info in instances}
-        for info in instances:
-            self._keep(info)
-        for name in set(self.peers) - set(self.infos):
+        wanted = self._wanted()
+        for name in sorted(wanted):
+            self._keep(self.infos[name])
+        for name in set(self.peers) - wanted:
             if not self.peers[name].attempts:
                 self._drop(name)
 
+    def _wanted(self) -> set[str]:
+        """Return the upstreams to be connected to, a subset of each group."""
+        wanted: set[str] = set()
+        for members in self.holder.selection.members.values():
+            zones = {
+                name: self.infos[name].zone
+                for name in members
+                if name in self.infos and not self.is_leaving(name)
+            }
+            wanted |= choose_subset(self.entry, self.zone, zones)
+        return wanted
+
     def _keep(self, info: InstanceInfo) -> None:
         peer = self.peers.get(info.name)
         if peer is not None and peer.info.side_address == info.side_address:
--- a/tests/support.py
+++ b/tests/support.py
@@ -274,6 +274,7 @@
     def add_entry(self, name):
         entry = EntryCore(
             name=name,
+            zone="zone-a",
             incarnation=f"{name}-{next(self.incarnations)}",
             dialer=self.network,
             instance_list=self.list,
