Administration interface: keys by team, edits against a generation

Operators read the fleet, the configuration and its history, and propose a whole document, labels of one upstream or one selector. A key limited to some selectors reaches no upstream that is in another's group, before or after the edit: limiting the selectors alone would let a team take upstreams by a label or a wider expression.

An edit is refused while the service holds an older document than the one in force: it would be accepted there and obeyed nowhere.

--- a/src/bergamotmast/config_check.py
+++ b/src/bergamotmast/config_check.py
@@ -16,7 +16,7 @@
 from .config import Selector
 from .config import expression
 from .config_contradictions import find_contradictions
-from .config_contradictions import group_members
+from .config_groups import GroupIndex
 from .errors import ConfigError
 from .errors import ContradictionError
 from .model import Role
@@ -108,11 +108,22 @@
 
     The document must have no problems.
     """
-    return tuple(
+    groups = GroupIndex(configuration)
+    empty = (
         Problem(("selectors", index, "group"), f"{selector.group!r} names no upstream")
         for index, selector in enumerate(configuration.selectors)
-        if not group_members(configuration, selector)
+        if not groups.members(selector)
     )
+    # A key may name a selector that its team is still to write, or has removed.
+    names = {selector.name for selector in configuration.selectors}
+    unknown = (
+        problem
+        for index, key in enumerate(configuration.admin_keys)
+        for problem in _unknown(
+            "selector", key.groups, names, ("admin_keys", index, "groups")
+        )
+    )
+    return (*empty, *unknown)
 
 
 def _generation_problems(configuration: Configuration) -> cabc.Iterator[Problem]:
@@ -131,6 +142,8 @@
 
 def _selector_problems(configuration: Configuration) -> cabc.Iterator[Problem]:
     first: dict[str, int] = {}
+    groups = GroupIndex(configuration)
+    carried = _carried_names(configuration)
     for index, selector in enumerate(configuration.selectors):
         path: Path = ("selectors", index)
         if not selector.name:
@@ -138,13 +151,14 @@
         if first.setdefault(selector.name, index) != index:
             message = f"{selector.name!r} is the name of an earlier selector"
             yield Problem((*path, "name"), message)
-        yield from _match_problems(configuration, selector.match, (*path, "match"))
+        match_path = (*path, "match")
+        yield from _match_problems(configuration, selector.match, carried, match_path)
         yield from _carried_problems(selector, path)
-        yield from _group_problems(configuration, selector, path)
+        yield from _group_problems(groups, selector, path)
 
 
 def _group_problems(
-    configuration: Configuration, selector: Selector, path: Path
+    groups: GroupIndex, selector: Selector, path: Path
 ) -> cabc.Iterator[Problem]:
     try:
         terms = expression(selector.group).terms
@@ -153,14 +167,13 @@
         return
     if not terms:
         yield Problem((*path, "group"), "an empty expression names no upstream")
-    known = {label for labels in configuration.labels.values() for label in labels}
     for term in terms:
-        if term.label not in known:
-            hint = near_match(term.label, known)
+        if term.label not in groups.labels:
+            hint = near_match(term.label, groups.labels)
             message = f"no upstream has a label {term.label!r}{hint}"
             yield Problem((*path, "group"), message)
-    members = group_members(configuration, selector)
-    yield from _bound_problems(selector.roles, len(members), (*path, "roles"))
+    members = len(groups.members(selector))
+    yield from _bound_problems(selector.roles, members, (*path, "roles"))
 
 
 def _bound_problems(
@@ -198,7 +211,7 @@
 
 
 def _match_problems(
-    configuration: Configuration, match: Match, path: Path
+    configuration: Configuration, match: Match, carried: set[str], path: Path
 ) -> cabc.Iterator[Problem]:
     classes = {DEFAULT_CLASS, *configuration.classes}
     yield from _unknown("class", match.classes, classes, (*path, "classes"))
@@ -206,9 +219,7 @@
         "tenant", match.tenants, configuration.tenants, (*path, "tenants")
     )
     yield from _unknown("route", match.routes, configuration.routes, (*path, "routes"))
-    yield from _unknown(
-        "model", match.models, _carried_names(configuration), (*path, "models")
-    )
+    yield from _unknown("model", match.models, carried, (*path, "models"))
 
 
 def _carried_names(configuration: Configuration) -> set[str]:
@@ -222,9 +233,8 @@
 
 
 def _unknown(
-    what: str, names: tuple[str, ...], known: cabc.Iterable[str], path: Path
+    what: str, names: tuple[str, ...], known: cabc.Collection[str], path: Path
 ) -> cabc.Iterator[Problem]:
-    known = set(known)
     for index, name in enumerate(names):
         if name not in known:
             message = f"there is no {what} {name!r}{near_match(name, known)}"
@@ -283,7 +293,6 @@
 
 def _admin_key_problems(configuration: Configuration) -> cabc.Iterator[Problem]:
     counts = collections.Counter(key.digest for key in configuration.admin_keys)
-    names = {selector.name for selector in configuration.selectors}
     for index, key in enumerate(configuration.admin_keys):
         path = ("admin_keys", index)
         yield from _digest_problems(key.digest, (*path, "digest"))
@@ -291,4 +300,3 @@
             yield Problem((*path, "digest"), "another team has the same key")
         if not key.scopes:
             yield Problem((*path, "scopes"), "a key without a scope allows nothing")
-        yield from _unknown("selector", key.groups, names, (*path, "groups"))
--- a/src/bergamotmast/config_contradictions.py
+++ b/src/bergamotmast/config_contradictions.py
@@ -9,7 +9,7 @@
 from .config import Configuration
 from .config import RoleBounds
 from .config import Selector
-from .config import expression
+from .config_groups import GroupIndex
 from .model import Role
 
 
@@ -39,23 +39,14 @@
         )
 
 
-def group_members(configuration: Configuration, selector: Selector) -> frozenset[str]:
-    """Return the names of the upstreams in a selector's group.
-
-    :raises ValueError: if its label expression can't be parsed.
-    """
-    terms = expression(selector.group)
-    labels = configuration.labels
-    return frozenset(name for name, own in labels.items() if terms.matches(own))
-
-
 def find_contradictions(configuration: Configuration) -> tuple[Contradiction, ...]:
     """Return every pair of selectors that contradict each other, once.
 
     The label expressions must be known to parse.
     """
     selectors = configuration.selectors
-    members = [group_members(configuration, selector) for selector in selectors]
+    index = GroupIndex(configuration)
+    members = [index.members(selector) for selector in selectors]
     found = []
     for first, second in itertools.combinations(range(len(selectors)), 2):
         shared = members[first] & members[second]
--- a/src/bergamotmast/config_file.py
+++ b/src/bergamotmast/config_file.py
@@ -5,6 +5,7 @@
 import collections.abc as cabc
 import dataclasses
 import enum
+import json
 import pathlib
 import re
 import typing as t
@@ -13,6 +14,7 @@
 import yaml
 
 from .config import Configuration
+from .config import Selector
 from .config_check import Path
 from .config_check import Problem
 from .config_check import find_problems
@@ -27,24 +29,35 @@
 """Longest document, in bytes: a value of the key-value service holds no more."""
 
 
+_Lines = dict[Path, int]
+"""Line numbers from 1 at which values begin, by path."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ParsedFile:
-    """A file's plain content with the line that each value begins at.
+    """A document's plain content.
 
-    :param name: the file, as it is called in messages.
-    :param lines: line numbers from 1, by path.
+    :param name: the document, as it is called in messages.
+    :param find_lines: returns the line of each value, as far as known. Finding them
+        in JSON takes longer than all else, and is done for messages only.
     """
 
     name: str
     content: t.Any
-    lines: dict[Path, int]
+    find_lines: cabc.Callable[[], _Lines]
+
+    def locate(self, problems: cabc.Iterable[Problem]) -> list[str]:
+        """Return each problem as one line with document, line number and field."""
+        lines = self.find_lines()
+        return [self._locate(problem, lines) for problem in problems]
 
-    def locate(self, problem: Problem) -> str:
-        """Return a problem as one line with file, line number and field."""
+    def _locate(self, problem: Problem, lines: _Lines) -> str:
+        if not lines:
+            return f"{self.name}: {problem.show()}"
         path = problem.path
-        while path and path not in self.lines:
+        while path and path not in lines:
             path = path[:-1]
-        return f"{self.name}:{self.lines.get(path, 1)}: {problem.show()}"
+        return f"{self.name}:{lines.get(path, 1)}: {problem.show()}"
 
 
 def load_configuration(path: pathlib.Path) -> Configuration:
@@ -67,18 +80,29 @@
     :raises ConfigError: naming the line and field of each problem.
     :raises ContradictionError: if two selectors contradict each other.
     """
-    parsed = _parse(data, name)
-    problems = list(_type_problems(parsed.content, Configuration, ()))
-    if problems:
-        raise ConfigError(show_problems(map(parsed.locate, problems)))
-    configuration = _convert(parsed)
-    problems = list(find_problems(configuration))
+    return _check(_parse(data, name))
+
+
+def parse_body(data: bytes) -> Configuration:
+    """Parse and check a JSON document that came over HTTP, without line numbers.
+
+    :raises ConfigError: naming the field of each problem.
+    :raises ContradictionError: if two selectors contradict each other.
+    """
+    content = _decode_json(data, "body")
+    return _check(ParsedFile("body", content, _Lines))
+
+
+def parse_selector(plain: dict[str, t.Any], name: str) -> Selector:
+    """Return one selector from its plain content.
+
+    :param name: what to call the document in messages.
+    :raises ConfigError: naming each field with a problem.
+    """
+    problems = list(_type_problems(plain, Selector, ("selector",)))
     if problems:
-        raise ConfigError(show_problems(map(parsed.locate, problems)))
-    for found in find_contradictions(configuration):
-        place = parsed.locate(Problem(("selectors", found.second), found.show()))
-        raise ContradictionError(place, found.selectors, found.upstream)
-    return configuration
+        raise ConfigError(show_problems(f"{name}: {p.show()}" for p in problems))
+    return msgspec.convert(plain, Selector)
 
 
 def dump_yaml(configuration: Configuration) -> str:
@@ -118,17 +142,39 @@
 
 
 def _parse_json(data: bytes, name: str) -> ParsedFile:
+    content = _decode_json(data, name)
+    return ParsedFile(name, content, lambda: _find_json_lines(data, name))
+
+
+def _decode_json(data: bytes, name: str) -> t.Any:
     try:
         content = msgspec.json.decode(data)
+        json.loads(data, object_pairs_hook=_refuse_duplicates)
     except msgspec.DecodeError as error:
         raise ConfigError(f"{name}:{_json_line(data, error)}: {error}") from error
+    except ValueError as error:
+        raise ConfigError(f"{name}: {error}") from error
+    except RecursionError as error:
+        raise ConfigError(f"{name}: the document is nested too deeply") from error
+    return content
+
+
+def _refuse_duplicates(pairs: list[tuple[str, t.Any]]) -> None:
+    keys = [key for key, _ in pairs]
+    if len(set(keys)) < len(keys):
+        duplicate = next(key for key in keys if keys.count(key) > 1)
+        raise ValueError(f"{duplicate!r} is there twice")
+
+
+def _find_json_lines(data: bytes, name: str) -> _Lines:
     # JSON is nearly YAML; tabs are not, and stand in no JSON string. Where the rest
     # differs only line numbers are lost.
     try:
-        lines = _Reader(name, data.decode().replace("\t", " ")).read().lines
-    except yaml.YAMLError:
-        lines = {}
-    return ParsedFile(name, content, lines)
+        reader = _Reader(name, data.decode().replace("\t", " "))
+        reader.read()
+    except (yaml.YAMLError, ConfigError, RecursionError):
+        return {}
+    return reader.lines
 
 
 def _json_line(data: bytes, error: msgspec.DecodeError) -> int:
@@ -136,11 +182,26 @@
     return data.count(b"\n", 0, int(found[1])) + 1 if found else 1
 
 
+def _check(parsed: ParsedFile) -> Configuration:
+    configuration = _convert(parsed)
+    problems = find_problems(configuration)
+    if problems:
+        raise ConfigError(show_problems(parsed.locate(problems)))
+    for found in find_contradictions(configuration):
+        place = parsed.locate([Problem(("selectors", found.second), found.show())])
+        raise ContradictionError(place[0], found.selectors, found.upstream)
+    return configuration
+
+
 def _convert(parsed: ParsedFile) -> Configuration:
     try:
         return msgspec.convert(parsed.content, Configuration)
-    except msgspec.ValidationError as error:
-        raise ConfigError(f"{parsed.name}: {error}") from error
+    except msgspec.ValidationError:
+        problems = list(_type_problems(parsed.content, Configuration, ()))
+    if problems:
+        raise ConfigError(show_problems(parsed.locate(problems)))
+    # Priorities are numbers now; nothing else was wrong.
+    return msgspec.convert(parsed.content, Configuration)
 
 
 class _Reader:
@@ -155,7 +216,7 @@
     def read(self) -> ParsedFile:
         node = self.loader.get_single_node()
         content = {} if node is None else self.build(node, ())
-        return ParsedFile(self.name, content, self.lines)
+        return ParsedFile(self.name, content, lambda: self.lines)
 
     def build(self, node: yaml.Node, path: Path) -> t.Any:
         self.lines.setdefault(path, node.start_mark.line + 1)
--- /dev/null
+++ b/src/bergamotmast/entry/admin.py
@@ -0,0 +1,265 @@
+"""The administration interface of an entry: read the fleet, propose edits.
+
+Operators change labels and selectors; nothing here commands a single engine.
+"""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import logging
+import secrets
+import typing as t
+
+import msgspec
+from aiohttp import web
+
+from ..config import AdminKey
+from ..config import Configuration
+from ..config import Scope
+from ..config import encode_configuration
+from ..config_diff import diff
+from ..config_edit import with_labels
+from ..config_edit import with_selector
+from ..config_edit import without_selector
+from ..config_file import parse_body
+from ..config_file import parse_selector
+from ..config_holder import ConfigHolder
+from ..config_permissions import find_key
+from ..config_permissions import require_edit_allowed
+from ..config_permissions import require_scope
+from ..config_store import ConfigStore
+from ..errors import CODE_INFO
+from ..errors import BergamotmastError
+from ..errors import ContradictionError
+from ..errors import EditConflictError
+from ..errors import RequestError
+from ..errors import ResultCode
+from . import admin_messages as messages
+from .fleet import FleetStatus
+
+logger = logging.getLogger(__name__)
+
+HISTORY_LIMIT = 100
+"""Most edits in one answer."""
+
+MOST_KEY_LENGTH = 255
+"""Longest idempotency key, which is kept in the history."""
+
+_Handler = cabc.Callable[[web.Request], cabc.Awaitable[web.StreamResponse]]
+_Change = cabc.Callable[[Configuration], Configuration]
+_Body = t.TypeVar("_Body", bound=messages.EditBody)
+
+
+class AdminHttp:
+    """Translates between HTTP and the configuration.
+
+    :param holder: the configuration this entry has in force, with the teams' keys.
+    :param store: the configuration in the key-value service.
+    :param fleet: returns what this entry knows of the fleet.
+    """
+
+    def __init__(
+        self,
+        holder: ConfigHolder,
+        store: ConfigStore,
+        fleet: cabc.Callable[[], FleetStatus],
+    ) -> None:
+        self.holder = holder
+        self.store = store
+        self.fleet = fleet
+
+    def application(self) -> web.Application:
+        """Return the application to be mounted at ``/admin/v1``."""
+        application = web.Application(middlewares=[_errors])
+        router = application.router
+        router.add_get("/fleet", self._read_fleet)
+        router.add_get("/configuration", self._read_configuration)
+        router.add_put("/configuration", self._replace_configuration)
+        router.add_patch("/labels/{upstream}", self._change_labels)
+        router.add_put("/selectors/{name}", self._put_selector)
+        router.add_delete("/selectors/{name}", self._delete_selector)
+        router.add_get("/history", self._read_history)
+        router.add_get("/history/{generation}", self._read_generation)
+        return application
+
+    # Reading
+
+    async def _read_fleet(self, request: web.Request) -> web.Response:
+        self._require(request, Scope.READ)
+        return _answer(self.fleet())
+
+    async def _read_configuration(self, request: web.Request) -> web.Response:
+        self._require(request, Scope.READ)
+        current = self.holder.current
+        return _answer(messages.ConfigurationAnswer(current.generation, current))
+
+    async def _read_history(self, request: web.Request) -> web.Response:
+        self._require(request, Scope.READ)
+        limit = _integer(request.query.get("limit", "20"), 1, HISTORY_LIMIT)
+        records = await self.store.history(limit)
+        edits = tuple(
+            messages.RecordSummary(r.generation, r.author, r.accepted_at, r.changes)
+            for r in records
+        )
+        return _answer(messages.HistoryAnswer(edits))
+
+    async def _read_generation(self, request: web.Request) -> web.Response:
+        self._require(request, Scope.READ)
+        generation = _integer(request.match_info["generation"], 0, 10**12)
+        record = await self.store.read_record(generation)
+        if record is None:
+            raise RequestError(
+                ResultCode.UNKNOWN_ROUTE, f"There is no record of {generation}."
+            )
+        return _answer(messages.ConfigurationAnswer(generation, record.configuration))
+
+    # Proposing edits
+
+    async def _replace_configuration(self, request: web.Request) -> web.Response:
+        key = self._require(request, Scope.EDIT)
+        body = await _read_body(request, messages.DocumentEdit)
+        proposed = parse_body(bytes(body.configuration))
+        return await self._edit(request, key, body.against, lambda base: proposed)
+
+    async def _change_labels(self, request: web.Request) -> web.Response:
+        key = self._require(request, Scope.EDIT)
+        body = await _read_body(request, messages.LabelEdit)
+        upstream = request.match_info["upstream"]
+        return await self._edit(
+            request,
+            key,
+            body.against,
+            lambda base: with_labels(base, upstream, body.labels),
+        )
+
+    async def _put_selector(self, request: web.Request) -> web.Response:
+        key = self._require(request, Scope.EDIT)
+        body = await _read_body(request, messages.SelectorEdit)
+        plain = {**body.selector, "name": request.match_info["name"]}
+        selector = parse_selector(plain, "body")
+        return await self._edit(
+            request, key, body.against, lambda base: with_selector(base, selector)
+        )
+
+    async def _delete_selector(self, request: web.Request) -> web.Response:
+        key = self._require(request, Scope.EDIT)
+        body = await _read_body(request, messages.SelectorRemoval)
+        name = request.match_info["name"]
+        return await self._edit(
+            request, key, body.against, lambda base: without_selector(base, name)
+        )
+
+    async def _edit(
+        self, request: web.Request, key: AdminKey, against: int, change: _Change
+    ) -> web.Response:
+        base = await self._base(against)
+        proposed = change(base)
+        require_edit_allowed(key, base, proposed)
+        nonce = _nonce(request, key)
+        accepted = await self.store.propose(proposed, against, key.team, nonce)
+        self.holder.offer(encode_configuration(accepted))
+        changes = diff(base, accepted)
+        return _answer(messages.EditAnswer(accepted.generation, changes))
+
+    async def _base(self, against: int) -> Configuration:
+        """Return the document of the generation that an edit was made against.
+
+        :raises RequestError: ``STALE_GENERATION`` while the service holds an older
+            document than the one in force, for instance after a restore: an edit of
+            it would be accepted there and refused by every process.
+        """
+        current = (await self.store.read()).configuration
+        if current.generation < self.holder.generation:
+            raise RequestError(
+                ResultCode.STALE_GENERATION,
+                f"The service holds generation {current.generation} and"
+                f" {self.holder.generation} is in force; it will be put back shortly.",
+            )
+        if current.generation == against:
+            return current
+        record = await self.store.read_record(against)
+        if record is None:
+            raise EditConflictError(
+                f"generation {against} is not known; {current.generation} is current",
+                generation=current.generation,
+            )
+        return record.configuration
+
+    def _require(self, request: web.Request, scope: Scope) -> AdminKey:
+        """Return the key that a request shows.
+
+        :raises RequestError: ``UNAUTHENTICATED`` or ``FORBIDDEN``.
+        """
+        scheme, _, secret = request.headers.get("Authorization", "").partition(" ")
+        key = find_key(self.holder.current, secret.strip())
+        if key is None or scheme.lower() != "bearer":
+            raise RequestError(ResultCode.UNAUTHENTICATED)
+        require_scope(key, scope)
+        return key
+
+
+@web.middleware
+async def _errors(request: web.Request, handler: _Handler) -> web.StreamResponse:
+    """Give every failure a numbered code."""
+    try:
+        return await handler(request)
+    except BergamotmastError as error:
+        return _error_answer(error)
+    except web.HTTPRequestEntityTooLarge:
+        return _error_answer(RequestError(ResultCode.BODY_TOO_LARGE))
+    except web.HTTPException as error:
+        detail = f"{request.method} {request.path}: {error.reason}"
+        return _error_answer(RequestError(ResultCode.UNKNOWN_ROUTE, detail))
+    except Exception:
+        logger.exception("administration request failed")
+        return _error_answer(RequestError(ResultCode.INTERNAL))
+
+
+def _error_answer(error: BergamotmastError) -> web.Response:
+    info = CODE_INFO[error.code]
+    detail = messages.AdminErrorDetail(
+        code=int(error.code),
+        name=error.code.name.lower(),
+        outcome=info.outcome.value,
+        message=error.message,
+    )
+    if isinstance(error, EditConflictError):
+        detail = msgspec.structs.replace(
+            detail,
+            generation=error.generation,
+            author=error.author,
+            differences=error.differences,
+        )
+    if isinstance(error, ContradictionError):
+        detail = msgspec.structs.replace(
+            detail, selectors=error.selectors, upstream=error.upstream
+        )
+    return _answer(messages.AdminErrorBody(detail), info.status)
+
+
+def _answer(body: msgspec.Struct, status: int = 200) -> web.Response:
+    encoded = msgspec.json.encode(body)
+    return web.Response(status=status, body=encoded, content_type="application/json")
+
+
+async def _read_body(request: web.Request, kind: type[_Body]) -> _Body:
+    try:
+        return msgspec.json.decode(await request.read(), type=kind)
+    except msgspec.DecodeError as error:
+        raise RequestError(ResultCode.MALFORMED_BODY, str(error)) from error
+
+
+def _nonce(request: web.Request, key: AdminKey) -> str:
+    """Return what names a proposal, so that one sent again is recognised."""
+    given = request.headers.get("Idempotency-Key", "")
+    if len(given) > MOST_KEY_LENGTH:
+        raise RequestError(ResultCode.BAD_HEADER, "The Idempotency-Key is too long.")
+    return f"{key.team}:{given or secrets.token_hex(16)}"
+
+
+def _integer(text: str, least: int, most: int) -> int:
+    is_number = text.isascii() and text.isdigit() and len(text) <= len(str(most))
+    if not (is_number and least <= int(text) <= most):
+        detail = f"{text[:20]!r} is not a number from {least} to {most}."
+        raise RequestError(ResultCode.MALFORMED_BODY, detail)
+    return int(text)
