Sessions that only observe, for the planner; hellos counted over all peers

Observers name a slower pace in their hello, worked out from the number of sides, and get no work. Found on the way: a peer that was dropped and opened again counted its hellos from 1, and the side, which remembers the entry's last one, refused them for good; the entry now counts over all its peers (tests/test_membership.py).

--- /dev/null
+++ b/src/bergamotmast/adapters/curve_files.py
@@ -0,0 +1,57 @@
+"""CURVE keys of a process, from files."""
+
+from __future__ import annotations
+
+import pathlib
+
+import zmq.auth
+
+from ..errors import SettingError
+from .zeromq import CurveKeys
+
+PUBLIC_KEY_LENGTH = 40
+"""Characters of a public key in Z85."""
+
+
+def load_keys(secret_file: str, peers_file: str) -> CurveKeys | None:
+    """Read a process's key pair and its peers' public keys.
+
+    :param secret_file: a ZeroMQ certificate with public and secret key; empty for
+        connections without keys.
+    :param peers_file: one public key a line, ``#`` begins a comment. A side lets
+        these entries in; an entry expects its sides to have the first of them.
+    :raises SettingError: if a file can't be used.
+    """
+    if not secret_file:
+        return None
+    public, secret = _pair(secret_file)
+    peers = _peers(peers_file)
+    return CurveKeys(public, secret, peers[0], frozenset(peers))
+
+
+def _pair(path: str) -> tuple[bytes, bytes]:
+    try:
+        public, secret = zmq.auth.load_certificate(path)
+    except (OSError, ValueError) as error:
+        raise SettingError(
+            "--curve-secret-file", path, f"a certificate: {error}"
+        ) from error
+    if secret is None:
+        allowed = "a certificate with a secret key"
+        raise SettingError("--curve-secret-file", path, allowed)
+    return public, secret
+
+
+def _peers(path: str) -> list[bytes]:
+    try:
+        lines = pathlib.Path(path).read_text().splitlines()
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingError(
+            "--curve-peers-file", path, f"a list of keys: {error}"
+        ) from error
+    keys = [line.partition("# ")[0].strip() for line in lines]
+    keys = [key for key in keys if key]
+    if not keys or any(len(key) != PUBLIC_KEY_LENGTH for key in keys):
+        allowed = f"public keys of {PUBLIC_KEY_LENGTH} characters, one a line"
+        raise SettingError("--curve-peers-file", path, allowed)
+    return [key.encode() for key in keys]
--- a/src/bergamotmast/adapters/zeromq.py
+++ b/src/bergamotmast/adapters/zeromq.py
@@ -68,6 +68,8 @@
 
     async def send(self, frame: bytes) -> None:
         """Hand a frame over without waiting."""
+        if self.socket.closed:
+            raise NotReachedError("the connection is closed")
         try:
             await self.socket.send(frame, zmq.NOBLOCK)
         except zmq.ZMQError as error:
@@ -88,7 +90,7 @@
     The address is bound exclusively: a second process for the same slot fails to
     start while the first one, even if it is stopped, still holds the port.
 
-    :param address: ``host:port``.
+    :param address: ``host:port``; port 0 takes a free one, see ``address`` after.
     :raises OSError: if the address is in use.
     """
 
@@ -104,9 +106,12 @@
             self._require_keys(context, keys)
         try:
             self.socket.bind(f"tcp://{address}")
+            endpoint = self.socket.getsockopt(zmq.LAST_ENDPOINT)
         except zmq.ZMQError as error:
             self.close()
             raise OSError(f"can't listen on {address}: {error}") from error
+        assert isinstance(endpoint, bytes)
+        self.address = endpoint.decode().rstrip("\0").removeprefix("tcp://")
 
     def _require_keys(self, context: zmq.asyncio.Context, keys: CurveKeys) -> None:
         self.authenticator = zmq.auth.asyncio.AsyncioAuthenticator(context)
@@ -127,6 +132,8 @@
 
     async def send(self, peer: bytes, frame: bytes) -> None:
         """Hand a frame over without waiting."""
+        if self.socket.closed:
+            raise NotReachedError("the listener is closed")
         try:
             await self.socket.send_multipart((peer, frame), zmq.NOBLOCK)
         except zmq.ZMQError as error:
--- a/src/bergamotmast/entry/core.py
+++ b/src/bergamotmast/entry/core.py
@@ -77,6 +77,7 @@
         self.closing = False
         self.in_flight = 0
         self._attempts = itertools.count(1)
+        self._hellos = itertools.count(1)
         self._idle = asyncio.Event()
         self._idle.set()
 
@@ -151,8 +152,16 @@
         configured = self.holder.current.tenants.get(tenant)
         return configured.weight if configured is not None else 1.0
 
-    def _open_peer(self, info: InstanceInfo) -> Peer:
-        return Peer(self.name, self.incarnation, info, self.dialer, self.holder)
+    def _open_peer(self, info: InstanceInfo, interval: float) -> Peer:
+        return Peer(
+            entry=self.name,
+            incarnation=self.incarnation,
+            info=info,
+            dialer=self.dialer,
+            holder=self.holder,
+            counters=self._hellos,
+            interval=interval,
+        )
 
     def _check_open(self) -> None:
         if self.closing:
--- a/src/bergamotmast/entry/membership.py
+++ b/src/bergamotmast/entry/membership.py
@@ -12,6 +12,7 @@
 from ..errors import PortError
 from ..model import InstanceInfo
 from ..policy.subset import choose_subset
+from ..protocol import timing
 from .peer import Peer
 
 if t.TYPE_CHECKING:
@@ -31,6 +32,7 @@
     :param instance_list: the platform's list.
     :param open_peer: makes the peer of an upstream.
     :param peers: open peers by name of their upstream.
+    :param observes_all: whether to hear every side, as a planner must.
     """
 
     def __init__(
@@ -38,7 +40,7 @@
         entry: str,
         zone: str,
         instance_list: InstanceList,
-        open_peer: cabc.Callable[[InstanceInfo], Peer],
+        open_peer: cabc.Callable[[InstanceInfo, float], Peer],
         holder: ConfigHolder,
         rng: random.Random,
     ) -> None:
@@ -50,6 +52,7 @@
         self.rng = rng
         self.peers: dict[str, Peer] = {}
         self.infos: dict[str, InstanceInfo] = {}
+        self.observes_all = False
         self.tasks: dict[str, asyncio.Task[None]] = {}
 
     def is_leaving(self, name: str) -> bool:
@@ -82,7 +85,9 @@
         self.infos = {info.name: info for info in instances}
         wanted = self._wanted()
         for name in sorted(wanted):
-            self._keep(self.infos[name])
+            self._keep(self.infos[name], timing.BEAT_INTERVAL)
+        if self.observes_all:
+            wanted |= self._observe(set(self.infos) - wanted)
         for name in set(self.peers) - wanted:
             if not self.peers[name].attempts:
                 self._drop(name)
@@ -99,17 +104,31 @@
             wanted |= choose_subset(self.entry, self.zone, zones)
         return wanted
 
-    def _keep(self, info: InstanceInfo) -> None:
+    def _observe(self, names: set[str]) -> set[str]:
+        interval = timing.observer_interval(len(self.infos))
+        for name in names:
+            peer = self.peers.get(name)
+            if peer is None or peer.is_observer or not peer.attempts:
+                self._keep(self.infos[name], interval)
+        return names
+
+    def _keep(self, info: InstanceInfo, interval: float) -> None:
         peer = self.peers.get(info.name)
-        if peer is not None and peer.info.side_address == info.side_address:
+        if peer is not None and _fits(peer, info, interval):
             peer.info = info
             return
         if peer is not None:
             self._drop(info.name)
-        peer = self.open_peer(info)
+        peer = self.open_peer(info, interval)
         self.peers[info.name] = peer
         self.tasks[info.name] = asyncio.create_task(peer.run())
 
     def _drop(self, name: str) -> None:
         self.tasks.pop(name).cancel()
         del self.peers[name]
+
+
+def _fits(peer: Peer, info: InstanceInfo, interval: float) -> bool:
+    """Return whether a peer can stay as it is; small changes of pace don't count."""
+    same_kind = peer.is_observer == (interval > timing.BEAT_INTERVAL)
+    return same_kind and peer.info.side_address == info.side_address
--- a/src/bergamotmast/entry/peer.py
+++ b/src/bergamotmast/entry/peer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections.abc as cabc
 import logging
 import typing as t
 
@@ -34,6 +35,10 @@
     :param entry: name of the entry.
     :param incarnation: random for each start of the entry.
     :param info: the upstream, as the instance list names it.
+    :param counters: numbers the hellos of this incarnation, over all its peers: a
+        side refuses a hello that is not above the last it took.
+    :param interval: seconds between heartbeats; longer for a side that is only
+        observed and given no work.
     :param session: open session, or ``None``.
     :param report: the side's last word, or ``None`` without a session.
     """
@@ -45,12 +50,16 @@
         info: InstanceInfo,
         dialer: Dialer,
         holder: ConfigHolder,
+        counters: cabc.Iterator[int],
+        interval: float = timing.BEAT_INTERVAL,
     ) -> None:
         self.entry = entry
         self.incarnation = incarnation
         self.info = info
         self.dialer = dialer
         self.holder = holder
+        self.counters = counters
+        self.interval = interval
         self.link: Link | None = None
         self.session: str | None = None
         self.side_incarnation = ""
@@ -63,10 +72,15 @@
 
     # What the rest of the entry asks of it
 
+    @property
+    def is_observer(self) -> bool:
+        """Whether the session only observes."""
+        return self.interval > timing.BEAT_INTERVAL
+
     @property
     def is_ready(self) -> bool:
         """Whether new work may be offered."""
-        if self.session is None or self.report is None:
+        if self.is_observer or self.session is None or self.report is None:
             return False
         return self.report.readiness is Readiness.READY
 
@@ -145,13 +159,14 @@
     async def _open(self, link: Link) -> messages.Welcome:
         """Say hello until the side answers the latest one."""
         while True:
-            self.counter += 1
+            self.counter = next(self.counters)
             hello = messages.Hello(
                 version=messages.PROTOCOL_VERSION,
                 entry=self.entry,
                 incarnation=self.incarnation,
                 counter=self.counter,
                 generation=self.holder.generation,
+                interval=self.interval,
             )
             try:
                 await link.send(messages.encode(hello))
@@ -172,7 +187,7 @@
     async def _receive(self, link: Link, session: str) -> None:
         """Take messages until the side falls silent or does not know us."""
         while True:
-            async with asyncio.timeout(timing.SIDE_TIMEOUT):
+            async with asyncio.timeout(self.interval * timing.MISSED_BY_ENTRY):
                 frame = await link.receive()
             message = self._decode(frame)
             if isinstance(message, messages.SessionUnknown):
@@ -214,7 +229,7 @@
     async def _beat(self, session: str) -> None:
         while True:
             await self._send(messages.Heartbeat(session, self.holder.generation))
-            await asyncio.sleep(timing.BEAT_INTERVAL)
+            await asyncio.sleep(self.interval)
 
     async def _on_message(self, message: messages.ToEntry) -> None:
         match message:
--- a/src/bergamotmast/entry/service_run.py
+++ b/src/bergamotmast/entry/service_run.py
@@ -49,6 +49,20 @@
         ...
 
 
+class UnclaimedCalls:
+    """Claims of a deployment without a key-value service: no claim, no run."""
+
+    async def claim(self, key: str, digest: bytes) -> ServiceAnswer | None:
+        """Refuse."""
+        raise RequestError(ResultCode.CLAIM_UNAVAILABLE)
+
+    async def complete(self, key: str, answer: ServiceAnswer) -> None:
+        """Keep nothing."""
+
+    async def release(self, key: str) -> None:
+        """Keep nothing."""
+
+
 class ServiceRun:
     """Runs one call of a plain service.
 
--- a/src/bergamotmast/model.py
+++ b/src/bergamotmast/model.py
@@ -160,7 +160,8 @@
 class GenerateRequest:
     """What a side asks of its engine.
 
-    :param stream_id: unique name by which the stream can be cancelled.
+    :param stream_id: unique name by which the stream can be cancelled: the request's
+        id, a slash, and the attempt's name.
     :param resume_text: text already given to the caller; empty at the start.
     :param resume_tokens: how many tokens that text stands for.
     :param kv_handle: exported KV cache to import; empty for none.
--- a/src/bergamotmast/protocol/messages.py
+++ b/src/bergamotmast/protocol/messages.py
@@ -14,6 +14,7 @@
 from ..errors import ResultCode
 from ..model import Priority
 from ..model import SideReport
+from .timing import BEAT_INTERVAL
 
 PROTOCOL_VERSION = 1
 
@@ -28,6 +29,7 @@
     :param incarnation: random for each start of the entry.
     :param counter: raised with each hello of this incarnation.
     :param generation: configuration the entry has in force.
+    :param interval: seconds between heartbeats in this session, both ways.
     """
 
     version: int
@@ -35,6 +37,7 @@
     incarnation: str
     counter: int
     generation: int
+    interval: float = BEAT_INTERVAL
 
 
 class Welcome(Message, frozen=True, tag=2):
--- a/src/bergamotmast/protocol/timing.py
+++ b/src/bergamotmast/protocol/timing.py
@@ -3,22 +3,42 @@
 from __future__ import annotations
 
 BEAT_INTERVAL = 0.5
-"""Between two heartbeats, in each direction."""
+"""Between two heartbeats of a session that carries work, in each direction."""
 
-SIDE_TIMEOUT = 2.5
-"""Without a beat for so long, an entry takes its session with a side for lost.
+OBSERVER_BYTES_PER_SECOND = 1000.0
+"""What a planner spends on beats of sides that it only observes."""
 
-Five missed beats: one or two are lost to a busy process, and with three seconds
-allowed until a dead side's upstream gets no new work, more is too late.
+BEAT_BYTES = 80.0
+"""About the length of a side's beat, for the interval of observers."""
+
+OBSERVER_INTERVAL = 1.0
+"""Least seconds between heartbeats of a session that only observes."""
+
+
+def observer_interval(sides: int) -> float:
+    """Return the seconds between beats of a planner that observes so many sides.
+
+    Its share of the network does not grow with the fleet; its picture ages instead.
+    """
+    return max(OBSERVER_INTERVAL, sides * BEAT_BYTES / OBSERVER_BYTES_PER_SECOND)
+
+
+MISSED_BY_ENTRY = 5
+"""Beats an entry misses before it takes its session with a side for lost.
+
+One or two are lost to a busy process; with three seconds allowed until a dead side's
+upstream gets no new work, more is too late.
 """
 
-ENTRY_TIMEOUT = 5.0
-"""Without a heartbeat for so long, a side gives up the streams of an entry.
+MISSED_BY_SIDE = 10
+"""Heartbeats a side misses before it gives up the streams of an entry.
 
-Longer than the entry's own limit, so that the entry has moved its callers elsewhere
+More than the entry's own limit, so that the entry has moved its callers elsewhere
 before their work is ended.
 """
 
+SIDE_TIMEOUT = BEAT_INTERVAL * MISSED_BY_ENTRY
+
 HELLO_RETRY = 0.5
 """Between two hellos that got no welcome."""
 
--- a/src/bergamotmast/side/core.py
+++ b/src/bergamotmast/side/core.py
@@ -218,7 +218,7 @@
         if session is None:
             await self._on_stale(peer, message)
             return
-        session.expires_at = self._now() + timing.ENTRY_TIMEOUT
+        session.on_heard(self._now())
         await self._in_session(session, message)
 
     async def _in_session(
@@ -253,8 +253,7 @@
         await self.send(peer, messages.SessionUnknown(message.session))
 
     async def _on_hello(self, peer: bytes, hello: messages.Hello) -> None:
-        expires_at = self._now() + timing.ENTRY_TIMEOUT
-        opened = self.sessions.open(peer, hello, expires_at)
+        opened = self.sessions.open(peer, hello, self._now())
         if opened is None:
             return
         session, earlier = opened
@@ -416,11 +415,14 @@
             self.alive_at = self._now()
             self.telemetry.on_report(self.report())
             for session in list(self.sessions.by_name.values()):
-                await self._send_report(session)
+                if session.beat_at <= self.alive_at:
+                    await self._send_report(session)
             await asyncio.sleep(timing.BEAT_INTERVAL)
 
     async def _send_report(self, session: Session) -> None:
         session.beats += 1
+        # A little early rather than a whole tick late.
+        session.beat_at = self._now() + session.interval - timing.BEAT_INTERVAL / 2
         beat = messages.ReportBeat(
             session.name, session.beats, self.holder.generation, self.report()
         )
--- a/src/bergamotmast/side/runners.py
+++ b/src/bergamotmast/side/runners.py
@@ -154,7 +154,7 @@
 
 def _generate_request(attempt: Attempt, work: messages.ModelWork) -> GenerateRequest:
     return GenerateRequest(
-        stream_id=attempt.name,
+        stream_id=f"{attempt.offer.request_id}/{attempt.name}",
         model=work.model,
         prompt=work.prompt,
         prompt_tokens=work.prompt_tokens,
--- a/src/bergamotmast/side/session.py
+++ b/src/bergamotmast/side/session.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 
+from ..protocol import timing
 from ..protocol.messages import Hello
 
 MAX_TOMBSTONES = 4096
@@ -26,7 +27,9 @@
     :param peer: transport identity that the session's frames come from.
     :param incarnation: of the entry.
     :param counter: of the hello that opened it.
+    :param interval: seconds between heartbeats, both ways.
     :param expires_at: when the entry counts as lost unless it is heard again.
+    :param beat_at: when the next beat to the entry is due.
     """
 
     name: str
@@ -34,12 +37,18 @@
     entry: str
     incarnation: str
     counter: int
-    expires_at: float
+    interval: float
+    expires_at: float = 0.0
+    beat_at: float = 0.0
     beats: int = 0
     seen: collections.OrderedDict[str, None] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
 
+    def on_heard(self, now: float) -> None:
+        """Put off the moment at which the entry counts as lost."""
+        self.expires_at = now + self.interval * timing.MISSED_BY_SIDE
+
     def remember(self, attempt: str) -> bool:
         """Note an attempt; ``False`` if its offer or cancel was seen before."""
         if attempt in self.seen:
@@ -65,7 +74,7 @@
         self.opened = 0
 
     def open(
-        self, peer: bytes, hello: Hello, expires_at: float
+        self, peer: bytes, hello: Hello, now: float
     ) -> tuple[Session, Session | None] | None:
         """Open a session and return it with the one it ends.
 
@@ -83,8 +92,9 @@
             entry=hello.entry,
             incarnation=hello.incarnation,
             counter=hello.counter,
-            expires_at=expires_at,
+            interval=max(hello.interval, timing.BEAT_INTERVAL),
         )
+        session.on_heard(now)
         if earlier is not None:
             self.by_name.pop(earlier.name, None)
         self.by_name[session.name] = session
--- a/src/bergamotmast/standins/engine.py
+++ b/src/bergamotmast/standins/engine.py
@@ -260,8 +260,9 @@
             raise NotReachedError(f"{kv_tokens} tokens exceed the KV memory")
         if request.stream_id in self._mailboxes or request.stream_id in self._orphans:
             raise NotReachedError(f"stream {request.stream_id} is running")
+        request_id = request.stream_id.partition("/")[0]
         self.history.record(
-            Execution(at=_now(), upstream=self.name, request=request.stream_id)
+            Execution(at=_now(), upstream=self.name, request=request_id)
         )
         mailbox = _Mailbox()
         if request.resume_tokens >= answer.tokens:
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,49 @@
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from support import ScriptedEngine
+from support import answer_of
+from support import expected_text
+from support import fleet
+
+pytestmark = pytest.mark.looptime
+
+
+async def test_an_upstream_that_left_the_list_for_a_while_is_used_again():
+    # The lagging list forgets engine 1 and names it again. The entry's new connection
+    # counts its hellos on, or the side, which remembers the entry, would refuse them.
+    async with fleet(engines=1) as f:
+        info = f.list.infos.pop()
+        await asyncio.sleep(5.0)
+        assert f.entries["entry-1"].membership.peers == {}
+        f.list.infos.append(info)
+        await asyncio.sleep(5.0)
+        text = await answer_of(f.entries["entry-1"], f.model_call(3))
+        assert text == expected_text(3)
+
+
+async def test_work_in_flight_outlives_the_listing_of_its_upstream():
+    async with fleet(engines=1) as f:
+        task = asyncio.create_task(answer_of(f.entries["entry-1"], f.model_call(80)))
+        await asyncio.sleep(1.0)
+        f.list.infos.clear()
+        assert await task == expected_text(80)
+
+
+async def test_a_planner_hears_every_side_and_gives_work_to_its_subset_only():
+    # An engine without labels is in no selector, so nobody's candidate; the planner
+    # must still see it, at the slower pace of an observer.
+    async with fleet(engines=1) as f:
+        membership = f.entries["entry-1"].membership
+        membership.observes_all = True
+        f.add_upstream("engine-9", ScriptedEngine())
+        await asyncio.sleep(5.0)
+        observed = membership.peers["engine-9"]
+        assert observed.report is not None
+        assert not observed.is_ready
+        membership.observes_all = False
+        await asyncio.sleep(5.0)
+        assert set(membership.peers) == {"engine-1"}
