--- /dev/null
+++ b/src/bergamotmast/bench/workload.py
@@ -0,0 +1,130 @@
+"""Requests drawn from a mix of classes that moves over time."""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import dataclasses
+import math
+import random
+import typing as t
+
+from .trace import TraceRequest
+
+Level: t.TypeAlias = cabc.Callable[[float], float]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClassProfile:
+    """What requests of a class look like.
+
+    :param prompt: median prompt length in tokens.
+    :param output: median answer length in tokens.
+    :param spread: sigma of the logarithm of both; 0 for always the median.
+    :param deadline: seconds after arrival.
+    :param prefixes: how many shared prompt heads the class has, for each tenant.
+    """
+
+    name: str
+    prompt: int
+    output: int
+    spread: float
+    deadline: float
+    prefixes: int = 0
+    model: str = "model"
+    repeatable: bool = True
+
+
+PROFILES: dict[str, tuple[ClassProfile, ...]] = {
+    "trindade": (
+        ClassProfile("hold-check", 700, 2, 0.4, 5.0, prefixes=2),
+        ClassProfile("question", 900, 120, 0.5, 30.0, prefixes=1),
+        ClassProfile("appraisal", 3000, 900, 0.4, 180.0, prefixes=1),
+    ),
+    "alliance": (
+        ClassProfile("confirm-flag", 450, 2, 0.4, 5.0, prefixes=2),
+        ClassProfile("scene-note", 1200, 250, 0.5, 40.0, prefixes=1),
+        ClassProfile("call-sheet", 4000, 1200, 0.4, 150.0, prefixes=1),
+    ),
+}
+"""Short, middle and long class of each deployment, in that order."""
+
+SERVICE_PROFILES: dict[str, ClassProfile] = {
+    "trindade": ClassProfile("order", 1, 1, 0.0, 5.0, model="", repeatable=False),
+    "alliance": ClassProfile("push", 1, 1, 0.0, 5.0, model="", repeatable=False),
+}
+"""Calls of plain services that must not be repeated."""
+
+TENANTS = {"trindade": 12, "alliance": 8}
+"""Tenants of each deployment."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Flow:
+    """Requests of one class, as share of the fleet's time.
+
+    :param level: share of the fleet's time that the class asks for, at a time.
+    :param tenants: chances of each tenant, in any unit.
+    """
+
+    profile: ClassProfile
+    level: Level
+    tenants: tuple[float, ...]
+
+
+def even_tenants(deployment: str) -> tuple[float, ...]:
+    """Return chances that fall slowly from tenant to tenant."""
+    return tuple(1.0 / (1.0 + 0.15 * i) for i in range(TENANTS[deployment]))
+
+
+def draw(
+    flows: cabc.Sequence[Flow],
+    seconds: float,
+    fleet_seconds: cabc.Callable[[ClassProfile], float],
+    rng: random.Random,
+) -> tuple[TraceRequest, ...]:
+    """Draw a trace of so many seconds.
+
+    :param fleet_seconds: the whole fleet's time for a mean request of a class.
+    """
+    requests: list[TraceRequest] = []
+    for flow in flows:
+        requests += _draw_flow(flow, seconds, fleet_seconds(flow.profile), rng)
+    return tuple(sorted(requests, key=lambda r: r.at))
+
+
+def _draw_flow(
+    flow: Flow, seconds: float, fleet_seconds: float, rng: random.Random
+) -> list[TraceRequest]:
+    """Draw arrivals of a Poisson process whose rate follows the flow's level."""
+    requests: list[TraceRequest] = []
+    now = 0.0
+    peak = max(flow.level(seconds * i / 200.0) for i in range(201)) / fleet_seconds
+    if peak <= 0.0:
+        return []
+    while True:
+        now += rng.expovariate(peak)
+        if now >= seconds:
+            return requests
+        if rng.random() * peak * fleet_seconds <= flow.level(now):
+            requests.append(_request(flow, now, rng))
+
+
+def _request(flow: Flow, now: float, rng: random.Random) -> TraceRequest:
+    profile = flow.profile
+    tenant = rng.choices(range(len(flow.tenants)), flow.tenants)[0]
+    scale = math.exp(profile.spread * rng.gauss(0.0, 1.0))
+    length = math.exp(profile.spread * rng.gauss(0.0, 1.0))
+    prefix = None
+    if profile.prefixes:
+        prefix = f"{profile.name}-{tenant}-{rng.randrange(profile.prefixes)}"
+    return TraceRequest(
+        at=round(now, 4),
+        tenant=f"tenant-{tenant}",
+        klass=profile.name,
+        model=profile.model,
+        prompt_tokens=max(1, int(profile.prompt * min(scale, 4.0))),
+        output_tokens=max(1, round(profile.output * min(length, 4.0))),
+        prefix=prefix,
+        repeatable=profile.repeatable,
+        deadline=profile.deadline,
+    )
--- /dev/null
+++ b/src/bergamotmast/bench/world.py
@@ -0,0 +1,355 @@
+"""One whole deployment in one process: real entries, sides and planner.
+
+Only what lies behind the ports is a stand-in: engines, plain services, the instance
+list, the key-value service and the network between the processes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import typing as t
+
+from ..adapters.memory import MemoryNetwork
+from ..config import Configuration
+from ..config import Match
+from ..config import RequestClass
+from ..config import Route
+from ..config import Selector
+from ..config import Tenant
+from ..config import encode_configuration
+from ..config_holder import ConfigHolder
+from ..entry.core import EntryCore
+from ..errors import RequestError
+from ..errors import ResultCode
+from ..history import MemoryHistory
+from ..model import Assignment
+from ..model import InstanceInfo
+from ..model import Priority
+from ..model import Readiness
+from ..model import Role
+from ..model import ServiceAnswer
+from ..model import ServiceCall
+from ..model import UpstreamKind
+from ..policy.presets import PolicySet
+from ..side.core import SideCore
+from ..side.orders import OrderKeeper
+from ..side.runners import EngineRunner
+from ..side.runners import ServiceRunner
+from ..standins.engine import EngineStandIn
+from ..standins.key_value import KeyValueStandIn
+from ..standins.kv_exchange import KvExchange
+from .faults import Fault
+from .faults import FaultKind
+from .fleet import Fleet
+from .fleet import UpstreamPart
+from .trace import TraceRequest
+
+ROUTE = "calls"
+"""The one route of plain services."""
+
+SETTLE_SECONDS = 20.0
+"""Time before the trace begins, in which sessions open and the planner starts."""
+
+KIND_LABEL = "bench-kind"
+"""Label by which the generated selectors tell engines from plain services."""
+
+DEFAULT_MODEL = "model"
+
+
+class FakeInstanceList:
+    """The platform's list, with withdrawals on demand."""
+
+    def __init__(self, instances: list[InstanceInfo]) -> None:
+        self.listed = {info.name: info for info in instances}
+
+    async def instances(self) -> tuple[InstanceInfo, ...]:
+        """Return the list."""
+        return tuple(self.listed.values())
+
+    def withdraw(self, name: str) -> None:
+        """Say that an upstream is leaving."""
+        info = self.listed[name]
+        self.listed[name] = InstanceInfo(
+            info.name,
+            info.kind,
+            info.zone,
+            info.side_address,
+            info.upstream_url,
+            leaving=True,
+        )
+
+
+class FakePlainService:
+    """A plain service that takes a while, with so many calls at once."""
+
+    def __init__(self, part: UpstreamPart) -> None:
+        self.seconds = part.call_seconds
+        self.places = asyncio.Semaphore(part.max_calls)
+        self.calls = 0
+
+    async def call(self, call: ServiceCall) -> ServiceAnswer:
+        """Run one call."""
+        async with self.places:
+            self.calls += 1
+            await asyncio.sleep(self.seconds)
+        return ServiceAnswer(200, b"", "text/plain")
+
+
+class NoClaims:
+    """No call of a trace has a caller's key, so nothing is ever claimed."""
+
+    async def claim(self, key: str, digest: bytes) -> ServiceAnswer | None:
+        """Refuse."""
+        raise RequestError(ResultCode.CLAIM_UNAVAILABLE)
+
+    async def complete(self, key: str, answer: ServiceAnswer) -> None:
+        """Keep nothing."""
+
+    async def release(self, key: str) -> None:
+        """Keep nothing."""
+
+
+class World:
+    """A deployment that runs while its context is open.
+
+    :param fleet: its upstreams and entries.
+    :param policy_set: the decisions of all its processes.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        policy_set: PolicySet,
+        requests: tuple[TraceRequest, ...],
+        seed: int,
+    ) -> None:
+        self.fleet = fleet
+        self.policy_set = policy_set
+        self.seed = seed
+        self.history = MemoryHistory()
+        self.network = MemoryNetwork()
+        self.kv = KeyValueStandIn(delay=0.002)
+        self.exchange = KvExchange()
+        self.configuration = configuration_for(fleet, requests)
+        self.document = encode_configuration(self.configuration)
+        self.instance_list = FakeInstanceList(
+            [instance_info(part) for part in fleet.upstreams]
+        )
+        self.engines: dict[str, EngineStandIn] = {}
+        self.sides: dict[str, SideCore] = {}
+        self.entries: list[EntryCore] = []
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def __aenter__(self) -> World:
+        first_roles = self.policy_set.first_roles(len(self.fleet.engines()))
+        for part, role in zip(self.fleet.engines(), first_roles, strict=True):
+            self._start_engine(part, role)
+        for part in self.fleet.services():
+            runner = ServiceRunner(FakePlainService(part))
+            side = self._start_side(part, runner)
+            side.policy.configure(part.max_calls, 1, 1e6, 1e6, None)
+            side.on_engine(None, Readiness.READY)
+        for index in range(self.fleet.entries):
+            self._start_entry(index)
+        await self._start_planner()
+        await asyncio.sleep(SETTLE_SECONDS)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def rng(self, purpose: str) -> random.Random:
+        """Return a random source of its own for each purpose."""
+        return random.Random(f"{self.seed} {purpose}")
+
+    def _spawn(self, coroutine: t.Coroutine[t.Any, t.Any, None]) -> None:
+        self._tasks.append(asyncio.create_task(coroutine))
+
+    def _holder(self, process: str) -> ConfigHolder:
+        holder = ConfigHolder(process, self.history)
+        holder.offer(self.document)
+        return holder
+
+    def _start_engine(self, part: UpstreamPart, role: Role) -> None:
+        models, adapters = carried(self.configuration)
+        engine = EngineStandIn(
+            part.name,
+            self.fleet.spec(part),
+            assignment=Assignment(role, models, adapters),
+            exchange=self.exchange,
+            history=self.history,
+        )
+        self.engines[part.name] = engine
+        side = self._start_side(part, EngineRunner(engine))
+        keeper = OrderKeeper(
+            part.name,
+            engine,
+            self.kv.client(f"side-{part.name}"),
+            side,
+            side.on_engine,
+            self.rng(f"orders {part.name}"),
+        )
+        self._spawn(keeper.run())
+
+    def _start_side(
+        self, part: UpstreamPart, runner: EngineRunner | ServiceRunner
+    ) -> SideCore:
+        side = SideCore(
+            part.name,
+            self.network.listen(part.name),
+            runner,
+            self.policy_set.side_policy(),
+            self._holder(f"side-{part.name}"),
+            self.history,
+            f"side-{part.name}",
+        )
+        self.sides[part.name] = side
+        self._spawn(side.run())
+        return side
+
+    def _start_entry(self, index: int) -> None:
+        name = f"entry-{index}"
+        zone = self.fleet.zones[index % len(self.fleet.zones)]
+        entry = EntryCore(
+            name,
+            zone,
+            name,
+            self.network,
+            self.instance_list,
+            self.policy_set.entry_policy(self.rng(f"policy {name}"), zone),
+            self._holder(name),
+            NoClaims(),
+            self.rng(f"jitter {name}"),
+        )
+        self.entries.append(entry)
+        self._spawn(entry.run())
+
+    async def _start_planner(self) -> None:
+        """Run the planner beside the first entry."""
+
+    # Faults
+
+    async def play(self, fault: Fault, origin: float) -> None:
+        """Bring a fault about at its time and end it at its end."""
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(origin + fault.start - loop.time())
+        self._begin(fault)
+        if fault.kind is FaultKind.WITHDRAWAL:
+            return
+        await asyncio.sleep(origin + fault.end - loop.time())
+        self._finish(fault)
+
+    def _begin(self, fault: Fault) -> None:
+        name = self.fleet.engines()[fault.engine].name
+        match fault.kind:
+            case FaultKind.ENGINE_SPEED:
+                self.engines[name].set_speed(fault.speed)
+            case FaultKind.ENGINE_CRASH:
+                self.engines[name].crash()
+            case FaultKind.ENGINES_UNREACHABLE:
+                self._reach(False)
+            case FaultKind.WITHDRAWAL:
+                self.instance_list.withdraw(name)
+            case FaultKind.KEY_VALUE_DOWN:
+                self.kv.down = True
+
+    def _finish(self, fault: Fault) -> None:
+        name = self.fleet.engines()[fault.engine].name
+        match fault.kind:
+            case FaultKind.ENGINE_SPEED:
+                self.engines[name].set_speed(1.0)
+            case FaultKind.ENGINE_CRASH:
+                self.engines[name].restart()
+            case FaultKind.ENGINES_UNREACHABLE:
+                self._reach(True)
+            case FaultKind.KEY_VALUE_DOWN:
+                self.kv.down = False
+
+    def _reach(self, reachable: bool) -> None:
+        for engine in self.engines.values():
+            engine.reachable = reachable
+            if not reachable:
+                engine.break_connections()
+
+
+def instance_info(part: UpstreamPart) -> InstanceInfo:
+    """Return an upstream as the instance list names it."""
+    return InstanceInfo(part.name, part.kind, part.zone, part.name, f"mem:{part.name}")
+
+
+def configuration_for(
+    fleet: Fleet, requests: tuple[TraceRequest, ...]
+) -> Configuration:
+    """Return a configuration in which every request of a trace has a place."""
+    names = sorted({r.model for r in requests if r.model}) or [DEFAULT_MODEL]
+    models = sorted({name.partition(":")[0] for name in names})
+    adapters = sorted({a for a in (n.partition(":")[2] for n in names) if a})
+    labels = {
+        part.name: {**part.labels, KIND_LABEL: part.kind.value}
+        for part in fleet.upstreams
+    }
+    selectors = [
+        Selector(
+            name="models",
+            group=f"{KIND_LABEL}={UpstreamKind.ENGINE.value}",
+            models=tuple(f"{name}@1" for name in models),
+            adapters=tuple(f"{name}@1" for name in adapters),
+        )
+    ]
+    if fleet.services():
+        selectors.append(
+            Selector(
+                name="services",
+                group=f"{KIND_LABEL}={UpstreamKind.SERVICE.value}",
+                match=Match(routes=(ROUTE,)),
+            )
+        )
+    return Configuration(
+        generation=1,
+        labels=labels,
+        selectors=tuple(selectors),
+        classes=classes_for(fleet, requests),
+        tenants={r.tenant: Tenant() for r in requests} | fleet.tenants,
+        routes={ROUTE: Route(prefix=ROUTE, repeatable=False)},
+    )
+
+
+def carried(configuration: Configuration) -> tuple[tuple[str, ...], tuple[str, ...]]:
+    """Return the models and adapters of the engines' group."""
+    selector = configuration.selectors[0]
+    return selector.models, selector.adapters
+
+
+def classes_for(
+    fleet: Fleet, requests: tuple[TraceRequest, ...]
+) -> dict[str, RequestClass]:
+    """Return the fleet's classes, and one by its deadlines for each other class."""
+    longest: dict[str, float] = {}
+    for request in requests:
+        longest[request.klass] = max(longest.get(request.klass, 0.0), request.deadline)
+    made = {
+        name: RequestClass(
+            priority=_priority(deadline), first_token=deadline, total=deadline
+        )
+        for name, deadline in sorted(longest.items())
+    }
+    return made | fleet.classes
+
+
+INTERACTIVE_SECONDS = 10.0
+STANDARD_SECONDS = 60.0
+"""Longest deadlines of the two upper priorities, for classes without a definition."""
+
+
+def _priority(deadline: float) -> Priority:
+    if deadline <= INTERACTIVE_SECONDS:
+        return Priority.INTERACTIVE
+    return Priority.STANDARD if deadline <= STANDARD_SECONDS else Priority.BATCH
+
+
+def first_token_seconds(configuration: Configuration) -> dict[str, float]:
+    """Return the seconds each class allows to its first token."""
+    return {name: c.first_token for name, c in configuration.classes.items()}
--- a/src/bergamotmast/side/runners.py
+++ b/src/bergamotmast/side/runners.py
@@ -69,12 +69,13 @@
         buffer = ChunkBuffer(attempt.name)
         work = attempt.offer.work
         assert isinstance(work, messages.ModelWork)
+        prefill = 0 if work.kv_handle else work.prompt_tokens
         finished = False
         chunks = self.engine.generate(_generate_request(attempt, work))
         async with contextlib.aclosing(chunks):
             async for chunk in chunks:
                 first = buffer.last is None and chunk.index == work.resume_tokens
-                side.on_tokens(attempt, chunk.tokens, work.prompt_tokens * first)
+                side.on_tokens(attempt, chunk.tokens, prefill * first)
                 buffer.add(chunk)
                 finished = bool(chunk.finish)
                 await self._flush(attempt, side, buffer)
