HTTP adapters and fronts for everything outside, and the smaller stand-ins

The library's reader of lines refuses lines over 128 KB; a value may be a megabyte, so watches and streams are split by our own reader.

503 and 4xx mean that nothing was begun; any other error, a broken connection or a timeout after the request was written leaves the outcome unknown.

--- /dev/null
+++ b/src/bergamotmast/adapters/instance_list_http.py
@@ -0,0 +1,41 @@
+"""The instance list over HTTP."""
+
+from __future__ import annotations
+
+import aiohttp
+import msgspec
+
+from ..errors import ReplyLostError
+from ..model import InstanceInfo
+from .http_calls import exchange
+
+CALL_SECONDS = 2.0
+"""Time one call may take."""
+
+_INSTANCES = msgspec.json.Decoder(tuple[InstanceInfo, ...])
+
+
+class HttpInstanceList:
+    """An :class:`~bergamotmast.ports.InstanceList`.
+
+    :param url: base address, without a path.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
+        self.session = session
+        self.url = url.rstrip("/")
+
+    async def instances(self) -> tuple[InstanceInfo, ...]:
+        """Read the list.
+
+        :raises PortError: if it can't be read.
+        """
+        url = f"{self.url}/instances"
+        async with exchange(self.session, "GET", url, total=CALL_SECONDS) as response:
+            if response.status != 200:
+                raise ReplyLostError(f"the instance list answered {response.status}")
+            data = await response.read()
+        try:
+            return _INSTANCES.decode(data)
+        except msgspec.DecodeError as error:
+            raise ReplyLostError(f"the instance list: {error}") from error
--- /dev/null
+++ b/src/bergamotmast/adapters/key_value_http.py
@@ -0,0 +1,155 @@
+"""The key-value service over HTTP, in the style of etcd's v3 JSON gateway."""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import contextlib
+
+import aiohttp
+import msgspec
+
+from ..errors import KeyValueOutcomeUnknownError
+from ..errors import KeyValueUnavailableError
+from ..errors import LeaseLapsedError
+from ..errors import NotReachedError
+from ..errors import ReplyLostError
+from ..ports import Compare
+from ..ports import Delete
+from ..ports import KeyValue
+from ..ports import Put
+from ..ports import RangeResult
+from ..ports import TxnResult
+from ..ports import WatchEvent
+from .http_calls import JSON_TYPE
+from .http_calls import exchange
+from .http_calls import split_stream
+from .key_value_json import JsonObject
+from .key_value_json import encode_text
+from .key_value_json import prefix_range
+from .key_value_json import read_key_value
+from .key_value_json import read_revision
+from .key_value_json import read_watch_events
+from .key_value_json import write_compare
+from .key_value_json import write_operation
+
+CALL_SECONDS = 2.0
+"""Time one call may take; a watch may take any."""
+
+CLIENT_HEADER = "X-Client"
+"""Names the caller, for the service's own accounting."""
+
+
+class HttpKeyValueService:
+    """A :class:`~bergamotmast.ports.KeyValueService`.
+
+    :param url: base address, without a path.
+    :param client: name the service may account calls to.
+    """
+
+    def __init__(
+        self, session: aiohttp.ClientSession, url: str, client: str = ""
+    ) -> None:
+        self.session = session
+        self.url = url.rstrip("/")
+        self.headers = JSON_TYPE | {CLIENT_HEADER: client}
+
+    async def get(self, key: str) -> KeyValue | None:
+        """Read one key."""
+        answer = await self._read("/v3/kv/range", {"key": encode_text(key)})
+        items = answer.get("kvs", [])
+        return read_key_value(items[0]) if items else None
+
+    async def range(self, prefix: str) -> RangeResult:
+        """Read every key below a prefix."""
+        answer = await self._read("/v3/kv/range", prefix_range(prefix))
+        items = tuple(read_key_value(item) for item in answer.get("kvs", []))
+        return RangeResult(items, read_revision(answer))
+
+    async def txn(
+        self, compares: cabc.Sequence[Compare], writes: cabc.Sequence[Put | Delete]
+    ) -> TxnResult:
+        """Apply all writes if all conditions hold, else none."""
+        body = {
+            "compare": [write_compare(compare) for compare in compares],
+            "success": [write_operation(write) for write in writes],
+        }
+        answer = await self._write("/v3/kv/txn", body)
+        return TxnResult(bool(answer.get("succeeded")), read_revision(answer))
+
+    async def grant_lease(self, ttl_seconds: int) -> int:
+        """Create a lease and return its id."""
+        answer = await self._write("/v3/lease/grant", {"TTL": str(ttl_seconds)})
+        return int(answer["ID"])
+
+    async def keep_alive(self, lease: int) -> bool:
+        """Renew a lease; ``False`` if it has lapsed."""
+        answer = await self._write("/v3/lease/keepalive", {"ID": str(lease)})
+        return int(answer.get("result", {}).get("TTL", 0)) > 0
+
+    async def revoke_lease(self, lease: int) -> None:
+        """End a lease and delete its keys."""
+        # That the lease has lapsed already is as good.
+        with contextlib.suppress(LeaseLapsedError):
+            await self._write("/v3/kv/lease/revoke", {"ID": str(lease)})
+
+    async def watch(
+        self, prefix: str, from_revision: int
+    ) -> cabc.AsyncGenerator[WatchEvent | None, None]:
+        """Yield changes below a prefix in order; ``None`` is a sign of life."""
+        create = {
+            **prefix_range(prefix),
+            "start_revision": str(from_revision),
+            "progress_notify": True,
+        }
+        body = msgspec.json.encode({"create_request": create})
+        try:
+            async with self._post("/v3/watch", body, None) as response:
+                _refuse_error(response.status)
+                async for line in split_stream(response, b"\n"):
+                    for event in read_watch_events(msgspec.json.decode(line)):
+                        yield event
+        except (NotReachedError, ReplyLostError, msgspec.DecodeError) as error:
+            raise KeyValueUnavailableError(str(error)) from error
+        raise KeyValueUnavailableError("the watch ended")
+
+    async def _read(self, path: str, body: JsonObject) -> JsonObject:
+        try:
+            return await self._call(path, body)
+        except (NotReachedError, ReplyLostError, msgspec.DecodeError) as error:
+            raise KeyValueUnavailableError(str(error)) from error
+
+    async def _write(self, path: str, body: JsonObject) -> JsonObject:
+        try:
+            return await self._call(path, body)
+        except NotReachedError as error:
+            raise KeyValueUnavailableError(error.message) from error
+        except (ReplyLostError, msgspec.DecodeError) as error:
+            raise KeyValueOutcomeUnknownError(str(error)) from error
+
+    async def _call(self, path: str, body: JsonObject) -> JsonObject:
+        data = msgspec.json.encode(body)
+        async with self._post(path, data, CALL_SECONDS) as response:
+            _refuse_error(response.status)
+            return msgspec.json.decode(await response.read(), type=JsonObject)
+
+    def _post(
+        self, path: str, data: bytes, total: float | None
+    ) -> contextlib.AbstractAsyncContextManager[aiohttp.ClientResponse]:
+        return exchange(
+            self.session,
+            "POST",
+            self.url + path,
+            total=total,
+            data=data,
+            headers=self.headers,
+        )
+
+
+def _refuse_error(status: int) -> None:
+    """Raise for an error: 503 and 4xx say that nothing was done, others do not."""
+    if status == 404:
+        raise LeaseLapsedError("the lease has lapsed")
+    if status == 503 or 400 <= status < 500:
+        raise KeyValueUnavailableError(f"the key-value service answered {status}")
+    if status != 200:
+        raise ReplyLostError(f"the key-value service answered {status}")
--- /dev/null
+++ b/src/bergamotmast/adapters/service_http.py
@@ -0,0 +1,56 @@
+"""A plain service over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+
+from ..errors import NotReachedError
+from ..model import ServiceAnswer
+from ..model import ServiceCall
+from .http_calls import exchange
+
+KEY_HEADER = "Idempotency-Key"
+REQUEST_HEADER = "X-Request-Id"
+DEFAULT_CONTENT_TYPE = "application/octet-stream"
+
+
+class HttpService:
+    """A :class:`~bergamotmast.ports.PlainService`.
+
+    :param url: base address, without a path.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
+        self.session = session
+        self.url = url.rstrip("/")
+
+    async def call(self, call: ServiceCall) -> ServiceAnswer:
+        """Run one call and return its whole answer, whatever its status.
+
+        :raises NotReachedError: also where the deadline has passed before it is sent.
+        """
+        budget = call.deadline - asyncio.get_running_loop().time()
+        if budget <= 0:
+            raise NotReachedError("the deadline has passed")
+        async with exchange(
+            self.session,
+            call.method,
+            self.url + call.path,
+            total=budget,
+            data=call.body or None,
+            headers=_headers(call),
+        ) as response:
+            body = await response.read()
+        content_type = response.headers.get("Content-Type", DEFAULT_CONTENT_TYPE)
+        return ServiceAnswer(response.status, body, content_type)
+
+
+def _headers(call: ServiceCall) -> dict[str, str]:
+    headers = {REQUEST_HEADER: call.request_id}
+    if call.idempotency_key:
+        headers[KEY_HEADER] = call.idempotency_key
+    if call.content_type:
+        headers["Content-Type"] = call.content_type
+    return headers
--- /dev/null
+++ b/src/bergamotmast/adapters/weights_http.py
@@ -0,0 +1,68 @@
+"""The weight store over HTTP."""
+
+from __future__ import annotations
+
+import urllib.parse
+
+import aiohttp
+import msgspec
+
+from ..errors import PortError
+from ..errors import ReplyLostError
+from .http_calls import exchange
+
+CALL_SECONDS = 2.0
+"""Time one call may take; a load may take any."""
+
+
+class StoreBody(msgspec.Struct, frozen=True):
+    """What the store says of itself.
+
+    :param sizes: gigabytes of each version.
+    :param gigabytes_per_second: rate that all loads share.
+    """
+
+    sizes: dict[str, float]
+    gigabytes_per_second: float
+
+
+class HttpWeightStore:
+    """A :class:`~bergamotmast.ports.WeightStore`.
+
+    :param url: base address, without a path.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
+        self.session = session
+        self.url = url.rstrip("/")
+
+    async def sizes(self) -> dict[str, float]:
+        """Read the size of each model or adapter version, in gigabytes."""
+        return (await self._store()).sizes
+
+    async def rate(self) -> float:
+        """Read the rate that all loads share, in gigabytes a second."""
+        return (await self._store()).gigabytes_per_second
+
+    async def load(self, version: str) -> None:
+        """Return when a version has been read, as an engine does.
+
+        :raises PortError: for a version the store does not hold.
+        """
+        quoted = urllib.parse.quote(version, safe="")
+        await self._call("POST", f"/loads/{quoted}", None)
+
+    async def _store(self) -> StoreBody:
+        data = await self._call("GET", "/store", CALL_SECONDS)
+        try:
+            return msgspec.json.decode(data, type=StoreBody)
+        except msgspec.DecodeError as error:
+            raise ReplyLostError(f"the weight store: {error}") from error
+
+    async def _call(self, method: str, path: str, total: float | None) -> bytes:
+        async with exchange(
+            self.session, method, self.url + path, total=total
+        ) as response:
+            if response.status != 200:
+                raise PortError(f"the weight store answered {response.status}")
+            return await response.read()
--- a/src/bergamotmast/standins/kv_exchange.py
+++ b/src/bergamotmast/standins/kv_exchange.py
@@ -10,15 +10,20 @@
 
 
 class KvExchange:
-    """Exports by handle, shared by the engines of one process."""
+    """Exports by handle, shared by the engines of one process.
 
-    def __init__(self) -> None:
+    :param trusts_handles: take a handle of another process's engine at its word; that
+        engine's crash then goes unnoticed.
+    """
+
+    def __init__(self, trusts_handles: bool = False) -> None:
+        self.trusts_handles = trusts_handles
         self._tokens: collections.OrderedDict[str, int] = collections.OrderedDict()
         self._numbers = itertools.count(1)
 
     def export(self, boot_id: str, tokens: int) -> str:
         """Keep an engine's export and return its handle, which names the engine."""
-        handle = f"{boot_id}/{next(self._numbers)}"
+        handle = f"{boot_id}/{next(self._numbers)}/{tokens}"
         self._tokens[handle] = tokens
         if len(self._tokens) > EXPORTS_KEPT:
             self._tokens.popitem(last=False)
@@ -26,7 +31,11 @@
 
     def take(self, handle: str) -> int | None:
         """Remove an export and return its length in tokens, if it is still kept."""
-        return self._tokens.pop(handle, None)
+        tokens = self._tokens.pop(handle, None)
+        if tokens is None and self.trusts_handles:
+            last = handle.rpartition("/")[2]
+            return int(last) if last.isdecimal() else None
+        return tokens
 
     def forget(self, boot_id: str) -> None:
         """Drop the exports of an engine that crashed."""
--- /dev/null
+++ b/src/bergamotmast/standins/small_fronts.py
@@ -0,0 +1,117 @@
+"""HTTP fronts of the plain service, the instance list and the weight store."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+from aiohttp import web
+
+from ..adapters.service_http import KEY_HEADER
+from ..adapters.service_http import REQUEST_HEADER
+from ..adapters.weights_http import StoreBody
+from ..errors import NotReachedError
+from ..model import InstanceInfo
+from ..model import Priority
+from ..model import ServiceCall
+from . import http_front
+from .instance_list import InstanceListStandIn
+from .service import ServiceStandIn
+from .weights import WeightStoreStandIn
+
+CALL_BUDGET = 3600.0
+"""Seconds a call may take as far as the service is concerned."""
+
+
+def service_application(standin: ServiceStandIn) -> web.Application:
+    """Serve a plain service at any path.
+
+    While it is not reachable it drops connections: an answer of any status would be
+    the service's own.
+    """
+
+    async def call(request: web.Request) -> web.Response:
+        try:
+            answer = await standin.call(await _service_call(request))
+        except NotReachedError:
+            return http_front.drop(request)
+        response = web.Response(status=answer.status, body=answer.body)
+        response.headers["Content-Type"] = answer.content_type
+        return response
+
+    app = http_front.application()
+    knobs: dict[str, http_front.Knob] = {
+        "crash": standin.crash,
+        "restart": standin.restart,
+        "seconds": http_front.attribute(standin, "seconds"),
+        "status": http_front.attribute(standin, "status"),
+        "reachable": http_front.attribute(standin, "reachable"),
+        "lost_replies": http_front.attribute(standin, "lost_replies"),
+    }
+    http_front.add_control(
+        app, knobs, lambda: {"executions": dict(standin.executions), "up": standin.up}
+    )
+    app.router.add_route("*", "/{path:.*}", call)
+    return app
+
+
+async def _service_call(request: web.Request) -> ServiceCall:
+    deadline = asyncio.get_running_loop().time() + CALL_BUDGET
+    return ServiceCall(
+        request_id=request.headers.get(REQUEST_HEADER, ""),
+        tenant="",
+        request_class="",
+        priority=Priority.STANDARD,
+        route="",
+        method=request.method,
+        path=request.path_qs,
+        body=await request.read(),
+        content_type=request.content_type,
+        repeatable=True,
+        idempotency_key=request.headers.get(KEY_HEADER, ""),
+        deadline=deadline,
+    )
+
+
+def instance_list_application(standin: InstanceListStandIn) -> web.Application:
+    """Serve the instance list at ``/instances``."""
+
+    async def instances(request: web.Request) -> web.Response:
+        return http_front.json_response(await standin.instances())
+
+    def put(**fields: object) -> None:
+        standin.put(msgspec.convert(fields, InstanceInfo))
+
+    app = http_front.application()
+    app.router.add_get("/instances", instances)
+    knobs: dict[str, http_front.Knob] = {
+        "put": put,
+        "remove": standin.remove,
+        "leaving": standin.set_leaving,
+        "down": http_front.attribute(standin, "down"),
+        "lag": http_front.attribute(standin, "lag"),
+    }
+    http_front.add_control(app, knobs, lambda: {"reads": standin.reads})
+    return app
+
+
+def weight_store_application(standin: WeightStoreStandIn) -> web.Application:
+    """Serve the weight store at ``/store`` and ``/loads/{version}``."""
+
+    async def store(request: web.Request) -> web.Response:
+        body = StoreBody(await standin.sizes(), await standin.rate())
+        return http_front.json_response(body)
+
+    async def load(request: web.Request) -> web.Response:
+        await standin.load(request.match_info["version"])
+        return web.Response()
+
+    app = http_front.application()
+    app.router.add_get("/store", store)
+    app.router.add_post("/loads/{version}", load)
+    knobs: dict[str, http_front.Knob] = {
+        "down": http_front.attribute(standin, "down"),
+        "rate": http_front.attribute(standin, "gigabytes_per_second"),
+    }
+    http_front.add_control(app, knobs, lambda: {"loads": standin.loads})
+    return app
