--- a/src/bergamotmast/selection.py
+++ b/src/bergamotmast/selection.py
@@ -6,6 +6,7 @@
 from .config import Match
 from .config import Selector
 from .config import SelectorState
+from .config_groups import GroupIndex
 from .model import ModelCall
 from .model import ServiceCall
 
@@ -50,8 +51,9 @@
         self.serving = tuple(
             s for s in configuration.selectors if s.state is SelectorState.SERVING
         )
-        self.members = {s.name: _members(configuration, s) for s in self.serving}
-        self.leaving = _leaving(configuration)
+        groups = GroupIndex(configuration)
+        self.members = {s.name: groups.members(s) for s in self.serving}
+        self.leaving = _leaving(configuration, groups)
         self.known = frozenset().union(*map(carried_names, self.serving))
 
     def knows_model(self, model: str) -> bool:
@@ -73,15 +75,9 @@
     return carried_names(selector).issuperset(wanted_names(call.model))
 
 
-def _members(configuration: Configuration, selector: Selector) -> frozenset[str]:
-    return frozenset(
-        name for name in configuration.labels if selector in configuration.group(name)
-    )
-
-
-def _leaving(configuration: Configuration) -> frozenset[str]:
-    return frozenset(
-        name
-        for name in configuration.labels
-        if any(s.state is not SelectorState.SERVING for s in configuration.group(name))
-    )
+def _leaving(configuration: Configuration, groups: GroupIndex) -> frozenset[str]:
+    leaving: set[str] = set()
+    for selector in configuration.selectors:
+        if selector.state is not SelectorState.SERVING:
+            leaving |= groups.members(selector)
+    return frozenset(leaving)
