A session ends with the first frame it loses; a closing entry serves on

Cause: with a full buffer a frame was dropped in silence. If it was the last chunk of an answer, or a grant of credit, the caller waited until its deadline. Retrying single frames was weighed and left: order and duplicates would have to be handled at both ends. A side's last answers get two seconds to leave its socket when it shuts down. An entry told to end serves on while the balancer still sends callers.

--- a/src/bergamotmast/adapters/zeromq.py
+++ b/src/bergamotmast/adapters/zeromq.py
@@ -14,6 +14,9 @@
 HIGH_WATER_MARK = 1000
 """Frames queued for one connection before it counts as taking no more."""
 
+CLOSE_LINGER_MILLISECONDS = 2000
+"""How long the last answers of a side that shuts down may take to go out."""
+
 HANDSHAKE_MILLISECONDS = 5000
 """How long a peer may take to show its key."""
 
@@ -140,8 +143,8 @@
             raise NotReachedError(f"not handed over: {error}") from error
 
     def close(self) -> None:
-        """Release the address."""
-        self.socket.close(linger=0)
+        """Release the address; answers just handed over still go out for a while."""
+        self.socket.close(linger=CLOSE_LINGER_MILLISECONDS)
         if self.authenticator is not None:
             self.authenticator.stop()
 
--- a/src/bergamotmast/entry/core.py
+++ b/src/bergamotmast/entry/core.py
@@ -36,6 +36,9 @@
 
 logger = logging.getLogger(__name__)
 
+SHUTDOWN_NOTICE = 5.0
+"""Seconds that the platform's balancer is given to notice that an entry leaves."""
+
 
 class EntryCore:
     """One entry process without its sockets.
@@ -75,6 +78,7 @@
             name, zone, instance_list, self._open_peer, holder, rng
         )
         self.closing = False
+        self.refusing = False
         self.in_flight = 0
         self._attempts = itertools.count(1)
         self._hellos = itertools.count(1)
@@ -85,9 +89,17 @@
         """Keep connections to the sides until cancelled."""
         await self.membership.run()
 
-    async def close(self) -> None:
-        """Refuse new requests and wait until the last answer is out."""
+    async def close(self, notice: float = SHUTDOWN_NOTICE) -> None:
+        """Stop being ready, serve on for a while, then until the last answer is out.
+
+        The balancer sends callers here until it has seen that the entry is not ready;
+        refusing at once would turn them away for a planned change.
+
+        :param notice: seconds that the balancer is given.
+        """
         self.closing = True
+        await asyncio.sleep(notice)
+        self.refusing = True
         await self._idle.wait()
 
     @property
@@ -164,7 +176,7 @@
         )
 
     def _check_open(self) -> None:
-        if self.closing:
+        if self.refusing:
             raise RequestError(ResultCode.SHUTTING_DOWN, retry_after=1.0)
 
     def _measure_chunk(self, call: ModelCall, chunk: TokenChunk, last: float) -> float:
--- a/src/bergamotmast/entry/peer.py
+++ b/src/bergamotmast/entry/peer.py
@@ -67,6 +67,7 @@
         self.report: SideReport | None = None
         self.reported_at = 0.0
         self.generation = 0
+        self.frame_lost = False
         self.attempts: dict[str, EntryAttempt] = {}
         self.since_report = Cost(0, 0)
 
@@ -190,6 +191,8 @@
             async with asyncio.timeout(self.interval * timing.MISSED_BY_ENTRY):
                 frame = await link.receive()
             message = self._decode(frame)
+            if self.frame_lost:
+                return
             if isinstance(message, messages.SessionUnknown):
                 if message.session == session:
                     return
@@ -207,6 +210,7 @@
         replaced = welcome.incarnation != self.side_incarnation
         self.side_incarnation = welcome.incarnation
         self.session = welcome.session
+        self.frame_lost = False
         for attempt in list(self.attempts.values()):
             if replaced:
                 attempt.events.put_nowait(SideReplaced())
@@ -295,5 +299,8 @@
         try:
             await self.link.send(messages.encode(message))
         except NotReachedError:
+            # A lost grant of credit would stall its stream until the deadline, so
+            # the session ends with the first frame lost.
+            self.frame_lost = True
             return False
         return True
--- a/src/bergamotmast/side/attempt.py
+++ b/src/bergamotmast/side/attempt.py
@@ -82,11 +82,11 @@
         self.tokens += chunk.tokens
         self.parts.append(chunk.text)
 
-    def take(self) -> Chunk | None:
-        """Return everything that waits as one message."""
+    def message(self) -> Chunk | None:
+        """Return everything that waits as one message, and keep it."""
         if self.first is None or self.last is None:
             return None
-        message = Chunk(
+        return Chunk(
             attempt=self.attempt,
             index=self.first.index,
             tokens=self.tokens,
@@ -95,5 +95,3 @@
             cached_tokens=self.first.cached_tokens,
             kv_handle=self.last.kv_handle,
         )
-        self.clear()
-        return message
--- a/src/bergamotmast/side/core.py
+++ b/src/bergamotmast/side/core.py
@@ -201,7 +201,8 @@
         now = self._now()
         if now - self.alive_at > timing.SIDE_TIMEOUT:
             logger.warning("did not run for %.1f s: sessions end", now - self.alive_at)
-            self.sessions.by_name.clear()
+            for session in list(self.sessions.by_name.values()):
+                self._end_session(session)
             self.alive_at = now
 
     async def _handle(self, peer: bytes, message: messages.ToSide) -> None:
@@ -443,13 +444,18 @@
     def _drop_lost_sessions(self, now: float) -> None:
         for session in self.sessions.expired(now):
             logger.info("entry %s was not heard in time", session.entry)
-            for attempt in self._of_session(session):
-                if attempt.phase is AttemptPhase.WAITING:
-                    self.policy.withdraw(attempt.name)
-                    self.attempts.pop(attempt.name)
-                    self._record(attempt.offer, "never_started")
-                elif attempt.is_model:
-                    self._end_stream(attempt)
+            self._end_session(session)
+
+    def _end_session(self, session: Session) -> None:
+        """End a session whose entry can't be answered: its calls of services go on."""
+        self.sessions.end(session)
+        for attempt in self._of_session(session):
+            if attempt.phase is AttemptPhase.WAITING:
+                self.policy.withdraw(attempt.name)
+                self.attempts.pop(attempt.name)
+                self._record(attempt.offer, "never_started")
+            elif attempt.is_model:
+                self._end_stream(attempt)
 
     def _forget_answers(self, now: float) -> None:
         done = AttemptPhase.DONE
@@ -506,10 +512,18 @@
     # Small helpers
 
     async def send(self, peer: bytes, message: messages.ToEntry) -> bool:
-        """Send to an entry; ``False`` if it is gone, which its timeout will tell."""
+        """Send to an entry; ``False`` if it is gone or takes no more.
+
+        A frame that is dropped, because the entry was stopped and its buffers are
+        full, may be the last of an answer: the entry would wait for it until the
+        caller's deadline. So the session ends with the first frame lost; the entry
+        learns that with its next heartbeat and resumes or asks in a new one.
+        """
         try:
             await self.listener.send(peer, messages.encode(message))
         except NotReachedError:
+            for session in self.sessions.of_peer(peer):
+                self._end_session(session)
             return False
         return True
 
--- a/src/bergamotmast/side/runners.py
+++ b/src/bergamotmast/side/runners.py
@@ -88,9 +88,10 @@
     ) -> None:
         if attempt.credit <= 0:
             return
-        message = buffer.take()
+        message = buffer.message()
         if message is not None:
             attempt.credit -= 1
+            buffer.clear()
             await side.send(attempt.session.peer, message)
 
     async def _flush_last(
--- a/src/bergamotmast/side/session.py
+++ b/src/bergamotmast/side/session.py
@@ -96,7 +96,7 @@
         )
         session.on_heard(now)
         if earlier is not None:
-            self.by_name.pop(earlier.name, None)
+            self.end(earlier)
         self.by_name[session.name] = session
         self.by_incarnation[hello.incarnation] = session
         self.by_incarnation.move_to_end(hello.incarnation)
@@ -111,13 +111,14 @@
             return None
         return session
 
-    def expired(self, now: float) -> list[Session]:
-        """Take out and return the sessions whose entries were not heard in time.
+    def of_peer(self, peer: bytes) -> list[Session]:
+        """Return the open sessions whose frames come from a peer."""
+        return [s for s in self.by_name.values() if s.peer == peer]
 
-        Only the name is forgotten: the incarnation stays known with its counter, so
-        that a late hello of it is still told from a new one.
-        """
-        lost = [s for s in self.by_name.values() if s.expires_at <= now]
-        for session in lost:
-            del self.by_name[session.name]
-        return lost
+    def end(self, session: Session) -> None:
+        """Take a session out; its incarnation stays known with its counter."""
+        self.by_name.pop(session.name, None)
+
+    def expired(self, now: float) -> list[Session]:
+        """Return the open sessions whose entries were not heard in time."""
+        return [s for s in self.by_name.values() if s.expires_at <= now]
