The whole path: demonstration, daemons and their commands, load driver, status

The demonstration runs ten upstreams with their sides, two entries and every stand-in in one process, with real HTTP and ZeroMQ between callers, entries and sides.

--- a/src/bergamotmast/app.py
+++ b/src/bergamotmast/app.py
@@ -11,8 +11,11 @@
 import typing as t
 
 from .config_holder import ConfigHolder
+from .config_store import ConfigStore
 from .config_watch import ConfigWatcher
+from .entry.admin import AdminHttp
 from .entry.core import EntryCore
+from .entry.fleet import read_fleet
 from .entry.http import EntryHttp
 from .history import HistorySink
 from .model import NO_TOKEN
@@ -37,6 +40,8 @@
     from .ports import Listener
     from .ports import PlainService
 
+ADMIN_PATH = "/admin/v1"
+
 SERVICE_RATE = 1e6
 """Tokens a second of a plain service, whose calls count as one token each."""
 
@@ -81,6 +86,7 @@
     ) -> None:
         self.holder = ConfigHolder(parts.name, parts.history)
         self.watcher = ConfigWatcher(parts.kv, self.holder, parts.rng)
+        self.store = ConfigStore(parts.kv, parts.history)
         self.core = EntryCore(
             name=parts.name,
             zone=parts.zone,
@@ -96,7 +102,10 @@
 
     def application(self) -> web.Application:
         """Return the HTTP application that serves callers."""
-        return EntryHttp(self.core).application()
+        application = EntryHttp(self.core).application()
+        admin = AdminHttp(self.holder, self.store, lambda: read_fleet(self.core))
+        application.add_subapp(ADMIN_PATH, admin.application())
+        return application
 
     async def run(self) -> None:
         """Run until cancelled."""
--- a/src/bergamotmast/cli.py
+++ b/src/bergamotmast/cli.py
@@ -50,7 +50,16 @@
         return t.cast(CommandModule, module)
 
 
-COMMANDS = (Command("config", "check, show, compare, edit the configuration"),)
+COMMANDS = (
+    Command("entry", "take callers in and send their requests to sides"),
+    Command("side", "stand before one upstream"),
+    Command("config", "check, show, compare, edit the configuration"),
+    Command("status", "show the fleet as an entry knows it"),
+    Command("load", "replay a trace against an entry"),
+    Command("bench", "compare policies on a trace or scenario, in virtual time"),
+    Command("standin", "run a stand-in of something outside as a daemon"),
+    Command("demo", "run the whole system in one process, under real traffic"),
+)
 
 
 def main(argv: cabc.Sequence[str] | None = None) -> int:
--- /dev/null
+++ b/src/bergamotmast/commands/status.py
@@ -0,0 +1,108 @@
+"""The ``status`` command: the fleet as one entry knows it."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import time
+
+import aiohttp
+import msgspec
+
+from ..entry.fleet import FleetStatus
+from ..entry.fleet import UpstreamStatus
+from ..errors import BergamotmastError
+from ..errors import SettingError
+
+TIMEOUT = aiohttp.ClientTimeout(total=10.0)
+
+CLEAR_SCREEN = "\x1b[2J\x1b[H"
+
+COLUMNS = (
+    "UPSTREAM",
+    "ZONE",
+    "STATE",
+    "ROLE",
+    "RUNNING",
+    "QUEUED",
+    "KV FREE",
+    "GENERATION",
+    "CARRIES",
+    "LABELS",
+)
+
+
+class StatusError(BergamotmastError):
+    """The entry did not give its status."""
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Give the parser its arguments."""
+    parser.add_argument("--url", required=True, help="address of an entry")
+    parser.add_argument(
+        "--admin-key", required=True, metavar="KEY", help="key with the read scope"
+    )
+    parser.add_argument("--json", action="store_true", help="print one JSON object")
+    parser.add_argument(
+        "--watch",
+        type=float,
+        metavar="SECONDS",
+        help="print again each so many seconds until interrupted",
+    )
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Print the fleet, once or until interrupted."""
+    if arguments.watch is not None and arguments.watch <= 0:
+        raise SettingError("--watch", str(arguments.watch), "seconds above 0")
+    while True:
+        status = asyncio.run(_read(arguments.url, arguments.admin_key))
+        text = msgspec.json.encode(status).decode() if arguments.json else table(status)
+        if arguments.watch is None:
+            print(text)
+            return 0
+        print(CLEAR_SCREEN + text, flush=True)
+        time.sleep(arguments.watch)
+
+
+async def _read(url: str, key: str) -> FleetStatus:
+    headers = {"Authorization": f"Bearer {key}"}
+    address = url.rstrip("/") + "/admin/v1/fleet"
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=TIMEOUT) as session,
+            session.get(address, headers=headers) as response,
+        ):
+            body = await response.read()
+            if response.status != 200:
+                raise StatusError(f"{address} answered {response.status}: {body!r}")
+            return msgspec.json.decode(body, type=FleetStatus)
+    except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError) as error:
+        raise StatusError(f"{address}: {error}") from error
+
+
+def table(status: FleetStatus) -> str:
+    """Return the fleet as a table with a head line."""
+    rows = [COLUMNS, *(_row(upstream) for upstream in status.upstreams)]
+    widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
+    lines = ["  ".join(map(str.ljust, row, widths)).rstrip() for row in rows]
+    head = f"entry {status.entry}, configuration generation {status.generation}"
+    return "\n".join([head, *lines])
+
+
+def _row(upstream: UpstreamStatus) -> tuple[str, ...]:
+    state = upstream.readiness if upstream.connected else "not connected"
+    if upstream.leaving:
+        state = "leaving"
+    return (
+        upstream.name,
+        upstream.zone,
+        state,
+        upstream.role or "-",
+        f"{upstream.running}/{upstream.max_streams}",
+        str(upstream.queued),
+        f"{upstream.kv_free:.0%}",
+        str(upstream.generation),
+        ",".join(upstream.models) or "-",
+        ",".join(f"{k}={v}" for k, v in sorted(upstream.labels.items())) or "-",
+    )
--- /dev/null
+++ b/src/bergamotmast/daemons.py
@@ -0,0 +1,220 @@
+"""The thin daemons: an entry and a side as processes of their own."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc as cabc
+import contextlib
+import logging
+import random
+import signal
+import ssl
+import sys
+import typing as t
+
+import aiohttp
+import zmq.asyncio
+from aiohttp import web
+
+from .adapters.curve_files import load_keys
+from .adapters.engine_http import HttpEngine
+from .adapters.instance_list_http import HttpInstanceList
+from .adapters.key_value_http import HttpKeyValueService
+from .adapters.metrics import OpenTelemetryMetrics
+from .adapters.service_http import HttpService
+from .adapters.zeromq import ZmqDialer
+from .adapters.zeromq import ZmqListener
+from .app import EntryProcess
+from .app import ProcessParts
+from .app import SideProcess
+from .app import engine_side
+from .app import service_side
+from .entry.service_run import UnclaimedCalls
+from .errors import SettingError
+from .history import NullHistory
+from .policy.presets import PRESETS
+from .settings import EntrySettings
+from .settings import SharedSettings
+from .settings import SideSettings
+
+if t.TYPE_CHECKING:
+    from .ports import KeyValueService
+
+logger = logging.getLogger(__name__)
+
+METRICS_PATH = "/metrics"
+
+
+async def serve_entry(settings: EntrySettings) -> None:
+    """Run an entry until it is told to end and its last answer is out."""
+    async with _outside(settings) as (session, context):
+        metrics = OpenTelemetryMetrics(settings.name)
+        parts = _parts(settings, _key_values(settings, session), metrics)
+        keys = load_keys(settings.curve_secret_file, settings.curve_peers_file)
+        entry = EntryProcess(
+            parts,
+            ZmqDialer(context, keys),
+            HttpInstanceList(session, settings.instance_list_url),
+            UnclaimedCalls(),
+        )
+        application = entry.application()
+        application.router.add_get(METRICS_PATH, _exposition(metrics))
+        async with (
+            _serving(application, settings.listen_address, _tls(settings)),
+            _running(entry.run()),
+        ):
+            await _until_told()
+            await _bounded(entry.close(), settings.shutdown_seconds)
+
+
+async def serve_side(settings: SideSettings) -> None:
+    """Run a side until it is told to end and its work in flight is done."""
+    async with _outside(settings) as (session, context):
+        metrics = OpenTelemetryMetrics(settings.name)
+        parts = _parts(settings, _key_values(settings, session), metrics)
+        keys = load_keys(settings.curve_secret_file, settings.curve_peers_file)
+        listener = ZmqListener(context, settings.listen_address, keys)
+        side = _side(settings, parts, listener, session)
+        application = web.Application()
+        application.router.add_get(METRICS_PATH, _exposition(metrics))
+        async with (
+            _serving(application, settings.metrics_address, None),
+            _running(side.run()),
+        ):
+            await _until_told()
+            await _bounded(side.close(), settings.shutdown_seconds)
+
+
+def _side(
+    settings: SideSettings,
+    parts: ProcessParts,
+    listener: ZmqListener,
+    session: aiohttp.ClientSession,
+) -> SideProcess:
+    if settings.upstream_kind == "engine":
+        engine = HttpEngine(session, settings.upstream_url)
+        return engine_side(parts, listener, engine)
+    service = HttpService(session, settings.upstream_url)
+    return service_side(parts, listener, service, settings.service_concurrency)
+
+
+@contextlib.asynccontextmanager
+async def _outside(
+    settings: SharedSettings,
+) -> cabc.AsyncIterator[tuple[aiohttp.ClientSession, zmq.asyncio.Context]]:
+    context = zmq.asyncio.Context()
+    connector = aiohttp.TCPConnector(limit=0)
+    try:
+        async with aiohttp.ClientSession(connector=connector) as session:
+            logger.info("%s starts in %s", settings.name, settings.zone)
+            yield session, context
+    finally:
+        context.destroy(linger=0)
+
+
+def _key_values(
+    settings: SharedSettings, session: aiohttp.ClientSession
+) -> KeyValueService:
+    return HttpKeyValueService(session, settings.key_value_url, settings.name)
+
+
+def _parts(
+    settings: SharedSettings, kv: KeyValueService, metrics: OpenTelemetryMetrics
+) -> ProcessParts:
+    policies = PRESETS.get(settings.policy)
+    if policies is None:
+        allowed = f"one of {', '.join(PRESETS)}"
+        raise SettingError("--policy", settings.policy, allowed)
+    return ProcessParts(
+        name=settings.name,
+        zone=settings.zone,
+        kv=kv,
+        policies=policies,
+        history=NullHistory(),
+        telemetry=metrics,
+        rng=random.Random(),
+    )
+
+
+def _tls(settings: EntrySettings) -> ssl.SSLContext | None:
+    if not settings.tls_certificate_file:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    try:
+        context.load_cert_chain(settings.tls_certificate_file, settings.tls_key_file)
+    except (OSError, ssl.SSLError) as error:
+        raise SettingError(
+            "--tls-certificate-file",
+            settings.tls_certificate_file,
+            f"a certificate chain with its key: {error}",
+        ) from error
+    return context
+
+
+def _exposition(
+    metrics: OpenTelemetryMetrics,
+) -> cabc.Callable[[web.Request], cabc.Awaitable[web.Response]]:
+    async def answer(request: web.Request) -> web.Response:
+        return web.Response(body=metrics.exposition(), content_type="text/plain")
+
+    return answer
+
+
+@contextlib.asynccontextmanager
+async def _serving(
+    application: web.Application, address: str, tls: ssl.SSLContext | None
+) -> cabc.AsyncIterator[None]:
+    """Serve an application at an address; nothing if that is empty."""
+    if not address:
+        yield
+        return
+    host, _, port = address.rpartition(":")
+    runner = web.AppRunner(application, access_log=None)
+    await runner.setup()
+    try:
+        await web.TCPSite(runner, host.strip("[]"), int(port), ssl_context=tls).start()
+        yield
+    finally:
+        await runner.cleanup()
+
+
+@contextlib.asynccontextmanager
+async def _running(
+    work: cabc.Coroutine[t.Any, t.Any, None],
+) -> cabc.AsyncIterator[None]:
+    """Run a process's tasks beside the body; their failure ends the process."""
+    main = asyncio.current_task()
+    assert main is not None
+    task = asyncio.create_task(work)
+
+    def on_done(done: asyncio.Task[None]) -> None:
+        if not done.cancelled() and done.exception() is not None:
+            main.cancel()
+
+    task.add_done_callback(on_done)
+    try:
+        yield
+    finally:
+        task.cancel()
+        await asyncio.wait({task})
+        if not task.cancelled() and (error := task.exception()) is not None:
+            raise error
+
+
+async def _until_told() -> None:
+    """Wait for SIGTERM or SIGINT."""
+    told = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, told.set)
+    print("ready", file=sys.stdout, flush=True)
+    await told.wait()
+    logger.info("told to end")
+
+
+async def _bounded(work: cabc.Awaitable[None], seconds: float) -> None:
+    try:
+        async with asyncio.timeout(seconds):
+            await work
+    except TimeoutError:
+        logger.warning("work in flight did not end within %g s", seconds)
--- /dev/null
+++ b/src/bergamotmast/demo_fleet.py
@@ -0,0 +1,96 @@
+"""The demonstration's deployment: a records house with ten upstreams in four zones."""
+
+from __future__ import annotations
+
+import msgspec
+
+from .config import Configuration
+from .config import Match
+from .config import RequestClass
+from .config import Route
+from .config import Selector
+from .config import SelectorState
+from .config import Tenant
+from .local_fleet import FleetPlan
+from .model import Assignment
+from .model import Priority
+from .model import Role
+
+MODEL = "archivist"
+ZONES = ("north-a", "north-b", "north-c", "north-d")
+ENGINES = 6
+SERVICES = 4
+ENTRIES = 2
+
+DRAINED_ENGINE = "engine-6"
+"""The engine that the operators drain while the demonstration runs."""
+
+
+def first_configuration() -> Configuration:
+    """Return the configuration that the deployment starts with."""
+    labels = {f"engine-{i}": {"pool": "models"} for i in range(1, ENGINES + 1)}
+    labels |= {f"counter-{i}": {"pool": "counter"} for i in range(1, SERVICES + 1)}
+    return Configuration(
+        labels=labels,
+        selectors=(
+            Selector(
+                name="models",
+                group="pool=models",
+                match=Match(models=(MODEL,)),
+                models=(f"{MODEL}@1",),
+            ),
+            Selector(
+                name="drained",
+                group="pool=drained",
+                state=SelectorState.DRAINING,
+            ),
+            Selector(
+                name="counter",
+                group="pool=counter",
+                match=Match(routes=("counter", "orders")),
+            ),
+        ),
+        classes={
+            "appraisal": RequestClass(
+                priority=Priority.BATCH, first_token=30.0, total=120.0
+            ),
+            "question": RequestClass(
+                priority=Priority.STANDARD, first_token=5.0, total=60.0
+            ),
+            "hold-check": RequestClass(
+                priority=Priority.INTERACTIVE, first_token=2.0, total=20.0
+            ),
+            "counter": RequestClass(priority=Priority.INTERACTIVE, total=20.0),
+        },
+        tenants={"notaries": Tenant(weight=2.0), "hospitals": Tenant()},
+        routes={
+            "counter": Route(prefix="/counter", request_class="counter"),
+            "orders": Route(
+                prefix="/orders", repeatable=False, request_class="counter"
+            ),
+        },
+    )
+
+
+def with_engine_drained(configuration: Configuration) -> Configuration:
+    """Return the configuration with one engine's label changed to the drained pool."""
+    labels = configuration.labels | {DRAINED_ENGINE: {"pool": "drained"}}
+    return msgspec.structs.replace(configuration, labels=labels)
+
+
+def with_selector_changed(configuration: Configuration) -> Configuration:
+    """Return the configuration with an adapter added to the model selector."""
+    models, *others = configuration.selectors
+    changed = msgspec.structs.replace(models, adapters=("deeds@1",))
+    return msgspec.structs.replace(configuration, selectors=(changed, *others))
+
+
+def demo_plan() -> FleetPlan:
+    """Return what the demonstration starts."""
+    return FleetPlan(
+        configuration=first_configuration(),
+        engines={f"engine-{i + 1}": ZONES[i % 4] for i in range(ENGINES)},
+        services={f"counter-{i + 1}": ZONES[i % 4] for i in range(SERVICES)},
+        entries={f"entry-{i + 1}": ZONES[i % 4] for i in range(ENTRIES)},
+        assignment=Assignment(Role.MIXED, (f"{MODEL}@1",)),
+    )
--- /dev/null
+++ b/src/bergamotmast/local_fleet.py
@@ -0,0 +1,204 @@
+"""A whole deployment in one process, on loopback, with stand-ins for the outside."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc as cabc
+import contextlib
+import dataclasses
+import random
+
+import zmq.asyncio
+from aiohttp import web
+
+from .adapters.zeromq import ZmqDialer
+from .adapters.zeromq import ZmqListener
+from .app import EntryProcess
+from .app import ProcessParts
+from .app import SideProcess
+from .app import engine_side
+from .app import service_side
+from .config import Configuration
+from .config_store import ConfigStore
+from .entry.service_run import UnclaimedCalls
+from .history import MemoryHistory
+from .model import Assignment
+from .model import InstanceInfo
+from .model import UpstreamKind
+from .policy.presets import PRESETS
+from .standins.engine import EngineStandIn
+from .standins.engine_spec import EngineSpec
+from .standins.instance_list import InstanceListStandIn
+from .standins.key_value import KeyValueStandIn
+from .standins.kv_exchange import KvExchange
+from .standins.service import ServiceStandIn
+from .standins.weights import WeightStoreStandIn
+from .telemetry import NullTelemetry
+
+LOOPBACK = "127.0.0.1"
+
+SERVICE_CONCURRENCY = 8
+"""Calls that a plain service of this fleet takes at once."""
+
+READY_TIMEOUT = 30.0
+"""Seconds until every entry must have heard every side."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetPlan:
+    """What the deployment consists of.
+
+    :param configuration: the first configuration.
+    :param engines: availability zone of each engine, by name.
+    :param services: availability zone of each plain service, by name.
+    :param entries: availability zone of each entry, by name.
+    :param assignment: what every engine is and carries at its start.
+    """
+
+    configuration: Configuration
+    engines: dict[str, str]
+    services: dict[str, str]
+    entries: dict[str, str]
+    assignment: Assignment
+
+
+class LocalFleet:
+    """The running deployment.
+
+    :param plan: what it consists of.
+    :param history: everything that happened.
+    :param urls: address of each entry, by name.
+    """
+
+    def __init__(self, plan: FleetPlan, seed: int) -> None:
+        self.plan = plan
+        self.seed = seed
+        self.history = MemoryHistory()
+        self.kv = KeyValueStandIn()
+        self.weights = WeightStoreStandIn()
+        self.instance_list = InstanceListStandIn()
+        self.exchange = KvExchange()
+        self.context = zmq.asyncio.Context()
+        self.engines: dict[str, EngineStandIn] = {}
+        self.services: dict[str, ServiceStandIn] = {}
+        self.sides: dict[str, SideProcess] = {}
+        self.entries: dict[str, EntryProcess] = {}
+        self.urls: dict[str, str] = {}
+        self.store = ConfigStore(self.kv.client("operator"), self.history)
+        self._tasks: list[asyncio.Task[None]] = []
+        self._runners: list[web.AppRunner] = []
+
+    async def start(self) -> None:
+        """Start everything and wait until every entry can serve."""
+        await self.edit(self.plan.configuration, 0)
+        for name, zone in self.plan.engines.items():
+            self._start_engine(name, zone)
+        for name, zone in self.plan.services.items():
+            self._start_service(name, zone)
+        for name, zone in self.plan.entries.items():
+            await self._start_entry(name, zone)
+        async with asyncio.timeout(READY_TIMEOUT):
+            await self._ready()
+
+    async def edit(self, configuration: Configuration, against: int) -> None:
+        """Change the configuration as an operator does."""
+        nonce = f"edit-{against}"
+        await self.store.propose(configuration, against, "operator", nonce)
+
+    async def stop(self) -> None:
+        """Shut down gracefully: entries first, then sides."""
+        for entry in self.entries.values():
+            await entry.close()
+        for runner in self._runners:
+            await runner.cleanup()
+        for side in self.sides.values():
+            await side.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.context.destroy(linger=0)
+
+    def _parts(self, name: str, zone: str) -> ProcessParts:
+        return ProcessParts(
+            name=name,
+            zone=zone,
+            kv=self.kv.client(name),
+            policies=PRESETS["default"],
+            history=self.history,
+            telemetry=NullTelemetry(),
+            rng=random.Random(f"{self.seed}/{name}"),
+        )
+
+    def _start_engine(self, name: str, zone: str) -> None:
+        engine = EngineStandIn(
+            name,
+            EngineSpec(),
+            assignment=self.plan.assignment,
+            loader=self.weights.load,
+            exchange=self.exchange,
+            history=self.history,
+        )
+        self.engines[name] = engine
+        listener = ZmqListener(self.context, f"{LOOPBACK}:0", None)
+        side = engine_side(self._parts(name, zone), listener, engine)
+        self._start_side(name, zone, UpstreamKind.ENGINE, listener, side)
+
+    def _start_service(self, name: str, zone: str) -> None:
+        service = ServiceStandIn(name, history=self.history)
+        self.services[name] = service
+        listener = ZmqListener(self.context, f"{LOOPBACK}:0", None)
+        side = service_side(
+            self._parts(name, zone), listener, service, SERVICE_CONCURRENCY
+        )
+        self._start_side(name, zone, UpstreamKind.SERVICE, listener, side)
+
+    def _start_side(
+        self,
+        name: str,
+        zone: str,
+        kind: UpstreamKind,
+        listener: ZmqListener,
+        side: SideProcess,
+    ) -> None:
+        self.sides[name] = side
+        self._run(side.run())
+        self.instance_list.put(InstanceInfo(name, kind, zone, listener.address, ""))
+
+    async def _start_entry(self, name: str, zone: str) -> None:
+        entry = EntryProcess(
+            self._parts(name, zone),
+            ZmqDialer(self.context, None),
+            self.instance_list,
+            UnclaimedCalls(),
+        )
+        self.entries[name] = entry
+        self._run(entry.run())
+        runner = web.AppRunner(entry.application(), access_log=None)
+        await runner.setup()
+        site = web.TCPSite(runner, LOOPBACK, 0)
+        await site.start()
+        self._runners.append(runner)
+        host, port = runner.addresses[0][:2]
+        self.urls[name] = f"http://{host}:{port}"
+
+    def _run(self, coroutine: cabc.Coroutine[None, None, None]) -> None:
+        self._tasks.append(asyncio.create_task(coroutine))
+
+    async def _ready(self) -> None:
+        count = len(self.sides)
+        while True:
+            peers = [e.core.membership.peers for e in self.entries.values()]
+            if all(sum(p.is_ready for p in each.values()) == count for each in peers):
+                return
+            await asyncio.sleep(0.05)
+
+
+@contextlib.asynccontextmanager
+async def local_fleet(plan: FleetPlan, seed: int) -> cabc.AsyncIterator[LocalFleet]:
+    """Run a deployment until the body ends."""
+    fleet = LocalFleet(plan, seed)
+    await fleet.start()
+    try:
+        yield fleet
+    finally:
+        await fleet.stop()
