--- a/tests/test_plan_store.py
+++ b/tests/test_plan_store.py
@@ -6,6 +6,7 @@
 import pytest
 
 from bergamotmast.errors import AuthorityLostError
+from bergamotmast.errors import KeyValueOutcomeUnknownError
 from bergamotmast.errors import KeyValueUnavailableError
 from bergamotmast.history import MemoryHistory
 from bergamotmast.model import Assignment
@@ -101,6 +102,22 @@
     assert await planner.write({"e1": DECODE}) == FencingToken(1, 3)
 
 
+@pytest.mark.looptime
+async def test_a_lost_write_is_not_taken_for_done():
+    # The request itself is lost, and reading back shows the planner's write before.
+    service = KeyValueStandIn()
+    planner = store(service, "planner-1")
+    await planner.open()
+
+    async def lose(compares, writes):
+        raise KeyValueOutcomeUnknownError("the connection broke")
+
+    planner.kv.txn = lose
+    with pytest.raises(AuthorityLostError):
+        await planner.write({"e1": PREFILL})
+    assert planner.plans == {}
+
+
 @pytest.mark.looptime
 async def test_a_write_of_unknown_end_is_settled_by_opening_again():
     # The service goes down under a write, which takes no effect, and the planner
