--- a/src/bergamotmast/settings.py
+++ b/src/bergamotmast/settings.py
@@ -85,9 +85,6 @@
     """Where the key-value service is; all that the ``config`` commands need."""
 
     key_value_url: str = _setting(URL, _PLATFORM, "the key-value service")
-    key_value_timeout: float = _setting(
-        number(0.1, 60, "seconds"), _PLATFORM, "most time of one call to it", 3.0
-    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
