--- /dev/null
+++ b/bench/engine_front.py
@@ -0,0 +1,130 @@
+"""Measures what the engine stand-in's HTTP front costs: tokens a second of one core.
+
+Starts the stand-in as a process, keeps a number of streams open against it, ends it
+and divides the tokens received by the processor time the process used.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import os
+import resource
+import signal
+import sys
+import time
+
+from bergamotmast.adapters.engine_http import HttpEngine
+from bergamotmast.adapters.http_calls import client_session
+from bergamotmast.model import GenerateRequest
+from bergamotmast.model import Priority
+from bergamotmast.model import Role
+from bergamotmast.standins.engine_spec import EngineSpec
+from bergamotmast.standins.engine_spec import RoleRates
+from bergamotmast.standins.run import StandInKind
+from bergamotmast.standins.run import StandInOptions
+from bergamotmast.standins.run import run_standin
+
+STEP_SECONDS = 0.02
+PROMPT_TOKENS = 100
+
+
+def main() -> None:
+    """Run the measurement and print it as one JSON object."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--streams", type=int, default=64)
+    parser.add_argument("--output-tokens", type=int, default=200)
+    parser.add_argument("--tokens-per-chunk", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--serve", action="store_true", help="be the stand-in")
+    arguments = parser.parse_args()
+    run = serve if arguments.serve else measure
+    asyncio.run(run(arguments))
+
+
+async def serve(arguments: argparse.Namespace) -> None:
+    """Be the stand-in until a signal ends it."""
+    rates = RoleRates(1e7, 1.0, STEP_SECONDS, 0.0, 1.0, arguments.streams)
+    spec = EngineSpec(
+        roles={role: rates for role in Role},
+        kv_capacity=10**9,
+        tokens_per_chunk=arguments.tokens_per_chunk,
+    )
+    running = asyncio.create_task(
+        run_standin(
+            StandInKind.ENGINE,
+            "127.0.0.1",
+            0,
+            StandInOptions(spec=spec),
+            on_ready=lambda url: print(url, flush=True),
+        )
+    )
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, running.cancel)
+    await asyncio.wait([running])
+
+
+async def measure(arguments: argparse.Namespace) -> None:
+    """Drive the stand-in and print what it cost."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, *sys.argv, "--serve", stdout=asyncio.subprocess.PIPE
+    )
+    assert process.stdout is not None
+    url = (await process.stdout.readline()).decode().strip()
+    before = _seconds_used(process.pid)
+    started = time.monotonic()
+    counts = await _drive(url, arguments)
+    elapsed = time.monotonic() - started
+    used = _seconds_used(process.pid) - before
+    process.terminate()
+    await process.wait()
+    own = resource.getrusage(resource.RUSAGE_SELF)
+    result = {
+        "streams": arguments.streams,
+        "tokens_per_chunk": arguments.tokens_per_chunk,
+        "tokens": counts["tokens"],
+        "requests": counts["requests"],
+        "elapsed_seconds": round(elapsed, 2),
+        "standin_core_seconds": round(used, 2),
+        "tokens_per_core_second": round(counts["tokens"] / used),
+        "client_core_seconds": round(own.ru_utime + own.ru_stime, 2),
+    }
+    print(json.dumps(result))
+
+
+async def _drive(url: str, arguments: argparse.Namespace) -> dict[str, int]:
+    counts = {"tokens": 0, "requests": 0}
+    loop = asyncio.get_running_loop()
+    until = loop.time() + arguments.seconds
+    prompt = f"[out={arguments.output_tokens}]"
+    async with client_session() as session:
+        engine = HttpEngine(session, url)
+
+        async def keep_one_open(worker: int) -> None:
+            while loop.time() < until:
+                counts["requests"] += 1
+                request = GenerateRequest(
+                    f"{worker}-{counts['requests']}",
+                    "model",
+                    prompt,
+                    PROMPT_TOKENS,
+                    arguments.output_tokens,
+                    Priority.STANDARD,
+                )
+                async for chunk in engine.generate(request):
+                    counts["tokens"] += chunk.tokens
+
+        async with asyncio.TaskGroup() as group:
+            for worker in range(arguments.streams):
+                group.create_task(keep_one_open(worker))
+    return counts
+
+
+def _seconds_used(pid: int) -> float:
+    with open(f"/proc/{pid}/stat") as file:
+        fields = file.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/bergamotmast/standins/engine_batch.py
+++ b/src/bergamotmast/standins/engine_batch.py
@@ -23,6 +23,13 @@
 
 NEVER = math.inf
 
+STEP_TOLERANCE = 1e-6
+"""Share of a step that counts as none.
+
+A stream that joins just as a step ends would else wait for one step more or less,
+depending on how the rounding errors of the steps before it add up.
+"""
+
 
 class Stage(enum.Enum):
     """Where a stream stands."""
@@ -258,7 +265,7 @@
             self._boundary = self.tokens_per_chunk
             self._finishes.clear()
         stream.stage = Stage.DECODING
-        stream.joined_step = math.ceil(self._steps)
+        stream.joined_step = math.ceil(self._steps - STEP_TOLERANCE)
         stream.joined_index = stream.next_index
         self.decoding[stream.request.stream_id] = stream
         self._arrivals += 1
--- a/tests/test_standin_engine.py
+++ b/tests/test_standin_engine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import random
 
 import pytest
 
@@ -293,3 +294,44 @@
         await engine.load()
     chunks = await task
     assert (chunks[0][0], chunks[-1][0]) == (11.5, 13.1)
+
+
+@pytest.mark.parametrize("seed", range(8))
+async def test_random_load_ends_whole_and_alike_for_every_chunk_size(seed):
+    ends = []
+    for tokens_per_chunk in (1, 7, 50):
+        spec = dataclasses.replace(SPEC, tokens_per_chunk=tokens_per_chunk)
+        ends.append(await random_load(EngineStandIn("e", spec), random.Random(seed)))
+    assert ends[0] == ends[1] == ends[2]
+
+
+async def random_load(engine, rng):
+    """Run random streams, some closed early; return when each whole one ended."""
+    start = asyncio.get_running_loop().time()
+    ended = {}
+
+    async def run(name, priority, closes_after):
+        prompt = f"{name} [out={rng.randint(1, 60)}] [prefix=400]"
+        key = rng.choice(["", "k1", "k2"])
+        tokens = rng.randint(400, 3000)
+        wanted = request(name, prompt, tokens, priority=priority, prefix_key=key)
+        parts = []
+        try:
+            async with asyncio.timeout(closes_after):
+                async for chunk in engine.generate(wanted):
+                    parts.append(chunk.text)
+        except TimeoutError:
+            return
+        assert "".join(parts) == expected_text("model", prompt, 100)
+        ended[name] = round(asyncio.get_running_loop().time() - start, 3)
+
+    async with asyncio.TaskGroup() as group:
+        for number in range(40):
+            closes_after = rng.choice([None, None, rng.uniform(0.1, 20)])
+            priority = rng.choice(list(Priority))
+            group.create_task(run(str(number), priority, closes_after))
+            await asyncio.sleep(rng.uniform(0, 1.5))
+            engine.set_speed(rng.choice([0.5, 1.0, 1.0, 2.0]))
+    assert (engine.running, engine.batch.kv_used) == (0, 0)
+    assert len(ended) > 10
+    return ended
