Configuration: later versions' documents are taken, damaged ones refused whole

A document carried every field with its default, and a process refuses fields that it doesn't know: the first edit by a later version would have been refused by every process not yet upgraded. Defaults are not written now; a new field shows once used.

A label expression that can't be parsed passed the decoder and failed while the document took effect, after it counted as the one in force. It is refused as a whole.

--- a/src/bergamotmast/config.py
+++ b/src/bergamotmast/config.py
@@ -19,8 +19,19 @@
     WITHDRAWN = "withdrawn"
 
 
-class _Part(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """Common base: unknown fields are errors, not silent typing mistakes."""
+class _Part(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+    omit_defaults=True,
+):
+    """Common base: unknown fields are errors, not silent typing mistakes.
+
+    Fields that have their default are not written: else a process of an earlier
+    version, which refuses what it does not know, would refuse every document that a
+    later version writes, and an upgrade of one process would cut off all others.
+    """
 
 
 class Match(_Part, frozen=True):
@@ -200,6 +211,13 @@
 def decode_configuration(data: bytes) -> Configuration:
     """Decode what :func:`encode_configuration` wrote.
 
-    :raises msgspec.ValidationError: for anything else.
+    :raises msgspec.DecodeError: for anything else, including a label expression
+        that can't be parsed: it would fail later, in the middle of taking effect.
     """
-    return _DECODER.decode(data)
+    configuration = _DECODER.decode(data)
+    for selector in configuration.selectors:
+        try:
+            expression(selector.group)
+        except ValueError as error:
+            raise msgspec.ValidationError(f"{selector.name!r}: {error}") from error
+    return configuration
--- a/src/bergamotmast/config_diff.py
+++ b/src/bergamotmast/config_diff.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections.abc as cabc
+import enum
 import typing as t
 
 import msgspec
@@ -48,13 +49,24 @@
 
 
 def _plain(configuration: Configuration) -> dict[str, t.Any]:
-    plain: dict[str, t.Any] = msgspec.to_builtins(configuration)
+    plain: dict[str, t.Any] = _with_defaults(configuration)
     del plain["generation"]
     for field, key in _KEY_FIELDS.items():
         plain[field] = {item[key]: item for item in plain[field]}
     return plain
 
 
+def _with_defaults(value: t.Any) -> t.Any:
+    if isinstance(value, msgspec.Struct):
+        fields = value.__struct_fields__
+        return {field: _with_defaults(getattr(value, field)) for field in fields}
+    if isinstance(value, dict):
+        return {_with_defaults(key): _with_defaults(v) for key, v in value.items()}
+    if isinstance(value, tuple):
+        return [_with_defaults(item) for item in value]
+    return value.value if isinstance(value, enum.Enum) else value
+
+
 def _compare(path: str, before: t.Any, after: t.Any) -> cabc.Iterator[Change]:
     if isinstance(before, dict) and isinstance(after, dict):
         for key in sorted(before.keys() | after.keys()):
--- a/src/bergamotmast/config_file.py
+++ b/src/bergamotmast/config_file.py
@@ -106,20 +106,13 @@
 
 
 def dump_yaml(configuration: Configuration) -> str:
-    """Return a document as YAML, without fields that are empty."""
+    """Return a document as YAML, without fields that have their default."""
     plain = msgspec.to_builtins(configuration)
-    for name, request_class in configuration.classes.items():
-        plain["classes"][name]["priority"] = request_class.priority.name.lower()
-    return yaml.safe_dump(_without_empty(plain), sort_keys=False, allow_unicode=True)
-
-
-def _without_empty(value: t.Any) -> t.Any:
-    if isinstance(value, list):
-        return [_without_empty(item) for item in value]
-    if not isinstance(value, dict):
-        return value
-    pruned = {key: _without_empty(item) for key, item in value.items()}
-    return {key: item for key, item in pruned.items() if item not in (None, [])}
+    for request_class in plain.get("classes", {}).values():
+        if "priority" in request_class:
+            priority = Priority(request_class["priority"])
+            request_class["priority"] = priority.name.lower()
+    return yaml.safe_dump(plain, sort_keys=False, allow_unicode=True)
 
 
 def _parse(data: bytes, name: str) -> ParsedFile:
--- a/src/bergamotmast/config_holder.py
+++ b/src/bergamotmast/config_holder.py
@@ -42,7 +42,7 @@
         replaced. The generation inside the document is raised by every accepted edit,
         so comparing it is enough, whatever the source.
 
-        :raises msgspec.ValidationError: if it is no configuration.
+        :raises msgspec.DecodeError: if it is no configuration.
         """
         configuration = decode_configuration(document)
         if configuration.generation <= self.generation:
--- a/tests/test_config_holder.py
+++ b/tests/test_config_holder.py
@@ -2,13 +2,23 @@
 
 import asyncio
 
+import msgspec
 import pytest
+from hypothesis import example
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
 
 from bergamotmast.config import Configuration
+from bergamotmast.config import Match
+from bergamotmast.config import RequestClass
+from bergamotmast.config import Selector
+from bergamotmast.config import decode_configuration
 from bergamotmast.config import encode_configuration
 from bergamotmast.config_holder import ConfigHolder
 from bergamotmast.history import ConfigInForce
 from bergamotmast.history import MemoryHistory
+from bergamotmast.history import NullHistory
 
 
 def document(generation: int) -> bytes:
@@ -39,3 +49,64 @@
     assert not waiter.done()
     holder.offer(document(5))
     assert (await waiter).generation == 5
+
+
+def test_an_earlier_version_takes_what_a_later_one_writes():
+    # A later version has a field more and its operator does not use it. Processes of
+    # this version, which refuse fields they don't know, must still take the document.
+    class Later(Configuration, frozen=True):
+        quotas: dict[str, int] = {}
+
+    written = encode_configuration(Later(generation=1))
+    assert written == b'{"generation":1}'
+    assert decode_configuration(written) == Configuration(generation=1)
+    assert encode_configuration(Later(quotas={"t": 1})) == b'{"quotas":{"t":1}}'
+
+
+DOCUMENT = Configuration(
+    generation=1,
+    labels={"engine-1": {"pool": "main"}},
+    selectors=(
+        Selector(name="main", group="pool=main", match=Match(classes=("checks",))),
+    ),
+    classes={"checks": RequestClass(first_token=1.5)},
+)
+ENCODED = encode_configuration(DOCUMENT)
+
+
+def damaged(start: int, length: int, inserted: bytes) -> bytes:
+    return ENCODED[:start] + inserted + ENCODED[start + length :]
+
+
+@settings(max_examples=500, deadline=None, derandomize=True)
+@given(
+    st.one_of(
+        st.binary(),
+        st.builds(
+            lambda start, length, text: (
+                ENCODED[:start] + text + ENCODED[start + length :]
+            ),
+            st.integers(0, len(ENCODED)),
+            st.integers(0, 20),
+            st.binary(max_size=4),
+        ),
+    )
+)
+@example(ENCODED.replace(b"pool=main", b"pool"))
+@example(b'{"labels":{"\xff":{}}}')
+@example(b"[" * 100_000)
+@example(b'{"generation":' + b"9" * 5000 + b"}")
+def test_any_bytes_from_a_peer_are_taken_or_refused_whole(data):
+    # A peer or the service hands over damaged bytes. The process must refuse them
+    # with one kind of error and stay with what it has, never half-way between.
+    holder = ConfigHolder("entry-1", NullHistory())
+
+    async def offer() -> None:
+        try:
+            holder.offer(data)
+        except msgspec.DecodeError:
+            assert holder.generation == 0
+            assert holder.document == b""
+        assert holder.selection.configuration == holder.current
+
+    asyncio.run(offer())
