--- a/src/bergamotmast/standins/engine.py
+++ b/src/bergamotmast/standins/engine.py
@@ -30,6 +30,7 @@
 from .engine_orders import OrderBook
 from .engine_orders import load_nothing
 from .engine_spec import EngineSpec
+from .engine_text import Answer
 from .engine_text import answer_to
 from .engine_text import directive
 from .kv_exchange import KvExchange
@@ -251,38 +252,46 @@
         self._samples.append(_Sample(-NEVER, 0, 0, 0))
 
     def _accept(self, request: GenerateRequest) -> _Mailbox:
+        answer = answer_to(request.model, request.prompt, request.max_tokens)
+        self._refuse_unless_fit(request, answer)
+        self.history.record(
+            Execution(at=_now(), upstream=self.name, request=request.stream_id)
+        )
+        mailbox = _Mailbox()
+        if request.resume_tokens >= answer.tokens:
+            mailbox.put(TokenChunk(request.resume_tokens, 0, "", answer.finish))
+            return mailbox
+        stream = self._stream(request, answer, mailbox)
+        mailbox.stream = stream
+        self._mailboxes[request.stream_id] = mailbox
+        self._advance()
+        self.batch.add(stream)
+        self._changed()
+        return mailbox
+
+    def _refuse_unless_fit(self, request: GenerateRequest, answer: Answer) -> None:
         self._refuse_if_unreached()
         if not self.orders.carries(request.model):
             raise NotReachedError(f"{self.name} does not serve {request.model} now")
-        answer = answer_to(request.model, request.prompt, request.max_tokens)
         kv_tokens = request.prompt_tokens + answer.tokens
         if kv_tokens > self.spec.kv_capacity:
             raise NotReachedError(f"{kv_tokens} tokens exceed the KV memory")
         if request.stream_id in self._mailboxes or request.stream_id in self._orphans:
             raise NotReachedError(f"stream {request.stream_id} is running")
-        request_id = request.stream_id.partition("/")[0]
-        self.history.record(
-            Execution(at=_now(), upstream=self.name, request=request_id)
-        )
-        mailbox = _Mailbox()
-        if request.resume_tokens >= answer.tokens:
-            mailbox.put(TokenChunk(request.resume_tokens, 0, "", answer.finish))
-            return mailbox
+
+    def _stream(
+        self, request: GenerateRequest, answer: Answer, mailbox: _Mailbox
+    ) -> Stream:
         imported = self.exchange.take(request.kv_handle) if request.kv_handle else None
-        mailbox.stream = Stream(
+        return Stream(
             request,
             answer,
             self._prefix_tokens(request),
             lambda chunk: self._deliver(mailbox, chunk),
             request.resume_tokens,
-            kv_tokens,
+            request.prompt_tokens + answer.tokens,
             importing=imported is not None,
         )
-        self._mailboxes[request.stream_id] = mailbox
-        self._advance()
-        self.batch.add(mailbox.stream)
-        self._changed()
-        return mailbox
 
     def _prefix_tokens(self, request: GenerateRequest) -> int:
         if not request.prefix_key:
