Sides measure how fast their engine is and predict waits for each priority

Now a side measures prefill rate and time between tokens, says in its report how long new work of each priority would wait, and counts only prefills of the same or a higher priority against the prefill window, as engines honour priorities. Entries draw two upstreams of each role and weigh the upstream's time.

The former side policy stays as default-1.

--- a/src/bergamotmast/entry/model_run.py
+++ b/src/bergamotmast/entry/model_run.py
@@ -81,11 +81,13 @@
             kv_handle=self.kv_handle,
             prefill_only=choice.prefill_only,
         )
-        return await self.placement.offer(choice.upstream, self._cost_left(), work)
+        cost = self._cost_left(choice.prefill_only)
+        return await self.placement.offer(choice.upstream, cost, work)
 
-    def _cost_left(self) -> Cost:
+    def _cost_left(self, prefill_only: bool) -> Cost:
         prefill = 0 if self.kv_handle else self.cost.prefill + self.tokens
-        return Cost(prefill, max(1, self.cost.decode - self.tokens))
+        decode = 1 if prefill_only else self.cost.decode - self.tokens
+        return Cost(prefill, max(1, decode))
 
     async def _follow(self, attempt: EntryAttempt) -> cabc.AsyncGenerator[TokenChunk]:
         """Yield what an attempt adds to the answer, until it ends or breaks."""
--- a/src/bergamotmast/model.py
+++ b/src/bergamotmast/model.py
@@ -294,6 +294,9 @@
     :param done_decode: output tokens produced, cumulative.
     :param shed: requests refused, cumulative.
     :param kv_free: free share of KV memory, 0 to 1.
+    :param waits_ms: predicted milliseconds until new work of each priority would begin;
+        empty where the side does not predict.
+    :param token_us: microseconds between the tokens of one answer; 0 if not measured.
     """
 
     readiness: Readiness
@@ -313,6 +316,8 @@
     done_decode: int = 0
     shed: int = 0
     kv_free: float = 1.0
+    waits_ms: tuple[int, ...] = ()
+    token_us: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/bergamotmast/policy/__init__.py
+++ b/src/bergamotmast/policy/__init__.py
@@ -11,6 +11,7 @@
 from .interfaces import RoleChange
 from .interfaces import ShiftPolicy
 from .interfaces import SidePolicy
+from .interfaces import UpstreamSpeed
 
 __all__ = [
     "Candidate",
@@ -22,4 +23,5 @@
     "RoleChange",
     "ShiftPolicy",
     "SidePolicy",
+    "UpstreamSpeed",
 ]
--- a/src/bergamotmast/policy/baselines.py
+++ b/src/bergamotmast/policy/baselines.py
@@ -23,6 +23,7 @@
 from .interfaces import FleetPicture
 from .interfaces import QueueItem
 from .interfaces import RoleChange
+from .interfaces import UpstreamSpeed
 from .shifting import possible_changes
 from .shifting import role_counts
 
@@ -146,6 +147,7 @@
         self.queue: dict[str, QueueItem] = {}
         self.started: dict[str, int] = {}
         self.max_streams = 1
+        self.prefill_rate = 1.0
 
     def configure(
         self,
@@ -157,6 +159,7 @@
     ) -> None:
         """Learn the size of the batch."""
         self.max_streams = max(1, max_streams)
+        self.prefill_rate = prefill_rate
 
     def offer(self, item: QueueItem, now: float) -> ResultCode:
         """Queue every item."""
@@ -211,6 +214,10 @@
         """Return the free share of the batch, in place of memory."""
         return max(0.0, 1.0 - len(self.started) / self.max_streams)
 
+    def speed(self) -> UpstreamSpeed:
+        """Return the stated rate."""
+        return UpstreamSpeed(self.prefill_rate)
+
 
 class FixedShiftPolicy:
     """Never changes a role."""
--- a/src/bergamotmast/policy/entry_policy.py
+++ b/src/bergamotmast/policy/entry_policy.py
@@ -10,6 +10,7 @@
 from ..errors import ResultCode
 from ..model import Cost
 from ..model import ModelCall
+from ..model import Priority
 from ..model import Readiness
 from ..model import Role
 from ..model import ServiceCall
@@ -100,7 +101,7 @@
     def _choose_service(
         self, call: ServiceCall, ready: list[Candidate], now: float
     ) -> Choice:
-        estimates = self._estimates(ready, Cost(1, 1), {}, now)
+        estimates = self._estimates(ready, Cost(1, 1), call.priority, {}, now)
         best = min(estimates, key=lambda e: e.total)
         if too_late_for_entry(best.total, call.deadline - now):
             return self._refuse(best.total - (call.deadline - now))
@@ -117,7 +118,7 @@
         cached = self.prefixes.expected(
             call.prefix_key, [c.name for c in ready], call.prompt_tokens, now
         )
-        best, staged = self._best(work, ready, cached, now, resumed)
+        best, staged = self._best(work, call.priority, ready, cached, now, resumed)
         late = best.first - (call.first_token_by - now)
         if not resumed and too_late_for_entry(best.first, call.first_token_by - now):
             return self._refuse(late)
@@ -129,24 +130,26 @@
     def _best(
         self,
         work: Cost,
+        priority: Priority,
         ready: list[Candidate],
         cached: dict[str, int],
         now: float,
         resumed: int,
     ) -> tuple[Estimate, bool]:
         whole = min(
-            self._estimates(ready, work, cached, now), key=lambda e: (e.total, e.first)
+            self._estimates(ready, work, priority, cached, now), key=lambda e: e.score
         )
         if resumed or work.decode < LEAST_STAGED_TOKENS:
             return whole, False
-        staged = self._staged(work, ready, cached, now)
-        if staged is None or staged.total >= whole.total:
+        staged = self._staged(work, priority, ready, cached, now)
+        if staged is None or staged.score >= whole.score:
             return whole, False
         return staged, True
 
     def _staged(
         self,
         work: Cost,
+        priority: Priority,
         ready: list[Candidate],
         cached: dict[str, int],
         now: float,
@@ -158,26 +161,28 @@
         if not first_stage or not second_stage:
             return None
         prefill = min(
-            self._estimates(first_stage, Cost(work.prefill, 0), cached, now),
+            self._estimates(first_stage, Cost(work.prefill, 0), priority, cached, now),
             key=lambda e: e.first,
         )
         decode = min(
-            self._estimates(second_stage, Cost(0, work.decode - 1), {}, now),
+            self._estimates(second_stage, Cost(0, work.decode - 1), priority, {}, now),
             key=lambda e: e.total,
         )
         total = prefill.first + HANDOFF_SECONDS + decode.total
-        return Estimate(prefill.candidate, prefill.first, total)
+        busy = prefill.busy + decode.busy
+        return Estimate(prefill.candidate, prefill.first, total, busy)
 
     def _estimates(
         self,
         candidates: list[Candidate],
         work: Cost,
+        priority: Priority,
         cached: dict[str, int],
         now: float,
     ) -> list[Estimate]:
-        drawn = set(self.router.sample([c.name for c in candidates], cached))
+        drawn = self.router.sample(candidates, cached)
         return [
-            self.router.estimate(c, work, cached.get(c.name, 0), now)
+            self.router.estimate(c, work, priority, cached.get(c.name, 0), now)
             for c in candidates
             if c.name in drawn
         ]
--- a/src/bergamotmast/policy/interfaces.py
+++ b/src/bergamotmast/policy/interfaces.py
@@ -135,6 +135,21 @@
     kv_tokens: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamSpeed:
+    """How fast an upstream is now, as its side policy sees it.
+
+    :param prefill_rate: prompt tokens a second.
+    :param waits: predicted seconds until new work of each priority would begin; empty
+        where they are not predicted.
+    :param token_seconds: seconds between the tokens of one answer; 0 if not measured.
+    """
+
+    prefill_rate: float
+    waits: tuple[float, ...] = ()
+    token_seconds: float = 0.0
+
+
 class SidePolicy(t.Protocol):
     """What waits at a side, for how long, and what starts next."""
 
@@ -189,6 +204,10 @@
         """Return the share of KV memory not promised to started items."""
         ...
 
+    def speed(self) -> UpstreamSpeed:
+        """Return how fast the upstream is now."""
+        ...
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineView:
--- a/src/bergamotmast/policy/presets.py
+++ b/src/bergamotmast/policy/presets.py
@@ -20,6 +20,7 @@
 from .interfaces import SidePolicy
 from .shifting import PaybackShiftPolicy
 from .side_policy import FairSidePolicy
+from .side_policy import SideTuning
 
 EntryFactory: t.TypeAlias = cabc.Callable[[random.Random, str], EntryPolicy]
 SideFactory: t.TypeAlias = cabc.Callable[[], SidePolicy]
@@ -44,6 +45,10 @@
     first_roles: RoleSplit
 
 
+LEAST_SPLIT = 3
+"""Engines from which on roles are split: with fewer, one failure takes a whole role."""
+
+
 def all_mixed(engines: int) -> tuple[Role, ...]:
     """Give every engine the mixed role."""
     return (Role.MIXED,) * engines
@@ -55,6 +60,14 @@
     return (Role.PREFILL,) * prefill + (Role.DECODE,) * (engines - prefill)
 
 
+def third_split(engines: int) -> tuple[Role, ...]:
+    """Give a third of the engines to prefill, one at least, and the rest to decode."""
+    if engines < LEAST_SPLIT:
+        return all_mixed(engines)
+    prefill = engines // 3
+    return (Role.PREFILL,) * prefill + (Role.DECODE,) * (engines - prefill)
+
+
 def _least_outstanding(rng: random.Random, zone: str) -> EntryPolicy:
     return LeastOutstandingEntryPolicy(rng)
 
@@ -67,6 +80,17 @@
     return RandomEntryPolicy(rng)
 
 
+def _side_1() -> SidePolicy:
+    return FairSidePolicy(
+        SideTuning(
+            owed_share=0.1,
+            reserved=(0.0, 0.0, 0.1),
+            measures=False,
+            window_by_priority=False,
+        )
+    )
+
+
 PRESETS: dict[str, PolicySet] = {
     p.name: p
     for p in (
@@ -75,6 +99,13 @@
             LoadAwareEntryPolicy,
             FairSidePolicy,
             PaybackShiftPolicy,
+            half_split,
+        ),
+        PolicySet(
+            "default-1",
+            LoadAwareEntryPolicy,
+            _side_1,
+            PaybackShiftPolicy,
             all_mixed,
         ),
         PolicySet(
--- a/src/bergamotmast/policy/queueing.py
+++ b/src/bergamotmast/policy/queueing.py
@@ -9,9 +9,8 @@
 
 Thresholds: within a priority, tenants share by start-time fair queueing on token cost
 over weight, so a tenant's wait depends on its own backlog and its share alone. A lower
-priority that waits is owed :data:`STARVATION_SHARE` of the work started: small enough
-that checks keep their first token, large enough that an appraisal waiting behind an
-endless burst starts within ten appraisals' worth of checks. A tenant's place in the
+priority that waits is owed :data:`OWED_SHARE` of the work started, which leaves the
+upper ones theirs as long as they ask for no more than the rest. A tenant's place in the
 accounts is dropped once it would not differ from a newcomer's, which bounds them by
 the tenants of the last moments.
 """
@@ -26,8 +25,8 @@
 from ..model import Priority
 from .interfaces import QueueItem
 
-STARVATION_SHARE = 0.1
-"""Share of started work owed to lower priorities while they wait."""
+OWED_SHARE = 0.5
+"""Share of started work owed to each lower priority while it waits."""
 
 MOST_OWED = 5.0
 """Engine-seconds that can be owed to a lower priority at most."""
@@ -92,11 +91,15 @@
     """Waiting items of all priorities and tenants.
 
     :param rates: the upstream's rates, by which costs become its time.
+    :param owed_share: share of started work owed to lower priorities.
     """
 
-    def __init__(self, rates: Rates, fair: bool = True) -> None:
+    def __init__(
+        self, rates: Rates, fair: bool = True, owed_share: float = OWED_SHARE
+    ) -> None:
         self.rates = rates
         self.fair = fair
+        self.owed_share = owed_share
         self.lanes: dict[Priority, dict[str, Lane]] = {p: {} for p in Priority}
         self.items: dict[str, tuple[QueueItem, float]] = {}
         self.accounts: dict[str, float] = {}
@@ -180,7 +183,10 @@
             if not self.lanes[priority]:
                 self.owed[priority] = 0.0
                 continue
-            more = self.owed[priority] + STARVATION_SHARE * seconds
+            more = (
+                self.owed[priority]
+                + self.owed_share / (1.0 - self.owed_share) * seconds
+            )
             self.owed[priority] = min(MOST_OWED, more)
 
     def _drop_idle(self) -> None:
@@ -203,6 +209,15 @@
                 decode += share * lane.decode
         return Ahead(count, prefill, decode)
 
+    def up_to(self, priority: Priority) -> Ahead:
+        """Return all waiting work of a priority and the higher ones."""
+        lanes = [x for p in Priority if p <= priority for x in self.lanes[p].values()]
+        return Ahead(
+            sum(len(lane.items) for lane in lanes),
+            sum(lane.prefill for lane in lanes),
+            sum(lane.decode for lane in lanes),
+        )
+
     def _share_ahead(
         self, priority: Priority, tenant: str, lane: Lane, item: QueueItem
     ) -> float:
--- a/src/bergamotmast/policy/routing.py
+++ b/src/bergamotmast/policy/routing.py
@@ -7,13 +7,13 @@
 which is then the busiest until the next; a slow upstream collects streams because each
 request counts as one.
 
-Thresholds: the picture is the last report, drained for its age, plus this entry's own
-work since. Only :data:`CHOICES` upstreams drawn at random are compared: two already
-remove most of the imbalance of a random choice, the third covers one that is slow or
-changing, and more would bring herding back. :data:`ZONE_SECONDS` is the round trip
-between availability zones: it decides among equals and never outweighs a queue. An
-upstream whose attempts take longer than predicted, compared with its neighbours, has
-its times multiplied by that ratio, up to :data:`MOST_SLOWNESS`.
+Thresholds: the picture is the last report, with this entry's own work since. Only
+:data:`CHOICES` upstreams of each role, drawn at random, are compared: two already
+remove most of the imbalance of a random choice, and more would bring herding back.
+:data:`ZONE_SECONDS` is the round trip between availability zones: it decides among
+equals and never outweighs a queue. An upstream whose attempts take longer than
+predicted, compared with its neighbours, has its times multiplied by that ratio, up to
+:data:`MOST_SLOWNESS`.
 """
 
 from __future__ import annotations
@@ -24,12 +24,14 @@
 import statistics
 
 from ..model import Cost
+from ..model import Priority
 from ..model import Role
 from ..model import SideReport
 from .interfaces import Candidate
 
-CHOICES = 3
-"""Upstreams compared for one request, beside those believed to hold its prefix."""
+CHOICES = 2
+"""Upstreams of each role compared for one request, beside those believed to hold its
+prefix."""
 
 ZONE_SECONDS = 0.002
 """Round trip to another availability zone."""
@@ -49,6 +51,13 @@
 EMPTY_SHARE = 0.5
 """Time between tokens with an empty batch, as a share of that with a full one."""
 
+BUSY_WEIGHT = 2.0
+"""Weight of the upstream's time against the caller's.
+
+Where both are short the caller's wait decides; under load the time an unfitting role
+takes for the work is missing to others, and costs more than the one caller gains.
+"""
+
 _TINY = 1e-9
 
 
@@ -58,11 +67,18 @@
 
     :param first: until the first token of the stage.
     :param total: until its end.
+    :param busy: the upstream's own time that it takes.
     """
 
     candidate: Candidate
     first: float
     total: float
+    busy: float = 0.0
+
+    @property
+    def score(self) -> float:
+        """What is compared: the caller's time, and the time taken from others."""
+        return self.total + BUSY_WEIGHT * self.busy
 
 
 class SpeedBook:
@@ -90,12 +106,17 @@
         return min(MOST_SLOWNESS, max(1.0, self.ratios[name] / max(usual, _TINY)))
 
 
-def wait_seconds(candidate: Candidate, report: SideReport, now: float) -> float:
+def wait_seconds(
+    candidate: Candidate, report: SideReport, priority: Priority, now: float
+) -> float:
     """Return the predicted wait for a place in the batch and for the prefills ahead.
 
-    The report is drained for its age: what it counted as queued has been worked on
-    since. What this entry offered since is added in full, as no report has it.
+    Where the side predicts its waits, only this entry's work since is added. Else the
+    report is drained for its age: what it counted as queued has been worked on since.
     """
+    if report.waits_ms:
+        own = candidate.own_since_report.prefill / max(report.prefill_rate, _TINY)
+        return report.waits_ms[priority] / 1000.0 + own
     age = max(0.0, now - candidate.reported_at)
     since = candidate.own_since_report
     drained = max(0.0, report.queued_prefill - age * report.prefill_rate)
@@ -115,6 +136,8 @@
 
 def token_seconds(candidate: Candidate, report: SideReport) -> float:
     """Return the predicted seconds between tokens of one more stream."""
+    if report.token_us:
+        return report.token_us / 1e6
     full = report.max_streams / max(report.decode_rate, _TINY)
     active = max(report.running + report.queued, candidate.own_running) + 1
     filled = min(1.0, active / report.max_streams)
@@ -136,36 +159,48 @@
         self.speeds = SpeedBook()
 
     def sample(
-        self, names: list[str], favoured: cabc.Collection[str] = ()
-    ) -> list[str]:
-        """Return the few that are compared, the favoured ones among them."""
-        if len(names) <= self.choices:
-            return names
-        drawn = self.rng.sample(names, self.choices)
-        return drawn + [n for n in names if n in favoured and n not in drawn]
+        self, candidates: cabc.Sequence[Candidate], favoured: cabc.Collection[str] = ()
+    ) -> set[str]:
+        """Return the few of each role that are compared, and the favoured ones.
+
+        Drawn without regard to the role, the few might all be of one that suits the
+        work badly: a prompt would be refused while prefill engines idle.
+        """
+        drawn = {c.name for c in candidates if c.name in favoured}
+        for role in (None, *Role):
+            names = [c.name for c in candidates if role_of(c) is role]
+            drawn.update(self.rng.sample(names, min(len(names), self.choices)))
+        return drawn
 
     def estimate(
-        self, candidate: Candidate, work: Cost, cached: int, now: float
+        self,
+        candidate: Candidate,
+        work: Cost,
+        priority: Priority,
+        cached: int,
+        now: float,
     ) -> Estimate:
         """Predict one stage of this work at one upstream with a report."""
         report = candidate.report
         assert report is not None
         slowness = self.speeds.slowness(candidate.name)
-        wait = wait_seconds(candidate, report, now)
+        wait = wait_seconds(candidate, report, priority, now)
         prefill = max(0, work.prefill - cached) / max(report.prefill_rate, _TINY)
         first = (wait + prefill) * slowness
         if candidate.zone != self.zone:
             first += ZONE_SECONDS
         per_token = token_seconds(candidate, report) * slowness
-        return Estimate(candidate, first, first + work.decode * per_token)
+        busy = prefill + work.decode / max(report.decode_rate, _TINY)
+        return Estimate(candidate, first, first + work.decode * per_token, busy)
 
 
 def staged_names(candidates: cabc.Sequence[Candidate]) -> tuple[list[str], list[str]]:
     """Return the upstreams for a prefill stage and those for a decode stage."""
-    prefill = [c.name for c in candidates if _role(c) is Role.PREFILL]
-    decode = [c.name for c in candidates if _role(c) in (Role.DECODE, Role.MIXED)]
+    prefill = [c.name for c in candidates if role_of(c) is Role.PREFILL]
+    decode = [c.name for c in candidates if role_of(c) in (Role.DECODE, Role.MIXED)]
     return prefill, decode
 
 
-def _role(candidate: Candidate) -> Role | None:
+def role_of(candidate: Candidate) -> Role | None:
+    """Return the role an upstream reports; ``None`` for a plain service."""
     return candidate.report.role if candidate.report else None
--- a/src/bergamotmast/policy/side_policy.py
+++ b/src/bergamotmast/policy/side_policy.py
@@ -9,10 +9,11 @@
 
 Thresholds: prefills handed over but not finished are kept to
 :data:`PREFILL_WINDOW` seconds of work, so that the engine never idles between two of
-our turns and a check never waits behind more than that. :data:`RESERVED_SHARE` of the
-batch and the memory is kept from batch work. Waiting is bounded by the item's own
-first-token time and deadline, and their number by :data:`QUEUE_BATCHES` batches, which
-bounds memory and the time a decision takes.
+our turns and a check never waits behind more than that; an engine honours priorities,
+so only work of the same or a higher one counts. Each lower priority leaves a larger
+share of the batch and the memory free (:attr:`SideTuning.reserved`). Waiting is bounded
+by the item's own first-token time and deadline, and their number by
+:data:`QUEUE_BATCHES` batches, which bounds memory and the time a decision takes.
 """
 
 from __future__ import annotations
@@ -27,6 +28,10 @@
 from .admission import too_late_for_side
 from .cost import still_to_come
 from .interfaces import QueueItem
+from .interfaces import UpstreamSpeed
+from .measured import PrefillMeter
+from .measured import StepMeter
+from .queueing import OWED_SHARE
 from .queueing import Ahead
 from .queueing import FairQueue
 from .queueing import Rates
@@ -34,17 +39,41 @@
 PREFILL_WINDOW = 0.25
 """Seconds of prefill that may be handed over and not finished."""
 
-RESERVED_SHARE = 0.1
-"""Share of the batch and of KV memory that batch work leaves free."""
-
 QUEUE_BATCHES = 8
 """Waiting items, in multiples of the batch."""
 
 LEAST_QUEUE = 32
 """Waiting items allowed even with a small batch."""
 
+LEAST_SHARED_BATCH = 4
+"""Batches smaller than this have no place to keep free."""
+
+FASTEST_SHARE = 0.5
+"""Time between tokens with an empty batch, as a share of that with a full one."""
+
 DEFAULT_RATES = Rates(1000.0, 100.0)
-"""Assumed before the upstream was measured."""
+"""Assumed before the upstream was configured."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SideTuning:
+    """What differs between the versions of the default side policy.
+
+    :param fair: whether tenants share; else all items form one lane.
+    :param slack: share of the time left that the prediction at the door may take.
+    :param owed_share: share of started work owed to lower priorities.
+    :param reserved: share of batch and memory that each priority leaves free.
+    :param measures: whether rates are measured; else the stated ones count.
+    :param window_by_priority: whether only prefills of the same or a higher priority
+        count against the prefill window.
+    """
+
+    fair: bool = True
+    slack: float = DOOR_SLACK
+    owed_share: float = OWED_SHARE
+    reserved: tuple[float, float, float] = (0.0, 0.1, 0.25)
+    measures: bool = True
+    window_by_priority: bool = True
 
 
 @dataclasses.dataclass(slots=True)
@@ -52,10 +81,14 @@
     """An item handed to the upstream.
 
     :param produced: output tokens so far; above 0 its prefill has ended.
+    :param first_at: when the first came.
+    :param first_tokens: how many came with the first.
     """
 
     item: QueueItem
     produced: int = 0
+    first_tokens: int = 0
+    first_at: float = 0.0
 
     def kv_tokens(self) -> int:
         """Return the KV memory promised to it."""
@@ -71,19 +104,20 @@
 class FairSidePolicy:
     """The default side policy.
 
-    :param fair: whether tenants share; else all items form one lane.
-    :param slack: share of the time left that the prediction at the door may take.
+    :param tuning: what differs between its versions.
     """
 
-    def __init__(self, fair: bool = True, slack: float = DOOR_SLACK) -> None:
-        self.slack = slack
-        self.queue = FairQueue(DEFAULT_RATES, fair)
+    def __init__(self, tuning: SideTuning | None = None) -> None:
+        self.tuning = tuning or SideTuning()
+        self.queue = FairQueue(DEFAULT_RATES, self.tuning.fair, self.tuning.owed_share)
         self.started: dict[str, Started] = {}
         self.max_streams = 1
         self.kv_capacity = 1
         self.role: Role | None = None
         self.kv_promised = 0
-        self.prefill_ahead = 0
+        self.prefill_ahead = dict.fromkeys(Priority, 0)
+        self.prefill_meter = PrefillMeter(DEFAULT_RATES.prefill)
+        self.step_meter = StepMeter(1.0 / DEFAULT_RATES.decode)
 
     def configure(
         self,
@@ -94,46 +128,59 @@
         role: Role | None,
     ) -> None:
         """Learn the upstream's size in its present role."""
+        rates = Rates(max(prefill_rate, 1e-6), max(decode_rate, 1e-6))
+        changed = rates != self.queue.rates or max_streams != self.max_streams
         self.max_streams = max(1, max_streams)
         self.kv_capacity = max(1, kv_capacity)
         self.role = role
-        rates = Rates(max(prefill_rate, 1e-6), max(decode_rate, 1e-6))
-        self._requeue(rates)
-
-    def _requeue(self, rates: Rates) -> None:
-        if rates == self.queue.rates:
+        if not changed:
             return
+        self.prefill_meter = PrefillMeter(rates.prefill)
+        self.step_meter = StepMeter(self.max_streams / rates.decode)
         self.queue.rates = rates
         for item, _ in list(self.queue.items.values()):
             self.queue.remove(item.attempt)
             self.queue.add(item)
 
+    def prefill_rate(self) -> float:
+        """Return prompt tokens a second, as measured while there was work."""
+        if self.tuning.measures:
+            return self.prefill_meter.rate()
+        return self.queue.rates.prefill
+
     def offer(self, item: QueueItem, now: float) -> ResultCode:
         """Queue an item and return ``OK``, or refuse it at once with a code."""
         if len(self.queue) >= max(LEAST_QUEUE, QUEUE_BATCHES * self.max_streams):
             return ResultCode.QUEUE_FULL
-        if kv_tokens(item) > self.kv_capacity and self.role is not None:
+        if self.role is not None and kv_tokens(item) > self.kv_capacity:
             return ResultCode.DEADLINE_UNREACHABLE
+        slack = self.tuning.slack
         first = self._first_token_seconds(item)
-        if not item.resumed and too_late_for_side(
-            first, item.start_by - now, self.slack
-        ):
+        if not item.resumed and too_late_for_side(first, item.start_by - now, slack):
             return ResultCode.DEADLINE_UNREACHABLE
         total = first + self._decode_seconds(item.cost.decode)
-        if too_late_for_side(total, item.deadline - now, self.slack):
+        if too_late_for_side(total, item.deadline - now, slack):
             return ResultCode.DEADLINE_UNREACHABLE
         self.queue.add(item)
         return ResultCode.OK
 
     def _first_token_seconds(self, item: QueueItem) -> float:
-        rates = self.queue.rates
         ahead = self.queue.ahead(item)
-        prefill = self.prefill_ahead + ahead.prefill + item.cost.prefill
-        return prefill / rates.prefill + self._slot_seconds(item, ahead)
+        prefill = self._window_used(item.priority) + ahead.prefill + item.cost.prefill
+        return prefill / self.prefill_rate() + self._slot_seconds(item.priority, ahead)
 
-    def _slot_seconds(self, item: QueueItem, ahead: Ahead) -> float:
+    def _window_used(self, priority: Priority) -> int:
+        """Return the prompt tokens handed over and not prefilled that are in the way.
+
+        An engine takes prefills by priority, so those of a lower one are not.
+        """
+        if not self.tuning.window_by_priority:
+            return sum(self.prefill_ahead.values())
+        return sum(n for p, n in self.prefill_ahead.items() if p <= priority)
+
+    def _slot_seconds(self, priority: Priority, ahead: Ahead) -> float:
         """Return the wait until the batch has a place left by all the work ahead."""
-        places = self._slots(item.priority) - len(self.started)
+        places = self._slots(priority) - len(self.started)
         missing = ahead.count + 1 - places
         if missing <= 0:
             return 0.0
@@ -142,25 +189,36 @@
         return missing * mean / self.queue.rates.decode
 
     def _decode_seconds(self, tokens: int) -> float:
+        if self.tuning.measures:
+            return (tokens - 1) * self.step_meter.seconds()
         filled = (len(self.started) + len(self.queue) + 1) / self.max_streams
         full = self.max_streams / self.queue.rates.decode
-        return tokens * full * (0.5 + 0.5 * min(1.0, filled))
+        fullness = FASTEST_SHARE + (1.0 - FASTEST_SHARE) * min(1.0, filled)
+        return tokens * full * fullness
+
+    def _reserved(self, priority: Priority) -> float:
+        return self.tuning.reserved[priority]
 
     def _slots(self, priority: Priority) -> int:
-        if priority is not Priority.BATCH or self.max_streams < 4:
+        reserved = self._reserved(priority)
+        if reserved == 0.0 or self.max_streams < LEAST_SHARED_BATCH:
             return self.max_streams
-        return self.max_streams - max(1, int(self.max_streams * RESERVED_SHARE))
+        return self.max_streams - max(1, int(self.max_streams * reserved))
 
     def next(self, now: float) -> QueueItem | None:
         """Take the next item to start, or ``None`` if none may start now."""
         if not self.queue.items or len(self.started) >= self.max_streams:
             return None
+        blocked: set[Priority] = set()
         for item in self.queue.order():
+            if item.priority in blocked:
+                continue
             if self._fits(item):
-                self._start(item)
+                self._start(item, now)
                 return item
-            if item.priority is not Priority.BATCH:
-                return None
+            # What does not fit keeps its turn: smaller items of its own priority
+            # would else pass it for ever. Other priorities have limits of their own.
+            blocked.add(item.priority)
         return None
 
     def _fits(self, item: QueueItem) -> bool:
@@ -169,18 +227,19 @@
             return False
         if self.role is None or not self.started:
             return True
-        window = PREFILL_WINDOW * self.queue.rates.prefill
-        if self.prefill_ahead >= window and item.cost.prefill > 0:
+        window = PREFILL_WINDOW * self.prefill_rate()
+        if item.cost.prefill > 0 and self._window_used(item.priority) >= window:
             return False
-        kept = RESERVED_SHARE if item.priority is Priority.BATCH else 0.0
-        room = self.kv_capacity * (1.0 - kept) - self.kv_promised
-        return kv_tokens(item) <= room
+        usable = self.kv_capacity * (1.0 - self._reserved(item.priority))
+        return kv_tokens(item) <= usable - self.kv_promised
 
-    def _start(self, item: QueueItem) -> None:
+    def _start(self, item: QueueItem, now: float) -> None:
         self.queue.take(item)
         self.started[item.attempt] = Started(item)
         self.kv_promised += kv_tokens(item)
-        self.prefill_ahead += item.cost.prefill
+        self.prefill_ahead[item.priority] += item.cost.prefill
+        if item.cost.prefill:
+            self.prefill_meter.begin(now)
 
     def on_progress(self, attempt: str, tokens: int, now: float) -> None:
         """Learn of output tokens of a started item; the first ends its prefill."""
@@ -188,7 +247,9 @@
         if started is None or tokens <= 0:
             return
         if started.produced == 0:
-            self.prefill_ahead -= started.item.cost.prefill
+            started.first_at = now
+            started.first_tokens = tokens
+            self._end_prefill(started.item, started.item.cost.prefill, now)
         predicted = started.item.cost.decode
         before = max(started.produced, predicted)
         started.produced += tokens
@@ -197,6 +258,11 @@
             self.kv_promised += beyond
             self.queue.charge(started.item, beyond)
 
+    def _end_prefill(self, item: QueueItem, tokens: int, now: float) -> None:
+        self.prefill_ahead[item.priority] -= item.cost.prefill
+        if item.cost.prefill:
+            self.prefill_meter.end(tokens, now)
+
     def on_ended(self, attempt: str, now: float) -> None:
         """Learn that a started item ended."""
         started = self.started.pop(attempt, None)
@@ -204,7 +270,10 @@
             return
         self.kv_promised -= started.kv_tokens()
         if started.produced == 0:
-            self.prefill_ahead -= started.item.cost.prefill
+            self._end_prefill(started.item, 0, now)
+        else:
+            tokens = started.produced - started.first_tokens
+            self.step_meter.end(tokens, now - started.first_at)
 
     def withdraw(self, attempt: str) -> bool:
         """Take a waiting item out; ``False`` if it is not waiting."""
@@ -219,11 +288,14 @@
 
     def _hopeless(self, item: QueueItem, now: float) -> bool:
         """Return whether an item would be late even if it started at once."""
-        prefill = item.cost.prefill / self.queue.rates.prefill
+        prefill = item.cost.prefill / self.prefill_rate()
         if not item.resumed and now + prefill > item.start_by:
             return True
-        fastest = 0.5 * self.max_streams / self.queue.rates.decode
-        return now + prefill + item.cost.decode * fastest > item.deadline
+        if self.tuning.measures:
+            step = self.step_meter.seconds()
+        else:
+            step = FASTEST_SHARE * self.max_streams / self.queue.rates.decode
+        return now + prefill + (item.cost.decode - 1) * step > item.deadline
 
     def waiting(self) -> int:
         """Return how many items wait."""
@@ -243,3 +315,15 @@
     def kv_free(self) -> float:
         """Return the share of KV memory not promised to started items."""
         return max(0.0, 1.0 - self.kv_promised / self.kv_capacity)
+
+    def speed(self) -> UpstreamSpeed:
+        """Return how fast the upstream is now."""
+        if not self.tuning.measures:
+            return UpstreamSpeed(self.prefill_rate())
+        waits = tuple(self._wait(priority) for priority in Priority)
+        return UpstreamSpeed(self.prefill_rate(), waits, self.step_meter.seconds())
+
+    def _wait(self, priority: Priority) -> float:
+        ahead = self.queue.up_to(priority)
+        prefill = self._window_used(priority) + ahead.prefill
+        return prefill / self.prefill_rate() + self._slot_seconds(priority, ahead)
--- a/src/bergamotmast/side/core.py
+++ b/src/bergamotmast/side/core.py
@@ -146,6 +146,7 @@
     def report(self) -> SideReport:
         """Return the exact state of this moment."""
         waiting = self.policy.waiting_cost()
+        speed = self.policy.speed()
         engine = self.engine
         assignment = engine.assignment if engine else None
         return SideReport(
@@ -158,7 +159,7 @@
             queued_decode=waiting.decode,
             running_decode=self.policy.running_decode(),
             max_streams=engine.max_streams if engine else 1,
-            prefill_rate=engine.prefill_rate if engine else 1.0,
+            prefill_rate=speed.prefill_rate if engine else 1.0,
             decode_rate=engine.decode_rate if engine else 1.0,
             offered_prefill=self.offered.prefill,
             offered_decode=self.offered.decode,
@@ -166,6 +167,8 @@
             done_decode=self.done.decode,
             shed=self.shed,
             kv_free=self.policy.kv_free(),
+            waits_ms=tuple(round(1000 * wait) for wait in speed.waits),
+            token_us=round(1e6 * speed.token_seconds),
         )
 
     async def run(self) -> None:
--- a/tests/support.py
+++ b/tests/support.py
@@ -35,6 +35,7 @@
 from bergamotmast.model import TokenChunk
 from bergamotmast.model import UpstreamKind
 from bergamotmast.policy import Choice
+from bergamotmast.policy import UpstreamSpeed
 from bergamotmast.side.core import SideCore
 from bergamotmast.side.runners import EngineRunner
 from bergamotmast.side.runners import ServiceRunner
@@ -132,6 +133,9 @@
     def kv_free(self):
         return 1.0
 
+    def speed(self):
+        return UpstreamSpeed(1.0)
+
 
 class ScriptedEngine:
     """An engine that gives one token each ``pace`` seconds and breaks when told."""
