Configuration: processes read what changed, not the document

A process takes the result only if it has the mark of the accepted document, else it reads the whole; a change of another document can lead to nothing wrong.

Weighed: changes as operations on paths (smaller for selectors; more code and its own faults) against a merge patch, which is standard. Fetches are at least two seconds apart for a process, so that a burst of edits is read together.

--- /dev/null
+++ b/src/bergamotmast/config_delta.py
@@ -0,0 +1,69 @@
+"""What an edit changes in a document, so that processes need not read it whole.
+
+At full size the document is some 200 KB and an edit a few hundred bytes. With an edit
+every half minute, reading it whole would take more than a process may spend on all of
+its control traffic.
+
+A delta is a merge patch (RFC 7396): mappings are merged, ``null`` removes a key, and
+anything else, lists too, is replaced.
+"""
+
+from __future__ import annotations
+
+import typing as t
+
+import msgspec
+
+_ENCODER = msgspec.json.Encoder(order="sorted")
+_EMPTY = b"{}"
+
+_Plain = dict[str, t.Any]
+
+
+def make_delta(before: bytes, after: bytes) -> bytes:
+    """Return what turns one encoded document into another.
+
+    :param before: empty for no document.
+    """
+    return _ENCODER.encode(_difference(_decode(before), _decode(after)))
+
+
+def apply_delta(document: bytes, delta: bytes) -> bytes:
+    """Return the document that a delta leads to, encoded in the same way.
+
+    The result is right only if the delta was made from this very document; the
+    caller has to compare its mark.
+
+    :raises msgspec.DecodeError: if either is no JSON object.
+    """
+    return _ENCODER.encode(_merged(_decode(document), _decode(delta)))
+
+
+def _decode(document: bytes) -> _Plain:
+    return msgspec.json.decode(document or _EMPTY, type=_Plain)
+
+
+def _difference(before: _Plain, after: _Plain) -> _Plain:
+    delta: _Plain = {key: None for key in before if key not in after}
+    for key, value in after.items():
+        old = before.get(key)
+        if isinstance(old, dict) and isinstance(value, dict):
+            inner = _difference(old, value)
+            if inner:
+                delta[key] = inner
+        elif key not in before or old != value:
+            delta[key] = value
+    return delta
+
+
+def _merged(document: _Plain, delta: _Plain) -> _Plain:
+    merged = dict(document)
+    for key, value in delta.items():
+        if value is None:
+            merged.pop(key, None)
+        elif isinstance(value, dict):
+            old = merged.get(key)
+            merged[key] = _merged(old if isinstance(old, dict) else {}, value)
+        else:
+            merged[key] = value
+    return merged
--- a/src/bergamotmast/config_store.py
+++ b/src/bergamotmast/config_store.py
@@ -1,8 +1,9 @@
 """The configuration in the key-value service, changed by compare-and-swap.
 
-Three kinds of key are written in one transaction for each accepted edit: the current
+Four kinds of key are written in one transaction for each accepted edit: the current
 document, its mark (an empty key named by its digest, so that a process can ask
-cheaply whether it has missed anything), and a record of who proposed it.
+cheaply whether it has missed anything), what changed in it, and a record of who
+proposed it.
 """
 
 from __future__ import annotations
@@ -19,6 +20,7 @@
 from .config import decode_configuration
 from .config import encode_configuration
 from .config_check import check_configuration
+from .config_delta import make_delta
 from .config_diff import diff
 from .errors import ConfigError
 from .errors import EditConflictError
@@ -37,6 +39,7 @@
 CONFIG_PREFIX = "/bergamotmast/config/"
 CURRENT_KEY = CONFIG_PREFIX + "current"
 MARK_PREFIX = CONFIG_PREFIX + "mark/"
+DELTA_PREFIX = CONFIG_PREFIX + "delta/"
 HISTORY_PREFIX = CONFIG_PREFIX + "history/"
 
 GENERATION_DIGITS = 12
@@ -48,6 +51,9 @@
 HISTORY_KEPT = 100
 """Records kept; the service is small, and each record holds a whole document."""
 
+DELTAS_KEPT = 32
+"""A process that is further behind reads the whole document."""
+
 WRITE_ATTEMPTS = 6
 """Sends of one transaction while its outcome stays unknown."""
 
@@ -94,6 +100,11 @@
     return f"{HISTORY_PREFIX}{generation:0{GENERATION_DIGITS}d}"
 
 
+def delta_key(generation: int) -> str:
+    """Return the key of what a generation changed in the one before."""
+    return f"{DELTA_PREFIX}{generation:0{GENERATION_DIGITS}d}"
+
+
 def mark_key(document: bytes) -> str:
     """Return the key that is there while a document is the current one."""
     return MARK_PREFIX + hashlib.sha256(document).hexdigest()[:MARK_DIGITS]
@@ -132,6 +143,18 @@
         item = await self.kv.get(history_key(generation))
         return None if item is None else _record(item)
 
+    async def read_delta(self, generation: int) -> bytes | None:
+        """Read what a generation changed; ``None`` if it is not kept."""
+        item = await self.kv.get(delta_key(generation))
+        return None if item is None else item.value
+
+    async def read_deltas(self) -> dict[int, bytes]:
+        """Read every kept change, by the generation that it led to."""
+        found = await self.kv.range(DELTA_PREFIX)
+        return {
+            int(item.key.removeprefix(DELTA_PREFIX)): item.value for item in found.items
+        }
+
     async def history(self, limit: int = 20) -> tuple[ConfigRecord, ...]:
         """Read the newest records, newest first."""
         found = await self.kv.range(HISTORY_PREFIX)
@@ -162,7 +185,7 @@
         if stored.configuration.generation != against_generation:
             return await self._settle(proposed, nonce)
         record = self._new_record(stored, proposed, author, nonce)
-        if await self._swap(_compares(stored, marks), _writes(record, marks), record):
+        if await self._swap(stored, marks, record):
             self.history_sink.record(
                 ConfigAccepted(at=_now(), generation=proposed.generation)
             )
@@ -190,9 +213,7 @@
                 return False
             ours = _with_generation(theirs, theirs.generation + 1)
         record = self._new_record(stored, ours, author, nonce)
-        return await self._swap(
-            _compares(stored, marks), _writes(record, marks), record
-        )
+        return await self._swap(stored, marks, record)
 
     async def _read_marks(self) -> tuple[KeyValue, ...]:
         return (await self.kv.range(MARK_PREFIX)).items
@@ -216,8 +237,8 @@
 
     async def _swap(
         self,
-        compares: list[Compare],
-        writes: list[Put | Delete],
+        stored: StoredConfiguration,
+        marks: tuple[KeyValue, ...],
         record: ConfigRecord,
     ) -> bool:
         """Send the transaction until its outcome is known.
@@ -227,6 +248,8 @@
         is safe, because its condition can hold only once; when it fails, the nonce in
         the record tells whether an earlier copy was the one that took effect.
         """
+        compares = _compares(stored, marks)
+        writes = _writes(stored, record, marks)
         lost: KeyValueOutcomeUnknownError | None = None
         for attempt in range(WRITE_ATTEMPTS):
             if attempt:
@@ -284,16 +307,22 @@
     return [Compare(CURRENT_KEY, stored.mod_revision), *own]
 
 
-def _writes(record: ConfigRecord, marks: tuple[KeyValue, ...]) -> list[Put | Delete]:
+def _writes(
+    stored: StoredConfiguration, record: ConfigRecord, marks: tuple[KeyValue, ...]
+) -> list[Put | Delete]:
+    generation = record.generation
     document = encode_configuration(record.configuration)
     writes: list[Put | Delete] = [Delete(item.key) for item in marks]
     writes += [
         Put(CURRENT_KEY, document),
         Put(mark_key(document), b""),
-        Put(history_key(record.generation), _RECORD_ENCODER.encode(record)),
+        Put(delta_key(generation), make_delta(stored.document, document)),
+        Put(history_key(generation), _RECORD_ENCODER.encode(record)),
     ]
-    if record.generation > HISTORY_KEPT:
-        writes.append(Delete(history_key(record.generation - HISTORY_KEPT)))
+    if generation > DELTAS_KEPT:
+        writes.append(Delete(delta_key(generation - DELTAS_KEPT)))
+    if generation > HISTORY_KEPT:
+        writes.append(Delete(history_key(generation - HISTORY_KEPT)))
     return writes
 
 
--- a/src/bergamotmast/config_watch.py
+++ b/src/bergamotmast/config_watch.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import collections.abc as cabc
 import contextlib
 import logging
 import random
 
 import msgspec
 
+from .config_delta import apply_delta
 from .config_holder import ConfigHolder
 from .config_store import MARK_PREFIX
 from .config_store import ConfigStore
@@ -26,6 +28,10 @@
 CALL_SECONDS = 3.0
 """Time one read may take."""
 
+LEAST_PAUSE_SECONDS = 2.0
+"""Time between two fetches of a process: edits that come faster are read together,
+so that a thousand processes with two reads each stay below that rate too."""
+
 SPREAD_SECONDS = 0.5
 """Time over which processes that see the same edit read it. The read rate that the
 service has left, 2,000 a second, is enough for a thousand processes within it."""
@@ -34,9 +40,10 @@
 class ConfigWatcher:
     """Follows the key-value service and offers what it finds to a holder.
 
-    The mark of the current document is watched, and the document read where it is
-    not the one in force: several edits in a row are read once, and a watch opened
-    again after an outage does not carry the whole document to every process.
+    The mark of the current document is watched. Where it is not the document in
+    force, the changes since then are read, and the whole document only where these
+    don't lead to the mark: several edits in a row are read together, and neither an
+    edit nor a watch opened again carries the whole document to every process.
 
     While the service is down the process goes on with what its holder has, or learns
     from its peers.
@@ -46,6 +53,8 @@
     :param rng: source of the random pauses.
     :param puts_back: whether to give the service the document in force where it
         holds an older one.
+    :param mark: key of the service's mark as last heard; empty if there was none.
+    :param next_fetch_at: earliest next fetch; a point on the loop's clock.
     """
 
     def __init__(
@@ -60,22 +69,23 @@
         self.holder = holder
         self.rng = rng
         self.puts_back = puts_back
+        self.mark = ""
+        self.next_fetch_at = 0.0
+        self._changed = asyncio.Event()
 
     async def run(self) -> None:
         """Follow until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._follow())
             group.create_task(self._reread_forever())
+            group.create_task(self._fetch_forever())
 
     async def _follow(self) -> None:
         async with contextlib.aclosing(follow(self.kv, MARK_PREFIX, self.rng)) as marks:
             async for found in marks:
                 is_gone = isinstance(found, WatchEvent) and found.value is None
-                if is_gone or found.key == self._own_mark():
-                    continue
-                await asyncio.sleep(self.rng.uniform(0, SPREAD_SECONDS))
-                if found.key != self._own_mark():
-                    await self._fetch()
+                if not is_gone:
+                    self._note(found.key)
 
     async def _reread_forever(self) -> None:
         """Ask at random times whether the watch has missed anything.
@@ -86,29 +96,65 @@
         """
         while True:
             await asyncio.sleep(self.rng.uniform(0.5, 1.0) * REREAD_SECONDS)
-            before = self.holder.generation
             try:
                 async with asyncio.timeout(CALL_SECONDS):
                     found = await self.kv.range(MARK_PREFIX)
             except (BergamotmastError, TimeoutError) as error:
                 logger.info("configuration not read again: %r", error)
                 continue
-            if [item.key for item in found.items] != [self._own_mark()]:
-                await self._fetch()
-            if self.holder.generation > before:
-                logger.warning("the configuration watch missed a change")
+            self._note(found.items[-1].key if found.items else "")
+
+    def _note(self, mark: str) -> None:
+        """Remember the service's mark, and have its document fetched if need be."""
+        self.mark = mark
+        if mark != self._own_mark():
+            self._changed.set()
 
-    async def _fetch(self) -> None:
-        """Take the service's document if newer; put ours back if that is newer."""
+    async def _fetch_forever(self) -> None:
+        while True:
+            await self._changed.wait()
+            await asyncio.sleep(self.rng.uniform(0, SPREAD_SECONDS))
+            await asyncio.sleep(self.next_fetch_at - _now())
+            self._changed.clear()
+            self.next_fetch_at = _now() + LEAST_PAUSE_SECONDS
+            if self.mark != self._own_mark():
+                await self._fetch(self.mark)
+
+    async def _fetch(self, mark: str) -> None:
+        """Take the service's document if newer; put ours back if that is newer.
+
+        :param mark: the document's mark as last heard; empty if there is none.
+        """
         try:
             async with asyncio.timeout(CALL_SECONDS):
-                stored = await self.store.read()
-            self._take(stored.document)
-            if stored.document != self.holder.document:
+                document = await self._read_changes(mark)
+                if document is None:
+                    document = (await self.store.read()).document
+            self._take(document)
+            if document != self.holder.document:
                 await self._put_back()
         except (BergamotmastError, TimeoutError) as error:
             logger.warning("configuration not read: %r", error)
 
+    async def _read_changes(self, mark: str) -> bytes | None:
+        """Return the document that the kept changes lead to, if its mark is right.
+
+        The mark names the content, so that changes which belong to another document,
+        for instance after a restore, can't be taken for what was accepted.
+        """
+        if not (self.holder.document and mark):
+            return None
+        generation = self.holder.generation
+        first = await self.store.read_delta(generation + 1)
+        if first is None:
+            return None
+        document = _apply(self.holder.document, [first], mark)
+        if document is not None:
+            return document
+        deltas = await self.store.read_deltas()
+        later = [deltas[number] for number in sorted(deltas) if number > generation]
+        return _apply(self.holder.document, later, mark)
+
     async def _put_back(self) -> None:
         if not (self.puts_back and self.holder.document):
             return
@@ -136,3 +182,19 @@
 
     def _own_mark(self) -> str:
         return mark_key(self.holder.document)
+
+
+def _apply(document: bytes, deltas: cabc.Iterable[bytes], mark: str) -> bytes | None:
+    """Return the document with the mark on the way of changes; ``None`` if none has."""
+    for delta in deltas:
+        try:
+            document = apply_delta(document, delta)
+        except msgspec.DecodeError:
+            return None
+        if mark_key(document) == mark:
+            return document
+    return None
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
