The planner runs inside entries; a stopped entry keeps its sessions

A last look into the socket keeps the sessions, and a request whose only lack is a session lost just now waits for it, two seconds at most. Ruled out: a longer timeout, which would break the three seconds allowed to a dead side.

--- a/src/bergamotmast/app.py
+++ b/src/bergamotmast/app.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 import typing as t
 
@@ -16,11 +17,16 @@
 from .entry.admin import AdminHttp
 from .entry.core import EntryCore
 from .entry.fleet import read_fleet
+from .entry.fleet_picture import EntryFleetView
 from .entry.http import EntryHttp
 from .history import HistorySink
 from .model import NO_TOKEN
 from .model import EngineState
 from .model import Readiness
+from .planner.authority import LEASE_SECONDS
+from .planner.authority import Authority
+from .planner.plan_store import PlanStore
+from .planner.planner import Planner
 from .policy.presets import PolicySet
 from .side.core import SideCore
 from .side.orders import OrderKeeper
@@ -39,6 +45,7 @@
     from .ports import KeyValueService
     from .ports import Listener
     from .ports import PlainService
+    from .ports import WeightStore
 
 ADMIN_PATH = "/admin/v1"
 
@@ -70,11 +77,24 @@
         return f"{self.name}-{self.rng.getrandbits(48):012x}"
 
 
+class UnpacedWeights:
+    """A weight store that nothing is known of: loads are not paced."""
+
+    async def sizes(self) -> dict[str, float]:
+        """Return no sizes."""
+        return {}
+
+    async def rate(self) -> float:
+        """Return a rate that no load reaches."""
+        return math.inf
+
+
 class EntryProcess:
-    """One entry: connections to sides, configuration, callers.
+    """One entry: connections to sides, configuration, callers, maybe the planner.
 
     :param holder: the configuration in force.
     :param core: the entry itself.
+    :param planner: plans while it holds the lease; ``None`` if it may not.
     """
 
     def __init__(
@@ -83,6 +103,9 @@
         dialer: Dialer,
         instance_list: InstanceList,
         claims: Claims,
+        weights: WeightStore | None = None,
+        may_plan: bool = True,
+        lease_seconds: int = LEASE_SECONDS,
     ) -> None:
         self.holder = ConfigHolder(parts.name, parts.history)
         self.watcher = ConfigWatcher(parts.kv, self.holder, parts.rng)
@@ -99,6 +122,24 @@
             rng=parts.rng,
             telemetry=parts.telemetry,
         )
+        self.planner: Planner | None = None
+        if may_plan:
+            self.planner = self._new_planner(parts, weights, lease_seconds)
+
+    def _new_planner(
+        self, parts: ProcessParts, weights: WeightStore | None, lease_seconds: int
+    ) -> Planner:
+        planner = Planner(
+            authority=Authority(parts.kv, parts.name, parts.rng, lease_seconds),
+            store=PlanStore(parts.kv, parts.name, parts.rng, parts.history),
+            holder=self.holder,
+            fleet=EntryFleetView(self.core.membership),
+            policy=parts.policies.shift_policy(),
+            weights=weights or UnpacedWeights(),
+            rng=parts.rng,
+        )
+        self.core.membership.observes_all = lambda: planner.planning
+        return planner
 
     def application(self) -> web.Application:
         """Return the HTTP application that serves callers."""
@@ -112,6 +153,8 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self.watcher.run())
             group.create_task(self.core.run())
+            if self.planner is not None:
+                group.create_task(self.planner.run())
 
     async def close(self) -> None:
         """Refuse new requests and wait until the last answer is out."""
--- a/src/bergamotmast/daemons.py
+++ b/src/bergamotmast/daemons.py
@@ -22,6 +22,7 @@
 from .adapters.key_value_http import HttpKeyValueService
 from .adapters.metrics import OpenTelemetryMetrics
 from .adapters.service_http import HttpService
+from .adapters.weights_http import HttpWeightStore
 from .adapters.zeromq import ZmqDialer
 from .adapters.zeromq import ZmqListener
 from .app import EntryProcess
@@ -56,6 +57,9 @@
             ZmqDialer(context, keys),
             HttpInstanceList(session, settings.instance_list_url),
             UnclaimedCalls(),
+            _weights(settings, session),
+            may_plan=settings.planner,
+            lease_seconds=settings.planner_lease_seconds,
         )
         application = entry.application()
         application.router.add_get(METRICS_PATH, _exposition(metrics))
@@ -118,6 +122,14 @@
     return HttpKeyValueService(session, settings.key_value_url, settings.name)
 
 
+def _weights(
+    settings: SharedSettings, session: aiohttp.ClientSession
+) -> HttpWeightStore | None:
+    if not settings.weight_store_url:
+        return None
+    return HttpWeightStore(session, settings.weight_store_url)
+
+
 def _parts(
     settings: SharedSettings, kv: KeyValueService, metrics: OpenTelemetryMetrics
 ) -> ProcessParts:
--- a/src/bergamotmast/demo_fleet.py
+++ b/src/bergamotmast/demo_fleet.py
@@ -17,6 +17,7 @@
 from .model import Role
 
 MODEL = "archivist"
+ADAPTER = "deeds@1"
 ZONES = ("north-a", "north-b", "north-c", "north-d")
 ENGINES = 6
 SERVICES = 4
@@ -81,7 +82,7 @@
 def with_selector_changed(configuration: Configuration) -> Configuration:
     """Return the configuration with an adapter added to the model selector."""
     models, *others = configuration.selectors
-    changed = msgspec.structs.replace(models, adapters=("deeds@1",))
+    changed = msgspec.structs.replace(models, adapters=(ADAPTER,))
     return msgspec.structs.replace(configuration, selectors=(changed, *others))
 
 
@@ -93,4 +94,5 @@
         services={f"counter-{i + 1}": ZONES[i % 4] for i in range(SERVICES)},
         entries={f"entry-{i + 1}": ZONES[i % 4] for i in range(ENTRIES)},
         assignment=Assignment(Role.MIXED, (f"{MODEL}@1",)),
+        versions={f"{MODEL}@1": 40.0, ADAPTER: 2.0},
     )
--- a/src/bergamotmast/entry/core.py
+++ b/src/bergamotmast/entry/core.py
@@ -151,6 +151,16 @@
             and (wanted is None or _carries(peer, wanted))
         ]
 
+    def reconnecting(self, call: ModelCall | ServiceCall) -> bool:
+        """Return whether an upstream for a call may have a session again soon."""
+        now = asyncio.get_running_loop().time()
+        allowed = self.holder.selection.upstreams(call)
+        return any(
+            peer.session is None and now < peer.reconnect_by
+            for name, peer in self.membership.peers.items()
+            if name in allowed and not self.membership.is_leaving(name)
+        )
+
     def peer(self, name: str) -> Peer:
         """Return the peer of an upstream that was a candidate."""
         return self.membership.peers[name]
--- a/src/bergamotmast/entry/http.py
+++ b/src/bergamotmast/entry/http.py
@@ -69,6 +69,7 @@
         router.add_route("*", "/services/{path:.*}", self._service)
         router.add_get("/health/live", self._live)
         router.add_get("/health/ready", self._ready)
+        router.add_get("/health/sides", self._sides)
         return application
 
     @web.middleware
@@ -100,6 +101,11 @@
             return web.Response(text="ready\n")
         return web.Response(status=503, text="not ready\n")
 
+    async def _sides(self, request: web.Request) -> web.Response:
+        """Answer how many sides this entry can offer work to."""
+        peers = self.core.membership.peers.values()
+        return web.Response(text=f"{sum(peer.is_ready for peer in peers)}\n")
+
     async def _models(self, request: web.Request) -> web.Response:
         names: set[str] = set()
         for selector in self.core.holder.current.selectors:
--- a/src/bergamotmast/entry/membership.py
+++ b/src/bergamotmast/entry/membership.py
@@ -32,7 +32,7 @@
     :param instance_list: the platform's list.
     :param open_peer: makes the peer of an upstream.
     :param peers: open peers by name of their upstream.
-    :param observes_all: whether to hear every side, as a planner must.
+    :param observes_all: tells whether to hear every side, as a planner must.
     """
 
     def __init__(
@@ -52,7 +52,7 @@
         self.rng = rng
         self.peers: dict[str, Peer] = {}
         self.infos: dict[str, InstanceInfo] = {}
-        self.observes_all = False
+        self.observes_all: cabc.Callable[[], bool] = _never
         self.tasks: dict[str, asyncio.Task[None]] = {}
 
     def is_leaving(self, name: str) -> bool:
@@ -86,7 +86,7 @@
         wanted = self._wanted()
         for name in sorted(wanted):
             self._keep(self.infos[name], timing.BEAT_INTERVAL)
-        if self.observes_all:
+        if self.observes_all():
             wanted |= self._observe(set(self.infos) - wanted)
         for name in set(self.peers) - wanted:
             if not self.peers[name].attempts:
@@ -128,6 +128,10 @@
         del self.peers[name]
 
 
+def _never() -> bool:
+    return False
+
+
 def _fits(peer: Peer, info: InstanceInfo, interval: float) -> bool:
     """Return whether a peer can stay as it is; small changes of pace don't count."""
     same_kind = peer.is_observer == (interval > timing.BEAT_INTERVAL)
--- a/src/bergamotmast/entry/peer.py
+++ b/src/bergamotmast/entry/peer.py
@@ -40,6 +40,7 @@
     :param interval: seconds between heartbeats; longer for a side that is only
         observed and given no work.
     :param session: open session, or ``None``.
+    :param reconnect_by: until when a lost session may well come back.
     :param report: the side's last word, or ``None`` without a session.
     """
 
@@ -188,8 +189,7 @@
     async def _receive(self, link: Link, session: str) -> None:
         """Take messages until the side falls silent or does not know us."""
         while True:
-            async with asyncio.timeout(self.interval * timing.MISSED_BY_ENTRY):
-                frame = await link.receive()
+            frame = await self._next_frame(link)
             message = self._decode(frame)
             if self.frame_lost:
                 return
@@ -199,6 +199,20 @@
             elif message is not None:
                 await self._on_message(message)
 
+    async def _next_frame(self, link: Link) -> bytes:
+        """Return the next frame, or raise if the side is silent for too long.
+
+        The silence may be this process's own: it was stopped, and the beats wait in
+        its socket while every timer has run out. Without a last look, all sessions
+        would be given up on waking and requests refused for want of an upstream.
+        """
+        try:
+            async with asyncio.timeout(self.interval * timing.MISSED_BY_ENTRY):
+                return await link.receive()
+        except TimeoutError:
+            async with asyncio.timeout(timing.LAST_LOOK):
+                return await link.receive()
+
     def _decode(self, frame: bytes) -> messages.ToEntry | None:
         try:
             return messages.decode_to_entry(frame)
@@ -225,6 +239,7 @@
         self.session = None
         self.report = None
         self.link = None
+        self.reconnect_by = asyncio.get_running_loop().time() + timing.RECONNECT_GRACE
         for attempt in list(self.attempts.values()):
             attempt.events.put_nowait(SessionLost())
             if not attempt.survives_session:
--- a/src/bergamotmast/entry/placement.py
+++ b/src/bergamotmast/entry/placement.py
@@ -84,13 +84,17 @@
             choice = self._choose_now(resumed_tokens)
             if choice.upstream is not None:
                 return choice
-            if not self.accepted:
+            if not self.accepted and not self._may_reconnect(choice.code):
                 raise self.error(choice.code, choice.retry_after)
             if self.now() >= wait_until:
                 raise self.error(ResultCode.EXPIRED_IN_QUEUE, choice.retry_after)
             self.excluded.clear()
             await asyncio.sleep(self.entry.rng.uniform(*PAUSE_RANGE))
 
+    def _may_reconnect(self, code: ResultCode) -> bool:
+        """Whether the one thing missing is a session that was lost just now."""
+        return code is ResultCode.NO_UPSTREAM and self.entry.reconnecting(self.call)
+
     def _choose_now(self, resumed_tokens: int) -> Choice:
         candidates = self.entry.candidates(self.call)
         if not any(c.name not in self.excluded for c in candidates):
--- a/src/bergamotmast/local_fleet.py
+++ b/src/bergamotmast/local_fleet.py
@@ -53,6 +53,7 @@
     :param services: availability zone of each plain service, by name.
     :param entries: availability zone of each entry, by name.
     :param assignment: what every engine is and carries at its start.
+    :param versions: gigabytes of each version in the weight store.
     """
 
     configuration: Configuration
@@ -60,6 +61,7 @@
     services: dict[str, str]
     entries: dict[str, str]
     assignment: Assignment
+    versions: dict[str, float]
 
 
 class LocalFleet:
@@ -75,7 +77,7 @@
         self.seed = seed
         self.history = MemoryHistory()
         self.kv = KeyValueStandIn()
-        self.weights = WeightStoreStandIn()
+        self.weights = WeightStoreStandIn(plan.versions)
         self.instance_list = InstanceListStandIn()
         self.exchange = KvExchange()
         self.context = zmq.asyncio.Context()
@@ -170,6 +172,7 @@
             ZmqDialer(self.context, None),
             self.instance_list,
             UnclaimedCalls(),
+            self.weights,
         )
         self.entries[name] = entry
         self._run(entry.run())
--- a/src/bergamotmast/planner/authority.py
+++ b/src/bergamotmast/planner/authority.py
@@ -36,11 +36,19 @@
     :param kv: the key-value service.
     :param planner: name of the candidate.
     :param rng: source of jitter and nonces.
+    :param lease_seconds: time to live of the lease.
     :param lease: the lease held; 0 for none.
     """
 
-    def __init__(self, kv: KeyValueService, planner: str, rng: random.Random) -> None:
+    def __init__(
+        self,
+        kv: KeyValueService,
+        planner: str,
+        rng: random.Random,
+        lease_seconds: int = LEASE_SECONDS,
+    ) -> None:
         self.kv = kv
+        self.lease_seconds = lease_seconds
         self.planner = planner
         self.rng = rng
         self.lease = 0
@@ -64,9 +72,9 @@
     async def hold(self) -> None:
         """Renew the lease and return when it has lapsed."""
         loop = asyncio.get_running_loop()
-        renewal = LEASE_SECONDS / RENEWALS_PER_LEASE
+        renewal = self.lease_seconds / RENEWALS_PER_LEASE
         backoff = Backoff(self.rng, longest=renewal)
-        lapses_at = loop.time() + LEASE_SECONDS
+        lapses_at = loop.time() + self.lease_seconds
         while loop.time() < lapses_at:
             sent_at = loop.time()
             try:
@@ -76,7 +84,7 @@
                 await asyncio.sleep(backoff.next_delay())
                 continue
             backoff.reset()
-            lapses_at = sent_at + LEASE_SECONDS
+            lapses_at = sent_at + self.lease_seconds
             await asyncio.sleep(renewal)
         self.lease = 0
 
@@ -87,7 +95,7 @@
     async def _try(self) -> bool:
         if await self.kv.get(HOLDER_KEY) is not None:
             return False
-        self.lease = await self.kv.grant_lease(LEASE_SECONDS)
+        self.lease = await self.kv.grant_lease(self.lease_seconds)
         value = f"{self.planner} {self.rng.getrandbits(64):016x}".encode()
         put = Put(HOLDER_KEY, value, self.lease)
         try:
--- a/src/bergamotmast/protocol/timing.py
+++ b/src/bergamotmast/protocol/timing.py
@@ -39,6 +39,16 @@
 
 SIDE_TIMEOUT = BEAT_INTERVAL * MISSED_BY_ENTRY
 
+LAST_LOOK = 0.1
+"""Seconds for a last look into the socket before a session is given up."""
+
+RECONNECT_GRACE = 2.0
+"""Seconds for which a request waits for a session that was lost just now.
+
+A restarted side answers hellos within that; longer waits would hold callers back who
+could come back elsewhere.
+"""
+
 HELLO_RETRY = 0.5
 """Between two hellos that got no welcome."""
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -38,12 +38,12 @@
     # must still see it, at the slower pace of an observer.
     async with fleet(engines=1) as f:
         membership = f.entries["entry-1"].membership
-        membership.observes_all = True
+        membership.observes_all = lambda: True
         f.add_upstream("engine-9", ScriptedEngine())
         await asyncio.sleep(5.0)
         observed = membership.peers["engine-9"]
         assert observed.report is not None
         assert not observed.is_ready
-        membership.observes_all = False
+        membership.observes_all = lambda: False
         await asyncio.sleep(5.0)
         assert set(membership.peers) == {"engine-1"}
