--- a/src/bergamotmast/daemons.py
+++ b/src/bergamotmast/daemons.py
@@ -18,6 +18,7 @@
 
 from .adapters.curve_files import load_keys
 from .adapters.engine_http import HttpEngine
+from .adapters.http_calls import client_session
 from .adapters.instance_list_http import HttpInstanceList
 from .adapters.key_value_http import HttpKeyValueService
 from .adapters.metrics import OpenTelemetryMetrics
@@ -107,9 +108,8 @@
     settings: SharedSettings,
 ) -> cabc.AsyncIterator[tuple[aiohttp.ClientSession, zmq.asyncio.Context]]:
     context = zmq.asyncio.Context()
-    connector = aiohttp.TCPConnector(limit=0)
     try:
-        async with aiohttp.ClientSession(connector=connector) as session:
+        async with client_session() as session:
             logger.info("%s starts in %s", settings.name, settings.zone)
             yield session, context
     finally:
