No setting is taken and ignored

Four settings were declared and read by nobody. The largest body and the longest context are wired to the caller interface, which had constants for them; the settle time of orders and whether an engine checks fencing tokens go, because the side has its own time and takes no engine's word for it. A test looks for the use of each.

--- a/src/bergamotmast/app.py
+++ b/src/bergamotmast/app.py
@@ -18,6 +18,7 @@
 from .entry.core import EntryCore
 from .entry.fleet import read_fleet
 from .entry.fleet_picture import EntryFleetView
+from .entry.http import CallerLimits
 from .entry.http import EntryHttp
 from .history import HistorySink
 from .model import NO_TOKEN
@@ -141,9 +142,9 @@
         self.core.membership.observes_all = lambda: planner.planning
         return planner
 
-    def application(self) -> web.Application:
-        """Return the HTTP application that serves callers."""
-        application = EntryHttp(self.core).application()
+    def application(self, limits: CallerLimits | None = None) -> web.Application:
+        """Return the HTTP application that serves callers and operators."""
+        application = EntryHttp(self.core, limits).application()
         admin = AdminHttp(self.holder, self.store, lambda: read_fleet(self.core))
         application.add_subapp(ADMIN_PATH, admin.application())
         return application
--- a/src/bergamotmast/daemons.py
+++ b/src/bergamotmast/daemons.py
@@ -31,6 +31,7 @@
 from .app import SideProcess
 from .app import engine_side
 from .app import service_side
+from .entry.http import CallerLimits
 from .entry.service_run import UnclaimedCalls
 from .errors import SettingError
 from .history import NullHistory
@@ -62,7 +63,8 @@
             may_plan=settings.planner,
             lease_seconds=settings.planner_lease_seconds,
         )
-        application = entry.application()
+        limits = CallerLimits(settings.max_body_bytes, settings.max_context_tokens)
+        application = entry.application(limits)
         application.router.add_get(METRICS_PATH, _exposition(metrics))
         async with (
             _serving(application, settings.listen_address, _tls(settings)),
--- a/src/bergamotmast/entry/http.py
+++ b/src/bergamotmast/entry/http.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections.abc as cabc
 import contextlib
+import dataclasses
 import logging
 import time
 import typing as t
@@ -17,6 +18,8 @@
 from ..model import ModelCall
 from ..model import ServiceCall
 from ..model import TokenChunk
+from ..settings import DEFAULT_BODY_BYTES
+from ..settings import DEFAULT_CONTEXT_TOKENS
 from .caller import REQUEST_ID_HEADER
 from .caller import Caller
 from .caller import read_caller
@@ -34,12 +37,6 @@
 
 logger = logging.getLogger(__name__)
 
-MAX_BODY = 8 * 1024 * 1024
-"""Bytes a caller may send."""
-
-MAX_CONTEXT = 131_072
-"""Tokens of prompt and answer together."""
-
 GONE_CHECK_INTERVAL = 0.5
 """Seconds between two looks whether a caller without a stream is still there."""
 
@@ -48,19 +45,33 @@
 _Handler = cabc.Callable[[web.Request], cabc.Awaitable[web.StreamResponse]]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """How much one caller may ask for.
+
+    :param body_bytes: largest body.
+    :param context_tokens: longest prompt and answer together.
+    """
+
+    body_bytes: int = DEFAULT_BODY_BYTES
+    context_tokens: int = DEFAULT_CONTEXT_TOKENS
+
+
 class EntryHttp:
     """Translates between HTTP and an entry.
 
     :param core: the entry.
+    :param limits: how much one caller may ask for.
     """
 
-    def __init__(self, core: EntryCore) -> None:
+    def __init__(self, core: EntryCore, limits: CallerLimits | None = None) -> None:
         self.core = core
+        self.limits = limits or CallerLimits()
 
     def application(self) -> web.Application:
         """Return the application that serves callers."""
         application = web.Application(
-            client_max_size=MAX_BODY, middlewares=[self._errors]
+            client_max_size=self.limits.body_bytes, middlewares=[self._errors]
         )
         router = application.router
         router.add_post("/v1/completions", self._completions)
@@ -146,11 +157,12 @@
 
     def _model_call(self, caller: Caller, body: CompletionBody) -> ModelCall:
         tokens = estimate_tokens(body.prompt)
-        if tokens + body.max_tokens > MAX_CONTEXT:
+        longest = self.limits.context_tokens
+        if tokens + body.max_tokens > longest:
             raise RequestError(
                 ResultCode.PROMPT_TOO_LONG,
                 f"{tokens} prompt tokens and max_tokens={body.max_tokens} exceed "
-                f"{MAX_CONTEXT}.",
+                f"{longest}.",
             )
         now = asyncio.get_running_loop().time()
         limits = self.core.holder.current.request_class(caller.request_class)
--- a/src/bergamotmast/settings.py
+++ b/src/bergamotmast/settings.py
@@ -24,6 +24,9 @@
 from .setting_kinds import number
 from .setting_kinds import optional
 
+DEFAULT_BODY_BYTES = 8 << 20
+DEFAULT_CONTEXT_TOKENS = 131_072
+
 ENVIRONMENT_PREFIX = "BERGAMOTMAST_"
 
 _DECLARATION = "declaration"
@@ -138,10 +141,13 @@
         optional(FILE), _CALLERS, "private key of the certificate, in PEM", ""
     )
     max_body_bytes: int = _setting(
-        integer(1_024, 1 << 30), _CALLERS, "largest body taken", 4 << 20
+        integer(1_024, 1 << 30), _CALLERS, "largest body taken", DEFAULT_BODY_BYTES
     )
-    max_prompt_tokens: int = _setting(
-        integer(1, 10_000_000), _CALLERS, "longest prompt taken, in tokens", 131_072
+    max_context_tokens: int = _setting(
+        integer(1, 10_000_000),
+        _CALLERS,
+        "longest prompt and answer together, in tokens",
+        DEFAULT_CONTEXT_TOKENS,
     )
     planner: bool = _setting(
         BOOLEAN, _WORK, "whether this entry may hold the planner's lease", True
@@ -167,18 +173,6 @@
     upstream_kind: str = _setting(
         choice("engine", "service"), _UPSTREAM, "what the upstream is", "engine"
     )
-    upstream_fencing: bool = _setting(
-        BOOLEAN,
-        _UPSTREAM,
-        "whether the engine refuses orders with an old fencing token",
-        False,
-    )
-    settle_seconds: float = _setting(
-        number(0, 60, "seconds"),
-        _UPSTREAM,
-        "time for an earlier side's orders to arrive before the engine is read",
-        2.0,
-    )
     service_concurrency: int = _setting(
         integer(1, 10_000), _UPSTREAM, "most calls a plain service takes at once", 16
     )
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -10,9 +10,9 @@
 import pytest
 from aiohttp.test_utils import TestServer
 
-from bergamotmast.entry.http import MAX_CONTEXT
 from bergamotmast.entry.http import EntryHttp
 from bergamotmast.errors import ResultCode
+from bergamotmast.settings import DEFAULT_CONTEXT_TOKENS
 from support import MODEL
 from support import expected_text
 from support import fleet
@@ -101,7 +101,7 @@
         ("/v1/completions", GOOD | {"model": "no"}, {}, ResultCode.UNKNOWN_MODEL),
         (
             "/v1/completions",
-            GOOD | {"max_tokens": MAX_CONTEXT},
+            GOOD | {"max_tokens": DEFAULT_CONTEXT_TOKENS},
             {},
             ResultCode.PROMPT_TOO_LONG,
         ),
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -2,9 +2,12 @@
 
 import argparse
 import dataclasses
+import pathlib
+import re
 
 import pytest
 
+import bergamotmast
 from bergamotmast.errors import SettingError
 from bergamotmast.settings import EntrySettings
 from bergamotmast.settings import KeyValueSettings
@@ -41,6 +44,14 @@
             assert type(parsed) is type(declaration.default)
 
 
+def test_no_setting_is_taken_and_ignored():
+    package = pathlib.Path(bergamotmast.__file__).parent
+    code = "\n".join(path.read_text() for path in package.rglob("*.py"))
+    for settings in ALL:
+        for declaration in declarations(settings):
+            assert re.search(rf"\bsettings\.{declaration.field}\b", code), declaration
+
+
 @pytest.mark.parametrize("settings", ALL)
 def test_help_shows_every_setting_below_its_group(settings):
     parser = argparse.ArgumentParser()
@@ -75,7 +86,7 @@
         (EntrySettings, "--shutdown-seconds", "nan", "a number of seconds from 0 to"),
         (EntrySettings, "--tls-key-file", "/none", "the path of a file that exists"),
         (SideSettings, "--upstream-kind", "model", "one of engine, service"),
-        (SideSettings, "--settle-seconds", "-1", "a number of seconds from 0 to 60"),
+        (SideSettings, "--shutdown-seconds", "-1", "a number of seconds from 0 to"),
     ],
 )
 def test_an_error_names_the_flag_the_value_and_what_is_allowed(
