--- a/src/bergamotmast/entry/caller.py
+++ b/src/bergamotmast/entry/caller.py
@@ -5,7 +5,6 @@
 import dataclasses
 import hashlib
 import re
-import uuid
 
 from aiohttp import web
 
@@ -38,15 +37,18 @@
     idempotency_key: str
 
 
-def read_caller(request: web.Request, configuration: Configuration) -> Caller:
+def read_caller(
+    request: web.Request, request_id: str, configuration: Configuration
+) -> Caller:
     """Read a caller's headers.
 
+    :param request_id: id given by the caller, or made up.
     :raises RequestError: ``BAD_HEADER`` or ``UNAUTHENTICATED``.
     """
     return Caller(
         tenant=_tenant(request, configuration),
         request_class=_header(request, CLASS_HEADER, _NAME) or DEFAULT_CLASS,
-        request_id=_header(request, REQUEST_ID_HEADER, _NAME) or uuid.uuid4().hex,
+        request_id=_header(request, REQUEST_ID_HEADER, _NAME) or request_id,
         idempotency_key=_header(request, IDEMPOTENCY_HEADER, _KEY),
     )
 
--- a/src/bergamotmast/entry/http.py
+++ b/src/bergamotmast/entry/http.py
@@ -9,12 +9,14 @@
 import logging
 import time
 import typing as t
+import uuid
 
 import msgspec
 from aiohttp import web
 
 from ..errors import RequestError
 from ..errors import ResultCode
+from ..logs import request_context
 from ..model import ModelCall
 from ..model import ServiceCall
 from ..model import TokenChunk
@@ -87,22 +89,19 @@
     async def _errors(
         self, request: web.Request, handler: _Handler
     ) -> web.StreamResponse:
-        """Give every failure a numbered code and nothing but a code."""
-        request_id = request.headers.get(REQUEST_ID_HEADER, "")
-        try:
-            return await handler(request)
-        except RequestError as error:
-            return error_response(error, request.get(_REQUEST_ID, request_id))
-        except web.HTTPRequestEntityTooLarge:
-            too_large = RequestError(ResultCode.BODY_TOO_LARGE)
-            return error_response(too_large, request_id)
-        except web.HTTPException as error:
-            if error.status == 404:
-                missing = RequestError(
-                    ResultCode.UNKNOWN_ROUTE, f"No route for {request.path!r}."
-                )
-                return error_response(missing, request_id)
-            raise
+        """Give every failure a numbered code, and every log line the request's id."""
+        request_id = request.headers.get(REQUEST_ID_HEADER) or uuid.uuid4().hex
+        request[_REQUEST_ID] = request_id
+        with request_context(request_id):
+            try:
+                return await handler(request)
+            except RequestError as error:
+                return error_response(error, request_id)
+            except web.HTTPException as error:
+                return error_response(_as_request_error(request, error), request_id)
+            except Exception:
+                logger.exception("request failed")
+                return error_response(RequestError(ResultCode.INTERNAL), request_id)
 
     async def _live(self, request: web.Request) -> web.Response:
         return web.Response(text="ok\n")
@@ -137,9 +136,7 @@
         return await self._generate(request, caller, body, ChatWording())
 
     def _caller(self, request: web.Request) -> Caller:
-        caller = read_caller(request, self.core.holder.current)
-        request[_REQUEST_ID] = caller.request_id
-        return caller
+        return read_caller(request, request[_REQUEST_ID], self.core.holder.current)
 
     async def _generate(
         self,
@@ -232,6 +229,16 @@
         )
 
 
+def _as_request_error(request: web.Request, error: web.HTTPException) -> RequestError:
+    """Return the numbered form of an error that the HTTP library raised."""
+    if error.status == 413:
+        return RequestError(ResultCode.BODY_TOO_LARGE)
+    if error.status in (404, 405):
+        text = f"No route for {request.method} {request.path!r}."
+        return RequestError(ResultCode.UNKNOWN_ROUTE, text)
+    return RequestError(ResultCode.MALFORMED_BODY, error.reason)
+
+
 async def _whole(
     request: web.Request,
     call: ModelCall,
--- a/src/bergamotmast/local_fleet.py
+++ b/src/bergamotmast/local_fleet.py
@@ -109,8 +109,7 @@
 
     async def stop(self) -> None:
         """Shut down gracefully: entries first, then sides."""
-        for entry in self.entries.values():
-            await entry.close()
+        await asyncio.gather(*(entry.close() for entry in self.entries.values()))
         for runner in self._runners:
             await runner.cleanup()
         for side in self.sides.values():
--- a/src/bergamotmast/side/core.py
+++ b/src/bergamotmast/side/core.py
@@ -18,6 +18,7 @@
 from ..errors import ResultCode
 from ..history import AttemptRecord
 from ..history import HistorySink
+from ..logs import request_context
 from ..model import Cost
 from ..model import EngineState
 from ..model import Readiness
@@ -352,8 +353,9 @@
         self.telemetry.on_queue_wait(item.tenant, item.request_class, seconds)
 
     async def _run_attempt(self, attempt: Attempt) -> None:
-        await self.send(attempt.session.peer, messages.Started(attempt.name))
-        await self.runner.run(attempt, self)
+        with request_context(attempt.offer.request_id):
+            await self.send(attempt.session.peer, messages.Started(attempt.name))
+            await self.runner.run(attempt, self)
 
     def _on_ended(self, attempt: Attempt, task: asyncio.Task[None]) -> None:
         """Free what an attempt held.
--- a/tests/support.py
+++ b/tests/support.py
@@ -143,6 +143,7 @@
     def __init__(self, pace: float = 0.1) -> None:
         self.pace = pace
         self.runs: list[str] = []
+        self.run_times: list[float] = []
         self.break_at: int | None = None
         self.reachable = True
         self.closed: list[str] = []
@@ -152,6 +153,7 @@
         if not self.reachable:
             raise NotReachedError("connection refused")
         self.runs.append(request.stream_id)
+        self.run_times.append(asyncio.get_running_loop().time())
         if self.chunks is not None:
             for chunk in self.chunks:
                 yield chunk
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -12,6 +12,7 @@
 
 from bergamotmast.entry.http import EntryHttp
 from bergamotmast.errors import ResultCode
+from bergamotmast.logs import ContextFilter
 from bergamotmast.settings import DEFAULT_CONTEXT_TOKENS
 from support import MODEL
 from support import expected_text
@@ -117,6 +118,7 @@
         ),
         ("/services/nothing", b"", {}, ResultCode.UNKNOWN_ROUTE),
         ("/nowhere", b"", {}, ResultCode.UNKNOWN_ROUTE),
+        ("/v1/models", b"", {}, ResultCode.UNKNOWN_ROUTE),
     ],
 )
 async def test_bad_input_gets_a_code_and_nothing_runs(path, body, headers, code):
@@ -155,6 +157,22 @@
                 await asyncio.sleep(0.05)
 
 
+async def test_a_fault_of_ours_gets_a_code_and_its_log_line_the_request_id(caplog):
+    # The policy raises what nobody expected. The caller gets code 900 and "unknown";
+    # the log line can be found by the request's id.
+    async with served(engines=1) as (f, session):
+        caplog.handler.addFilter(ContextFilter("entry-1"))
+        f.entries["entry-1"].policy.choose = None
+        headers = {"X-Request-Id": "find-me"}
+        path = "/v1/completions"
+        async with session.post(path, json=GOOD, headers=headers) as response:
+            assert response.status == 500
+            error = (await response.json())["error"]
+        assert (error["code"], error["outcome"]) == (ResultCode.INTERNAL, "unknown")
+        failed = [r for r in caplog.records if r.getMessage() == "request failed"]
+        assert [r.request_id for r in failed] == ["find-me"]
+
+
 async def test_readiness_follows_the_entry():
     async with served(engines=1) as (f, session):
         async with session.get("/health/ready") as response:
