--- a/src/bergamotmast/app.py
+++ b/src/bergamotmast/app.py
@@ -6,9 +6,11 @@
 from __future__ import annotations
 
 import asyncio
+import collections.abc as cabc
 import dataclasses
 import math
 import random
+import time
 import typing as t
 
 from .config_holder import ConfigHolder
@@ -54,6 +56,11 @@
 """Tokens a second of a plain service, whose calls count as one token each."""
 
 
+def wall_clock_seconds() -> int:
+    """Return the seconds since 1970."""
+    return int(time.time())
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProcessParts:
     """What every process is given.
@@ -63,6 +70,9 @@
     :param kv: the key-value service.
     :param policies: decisions under load.
     :param rng: seeded source of jitter and of names.
+    :param epoch_hint: least epoch of a planner that takes over, a number that only
+        rises: after a restore of the key-value service nobody may be left who knows
+        the lost epochs, and orders under them would be given out a second time.
     """
 
     name: str
@@ -72,6 +82,7 @@
     history: HistorySink
     telemetry: Telemetry
     rng: random.Random
+    epoch_hint: cabc.Callable[[], int] = wall_clock_seconds
 
     def incarnation(self) -> str:
         """Return a name for this start of the process."""
@@ -132,7 +143,9 @@
     ) -> Planner:
         planner = Planner(
             authority=Authority(parts.kv, parts.name, parts.rng, lease_seconds),
-            store=PlanStore(parts.kv, parts.name, parts.rng, parts.history),
+            store=PlanStore(
+                parts.kv, parts.name, parts.rng, parts.history, parts.epoch_hint
+            ),
             holder=self.holder,
             fleet=EntryFleetView(self.core.membership),
             policy=parts.policies.shift_policy(),
--- a/src/bergamotmast/checker_fleet.py
+++ b/src/bergamotmast/checker_fleet.py
@@ -96,7 +96,7 @@
         elif isinstance(record, Execution):
             since = leaving.get(record.upstream, math.inf)
             if record.at > since + limits.leaving_seconds:
-                detail = f"{record.request} began {record.at - since:.3f} s too late"
+                detail = f"{record.request} began {record.at - since:.3f} s after"
                 yield Violation(Rule.LEAVING, record.at, record.upstream, detail)
 
 
--- a/src/bergamotmast/entry/membership.py
+++ b/src/bergamotmast/entry/membership.py
@@ -88,12 +88,20 @@
             self._keep(self.infos[name], timing.BEAT_INTERVAL)
         if self.observes_all():
             wanted |= self._observe(set(self.infos) - wanted)
-        for name in set(self.peers) - wanted:
+        for name in sorted(set(self.peers) - wanted):
             if not self.peers[name].attempts:
                 self._drop(name)
 
     def _wanted(self) -> set[str]:
-        """Return the upstreams to be connected to, a subset of each group."""
+        """Return the upstreams to be connected to, a subset of each group.
+
+        A process that starts while the key-value service is down knows no group. It
+        would talk to nobody and answer nothing for the whole outage; any side tells
+        it the configuration in force.
+        """
+        if self.holder.generation == 0:
+            everyone = {name: info.zone for name, info in self.infos.items()}
+            return set(choose_subset(self.entry, self.zone, everyone))
         wanted: set[str] = set()
         for members in self.holder.selection.members.values():
             zones = {
@@ -106,7 +114,7 @@
 
     def _observe(self, names: set[str]) -> set[str]:
         interval = timing.observer_interval(len(self.infos))
-        for name in names:
+        for name in sorted(names):
             peer = self.peers.get(name)
             if peer is None or peer.is_observer or not peer.attempts:
                 self._keep(self.infos[name], interval)
--- a/src/bergamotmast/entry/peer.py
+++ b/src/bergamotmast/entry/peer.py
@@ -67,6 +67,7 @@
         self.counter = 0
         self.report: SideReport | None = None
         self.reported_at = 0.0
+        self.reconnect_by = 0.0
         self.generation = 0
         self.frame_lost = False
         self.attempts: dict[str, EntryAttempt] = {}
--- /dev/null
+++ b/src/bergamotmast/faults/run.py
@@ -0,0 +1,84 @@
+"""One run under the faults of a seed, checked for every promise."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+import traceback
+
+import looptime
+
+from ..checker import Summary
+from ..checker import check
+from ..checker import summary
+from ..checker_types import Violation
+from ..history import AnyRecord
+from .callers import Callers
+from .gates import install
+from .schedule import Faults
+from .world import FaultWorld
+
+WARM_UP_SECONDS = 10.0
+FAULT_SECONDS = 60.0
+CALM_SECONDS = 30.0
+"""After the last fault: long enough for what was accepted to be in force."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FaultRun:
+    """What a seed's run showed.
+
+    :param violations: promises broken.
+    :param errors: what entries raised at callers beside the errors they should.
+    :param log: the faults, a line each.
+    """
+
+    seed: int
+    summary: Summary
+    violations: tuple[Violation, ...]
+    errors: tuple[str, ...]
+    log: tuple[str, ...]
+    records: tuple[AnyRecord, ...] = dataclasses.field(repr=False)
+
+    @property
+    def holds(self) -> bool:
+        """Whether every promise held and nothing else went wrong."""
+        return not self.violations and not self.errors
+
+
+def run_seed(seed: int) -> FaultRun:
+    """Make the run of a seed in virtual time, on a loop of its own."""
+    loop = looptime.new_event_loop(noop_cycles=0)
+    asyncio.set_event_loop(loop)
+    try:
+        install(loop)
+        return loop.run_until_complete(run(seed))
+    finally:
+        asyncio.set_event_loop(None)
+        loop.close()
+
+
+async def run(seed: int) -> FaultRun:
+    """Make the run of a seed on the running loop."""
+    world = FaultWorld(seed)
+    callers = Callers(world, random.Random(f"callers {seed}"))
+    faults = Faults(world, random.Random(f"faults {seed}"))
+    await world.start()
+    await asyncio.sleep(WARM_UP_SECONDS)
+    end = world.now() + FAULT_SECONDS
+    calling = asyncio.get_running_loop().create_task(callers.run(end))
+    await faults.run(end)
+    await calling
+    await callers.finish()
+    await asyncio.sleep(CALM_SECONDS)
+    records = tuple(world.history.records)
+    await world.stop()
+    return FaultRun(
+        seed=seed,
+        summary=summary(records),
+        violations=tuple(check(records)),
+        errors=tuple("".join(traceback.format_exception(e)) for e in callers.errors),
+        log=tuple(faults.log),
+        records=records,
+    )
--- /dev/null
+++ b/src/bergamotmast/faults/schedule.py
@@ -0,0 +1,349 @@
+"""Random faults: what may go wrong, for how long, and how it is put right again.
+
+A fault is a coroutine that breaks something, waits, and mends it. Several run at the
+same time; one that finds nothing it may break ends at once.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc as cabc
+import contextlib
+import random
+import typing as t
+
+from ..config import Configuration
+from ..config import RoleBounds
+from ..config import Selector
+from ..config_edit import with_labels
+from ..config_edit import with_selector
+from ..errors import BergamotmastError
+from ..history import LeavingAnnounced
+from ..history import PlannedChange
+from ..history import StayingAnnounced
+from ..model import Role
+from .world import ENGINES
+from .world import ENTRIES
+from .world import LIST_LAG
+from .world import SERVICES
+from .world import FaultWorld
+
+EVERY_SECONDS = 2.5
+"""Mean time between two faults."""
+
+SPREAD_SECONDS = 3.0
+"""A service that accepted an edit stays up for so long: what nobody could read can't
+come into force anywhere."""
+
+_Fault: t.TypeAlias = cabc.Callable[["Faults"], t.Coroutine[t.Any, t.Any, None]]
+
+
+class Faults:
+    """The faults of one run.
+
+    :param world: what is broken.
+    :param rng: seeded source of the schedule.
+    :param log: what was done when, for whoever looks into a run.
+    """
+
+    def __init__(self, world: FaultWorld, rng: random.Random) -> None:
+        self.world = world
+        self.rng = rng
+        self.log: list[str] = []
+        self.busy: set[str] = set()
+        self.edits = 0
+        self.accepted_at = 0.0
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self, until: float) -> None:
+        """Break things until a point in time, then mend everything."""
+        kinds = tuple(FAULTS)
+        weights = tuple(FAULTS.values())
+        while self.world.now() < until:
+            await asyncio.sleep(self.rng.expovariate(1.0 / EVERY_SECONDS))
+            (fault,) = self.rng.choices(kinds, weights)
+            task = asyncio.get_running_loop().create_task(fault(self))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        await asyncio.gather(*self._tasks)
+
+    @contextlib.contextmanager
+    def holding(
+        self, kind: str, names: cabc.Iterable[str], exclusive: str = ""
+    ) -> cabc.Iterator[str | None]:
+        """Choose something that no other fault holds, and hold it.
+
+        :param exclusive: a name that only one fault at a time may hold, or empty.
+        """
+        free = [name for name in names if name not in self.busy]
+        chosen = self.world.pick(free)
+        if exclusive in self.busy or chosen is None:
+            yield None
+            return
+        held = {chosen, exclusive} - {""}
+        self.busy |= held
+        self.note(f"{kind} {chosen}")
+        try:
+            yield chosen
+        finally:
+            self.busy -= held
+            self.note(f"{kind} {chosen} ended")
+
+    def note(self, text: str) -> None:
+        """Add a line to the log."""
+        self.log.append(f"{self.world.now():8.3f} {text}")
+
+    async def some_time(self, most: float) -> None:
+        """Wait for a random time, mostly short."""
+        await asyncio.sleep(min(most, self.rng.expovariate(3.0 / most)))
+
+
+async def kill_side(faults: Faults) -> None:
+    """Kill a side and start it again."""
+    with faults.holding("kill side", (*ENGINES, *SERVICES)) as name:
+        if name is None:
+            return
+        await faults.world.kill(name)
+        await faults.some_time(15.0)
+        faults.world.start_process(name)
+
+
+async def kill_entry(faults: Faults) -> None:
+    """Kill an entry and start it again; the other one lives."""
+    with faults.holding("kill entry", ENTRIES, "entry") as name:
+        if name is None:
+            return
+        await faults.world.kill(name)
+        await faults.some_time(15.0)
+        faults.world.start_process(name)
+
+
+async def pause(faults: Faults) -> None:
+    """Stop a process and let it go on."""
+    with faults.holding("pause", (*ENGINES, *SERVICES, *ENTRIES)) as name:
+        if name is None:
+            return
+        gate = faults.world.processes[name].gate
+        gate.pause()
+        faults.world.note_reach()
+        await faults.some_time(25.0)
+        gate.resume()
+        faults.world.note_reach()
+
+
+async def partition(faults: Faults) -> None:
+    """Cut a side off from the entries, and perhaps from the key-value service."""
+    with faults.holding("partition", (*ENGINES, *SERVICES)) as name:
+        if name is None:
+            return
+        world = faults.world
+        world.network.partition(name)
+        whole = faults.rng.random() < 0.5
+        if whole:
+            world.kv.cut(name)
+            world.cut_from_kv.add(name)
+        world.note_reach()
+        await faults.some_time(25.0)
+        world.network.heal(name)
+        if whole:
+            world.kv.heal(name)
+            world.cut_from_kv.discard(name)
+        world.note_reach()
+
+
+async def restart_side(faults: Faults) -> None:
+    """Shut a side down gracefully and start its successor."""
+    with faults.holding("restart side", (*ENGINES, *SERVICES)) as name:
+        if name is None:
+            return
+        world = faults.world
+        world.history.record(
+            PlannedChange(at=world.now(), upstream=name, change="restart")
+        )
+        await world.stop_gracefully(name)
+        await faults.some_time(3.0)
+        world.start_process(name)
+
+
+async def restart_entry(faults: Faults) -> None:
+    """Shut an entry down gracefully and start its successor."""
+    with faults.holding("restart entry", ENTRIES, "entry") as name:
+        if name is None:
+            return
+        await faults.world.stop_gracefully(name)
+        faults.world.start_process(name)
+
+
+async def crash_engine(faults: Faults) -> None:
+    """Crash an engine, often in mid-change, and bring it back."""
+    with faults.holding("crash engine", (f"upstream {n}" for n in ENGINES)) as held:
+        if held is None:
+            return
+        engine = faults.world.engines[held.removeprefix("upstream ")]
+        engine.crash(faults.rng.random() < 0.5, faults.rng.random() < 0.3)
+        await faults.some_time(15.0)
+        engine.restart()
+
+
+async def crash_service(faults: Faults) -> None:
+    """Crash a plain service and bring it back."""
+    with faults.holding("crash service", (f"upstream {n}" for n in SERVICES)) as held:
+        if held is None:
+            return
+        service = faults.world.services[held.removeprefix("upstream ")]
+        service.crash()
+        await faults.some_time(8.0)
+        service.restart()
+
+
+async def lose_replies(faults: Faults) -> None:
+    """Lose replies of upstreams and of the key-value service."""
+    world = faults.world
+    world.kv.lose_next_reply(count=faults.rng.randint(0, 2))
+    world.services[faults.rng.choice(SERVICES)].lost_replies += 1
+    engine = world.engines[faults.rng.choice(ENGINES)]
+    engine.lost_order_replies += 1
+    if engine.up and faults.rng.random() < 0.5:
+        engine.break_connections()
+    faults.note(f"lost replies, {engine.name}")
+
+
+async def key_value_down(faults: Faults) -> None:
+    """Take the key-value service down; it may come back with older content."""
+    with faults.holding("key-value down", ("key-value",)) as name:
+        if name is None:
+            return
+        world = faults.world
+        older = world.kv.snapshot()
+        await faults.some_time(10.0)
+        await asyncio.sleep(max(0.0, faults.accepted_at + SPREAD_SECONDS - world.now()))
+        world.kv.down = True
+        world.note_reach()
+        await faults.some_time(30.0)
+        if faults.rng.random() < 0.3:
+            faults.note("key-value restored")
+            world.kv.restore(older)
+        world.kv.down = False
+        world.note_reach()
+
+
+async def silence_watches(faults: Faults) -> None:
+    """Let every open watch fall silent without an error."""
+    faults.note("watches silent")
+    faults.world.kv.silence_watches()
+
+
+async def instance_list_down(faults: Faults) -> None:
+    """Take the instance list down."""
+    with faults.holding("instance list down", ("instance-list",)) as name:
+        if name is None:
+            return
+        faults.world.instance_list.down = True
+        await faults.some_time(20.0)
+        faults.world.instance_list.down = False
+
+
+async def leave_by_list(faults: Faults) -> None:
+    """Announce that an upstream leaves, and that it stays after all."""
+    with faults.holding("leaving", ENGINES, "instance-list") as name:
+        if name is None:
+            return
+        world = faults.world
+        world.instance_list.set_leaving(name)
+        # Only the list says so here: nobody can know before it shows.
+        await asyncio.sleep(LIST_LAG)
+        world.history.record(LeavingAnnounced(at=world.now(), upstream=name))
+        await faults.some_time(20.0)
+        world.history.record(StayingAnnounced(at=world.now(), upstream=name))
+        world.instance_list.set_leaving(name, False)
+        await asyncio.sleep(LIST_LAG)
+
+
+async def drain(faults: Faults) -> None:
+    """Drain an engine by its label, as operators do, and take it back."""
+    with faults.holding("drain", (f"label {n}" for n in ENGINES), "draining") as held:
+        if held is None:
+            return
+        world = faults.world
+        name = held.removeprefix("label ")
+
+        def drained(now: Configuration) -> Configuration:
+            return with_labels(now, name, {"pool": "drained"})
+
+        def taken_back(now: Configuration) -> Configuration:
+            return with_labels(now, name, {"pool": "models"})
+
+        if not await edit(faults, drained):
+            return
+        world.history.record(LeavingAnnounced(at=world.now(), upstream=name))
+        await faults.some_time(30.0)
+        # The promise is over with the first try: one whose reply is lost may hold.
+        world.history.record(StayingAnnounced(at=world.now(), upstream=name))
+        while not await edit(faults, taken_back):
+            await asyncio.sleep(1.0)
+
+
+async def change_roles(faults: Faults) -> None:
+    """Ask for engines of one role, so that the planner orders changes."""
+    role = faults.rng.choice((Role.PREFILL, Role.DECODE, Role.MIXED))
+    least = faults.rng.randint(0, 3)
+
+    def changed(now: Configuration) -> Configuration:
+        (models,) = (s for s in now.selectors if s.name == "models")
+        return with_selector(now, with_least(models, role, least))
+
+    await edit(faults, changed)
+
+
+def with_least(selector: Selector, role: Role, least: int) -> Selector:
+    """Return a selector that wants at least some engines in one role."""
+    return Selector(
+        name=selector.name,
+        group=selector.group,
+        match=selector.match,
+        models=selector.models,
+        roles={role: RoleBounds(least=least)},
+    )
+
+
+async def edit(
+    faults: Faults, change: cabc.Callable[[Configuration], Configuration]
+) -> bool:
+    """Edit the configuration through an entry; whether it was accepted."""
+    world = faults.world
+    entry = world.entry(faults.rng.choice(ENTRIES))
+    if entry is None:
+        return False
+    before = entry.holder.current
+    faults.edits += 1
+    nonce = f"edit-{faults.edits}"
+    try:
+        accepted = await world.store.propose(
+            change(before), before.generation, "operator", nonce
+        )
+    except BergamotmastError as error:
+        faults.note(f"edit refused: {error.message}")
+        return False
+    faults.accepted_at = world.now()
+    faults.note(f"edit accepted: generation {accepted.generation}")
+    return True
+
+
+FAULTS: dict[_Fault, float] = {
+    kill_side: 2.0,
+    kill_entry: 1.0,
+    pause: 3.0,
+    partition: 3.0,
+    restart_side: 1.0,
+    restart_entry: 1.0,
+    crash_engine: 2.0,
+    crash_service: 1.0,
+    lose_replies: 2.0,
+    key_value_down: 1.5,
+    silence_watches: 0.5,
+    instance_list_down: 0.5,
+    leave_by_list: 1.0,
+    drain: 1.5,
+    change_roles: 4.0,
+}
+"""Every fault with its share."""
--- /dev/null
+++ b/src/bergamotmast/faults/world.py
@@ -0,0 +1,259 @@
+"""The fleet that faults are tried on: real entries and sides, stand-ins outside."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+import typing as t
+
+from ..adapters.memory import MemoryNetwork
+from ..app import EntryProcess
+from ..app import ProcessParts
+from ..app import SideProcess
+from ..app import engine_side
+from ..app import service_side
+from ..config import Configuration
+from ..config import Match
+from ..config import Route
+from ..config import Selector
+from ..config import SelectorState
+from ..config_store import ConfigStore
+from ..entry.service_run import UnclaimedCalls
+from ..history import MemoryHistory
+from ..history import ProcessReachable
+from ..history import ProcessStarted
+from ..history import ProcessStopped
+from ..history import ProcessUnreachable
+from ..model import Assignment
+from ..model import InstanceInfo
+from ..model import Role
+from ..model import UpstreamKind
+from ..policy.presets import PRESETS
+from ..standins.engine import EngineStandIn
+from ..standins.engine_spec import EngineSpec
+from ..standins.instance_list import InstanceListStandIn
+from ..standins.key_value import KeyValueStandIn
+from ..standins.kv_exchange import KvExchange
+from ..standins.service import ServiceStandIn
+from ..standins.weights import WeightStoreStandIn
+from ..telemetry import NullTelemetry
+from .gates import Gate
+
+MODEL = "archivist"
+ENGINES = ("engine-1", "engine-2", "engine-3", "engine-4")
+SERVICES = ("service-1", "service-2")
+ENTRIES = ("entry-1", "entry-2")
+ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
+CONCURRENCY = 8
+"""Calls that a plain service takes at once."""
+
+SERVICE_SECONDS = 0.3
+CHANGE_SECONDS = 6.0
+LIST_LAG = 2.0
+KEY_VALUE_DELAY = 0.004
+
+
+def first_configuration() -> Configuration:
+    """Return the configuration that every run starts with."""
+    labels = {name: {"pool": "models"} for name in ENGINES}
+    labels |= {name: {"pool": "counter"} for name in SERVICES}
+    return Configuration(
+        labels=labels,
+        selectors=(
+            Selector(
+                name="models",
+                group="pool=models",
+                match=Match(models=(MODEL,)),
+                models=(f"{MODEL}@1",),
+            ),
+            Selector(
+                name="drained", group="pool=drained", state=SelectorState.DRAINING
+            ),
+            Selector(
+                name="counter",
+                group="pool=counter",
+                match=Match(routes=("counter", "orders")),
+            ),
+        ),
+        routes={
+            "counter": Route(prefix="/counter"),
+            "orders": Route(prefix="/orders", repeatable=False),
+        },
+    )
+
+
+@dataclasses.dataclass
+class Process:
+    """One running entry or side.
+
+    :param reachable: whether anything else can reach it, as the history has it.
+    """
+
+    name: str
+    gate: Gate
+    body: EntryProcess | SideProcess
+    reachable: bool = True
+
+
+class FaultWorld:
+    """Everything of one run.
+
+    :param rng: seeded source of everything random.
+    :param history: everything that happened.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.history = MemoryHistory()
+        self.network = MemoryNetwork()
+        self.kv = KeyValueStandIn(delay=KEY_VALUE_DELAY)
+        self.cut_from_kv: set[str] = set()
+        self.weights = WeightStoreStandIn({f"{MODEL}@1": 20.0, f"{MODEL}@2": 20.0})
+        self.instance_list = InstanceListStandIn(lag=LIST_LAG)
+        self.exchange = KvExchange()
+        self.engines: dict[str, EngineStandIn] = {}
+        self.services: dict[str, ServiceStandIn] = {}
+        self.processes: dict[str, Process] = {}
+        self.store = ConfigStore(self.kv.client("operator"), self.history)
+        self.accepted_at = 0.0
+        for number, name in enumerate(ENGINES):
+            self._add_engine(name, number)
+        for number, name in enumerate(SERVICES):
+            self.services[name] = ServiceStandIn(name, SERVICE_SECONDS, self.history)
+            self._list(name, UpstreamKind.SERVICE, number)
+
+    def _add_engine(self, name: str, number: int) -> None:
+        self.engines[name] = EngineStandIn(
+            name,
+            EngineSpec(change_seconds=CHANGE_SECONDS, honours_fencing=number % 2 == 0),
+            assignment=Assignment(Role.MIXED, (f"{MODEL}@1",)),
+            loader=self.weights.load,
+            exchange=self.exchange,
+            history=self.history,
+        )
+        self._list(name, UpstreamKind.ENGINE, number)
+
+    def _list(self, name: str, kind: UpstreamKind, number: int) -> None:
+        zone = ZONES[number % len(ZONES)]
+        self.instance_list.put(InstanceInfo(name, kind, zone, name, ""))
+
+    # Processes
+
+    async def start(self) -> None:
+        """Start every process with a configuration in the service."""
+        await self.store.propose(first_configuration(), 0, "operator", "first")
+        for name in (*ENGINES, *SERVICES, *ENTRIES):
+            self.start_process(name)
+
+    def start_process(self, name: str) -> None:
+        """Start an entry or a side."""
+        body = self._entry(name) if name in ENTRIES else self._side(name)
+        process = Process(name, Gate(), body)
+        self.processes[name] = process
+        self.history.record(ProcessStarted(at=self.now(), process=name))
+        process.gate.run(body.run())
+        self.note_reach()
+
+    async def kill(self, name: str) -> None:
+        """End a process at once."""
+        process = self.processes.pop(name)
+        self.history.record(ProcessStopped(at=self.now(), process=name))
+        if isinstance(process.body, SideProcess):
+            process.body.listener.close()
+        await process.gate.kill()
+
+    async def stop_gracefully(self, name: str) -> None:
+        """End a process as its operating system's first signal does."""
+        process = self.processes[name]
+        await process.gate.run(process.body.close())
+        if self.processes.get(name) is process:
+            await self.kill(name)
+
+    async def stop(self) -> None:
+        """End everything."""
+        for name in list(self.processes):
+            await self.kill(name)
+
+    def entry(self, name: str) -> EntryProcess | None:
+        """Return an entry that callers reach and the balancer counts as ready."""
+        process = self.processes.get(name)
+        if process is None or not isinstance(process.body, EntryProcess):
+            return None
+        return process.body if process.body.core.is_ready else None
+
+    def gate_of(self, entry: EntryProcess) -> Gate | None:
+        """Return the gate of an entry, or ``None`` if it has ended."""
+        for process in self.processes.values():
+            if process.body is entry:
+                return process.gate
+        return None
+
+    def note_reach(self) -> None:
+        """Record which processes nothing else can reach now."""
+        for process in self.processes.values():
+            reachable = self._is_reachable(process.name)
+            if reachable is not process.reachable:
+                kind = ProcessReachable if reachable else ProcessUnreachable
+                self.history.record(kind(at=self.now(), process=process.name))
+                process.reachable = reachable
+
+    def _is_reachable(self, name: str) -> bool:
+        process = self.processes[name]
+        if process.gate.paused:
+            return False
+        if not self.kv.down and name not in self.cut_from_kv:
+            return True
+        if name not in ENTRIES:
+            return name not in self.network.cut and self._any_entry_lives()
+        return any(
+            side in self.processes
+            and side not in self.network.cut
+            and not self.processes[side].gate.paused
+            for side in (*ENGINES, *SERVICES)
+        )
+
+    def _any_entry_lives(self) -> bool:
+        return any(
+            name in self.processes and not self.processes[name].gate.paused
+            for name in ENTRIES
+        )
+
+    # Parts
+
+    def _parts(self, name: str) -> ProcessParts:
+        return ProcessParts(
+            name=name,
+            zone=ZONES[0],
+            kv=self.kv.client(name),
+            policies=PRESETS["default"],
+            history=self.history,
+            telemetry=NullTelemetry(),
+            rng=random.Random(self.rng.getrandbits(64)),
+            epoch_hint=lambda: int(self.now()),
+        )
+
+    def _entry(self, name: str) -> EntryProcess:
+        return EntryProcess(
+            self._parts(name),
+            self.network,
+            self.instance_list,
+            UnclaimedCalls(),
+            self.weights,
+        )
+
+    def _side(self, name: str) -> SideProcess:
+        listener = self.network.listen(name)
+        parts = self._parts(name)
+        if name in self.engines:
+            return engine_side(parts, listener, self.engines[name])
+        return service_side(parts, listener, self.services[name], CONCURRENCY)
+
+    def now(self) -> float:
+        """Return the time on the clock of the run."""
+        return asyncio.get_running_loop().time()
+
+    def pick(self, names: t.Iterable[str]) -> str | None:
+        """Return one of some names at random."""
+        choices = sorted(names)
+        return self.rng.choice(choices) if choices else None
--- a/src/bergamotmast/side/core.py
+++ b/src/bergamotmast/side/core.py
@@ -284,7 +284,6 @@
         """
         for attempt in self._of_session(earlier):
             attempt.session = session
-            session.remember(attempt.name)
             if attempt.phase is AttemptPhase.WAITING:
                 await self._refuse_waiting(attempt, ResultCode.STALE_SESSION)
             elif attempt.is_model:
@@ -340,6 +339,7 @@
         while (item := self.policy.next(self._now())) is not None:
             attempt = self.attempts[item.attempt]
             attempt.phase = AttemptPhase.STARTED
+            attempt.session.on_started(attempt.name)
             self.running.add(attempt.name)
             self._idle.clear()
             self._record(attempt.offer, "started")
@@ -368,6 +368,7 @@
         attempt.phase = AttemptPhase.DONE
         attempt.forget_at = self._now() + ANSWER_KEPT
         self.running.discard(attempt.name)
+        attempt.session.on_started(attempt.name)
         if attempt.answer is None:
             self.attempts.pop(attempt.name, None)
         self._record(attempt.offer, "done")
@@ -403,11 +404,13 @@
     ) -> None:
         """Answer for an attempt that is not here.
 
-        If the session saw it, it has ended. If not, remembering it now leaves the
+        If it was ever started, it has ended. If not, remembering it leaves the
         tombstone that keeps a later offer of it from starting.
         """
-        new = session.remember(cancel.attempt)
-        state: t.Literal["never_started", "done"] = "never_started" if new else "done"
+        state: t.Literal["never_started", "done"] = "done"
+        if not session.may_have_started(cancel.attempt):
+            session.remember(cancel.attempt)
+            state = "never_started"
         await self.send(session.peer, messages.AttemptState(cancel.attempt, state))
 
     def _end_stream(self, attempt: Attempt) -> None:
--- a/src/bergamotmast/side/session.py
+++ b/src/bergamotmast/side/session.py
@@ -30,6 +30,7 @@
     :param interval: seconds between heartbeats, both ways.
     :param expires_at: when the entry counts as lost unless it is heard again.
     :param beat_at: when the next beat to the entry is due.
+    :param seen: attempts offered or cancelled, and whether each was ever started.
     """
 
     name: str
@@ -41,7 +42,7 @@
     expires_at: float = 0.0
     beat_at: float = 0.0
     beats: int = 0
-    seen: collections.OrderedDict[str, None] = dataclasses.field(
+    seen: collections.OrderedDict[str, bool] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
 
@@ -53,10 +54,31 @@
         """Note an attempt; ``False`` if its offer or cancel was seen before."""
         if attempt in self.seen:
             return False
-        self.seen[attempt] = None
+        self._note(attempt, False)
+        return True
+
+    def on_started(self, attempt: str) -> None:
+        """Note that an attempt has run, or runs."""
+        self._note(attempt, True)
+
+    def may_have_started(self, attempt: str) -> bool:
+        """Return whether an attempt that was seen was ever started."""
+        return self.seen.get(attempt, False)
+
+    def inherit(self, earlier: Session) -> None:
+        """Take over what an earlier session of the same incarnation saw.
+
+        A call may have run and its end have been lost with the earlier session: the
+        entry asks for it in this one. Without the memory it would hear "never
+        started" of a call that ran, and run it again elsewhere.
+        """
+        self.seen = earlier.seen
+
+    def _note(self, attempt: str, started: bool) -> None:
+        self.seen[attempt] = started
+        self.seen.move_to_end(attempt)
         if len(self.seen) > MAX_TOMBSTONES:
             self.seen.popitem(last=False)
-        return True
 
 
 class SessionTable:
@@ -96,6 +118,7 @@
         )
         session.on_heard(now)
         if earlier is not None:
+            session.inherit(earlier)
             self.end(earlier)
         self.by_name[session.name] = session
         self.by_incarnation[hello.incarnation] = session
--- a/src/bergamotmast/standins/key_value.py
+++ b/src/bergamotmast/standins/key_value.py
@@ -70,7 +70,7 @@
         self._losses: collections.Counter[str | None] = collections.Counter()
         self._leases: dict[int, _Lease] = {}
         self._lease_ids = itertools.count(1)
-        self._watches: set[_Watch] = set()
+        self._watches: dict[_Watch, None] = {}
 
     def client(self, name: str) -> KeyValueClient:
         """Return one process's way to the service."""
@@ -224,14 +224,14 @@
         if from_revision:
             for event in self.store.events_from(from_revision):
                 _offer(watch, event)
-        self._watches.add(watch)
+        self._watches[watch] = None
         try:
             while True:
                 found = await _next_event(watch)
                 if found is None or found.mod_revision >= from_revision:
                     yield found
         finally:
-            self._watches.discard(watch)
+            self._watches.pop(watch, None)
 
     async def _late(
         self, client: str, effect: cabc.Callable[[], _T], half: float
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -95,3 +95,24 @@
             await f.entries["entry-1"].submit_service(f.service_call("orders"))
         assert caught.value.info.outcome is Outcome.NOT_RUN
         assert caught.value.retry_after is not None
+
+
+async def test_a_failure_lost_with_its_session_is_never_called_not_started():
+    # An order runs at its service, whose reply is lost; the side's word of that is
+    # lost with the session. The entry says hello again and asks what became of the
+    # order. It must not hear "never started": the order would run a second time.
+    async with fleet(services=2) as f:
+        for upstream in f.upstreams.values():
+            upstream.pace = 5.0
+            upstream.lose_replies = 1
+        call = f.service_call("orders", total=30.0)
+        answer = asyncio.create_task(f.entries["entry-1"].submit_service(call))
+        await asyncio.sleep(1.0)
+        (busy,) = (name for name, u in f.upstreams.items() if u.runs)
+        f.network.partition(busy)
+        await asyncio.sleep(9.0)
+        f.network.heal(busy)
+        with pytest.raises(RequestError) as caught:
+            await answer
+        assert caught.value.code is ResultCode.OUTCOME_UNKNOWN
+        assert runs(f) == 1
