Bench: what a core of entry and side carries on real sockets

Nothing measured the real thing: virtual time says what the decisions are worth, not what a token costs. The script starts stand-ins, sides, one entry and a bare pass-through of ours as processes on loopback and measures within one run: processor time from /proc for each of them, and latency on all paths at the same time, so that other work on the machine meets all alike. Every answer is compared with the one expected. Weighed: LoadDriver as client, ruled out because it parses each event while it measures.

--- /dev/null
+++ b/src/bergamotmast/bench/sockets_client.py
@@ -0,0 +1,164 @@
+"""Callers for the measurement on real sockets: each sends one call after the other."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import itertools
+import typing as t
+
+import aiohttp
+import msgspec
+
+from ..errors import BergamotmastError
+from ..model import GenerateRequest
+from ..model import Priority
+from ..standins.engine_text import expected_text
+from .sockets_fleet import MODEL
+from .sockets_fleet import REQUEST_CLASS
+
+PROMPT_TOKENS = 50
+
+_EVENT = b"data: "
+_END = b"\n\ndata: [DONE]\n\n"
+
+
+class WrongAnswerError(BergamotmastError):
+    """A caller got something else than its whole answer."""
+
+
+class _Choice(msgspec.Struct):
+    text: str
+
+
+class _Event(msgspec.Struct):
+    choices: list[_Choice]
+
+
+_DECODER = msgspec.json.Decoder(_Event)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sample:
+    """What a caller saw of one call.
+
+    :param first: seconds to the first event.
+    :param gaps: seconds between events; 0 for those that came together.
+    """
+
+    tokens: int
+    first: float
+    gaps: tuple[float, ...]
+
+
+class Caller(t.Protocol):
+    """Knows the path and body of a call at one kind of target."""
+
+    def body(self, number: str, prompt: str, tokens: int) -> bytes:
+        """Return the body."""
+        ...
+
+
+class EngineCaller:
+    """Calls an engine, or a pass-through before one."""
+
+    def body(self, number: str, prompt: str, tokens: int) -> bytes:
+        """Return the body."""
+        request = GenerateRequest(
+            stream_id=number,
+            model=MODEL,
+            prompt=prompt,
+            prompt_tokens=PROMPT_TOKENS,
+            max_tokens=tokens,
+            priority=Priority.STANDARD,
+        )
+        return msgspec.json.encode(request)
+
+
+class EntryCaller:
+    """Calls an entry."""
+
+    def body(self, number: str, prompt: str, tokens: int) -> bytes:
+        """Return the body."""
+        fields = {"model": MODEL, "prompt": prompt, "max_tokens": tokens}
+        return msgspec.json.encode(fields | {"stream": True})
+
+
+class Callers:
+    """Callers of one target that share a session.
+
+    :param caller: what a call of the target looks like.
+    :param url: base address of the target.
+    """
+
+    _numbers = itertools.count(1)
+
+    def __init__(
+        self, session: aiohttp.ClientSession, caller: Caller, url: str
+    ) -> None:
+        self.session = session
+        self.caller = caller
+        self.url = url + "/v1/completions"
+
+    async def run(self, callers: int, tokens: int, seconds: float) -> list[Sample]:
+        """Call for a while, each caller one call at a time, and end the last calls.
+
+        :param tokens: length of each answer.
+        """
+        until = asyncio.get_running_loop().time() + seconds
+        work = (self._repeat(tokens, until) for _ in range(callers))
+        return [s for samples in await asyncio.gather(*work) for s in samples]
+
+    async def _repeat(self, tokens: int, until: float) -> list[Sample]:
+        samples = []
+        while asyncio.get_running_loop().time() < until:
+            samples.append(await self.call(tokens))
+        return samples
+
+    async def call(self, tokens: int) -> Sample:
+        """Make one call.
+
+        :raises WrongAnswerError: if the answer is not the whole one.
+        """
+        number = f"n{next(self._numbers)}"
+        head = f"[out={tokens}] {number} "
+        prompt = head + "word " * (PROMPT_TOKENS - 2)
+        headers = {
+            "X-Tenant": "t",
+            "X-Request-Class": REQUEST_CLASS,
+            "X-Request-Id": number,
+            "Content-Type": "application/json",
+        }
+        body = self.caller.body(number, prompt, tokens)
+        loop = asyncio.get_running_loop()
+        times = [loop.time()]
+        parts = []
+        async with self.session.post(self.url, data=body, headers=headers) as response:
+            async for part in response.content.iter_any():
+                parts.append(part)
+                times += [loop.time()] * part.count(_EVENT)
+        if answer_text(b"".join(parts)) != expected_text(MODEL, prompt, tokens):
+            raise WrongAnswerError(f"call {number} of {self.url} got another answer")
+        return sample(tokens, times)
+
+
+def answer_text(stream: bytes) -> str:
+    """Return the text of a whole stream of events.
+
+    :raises WrongAnswerError: if it has not ended as it should.
+    """
+    if not stream.endswith(_END):
+        raise WrongAnswerError(f"a stream ended with {stream[-200:]!r}")
+    events = stream.removesuffix(_END).split(b"\n\n")
+    decoded = (_DECODER.decode(event.removeprefix(_EVENT)) for event in events)
+    return "".join(event.choices[0].text for event in decoded)
+
+
+def sample(tokens: int, times: list[float]) -> Sample:
+    """Return what a caller saw.
+
+    :param times: when the call was sent, then of each event, the end's included.
+    """
+    events = times[1:-1]
+    gaps = tuple(b - a for a, b in itertools.pairwise(events))
+    return Sample(tokens, events[0] - times[0], gaps)
--- /dev/null
+++ b/src/bergamotmast/bench/sockets_report.py
@@ -0,0 +1,181 @@
+"""What the measurement on real sockets gives: figures, and how they are shown."""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import dataclasses
+
+from ..load import percentile
+from .sockets_client import Sample
+
+MILLISECONDS = 1000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cost:
+    """What one stretch of load cost the processes that carried it.
+
+    :param cpu: processor seconds by process.
+    """
+
+    requests: int
+    tokens: int
+    seconds: float
+    cpu: dict[str, float]
+
+    def core_seconds(self, prefix: str) -> float:
+        """Return the processor seconds of all processes of one kind."""
+        return sum(c for name, c in self.cpu.items() if name.startswith(prefix))
+
+    def requests_per_core(self, prefix: str) -> float:
+        """Return requests for each core second of one kind of process."""
+        return self.requests / max(self.core_seconds(prefix), 1e-9)
+
+    def tokens_per_core(self, prefix: str) -> float:
+        """Return tokens for each core second of one kind of process."""
+        return self.tokens / max(self.core_seconds(prefix), 1e-9)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Latency:
+    """What callers waited, in seconds."""
+
+    first_p50: float
+    first_p95: float
+    between_p50: float
+    between_p95: float
+
+    def minus(self, floor: Latency) -> Latency:
+        """Return what is added to another path's latency."""
+        return Latency(
+            self.first_p50 - floor.first_p50,
+            self.first_p95 - floor.first_p95,
+            self.between_p50 - floor.between_p50,
+            self.between_p95 - floor.between_p95,
+        )
+
+
+def latency_of(samples: cabc.Sequence[Sample]) -> Latency:
+    """Return the latency that callers saw."""
+    firsts = [s.first for s in samples]
+    gaps = [gap for s in samples for gap in s.gaps]
+    return Latency(
+        percentile(firsts, 0.5) or 0.0,
+        percentile(firsts, 0.95) or 0.0,
+        percentile(gaps, 0.5) or 0.0,
+        percentile(gaps, 0.95) or 0.0,
+    )
+
+
+def cost_of(
+    samples: cabc.Sequence[Sample],
+    seconds: float,
+    before: dict[str, float],
+    after: dict[str, float],
+) -> Cost:
+    """Return what a stretch cost, from processor times before and after it."""
+    cpu = {name: after[name] - before[name] for name in before}
+    return Cost(len(samples), sum(s.tokens for s in samples), seconds, cpu)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Measured:
+    """One run.
+
+    :param latency: by path: ``engine``, ``passthrough`` and ``entry``.
+    :param streams: cost of long answers, by path.
+    :param checks: cost of answers of one token, by path.
+    """
+
+    latency: dict[str, Latency]
+    streams: dict[str, Cost]
+    checks: dict[str, Cost]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PerCore:
+    """What a core of one kind of process carries, and as a share of the floor."""
+
+    tokens: float
+    requests: float
+    tokens_share: float
+    requests_share: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """The figures of one run.
+
+    :param per_core: by kind of process: ``passthrough``, ``entry`` and ``side``.
+    :param added_to_engine: latency added to that of the engine called directly.
+    :param added_to_floor: latency added to that of the pass-through.
+    """
+
+    measured: Measured
+    per_core: dict[str, PerCore]
+    added_to_engine: dict[str, Latency]
+    added_to_floor: Latency
+
+
+def report_of(measured: Measured) -> Report:
+    """Work out the figures of a run."""
+    latency = measured.latency
+    floor = latency["engine"]
+    return Report(
+        measured=measured,
+        per_core={
+            kind: _per_core(measured, kind) for kind in ("passthrough", "entry", "side")
+        },
+        added_to_engine={
+            path: latency[path].minus(floor) for path in ("passthrough", "entry")
+        },
+        added_to_floor=latency["entry"].minus(latency["passthrough"]),
+    )
+
+
+def _per_core(measured: Measured, kind: str) -> PerCore:
+    path = "passthrough" if kind == "passthrough" else "entry"
+    tokens = measured.streams[path].tokens_per_core(kind)
+    requests = measured.checks[path].requests_per_core(kind)
+    floor_tokens = measured.streams["passthrough"].tokens_per_core("passthrough")
+    floor_requests = measured.checks["passthrough"].requests_per_core("passthrough")
+    return PerCore(tokens, requests, tokens / floor_tokens, requests / floor_requests)
+
+
+def as_text(report: Report) -> str:
+    """Return the figures for a person to read."""
+    lines = ["a core second of       tokens  of floor  requests  of floor"]
+    for kind, core in report.per_core.items():
+        lines.append(
+            f"{kind:<18}{core.tokens:>11,.0f}{core.tokens_share:>10.2f}"
+            f"{core.requests:>10,.0f}{core.requests_share:>10.2f}"
+        )
+    lines.append("")
+    lines.append("milliseconds       first p50       p95  between p50       p95")
+    rows = {
+        **report.measured.latency,
+        "added to engine": report.added_to_engine["entry"],
+        "added to floor": report.added_to_floor,
+    }
+    lines += [_latency_line(name, latency) for name, latency in rows.items()]
+    lines.append("")
+    for title, costs in (
+        ("streams", report.measured.streams),
+        ("checks", report.measured.checks),
+    ):
+        for path, cost in costs.items():
+            lines.append(
+                f"{title} by {path}: {cost.requests / cost.seconds:,.0f} requests/s, "
+                f"{cost.tokens / cost.seconds:,.0f} tokens/s"
+            )
+    return "\n".join(lines) + "\n"
+
+
+def _latency_line(name: str, latency: Latency) -> str:
+    first_p50, first_p95, between_p50, between_p95 = (
+        MILLISECONDS * value for value in dataclasses.astuple(latency)
+    )
+    return (
+        f"{name:<18}{first_p50:>10.2f}{first_p95:>10.2f}"
+        f"{between_p50:>13.2f}{between_p95:>10.2f}"
+    )
--- /dev/null
+++ b/tests/test_bench_sockets.py
@@ -0,0 +1,117 @@
+"""The measurement on real sockets: its figures and their form, without timing."""
+
+from __future__ import annotations
+
+import aiohttp
+import msgspec
+import pytest
+from aiohttp import web
+
+from bergamotmast.bench.passthrough import PassThrough
+from bergamotmast.bench.sockets_client import WrongAnswerError
+from bergamotmast.bench.sockets_client import answer_text
+from bergamotmast.bench.sockets_client import sample
+from bergamotmast.bench.sockets_fleet import TICKS_PER_SECOND
+from bergamotmast.bench.sockets_fleet import cpu_seconds
+from bergamotmast.bench.sockets_report import Cost
+from bergamotmast.bench.sockets_report import Latency
+from bergamotmast.bench.sockets_report import Measured
+from bergamotmast.bench.sockets_report import as_text
+from bergamotmast.bench.sockets_report import cost_of
+from bergamotmast.bench.sockets_report import latency_of
+from bergamotmast.bench.sockets_report import report_of
+from bergamotmast.standins.http_front import serving
+
+SHARED = {"side-engine-1": 0.5, "side-engine-2": 0.5, "entry": 2.0, "passthrough": 0.0}
+FLOOR = {"side-engine-1": 0.0, "side-engine-2": 0.0, "entry": 0.0, "passthrough": 0.5}
+
+
+def measured():
+    return Measured(
+        latency={
+            "engine": Latency(0.005, 0.010, 0.010, 0.012),
+            "passthrough": Latency(0.006, 0.012, 0.010, 0.013),
+            "entry": Latency(0.010, 0.020, 0.010, 0.015),
+        },
+        streams={
+            "passthrough": Cost(10, 1000, 2.0, FLOOR),
+            "entry": Cost(10, 1000, 4.0, SHARED),
+        },
+        checks={
+            "passthrough": Cost(100, 100, 1.0, FLOOR),
+            "entry": Cost(100, 100, 1.0, SHARED),
+        },
+    )
+
+
+def test_a_core_carries_what_its_processor_time_says():
+    report = report_of(measured())
+    assert report.per_core["passthrough"].tokens == 2000
+    assert report.per_core["entry"].tokens_share == 0.25
+    assert report.per_core["side"].requests == 100
+    assert report.per_core["side"].requests_share == 0.5
+
+
+def test_added_latency_is_a_difference_of_percentiles():
+    report = report_of(measured())
+    assert report.added_to_engine["entry"].first_p95 == pytest.approx(0.010)
+    assert report.added_to_floor.first_p50 == pytest.approx(0.004)
+
+
+def test_text_names_every_path_and_kind():
+    lines = as_text(report_of(measured())).splitlines()
+    assert "entry                     500      0.25        50      0.25" in lines
+    assert "added to floor          4.00      8.00         0.00      2.00" in lines
+    assert "streams by entry: 2 requests/s, 250 tokens/s" in lines
+
+
+def test_json_carries_the_same():
+    decoded = msgspec.json.decode(msgspec.json.encode(report_of(measured())))
+    assert decoded["per_core"]["entry"]["tokens"] == 500
+    assert decoded["measured"]["checks"]["entry"]["cpu"] == SHARED
+
+
+def test_cost_counts_only_the_stretch():
+    samples = [sample(2, [0.0, 0.1, 0.3, 0.3]), sample(3, [0.0, 0.2, 0.2, 0.4, 0.4])]
+    cost = cost_of(samples, 1.0, {"entry": 1.0}, {"entry": 1.5})
+    assert (cost.requests, cost.tokens, cost.cpu) == (2, 5, {"entry": 0.5})
+
+
+def test_the_end_of_a_stream_is_no_token():
+    seen = sample(3, [1.0, 1.5, 1.5, 1.75, 9.0])
+    assert seen.first == 0.5
+    assert seen.gaps == (0.0, 0.25)
+    assert latency_of([seen]).between_p95 == 0.25
+
+
+def test_processor_time_is_read_behind_any_command_name():
+    fields = " ".join(str(number) for number in range(20))
+    assert cpu_seconds(f"7 (a) b) S {fields}") == (10 + 11) / TICKS_PER_SECOND
+
+
+EVENT = b'data: {"choices":[{"text":"one "}]}\n\n'
+
+
+def test_text_of_a_whole_stream():
+    assert answer_text(EVENT * 2 + b"data: [DONE]\n\n") == "one one "
+
+
+@pytest.mark.parametrize("stream", [EVENT, EVENT + b"data: [DONE]", EVENT[:-1]])
+def test_a_stream_that_breaks_off_is_an_error(stream):
+    with pytest.raises(WrongAnswerError):
+        answer_text(stream)
+
+
+async def test_the_pass_through_changes_nothing():
+    async def echo(request):
+        body = await request.read()
+        return web.Response(status=418, body=body[::-1], content_type="text/x")
+
+    engine = web.Application()
+    engine.router.add_post("/some/path", echo)
+    async with aiohttp.ClientSession() as session, serving(engine) as url:
+        floor = PassThrough(session, url).application()
+        async with serving(floor) as floor_url:
+            async with session.post(floor_url + "/some/path", data=b"abc") as response:
+                seen = response.status, response.content_type, await response.read()
+    assert seen == (418, "text/x", b"cba")
