ZeroMQ: frames are taken without a future each, a burst at a wake-up

Cause: the profile of an entry showed the library's asyncio sockets (a future, a flag computation and a turn of the event loop for each frame) and a timeout for each frame as its largest part beside the writes to callers.

Now plain sockets are read until they are empty, at most 64 frames before other tasks get a turn, and an entry arms one timeout for each wake-up. Frames stay in ZeroMQ's buffers until they are taken, so the high-water marks bound memory as before. Ruled out: draining into a queue of our own, which would have taken that bound away. ZeroMQ's descriptor is edge-triggered; a test blocks the loop so that a send takes the news of a frame, and fails without the look after each send.

--- a/src/bergamotmast/adapters/memory.py
+++ b/src/bergamotmast/adapters/memory.py
@@ -93,6 +93,13 @@
         _, frame = await self.incoming.get()
         return frame
 
+    async def receive_many(self) -> list[bytes]:
+        """Return the frames that have come, in order, at least one."""
+        frames = [await self.receive()]
+        while not self.incoming.empty():
+            frames.append(self.incoming.get_nowait()[1])
+        return frames
+
     def close(self) -> None:
         """Drop the connection; frames under way to the listener still arrive."""
         self.closed = True
--- a/src/bergamotmast/adapters/zeromq.py
+++ b/src/bergamotmast/adapters/zeromq.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections.abc as cabc
 import dataclasses
+import typing as t
 
 import zmq
 import zmq.asyncio
@@ -20,6 +22,15 @@
 HANDSHAKE_MILLISECONDS = 5000
 """How long a peer may take to show its key."""
 
+BURST = 64
+"""Frames taken from a socket before the event loop's other tasks get a turn."""
+
+_NOBLOCK = int(zmq.NOBLOCK)
+_SNDMORE = int(zmq.SNDMORE)
+_EVENTS = int(zmq.EVENTS)
+_POLLIN = int(zmq.POLLIN)
+# Plain numbers: combining the library's flags costs more than the call they steer.
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CurveKeys:
@@ -50,8 +61,7 @@
 
     def dial(self, address: str) -> ZmqLink:
         """Open a connection to ``host:port``."""
-        socket = self.context.socket(zmq.DEALER)
-        _set_common(socket)
+        socket = _open(self.context, zmq.DEALER)
         # Without this, frames for a side that is not connected would be queued and
         # delivered whenever it comes back.
         socket.setsockopt(zmq.IMMEDIATE, 1)
@@ -63,27 +73,115 @@
         return ZmqLink(socket)
 
 
+class _Readiness:
+    """Wakes the one task that waits for a socket's next frame.
+
+    Frames are taken without waiting while there are any, so that a burst costs one
+    wake-up; the library's own asyncio sockets make a future for each frame.
+
+    ZeroMQ's descriptor shows changes, not a state: a send may take in the news of a
+    frame that came, and the descriptor stays silent although a frame is there. Its
+    stream would stall until the next frame. So every send looks for frames while
+    somebody waits, and whoever does not wait yet looks into the socket first.
+
+    :param socket: a socket without futures.
+    """
+
+    def __init__(self, socket: zmq.Socket[bytes]) -> None:
+        self.socket = socket
+        self.loop: asyncio.AbstractEventLoop | None = None
+        self.waiter: asyncio.Future[None] | None = None
+        self.taken = 0
+
+    async def turn(self) -> None:
+        """Give other tasks a turn after a burst; nothing is held meanwhile."""
+        if self.taken >= BURST:
+            self.taken = 0
+            await asyncio.sleep(0)
+
+    async def wait(self) -> None:
+        """Wait until there may be a frame, after one look that found none."""
+        loop = asyncio.get_running_loop()
+        if self.loop is None:
+            loop.add_reader(self.socket.FD, self.look)
+            self.loop = loop
+        self.taken = 0
+        self.waiter = loop.create_future()
+        try:
+            await self.waiter
+        finally:
+            self.waiter = None
+
+    def look(self) -> None:
+        """Wake the waiting task if there is a frame."""
+        # Asked also when nobody waits: the descriptor stays readable until then, and
+        # the event loop would spin.
+        events = self.socket.get(_EVENTS)
+        assert isinstance(events, int)
+        if events & _POLLIN and self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(None)
+
+    def after_send(self) -> None:
+        """Look for frames whose news a send may have taken in."""
+        if self.waiter is not None:
+            self.look()
+
+    def close(self) -> None:
+        """Stop watching; a task that still waits is cancelled."""
+        if self.loop is not None and not self.loop.is_closed():
+            self.loop.remove_reader(self.socket.FD)
+        self.loop = None
+        if self.waiter is not None:
+            self.waiter.cancel()
+
+
 class ZmqLink:
     """The entry's end of a connection."""
 
-    def __init__(self, socket: zmq.asyncio.Socket) -> None:
+    def __init__(self, socket: zmq.Socket[bytes]) -> None:
         self.socket = socket
+        self.readiness = _Readiness(socket)
 
     async def send(self, frame: bytes) -> None:
         """Hand a frame over without waiting."""
         if self.socket.closed:
             raise NotReachedError("the connection is closed")
         try:
-            await self.socket.send(frame, zmq.NOBLOCK)
+            self.socket.send(frame, _NOBLOCK)
         except zmq.ZMQError as error:
             raise NotReachedError(f"not handed over: {error}") from error
+        finally:
+            self.readiness.after_send()
 
     async def receive(self) -> bytes:
         """Return the next frame."""
-        return await self.socket.recv()
+        await self.readiness.turn()
+        while (frame := self._take()) is None:
+            await self.readiness.wait()
+        return frame
+
+    async def receive_many(self) -> list[bytes]:
+        """Return the frames that have come, in order, at least one."""
+        frames = [await self.receive()]
+        while self.readiness.taken < BURST:
+            frame = self._take()
+            if frame is None:
+                break
+            frames.append(frame)
+        return frames
+
+    def _take(self) -> bytes | None:
+        try:
+            frame = self.socket.recv(_NOBLOCK)
+        except zmq.Again:
+            return None
+        self.readiness.taken += 1
+        return frame
 
     def close(self) -> None:
         """Drop the connection with all frames still queued."""
+        if not self.socket.closed:
+            self.readiness.close()
         self.socket.close(linger=0)
 
 
@@ -100,8 +198,8 @@
     def __init__(
         self, context: zmq.asyncio.Context, address: str, keys: CurveKeys | None
     ) -> None:
-        self.socket = context.socket(zmq.ROUTER)
-        _set_common(self.socket)
+        self.socket = _open(context, zmq.ROUTER)
+        self.readiness = _Readiness(self.socket)
         # Without this, a frame for a peer that is gone would be dropped in silence.
         self.socket.setsockopt(zmq.ROUTER_MANDATORY, 1)
         self.authenticator: zmq.auth.asyncio.AsyncioAuthenticator | None = None
@@ -128,22 +226,35 @@
 
     async def receive(self) -> tuple[bytes, bytes]:
         """Return the next frame with the identity of its peer."""
+        await self.readiness.turn()
         while True:
-            parts = await self.socket.recv_multipart()
+            try:
+                parts = self.socket.recv_multipart(_NOBLOCK)
+            except zmq.Again:
+                await self.readiness.wait()
+                continue
+            self.readiness.taken += 1
             if len(parts) == 2:
                 return parts[0], parts[1]
+            await self.readiness.turn()
 
     async def send(self, peer: bytes, frame: bytes) -> None:
         """Hand a frame over without waiting."""
         if self.socket.closed:
             raise NotReachedError("the listener is closed")
         try:
-            await self.socket.send_multipart((peer, frame), zmq.NOBLOCK)
+            # Only the first part can be refused; the other goes where it went.
+            self.socket.send(peer, _NOBLOCK | _SNDMORE)
+            self.socket.send(frame, _NOBLOCK)
         except zmq.ZMQError as error:
             raise NotReachedError(f"not handed over: {error}") from error
+        finally:
+            self.readiness.after_send()
 
     def close(self) -> None:
         """Release the address; answers just handed over still go out for a while."""
+        if not self.socket.closed:
+            self.readiness.close()
         self.socket.close(linger=CLOSE_LINGER_MILLISECONDS)
         if self.authenticator is not None:
             self.authenticator.stop()
@@ -160,8 +271,11 @@
         return key in self.allowed
 
 
-def _set_common(socket: zmq.asyncio.Socket) -> None:
+def _open(context: zmq.Context[t.Any], kind: int) -> zmq.Socket[bytes]:
+    """Return a socket without futures that the context closes if we don't."""
+    socket: zmq.Socket[bytes] = context.socket(kind, socket_class=zmq.Socket)
     socket.setsockopt(zmq.LINGER, 0)
     socket.setsockopt(zmq.SNDHWM, HIGH_WATER_MARK)
     socket.setsockopt(zmq.RCVHWM, HIGH_WATER_MARK)
     socket.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_MILLISECONDS)
+    return socket
--- a/src/bergamotmast/entry/peer.py
+++ b/src/bergamotmast/entry/peer.py
@@ -190,18 +190,18 @@
     async def _receive(self, link: Link, session: str) -> None:
         """Take messages until the side falls silent or does not know us."""
         while True:
-            frame = await self._next_frame(link)
-            message = self._decode(frame)
-            if self.frame_lost:
-                return
-            if isinstance(message, messages.SessionUnknown):
-                if message.session == session:
+            for frame in await self._next_frames(link):
+                message = self._decode(frame)
+                if self.frame_lost:
                     return
-            elif message is not None:
-                await self._on_message(message)
+                if isinstance(message, messages.SessionUnknown):
+                    if message.session == session:
+                        return
+                elif message is not None:
+                    await self._on_message(message)
 
-    async def _next_frame(self, link: Link) -> bytes:
-        """Return the next frame, or raise if the side is silent for too long.
+    async def _next_frames(self, link: Link) -> list[bytes]:
+        """Return the next frames, or raise if the side is silent for too long.
 
         The silence may be this process's own: it was stopped, and the beats wait in
         its socket while every timer has run out. Without a last look, all sessions
@@ -209,10 +209,10 @@
         """
         try:
             async with asyncio.timeout(self.interval * timing.MISSED_BY_ENTRY):
-                return await link.receive()
+                return await link.receive_many()
         except TimeoutError:
             async with asyncio.timeout(timing.LAST_LOOK):
-                return await link.receive()
+                return await link.receive_many()
 
     def _decode(self, frame: bytes) -> messages.ToEntry | None:
         try:
--- a/src/bergamotmast/ports.py
+++ b/src/bergamotmast/ports.py
@@ -207,6 +207,10 @@
         """Return the next frame."""
         ...
 
+    async def receive_many(self) -> list[bytes]:
+        """Return the frames that have come, in order, at least one."""
+        ...
+
     def close(self) -> None:
         """Drop the connection with all frames still queued."""
         ...
--- a/tests/test_zeromq.py
+++ b/tests/test_zeromq.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import socket
+import time
 
 import pytest
 import zmq
 import zmq.asyncio
 
+from bergamotmast.adapters.zeromq import BURST
 from bergamotmast.adapters.zeromq import CurveKeys
 from bergamotmast.adapters.zeromq import ZmqDialer
 from bergamotmast.adapters.zeromq import ZmqListener
@@ -53,6 +55,69 @@
     listener.close()
 
 
+async def connected(context):
+    address = free_address()
+    listener = ZmqListener(context, address, None)
+    link = ZmqDialer(context, None).dial(address)
+    await handed_over(link, b"hello")
+    peer, _ = await listener.receive()
+    return listener, link, peer
+
+
+async def test_a_burst_arrives_in_order_and_lets_others_run(context):
+    # A side sends more than one wake-up takes. The entry's other tasks run meanwhile,
+    # or a busy side would keep it from writing to its callers.
+    listener, link, peer = await connected(context)
+    expected = [b"%d" % i for i in range(3 * BURST)]
+    for frame in expected:
+        await listener.send(peer, frame)
+    turns = 0
+
+    async def count():
+        nonlocal turns
+        while True:
+            turns += 1
+            await asyncio.sleep(0)
+
+    other = asyncio.create_task(count())
+    received = []
+    async with asyncio.timeout(20):
+        while len(received) < len(expected):
+            frames = await link.receive_many()
+            assert 1 <= len(frames) <= BURST
+            received += frames
+    other.cancel()
+    assert received == expected
+    assert turns >= 2
+    link.close()
+    listener.close()
+
+
+async def test_a_frame_is_seen_although_a_send_took_its_news(context):
+    # An entry waits for a side. A frame comes while the entry is busy, and then the
+    # entry sends: ZeroMQ's descriptor is silent now, although a frame is there.
+    listener, link, peer = await connected(context)
+    answer = asyncio.create_task(link.receive())
+    await asyncio.sleep(0.05)
+    await listener.send(peer, b"answer")
+    time.sleep(0.2)
+    await link.send(b"heartbeat")
+    async with asyncio.timeout(5):
+        assert await answer == b"answer"
+    link.close()
+    listener.close()
+
+
+async def test_closing_a_link_ends_who_waits_for_it(context):
+    listener, link, _ = await connected(context)
+    waiting = asyncio.create_task(link.receive())
+    await asyncio.sleep(0.05)
+    link.close()
+    await asyncio.wait({waiting}, timeout=5)
+    assert waiting.cancelled()
+    listener.close()
+
+
 async def test_an_offer_to_nobody_is_known_not_to_be_handed_over(context):
     # Nothing listens: the send must fail at once, or the frame would be delivered to
     # whoever listens there minutes later.
