Lower priorities are owed their share once they have waited, and shifting sees demand whole

Cause: what prefill engines refused never showed as decode work, and the planner gave engines to prefill while decode was short.

--- a/src/bergamotmast/bench/world.py
+++ b/src/bergamotmast/bench/world.py
@@ -31,6 +31,10 @@
 from ..model import ServiceAnswer
 from ..model import ServiceCall
 from ..model import UpstreamKind
+from ..planner.authority import Authority
+from ..planner.fleet_view import TimedReport
+from ..planner.plan_store import PlanStore
+from ..planner.planner import Planner
 from ..policy.presets import PolicySet
 from ..side.core import SideCore
 from ..side.orders import OrderKeeper
@@ -39,6 +43,7 @@
 from ..standins.engine import EngineStandIn
 from ..standins.key_value import KeyValueStandIn
 from ..standins.kv_exchange import KvExchange
+from ..standins.weights import WeightStoreStandIn
 from .faults import Fault
 from .faults import FaultKind
 from .fleet import Fleet
@@ -96,6 +101,29 @@
         return ServiceAnswer(200, b"", "text/plain")
 
 
+class EntryView:
+    """What the planner sees of the fleet: the sessions of the entry it runs in."""
+
+    def __init__(self, entry: EntryCore) -> None:
+        self.entry = entry
+
+    def instances(self) -> list[InstanceInfo]:
+        """Return the instances as last listed."""
+        return list(self.entry.membership.infos.values())
+
+    def leaving(self) -> frozenset[str]:
+        """Return the upstreams that any signal says are leaving."""
+        membership = self.entry.membership
+        return frozenset(n for n in membership.infos if membership.is_leaving(n))
+
+    def last_report(self, upstream: str) -> TimedReport | None:
+        """Return a side's last word."""
+        peer = self.entry.membership.peers.get(upstream)
+        if peer is None or peer.report is None:
+            return None
+        return TimedReport(peer.report, peer.reported_at)
+
+
 class NoClaims:
     """No call of a trace has a caller's key, so nothing is ever claimed."""
 
@@ -152,7 +180,7 @@
             side.on_engine(None, Readiness.READY)
         for index in range(self.fleet.entries):
             self._start_entry(index)
-        await self._start_planner()
+        self._start_planner()
         await asyncio.sleep(SETTLE_SECONDS)
         return self
 
@@ -227,8 +255,21 @@
         self.entries.append(entry)
         self._spawn(entry.run())
 
-    async def _start_planner(self) -> None:
+    def _start_planner(self) -> None:
         """Run the planner beside the first entry."""
+        client = self.kv.client("planner")
+        rng = self.rng("planner")
+        entry = self.entries[0]
+        planner = Planner(
+            Authority(client, "planner", rng),
+            PlanStore(client, "planner", rng, self.history),
+            entry.holder,
+            EntryView(entry),
+            self.policy_set.shift_policy(),
+            WeightStoreStandIn(),
+            rng,
+        )
+        self._spawn(planner.run())
 
     # Faults
 
--- a/src/bergamotmast/entry/admin.py
+++ b/src/bergamotmast/entry/admin.py
@@ -17,7 +17,6 @@
 from ..config import Configuration
 from ..config import Scope
 from ..config import encode_configuration
-from ..config_check import find_warnings
 from ..config_diff import diff
 from ..config_edit import with_labels
 from ..config_edit import with_selector
@@ -160,8 +159,7 @@
         accepted = await self.store.propose(proposed, against, key.team, nonce)
         self.holder.offer(encode_configuration(accepted))
         changes = diff(base, accepted)
-        warnings = tuple(warning.show() for warning in find_warnings(accepted))
-        return _answer(messages.EditAnswer(accepted.generation, changes, warnings))
+        return _answer(messages.EditAnswer(accepted.generation, changes))
 
     async def _base(self, against: int) -> Configuration:
         """Return the document of the generation that an edit was made against.
--- a/src/bergamotmast/policy/admission.py
+++ b/src/bergamotmast/policy/admission.py
@@ -36,9 +36,11 @@
 """Share by which a wait is spread upwards."""
 
 
-def too_late_for_entry(predicted: float, left: float) -> bool:
+def too_late_for_entry(
+    predicted: float, left: float, slack: float = ENTRY_SLACK
+) -> bool:
     """Return whether an entry refuses, from predicted and remaining seconds."""
-    return left <= 0.0 or predicted > ENTRY_SLACK * left
+    return left <= 0.0 or predicted > slack * left
 
 
 def too_late_for_side(predicted: float, left: float, slack: float) -> bool:
--- a/src/bergamotmast/policy/entry_policy.py
+++ b/src/bergamotmast/policy/entry_policy.py
@@ -14,6 +14,7 @@
 from ..model import Readiness
 from ..model import Role
 from ..model import ServiceCall
+from .admission import ENTRY_SLACK
 from .admission import retry_after
 from .admission import too_late_for_entry
 from .affinity import PrefixMap
@@ -26,6 +27,7 @@
 from .routing import LEAST_STAGED_TOKENS
 from .routing import Estimate
 from .routing import Router
+from .routing import role_of
 from .routing import staged_names
 
 MAX_ATTEMPTS = 16384
@@ -122,7 +124,9 @@
         late = best.first - (call.first_token_by - now)
         if not resumed and too_late_for_entry(best.first, call.first_token_by - now):
             return self._refuse(late)
-        if too_late_for_entry(best.total, call.deadline - now):
+        # Behind a prefill stage comes no other door before the prefill is spent.
+        slack = 1.0 if staged else ENTRY_SLACK
+        if too_late_for_entry(best.total, call.deadline - now, slack):
             return self._refuse(best.total - (call.deadline - now))
         self._remember(call.request_id, best, now, resumed, staged)
         return Choice(best.candidate.name, prefill_only=staged)
@@ -136,15 +140,24 @@
         now: float,
         resumed: int,
     ) -> tuple[Estimate, bool]:
-        whole = min(
-            self._estimates(ready, work, priority, cached, now), key=lambda e: e.score
-        )
-        if resumed or work.decode < LEAST_STAGED_TOKENS:
-            return whole, False
+        """Return the best stage, and whether it is a prefill stage only.
+
+        Where there are engines for both stages, a long answer on one of them alone
+        takes several times as long of that engine, whoever waits there: it is a way
+        out only where the stages would be too late.
+        """
+        whole = self._estimates(ready, work, priority, cached, now)
+        if resumed:
+            return min(whole, key=lambda e: e.score), False
         staged = self._staged(work, priority, ready, cached, now)
-        if staged is None or staged.score >= whole.score:
-            return whole, False
-        return staged, True
+        if staged is None:
+            return min(whole, key=lambda e: e.score), False
+        if work.decode < LEAST_STAGED_TOKENS:
+            suited = [e for e in whole if role_of(e.candidate) is not Role.DECODE]
+            return min(suited, key=lambda e: e.score), False
+        mixed = [e for e in whole if role_of(e.candidate) is Role.MIXED]
+        best = min([staged, *mixed], key=lambda e: e.score)
+        return best, best is staged
 
     def _staged(
         self,
--- a/src/bergamotmast/policy/presets.py
+++ b/src/bergamotmast/policy/presets.py
@@ -84,6 +84,7 @@
     return FairSidePolicy(
         SideTuning(
             owed_share=0.1,
+            patience=0.0,
             reserved=(0.0, 0.0, 0.1),
             measures=False,
             window_by_priority=False,
--- a/src/bergamotmast/policy/queueing.py
+++ b/src/bergamotmast/policy/queueing.py
@@ -28,6 +28,12 @@
 OWED_SHARE = 0.5
 """Share of started work owed to each lower priority while it waits."""
 
+PATIENCE = 0.5
+"""Share of its allowed wait after which an item may claim what it is owed.
+
+A burst of checks that ends sooner is let through whole, at no loss to the long work.
+"""
+
 MOST_OWED = 5.0
 """Engine-seconds that can be owed to a lower priority at most."""
 
@@ -92,14 +98,20 @@
 
     :param rates: the upstream's rates, by which costs become its time.
     :param owed_share: share of started work owed to lower priorities.
+    :param patience: share of its allowed wait that an item waits before it is owed.
     """
 
     def __init__(
-        self, rates: Rates, fair: bool = True, owed_share: float = OWED_SHARE
+        self,
+        rates: Rates,
+        fair: bool = True,
+        owed_share: float = OWED_SHARE,
+        patience: float = PATIENCE,
     ) -> None:
         self.rates = rates
         self.fair = fair
         self.owed_share = owed_share
+        self.patience = patience
         self.lanes: dict[Priority, dict[str, Lane]] = {p: {} for p in Priority}
         self.items: dict[str, tuple[QueueItem, float]] = {}
         self.accounts: dict[str, float] = {}
@@ -109,6 +121,10 @@
     def __len__(self) -> int:
         return len(self.items)
 
+    def count(self, priority: Priority) -> int:
+        """Return how many items of a priority wait."""
+        return sum(len(lane.items) for lane in self.lanes[priority].values())
+
     def add(self, item: QueueItem) -> None:
         """Put an item in."""
         seconds = self.rates.seconds(item.cost)
@@ -132,31 +148,35 @@
             del lanes[self._tenant(item)]
         return item
 
-    def order(self) -> cabc.Iterator[QueueItem]:
+    def order(self, now: float) -> cabc.Iterator[QueueItem]:
         """Yield the head of each lane in the order in which they should start."""
-        for priority in self._priorities():
+        for priority in self._priorities(now):
             lanes = self.lanes[priority]
             for tenant in sorted(lanes, key=lambda t: (self._start(t), t)):
                 yield lanes[tenant].items[0]
 
-    def _priorities(self) -> list[Priority]:
+    def _priorities(self, now: float) -> list[Priority]:
         waiting = [p for p in Priority if self.lanes[p]]
-        owed = [p for p in waiting[1:] if self._due(p)]
+        owed = [p for p in waiting[1:] if self._due(p, now)]
         return owed + [p for p in waiting if p not in owed]
 
-    def _due(self, priority: Priority) -> bool:
-        """Return whether what is owed covers the next item, as far as it can."""
-        head = min(lane.items[0].deadline for lane in self.lanes[priority].values())
-        seconds = next(
-            self.items[lane.items[0].attempt][1]
-            for lane in self.lanes[priority].values()
-            if lane.items[0].deadline == head
-        )
+    def _due(self, priority: Priority, now: float) -> bool:
+        """Return whether the most urgent item has waited long and is owed its turn."""
+        heads = [lane.items[0] for lane in self.lanes[priority].values()]
+        head = min(heads, key=lambda item: (item.deadline, item.attempt))
+        allowed = head.start_by - head.arrived_at
+        if not head.resumed and now - head.arrived_at < self.patience * allowed:
+            return False
+        _, seconds = self.items[head.attempt]
         return self.owed[priority] >= min(seconds, MOST_OWED)
 
     def _start(self, tenant: str) -> float:
         return max(self.clock, self.accounts.get(tenant, 0.0))
 
+    def is_owed(self, priority: Priority, now: float) -> bool:
+        """Return whether a priority goes before the higher ones now."""
+        return bool(self.lanes[priority]) and self._due(priority, now)
+
     def take(self, item: QueueItem) -> None:
         """Start an item: take it out and charge its tenant."""
         _, seconds = self.items[item.attempt]
--- a/src/bergamotmast/policy/side_policy.py
+++ b/src/bergamotmast/policy/side_policy.py
@@ -32,6 +32,7 @@
 from .measured import PrefillMeter
 from .measured import StepMeter
 from .queueing import OWED_SHARE
+from .queueing import PATIENCE
 from .queueing import Ahead
 from .queueing import FairQueue
 from .queueing import Rates
@@ -40,7 +41,10 @@
 """Seconds of prefill that may be handed over and not finished."""
 
 QUEUE_BATCHES = 8
-"""Waiting items, in multiples of the batch."""
+"""Waiting items of each priority, in multiples of the batch.
+
+Counted together, waiting appraisals would turn away checks that could start at once.
+"""
 
 LEAST_QUEUE = 32
 """Waiting items allowed even with a small batch."""
@@ -62,6 +66,7 @@
     :param fair: whether tenants share; else all items form one lane.
     :param slack: share of the time left that the prediction at the door may take.
     :param owed_share: share of started work owed to lower priorities.
+    :param patience: share of its allowed wait that an item waits before it is owed.
     :param reserved: share of batch and memory that each priority leaves free.
     :param measures: whether rates are measured; else the stated ones count.
     :param window_by_priority: whether only prefills of the same or a higher priority
@@ -71,6 +76,7 @@
     fair: bool = True
     slack: float = DOOR_SLACK
     owed_share: float = OWED_SHARE
+    patience: float = PATIENCE
     reserved: tuple[float, float, float] = (0.0, 0.1, 0.25)
     measures: bool = True
     window_by_priority: bool = True
@@ -80,12 +86,14 @@
 class Started:
     """An item handed to the upstream.
 
+    :param window: priority whose limits it was started under.
     :param produced: output tokens so far; above 0 its prefill has ended.
     :param first_at: when the first came.
     :param first_tokens: how many came with the first.
     """
 
     item: QueueItem
+    window: Priority
     produced: int = 0
     first_tokens: int = 0
     first_at: float = 0.0
@@ -109,7 +117,12 @@
 
     def __init__(self, tuning: SideTuning | None = None) -> None:
         self.tuning = tuning or SideTuning()
-        self.queue = FairQueue(DEFAULT_RATES, self.tuning.fair, self.tuning.owed_share)
+        self.queue = FairQueue(
+            DEFAULT_RATES,
+            self.tuning.fair,
+            self.tuning.owed_share,
+            self.tuning.patience,
+        )
         self.started: dict[str, Started] = {}
         self.max_streams = 1
         self.kv_capacity = 1
@@ -150,7 +163,8 @@
 
     def offer(self, item: QueueItem, now: float) -> ResultCode:
         """Queue an item and return ``OK``, or refuse it at once with a code."""
-        if len(self.queue) >= max(LEAST_QUEUE, QUEUE_BATCHES * self.max_streams):
+        room = max(LEAST_QUEUE, QUEUE_BATCHES * self.max_streams)
+        if self.queue.count(item.priority) >= room:
             return ResultCode.QUEUE_FULL
         if self.role is not None and kv_tokens(item) > self.kv_capacity:
             return ResultCode.DEADLINE_UNREACHABLE
@@ -210,34 +224,47 @@
         if not self.queue.items or len(self.started) >= self.max_streams:
             return None
         blocked: set[Priority] = set()
-        for item in self.queue.order():
+        for item in self.queue.order(now):
             if item.priority in blocked:
                 continue
-            if self._fits(item):
-                self._start(item, now)
+            lane = self._lane(item, now)
+            if self._fits(item, lane):
+                self._start(item, lane, now)
                 return item
             # What does not fit keeps its turn: smaller items of its own priority
             # would else pass it for ever. Other priorities have limits of their own.
             blocked.add(item.priority)
         return None
 
-    def _fits(self, item: QueueItem) -> bool:
+    def _lane(self, item: QueueItem, now: float) -> Priority:
+        """Return the priority whose limits hold for an item.
+
+        Work that is owed its turn has those of the highest: checks that keep coming
+        would else hold every place that long work may have, and the engine would
+        prefill them first, so that the share owed would stay on paper.
+        """
+        if item.priority is Priority.INTERACTIVE:
+            return item.priority
+        owed = self.queue.is_owed(item.priority, now)
+        return Priority.INTERACTIVE if owed else item.priority
+
+    def _fits(self, item: QueueItem, lane: Priority) -> bool:
         """Return whether a place, memory and prefill time are free for an item."""
-        if len(self.started) >= self._slots(item.priority):
+        if len(self.started) >= self._slots(lane):
             return False
         if self.role is None or not self.started:
             return True
         window = PREFILL_WINDOW * self.prefill_rate()
-        if item.cost.prefill > 0 and self._window_used(item.priority) >= window:
+        if item.cost.prefill > 0 and self._window_used(lane) >= window:
             return False
-        usable = self.kv_capacity * (1.0 - self._reserved(item.priority))
+        usable = self.kv_capacity * (1.0 - self._reserved(lane))
         return kv_tokens(item) <= usable - self.kv_promised
 
-    def _start(self, item: QueueItem, now: float) -> None:
+    def _start(self, item: QueueItem, lane: Priority, now: float) -> None:
         self.queue.take(item)
-        self.started[item.attempt] = Started(item)
+        self.started[item.attempt] = Started(item, lane)
         self.kv_promised += kv_tokens(item)
-        self.prefill_ahead[item.priority] += item.cost.prefill
+        self.prefill_ahead[lane] += item.cost.prefill
         if item.cost.prefill:
             self.prefill_meter.begin(now)
 
@@ -249,7 +276,7 @@
         if started.produced == 0:
             started.first_at = now
             started.first_tokens = tokens
-            self._end_prefill(started.item, started.item.cost.prefill, now)
+            self._end_prefill(started, started.item.cost.prefill, now)
         predicted = started.item.cost.decode
         before = max(started.produced, predicted)
         started.produced += tokens
@@ -258,9 +285,10 @@
             self.kv_promised += beyond
             self.queue.charge(started.item, beyond)
 
-    def _end_prefill(self, item: QueueItem, tokens: int, now: float) -> None:
-        self.prefill_ahead[item.priority] -= item.cost.prefill
-        if item.cost.prefill:
+    def _end_prefill(self, started: Started, tokens: int, now: float) -> None:
+        prefill = started.item.cost.prefill
+        self.prefill_ahead[started.window] -= prefill
+        if prefill:
             self.prefill_meter.end(tokens, now)
 
     def on_ended(self, attempt: str, now: float) -> None:
@@ -270,7 +298,7 @@
             return
         self.kv_promised -= started.kv_tokens()
         if started.produced == 0:
-            self._end_prefill(started.item, 0, now)
+            self._end_prefill(started, 0, now)
         else:
             tokens = started.produced - started.first_tokens
             self.step_meter.end(tokens, now - started.first_at)
--- a/src/bergamotmast/settings.py
+++ b/src/bergamotmast/settings.py
@@ -248,8 +248,7 @@
         text = environment.get(declaration.variable)
     if text is None:
         if declaration.default is None:
-            allowed = f"{declaration.kind.allowed}, here or in {declaration.variable}"
-            raise SettingError(declaration.flag, "", allowed)
+            raise SettingError(declaration.flag, "", declaration.kind.allowed)
         return declaration.default
     try:
         return declaration.kind.parse(text)
--- a/src/bergamotmast/side/core.py
+++ b/src/bergamotmast/side/core.py
@@ -52,6 +52,9 @@
     AttemptPhase.DONE: "done",
 }
 
+REFUSALS_A_REQUEST = 3
+"""Sides that a refused request is usually offered to, before its caller hears of it."""
+
 RETRY_AFTER_FULL = 1.0
 """Seconds after which a caller refused for load may come back."""
 
@@ -309,11 +312,11 @@
             return ResultCode.ENGINE_NOT_READY
         now = self._now()
         item = _queue_item(offer, now)
+        code = self.policy.offer(item, now)
+        demand = _demand(offer.work, code)
         self.offered = Cost(
-            self.offered.prefill + item.cost.prefill,
-            self.offered.decode + item.cost.decode,
+            self.offered.prefill + demand.prefill, self.offered.decode + demand.decode
         )
-        code = self.policy.offer(item, now)
         if code is ResultCode.OK:
             self.attempts[offer.attempt] = Attempt(
                 offer, session, now + offer.budget, offer.credit
@@ -592,3 +595,20 @@
     """Return what is left to do here of an answer that may be made in two stages."""
     prefill = 0 if work.kv_handle else work.prompt_tokens + work.resume_tokens
     return Cost(prefill, 1 if work.prefill_only else work.predicted_tokens)
+
+
+def _demand(work: messages.ModelWork | messages.ServiceWork, code: ResultCode) -> Cost:
+    """Return what an offer adds to the demand that decides on roles.
+
+    A request is counted whole where it is first offered. Counted stage by stage, what
+    prefill engines refuse would never show as decode work, and the fleet would shift
+    to prefill while decode is short. A refused request is offered to others too, so a
+    refusal counts as a share of one.
+    """
+    if isinstance(work, messages.ServiceWork):
+        return Cost(1, 1)
+    if work.kv_handle:
+        return Cost(0, 0)
+    shares = 1 if code is ResultCode.OK else REFUSALS_A_REQUEST
+    prefill = work.prompt_tokens + work.resume_tokens
+    return Cost(prefill // shares, work.predicted_tokens // shares)
