Log lines and series that operators are told of must exist

A page for a failure is worth what its log lines are. Two tests look for each quoted line in the texts of the code, with its conversions left open, and for each series in what the process exposes. With one log line and one gauge renamed in the code, both failed.

--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ast
 import pathlib
 import re
 import shlex
@@ -9,7 +10,11 @@
 import msgspec
 import pytest
 
+from bergamotmast.adapters.metrics import OpenTelemetryMetrics
 from bergamotmast.cli import build_parser
+from bergamotmast.errors import ResultCode
+from bergamotmast.model import Readiness
+from bergamotmast.model import SideReport
 from bergamotmast.settings import EntrySettings
 from bergamotmast.settings import SideSettings
 from bergamotmast.settings import load_settings
@@ -110,3 +115,46 @@
 def test_the_readme_shows_each_kind_of_process():
     shown = {argv[0] for argv in own_commands()}
     assert shown >= {"standin", "side", "entry", "config", "status"}
+
+
+LOG_ROW = re.compile(r"^\| log[^|]*\|", re.MULTILINE)
+QUOTED = re.compile(r"`([^`]+)`")
+CONVERSION = re.compile(r"%[.\d]*[a-z]")
+
+
+def strings_of_the_code():
+    """Return every text in the code, with its conversions shown as dots."""
+    for path in (ROOT / "src").rglob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.Constant) and isinstance(node.value, str):
+                yield CONVERSION.sub("…", node.value)
+
+
+def test_log_lines_that_operators_are_told_of_are_in_the_code():
+    written = list(strings_of_the_code())
+    named = 0
+    for page in sorted((ROOT / "docs/operators").glob("*.md")):
+        for row in LOG_ROW.findall(page.read_text()):
+            for line in QUOTED.findall(row):
+                pattern = ".*".join(map(re.escape, line.split("…")))
+                assert any(re.search(pattern, text) for text in written), line
+                named += 1
+    assert named > 10
+
+
+def test_series_that_operators_are_told_of_are_exposed():
+    metrics = OpenTelemetryMetrics("p")
+    metrics.on_first_token("t", "c", 0.1)
+    metrics.on_between_tokens("c", 0.1)
+    metrics.on_ended("t", "c", ResultCode.OK, 0.1)
+    metrics.on_queue_wait("t", "c", 0.1)
+    metrics.on_generation(1)
+    metrics.on_report(SideReport(Readiness.READY, None))
+    exposed = metrics.exposition().decode()
+    page = (ROOT / "docs/operators/failures.md").read_text()
+    table = page.partition("| series |")[2].partition("\n\n")[0]
+    first_cells = [row.split("|")[1] for row in table.splitlines()[2:]]
+    named = [name for cell in first_cells for name in QUOTED.findall(cell)]
+    assert len(named) > 8
+    for name in named:
+        assert f"# TYPE {name.partition('{')[0]} " in exposed, name
