--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -45,6 +45,8 @@
         self.urls: dict[str, str] = {}
         self.sides: dict[str, str] = {}
         self.history = MemoryHistory()
+        self.side_flags: tuple[str, ...] = ()
+        self.entry_flags: tuple[str, ...] = ()
 
     async def start(self, engines: int, services: int, entries: int) -> None:
         names = [f"engine-{i + 1}" for i in range(engines)]
@@ -105,6 +107,7 @@
                 self.urls[name],
                 "--upstream-kind",
                 name.partition("-")[0],
+                *self.side_flags,
             ),
         )
 
@@ -112,7 +115,14 @@
         address = free_address()
         self.urls[name] = f"http://{address}"
         await self.launch(
-            name, ("entry", *self._shared(name), "--listen-address", address)
+            name,
+            (
+                "entry",
+                *self._shared(name),
+                "--listen-address",
+                address,
+                *self.entry_flags,
+            ),
         )
 
     def _shared(self, name: str) -> tuple[str, ...]:
@@ -189,9 +199,13 @@
 
 
 @contextlib.asynccontextmanager
-async def process_fleet(directory, engines=2, services=2, entries=2):
+async def process_fleet(
+    directory, engines=2, services=2, entries=2, side_flags=(), entry_flags=()
+):
     """Run the system until the body ends; every process started is ended."""
     built = ProcessFleet(directory)
+    built.side_flags = side_flags
+    built.entry_flags = entry_flags
     try:
         await built.start(engines, services, entries)
         yield built
--- a/tests/support.py
+++ b/tests/support.py
@@ -238,7 +238,7 @@
     def __init__(self, claims=None) -> None:
         self.network = MemoryNetwork()
         self.history = MemoryHistory()
-        self.claims = claims or NoClaims()
+        self.claims = claims or (lambda name: NoClaims())
         self.list = StaticList([])
         self.upstreams = {}
         self.sides: dict[str, SideCore] = {}
@@ -286,7 +286,7 @@
             instance_list=self.list,
             policy=FewestRunning(),
             holder=self._holder(name),
-            claims=self.claims,
+            claims=self.claims(name),
             rng=random.Random(1),
         )
         self.entries[name] = entry
