Claims are wired: calls that must not be repeated run, and run once

Nine failure tests through entries with claims, and the process tests of orders. Found by them: a side killed with an order in flight held its caller to the deadline of two minutes, though nothing more could be learned (process test 'side killed': the client gave up first). A call whose side is not heard again for ten seconds now ends as unknown; ruled out: ending it at once, which turns each short cut into an unknown. A side whose address is taken ends with the flag's error instead of a traceback. Every refusal that may succeed later says when to come back.

--- a/src/bergamotmast/app.py
+++ b/src/bergamotmast/app.py
@@ -13,6 +13,7 @@
 import time
 import typing as t
 
+from .claims import ClaimStore
 from .config_holder import ConfigHolder
 from .config_store import ConfigStore
 from .config_watch import ConfigWatcher
@@ -41,7 +42,6 @@
 if t.TYPE_CHECKING:
     from aiohttp import web
 
-    from .entry.service_run import Claims
     from .ports import Dialer
     from .ports import Engine
     from .ports import InstanceList
@@ -114,7 +114,6 @@
         parts: ProcessParts,
         dialer: Dialer,
         instance_list: InstanceList,
-        claims: Claims,
         weights: WeightStore | None = None,
         may_plan: bool = True,
         lease_seconds: int = LEASE_SECONDS,
@@ -122,6 +121,7 @@
         self.holder = ConfigHolder(parts.name, parts.history)
         self.watcher = ConfigWatcher(parts.kv, self.holder, parts.rng)
         self.store = ConfigStore(parts.kv, parts.history)
+        self.claims = ClaimStore(parts.kv, parts.name, parts.rng)
         self.core = EntryCore(
             name=parts.name,
             zone=parts.zone,
@@ -130,7 +130,7 @@
             instance_list=instance_list,
             policy=parts.policies.entry_policy(parts.rng, parts.zone),
             holder=self.holder,
-            claims=claims,
+            claims=self.claims,
             rng=parts.rng,
             telemetry=parts.telemetry,
         )
@@ -167,12 +167,14 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self.watcher.run())
             group.create_task(self.core.run())
+            group.create_task(self.claims.run())
             if self.planner is not None:
                 group.create_task(self.planner.run())
 
     async def close(self) -> None:
         """Refuse new requests and wait until the last answer is out."""
         await self.core.close()
+        await self.claims.flush()
 
 
 class SideProcess:
--- a/src/bergamotmast/daemons.py
+++ b/src/bergamotmast/daemons.py
@@ -32,7 +32,6 @@
 from .app import engine_side
 from .app import service_side
 from .entry.http import CallerLimits
-from .entry.service_run import UnclaimedCalls
 from .errors import SettingError
 from .history import NullHistory
 from .policy.presets import PRESETS
@@ -58,7 +57,6 @@
             parts,
             ZmqDialer(context, keys),
             HttpInstanceList(session, settings.instance_list_url),
-            UnclaimedCalls(),
             _weights(settings, session),
             may_plan=settings.planner,
             lease_seconds=settings.planner_lease_seconds,
@@ -80,7 +78,8 @@
         metrics = OpenTelemetryMetrics(settings.name)
         parts = _parts(settings, _key_values(settings, session), metrics)
         keys = load_keys(settings.curve_secret_file, settings.curve_peers_file)
-        listener = ZmqListener(context, settings.listen_address, keys)
+        with _address_errors(settings.listen_address):
+            listener = ZmqListener(context, settings.listen_address, keys)
         side = _side(settings, parts, listener, session)
         application = web.Application()
         application.router.add_get(METRICS_PATH, _exposition(metrics))
@@ -186,12 +185,24 @@
     runner = web.AppRunner(application, access_log=None)
     await runner.setup()
     try:
-        await web.TCPSite(runner, host.strip("[]"), int(port), ssl_context=tls).start()
+        site = web.TCPSite(runner, host.strip("[]"), int(port), ssl_context=tls)
+        with _address_errors(address):
+            await site.start()
         yield
     finally:
         await runner.cleanup()
 
 
+@contextlib.contextmanager
+def _address_errors(address: str) -> cabc.Iterator[None]:
+    """Show an address that can't be listened on as the setting's error."""
+    try:
+        yield
+    except OSError as error:
+        allowed = f"an address that is free here: {error}"
+        raise SettingError("--listen-address", address, allowed) from error
+
+
 @contextlib.asynccontextmanager
 async def _running(
     work: cabc.Coroutine[t.Any, t.Any, None],
--- a/src/bergamotmast/entry/service_run.py
+++ b/src/bergamotmast/entry/service_run.py
@@ -28,6 +28,13 @@
 COMPLETION_TIMEOUT = 1.0
 """Seconds an answer waits for its claim to be marked as completed."""
 
+RESOLUTION_GRACE = 10.0
+"""Seconds for which a call that may be running waits for its side to be heard again.
+
+A cut of some seconds then ends in the true answer. A side that died never tells, and
+holding the caller until a deadline minutes away would only delay "unknown".
+"""
+
 
 class Claims(t.Protocol):
     """Claims of calls that run at most once, kept in the key-value service."""
@@ -49,20 +56,6 @@
         ...
 
 
-class UnclaimedCalls:
-    """Claims of a deployment without a key-value service: no claim, no run."""
-
-    async def claim(self, key: str, digest: bytes) -> ServiceAnswer | None:
-        """Refuse."""
-        raise RequestError(ResultCode.CLAIM_UNAVAILABLE)
-
-    async def complete(self, key: str, answer: ServiceAnswer) -> None:
-        """Keep nothing."""
-
-    async def release(self, key: str) -> None:
-        """Keep nothing."""
-
-
 class ServiceRun:
     """Runs one call of a plain service.
 
@@ -163,6 +156,10 @@
                 case SessionLost() if self.call.repeatable:
                     self._on_lost(attempt)
                     return None
+                case SessionLost():
+                    self._give_up_by(attempt, self.placement.now() + RESOLUTION_GRACE)
+                case messages.AttemptState(state="started"):
+                    self._give_up_by(attempt, self.call.deadline)
                 case messages.AttemptState(state="never_started"):
                     self.placement.on_refused(
                         attempt.upstream, ResultCode.STALE_SESSION, None
@@ -175,6 +172,14 @@
                 case _:
                     pass
 
+    def _give_up_by(self, attempt: EntryAttempt, at: float) -> None:
+        """Set the time at which the call ends as unknown without its side's word."""
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        attempt.timer = asyncio.get_running_loop().call_at(
+            min(at, self.call.deadline), attempt.events.put_nowait, DeadlinePassed()
+        )
+
     def _on_lost(self, attempt: EntryAttempt) -> None:
         """Go on with a repeatable call; end any other as unknown."""
         self.placement.on_failed(attempt.upstream, ResultCode.OUTCOME_UNKNOWN, 0)
--- a/src/bergamotmast/errors.py
+++ b/src/bergamotmast/errors.py
@@ -194,6 +194,10 @@
 }
 
 
+DEFAULT_RETRY_AFTER = 1.0
+"""Seconds after which a caller may come back, where nothing better is known."""
+
+
 class BergamotmastError(Exception):
     """Root of every error the package raises.
 
@@ -332,7 +336,8 @@
 
     :param code: the numbered result.
     :param detail: a sentence about this occurrence; the code's own if empty.
-    :param retry_after: seconds after which the caller may come back, or ``None``.
+    :param retry_after: seconds after which the caller may come back, or ``None`` for
+        the default of codes that may succeed later.
     """
 
     def __init__(
@@ -340,6 +345,8 @@
     ) -> None:
         super().__init__(detail or CODE_INFO[code].sentence)
         self.code = code
+        if retry_after is None and CODE_INFO[code].retryable:
+            retry_after = DEFAULT_RETRY_AFTER
         self.retry_after = retry_after
 
     @property
--- a/src/bergamotmast/local_fleet.py
+++ b/src/bergamotmast/local_fleet.py
@@ -20,7 +20,6 @@
 from .app import service_side
 from .config import Configuration
 from .config_store import ConfigStore
-from .entry.service_run import UnclaimedCalls
 from .history import MemoryHistory
 from .model import Assignment
 from .model import InstanceInfo
@@ -170,7 +169,6 @@
             self._parts(name, zone),
             ZmqDialer(self.context, None),
             self.instance_list,
-            UnclaimedCalls(),
             self.weights,
         )
         self.entries[name] = entry
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -7,7 +7,6 @@
 import os
 import pathlib
 import signal
-import socket
 import sys
 
 import aiohttp
@@ -24,17 +23,12 @@
 from bergamotmast.model import UpstreamKind
 from support import MODEL
 from support import configuration
+from support import free_address
 
 START_TIMEOUT = 60.0
 SOURCE = pathlib.Path(__file__).parents[1] / "src"
 
 
-def free_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 class ProcessFleet:
     """Processes by name, started with the command line that operators use."""
 
--- a/tests/support.py
+++ b/tests/support.py
@@ -7,7 +7,9 @@
 import contextlib
 import dataclasses
 import itertools
+import os
 import random
+import socket
 
 from bergamotmast.adapters.memory import MemoryNetwork
 from bergamotmast.config import Configuration
@@ -41,6 +43,10 @@
 from bergamotmast.side.runners import ServiceRunner
 
 MODEL = "appraiser"
+
+WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+PORTS = itertools.count(12_000 + WORKER * 500)
+"""Ports of this worker, below those that the system gives to outgoing connections."""
 STATE = EngineState(
     boot_id="boot-1",
     assignment=Assignment(Role.MIXED, (f"{MODEL}@1",)),
@@ -53,6 +59,15 @@
 )
 
 
+def free_address() -> str:
+    for port in PORTS:
+        with contextlib.suppress(OSError), socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            probe.bind(("127.0.0.1", port))
+            return f"127.0.0.1:{port}"
+    raise AssertionError("no port is free")
+
+
 def expected_text(tokens: int) -> str:
     return "".join(f"w{i} " for i in range(tokens))
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -13,7 +13,11 @@
 from bergamotmast.checker import check
 from bergamotmast.checker import summary
 from bergamotmast.checker_types import Rule
+from bergamotmast.errors import Outcome
+from bergamotmast.errors import SettingError
+from bergamotmast.history import Execution
 from bergamotmast.load import LoadDriver
+from bergamotmast.load import PlannedCall
 from bergamotmast.load import plan_model_call
 from bergamotmast.standins.engine_text import expected_text
 from process_fleet import process_fleet
@@ -40,6 +44,25 @@
         yield plan_model_call(request, f"m{next(numbers)}", expected_text)
 
 
+def order(at, key):
+    request = TraceRequest(
+        at=at, tenant="t", klass="c", repeatable=False, deadline=30.0
+    )
+    request_id = f"o{next(numbers)}"
+    return PlannedCall(request_id, request, "/services/orders", b"box", key)
+
+
+def orders(count=20):
+    for index in range(count):
+        yield order(index * LOAD_SECONDS / count, f"key-{next(numbers)}")
+
+
+def executions(records):
+    """How often each key began to run."""
+    keys = [r.key for r in records if isinstance(r, Execution) and r.key]
+    return {key: keys.count(key) for key in keys}
+
+
 async def load_with_fault(f, calls, fault, entry="entry-1"):
     """Replay calls against one entry and bring the fault about in the middle."""
     connector = aiohttp.TCPConnector(limit=0)
@@ -76,6 +99,47 @@
     assert [v for v in check(records) if v.rule is not Rule.CONFIG_IN_FORCE] == []
 
 
+ORDER_FAULTS = {
+    "side killed": lambda f: f.kill("side-service-1"),
+    "service killed": lambda f: f.kill("service-1"),
+    "side stopped": lambda f: f.pause("side-service-1", PAUSE),
+    "service stopped": lambda f: f.pause("service-1", PAUSE),
+    "entry stopped": lambda f: f.pause("entry-1", PAUSE),
+}
+
+
+@pytest.mark.parametrize("fault", ORDER_FAULTS)
+async def test_orders_run_at_most_once_and_not_run_is_true(fault, tmp_path):
+    # Orders are placed while a process is killed or stopped. Each caller hears that
+    # its order ran, was not run, or is unknown; what was not run never was, and
+    # nothing ran twice.
+    async with process_fleet(tmp_path, engines=0) as f:
+        await load_with_fault(f, orders(), lambda: ORDER_FAULTS[fault](f))
+        records = f.records()
+    counts = summary(records)
+    assert (counts.lost, counts.cut_off, counts.duplicates) == (0, 0, 0)
+    assert counts.answered_whole >= counts.sent / 2
+    assert [v for v in check(records) if v.rule is not Rule.CONFIG_IN_FORCE] == []
+    assert max(executions(records).values()) == 1
+
+
+async def test_an_order_whose_entry_was_killed_is_not_placed_again(tmp_path):
+    # The entry dies with orders in flight; their callers send the same keys to the
+    # other entry. Whatever they are told, no order runs twice.
+    async with process_fleet(tmp_path, engines=0) as f:
+        calls = list(orders())
+        results = await load_with_fault(f, calls, lambda: f.kill("entry-1"))
+        assert any(result.cut_off for result in results)
+        async with aiohttp.ClientSession() as session:
+            driver = LoadDriver(session, f.urls["entry-2"], f.history)
+            again = [order(0.0, call.idempotency_key) for call in calls]
+            for call in again:
+                result = await driver.send(call)
+                assert result.outcome in {o.value for o in Outcome}
+        records = f.records()
+    assert max(executions(records).values()) == 1
+
+
 @pytest.mark.parametrize("name", ["entry-1", "side-engine-1"])
 async def test_a_graceful_shutdown_cuts_nothing_off(name, tmp_path):
     # SIGTERM under load: the process ends by itself, after its last answer.
@@ -91,3 +155,14 @@
         records = f.records()
     counts = summary(records)
     assert counts.answered_whole == counts.sent
+
+
+async def test_a_second_side_for_a_slot_ends_and_says_why(tmp_path):
+    # The first side is stopped and still holds the slot's address. A replacement must
+    # not get to the engine: it ends at once, with an error that names the flag.
+    async with process_fleet(tmp_path, engines=1, services=0, entries=1) as f:
+        f.signal("side-engine-1", signal.SIGSTOP)
+        f.processes["stopped"] = f.processes["side-engine-1"]
+        with pytest.raises(AssertionError, match="--listen-address"):
+            await f.relaunch("side-engine-1")
+        assert await f.processes["side-engine-1"].wait() == SettingError.exit_code
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -116,3 +116,19 @@
             await answer
         assert caught.value.code is ResultCode.OUTCOME_UNKNOWN
         assert runs(f) == 1
+
+
+async def test_a_side_that_never_comes_back_does_not_hold_the_caller_to_the_deadline():
+    # The side dies with an order in flight and is not replaced. The caller's deadline
+    # is ten minutes away; "unknown" is told after the grace for a cut to end.
+    async with fleet(services=2) as f:
+        f.upstreams["service-1"].pace = 5.0
+        call = f.service_call("orders", total=600.0)
+        task = asyncio.create_task(f.entries["entry-1"].submit_service(call))
+        await asyncio.sleep(1.0)
+        await f.kill("service-1")
+        started = asyncio.get_running_loop().time()
+        with pytest.raises(RequestError) as caught:
+            await task
+        assert caught.value.code is ResultCode.OUTCOME_UNKNOWN
+        assert asyncio.get_running_loop().time() - started < 15.0
--- a/tests/test_zeromq.py
+++ b/tests/test_zeromq.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import time
 
 import pytest
@@ -15,14 +14,7 @@
 from bergamotmast.adapters.zeromq import ZmqDialer
 from bergamotmast.adapters.zeromq import ZmqListener
 from bergamotmast.errors import NotReachedError
-
-LOCALHOST = "127.0.0.1"
-
-
-def free_address() -> str:
-    with socket.socket() as probe:
-        probe.bind((LOCALHOST, 0))
-        return f"{LOCALHOST}:{probe.getsockname()[1]}"
+from support import free_address
 
 
 @pytest.fixture
