--- a/src/bergamotmast/faults/world.py
+++ b/src/bergamotmast/faults/world.py
@@ -19,7 +19,6 @@
 from ..config import Selector
 from ..config import SelectorState
 from ..config_store import ConfigStore
-from ..entry.service_run import UnclaimedCalls
 from ..history import MemoryHistory
 from ..history import ProcessReachable
 from ..history import ProcessStarted
@@ -238,7 +237,6 @@
             self._parts(name),
             self.network,
             self.instance_list,
-            UnclaimedCalls(),
             self.weights,
         )
 
