--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -7,8 +7,8 @@
 import random
 
 import pytest
-from bergamotmast.claims import ClaimStore
 
+from bergamotmast.claims import ClaimStore
 from bergamotmast.errors import Outcome
 from bergamotmast.errors import RequestError
 from bergamotmast.errors import ResultCode
