Little KV memory is kept free, and waits are predicted by memory too

Cause: with a quarter of the KV memory kept from long work, a decode engine held 18 long answers of the 48 its batch has places for, and the door predicted by places alone: prefills were done for answers that then waited past their deadline.

--- a/src/bergamotmast/policy/presets.py
+++ b/src/bergamotmast/policy/presets.py
@@ -60,12 +60,9 @@
     return (Role.PREFILL,) * prefill + (Role.DECODE,) * (engines - prefill)
 
 
-def third_split(engines: int) -> tuple[Role, ...]:
-    """Give a third of the engines to prefill, one at least, and the rest to decode."""
-    if engines < LEAST_SPLIT:
-        return all_mixed(engines)
-    prefill = engines // 3
-    return (Role.PREFILL,) * prefill + (Role.DECODE,) * (engines - prefill)
+def split_or_mixed(engines: int) -> tuple[Role, ...]:
+    """Split a group in halves, but a small one not at all."""
+    return all_mixed(engines) if engines < LEAST_SPLIT else half_split(engines)
 
 
 def _least_outstanding(rng: random.Random, zone: str) -> EntryPolicy:
@@ -86,12 +83,18 @@
             owed_share=0.1,
             patience=0.0,
             reserved=(0.0, 0.0, 0.1),
+            kv_reserved=None,
             measures=False,
+            sees_memory=False,
             window_by_priority=False,
         )
     )
 
 
+def _side_2() -> SidePolicy:
+    return FairSidePolicy(SideTuning(kv_reserved=None, sees_memory=False))
+
+
 PRESETS: dict[str, PolicySet] = {
     p.name: p
     for p in (
@@ -100,7 +103,7 @@
             LoadAwareEntryPolicy,
             FairSidePolicy,
             PaybackShiftPolicy,
-            half_split,
+            split_or_mixed,
         ),
         PolicySet(
             "default-1",
@@ -109,6 +112,13 @@
             PaybackShiftPolicy,
             all_mixed,
         ),
+        PolicySet(
+            "default-2",
+            LoadAwareEntryPolicy,
+            _side_2,
+            PaybackShiftPolicy,
+            split_or_mixed,
+        ),
         PolicySet(
             "static-split",
             _least_outstanding,
--- a/src/bergamotmast/policy/side_policy.py
+++ b/src/bergamotmast/policy/side_policy.py
@@ -67,8 +67,11 @@
     :param slack: share of the time left that the prediction at the door may take.
     :param owed_share: share of started work owed to lower priorities.
     :param patience: share of its allowed wait that an item waits before it is owed.
-    :param reserved: share of batch and memory that each priority leaves free.
+    :param reserved: share of the batch that each priority leaves free.
+    :param kv_reserved: share of KV memory alone; ``None`` for the same. A check needs a
+        place of its own, but hardly any memory.
     :param measures: whether rates are measured; else the stated ones count.
+    :param sees_memory: whether waits are predicted by memory and measured steps too.
     :param window_by_priority: whether only prefills of the same or a higher priority
         count against the prefill window.
     """
@@ -78,7 +81,9 @@
     owed_share: float = OWED_SHARE
     patience: float = PATIENCE
     reserved: tuple[float, float, float] = (0.0, 0.1, 0.25)
+    kv_reserved: tuple[float, float, float] | None = (0.0, 0.02, 0.05)
     measures: bool = True
+    sees_memory: bool = True
     window_by_priority: bool = True
 
 
@@ -194,13 +199,31 @@
 
     def _slot_seconds(self, priority: Priority, ahead: Ahead) -> float:
         """Return the wait until the batch has a place left by all the work ahead."""
-        places = self._slots(priority) - len(self.started)
-        missing = ahead.count + 1 - places
+        places = self._places(priority)
+        missing = ahead.count + 1 - places + len(self.started)
         if missing <= 0:
             return 0.0
         work = self.running_decode() + ahead.decode
         mean = work / (len(self.started) + ahead.count)
-        return missing * mean / self.queue.rates.decode
+        return missing * mean / self._decode_rate(places)
+
+    def _places(self, priority: Priority) -> int:
+        """Return how many items the batch and the memory hold at once.
+
+        Long prompts fill the memory long before the batch; by the batch alone, work
+        would be taken in that then waits past its deadline.
+        """
+        places = self._slots(priority)
+        if not self.tuning.sees_memory or not self.started or self.role is None:
+            return places
+        mean = max(1.0, self.kv_promised / len(self.started))
+        return max(1, min(places, int(self._usable_kv(priority) / mean)))
+
+    def _decode_rate(self, places: int) -> float:
+        """Return output tokens a second with so many answers at once."""
+        if not self.tuning.sees_memory:
+            return self.queue.rates.decode
+        return min(self.queue.rates.decode, places / self.step_meter.seconds())
 
     def _decode_seconds(self, tokens: int) -> float:
         if self.tuning.measures:
@@ -257,8 +280,13 @@
         window = PREFILL_WINDOW * self.prefill_rate()
         if item.cost.prefill > 0 and self._window_used(lane) >= window:
             return False
-        usable = self.kv_capacity * (1.0 - self._reserved(lane))
-        return kv_tokens(item) <= usable - self.kv_promised
+        return kv_tokens(item) <= self._usable_kv(lane) - self.kv_promised
+
+    def _usable_kv(self, priority: Priority) -> float:
+        kept = self.tuning.kv_reserved
+        if kept is None:
+            kept = self.tuning.reserved
+        return self.kv_capacity * (1.0 - kept[priority])
 
     def _start(self, item: QueueItem, lane: Priority, now: float) -> None:
         self.queue.take(item)
