Memory network: frames of one instant arrive in the order sent

A burst of frames was put on timers of one instant, and the loop keeps no order among those: of a hundred frames the second came third. A burst of chunks changed places, the entry took the gap for a broken stream, and a whole answer failed with 402.

Weighed: a sequence number on each frame, sorted at the receiver, where nobody knows whether an earlier one is still to come. Every frame takes equally long, so the one sent first is the one due, and one queue for all is enough. No socket was concerned.

--- a/src/bergamotmast/adapters/memory.py
+++ b/src/bergamotmast/adapters/memory.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import itertools
 
 from ..errors import NotReachedError
@@ -28,6 +29,9 @@
         self.cut: set[str] = set()
         self.held: dict[str, list[tuple[asyncio.Queue[_Frame], _Frame]]] = {}
         self.peers = itertools.count(1)
+        self.under_way: collections.deque[tuple[asyncio.Queue[_Frame], _Frame]] = (
+            collections.deque()
+        )
 
     def listen(self, address: str) -> MemoryListener:
         """Bind an address exclusively.
@@ -62,8 +66,18 @@
             self._deliver(queue, frame)
 
     def _deliver(self, queue: asyncio.Queue[_Frame], frame: _Frame) -> None:
-        loop = asyncio.get_running_loop()
-        loop.call_later(self.latency, queue.put_nowait, frame)
+        self.under_way.append((queue, frame))
+        asyncio.get_running_loop().call_later(self.latency, self._arrive)
+
+    def _arrive(self) -> None:
+        """Deliver the frame that was sent first.
+
+        The loop keeps no order among timers of one instant, and virtual time puts
+        whole bursts into one: the chunks of an answer would change places, which no
+        socket does. Every frame takes equally long, so the oldest is the one due.
+        """
+        queue, frame = self.under_way.popleft()
+        queue.put_nowait(frame)
 
 
 _Frame = tuple[bytes, bytes]
