Two protocol versions work together, and one that is too old is told so

Both ends sent PROTOCOL_VERSION and nobody looked. A session now speaks the lower of the two numbers; messages with unknown tags are left alone and counted; a hello below OLDEST_VERSION is answered with VersionRefused and a log line, and an entry takes no session with a side below it.

Version 2 adds VersionRefused alone.

--- a/src/bergamotmast/adapters/metrics.py
+++ b/src/bergamotmast/adapters/metrics.py
@@ -74,6 +74,7 @@
         self.queue_wait = self._pair("queue_wait")
         self.between = meter.create_histogram("between_tokens.seconds", unit="s")
         self.ended = meter.create_counter("requests.ended")
+        self.unknown = meter.create_counter("messages.unknown")
         self.generation = meter.create_gauge("configuration.generation")
         self.running = meter.create_gauge("side.running")
         self.queued = meter.create_gauge("side.queued")
@@ -127,6 +128,10 @@
         self.queued.set(report.queued)
         self.ready.set(int(report.readiness is Readiness.READY))
 
+    def on_unknown_message(self) -> None:
+        """Take a message that only a later protocol version knows."""
+        self.unknown.add(1)
+
     def exposition(self) -> bytes:
         """Return all series in Prometheus' text format."""
         return prometheus_client.generate_latest(self.registry)
--- a/src/bergamotmast/entry/core.py
+++ b/src/bergamotmast/entry/core.py
@@ -183,6 +183,7 @@
             holder=self.holder,
             counters=self._hellos,
             interval=interval,
+            telemetry=self.telemetry,
         )
 
     def _check_open(self) -> None:
--- a/src/bergamotmast/entry/peer.py
+++ b/src/bergamotmast/entry/peer.py
@@ -18,6 +18,8 @@
 from ..policy import Candidate
 from ..protocol import messages
 from ..protocol import timing
+from ..telemetry import NullTelemetry
+from ..telemetry import Telemetry
 from .attempt import EntryAttempt
 from .attempt import SessionLost
 from .attempt import SideReplaced
@@ -29,6 +31,10 @@
 logger = logging.getLogger(__name__)
 
 
+class VersionError(Exception):
+    """The side and this entry have no protocol version in common."""
+
+
 class Peer:
     """A side as one entry knows it.
 
@@ -40,6 +46,7 @@
     :param interval: seconds between heartbeats; longer for a side that is only
         observed and given no work.
     :param session: open session, or ``None``.
+    :param version: protocol version of the session last opened.
     :param reconnect_by: until when a lost session may well come back.
     :param report: the side's last word, or ``None`` without a session.
     """
@@ -53,6 +60,7 @@
         holder: ConfigHolder,
         counters: cabc.Iterator[int],
         interval: float = timing.BEAT_INTERVAL,
+        telemetry: Telemetry | None = None,
     ) -> None:
         self.entry = entry
         self.incarnation = incarnation
@@ -61,8 +69,10 @@
         self.holder = holder
         self.counters = counters
         self.interval = interval
+        self.telemetry = telemetry or NullTelemetry()
         self.link: Link | None = None
         self.session: str | None = None
+        self.version = messages.PROTOCOL_VERSION
         self.side_incarnation = ""
         self.counter = 0
         self.report: SideReport | None = None
@@ -139,15 +149,19 @@
     async def run(self) -> None:
         """Keep a session with the side until cancelled."""
         while True:
+            retry = timing.HELLO_RETRY
             link = self.dialer.dial(self.info.side_address)
             try:
                 await self._connection(link)
             except TimeoutError:
                 logger.info("side %s is not heard", self.info.name)
+            except VersionError as error:
+                logger.warning("no session with side %s: %s", self.info.name, error)
+                retry = timing.VERSION_RETRY
             finally:
                 self._on_lost()
                 link.close()
-            await asyncio.sleep(timing.HELLO_RETRY)
+            await asyncio.sleep(retry)
 
     async def _connection(self, link: Link) -> None:
         welcome = await self._open(link)
@@ -160,7 +174,10 @@
             beats.cancel()
 
     async def _open(self, link: Link) -> messages.Welcome:
-        """Say hello until the side answers the latest one."""
+        """Say hello until the side answers the latest one.
+
+        :raises VersionError: if one of the two is too old for the other.
+        """
         while True:
             self.counter = next(self.counters)
             hello = messages.Hello(
@@ -183,7 +200,14 @@
             message = self._decode(await link.receive())
             if isinstance(message, messages.Welcome):
                 if message.counter == self.counter:
+                    self.version = _agreed(message)
                     return message
+            elif isinstance(message, messages.VersionRefused):
+                if message.counter == self.counter:
+                    raise VersionError(
+                        f"it takes protocol {message.oldest} to {message.version}, "
+                        f"this entry speaks up to {messages.PROTOCOL_VERSION}"
+                    )
             elif message is not None:
                 await self._on_message(message)
 
@@ -217,6 +241,9 @@
     def _decode(self, frame: bytes) -> messages.ToEntry | None:
         try:
             return messages.decode_to_entry(frame)
+        except messages.UnknownMessageError:
+            self.telemetry.on_unknown_message()
+            return None
         except msgspec.MsgspecError as error:
             logger.warning("frame of %s refused: %s", self.info.name, error)
             return None
@@ -320,3 +347,13 @@
             self.frame_lost = True
             return False
         return True
+
+
+def _agreed(welcome: messages.Welcome) -> int:
+    version = messages.agreed_version(welcome.version)
+    if version is None:
+        raise VersionError(
+            f"it speaks protocol {welcome.version}, this entry takes "
+            f"{messages.OLDEST_VERSION} to {messages.PROTOCOL_VERSION}"
+        )
+    return version
--- a/src/bergamotmast/protocol/messages.py
+++ b/src/bergamotmast/protocol/messages.py
@@ -1,8 +1,10 @@
 """Messages between an entry and a side.
 
-Every message is a tagged msgpack array; a later protocol version may add fields at
-the end of one, with defaults. Times on the wire are budgets in seconds, because the
-clocks of different instances differ; they become deadlines at receipt.
+Every message is a tagged msgpack array. A later protocol version may add fields at the
+end of one, with defaults, and new messages: the decoders skip fields they don't know
+and raise :class:`UnknownMessageError` for tags they don't know. Times on the wire are
+budgets in seconds, because the clocks of different instances differ; they become
+deadlines at receipt.
 """
 
 from __future__ import annotations
@@ -16,7 +18,32 @@
 from ..model import SideReport
 from .timing import BEAT_INTERVAL
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
+"""What this end speaks; 2 added :class:`VersionRefused`."""
+
+OLDEST_VERSION = 1
+"""What the other end must speak at least."""
+
+
+def agreed_version(theirs: int) -> int | None:
+    """Return the version of a session, or ``None`` if theirs is too old.
+
+    :param theirs: highest version that the other end speaks.
+    """
+    if theirs < OLDEST_VERSION:
+        return None
+    return min(PROTOCOL_VERSION, theirs)
+
+
+class UnknownMessageError(msgspec.ValidationError):
+    """A frame is a message that only a later version knows: to be left alone.
+
+    :param tag: its tag.
+    """
+
+    def __init__(self, tag: int) -> None:
+        super().__init__(f"unknown message {tag}")
+        self.tag = tag
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True, tag_field="type"):
@@ -26,6 +53,7 @@
 class Hello(Message, frozen=True, tag=1):
     """Entry to side: open a session, ending any earlier one of this incarnation.
 
+    :param version: highest that the entry speaks.
     :param incarnation: random for each start of the entry.
     :param counter: raised with each hello of this incarnation.
     :param generation: configuration the entry has in force.
@@ -43,6 +71,7 @@
 class Welcome(Message, frozen=True, tag=2):
     """Side to entry: the session is open.
 
+    :param version: highest that the side speaks.
     :param session: names the session in every later message.
     :param incarnation: random for each start of the side.
     """
@@ -209,6 +238,19 @@
     document: bytes
 
 
+class VersionRefused(Message, frozen=True, tag=17):
+    """Side to entry: the hello's version is too old; no session is open.
+
+    :param version: highest that the side speaks.
+    :param oldest: lowest that the side speaks.
+    :param counter: of the hello.
+    """
+
+    version: int
+    oldest: int
+    counter: int
+
+
 ToSide: t.TypeAlias = (
     Hello | Heartbeat | Offer | Credit | Cancel | ConfigPull | ConfigDocument
 )
@@ -224,8 +266,12 @@
     | AttemptState
     | ConfigPull
     | ConfigDocument
+    | VersionRefused
 )
 
+KNOWN_TAGS = frozenset(range(1, 18))
+"""Tags of all messages, both ways."""
+
 _ENCODER = msgspec.msgpack.Encoder()
 _SIDE_DECODER = msgspec.msgpack.Decoder(ToSide)
 _ENTRY_DECODER = msgspec.msgpack.Decoder(ToEntry)
@@ -239,14 +285,34 @@
 def decode_to_side(frame: bytes) -> ToSide:
     """Decode a frame that a side received.
 
+    :raises UnknownMessageError: for a message of a later version.
     :raises msgspec.ValidationError: for anything that is no message to a side.
     """
-    return _SIDE_DECODER.decode(frame)
+    try:
+        return _SIDE_DECODER.decode(frame)
+    except msgspec.ValidationError:
+        _check_tag(frame)
+        raise
 
 
 def decode_to_entry(frame: bytes) -> ToEntry:
     """Decode a frame that an entry received.
 
+    :raises UnknownMessageError: for a message of a later version.
     :raises msgspec.ValidationError: for anything that is no message to an entry.
     """
-    return _ENTRY_DECODER.decode(frame)
+    try:
+        return _ENTRY_DECODER.decode(frame)
+    except msgspec.ValidationError:
+        _check_tag(frame)
+        raise
+
+
+def _check_tag(frame: bytes) -> None:
+    """Tell a message of a later version from a frame that is wrong.
+
+    :raises UnknownMessageError: if its tag is one that this version has not.
+    """
+    match msgspec.msgpack.decode(frame):
+        case [int(tag), *_] if tag not in KNOWN_TAGS:
+            raise UnknownMessageError(tag)
--- a/src/bergamotmast/protocol/timing.py
+++ b/src/bergamotmast/protocol/timing.py
@@ -52,6 +52,12 @@
 HELLO_RETRY = 0.5
 """Between two hellos that got no welcome."""
 
+VERSION_RETRY = 5.0
+"""Between two hellos to a side whose version does not go with the entry's.
+
+Only an upgrade of either process mends it; each try is a log line at both ends.
+"""
+
 RESOLVE_TIMEOUT = 0.5
 """How long an entry waits for a side's word on a cancelled attempt."""
 
--- a/src/bergamotmast/side/core.py
+++ b/src/bergamotmast/side/core.py
@@ -192,6 +192,9 @@
             self._forget_sessions_after_pause()
             try:
                 message = messages.decode_to_side(frame)
+            except messages.UnknownMessageError:
+                self.telemetry.on_unknown_message()
+                continue
             except msgspec.MsgspecError as error:
                 logger.warning("frame refused: %s", error)
                 continue
@@ -261,7 +264,11 @@
         await self.send(peer, messages.SessionUnknown(message.session))
 
     async def _on_hello(self, peer: bytes, hello: messages.Hello) -> None:
-        opened = self.sessions.open(peer, hello, self._now())
+        version = messages.agreed_version(hello.version)
+        if version is None:
+            await self._refuse_version(peer, hello)
+            return
+        opened = self.sessions.open(peer, hello, self._now(), version)
         if opened is None:
             return
         session, earlier = opened
@@ -279,6 +286,19 @@
         await self._send_report(session)
         await self._compare_generation(peer, hello.generation)
 
+    async def _refuse_version(self, peer: bytes, hello: messages.Hello) -> None:
+        logger.warning(
+            "entry %s speaks protocol %d, this side takes %d to %d: no session",
+            hello.entry,
+            hello.version,
+            messages.OLDEST_VERSION,
+            messages.PROTOCOL_VERSION,
+        )
+        refused = messages.VersionRefused(
+            messages.PROTOCOL_VERSION, messages.OLDEST_VERSION, hello.counter
+        )
+        await self.send(peer, refused)
+
     async def _inherit(self, earlier: Session, session: Session) -> None:
         """Move what an ended session still runs to the one that follows it.
 
--- a/src/bergamotmast/side/session.py
+++ b/src/bergamotmast/side/session.py
@@ -6,6 +6,7 @@
 import dataclasses
 
 from ..protocol import timing
+from ..protocol.messages import PROTOCOL_VERSION
 from ..protocol.messages import Hello
 
 MAX_TOMBSTONES = 4096
@@ -28,6 +29,7 @@
     :param incarnation: of the entry.
     :param counter: of the hello that opened it.
     :param interval: seconds between heartbeats, both ways.
+    :param version: protocol version that both ends know.
     :param expires_at: when the entry counts as lost unless it is heard again.
     :param beat_at: when the next beat to the entry is due.
     :param seen: attempts offered or cancelled, and whether each was ever started.
@@ -39,6 +41,7 @@
     incarnation: str
     counter: int
     interval: float
+    version: int = PROTOCOL_VERSION
     expires_at: float = 0.0
     beat_at: float = 0.0
     beats: int = 0
@@ -96,7 +99,7 @@
         self.opened = 0
 
     def open(
-        self, peer: bytes, hello: Hello, now: float
+        self, peer: bytes, hello: Hello, now: float, version: int = PROTOCOL_VERSION
     ) -> tuple[Session, Session | None] | None:
         """Open a session and return it with the one it ends.
 
@@ -115,6 +118,7 @@
             incarnation=hello.incarnation,
             counter=hello.counter,
             interval=max(hello.interval, timing.BEAT_INTERVAL),
+            version=version,
         )
         session.on_heard(now)
         if earlier is not None:
--- a/src/bergamotmast/telemetry.py
+++ b/src/bergamotmast/telemetry.py
@@ -37,6 +37,10 @@
         """Take a side's state."""
         ...
 
+    def on_unknown_message(self) -> None:
+        """Take a message that only a later protocol version knows."""
+        ...
+
 
 class NullTelemetry:
     """Measures nothing."""
@@ -60,3 +64,6 @@
 
     def on_report(self, report: SideReport) -> None:
         """Drop it."""
+
+    def on_unknown_message(self) -> None:
+        """Drop it."""
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -149,6 +149,7 @@
     metrics.on_ended("t", "c", ResultCode.OK, 0.1)
     metrics.on_queue_wait("t", "c", 0.1)
     metrics.on_generation(1)
+    metrics.on_unknown_message()
     metrics.on_report(SideReport(Readiness.READY, None))
     exposed = metrics.exposition().decode()
     page = (ROOT / "docs/operators/failures.md").read_text()
