--- a/src/bergamotmast/app.py
+++ b/src/bergamotmast/app.py
@@ -223,7 +223,7 @@
 def engine_side(parts: ProcessParts, listener: Listener, engine: Engine) -> SideProcess:
     """Return the side of a model engine."""
     side = SideProcess(parts, listener, EngineRunner(engine))
-    side.keeper = OrderKeeper(
+    keeper = OrderKeeper(
         name=parts.name,
         engine=engine,
         kv=parts.kv,
@@ -231,6 +231,8 @@
         on_engine=side.core.on_engine,
         rng=parts.rng,
     )
+    side.keeper = keeper
+    side.core.plan_token = lambda: keeper.token
     return side
 
 
--- a/src/bergamotmast/commands/status.py
+++ b/src/bergamotmast/commands/status.py
@@ -26,6 +26,7 @@
     "RUNNING",
     "QUEUED",
     "KV FREE",
+    "PLAN",
     "GENERATION",
     "CARRIES",
     "LABELS",
@@ -38,11 +39,16 @@
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
     """Give the parser its arguments."""
-    parser.add_argument("--url", required=True, help="address of an entry")
+    parser.add_argument(
+        "--url",
+        required=True,
+        action="append",
+        help="address of an entry; given again for each further one",
+    )
     parser.add_argument(
         "--admin-key", required=True, metavar="KEY", help="key with the read scope"
     )
-    parser.add_argument("--json", action="store_true", help="print one JSON object")
+    parser.add_argument("--json", action="store_true", help="print one JSON list")
     parser.add_argument(
         "--watch",
         type=float,
@@ -52,12 +58,15 @@
 
 
 def run(arguments: argparse.Namespace) -> int:
-    """Print the fleet, once or until interrupted."""
+    """Print the fleet as each entry knows it, once or until interrupted."""
     if arguments.watch is not None and arguments.watch <= 0:
         raise SettingError("--watch", str(arguments.watch), "seconds above 0")
     while True:
-        status = asyncio.run(_read(arguments.url, arguments.admin_key))
-        text = msgspec.json.encode(status).decode() if arguments.json else table(status)
+        found = asyncio.run(_read_all(arguments.url, arguments.admin_key))
+        if arguments.json:
+            text = msgspec.json.encode(found).decode()
+        else:
+            text = "\n\n".join(table(status) for status in found)
         if arguments.watch is None:
             print(text)
             return 0
@@ -65,6 +74,10 @@
         time.sleep(arguments.watch)
 
 
+async def _read_all(urls: list[str], key: str) -> list[FleetStatus]:
+    return await asyncio.gather(*(_read(url, key) for url in urls))
+
+
 async def _read(url: str, key: str) -> FleetStatus:
     headers = {"Authorization": f"Bearer {key}"}
     address = url.rstrip("/") + "/admin/v1/fleet"
@@ -102,6 +115,7 @@
         f"{upstream.running}/{upstream.max_streams}",
         str(upstream.queued),
         f"{upstream.kv_free:.0%}",
+        upstream.plan or "-",
         str(upstream.generation),
         ",".join(upstream.models) or "-",
         ",".join(f"{k}={v}" for k, v in sorted(upstream.labels.items())) or "-",
--- a/src/bergamotmast/entry/fleet.py
+++ b/src/bergamotmast/entry/fleet.py
@@ -27,6 +27,7 @@
     :param queued: requests waiting at its side.
     :param max_streams: most requests it takes at once.
     :param kv_free: free share of KV memory, 0 to 1.
+    :param plan: ``epoch.revision`` of the plan that its side obeys; empty for none.
     :param report_age: seconds since the side was last heard.
     :param generation: configuration that the side has in force.
     """
@@ -45,6 +46,7 @@
     queued: int = 0
     max_streams: int = 0
     kv_free: float = 0.0
+    plan: str = ""
     report_age: float = 0.0
     generation: int = 0
 
@@ -103,6 +105,13 @@
         queued=report.queued,
         max_streams=report.max_streams,
         kv_free=report.kv_free,
+        plan=_plan(report),
         report_age=asyncio.get_running_loop().time() - peer.reported_at,
         generation=peer.generation,
     )
+
+
+def _plan(report: SideReport) -> str:
+    if not report.plan_epoch:
+        return ""
+    return f"{report.plan_epoch}.{report.plan_revision}"
--- a/src/bergamotmast/model.py
+++ b/src/bergamotmast/model.py
@@ -297,6 +297,8 @@
     :param waits_ms: predicted milliseconds until new work of each priority would begin;
         empty where the side does not predict.
     :param token_us: microseconds between the tokens of one answer; 0 if not measured.
+    :param plan_epoch: of the plan that the side obeys; 0 before the first.
+    :param plan_revision: of the same plan.
     """
 
     readiness: Readiness
@@ -318,6 +320,8 @@
     kv_free: float = 1.0
     waits_ms: tuple[int, ...] = ()
     token_us: int = 0
+    plan_epoch: int = 0
+    plan_revision: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/bergamotmast/side/core.py
+++ b/src/bergamotmast/side/core.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections.abc as cabc
 import functools
 import logging
 import typing as t
@@ -19,8 +20,10 @@
 from ..history import AttemptRecord
 from ..history import HistorySink
 from ..logs import request_context
+from ..model import NO_TOKEN
 from ..model import Cost
 from ..model import EngineState
+from ..model import FencingToken
 from ..model import Readiness
 from ..model import SideReport
 from ..policy import QueueItem
@@ -95,6 +98,7 @@
         self.admission_paused = False
         self.engine: EngineState | None = None
         self.engine_readiness = Readiness.UNKNOWN
+        self.plan_token: cabc.Callable[[], FencingToken] = _no_plan
         self.alive_at = 0.0
         self.offered = Cost(0, 0)
         self.done = Cost(0, 0)
@@ -153,6 +157,7 @@
         speed = self.policy.speed()
         engine = self.engine
         assignment = engine.assignment if engine else None
+        plan = self.plan_token()
         return SideReport(
             readiness=self.readiness,
             role=assignment.role if assignment else None,
@@ -173,6 +178,8 @@
             kv_free=self.policy.kv_free(),
             waits_ms=tuple(round(1000 * wait) for wait in speed.waits),
             token_us=round(1e6 * speed.token_seconds),
+            plan_epoch=plan.epoch,
+            plan_revision=plan.revision,
         )
 
     async def run(self) -> None:
@@ -583,6 +590,10 @@
         return asyncio.get_running_loop().time()
 
 
+def _no_plan() -> FencingToken:
+    return NO_TOKEN
+
+
 def _queue_item(offer: messages.Offer, now: float) -> QueueItem:
     work = offer.work
     deadline = now + offer.budget
--- a/src/bergamotmast/side/orders.py
+++ b/src/bergamotmast/side/orders.py
@@ -22,8 +22,10 @@
 from ..errors import OrderRefusedError
 from ..errors import PortError
 from ..key_watch import follow
+from ..model import NO_TOKEN
 from ..model import Assignment
 from ..model import EngineState
+from ..model import FencingToken
 from ..model import Order
 from ..model import Readiness
 from ..ports import Engine
@@ -141,6 +143,11 @@
         """Where the side stands with its orders."""
         return self.machine.state
 
+    @property
+    def token(self) -> FencingToken:
+        """Authority of the plan that is obeyed; ``NO_TOKEN`` before the first."""
+        return self.plan.token if self.plan is not None else NO_TOKEN
+
     @property
     def readiness(self) -> Readiness:
         """Whether the engine may be given new work."""
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import hashlib
 import os
 import pathlib
 import signal
@@ -13,6 +14,7 @@
 import msgspec
 
 from bergamotmast.adapters.key_value_http import HttpKeyValueService
+from bergamotmast.config import AdminKey
 from bergamotmast.config import RequestClass
 from bergamotmast.config_store import ConfigStore
 from bergamotmast.history import MemoryHistory
@@ -39,6 +41,7 @@
         self.urls: dict[str, str] = {}
         self.sides: dict[str, str] = {}
         self.history = MemoryHistory()
+        self.admin_key = "a-test-key"
         self.side_flags: tuple[str, ...] = ()
         self.entry_flags: tuple[str, ...] = ()
 
@@ -74,7 +77,10 @@
             kv = HttpKeyValueService(session, self.urls["key-value"], "test")
             store = ConfigStore(kv, self.history)
             classes = {"c": RequestClass(first_token=30.0, total=60.0)}
-            await store.propose(configuration(0, classes=classes), 0, "test", "n1")
+            digest = hashlib.sha256(self.admin_key.encode()).hexdigest()
+            keys = (AdminKey(team="test", digest=digest),)
+            first = configuration(0, classes=classes, admin_keys=keys)
+            await store.propose(first, 0, "test", "n1")
 
     async def start_standin(self, name: str, kind: str, options: object) -> None:
         command = (
