A side hands an entry the frames of one turn of its loop together

Cause: an engine ends a step for all streams at once, and the side handed each chunk over by itself: two calls into ZeroMQ, a wake-up of its thread and often one of the entry for every token.

A turn's frames for one entry now go as one message of several parts; the entry reads the parts as single frames, so the protocol and older entries are not touched. The session still ends with the first frames lost, now up to one turn later. Frames can wait in the process for that turn, so a leaving side hands its refusals and last frames over before its address is released. Ruled out: merging chunks of one stream, which wins nothing at one token a read; queueing in the adapter, which could not tell the core what was lost.

--- a/src/bergamotmast/adapters/memory.py
+++ b/src/bergamotmast/adapters/memory.py
@@ -132,13 +132,14 @@
         """Return the next frame with the identity of its peer."""
         return await self.incoming.get()
 
-    async def send(self, peer: bytes, frame: bytes) -> None:
-        """Hand a frame over to a peer that has not closed."""
+    async def send(self, peer: bytes, *frames: bytes) -> None:
+        """Hand frames over to a peer that has not closed."""
         link = self.links.get(peer)
         if link is None or link.closed:
             self.links.pop(peer, None)
             raise NotReachedError("the peer is gone")
-        self.network.carry(self.address, link.incoming, (peer, frame))
+        for frame in frames:
+            self.network.carry(self.address, link.incoming, (peer, frame))
 
     def close(self) -> None:
         """Release the address."""
--- a/src/bergamotmast/adapters/zeromq.py
+++ b/src/bergamotmast/adapters/zeromq.py
@@ -14,7 +14,7 @@
 from ..errors import NotReachedError
 
 HIGH_WATER_MARK = 1000
-"""Frames queued for one connection before it counts as taking no more."""
+"""Messages queued for one connection before it counts as taking no more."""
 
 CLOSE_LINGER_MILLISECONDS = 2000
 """How long the last answers of a side that shuts down may take to go out."""
@@ -154,7 +154,7 @@
             self.readiness.after_send()
 
     async def receive(self) -> bytes:
-        """Return the next frame."""
+        """Return the next frame, a part of a message."""
         await self.readiness.turn()
         while (frame := self._take()) is None:
             await self.readiness.wait()
@@ -238,14 +238,16 @@
                 return parts[0], parts[1]
             await self.readiness.turn()
 
-    async def send(self, peer: bytes, frame: bytes) -> None:
-        """Hand a frame over without waiting."""
+    async def send(self, peer: bytes, *frames: bytes) -> None:
+        """Hand frames over as the parts of one message, without waiting."""
         if self.socket.closed:
             raise NotReachedError("the listener is closed")
         try:
-            # Only the first part can be refused; the other goes where it went.
+            # Only the first part can be refused; the others go where it went.
             self.socket.send(peer, _NOBLOCK | _SNDMORE)
-            self.socket.send(frame, _NOBLOCK)
+            for frame in frames[:-1]:
+                self.socket.send(frame, _NOBLOCK | _SNDMORE)
+            self.socket.send(frames[-1], _NOBLOCK)
         except zmq.ZMQError as error:
             raise NotReachedError(f"not handed over: {error}") from error
         finally:
--- a/src/bergamotmast/ports.py
+++ b/src/bergamotmast/ports.py
@@ -231,8 +231,8 @@
         """Return the next frame with the identity of its peer."""
         ...
 
-    async def send(self, peer: bytes, frame: bytes) -> None:
-        """Hand a frame over to a peer.
+    async def send(self, peer: bytes, *frames: bytes) -> None:
+        """Hand frames over to a peer, all or none.
 
         :raises NotReachedError: if the peer is gone or takes no more.
         """
--- a/src/bergamotmast/side/core.py
+++ b/src/bergamotmast/side/core.py
@@ -15,7 +15,6 @@
 import msgspec
 
 from ..config_holder import ConfigHolder
-from ..errors import NotReachedError
 from ..errors import ResultCode
 from ..history import AttemptRecord
 from ..history import HistorySink
@@ -34,6 +33,7 @@
 from ..telemetry import Telemetry
 from .attempt import Attempt
 from .attempt import AttemptPhase
+from .outbox import Outbox
 from .session import Session
 from .session import SessionTable
 
@@ -86,6 +86,7 @@
     ) -> None:
         self.name = name
         self.listener = listener
+        self.outbox = Outbox(listener, self._on_frames_lost)
         self.runner = runner
         self.policy = policy
         self.holder = holder
@@ -150,6 +151,9 @@
         self.leaving = True
         self._after_readiness_change()
         await self.drained()
+        await asyncio.gather(*self._background)
+        # The last frames would else wait for a turn that the process may not take.
+        await self.outbox.flush()
 
     def report(self) -> SideReport:
         """Return the exact state of this moment."""
@@ -186,6 +190,7 @@
         """Serve until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._receive())
+            group.create_task(self.outbox.run())
             group.create_task(self._beat())
             group.create_task(self._expire())
             group.create_task(self._follow_configuration())
@@ -549,21 +554,20 @@
 
     # Small helpers
 
-    async def send(self, peer: bytes, message: messages.ToEntry) -> bool:
-        """Send to an entry; ``False`` if it is gone or takes no more.
+    async def send(self, peer: bytes, message: messages.ToEntry) -> None:
+        """Send to an entry, in the next turn of the event loop."""
+        self.outbox.put(peer, messages.encode(message))
+
+    def _on_frames_lost(self, peer: bytes) -> None:
+        """End the sessions of an entry that is gone or takes no more.
 
         A frame that is dropped, because the entry was stopped and its buffers are
         full, may be the last of an answer: the entry would wait for it until the
-        caller's deadline. So the session ends with the first frame lost; the entry
+        caller's deadline. So the session ends with the first frames lost; the entry
         learns that with its next heartbeat and resumes or asks in a new one.
         """
-        try:
-            await self.listener.send(peer, messages.encode(message))
-        except NotReachedError:
-            for session in self.sessions.of_peer(peer):
-                self._end_session(session)
-            return False
-        return True
+        for session in self.sessions.of_peer(peer):
+            self._end_session(session)
 
     def on_tokens(self, attempt: Attempt, tokens: int, prefilled: int) -> None:
         """Learn of a stream's progress from the runner."""
--- a/tests/test_zeromq.py
+++ b/tests/test_zeromq.py
@@ -61,7 +61,8 @@
     # or a busy side would keep it from writing to its callers.
     listener, link, peer = await connected(context)
     expected = [b"%d" % i for i in range(3 * BURST)]
-    for frame in expected:
+    await listener.send(peer, *expected[:BURST])
+    for frame in expected[BURST:]:
         await listener.send(peer, frame)
     turns = 0
 
