The last chunk of a stream goes out with its end

Cause: a stream of one token cost an entry four writes to its caller's socket (head, chunk, [DONE], end of the body); in the profile each write took as much as all else that is done for a token. The finishing chunk, [DONE] and the end of the body are one write now; if the stream fails after all, the error event follows the chunk as before.

--- a/src/bergamotmast/entry/http.py
+++ b/src/bergamotmast/entry/http.py
@@ -310,17 +310,9 @@
     first = await _while_connected(request, _next(chunks))
     await response.prepare(request)
     try:
-        await _send_chunk(response, call, first, wording)
-        async for chunk in chunks:
-            await _send_chunk(response, call, chunk, wording)
-        await response.write(b"data: [DONE]\n\n")
-    except RequestError as error:
-        body = error_body(error, call.request_id)
-        await response.write(b"event: error\ndata: " + body + b"\n\n")
+        await _write_events(response, call, first, chunks, wording)
     except ConnectionError:
         logger.info("caller of %s went away", call.request_id)
-        return response
-    await response.write_eof()
     return response
 
 
@@ -328,8 +320,31 @@
     return await anext(chunks)
 
 
-async def _send_chunk(
-    response: web.StreamResponse, call: ModelCall, chunk: TokenChunk, wording: Wording
+async def _write_events(
+    response: web.StreamResponse,
+    call: ModelCall,
+    first: TokenChunk,
+    chunks: cabc.AsyncGenerator[TokenChunk],
+    wording: Wording,
 ) -> None:
-    part = wording.part(call.request_id, call.model, chunk.text, chunk.finish)
-    await response.write(b"data: " + msgspec.json.encode(part) + b"\n\n")
+    """Write a stream to its end.
+
+    The last chunk goes out with the end of the stream: each write to a socket costs
+    more than everything else that is done for a token.
+    """
+    end = b""
+    chunk: TokenChunk | None = first
+    try:
+        while chunk is not None:
+            part = wording.part(call.request_id, call.model, chunk.text, chunk.finish)
+            event = b"data: " + msgspec.json.encode(part) + b"\n\n"
+            if chunk.finish:
+                end += event
+            else:
+                await response.write(event)
+            chunk = await anext(chunks, None)
+        end += b"data: [DONE]\n\n"
+    except RequestError as error:
+        body = error_body(error, call.request_id)
+        end += b"event: error\ndata: " + body + b"\n\n"
+    await response.write_eof(end)
