--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -145,7 +145,7 @@
 def test_series_that_operators_are_told_of_are_exposed():
     metrics = OpenTelemetryMetrics("p")
     metrics.on_first_token("t", "c", 0.1)
-    metrics.on_between_tokens("c", 0.1)
+    metrics.on_between_tokens("c", 0.1, 1)
     metrics.on_ended("t", "c", ResultCode.OK, 0.1)
     metrics.on_queue_wait("t", "c", 0.1)
     metrics.on_generation(1)
