A takeover puts every part of the plan under its epoch; capacity is measured

The key-value service had been restored to a backup with part 1.2, the side that knew 1.3 was killed, the engine restarted, and the planner that took over did not know of the loss either: it raised the head to epoch 57 and left the parts under epoch 1, so the new side gave its engine the old part under the old token. A takeover now writes every part under its own epoch, MOST_WRITES parts a transaction. Ruled out: to do so only where the epoch jumped, which every takeover's hint makes it do. What stays open: between a restore and the next takeover a new side before a restarted engine can't know what both forgot.

--- /dev/null
+++ b/src/bergamotmast/bench/capacity.py
@@ -0,0 +1,269 @@
+"""What control costs a node, as slopes over the size of the fleet.
+
+Real entries and sides run in one process, joined in memory and in virtual time, with
+stand-ins outside and no callers. Messages and bytes between them are counted exactly,
+as are calls and bytes at the key-value service; processor time is that of the whole
+process, so it holds no sockets. :mod:`.capacity_processes` measures real processes.
+
+``python -m bergamotmast.bench.capacity`` prints every sample as a line of JSON.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import collections.abc as cabc
+import dataclasses
+import gc
+import logging
+import sys
+import time
+import tracemalloc
+import typing as t
+
+import looptime
+import msgspec
+
+from ..config import encode_configuration
+from ..config_holder import ConfigHolder
+from ..history import NullHistory
+from ..model import InstanceInfo
+from ..policy.subset import SUBSET_SIZE
+from .capacity_fleet import MODEL
+from .capacity_fleet import Fleet
+from .capacity_fleet import document
+from .capacity_fleet import tenant
+from .capacity_samples import ConfigSample
+from .capacity_samples import ControlSample
+from .capacity_samples import EditSample
+from .capacity_samples import ListSample
+from .capacity_samples import MemorySample
+
+MEASURED_SECONDS = 60.0
+ENTRIES = (2, 4, 8, 16, 32, 64)
+SIDES = (4, 10, 20, 50, 100, 200)
+TENANTS = (10, 100, 1000)
+SMALL_TENANTS = 10
+LETTER_SIDES = 600
+"""Replicas of the size that is worked towards."""
+
+EDITS = 20
+EDIT_EVERY = 3.0
+"""Seconds between the edits of a burst."""
+
+APPLICATIONS = 20
+"""Times that a document is taken, of which the mean is reported."""
+
+_T = t.TypeVar("_T")
+
+
+async def measure_control(entries: int, sides: int) -> ControlSample:
+    """Measure a fleet at rest."""
+    fleet = Fleet(SMALL_TENANTS, entries, sides)
+    await fleet.start()
+    kv = fleet.kv
+    fleet.network.clear()
+    before = (kv.reads, kv.writes + kv.keep_alives, fleet.list.reads)
+    begin = time.process_time()
+    await asyncio.sleep(MEASURED_SECONDS)
+    cpu = time.process_time() - begin
+    after = (kv.reads, kv.writes + kv.keep_alives, fleet.list.reads)
+    reads, writes, list_reads = (
+        (b - a) / MEASURED_SECONDS for a, b in zip(before, after, strict=True)
+    )
+    working = [p for e in fleet.entries for p in fleet.peers(e, observers=False)]
+    watching = [p for e in fleet.entries for p in fleet.peers(e, observers=True)]
+    network = fleet.network
+    sample = ControlSample(
+        entries=entries,
+        sides=sides,
+        sessions=len(working),
+        entry_bytes=network.bytes_of(working) / entries / MEASURED_SECONDS,
+        side_bytes=network.bytes_of(working + watching) / sides / MEASURED_SECONDS,
+        observer_bytes=network.bytes_of(watching) / MEASURED_SECONDS,
+        session_frames=network.frames_of(working) / len(working) / MEASURED_SECONDS,
+        session_bytes=network.bytes_of(working) / len(working) / MEASURED_SECONDS,
+        cpu_us_per_frame=cpu / network.frames.total() * 1e6,
+        kv_reads=reads,
+        kv_writes=writes,
+        kv_watches=kv.waiting_watches,
+        list_reads=list_reads,
+    )
+    await fleet.stop()
+    return sample
+
+
+async def measure_memory() -> MemorySample:
+    """Measure what an entry, a side and a session between them keep.
+
+    Four fleets give the three slopes: with both ends doubled, what is left over
+    what each adds alone is the sessions'.
+    """
+    few, many = 4, 16
+    held = {}
+    for entries in (few, many):
+        for sides in (few, many):
+            held[entries, sides] = await _traced(entries, sides)
+    step = many - few
+    session = (
+        held[many, many] - held[many, few] - held[few, many] + held[few, few]
+    ) / step**2
+    entry = (held[many, few] - held[few, few]) / step - few * session
+    side = (held[few, many] - held[few, few]) / step - few * session
+    return MemorySample(entry, side, session)
+
+
+async def _traced(entries: int, sides: int) -> int:
+    tracemalloc.start()
+    fleet = Fleet(SMALL_TENANTS, entries, sides)
+    await fleet.start()
+    gc.collect()
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    await fleet.stop()
+    return held
+
+
+async def measure_config(tenants: int, sides: int) -> ConfigSample:
+    """Measure taking a document and keeping it."""
+    documents = [
+        encode_configuration(
+            msgspec.structs.replace(document(tenants, sides), generation=generation)
+        )
+        for generation in range(1, APPLICATIONS + 1)
+    ]
+    holder = ConfigHolder("entry-0000", NullHistory())
+    begin = time.process_time()
+    for data in documents:
+        holder.offer(data)
+        holder.selection.knows_model(MODEL)
+    spent = time.process_time() - begin
+    gc.collect()
+    tracemalloc.start()
+    fresh = ConfigHolder("entry-0000", NullHistory())
+    fresh.offer(bytes(bytearray(documents[0])))
+    fresh.selection.knows_model(MODEL)
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return ConfigSample(
+        tenants, sides, len(documents[0]), spent / APPLICATIONS * 1e3, held
+    )
+
+
+async def measure_edits(tenants: int, entries: int, sides: int) -> EditSample:
+    """Measure a row of edits, each of one tenant, beyond what rest takes."""
+    fleet = Fleet(tenants, entries, sides)
+    await fleet.start()
+    processes = entries + sides
+    rest = await _spent(fleet, EDITS * EDIT_EVERY, edits=False)
+    busy = await _spent(fleet, EDITS * EDIT_EVERY, edits=True)
+    per_edit = EDITS * processes
+    sample = EditSample(
+        tenants=tenants,
+        processes=processes,
+        reads=(busy.reads - rest.reads) / per_edit,
+        read_bytes=(busy.read_bytes - rest.read_bytes) / per_edit,
+        peer_bytes=(busy.peer_bytes - rest.peer_bytes) / per_edit,
+        cpu_ms=(busy.cpu - rest.cpu) / per_edit * 1e3,
+        slowest_seconds=busy.slowest,
+    )
+    await fleet.stop()
+    return sample
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Spent:
+    reads: int
+    read_bytes: int
+    peer_bytes: int
+    cpu: float
+    slowest: float
+
+
+async def _spent(fleet: Fleet, seconds: float, edits: bool) -> _Spent:
+    loop = asyncio.get_running_loop()
+    reads = fleet.kv.reads
+    read_bytes = sum(c.read_bytes for c in fleet.clients.values())
+    fleet.network.clear()
+    slowest = 0.0
+    begin = time.process_time()
+    end = loop.time() + seconds
+    while edits and loop.time() + EDIT_EVERY <= end:
+        slowest = max(slowest, await _edit(fleet))
+    await asyncio.sleep(max(0.0, end - loop.time()))
+    return _Spent(
+        fleet.kv.reads - reads,
+        sum(c.read_bytes for c in fleet.clients.values()) - read_bytes,
+        fleet.network.bytes.total(),
+        time.process_time() - begin,
+        slowest,
+    )
+
+
+async def _edit(fleet: Fleet) -> float:
+    """Change one tenant; return the seconds until in force everywhere."""
+    loop = asyncio.get_running_loop()
+    begin = loop.time()
+    current = (await fleet.store.read()).configuration
+    weight = current.tenants["tenant-0000"].weight + 1.0
+    tenants = current.tenants | {"tenant-0000": tenant("tenant-0000", weight)}
+    proposed = msgspec.structs.replace(current, tenants=tenants)
+    generation = current.generation
+    await fleet.store.propose(proposed, generation, "operator", f"edit-{generation}")
+    holders = [e.holder for e in fleet.entries] + [p.holder for p in fleet.sides]
+    await asyncio.gather(*(holder.wait_newer(generation) for holder in holders))
+    in_force = loop.time() - begin
+    await asyncio.sleep(max(0.0, begin + EDIT_EVERY - loop.time()))
+    return in_force
+
+
+async def measure_list(count: int) -> ListSample:
+    """Measure the instance list as its adapter reads it."""
+    fleet = Fleet(SMALL_TENANTS, 0, count)
+    data = msgspec.json.encode(await fleet.list.instances())
+    decoder = msgspec.json.Decoder(tuple[InstanceInfo, ...])
+    begin = time.process_time()
+    for _ in range(APPLICATIONS):
+        decoder.decode(data)
+    spent = time.process_time() - begin
+    return ListSample(count, len(data), spent / APPLICATIONS * 1e3)
+
+
+def on_new_loop(measuring: cabc.Coroutine[t.Any, t.Any, _T]) -> _T:
+    """Run a measurement in virtual time on a loop of its own."""
+    loop = looptime.new_event_loop(noop_cycles=0)
+    asyncio.set_event_loop(loop)
+    try:
+        return loop.run_until_complete(measuring)
+    finally:
+        asyncio.set_event_loop(None)
+        loop.close()
+
+
+def measurements(quick: bool) -> cabc.Iterator[cabc.Coroutine[t.Any, t.Any, object]]:
+    """Return what is measured, in order."""
+    entries = ENTRIES[:2] if quick else ENTRIES
+    sides = SIDES[:2] if quick else SIDES
+    yield from (measure_control(count, SUBSET_SIZE) for count in entries)
+    yield from (measure_control(4, count) for count in sides)
+    yield measure_memory()
+    yield from (measure_config(count, LETTER_SIDES) for count in TENANTS)
+    yield from (measure_edits(count, 4, 10) for count in TENANTS)
+    yield from (measure_list(count) for count in (10, 100, LETTER_SIDES))
+
+
+def main(argv: cabc.Sequence[str] | None = None) -> int:
+    """Print every sample."""
+    parser = argparse.ArgumentParser(prog="bergamotmast.bench.capacity")
+    parser.add_argument("--quick", action="store_true", help="the smallest fleets only")
+    quick = parser.parse_args(argv).quick
+    logging.disable(logging.WARNING)
+    for measuring in measurements(quick):
+        sample = on_new_loop(measuring)
+        line = msgspec.json.encode(sample).decode()
+        print(type(sample).__name__, line, flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/bergamotmast/planner/plan_store.py
+++ b/src/bergamotmast/planner/plan_store.py
@@ -80,7 +80,12 @@
         self.head_revision = 0
 
     async def open(self) -> FencingToken:
-        """Take authority: read the plan and raise its epoch.
+        """Take authority: read the plan, raise its epoch and write every part under it.
+
+        A part that stayed under an earlier epoch could be older than what its engine
+        has obeyed, where the service was restored and the processes that knew were
+        replaced: a new side would give its engine an order below the last one. A few
+        transactions at each takeover are enough to put every part above all before.
 
         :raises AuthorityLostError: if another planner wrote in the same moment.
         :raises KeyValueUnavailableError: if the service is down; nothing changed.
@@ -97,8 +102,8 @@
         )
         self.plans = stored | lost
         await self._commit(token, {}, ())
-        if lost:
-            await self.write({name: part.assignment for name, part in lost.items()})
+        parts = {name: part.assignment for name, part in self.plans.items()}
+        await self.write(parts)
         return self.seen
 
     async def write(
