--- a/src/bergamotmast/config_holder.py
+++ b/src/bergamotmast/config_holder.py
@@ -10,6 +10,18 @@
 from .history import HistorySink
 from .selection import Selection
 
+PEER_GRACE_SECONDS = 0.8
+"""Time a process is given to read an edit from the key-value service.
+
+Every process hears of an edit from its peers as soon as from the service. If it asked
+them at once, each edit would carry the whole document over many sessions, when the
+service has only the few bytes that changed. A process that the service does not reach
+asks after this time, well within the time that an edit may take.
+"""
+
+FIRST_PULL_SECONDS = 0.5
+"""Between two pulls of a process that has no configuration yet."""
+
 
 class ConfigHolder:
     """Keeps the newest configuration a process has seen, from wherever it came.
@@ -28,6 +40,7 @@
         self.document = b""
         self.selection = Selection(self.current)
         self._changed = asyncio.Event()
+        self._behind_since: float | None = None
 
     @property
     def generation(self) -> int:
@@ -49,6 +62,7 @@
             return False
         self.current = configuration
         self.document = document
+        self._behind_since = None
         self.selection = Selection(configuration)
         at = asyncio.get_running_loop().time()
         self.history.record(
@@ -60,6 +74,26 @@
         self._changed = asyncio.Event()
         return True
 
+    def should_pull(self, generation: int) -> bool:
+        """Return whether to ask a peer that has this generation for its document.
+
+        Saying so begins a new wait, so that one peer is asked at a time.
+        """
+        if generation <= self.generation:
+            return False
+        now = asyncio.get_running_loop().time()
+        if self._behind_since is None:
+            self._behind_since = now
+            if self.generation:
+                return False
+        elif now < self._behind_since + self._pull_wait():
+            return False
+        self._behind_since = now
+        return True
+
+    def _pull_wait(self) -> float:
+        return PEER_GRACE_SECONDS if self.generation else FIRST_PULL_SECONDS
+
     async def wait_newer(self, generation: int) -> Configuration:
         """Wait until a configuration newer than this is in force and return it."""
         while self.generation <= generation:
--- a/src/bergamotmast/entry/peer.py
+++ b/src/bergamotmast/entry/peer.py
@@ -320,7 +320,7 @@
 
     async def _compare_generation(self, generation: int) -> None:
         self.generation = generation
-        if generation > self.holder.generation:
+        if self.holder.should_pull(generation):
             await self._send(messages.ConfigPull(self.holder.generation))
 
     async def _send_document(self, generation: int) -> None:
--- a/src/bergamotmast/side/core.py
+++ b/src/bergamotmast/side/core.py
@@ -536,7 +536,7 @@
             self._after_readiness_change()
 
     async def _compare_generation(self, peer: bytes, generation: int) -> None:
-        if generation > self.holder.generation:
+        if self.holder.should_pull(generation):
             await self.send(peer, messages.ConfigPull(self.holder.generation))
 
     async def _send_document(self, peer: bytes, generation: int) -> None:
--- a/tests/test_config_holder.py
+++ b/tests/test_config_holder.py
@@ -15,6 +15,7 @@
 from bergamotmast.config import Selector
 from bergamotmast.config import decode_configuration
 from bergamotmast.config import encode_configuration
+from bergamotmast.config_holder import PEER_GRACE_SECONDS
 from bergamotmast.config_holder import ConfigHolder
 from bergamotmast.history import ConfigInForce
 from bergamotmast.history import MemoryHistory
@@ -110,3 +111,20 @@
         assert holder.selection.configuration == holder.current
 
     asyncio.run(offer())
+
+
+@pytest.mark.looptime
+async def test_a_peer_is_asked_only_where_the_service_does_not_bring_the_edit():
+    # Every process hears of an edit from many peers at once. If it asked each, one
+    # edit would carry the whole document over every session.
+    holder = ConfigHolder("entry-1", MemoryHistory())
+    assert holder.should_pull(3)
+    assert not holder.should_pull(3)
+    holder.offer(document(3))
+    assert not holder.should_pull(4)
+    await asyncio.sleep(PEER_GRACE_SECONDS)
+    assert holder.should_pull(4)
+    assert not holder.should_pull(4)
+    holder.offer(document(4))
+    assert not holder.should_pull(4)
+    assert not holder.should_pull(5)
