Runs under faults claim orders, and callers send some of them again

Orders carry a key and are claimed in the key-value service; three in ten are sent a second time, through any entry.

--- a/src/bergamotmast/faults/callers.py
+++ b/src/bergamotmast/faults/callers.py
@@ -32,6 +32,8 @@
 """Seconds past its deadline that a caller waits before it hangs up."""
 
 MOST_TOKENS = 120
+REPLAYED_SHARE = 0.3
+"""Share of the orders that a caller sends again, mostly through another entry."""
 
 
 class Callers:
@@ -48,6 +50,8 @@
         self.sent = 0
         self.waiting: set[asyncio.Task[None]] = set()
         self.errors: list[Exception] = []
+        self.keys: list[str] = []
+        self.restores = 0
 
     async def run(self, until: float) -> None:
         """Send until a point in time."""
@@ -106,7 +110,8 @@
         self._record_answer(request, code, "".join(parts))
 
     async def _ask_service(self, entry: EntryProcess, request: str, route: str) -> None:
-        body = request.encode()
+        key = self._key(request) if route == "orders" else ""
+        body = (key or request).encode()
         call = ServiceCall(
             request_id=request,
             tenant="a",
@@ -118,11 +123,11 @@
             body=body,
             content_type="text/plain",
             repeatable=route == "counter",
-            idempotency_key="",
+            idempotency_key=key,
             deadline=self.world.now() + SERVICE_SECONDS,
         )
         text = expected_body(call.method, call.path, body).decode()
-        self._record_sent(request, route, call.repeatable, text)
+        self._record_sent(request, route, call.repeatable, text, key)
         parts: list[str] = []
 
         async def read() -> None:
@@ -159,8 +164,27 @@
             return ResultCode.OK
         return ResultCode.OUTCOME_UNKNOWN
 
+    def _key(self, request: str) -> str:
+        """Return a key, now and then that of an earlier order sent again.
+
+        A service that came back with older content has lost claims: no caller sends
+        an order from before again, because nothing could tell that it ran.
+        """
+        if self.restores != self.world.restores:
+            self.restores = self.world.restores
+            self.keys.clear()
+        if self.keys and self.rng.random() < REPLAYED_SHARE:
+            return self.rng.choice(self.keys)
+        self.keys.append(f"key-{request}")
+        return self.keys[-1]
+
     def _record_sent(
-        self, request: str, request_class: str, repeatable: bool, text: str
+        self,
+        request: str,
+        request_class: str,
+        repeatable: bool,
+        text: str,
+        key: str = "",
     ) -> None:
         self.world.history.record(
             RequestSent(
@@ -168,6 +192,7 @@
                 request=request,
                 request_class=request_class,
                 repeatable=repeatable,
+                idempotency_key=key,
                 expected_text=text,
             )
         )
--- a/src/bergamotmast/faults/schedule.py
+++ b/src/bergamotmast/faults/schedule.py
@@ -223,6 +223,7 @@
         if faults.rng.random() < 0.3:
             faults.note("key-value restored")
             world.kv.restore(older)
+            world.restores += 1
         world.kv.down = False
         world.note_reach()
 
