--- a/src/bergamotmast/bench/capacity.py
+++ b/src/bergamotmast/bench/capacity.py
@@ -12,6 +12,7 @@
 
 import argparse
 import asyncio
+import collections
 import collections.abc as cabc
 import dataclasses
 import gc
@@ -29,23 +30,29 @@
 from ..history import NullHistory
 from ..model import InstanceInfo
 from ..policy.subset import SUBSET_SIZE
+from ..policy.subset import choose_subset
 from .capacity_fleet import MODEL
+from .capacity_fleet import ZONES
 from .capacity_fleet import Fleet
 from .capacity_fleet import document
+from .capacity_fleet import side_names
 from .capacity_fleet import tenant
 from .capacity_samples import ConfigSample
 from .capacity_samples import ControlSample
 from .capacity_samples import EditSample
 from .capacity_samples import ListSample
 from .capacity_samples import MemorySample
+from .capacity_samples import SubsetSample
 
 MEASURED_SECONDS = 60.0
 ENTRIES = (2, 4, 8, 16, 32, 64)
 SIDES = (4, 10, 20, 50, 100, 200)
 TENANTS = (10, 100, 1000)
 SMALL_TENANTS = 10
+LETTER_ENTRIES = 330
 LETTER_SIDES = 600
-"""Replicas of the size that is worked towards."""
+LETTER_MODELS = 7
+"""The size that is worked towards; a group for each model."""
 
 EDITS = 20
 EDIT_EVERY = 3.0
@@ -217,6 +224,39 @@
     return in_force
 
 
+async def measure_subsets(entries: int, sides: int, groups: int) -> SubsetSample:
+    """Count the sessions of a fleet from the choice that entries make."""
+    names = side_names(sides)
+    per_side: collections.Counter[str] = collections.Counter()
+    per_entry: list[int] = []
+    largest = 0
+    for number in range(entries):
+        own = 0
+        for group in range(groups):
+            members = {
+                name: f"zone-{place % ZONES}"
+                for place, name in enumerate(names[group::groups])
+            }
+            zone = f"zone-{number % ZONES}"
+            chosen = choose_subset(f"entry-{number:04d}", zone, members)
+            zones = collections.Counter(members[name] for name in chosen)
+            largest = max(largest, *zones.values())
+            per_side.update(chosen)
+            own += len(chosen)
+        per_entry.append(own)
+    counts = [per_side[name] for name in names]
+    return SubsetSample(
+        entries=entries,
+        sides=sides,
+        groups=groups,
+        per_entry=max(per_entry),
+        per_side_least=min(counts),
+        per_side_mean=sum(counts) / sides,
+        per_side_most=max(counts),
+        most_in_one_zone=largest,
+    )
+
+
 async def measure_list(count: int) -> ListSample:
     """Measure the instance list as its adapter reads it."""
     fleet = Fleet(SMALL_TENANTS, 0, count)
@@ -249,6 +289,7 @@
     yield measure_memory()
     yield from (measure_config(count, LETTER_SIDES) for count in TENANTS)
     yield from (measure_edits(count, 4, 10) for count in TENANTS)
+    yield measure_subsets(LETTER_ENTRIES, LETTER_SIDES, LETTER_MODELS)
     yield from (measure_list(count) for count in (10, 100, LETTER_SIDES))
 
 
--- a/src/bergamotmast/bench/capacity_samples.py
+++ b/src/bergamotmast/bench/capacity_samples.py
@@ -90,3 +90,21 @@
     instances: int
     bytes: int
     decode_ms: float
+
+
+class SubsetSample(msgspec.Struct, frozen=True):
+    """Sessions of a whole fleet, from the choice that entries make.
+
+    :param groups: groups of engines, as many as models.
+    :param per_entry: most sessions of one entry.
+    :param most_in_one_zone: most of an entry's sessions of one group in one zone.
+    """
+
+    entries: int
+    sides: int
+    groups: int
+    per_entry: int
+    per_side_least: int
+    per_side_mean: float
+    per_side_most: int
+    most_in_one_zone: int
