--- a/src/bergamotmast/bench/capacity_fleet.py
+++ b/src/bergamotmast/bench/capacity_fleet.py
@@ -21,7 +21,6 @@
 from ..config import Tenant
 from ..config_store import ConfigStore
 from ..entry.peer import Peer
-from ..entry.service_run import UnclaimedCalls
 from ..history import NullHistory
 from ..model import Assignment
 from ..model import InstanceInfo
@@ -176,7 +175,7 @@
 
     def _start_entry(self, name: str, zone: str) -> None:
         parts = self._parts(name, zone)
-        entry = EntryProcess(parts, self.network, self.list, UnclaimedCalls())
+        entry = EntryProcess(parts, self.network, self.list)
         self.entries.append(entry)
         self._run(entry.run())
 
