--- a/src/bergamotmast/commands/config.py
+++ b/src/bergamotmast/commands/config.py
@@ -150,8 +150,7 @@
     """Check files and print what each holds."""
     for path in arguments.files:
         configuration = load_configuration(path)
-        for warning in find_warnings(configuration):
-            print(f"{path}: warning: {warning.show()}")
+        _print_warnings(configuration)
         print(
             f"{path}: valid, {len(configuration.labels)} upstreams,"
             f" {len(configuration.selectors)} selectors"
@@ -195,7 +194,7 @@
         if arguments.dry_run:
             return 0
         accepted = await _propose(store, proposed, against, arguments)
-    print(f"generation {accepted.generation} accepted")
+    _print_accepted(accepted)
     return 0
 
 
@@ -215,7 +214,7 @@
                 if attempt == LABEL_ATTEMPTS:
                     raise
     _print_diff(current, accepted, False)
-    print(f"generation {accepted.generation} accepted")
+    _print_accepted(accepted)
     return 0
 
 
@@ -285,6 +284,16 @@
         print("no differences")
 
 
+def _print_warnings(configuration: Configuration) -> None:
+    for warning in find_warnings(configuration):
+        print(f"warning: {warning.show()}")
+
+
+def _print_accepted(accepted: Configuration) -> None:
+    _print_warnings(accepted)
+    print(f"generation {accepted.generation} accepted")
+
+
 def _record_text(record: ConfigRecord) -> str:
     when = datetime.datetime.fromtimestamp(record.accepted_at, datetime.UTC)
     head = f"{record.generation}  {when:%Y-%m-%d %H:%M:%S}Z  {record.author}"
--- a/src/bergamotmast/config_check.py
+++ b/src/bergamotmast/config_check.py
@@ -14,9 +14,11 @@
 from .config import RequestClass
 from .config import RoleBounds
 from .config import Selector
+from .config import SelectorState
 from .config import expression
 from .config_contradictions import find_contradictions
 from .config_groups import GroupIndex
+from .config_groups import groups_of_upstreams
 from .errors import ConfigError
 from .errors import ContradictionError
 from .model import Role
@@ -112,7 +114,7 @@
     empty = (
         Problem(("selectors", index, "group"), f"{selector.group!r} names no upstream")
         for index, selector in enumerate(configuration.selectors)
-        if not groups.members(selector)
+        if selector.state is SelectorState.SERVING and not groups.members(selector)
     )
     # A key may name a selector that its team is still to write, or has removed.
     names = {selector.name for selector in configuration.selectors}
@@ -123,7 +125,13 @@
             "selector", key.groups, names, ("admin_keys", index, "groups")
         )
     )
-    return (*empty, *unknown)
+    named = groups_of_upstreams(configuration)
+    idle = (
+        Problem(("labels", upstream), "no selector names it: it gets no work")
+        for upstream in configuration.labels
+        if upstream not in named
+    )
+    return (*empty, *unknown, *idle)
 
 
 def _generation_problems(configuration: Configuration) -> cabc.Iterator[Problem]:
--- a/src/bergamotmast/entry/admin.py
+++ b/src/bergamotmast/entry/admin.py
@@ -17,6 +17,7 @@
 from ..config import Configuration
 from ..config import Scope
 from ..config import encode_configuration
+from ..config_check import find_warnings
 from ..config_diff import diff
 from ..config_edit import with_labels
 from ..config_edit import with_selector
@@ -159,7 +160,8 @@
         accepted = await self.store.propose(proposed, against, key.team, nonce)
         self.holder.offer(encode_configuration(accepted))
         changes = diff(base, accepted)
-        return _answer(messages.EditAnswer(accepted.generation, changes))
+        warnings = tuple(warning.show() for warning in find_warnings(accepted))
+        return _answer(messages.EditAnswer(accepted.generation, changes, warnings))
 
     async def _base(self, against: int) -> Configuration:
         """Return the document of the generation that an edit was made against.
--- a/src/bergamotmast/entry/admin_messages.py
+++ b/src/bergamotmast/entry/admin_messages.py
@@ -53,10 +53,12 @@
 
     :param generation: the generation that it is.
     :param changes: what it changed.
+    :param warnings: what is allowed and still likely a mistake, a line each.
     """
 
     generation: int
     changes: tuple[Change, ...]
+    warnings: tuple[str, ...] = ()
 
 
 class RecordSummary(msgspec.Struct, frozen=True):
--- a/src/bergamotmast/settings.py
+++ b/src/bergamotmast/settings.py
@@ -248,7 +248,8 @@
         text = environment.get(declaration.variable)
     if text is None:
         if declaration.default is None:
-            raise SettingError(declaration.flag, "", declaration.kind.allowed)
+            allowed = f"{declaration.kind.allowed}, here or in {declaration.variable}"
+            raise SettingError(declaration.flag, "", allowed)
         return declaration.default
     try:
         return declaration.kind.parse(text)
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -139,6 +139,14 @@
     assert admin.holder.current.labels == {"e": {"pool": "main"}}
 
 
+async def test_a_likely_mistake_is_said(admin):
+    _, body = await admin.ask("PATCH", "/labels/engine-2", labels(1, pool="othr"))
+    assert body["warnings"] == [
+        "selectors[1].group: 'pool=other' names no upstream",
+        "labels.engine-2: no selector names it: it gets no work",
+    ]
+
+
 async def test_the_second_of_two_operators_learns_who_was_first(admin):
     # Two teams read generation 1 and edit it. The second gets a conflict with the
     # first's name and what its own proposal would change in the current document.
--- a/tests/test_config_check.py
+++ b/tests/test_config_check.py
@@ -105,8 +105,10 @@
 def test_a_group_without_upstreams_is_a_warning():
     document = msgspec.structs.replace(BASE, **selector(group="pool=spare"))
     check_configuration(document)
-    assert [w.message for w in find_warnings(document)] == [
-        "'pool=spare' names no upstream"
+    assert [w.show() for w in find_warnings(document)] == [
+        "selectors[0].group: 'pool=spare' names no upstream",
+        "labels.engine-1: no selector names it: it gets no work",
+        "labels.engine-2: no selector names it: it gets no work",
     ]
 
 
--- a/tests/test_config_command.py
+++ b/tests/test_config_command.py
@@ -83,6 +83,17 @@
         await run("apply", path)
 
 
+async def test_a_label_that_takes_an_upstream_out_of_every_group(service, path, capsys):
+    # A typing error in a label takes an engine out of service. The edit is allowed,
+    # and the operator is told at once.
+    await run("apply", path)
+    capsys.readouterr()
+    await run("label", "engine-1", "pool=mian")
+    shown = capsys.readouterr().out
+    assert "warning: labels.engine-1: no selector names it" in shown
+    assert "warning: selectors[0].group: 'pool=main' names no upstream" in shown
+
+
 async def test_a_dry_run_changes_nothing(service, path, capsys):
     await run("apply", path, "--dry-run")
     assert "accepted" not in capsys.readouterr().out
