--- a/src/bergamotmast/policy/side_policy.py
+++ b/src/bergamotmast/policy/side_policy.py
@@ -11,7 +11,10 @@
 :data:`PREFILL_WINDOW` seconds of work, so that the engine never idles between two of
 our turns and a check never waits behind more than that; an engine honours priorities,
 so only work of the same or a higher one counts. Each lower priority leaves a larger
-share of the batch and the memory free (:attr:`SideTuning.reserved`). Waiting is bounded
+share of the batch free (:attr:`SideTuning.reserved`), but little of the memory: with a
+quarter of it kept free a decode engine held 18 long answers, of 48 places. With that
+and waits predicted by memory as well as places, 2.0% of tokens were wasted at full
+load, not 3.9% (trial, docs/EXPERIMENTS.md, round 8). Waiting is bounded
 by the item's own first-token time and deadline, and their number by
 :data:`QUEUE_BATCHES` batches, which bounds memory and the time a decision takes.
 """
