--- a/src/bergamotmast/policy/affinity.py
+++ b/src/bergamotmast/policy/affinity.py
@@ -21,7 +21,7 @@
 import collections
 import dataclasses
 
-import xxhash
+from .subset import rank
 
 MAX_PREFIXES = 2048
 """Prefixes an entry remembers; the one unused for longest goes first."""
@@ -69,11 +69,6 @@
         if len(self.places) > MAX_PREFIXES:
             self.places.popitem(last=False)
 
-    def forget(self, upstream: str) -> None:
-        """Drop all belief in an upstream whose cache is gone."""
-        for beliefs in self.places.values():
-            beliefs.pop(upstream, None)
-
     def expected(
         self, prefix_key: str, names: list[str], prompt: int, now: float
     ) -> dict[str, int]:
@@ -93,18 +88,4 @@
 
 def rendezvous(key: str, names: list[str]) -> str:
     """Return the name that every process picks for a key, whoever else is named."""
-    return max(names, key=lambda name: _weight(key, name))
-
-
-def subset(key: str, names: list[str], size: int) -> list[str]:
-    """Return the names a process should know, spread evenly over many processes.
-
-    :param key: name of the process.
-    :param size: how many; the cost of a process's state does not grow with the fleet.
-    """
-    ranked = sorted(names, key=lambda name: _weight(key, name), reverse=True)
-    return sorted(ranked[:size])
-
-
-def _weight(key: str, name: str) -> int:
-    return xxhash.xxh64_intdigest(f"{key}\0{name}".encode())
+    return max(names, key=lambda name: rank(key, name))
