Entries keep observing the sides of leaving upstreams

The one entry that still had a session with it gave it the configuration of before the drain; then every entry knew of the drain and kept no session with a leaving upstream, so the side stayed at the older generation for the whole outage. Ruled out: to keep sessions until a side has caught up, which does nothing for a side that starts afterwards.

--- a/src/bergamotmast/entry/membership.py
+++ b/src/bergamotmast/entry/membership.py
@@ -88,6 +88,7 @@
             self._keep(self.infos[name], timing.BEAT_INTERVAL)
         if self.observes_all():
             wanted |= self._observe(set(self.infos) - wanted)
+        wanted |= self._observe(self._leaving() - wanted)
         for name in sorted(set(self.peers) - wanted):
             if not self.peers[name].attempts:
                 self._drop(name)
@@ -112,6 +113,16 @@
             wanted |= choose_subset(self.entry, self.zone, zones)
         return wanted
 
+    def _leaving(self) -> set[str]:
+        """Return the leaving upstreams to be observed.
+
+        A side of a leaving upstream that is replaced while the key-value service is
+        down would hear from no entry, keep a configuration in which it is not
+        leaving, and take work from whoever still sends it.
+        """
+        leaving = {n: i.zone for n, i in self.infos.items() if self.is_leaving(n)}
+        return set(choose_subset(self.entry, self.zone, leaving))
+
     def _observe(self, names: set[str]) -> set[str]:
         interval = timing.observer_interval(len(self.infos))
         for name in sorted(names):
--- a/tests/test_fault_runs.py
+++ b/tests/test_fault_runs.py
@@ -20,6 +20,7 @@
 FAULTS_FOUND = {
     62: "a planner's epoch was given out again after a restore of the service",
     43: "an entry that started during an outage of the service talked to no side",
+    320: "a side of a drained engine, replaced in an outage, heard from no entry",
     181: "after a restore, a new side gave an order of a part that was older than lost",
 }
 """Seeds that once showed a fault, and what it was."""
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,10 +2,15 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
+from bergamotmast.config import Selector
+from bergamotmast.config import SelectorState
+from bergamotmast.config import encode_configuration
 from support import ScriptedEngine
 from support import answer_of
+from support import configuration
 from support import expected_text
 from support import fleet
 
@@ -47,3 +52,22 @@
         membership.observes_all = lambda: False
         await asyncio.sleep(5.0)
         assert set(membership.peers) == {"engine-1"}
+
+
+async def test_a_replaced_side_of_a_drained_upstream_still_hears_of_it():
+    # Operators drain engine-1; its side is replaced while only entries can tell it
+    # so. If none kept a session it would go on as before, and take work.
+    async with fleet(entries=1, engines=2) as f:
+        drained = configuration(
+            2, labels={"engine-1": {"pool": "gone"}, "engine-2": {"pool": "main"}}
+        )
+        gone = Selector(name="gone", group="pool=gone", state=SelectorState.DRAINING)
+        drained = msgspec.structs.replace(drained, selectors=(*drained.selectors, gone))
+        f.holders["entry-1"].offer(encode_configuration(drained))
+        await f.settle()
+        await f.kill("engine-1")
+        await f.settle()
+        f.start_side("engine-1")
+        await asyncio.sleep(10.0)
+        assert f.holders["engine-1"].generation == 2
+        assert not f.entries["entry-1"].membership.peers["engine-1"].is_ready
