Messages with numbers that upset their receiver are refused by the decoder

A heartbeat interval that is no number made a session that never expires; a report with no streams, or rates that are no numbers, is divided by in the entry's policy; negative counts of tokens move an answer's place backwards; an endless retry time can't be rounded into a header.

Weighed: a net around the handlers of frames, which would keep the process up but not the state it left half changed. The bounds stand where the fields are declared, so version 1's valid messages pass as before.

--- a/src/bergamotmast/model.py
+++ b/src/bergamotmast/model.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import typing as t
 
 import msgspec
 
@@ -271,6 +272,9 @@
     present: bool
 
 
+_Rate: t.TypeAlias = t.Annotated[float, msgspec.Meta(ge=0, le=1e12)]
+
+
 class SideReport(msgspec.Struct, frozen=True, array_like=True):
     """What a side says of itself on each heartbeat; exact when sent.
 
@@ -309,15 +313,15 @@
     queued_prefill: int = 0
     queued_decode: int = 0
     running_decode: int = 0
-    max_streams: int = 1
-    prefill_rate: float = 1.0
-    decode_rate: float = 1.0
+    max_streams: t.Annotated[int, msgspec.Meta(ge=1)] = 1
+    prefill_rate: _Rate = 1.0
+    decode_rate: _Rate = 1.0
     offered_prefill: int = 0
     offered_decode: int = 0
     done_prefill: int = 0
     done_decode: int = 0
     shed: int = 0
-    kv_free: float = 1.0
+    kv_free: t.Annotated[float, msgspec.Meta(ge=-1e12, le=1e12)] = 1.0
     waits_ms: tuple[int, ...] = ()
     token_us: int = 0
     plan_epoch: int = 0
--- a/src/bergamotmast/protocol/messages.py
+++ b/src/bergamotmast/protocol/messages.py
@@ -24,6 +24,18 @@
 OLDEST_VERSION = 1
 """What the other end must speak at least."""
 
+LONGEST = 1e9
+"""Most seconds in any message; what is endless or no number is refused with it."""
+
+Count: t.TypeAlias = t.Annotated[int, msgspec.Meta(ge=0)]
+Seconds: t.TypeAlias = t.Annotated[float, msgspec.Meta(ge=-LONGEST, le=LONGEST)]
+"""A budget; negative where the deadline has passed."""
+
+Interval: t.TypeAlias = t.Annotated[float, msgspec.Meta(gt=0, le=86_400)]
+"""Seconds between beats. A session whose interval is no number would never expire."""
+
+Weight: t.TypeAlias = t.Annotated[float, msgspec.Meta(gt=0, le=1e9)]
+
 
 def agreed_version(theirs: int) -> int | None:
     """Return the version of a session, or ``None`` if theirs is too old.
@@ -65,7 +77,7 @@
     incarnation: str
     counter: int
     generation: int
-    interval: float = BEAT_INTERVAL
+    interval: Interval = BEAT_INTERVAL
 
 
 class Welcome(Message, frozen=True, tag=2):
@@ -114,13 +126,13 @@
 
     model: str
     prompt: str
-    prompt_tokens: int
-    max_tokens: int
-    predicted_tokens: int
+    prompt_tokens: Count
+    max_tokens: Count
+    predicted_tokens: Count
     prefix_key: str
-    first_token_budget: float
+    first_token_budget: Seconds
     resume_text: str
-    resume_tokens: int
+    resume_tokens: Count
     kv_handle: str
     prefill_only: bool
 
@@ -149,11 +161,11 @@
     attempt: str
     request_id: str
     tenant: str
-    weight: float
+    weight: Weight
     request_class: str
     priority: Priority
-    budget: float
-    credit: int
+    budget: Seconds
+    credit: Count
     work: ModelWork | ServiceWork
 
 
@@ -162,7 +174,7 @@
 
     attempt: str
     code: ResultCode
-    retry_after: float
+    retry_after: Seconds
 
 
 class Started(Message, frozen=True, tag=8):
@@ -175,8 +187,8 @@
     """Side to entry: a run of tokens."""
 
     attempt: str
-    index: int
-    tokens: int
+    index: Count
+    tokens: Count
     text: str
     finish: str
     cached_tokens: int
@@ -205,7 +217,7 @@
 
     session: str
     attempt: str
-    chunks: int
+    chunks: Count
 
 
 class Cancel(Message, frozen=True, tag=13):
