--- a/src/bergamotmast/entry/caller.py
+++ b/src/bergamotmast/entry/caller.py
@@ -5,6 +5,7 @@
 import dataclasses
 import hashlib
 import re
+import uuid
 
 from aiohttp import web
 
@@ -22,6 +23,7 @@
 
 _NAME = re.compile(r"[A-Za-z0-9._:-]{1,64}")
 _KEY = re.compile(r"[\x21-\x7e]{1,255}")
+_MEDIA_TYPE = re.compile(r"[\t\x20-\x7e]+")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,6 +39,24 @@
     idempotency_key: str
 
 
+def request_id_of(request: web.Request) -> str:
+    """Return the id given by the caller, or one made up where that is not allowed.
+
+    Bytes that are no text reach us as lone surrogates. An answer that repeats them
+    can't be encoded: the refusal of such an id would itself fail, without any code.
+    """
+    value = request.headers.get(REQUEST_ID_HEADER, "")
+    return value if _NAME.fullmatch(value) else uuid.uuid4().hex
+
+
+def read_content_type(request: web.Request) -> str:
+    """Return the media type of a request's body; empty for none.
+
+    :raises RequestError: ``BAD_HEADER``.
+    """
+    return _header(request, "Content-Type", _MEDIA_TYPE)
+
+
 def read_caller(
     request: web.Request, request_id: str, configuration: Configuration
 ) -> Caller:
@@ -79,7 +99,7 @@
 
 def _tenant_of_key(authorization: str, configuration: Configuration) -> str:
     scheme, _, key = authorization.partition(" ")
-    digest = hashlib.sha256(key.encode()).hexdigest()
+    digest = hashlib.sha256(key.encode(errors="surrogateescape")).hexdigest()
     if scheme.lower() == "bearer":
         for name, tenant in configuration.tenants.items():
             if digest in tenant.keys:
--- a/src/bergamotmast/entry/http.py
+++ b/src/bergamotmast/entry/http.py
@@ -9,7 +9,6 @@
 import logging
 import time
 import typing as t
-import uuid
 
 import msgspec
 from aiohttp import web
@@ -25,6 +24,8 @@
 from .caller import REQUEST_ID_HEADER
 from .caller import Caller
 from .caller import read_caller
+from .caller import read_content_type
+from .caller import request_id_of
 from .core import EntryCore
 from .http_errors import error_body
 from .http_errors import error_response
@@ -90,7 +91,7 @@
         self, request: web.Request, handler: _Handler
     ) -> web.StreamResponse:
         """Give every failure a numbered code, and every log line the request's id."""
-        request_id = request.headers.get(REQUEST_ID_HEADER) or uuid.uuid4().hex
+        request_id = request_id_of(request)
         request[_REQUEST_ID] = request_id
         with request_context(request_id):
             try:
@@ -221,7 +222,7 @@
             method=request.method,
             path=path + query,
             body=body,
-            content_type=request.headers.get("Content-Type", ""),
+            content_type=read_content_type(request),
             repeatable=route.repeatable,
             idempotency_key=caller.idempotency_key,
             deadline=now + limits.total,
