--- a/src/bergamotmast/faults/cli.py
+++ b/src/bergamotmast/faults/cli.py
@@ -16,11 +16,16 @@
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
-    """Add the command's flags to a parser."""
-    parser.add_argument("--seeds", default="1-20", metavar="A-B", help="seeds to run")
+    """Add all flags of the command to a parser."""
+    add_seed_arguments(parser)
     parser.add_argument(
         "--processes", type=int, default=DEFAULT_PROCESSES, help="runs at the same time"
     )
+
+
+def add_seed_arguments(parser: argparse._ActionsContainer) -> None:
+    """Add the flags that say which runs are made and what is shown."""
+    parser.add_argument("--seeds", default="1-20", metavar="A-B", help="seeds to run")
     parser.add_argument(
         "--log", action="store_true", help="show the faults of each broken run"
     )
--- /dev/null
+++ b/src/bergamotmast/side/offers.py
@@ -0,0 +1,63 @@
+"""What an offer means to the queue and to the demand: counts in tokens."""
+
+from __future__ import annotations
+
+from ..errors import ResultCode
+from ..model import Cost
+from ..policy import QueueItem
+from ..protocol import messages
+
+REFUSALS_A_REQUEST = 3
+"""Sides that a refused request is usually offered to, before its caller hears of it."""
+
+
+def queue_item(offer: messages.Offer, now: float) -> QueueItem:
+    """Return what the queue needs to know of an offer."""
+    work = offer.work
+    deadline = now + offer.budget
+    if isinstance(work, messages.ServiceWork):
+        cost = Cost(1, 1)
+        kv_tokens = 0
+        start_by = deadline
+        resumed = False
+    else:
+        cost = _stage_cost(work)
+        kv_tokens = work.prompt_tokens + work.resume_tokens + work.predicted_tokens
+        start_by = now + work.first_token_budget
+        resumed = work.resume_tokens > 0
+    return QueueItem(
+        attempt=offer.attempt,
+        tenant=offer.tenant,
+        weight=offer.weight,
+        request_class=offer.request_class,
+        priority=offer.priority,
+        cost=cost,
+        start_by=start_by,
+        deadline=deadline,
+        arrived_at=now,
+        resumed=resumed,
+        kv_tokens=kv_tokens,
+    )
+
+
+def _stage_cost(work: messages.ModelWork) -> Cost:
+    """Return what is left to do here of an answer that may be made in two stages."""
+    prefill = 0 if work.kv_handle else work.prompt_tokens + work.resume_tokens
+    return Cost(prefill, 1 if work.prefill_only else work.predicted_tokens)
+
+
+def demand(work: messages.ModelWork | messages.ServiceWork, code: ResultCode) -> Cost:
+    """Return what an offer adds to the demand that decides on roles.
+
+    A request is counted whole where it is first offered. Counted stage by stage, what
+    prefill engines refuse would never show as decode work, and the fleet would shift
+    to prefill while decode is short. A refused request is offered to others too, so a
+    refusal counts as a share of one.
+    """
+    if isinstance(work, messages.ServiceWork):
+        return Cost(1, 1)
+    if work.kv_handle:
+        return Cost(0, 0)
+    shares = 1 if code is ResultCode.OK else REFUSALS_A_REQUEST
+    prefill = work.prompt_tokens + work.resume_tokens
+    return Cost(prefill // shares, work.predicted_tokens // shares)
--- /dev/null
+++ b/src/bergamotmast/side/report.py
@@ -0,0 +1,42 @@
+"""What a side says of itself on each heartbeat."""
+
+from __future__ import annotations
+
+import typing as t
+
+from ..model import SideReport
+
+if t.TYPE_CHECKING:
+    from .core import SideCore
+
+
+def read_report(side: SideCore) -> SideReport:
+    """Return the exact state of a side at this moment."""
+    waiting = side.policy.waiting_cost()
+    speed = side.policy.speed()
+    engine = side.engine
+    assignment = engine.assignment if engine else None
+    plan = side.plan_token()
+    return SideReport(
+        readiness=side.readiness,
+        role=assignment.role if assignment else None,
+        models=assignment.models + assignment.adapters if assignment else (),
+        running=len(side.running),
+        queued=side.policy.waiting(),
+        queued_prefill=waiting.prefill,
+        queued_decode=waiting.decode,
+        running_decode=side.policy.running_decode(),
+        max_streams=engine.max_streams if engine else 1,
+        prefill_rate=speed.prefill_rate if engine else 1.0,
+        decode_rate=engine.decode_rate if engine else 1.0,
+        offered_prefill=side.offered.prefill,
+        offered_decode=side.offered.decode,
+        done_prefill=side.done.prefill,
+        done_decode=side.done.decode,
+        shed=side.shed,
+        kv_free=side.policy.kv_free(),
+        waits_ms=tuple(round(1000 * wait) for wait in speed.waits),
+        token_us=round(1e6 * speed.token_seconds),
+        plan_epoch=plan.epoch,
+        plan_revision=plan.revision,
+    )
--- a/tests/support.py
+++ b/tests/support.py
@@ -44,9 +44,8 @@
 
 MODEL = "appraiser"
 
-WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
-PORTS = itertools.count(12_000 + WORKER * 500)
-"""Ports of this worker, below those that the system gives to outgoing connections."""
+PORTS = itertools.count(12_000 + os.getpid() % 200 * 100)
+"""Ports of this process, below those that the system gives to outgoing connections."""
 STATE = EngineState(
     boot_id="boot-1",
     assignment=Assignment(Role.MIXED, (f"{MODEL}@1",)),
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -134,7 +134,7 @@
         side = f.sides["service-1"]
         link = f.network.dial("service-1")
         session = await open_session(link, 1)
-        side.alive_at -= 60.0
+        side.server.alive_at -= 60.0
         await link.send(messages.encode(service_offer(session)))
         assert (await next_about(link, "a1")).code is ResultCode.STALE_SESSION
         assert f.upstreams["service-1"].runs == []
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -391,7 +391,7 @@
     entry.telemetry = CountingTelemetry()
     sides = list(f.sides.values())
     for side in sides:
-        side.telemetry = CountingTelemetry()
+        side.telemetry = side.server.telemetry = CountingTelemetry()
     await f.ready()
     assert await answer_of(entry, f.model_call(70)) == expected_text(70)
     answer = await entry.submit_service(f.service_call(body=b"box"))
