--- a/src/bergamotmast/adapters/zeromq.py
+++ b/src/bergamotmast/adapters/zeromq.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections.abc as cabc
 import dataclasses
+import logging
 import typing as t
 
 import zmq
@@ -13,6 +14,8 @@
 
 from ..errors import NotReachedError
 
+logger = logging.getLogger(__name__)
+
 HIGH_WATER_MARK = 1000
 """Messages queued for one connection before it counts as taking no more."""
 
@@ -270,7 +273,10 @@
 
     def callback(self, domain: str, key: bytes) -> bool:
         """Return whether a key may connect."""
-        return key in self.allowed
+        if key in self.allowed:
+            return True
+        logger.warning("a peer with key %r was refused", key)
+        return False
 
 
 def _open(context: zmq.Context[t.Any], kind: int) -> zmq.Socket[bytes]:
--- a/src/bergamotmast/entry/fleet_picture.py
+++ b/src/bergamotmast/entry/fleet_picture.py
@@ -38,4 +38,4 @@
         peer = self.membership.peers.get(upstream)
         if peer is None or peer.report is None:
             return None
-        return TimedReport(peer.report, peer.reported_at)
+        return TimedReport(peer.report, peer.reported_at, peer.interval)
--- a/src/bergamotmast/entry/http.py
+++ b/src/bergamotmast/entry/http.py
@@ -40,6 +40,9 @@
 
 logger = logging.getLogger(__name__)
 
+SERVICES_PATH = "/services"
+"""Plain services' paths stand below it; what follows goes to the service as sent."""
+
 GONE_CHECK_INTERVAL = 0.5
 """Seconds between two looks whether a caller without a stream is still there."""
 
@@ -80,7 +83,7 @@
         router.add_post("/v1/completions", self._completions)
         router.add_post("/v1/chat/completions", self._chat_completions)
         router.add_get("/v1/models", self._models)
-        router.add_route("*", "/services/{path:.*}", self._service)
+        router.add_route("*", SERVICES_PATH + "/{path:.*}", self._service)
         router.add_get("/health/live", self._live)
         router.add_get("/health/ready", self._ready)
         router.add_get("/health/sides", self._sides)
@@ -212,7 +215,6 @@
         request_class = route.request_class
         limits = configuration.request_class(request_class)
         now = asyncio.get_running_loop().time()
-        query = f"?{request.query_string}" if request.query_string else ""
         return ServiceCall(
             request_id=caller.request_id,
             tenant=caller.tenant,
@@ -220,7 +222,7 @@
             priority=limits.priority,
             route=name,
             method=request.method,
-            path=path + query,
+            path=request.raw_path.removeprefix(SERVICES_PATH),
             body=body,
             content_type=read_content_type(request),
             repeatable=route.repeatable,
--- a/src/bergamotmast/entry/placement.py
+++ b/src/bergamotmast/entry/placement.py
@@ -56,6 +56,8 @@
     :param excluded: upstreams that refused or failed it.
     :param accepted: whether it was taken once, so that it is owed an answer: the
         fleet's changes and failures no longer turn it away, only time does.
+    :param no_choice: what the caller hears when nobody is left to ask: the last
+        refusal for load, if there was one.
     :param may_have_run: whether some attempt may have started.
     :param has_run: whether some attempt is known to have started.
     """
@@ -68,6 +70,7 @@
         self.may_have_run = False
         self.has_run = False
         self.refusals = 0
+        self.no_choice = Choice(None, ResultCode.NO_UPSTREAM, RETRY_AFTER_NO_UPSTREAM)
         self.failures = 0
 
     def now(self) -> float:
@@ -98,7 +101,7 @@
     def _choose_now(self, resumed_tokens: int) -> Choice:
         candidates = self.entry.candidates(self.call)
         if not any(c.name not in self.excluded for c in candidates):
-            return Choice(None, ResultCode.NO_UPSTREAM, RETRY_AFTER_NO_UPSTREAM)
+            return self.no_choice
         return self.entry.policy.choose(
             self.call,
             candidates,
@@ -166,6 +169,7 @@
         if self.accepted and code is not ResultCode.EXPIRED_IN_QUEUE:
             return
         self.refusals += 1
+        self.no_choice = Choice(None, code, retry_after)
         last = self.refusals >= MAX_REFUSALS or code is ResultCode.EXPIRED_IN_QUEUE
         if last or not self.entry.policy.may_retry(self.call, self.now()):
             raise self.error(code, retry_after)
--- a/src/bergamotmast/logs.py
+++ b/src/bergamotmast/logs.py
@@ -69,6 +69,8 @@
         root.removeHandler(handler)
     root.addHandler(new_handler(log_format, process_name))
     root.setLevel(log_level.upper())
+    # The library tells of each transition, twice a second for each engine at rest.
+    logging.getLogger("transitions").setLevel(logging.WARNING)
 
 
 def _formatter(log_format: str) -> logging.Formatter:
--- a/src/bergamotmast/planner/planner.py
+++ b/src/bergamotmast/planner/planner.py
@@ -35,7 +35,6 @@
 from .groups import group_bounds
 from .pacing import WeightPacer
 from .plan_store import PlanStore
-from .settling import STALE_SECONDS
 from .settling import Settling
 
 TICK_SECONDS = 1.0
@@ -327,13 +326,14 @@
                     word.at if word else 0.0,
                     part.assignment.role,
                     self.settling.is_changing(engine, now),
+                    word.fresh_until if word else 0.0,
                 )
             )
         return tuple(views)
 
     def _fresh(self, engine: str, now: float) -> TimedReport | None:
         word = self.fleet.last_report(engine)
-        return word if word and now - word.at <= STALE_SECONDS else None
+        return word if word and now <= word.fresh_until else None
 
 
 def _busyness(word: TimedReport) -> int:
--- a/src/bergamotmast/planner/settling.py
+++ b/src/bergamotmast/planner/settling.py
@@ -7,9 +7,6 @@
 from ..model import SideReport
 from .fleet_view import TimedReport
 
-STALE_SECONDS = 8.0
-"""Age beyond which a report says nothing of its engine."""
-
 CHANGE_LIMIT_SECONDS = 900.0
 """After so long an unfinished change holds up its group no more.
 
@@ -44,7 +41,7 @@
         self, engine: str, word: TimedReport | None, plan: Assignment, now: float
     ) -> None:
         """Learn an engine's last report; one that is stale tells nothing."""
-        if word is None or now - word.at > STALE_SECONDS:
+        if word is None or now > word.fresh_until:
             return
         if word.report.readiness is Readiness.READY and matches(word.report, plan):
             self.since.pop(engine, None)
--- a/src/bergamotmast/policy/interfaces.py
+++ b/src/bergamotmast/policy/interfaces.py
@@ -216,6 +216,8 @@
     :param report: its side's last word; ``None`` if never heard.
     :param reported_at: when that word arrived.
     :param role: the role the plan gives it.
+    :param fresh_until: until when that word may be acted on; ``None`` leaves it to the
+        policy.
     :param changing: whether the plan and the engine differ.
     """
 
@@ -225,6 +227,7 @@
     reported_at: float
     role: Role
     changing: bool
+    fresh_until: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/bergamotmast/policy/shifting.py
+++ b/src/bergamotmast/policy/shifting.py
@@ -261,4 +261,8 @@
 
 
 def _fresh(engine: EngineView, now: float) -> bool:
-    return engine.report is not None and now - engine.reported_at <= STALE_SECONDS
+    if engine.report is None:
+        return False
+    if engine.fresh_until is not None:
+        return now <= engine.fresh_until
+    return now - engine.reported_at <= STALE_SECONDS
--- a/src/bergamotmast/side/session_server.py
+++ b/src/bergamotmast/side/session_server.py
@@ -204,6 +204,8 @@
 
     async def _beat(self) -> None:
         while True:
+            # On waking, this may run before the first frame is read.
+            self._forget_sessions_after_pause()
             self.alive_at = _now()
             self.telemetry.on_report(self.user.report())
             for session in list(self.table.by_name.values()):
--- a/tests/support.py
+++ b/tests/support.py
@@ -190,10 +190,12 @@
     def __init__(self, pace: float = 0.1) -> None:
         self.pace = pace
         self.runs: list[str] = []
+        self.paths: list[str] = []
         self.lose_replies = 0
 
     async def call(self, call):
         self.runs.append(call.idempotency_key or call.request_id)
+        self.paths.append(call.path)
         await asyncio.sleep(self.pace)
         if self.lose_replies:
             self.lose_replies -= 1
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 import pytest
+import yarl
 from aiohttp.test_utils import TestServer
 
 from bergamotmast.entry.http import EntryHttp
@@ -15,6 +16,8 @@
 from bergamotmast.logs import ContextFilter
 from bergamotmast.settings import DEFAULT_CONTEXT_TOKENS
 from support import MODEL
+from support import FirstComeFirstServed
+from support import ScriptedService
 from support import expected_text
 from support import fleet
 
@@ -83,6 +86,28 @@
             assert await response.read() == b"ok box"
 
 
+async def test_a_service_sees_the_path_and_query_as_they_were_sent():
+    # Escaped characters mean something else when they are not: a service that was
+    # asked for "a%2Fb?x=1%262" must not be called with "a/b?x=1&2".
+    async with served(services=1) as (f, session):
+        url = yarl.URL("/services/counter/a%2Fb?x=1%262", encoded=True)
+        async with session.post(url, data=b"box") as response:
+            assert response.status == 200
+        assert f.upstreams["service-1"].paths == ["/counter/a%2Fb?x=1%262"]
+
+
+async def test_callers_hear_of_load_where_everyone_refused_for_load():
+    # The only service has a full queue. The caller must hear that (201), not that
+    # there is no upstream, which would send operators to look for a lost one.
+    async with served() as (f, session):
+        policy = FirstComeFirstServed(queue_limit=0)
+        f.add_upstream("service-1", ScriptedService(), policy)
+        await f.ready()
+        async with session.post("/services/counter", data=b"") as response:
+            error = (await response.json())["error"]
+        assert error["code"] == ResultCode.QUEUE_FULL
+
+
 GOOD = {"model": MODEL, "prompt": "a", "max_tokens": 1}
 
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -37,8 +37,10 @@
 
 def test_the_whole_process_logs_one_way(monkeypatch):
     root = logging.RootLogger(logging.WARNING)
-    monkeypatch.setattr(logging, "getLogger", lambda: root)
+    loggers = {None: root, "transitions": logging.Logger("transitions")}
+    monkeypatch.setattr(logging, "getLogger", lambda name=None: loggers[name])
     configure_logs("text", "error", "entry-1")
     configure_logs("json", "info", "entry-1")
     assert len(root.handlers) == 1
     assert root.level == logging.INFO
+    assert loggers["transitions"].level == logging.WARNING
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -20,6 +20,7 @@
 from bergamotmast.history import PlanWritten
 from bergamotmast.model import Assignment
 from bergamotmast.model import InstanceInfo
+from bergamotmast.model import Readiness
 from bergamotmast.model import Role
 from bergamotmast.model import SideReport
 from bergamotmast.model import UpstreamKind
@@ -470,3 +471,12 @@
     left = group_bounds(groups[0], groups, roles)
     assert left[P] == RoleBounds(1, 2)
     assert not allows(Repair(P, M), {P: 1, D: 0, M: 1}, left)
+
+
+def test_a_report_stays_fresh_for_as_long_as_the_next_one_may_take():
+    # With 600 sides a planner hears each every 48 s. Its picture must not count as
+    # stale all the time, or a large fleet would never be planned.
+    seldom = TimedReport(SideReport(Readiness.READY, Role.MIXED), 100.0, 48.0)
+    often = TimedReport(SideReport(Readiness.READY, Role.MIXED), 100.0, 0.5)
+    assert seldom.fresh_until > 148.0
+    assert often.fresh_until == 108.0
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -140,6 +140,19 @@
         assert f.upstreams["service-1"].runs == []
 
 
+async def test_a_side_that_was_stopped_may_beat_before_it_reads_its_socket():
+    # The same, but on waking the beat runs first: it must not hide the pause from the
+    # offers that are read after it.
+    async with fleet(entries=0, services=1) as f:
+        link = f.network.dial("service-1")
+        session = await open_session(link, 1)
+        f.sides["service-1"].server.alive_at -= 60.0
+        await asyncio.sleep(1.0)
+        await link.send(messages.encode(service_offer(session)))
+        assert (await next_about(link, "a1")).code is ResultCode.STALE_SESSION
+        assert f.upstreams["service-1"].runs == []
+
+
 async def test_frames_that_are_no_message_change_nothing():
     async with fleet(engines=1) as f:
         link = f.network.dial("engine-1")
