--- a/src/bergamotmast/demo.py
+++ b/src/bergamotmast/demo.py
@@ -33,6 +33,7 @@
 from .load import plan_model_call
 from .local_fleet import LocalFleet
 from .local_fleet import local_fleet
+from .model import Role
 from .standins.engine_text import expected_text
 
 SECONDS = 10.0
@@ -57,10 +58,13 @@
 class DemoResult:
     """What happened.
 
+    :param orders: orders that engines took, for a role or for what they carry.
+    :param role_changes: those that changed a role.
     :param violations: promises that the history breaks.
     """
 
     summary: Summary
+    orders: int
     role_changes: int
     classes: dict[str, ClassFigures]
     violations: tuple[Violation, ...]
@@ -72,6 +76,21 @@
         return not self.violations and self.drained_without_a_cut
 
 
+def role_changes(orders: cabc.Iterable[OrderTaken], first: Role) -> int:
+    """Return how many orders changed an engine's role.
+
+    :param orders: in the order they were taken.
+    :param first: role of every engine before its first order.
+    """
+    roles: dict[str, str] = {}
+    changes = 0
+    for order in orders:
+        role = order.assignment.partition(" ")[0]
+        changes += role != roles.get(order.engine, first.value)
+        roles[order.engine] = role
+    return changes
+
+
 def planned_calls(rng: random.Random) -> list[PlannedCall]:
     """Return calls of every kind, in order of their arrival."""
     numbers = itertools.count(1)
@@ -136,11 +155,13 @@
             ]
             results, drained = await _traffic_and_operators(fleet, drivers, seed)
     records = fleet.history.records
+    orders = [record for record in records if isinstance(record, OrderTaken)]
     if history_file is not None:
         write_history(history_file, records)
     return DemoResult(
         summary=summary(records),
-        role_changes=sum(isinstance(r, OrderTaken) for r in records),
+        orders=len(orders),
+        role_changes=role_changes(orders, fleet.plan.assignment.role),
         classes=_figures(results),
         violations=tuple(check(records)),
         drained_without_a_cut=drained,
@@ -200,6 +221,7 @@
     counts = dataclasses.asdict(result.summary)
     classes = {name: dataclasses.asdict(c) for name, c in result.classes.items()}
     return counts | {
+        "orders": result.orders,
         "role_changes": result.role_changes,
         "classes": classes,
         "violations": [f"{v.rule.value} {v.subject}" for v in result.violations],
@@ -212,8 +234,8 @@
     lines = [
         f"sent {s.sent}, answered whole {s.answered_whole}, unknown {s.unknown}",
         f"lost {s.lost}, duplicates {s.duplicates}, cut off {s.cut_off}",
-        f"refused by code {s.refused or 'none'}, orders to engines"
-        f" {result.role_changes}",
+        f"refused by code {s.refused or 'none'}, orders to engines {result.orders},"
+        f" role changes {result.role_changes}",
         "",
         f"{'class':<12}{'sent':>6}{'first token p50/p95':>24}{'between p50/p95':>20}",
     ]
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -3,6 +3,9 @@
 import json
 
 from bergamotmast.cli import main
+from bergamotmast.demo import role_changes
+from bergamotmast.history import OrderTaken
+from bergamotmast.model import Role
 
 
 def test_the_demonstration_holds_every_promise(capsys, tmp_path):
@@ -14,3 +17,13 @@
     assert result["violations"] == []
     assert set(result["classes"]) == {"appraisal", "counter", "hold-check", "question"}
     assert history.stat().st_size > 0
+
+
+def test_loads_are_not_counted_as_role_changes():
+    orders = [
+        OrderTaken(at=1, engine="a", epoch=1, revision=1, assignment="mixed m"),
+        OrderTaken(at=2, engine="a", epoch=1, revision=2, assignment="prefill m"),
+        OrderTaken(at=3, engine="a", epoch=1, revision=3, assignment="prefill n"),
+        OrderTaken(at=4, engine="b", epoch=1, revision=4, assignment="decode m"),
+    ]
+    assert role_changes(orders, Role.MIXED) == 2
