Entries tell a new side the highest plan that its predecessor obeyed

Neither side nor engine remembered the later part, and the engine was ordered back. Ruled out: waiting before a first order, which makes the gap smaller and leaves it. Entries already hear each side's plan number; their hello now carries it, and a side obeys none below.

--- a/src/bergamotmast/app.py
+++ b/src/bergamotmast/app.py
@@ -230,6 +230,7 @@
         workload=side.core,
         on_engine=side.core.on_engine,
         rng=parts.rng,
+        plan_seen=lambda: side.core.plan_seen,
     )
     side.keeper = keeper
     side.core.plan_token = lambda: keeper.token
--- a/src/bergamotmast/entry/peer.py
+++ b/src/bergamotmast/entry/peer.py
@@ -11,7 +11,9 @@
 
 from ..config_holder import ConfigHolder
 from ..errors import NotReachedError
+from ..model import NO_TOKEN
 from ..model import Cost
+from ..model import FencingToken
 from ..model import InstanceInfo
 from ..model import Readiness
 from ..model import SideReport
@@ -47,6 +49,7 @@
         observed and given no work.
     :param session: open session, or ``None``.
     :param version: protocol version of the session last opened.
+    :param plan_seen: highest plan that a side of this upstream has told of.
     :param reconnect_by: until when a lost session may well come back.
     :param report: the side's last word, or ``None`` without a session.
     """
@@ -80,6 +83,7 @@
         self.reconnect_by = 0.0
         self.generation = 0
         self.frame_lost = False
+        self.plan_seen = NO_TOKEN
         self.attempts: dict[str, EntryAttempt] = {}
         self.since_report = Cost(0, 0)
 
@@ -187,6 +191,8 @@
                 counter=self.counter,
                 generation=self.holder.generation,
                 interval=self.interval,
+                plan_epoch=self.plan_seen.epoch,
+                plan_revision=self.plan_seen.revision,
             )
             try:
                 await link.send(messages.encode(hello))
@@ -313,6 +319,8 @@
             return
         self.report = beat.report
         self.reported_at = asyncio.get_running_loop().time()
+        told = FencingToken(beat.report.plan_epoch, beat.report.plan_revision)
+        self.plan_seen = max(self.plan_seen, told)
         self.since_report = Cost(0, 0)
         await self._compare_generation(beat.generation)
 
--- a/src/bergamotmast/faults/schedule.py
+++ b/src/bergamotmast/faults/schedule.py
@@ -93,6 +93,11 @@
         """Add a line to the log."""
         self.log.append(f"{self.world.now():8.3f} {text}")
 
+    async def until_spread(self) -> None:
+        """Wait until what was accepted could be read; another may come meanwhile."""
+        while (due := self.accepted_at + SPREAD_SECONDS) > self.world.now():
+            await asyncio.sleep(due - self.world.now())
+
     async def some_time(self, most: float) -> None:
         """Wait for a random time, mostly short."""
         await asyncio.sleep(min(most, self.rng.expovariate(3.0 / most)))
@@ -216,7 +221,7 @@
         world = faults.world
         older = world.kv.snapshot()
         await faults.some_time(10.0)
-        await asyncio.sleep(max(0.0, faults.accepted_at + SPREAD_SECONDS - world.now()))
+        await faults.until_spread()
         world.kv.down = True
         world.note_reach()
         await faults.some_time(30.0)
--- a/src/bergamotmast/protocol/messages.py
+++ b/src/bergamotmast/protocol/messages.py
@@ -69,6 +69,8 @@
     :param incarnation: random for each start of the entry.
     :param counter: raised with each hello of this incarnation.
     :param generation: configuration the entry has in force.
+    :param plan_epoch: of the highest plan that a side of this upstream told of.
+    :param plan_revision: of the same plan.
     :param interval: seconds between heartbeats in this session, both ways.
     """
 
@@ -78,6 +80,8 @@
     counter: int
     generation: int
     interval: Interval = BEAT_INTERVAL
+    plan_epoch: Count = 0
+    plan_revision: Count = 0
 
 
 class Welcome(Message, frozen=True, tag=2):
--- a/src/bergamotmast/side/core.py
+++ b/src/bergamotmast/side/core.py
@@ -97,6 +97,7 @@
         self.admission_paused = False
         self.engine: EngineState | None = None
         self.engine_readiness = Readiness.UNKNOWN
+        self.plan_seen = NO_TOKEN
         self.plan_token: cabc.Callable[[], FencingToken] = _no_plan
         self.offered = Cost(0, 0)
         self.done = Cost(0, 0)
@@ -172,6 +173,10 @@
             elif attempt.is_model:
                 self._end_stream(attempt)
 
+    def on_plan_seen(self, token: FencingToken) -> None:
+        """Learn of a plan that an earlier side of this upstream obeyed."""
+        self.plan_seen = max(self.plan_seen, token)
+
     # Offers and what follows them
 
     async def on_offer(self, session: Session, offer: messages.Offer) -> None:
--- a/src/bergamotmast/side/orders.py
+++ b/src/bergamotmast/side/orders.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections.abc as cabc
 import contextlib
 import dataclasses
 import logging
@@ -96,6 +97,11 @@
         ...
 
 
+def no_plan_seen() -> FencingToken:
+    """Know of no earlier plan."""
+    return NO_TOKEN
+
+
 class OrderKeeper:
     """One side's task that keeps its engine at the plan.
 
@@ -105,6 +111,7 @@
     :param workload: what a change has to wait for.
     :param on_engine: told after each reading of the engine.
     :param rng: source of jitter.
+    :param plan_seen: tells the highest plan that an earlier side obeyed.
     :param plan: the highest plan seen; it stays while the service is down.
     :param engine_state: the last reading.
     """
@@ -117,6 +124,7 @@
         workload: Workload,
         on_engine: EngineListener,
         rng: random.Random,
+        plan_seen: cabc.Callable[[], FencingToken] = no_plan_seen,
     ) -> None:
         self.name = name
         self.engine = engine
@@ -124,6 +132,7 @@
         self.workload = workload
         self.on_engine = on_engine
         self.rng = rng
+        self.plan_seen = plan_seen
         self.plan: EnginePlan | None = None
         self.engine_state: EngineState | None = None
         self.machine = OrderMachine()
@@ -296,9 +305,11 @@
 
         A plan of less authority than the engine has already obeyed came from a
         service restored from a backup; the engine stays as it is until a higher one.
+        Where side and engine were both replaced, neither remembers: then the entries
+        tell what the earlier side obeyed.
         """
         plan = self.plan
-        if plan is None or plan.token < state.token:
+        if plan is None or plan.token < max(state.token, self.plan_seen()):
             return None
         if plan.assignment == state.assignment:
             return None
--- a/src/bergamotmast/side/session_server.py
+++ b/src/bergamotmast/side/session_server.py
@@ -10,6 +10,7 @@
 
 from ..config_holder import ConfigHolder
 from ..errors import ResultCode
+from ..model import FencingToken
 from ..model import SideReport
 from ..protocol import messages
 from ..protocol import timing
@@ -31,6 +32,10 @@
         """Return the state that heartbeats tell."""
         ...
 
+    def on_plan_seen(self, token: FencingToken) -> None:
+        """Learn of a plan that an earlier side of this upstream obeyed."""
+        ...
+
     async def on_offer(self, session: Session, offer: messages.Offer) -> None:
         """Take an offer, or refuse it."""
         ...
@@ -175,6 +180,7 @@
         if opened is None:
             return
         session, earlier = opened
+        self.user.on_plan_seen(FencingToken(hello.plan_epoch, hello.plan_revision))
         if earlier is not None:
             await self.user.on_followed(earlier, session)
         welcome = messages.Welcome(
--- a/tests/test_fault_runs.py
+++ b/tests/test_fault_runs.py
@@ -21,6 +21,9 @@
     62: "a planner's epoch was given out again after a restore of the service",
     43: "an entry that started during an outage of the service talked to no side",
     320: "a side of a drained engine, replaced in an outage, heard from no entry",
+    138: "side and engine were replaced, the plan restored: nobody knew the later part",
+    211: "the same, with the planner paused meanwhile",
+    193: "an edit was accepted while the harness let it spread; the service lost it",
     181: "after a restore, a new side gave an order of a part that was older than lost",
 }
 """Seeds that once showed a fault, and what it was."""
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -424,6 +424,28 @@
         assert side.readiness is Readiness.READY
 
 
+async def test_an_older_plan_moves_nothing_where_side_and_engine_were_replaced():
+    # The service comes back with an older plan, and neither the engine, which keeps no
+    # number, nor its new side remembers the later one. The entries do: they tell what
+    # the earlier side obeyed, and the older plan is not taken for the newest.
+    async with bench(honours_fencing=False) as b:
+        first = b.side()
+        await b.plan(DECODE)
+        await asyncio.sleep(SETTLED + CHANGE_SECONDS + 1)
+        backup = b.service.snapshot()
+        await b.plan(PREFILL)
+        await asyncio.sleep(CHANGE_SECONDS + 3)
+        obeyed = first.token
+        await b.kill(first)
+        b.service.restore(backup)
+        second = b.side()
+        second.plan_seen = lambda: obeyed
+        await asyncio.sleep(20)
+        assert second.token < obeyed
+        assert second.engine_state.assignment == PREFILL
+        assert len(b.taken()) == 2
+
+
 async def test_an_unreachable_engine_is_unknown_after_some_readings():
     async with bench() as b:
         side = b.side()
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -9,6 +9,8 @@
 from bergamotmast.errors import Outcome
 from bergamotmast.errors import RequestError
 from bergamotmast.errors import ResultCode
+from bergamotmast.model import NO_TOKEN
+from bergamotmast.model import FencingToken
 from bergamotmast.protocol import messages
 from bergamotmast.protocol import timing
 from support import FirstComeFirstServed
@@ -174,6 +176,19 @@
         assert f.holders["engine-1"].generation == 1
 
 
+async def test_a_new_side_learns_from_an_entry_what_its_predecessor_obeyed():
+    # The side is replaced and remembers nothing; the entry heard the plan's number
+    # from the earlier one and tells it with its hello.
+    async with fleet(engines=1) as f:
+        f.sides["engine-1"].plan_token = lambda: FencingToken(4, 2)
+        await asyncio.sleep(2.0)
+        await f.kill("engine-1")
+        side = f.start_side("engine-1")
+        assert side.plan_seen == NO_TOKEN
+        await asyncio.sleep(5.0)
+        assert side.plan_seen == FencingToken(4, 2)
+
+
 async def test_a_new_configuration_at_one_entry_reaches_all_within_seconds():
     async with fleet(entries=2, engines=3) as f:
         newer = encode_configuration(configuration(generation=2))
