Bench without its extra says what to install

Found by installing the wheel into a clean environment: the command ended in a traceback about looptime.

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -62,3 +62,9 @@
 
     monkeypatch.setattr(config, "run", interrupt)
     assert main(["config", "check", "x"]) == EXIT_INTERRUPTED
+
+
+def test_bench_without_its_extra_says_what_to_install(monkeypatch, capsys):
+    monkeypatch.setattr("importlib.util.find_spec", lambda name: None)
+    assert main(["bench", "--list"]) == 2
+    assert "bergamotmast[bench]" in capsys.readouterr().err
