--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -80,6 +80,7 @@
     "engine killed": lambda f: f.kill("engine-1"),
     "key-value service killed": lambda f: f.kill("key-value"),
     "instance list killed": lambda f: f.kill("instance-list"),
+    "instance list stopped": lambda f: f.pause("instance-list", PAUSE),
     "side stopped": lambda f: f.pause("side-engine-1", PAUSE),
     "engine stopped": lambda f: f.pause("engine-1", PAUSE),
     "entry stopped": lambda f: f.pause("entry-1", PAUSE),
