One piece of code for what stood twice: configuration between peers, ending an attempt

Entry and side each had their own copy of asking for, sending and taking a newer configuration, alike to the line; both call protocol/config_exchange.py now. A side took a waiting attempt out of its queue in four places and ended one in two; one method each.

--- a/src/bergamotmast/bench/run.py
+++ b/src/bergamotmast/bench/run.py
@@ -35,9 +35,6 @@
 CALLER_PAUSE = 1.0
 """Seconds before a caller that was given no time comes again."""
 
-GRACE_SECONDS = 2.0
-"""How long after the last deadline a run goes on."""
-
 
 async def run(scenario: Scenario, policy_set: PolicySet, seed: int) -> RunResult:
     """Run a scenario and return what came of it; the loop must have virtual time."""
--- a/src/bergamotmast/entry/peer.py
+++ b/src/bergamotmast/entry/peer.py
@@ -18,6 +18,7 @@
 from ..model import Readiness
 from ..model import SideReport
 from ..policy import Candidate
+from ..protocol import config_exchange
 from ..protocol import messages
 from ..protocol import timing
 from ..telemetry import NullTelemetry
@@ -305,7 +306,7 @@
             case messages.ConfigPull():
                 await self._send_document(message.generation)
             case messages.ConfigDocument():
-                self._on_document(message)
+                config_exchange.take_document(self.holder, message)
 
     def _on_chunk(self, chunk: messages.Chunk) -> None:
         attempt = self.attempts.get(chunk.attempt)
@@ -328,22 +329,13 @@
 
     async def _compare_generation(self, generation: int) -> None:
         self.generation = generation
-        if self.holder.should_pull(generation):
-            await self._send(messages.ConfigPull(self.holder.generation))
+        if question := config_exchange.pull(self.holder, generation):
+            await self._send(question)
 
     async def _send_document(self, generation: int) -> None:
-        if self.holder.generation > generation:
-            document = messages.ConfigDocument(
-                self.holder.generation, self.holder.document
-            )
+        if document := config_exchange.newer_document(self.holder, generation):
             await self._send(document)
 
-    def _on_document(self, message: messages.ConfigDocument) -> None:
-        try:
-            self.holder.offer(message.document)
-        except msgspec.MsgspecError as error:
-            logger.warning("configuration refused: %s", error)
-
     async def _send(self, message: messages.ToSide) -> bool:
         if self.link is None:
             return False
--- a/src/bergamotmast/side/core.py
+++ b/src/bergamotmast/side/core.py
@@ -219,10 +219,22 @@
         )
 
     async def _refuse_waiting(self, attempt: Attempt, code: ResultCode) -> None:
-        self.policy.withdraw(attempt.name)
-        self.attempts.pop(attempt.name, None)
+        self._take_out(attempt)
         await self._refuse(attempt.session, attempt.offer, code)
 
+    def _take_out(self, attempt: Attempt) -> None:
+        """Take a waiting attempt out of the queue: from here on it never starts."""
+        self.policy.withdraw(attempt.name)
+        del self.attempts[attempt.name]
+
+    def _end(self, attempt: Attempt) -> None:
+        """End an attempt; a call of a service that runs goes on."""
+        if attempt.phase is AttemptPhase.WAITING:
+            self._take_out(attempt)
+            self._record(attempt.offer, "never_started")
+        elif attempt.is_model:
+            self._end_stream(attempt)
+
     def _start_waiting(self) -> None:
         """Start what the policy says may start now."""
         while (item := self.policy.next(self._now())) is not None:
@@ -280,12 +292,7 @@
             await self._on_cancel_of_unknown(session, cancel)
             return
         state = _STATES[attempt.phase]
-        if attempt.phase is AttemptPhase.WAITING:
-            self.policy.withdraw(attempt.name)
-            self.attempts.pop(attempt.name)
-            self._record(attempt.offer, "never_started")
-        elif attempt.is_model:
-            self._end_stream(attempt)
+        self._end(attempt)
         await self.send(session.peer, messages.AttemptState(attempt.name, state))
         if attempt.answer is not None:
             await self.send(session.peer, attempt.answer)
@@ -325,12 +332,7 @@
     def on_ended(self, session: Session) -> None:
         """Learn that a session is over: its calls of services go on."""
         for attempt in self._of_session(session):
-            if attempt.phase is AttemptPhase.WAITING:
-                self.policy.withdraw(attempt.name)
-                self.attempts.pop(attempt.name)
-                self._record(attempt.offer, "never_started")
-            elif attempt.is_model:
-                self._end_stream(attempt)
+            self._end(attempt)
 
     def _forget_answers(self, now: float) -> None:
         done = AttemptPhase.DONE
@@ -346,8 +348,7 @@
             code = ResultCode.UPSTREAM_LEAVING
         waiting = [a for a in self.attempts.values() if a.phase is AttemptPhase.WAITING]
         for attempt in waiting:
-            self.policy.withdraw(attempt.name)
-            self.attempts.pop(attempt.name)
+            self._take_out(attempt)
             self._in_background(self._refuse(attempt.session, attempt.offer, code))
         for session in self.sessions.by_name.values():
             self._in_background(self.server.send_report(session))
--- a/src/bergamotmast/side/session_server.py
+++ b/src/bergamotmast/side/session_server.py
@@ -12,6 +12,7 @@
 from ..errors import ResultCode
 from ..model import FencingToken
 from ..model import SideReport
+from ..protocol import config_exchange
 from ..protocol import messages
 from ..protocol import timing
 from ..telemetry import Telemetry
@@ -128,7 +129,7 @@
             await self._on_hello(peer, message)
             return
         if isinstance(message, messages.ConfigDocument):
-            self._on_document(message)
+            config_exchange.take_document(self.holder, message)
             return
         if isinstance(message, messages.ConfigPull):
             await self._send_document(peer, message.generation)
@@ -230,22 +231,13 @@
         await self.send(session.peer, beat)
 
     async def _compare_generation(self, peer: bytes, generation: int) -> None:
-        if self.holder.should_pull(generation):
-            await self.send(peer, messages.ConfigPull(self.holder.generation))
+        if question := config_exchange.pull(self.holder, generation):
+            await self.send(peer, question)
 
     async def _send_document(self, peer: bytes, generation: int) -> None:
-        if self.holder.generation > generation:
-            document = messages.ConfigDocument(
-                self.holder.generation, self.holder.document
-            )
+        if document := config_exchange.newer_document(self.holder, generation):
             await self.send(peer, document)
 
-    def _on_document(self, message: messages.ConfigDocument) -> None:
-        try:
-            self.holder.offer(message.document)
-        except msgspec.MsgspecError as error:
-            logger.warning("configuration refused: %s", error)
-
     async def send(self, peer: bytes, message: messages.ToEntry) -> None:
         """Send to an entry, in the next turn of the event loop."""
         self.outbox.put(peer, messages.encode(message))
