--- a/src/bergamotmast/adapters/http_calls.py
+++ b/src/bergamotmast/adapters/http_calls.py
@@ -28,18 +28,23 @@
 JSON_TYPE = {"Content-Type": "application/json"}
 
 
-def client_session() -> aiohttp.ClientSession:
-    """Return the session that all adapters of a process share.
+def client_session(
+    connector: aiohttp.BaseConnector | None = None, *, decompress: bool = True
+) -> aiohttp.ClientSession:
+    """Return a session, by default the one that all adapters of a process share.
 
     It keeps no cookies: a jar would carry one caller's cookies to the next.
+
+    :param decompress: whether encoded bodies are decoded.
     """
-    connector = aiohttp.TCPConnector(
-        limit=CONNECTIONS, keepalive_timeout=KEEP_ALIVE_SECONDS
-    )
     return aiohttp.ClientSession(
-        connector=connector,
+        connector=connector
+        or aiohttp.TCPConnector(
+            limit=CONNECTIONS, keepalive_timeout=KEEP_ALIVE_SECONDS
+        ),
         cookie_jar=aiohttp.DummyCookieJar(),
         middlewares=(_never_repeat,),
+        auto_decompress=decompress,
     )
 
 
@@ -50,17 +55,19 @@
     url: str,
     total: float | None = None,
     silence: float | None = None,
+    connect: float = CONNECT_SECONDS,
     **options: t.Any,
 ) -> cabc.AsyncIterator[aiohttp.ClientResponse]:
     """Send a request and give its response to the body of an ``async with``.
 
     :param total: seconds the whole exchange may take.
     :param silence: seconds between two reads.
+    :param connect: seconds to open a connection.
     :raises NotReachedError: if no connection was made, so that nothing was sent.
     :raises ReplyLostError: for every other failure, also while the body is read.
     """
     timeout = aiohttp.ClientTimeout(
-        total=total, sock_connect=CONNECT_SECONDS, sock_read=silence
+        total=total, sock_connect=connect, sock_read=silence
     )
     try:
         async with session.request(
--- /dev/null
+++ b/src/bergamotmast/adapters/opaque_http.py
@@ -0,0 +1,162 @@
+"""Requests to upstreams over HTTP, byte for byte."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc as cabc
+import contextlib
+import socket
+import types
+import typing as t
+
+import aiohttp
+import yarl
+
+from ..direct.ports import Headers
+from ..errors import ReplyLostError
+from .http_calls import client_session
+from .http_calls import exchange
+
+CONNECT_SECONDS = 0.4
+"""Time to open a connection. Zones are a few milliseconds apart; a machine without
+power does not answer at all, and the request goes elsewhere after this."""
+
+IDLE_SECONDS = 4.0
+"""How long an idle connection is kept; servers commonly drop theirs after five."""
+
+SILENT_PEER_MS = 3_000
+"""Unacknowledged bytes end a connection after this: a machine that lost power or is
+cut off would hold it, and the request on it, for many minutes."""
+
+_LEFT_OUT = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
+"""Headers that the library would add by itself."""
+
+MOST_HEADER_BYTES = 65_536
+"""Longest header of a reply; upstreams send well under it."""
+
+
+class HttpReply:
+    """A :class:`~bergamotmast.direct.ports.Reply`."""
+
+    def __init__(self, response: aiohttp.ClientResponse) -> None:
+        self.response = response
+        self.closed = self._watch_unframed(response)
+
+    @property
+    def status(self) -> int:
+        """HTTP status."""
+        return self.response.status
+
+    @property
+    def headers(self) -> cabc.Mapping[str, str]:
+        """Headers, by name without regard to case."""
+        return self.response.headers
+
+    def header_items(self) -> Headers:
+        """Return all headers in order, doubled ones too."""
+        return tuple(self.response.headers.items())
+
+    async def read(self) -> bytes:
+        """Return the whole body."""
+        return b"".join([part async for part in self.chunks()])
+
+    async def chunks(self) -> cabc.AsyncIterator[bytes]:
+        """Yield the body as it arrives."""
+        async for part in self.response.content.iter_any():
+            yield part
+        self._refuse_reset()
+
+    def _watch_unframed(
+        self, response: aiohttp.ClientResponse
+    ) -> asyncio.Future[None] | None:
+        """Return the future that tells how the connection of an unframed body ends."""
+        if "Content-Length" in response.headers:
+            return None
+        if "chunked" in response.headers.get("Transfer-Encoding", "").lower():
+            return None
+        connection = response.connection
+        if connection is None or connection.protocol is None:
+            return None
+        return connection.protocol.closed
+
+    def _refuse_reset(self) -> None:
+        """Refuse a body without a length whose connection was reset.
+
+        The library takes a reset for the end of such a body, and the caller would get
+        half of an answer as a whole one.
+        """
+        if self.closed is not None and self.closed.done():
+            error = self.closed.exception()
+            if error is not None:
+                raise ReplyLostError(f"an unframed reply was cut off: {error}")
+
+
+class HttpUpstreamClient:
+    """An :class:`~bergamotmast.direct.ports.UpstreamClient`."""
+
+    def __init__(self) -> None:
+        self.kept = self._session(force_close=False)
+        self.fresh = self._session(force_close=True)
+
+    async def __aenter__(self) -> HttpUpstreamClient:
+        """Return itself."""
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        """Close every connection."""
+        await self.kept.close()
+        await self.fresh.close()
+
+    @contextlib.asynccontextmanager
+    async def send(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes,
+        *,
+        fresh: bool,
+    ) -> cabc.AsyncIterator[HttpReply]:
+        """Send a request once and give its reply; leaving early cancels it."""
+        session = self.fresh if fresh else self.kept
+        async with exchange(
+            session,
+            method,
+            t.cast(str, yarl.URL(f"http://{address}{target}", encoded=True)),
+            connect=CONNECT_SECONDS,
+            headers=headers,
+            data=body or None,
+            skip_auto_headers=_LEFT_OUT,
+            max_line_size=MOST_HEADER_BYTES,
+            max_field_size=MOST_HEADER_BYTES,
+        ) as response:
+            try:
+                yield HttpReply(response)
+            finally:
+                if not response.content.is_eof():
+                    response.close()
+
+    def _session(self, *, force_close: bool) -> aiohttp.ClientSession:
+        if force_close:
+            connector = aiohttp.TCPConnector(
+                limit=0, force_close=True, socket_factory=_new_socket
+            )
+        else:
+            connector = aiohttp.TCPConnector(
+                limit=0, keepalive_timeout=IDLE_SECONDS, socket_factory=_new_socket
+            )
+        return client_session(connector, decompress=False)
+
+
+def _new_socket(address: aiohttp.AddrInfoType) -> socket.socket:
+    family, kind, protocol, _, _ = address
+    made = socket.socket(family, kind, protocol)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_PEER_MS)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return made
--- a/src/bergamotmast/cli.py
+++ b/src/bergamotmast/cli.py
@@ -52,6 +52,7 @@
 
 COMMANDS = (
     Command("entry", "take callers in and send their requests to sides"),
+    Command("direct", "take callers in and reach upstreams without sides"),
     Command("side", "stand before one upstream"),
     Command("config", "check, show, compare, edit the configuration"),
     Command("status", "show the fleet as an entry knows it"),
--- /dev/null
+++ b/src/bergamotmast/commands/direct.py
@@ -0,0 +1,25 @@
+"""The ``direct`` command: an entry that reaches upstreams without sides."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+
+from ..direct_daemon import serve_direct
+from ..logs import configure_decision_logs
+from ..settings import DirectEntrySettings
+from ..settings import add_settings
+from ..settings import load_settings
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Give the parser a flag for each setting."""
+    add_settings(parser, DirectEntrySettings)
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Run an entry until SIGTERM."""
+    settings = load_settings(DirectEntrySettings, arguments)
+    configure_decision_logs(settings.log_level, settings.name)
+    asyncio.run(serve_direct(settings))
+    return 0
--- /dev/null
+++ b/src/bergamotmast/direct/fleet.py
@@ -0,0 +1,178 @@
+"""The configuration and the upstreams as this entry knows them now."""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+
+from ..errors import ConfigError
+from ..ports import KeyValue
+from .model import Group
+from .model import Upstream
+from .ports import Directory
+from .routing import RouteTable
+
+logger = logging.getLogger(__name__)
+
+RETURN_SECONDS = 2.0
+"""How long an upstream whose entry lapsed during an outage is still used.
+
+The platform has the entries of living upstreams back within about two seconds of the
+store's return; an upstream that is missing after that is gone.
+"""
+
+
+@dataclasses.dataclass(slots=True)
+class Seen:
+    """An upstream with what was read of it.
+
+    :param revision: store revision of its entry.
+    :param gone_at: when an entry that lapsed during an outage counts as gone; a point
+        on the monotonic clock, ``None`` while the entry stands.
+    """
+
+    upstream: Upstream
+    revision: int
+    gone_at: float | None = None
+
+
+class Fleet:
+    """What the store said last.
+
+    :param table: routes in force; ``None`` before the first configuration.
+    :param settled: whether the upstreams have been read once.
+    """
+
+    def __init__(self, directory: Directory) -> None:
+        self.directory = directory
+        self.table: RouteTable | None = None
+        self.settled = False
+        self.seen: dict[str, Seen] = {}
+        self.unread: dict[str, int] = {}
+
+    @property
+    def ready(self) -> bool:
+        """Whether requests can be routed."""
+        return self.table is not None and self.settled
+
+    @property
+    def generation(self) -> int:
+        """Generation in force; 0 before the first."""
+        return self.table.routing.generation if self.table else 0
+
+    def group(self, name: str) -> Group:
+        """Return a group, also one that the configuration does not describe."""
+        assert self.table is not None
+        return self.table.routing.groups.get(name) or Group(name)
+
+    def members(self, group: str, now: float) -> list[Upstream]:
+        """Return the upstreams of a group that may be given new work."""
+        return [
+            seen.upstream
+            for seen in self.seen.values()
+            if seen.upstream.group == group
+            and not seen.upstream.leaving
+            and (seen.gone_at is None or now < seen.gone_at)
+        ]
+
+    def is_current(self, upstream: Upstream, now: float) -> bool:
+        """Return whether an upstream may still be given new work."""
+        seen = self.seen.get(upstream.name)
+        if seen is None or seen.upstream.leaving:
+            return False
+        if seen.gone_at is not None and now >= seen.gone_at:
+            return False
+        return (
+            seen.upstream.boot == upstream.boot
+            and seen.upstream.address == upstream.address
+        )
+
+    def put(self, item: KeyValue) -> None:
+        """Take one key's new value."""
+        if item.key == self.directory.config_key:
+            self._put_routing(item)
+        elif item.key.startswith(self.directory.upstream_prefix):
+            self._put_upstream(item)
+
+    def remove(self, key: str, revision: int) -> None:
+        """Take a key's removal; without a configuration the last one stays."""
+        seen = self.seen.get(key)
+        if seen is not None and revision > seen.revision:
+            del self.seen[key]
+            logger.info(
+                "upstream is gone",
+                extra={"upstream": seen.upstream.name, "revision": revision},
+            )
+
+    def replace(
+        self, items: tuple[KeyValue, ...], now: float, after_outage: bool
+    ) -> None:
+        """Take a whole reading of the upstreams' entries.
+
+        :param after_outage: keep missing ones for :data:`RETURN_SECONDS`.
+        """
+        for item in items:
+            self.put(item)
+        present = {item.key for item in items}
+        for key in [key for key in self.seen if key not in present]:
+            seen = self.seen[key]
+            if not after_outage and seen.gone_at is None:
+                self.remove(key, seen.revision + 1)
+            elif seen.gone_at is None:
+                seen.gone_at = now + RETURN_SECONDS
+            elif now >= seen.gone_at:
+                self.remove(key, seen.revision + 1)
+        self.settled = True
+
+    def _put_routing(self, item: KeyValue) -> None:
+        try:
+            routing = self.directory.decode_routing(item.value)
+        except ConfigError as error:
+            logger.warning(
+                "configuration is not understood",
+                extra={"revision": item.mod_revision, "error": error.message},
+            )
+            return
+        # A read that was answered late may bring an older version: going back would
+        # send requests where the operators no longer want them.
+        if routing.generation <= self.generation:
+            return
+        self.table = RouteTable(routing)
+        logger.info(
+            "configuration is in force",
+            extra={
+                "generation": routing.generation,
+                "revision": item.mod_revision,
+                "routes": len(routing.routes),
+            },
+        )
+
+    def _put_upstream(self, item: KeyValue) -> None:
+        known = self.seen.get(item.key)
+        if known is not None and known.revision >= item.mod_revision:
+            known.gone_at = None
+            return
+        try:
+            upstream = self.directory.decode_upstream(item.key, item.value)
+        except ConfigError as error:
+            if self.unread.get(item.key) != item.mod_revision:
+                self.unread[item.key] = item.mod_revision
+                logger.warning(
+                    "upstream's entry is not understood",
+                    extra={"key": item.key, "error": error.message},
+                )
+            self.seen.pop(item.key, None)
+            return
+        self.seen[item.key] = Seen(upstream, item.mod_revision)
+        if known is None or known.upstream != upstream:
+            logger.info(
+                "upstream is known",
+                extra={
+                    "upstream": upstream.name,
+                    "group": upstream.group,
+                    "address": upstream.address,
+                    "leaving": upstream.leaving,
+                    "role": upstream.role.value if upstream.role else "",
+                    "revision": item.mod_revision,
+                },
+            )
--- /dev/null
+++ b/src/bergamotmast/direct/following.py
@@ -0,0 +1,87 @@
+"""Follows the configuration and the upstreams' entries in the key-value service."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+
+from ..backoff import Backoff
+from ..errors import PortError
+from ..ports import KeyValue
+from ..ports import KeyValueService
+from .fleet import Fleet
+
+logger = logging.getLogger(__name__)
+
+LONGEST_RETRY_SECONDS = 0.5
+"""Between two tries while the store does not answer: an outage's end must be noticed
+well within the two seconds in which a new configuration has to be in force."""
+
+OUTAGE_SECONDS = 0.6
+"""Without an answer for so long, entries may have lapsed through the store's fault."""
+
+
+class Follower:
+    """Keeps a fleet as the store has it.
+
+    A watch may be cut, may lose its history, or may hear nothing on a connection that
+    is dead: the store's adapter ends each wait after a bounded time, and whatever
+    ends a watch leads to a whole new reading.
+    """
+
+    def __init__(self, kv: KeyValueService, fleet: Fleet, rng: random.Random) -> None:
+        self.kv = kv
+        self.fleet = fleet
+        self.backoff = Backoff(rng, first=0.1, longest=LONGEST_RETRY_SECONDS)
+        self.heard_at: float | None = None
+        self.lost = True
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            try:
+                revision = await self._read()
+                await self._watch(revision)
+            except PortError as error:
+                self._on_lost(error)
+            await asyncio.sleep(self.backoff.next_delay())
+
+    async def _read(self) -> int:
+        directory = self.fleet.directory
+        entries = await self.kv.range(directory.upstream_prefix)
+        config = await self.kv.get(directory.config_key)
+        now = asyncio.get_running_loop().time()
+        self.fleet.replace(entries.items, now, self._after_outage(now))
+        if config is not None:
+            self.fleet.put(config)
+        self._on_heard(now)
+        return entries.revision
+
+    async def _watch(self, revision: int) -> None:
+        loop = asyncio.get_running_loop()
+        async for event in self.kv.watch("", revision + 1):
+            self._on_heard(loop.time())
+            if event is None:
+                continue
+            if event.value is None:
+                self.fleet.remove(event.key, event.mod_revision)
+            else:
+                self.fleet.put(KeyValue(event.key, event.value, event.mod_revision))
+
+    def _after_outage(self, now: float) -> bool:
+        return self.heard_at is not None and now - self.heard_at > OUTAGE_SECONDS
+
+    def _on_heard(self, now: float) -> None:
+        self.heard_at = now
+        self.backoff.reset()
+        if self.lost:
+            self.lost = False
+            logger.info("store is reached", extra={"dependency": "store"})
+
+    def _on_lost(self, error: PortError) -> None:
+        if not self.lost:
+            self.lost = True
+            logger.warning(
+                "store is lost", extra={"dependency": "store", "error": error.message}
+            )
--- /dev/null
+++ b/src/bergamotmast/direct/front.py
@@ -0,0 +1,149 @@
+"""The caller interface of a direct entry over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from aiohttp import web
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.http_parser import RawRequestMessage
+from aiohttp.streams import StreamReader
+from aiohttp.web_protocol import RequestHandler
+
+from ..errors import CODE_INFO
+from ..errors import ResultCode
+from .core import DirectCore
+from .ports import Headers
+
+logger = logging.getLogger(__name__)
+
+READY_PATH = "/readiness"
+
+HEADER_BYTES = 32_768
+"""Longest line and header read; the operators' limit is below it."""
+
+IDLE_SECONDS = 75.0
+"""How long an idle caller's connection is kept, above the operators' limits."""
+
+MOST_BODY_BYTES = 1 << 26
+"""Largest body read, above the operators' limits."""
+
+
+class HttpCallerReply:
+    """A :class:`~bergamotmast.direct.caller.CallerReply`."""
+
+    def __init__(self, request: web.BaseRequest, closing: bool) -> None:
+        self.request = request
+        self.closing = closing
+        self.response: web.StreamResponse | None = None
+
+    @property
+    def started(self) -> bool:
+        """Whether status and headers are on their way."""
+        return self.response is not None
+
+    async def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        response = self._new(status, headers)
+        response.content_length = len(body)
+        self.response = response
+        await response.prepare(self.request)
+        await response.write_eof(body)
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send status and headers of a stream."""
+        self.response = self._new(status, headers)
+        self.response.enable_chunked_encoding()
+        await self.response.prepare(self.request)
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of a stream."""
+        assert self.response is not None
+        await self.response.write(data)
+
+    async def finish(self) -> None:
+        """End a stream as complete."""
+        assert self.response is not None
+        await self.response.write_eof()
+
+    def abort(self) -> None:
+        """Close the connection without the chunk that would end the stream."""
+        if self.request.transport is not None:
+            self.request.transport.close()
+
+    def _new(self, status: int, headers: Headers) -> web.StreamResponse:
+        response = web.StreamResponse(status=status)
+        for name, value in headers:
+            response.headers.add(name, value)
+        if self.closing:
+            response.force_close()
+        return response
+
+
+class DirectFront:
+    """Translates between HTTP and a direct entry."""
+
+    def __init__(self, core: DirectCore) -> None:
+        self.core = core
+
+    def callers(self) -> web.Server:
+        """Return the server that takes callers in."""
+        return web.Server(
+            self._handle,
+            request_factory=_new_request,
+            handler_cancellation=True,
+            keepalive_timeout=IDLE_SECONDS,
+            max_line_size=HEADER_BYTES,
+            max_field_size=HEADER_BYTES,
+            auto_decompress=False,
+            access_log=None,
+        )
+
+    def probes(self) -> web.Server:
+        """Return the server that says whether this entry is ready."""
+        return web.Server(self._ready, access_log=None)
+
+    async def _ready(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path != READY_PATH:
+            return web.Response(status=404)
+        return web.Response(status=200 if self.core.is_ready else 503)
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        arrived_at = asyncio.get_running_loop().time()
+        reply = HttpCallerReply(request, self.core.stopping)
+        body = await request.read()
+        if len(body) > self.core.body_limit:
+            status = CODE_INFO[ResultCode.BODY_TOO_LARGE].status
+            await reply.answer(status, (), b"")
+        else:
+            await self.core.handle(
+                request.method,
+                request.raw_path,
+                request.headers.get("Host", ""),
+                request.headers,
+                tuple(request.headers.items()),
+                body,
+                arrived_at,
+                reply,
+            )
+        assert reply.response is not None
+        return reply.response
+
+
+def _new_request(
+    message: RawRequestMessage,
+    payload: StreamReader,
+    protocol: RequestHandler[web.BaseRequest],
+    writer: AbstractStreamWriter,
+    task: asyncio.Task[None],
+) -> web.BaseRequest:
+    return web.BaseRequest(
+        message,
+        payload,
+        protocol,
+        writer,
+        task,
+        asyncio.get_running_loop(),
+        client_max_size=MOST_BODY_BYTES,
+    )
--- /dev/null
+++ b/src/bergamotmast/direct/placing.py
@@ -0,0 +1,166 @@
+"""Keeps the books on upstreams and asks the policy where a request goes."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc as cabc
+import random
+
+from ..errors import RequestError
+from ..errors import ResultCode
+from ..model import Role
+from ..policy.direct_placement import EngineView
+from ..policy.direct_placement import Placement
+from ..policy.direct_placement import choose_answering
+from ..policy.direct_placement import place
+from ..policy.engine_book import EngineBook
+from ..policy.plain_choice import PlainBook
+from ..policy.plain_choice import PlainView
+from ..policy.plain_choice import choose_plain
+from .fleet import Fleet
+from .model import Call
+from .model import Upstream
+from .ports import LoadHint
+
+BookKey = tuple[str, str]
+"""Name and boot: what was known of an upstream is void once it restarts."""
+
+
+class Placing:
+    """Where requests go, from this entry's own knowledge.
+
+    :param zone: availability zone of this entry.
+    """
+
+    def __init__(self, fleet: Fleet, zone: str, rng: random.Random) -> None:
+        self.fleet = fleet
+        self.zone = zone
+        self.rng = rng
+        self.engines: dict[BookKey, EngineBook] = {}
+        self.plain: dict[BookKey, PlainBook] = {}
+
+    def engine_book(self, upstream: Upstream) -> EngineBook:
+        """Return what is known of an engine."""
+        key = (upstream.name, upstream.boot)
+        book = self.engines.get(key)
+        if book is None:
+            self._forget_gone()
+            engine = self.fleet.group(upstream.group).engine
+            book = EngineBook(engine.kv_capacity if engine else 1)
+            self.engines[key] = book
+        return book
+
+    def plain_book(self, upstream: Upstream) -> PlainBook:
+        """Return what is known of a plain upstream."""
+        key = (upstream.name, upstream.boot)
+        book = self.plain.get(key)
+        if book is None:
+            self._forget_gone()
+            book = self.plain[key] = PlainBook()
+        return book
+
+    def on_load(self, upstream: Upstream, load: LoadHint) -> None:
+        """Take an upstream's word on its load."""
+        now = asyncio.get_running_loop().time()
+        if upstream.role is not None:
+            self.engine_book(upstream).hint(load.running, load.waiting, now)
+        else:
+            self.plain_book(upstream).hint(load.running, load.waiting, now)
+
+    def choose_plain(self, call: Call, tried: cabc.Collection[str]) -> Upstream:
+        """Return the plain upstream for a request's next send.
+
+        :raises RequestError: if there is none.
+        """
+        now = asyncio.get_running_loop().time()
+        members = self._untried(call, tried, now)
+        by_name = {member.name: member for member in members}
+        views = [
+            PlainView(
+                member.name,
+                member.zone == self.zone,
+                max(1, member.slots),
+                self.plain_book(member).load(now),
+                self.plain_book(member).is_ejected(now),
+            )
+            for member in members
+        ]
+        chosen = choose_plain(views, self.rng)
+        if chosen is None:
+            raise RequestError(ResultCode.NO_UPSTREAM)
+        return by_name[chosen]
+
+    def place_stream(
+        self, call: Call, tried: cabc.Collection[str]
+    ) -> tuple[Upstream | None, Upstream, Placement]:
+        """Return the engine that reads the prompt, if another, and the answering one.
+
+        :raises RequestError: if there is none.
+        """
+        now = asyncio.get_running_loop().time()
+        members = self._untried(call, tried, now)
+        by_name = {member.name: member for member in members}
+        placement = place(self._views(call, members, now))
+        if placement is None:
+            raise RequestError(ResultCode.NO_UPSTREAM)
+        reader = by_name[placement.prefill] if placement.prefill else None
+        return reader, by_name[placement.answer], placement
+
+    def answering(self, call: Call, tried: cabc.Collection[str]) -> Upstream:
+        """Return the engine that answers a request whose prompt was read elsewhere.
+
+        :raises RequestError: if there is none.
+        """
+        now = asyncio.get_running_loop().time()
+        members = self._untried(call, tried, now)
+        chosen = choose_answering(self._views(call, members, now))
+        if chosen is None:
+            raise RequestError(ResultCode.NO_UPSTREAM)
+        return next(member for member in members if member.name == chosen.name)
+
+    def _untried(
+        self, call: Call, tried: cabc.Collection[str], now: float
+    ) -> list[Upstream]:
+        members = self.fleet.members(call.group.name, now)
+        return [member for member in members if member.name not in tried]
+
+    def _views(
+        self, call: Call, members: list[Upstream], now: float
+    ) -> list[EngineView]:
+        views = []
+        for member in members:
+            book = self.engine_book(member)
+            if now < book.failed_until:
+                continue
+            cached = book.prefix.cached(shared_parts(call))
+            to_read = max(1, call.traits.prompt_tokens - cached)
+            ahead = book.ahead(call.route.rank, now)
+            ahead += book.others(now) * self._mean_tokens()
+            views.append(
+                EngineView(
+                    member.name,
+                    member.role or Role.MIXED,
+                    member.zone == self.zone,
+                    book.rate,
+                    ahead,
+                    to_read,
+                    book.streams + book.others(now),
+                )
+            )
+        return views
+
+    def _mean_tokens(self) -> float:
+        return 500.0
+
+    def _forget_gone(self) -> None:
+        present = {
+            (seen.upstream.name, seen.upstream.boot)
+            for seen in self.fleet.seen.values()
+        }
+        self.engines = {k: b for k, b in self.engines.items() if k in present}
+        self.plain = {k: b for k, b in self.plain.items() if k in present}
+
+
+def shared_parts(call: Call) -> list[tuple[str, int]]:
+    """Return the parts of a request's prompt, in order."""
+    return [(part.key, part.tokens) for part in call.traits.parts]
--- /dev/null
+++ b/src/bergamotmast/direct/plain_run.py
@@ -0,0 +1,166 @@
+"""One call of a plain upstream, from the choice of the upstream to its answer."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import logging
+
+from ..errors import NotReachedError
+from ..errors import ReplyLostError
+from ..errors import RequestError
+from ..errors import ResultCode
+from .caller import CallerReply
+from .context import Context
+from .forwarding import answer_headers
+from .model import Call
+from .model import Upstream
+from .ports import Attempt
+from .ports import Headers
+from .sends import Sends
+
+logger = logging.getLogger(__name__)
+
+PATIENCE = 2.0
+"""Multiples of the objective after which an idempotent call is tried elsewhere: by
+then its answer is late, and an upstream that hangs would hold it to its deadline."""
+
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""To a caller these say that its request did not run."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlainAnswer:
+    """An upstream's whole answer."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class PlainRun:
+    """Runs one call of a plain upstream."""
+
+    def __init__(self, context: Context, call: Call, reply: CallerReply) -> None:
+        self.context = context
+        self.call = call
+        self.reply = reply
+        self.sends = Sends(context, call)
+        self.last_failure: PlainAnswer | None = None
+
+    async def run(self) -> int:
+        """Answer the caller and return the status.
+
+        :raises RequestError: if there is no answer to give.
+        """
+        try:
+            async with asyncio.timeout_at(self.call.deadline):
+                answer = await self._answer()
+        except TimeoutError:
+            code = ResultCode.DEADLINE_EXCEEDED
+            if not self.sends.maybe_ran:
+                code = ResultCode.DEADLINE_UNREACHABLE
+            raise RequestError(code) from None
+        await self.reply.answer(answer.status, answer.headers, answer.body)
+        return answer.status
+
+    async def _answer(self) -> PlainAnswer:
+        while True:
+            try:
+                upstream = self.context.placing.choose_plain(
+                    self.call, self.sends.excluded
+                )
+                self.sends.begin(upstream)
+            except RequestError:
+                if self.last_failure is not None:
+                    return self.last_failure
+                if self.sends.maybe_ran:
+                    raise self.sends.exhausted() from None
+                raise
+            answer = await self._send(upstream)
+            if answer is not None:
+                return answer
+
+    async def _send(self, upstream: Upstream) -> PlainAnswer | None:
+        """Send once; ``None`` where the call may be tried elsewhere."""
+        book = self.context.placing.plain_book(upstream)
+        loop = asyncio.get_running_loop()
+        book.running += 1
+        try:
+            async with asyncio.timeout_at(self._give_up_at(loop.time())):
+                return await self._exchange(upstream)
+        except NotReachedError as error:
+            book.failed(loop.time())
+            self.sends.on_unreached(upstream)
+            self._log_failure(upstream, error.message, "not reached")
+            return None
+        except (ReplyLostError, TimeoutError) as error:
+            book.failed(loop.time())
+            self._log_failure(upstream, str(error) or "no answer in time", "unknown")
+            if not self.call.route.repeatable:
+                raise RequestError(ResultCode.OUTCOME_UNKNOWN) from None
+            if loop.time() >= self.call.deadline:
+                raise RequestError(ResultCode.DEADLINE_EXCEEDED) from None
+            return None
+        finally:
+            book.running -= 1
+
+    def _give_up_at(self, now: float) -> float:
+        route = self.call.route
+        if not route.repeatable or len(self.sends.tried) >= route.max_attempts:
+            return self.call.deadline
+        return min(self.call.deadline, now + PATIENCE * route.objective)
+
+    async def _exchange(self, upstream: Upstream) -> PlainAnswer | None:
+        call = self.call
+        dialect = self.context.dialect
+        now = asyncio.get_running_loop().time()
+        attempt = Attempt(upstream.name, call.deadline)
+        headers = dialect.write_headers(call.headers, attempt, now)
+        async with self.context.client.send(
+            upstream.address,
+            call.method,
+            call.target,
+            headers,
+            call.body,
+            fresh=not call.route.repeatable,
+        ) as reply:
+            traits = self.context.read_reply(call, upstream, reply)
+            if traits.request_id and traits.request_id != call.traits.request_id:
+                raise ReplyLostError("the reply belongs to another request")
+            if traits.not_run:
+                self.sends.on_not_run()
+                self._log_failure(upstream, f"status {reply.status}", "not run")
+                return None
+            body = await reply.read()
+            answer = PlainAnswer(reply.status, answer_headers(reply), body)
+        book = self.context.placing.plain_book(upstream)
+        if 200 <= answer.status < 300:
+            if not traits.signed:
+                raise ReplyLostError("the reply is not signed")
+            book.succeeded()
+            return answer
+        return self._on_failure_status(upstream, answer, traits.signed)
+
+    def _on_failure_status(
+        self, upstream: Upstream, answer: PlainAnswer, signed: bool
+    ) -> PlainAnswer | None:
+        """Return a failure to pass on, or ``None`` to try elsewhere first."""
+        self._log_failure(upstream, f"status {answer.status}", "ran")
+        if answer.status in NOT_RUN_STATUSES or not signed:
+            # Passed on, it would promise what the upstream did not promise.
+            raise ReplyLostError(f"status {answer.status} without a promise")
+        self.last_failure = answer
+        may_repeat = self.call.route.repeatable and answer.status >= 500
+        return None if may_repeat else answer
+
+    def _log_failure(self, upstream: Upstream, error: str, outcome: str) -> None:
+        logger.info(
+            "send failed",
+            extra={
+                "upstream": upstream.name,
+                "error": error,
+                "outcome": outcome,
+                "sends": self.sends.count,
+            },
+        )
--- /dev/null
+++ b/src/bergamotmast/direct/routing.py
@@ -0,0 +1,46 @@
+"""Which route a request belongs to, and which group of the route takes it."""
+
+from __future__ import annotations
+
+import random
+
+from .model import Route
+from .model import Routing
+
+
+class RouteTable:
+    """One configuration's routes, prepared for many requests."""
+
+    def __init__(self, routing: Routing) -> None:
+        self.routing = routing
+        self.by_host: dict[str, dict[str, Route]] = {}
+        for route in routing.routes:
+            self.by_host.setdefault(route.host, {})[route.prefix] = route
+
+    def find(self, host: str, target: str) -> Route | None:
+        """Return the route with the longest prefix that begins the path.
+
+        :param host: the ``Host`` header; a port is left out of account.
+        :param target: path with query, as received.
+        """
+        prefixes = self.by_host.get(host.partition(":")[0].lower())
+        if not prefixes:
+            return None
+        path = target.partition("?")[0]
+        end = path.rfind("/")
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+
+def pick_group(route: Route, rng: random.Random) -> str:
+    """Return the name of the group that takes a request, drawn by weight."""
+    if len(route.targets) == 1:
+        return route.targets[0].group
+    weights = [max(0.0, target.weight) for target in route.targets]
+    if not any(weights):
+        weights = [1.0] * len(weights)
+    return rng.choices(route.targets, weights)[0].group
--- /dev/null
+++ b/src/bergamotmast/direct/sends.py
@@ -0,0 +1,75 @@
+"""How often and where one request has been sent."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ..errors import RequestError
+from ..errors import ResultCode
+from .context import Context
+from .model import Call
+from .model import Upstream
+
+
+class Sends:
+    """One request's sends to upstreams, held to its route and the shared budget.
+
+    :param tried: upstreams that it was sent to.
+    :param maybe_ran: whether one of them may have run it.
+    """
+
+    def __init__(self, context: Context, call: Call) -> None:
+        self.context = context
+        self.call = call
+        self.tried: set[str] = set()
+        self.unreached: set[str] = set()
+        self.count = 0
+        self.maybe_ran = False
+
+    @property
+    def excluded(self) -> set[str]:
+        """Upstreams that need not be tried again."""
+        return self.tried | self.unreached
+
+    def begin(self, upstream: Upstream) -> None:
+        """Count a send.
+
+        :raises RequestError: if the route or the budget allows no further one.
+        """
+        new = upstream.name not in self.tried
+        if new and len(self.tried) >= self.call.route.max_attempts:
+            raise self.exhausted()
+        if self.count and not self._spend():
+            raise self.exhausted(ResultCode.RETRY_BUDGET_SPENT)
+        self.count += 1
+        self.tried.add(upstream.name)
+        self.maybe_ran = True
+
+    def on_not_run(self) -> None:
+        """Note that the last send certainly did not run."""
+        self.maybe_ran = False
+
+    def on_unreached(self, upstream: Upstream) -> None:
+        """Note that nothing of the last send left this process."""
+        self.maybe_ran = False
+        self.count -= 1
+        self.tried.discard(upstream.name)
+        self.unreached.add(upstream.name)
+
+    def exhausted(self, code: ResultCode = ResultCode.NO_UPSTREAM) -> RequestError:
+        """Return the error of a request that has no further send.
+
+        Whatever may have run is of unknown outcome: a refusal that says otherwise
+        would have the caller send an order twice.
+        """
+        if self.maybe_ran:
+            return RequestError(ResultCode.OUTCOME_UNKNOWN)
+        return RequestError(code)
+
+    def spend_extra(self) -> bool:
+        """Take a further call to an upstream out of the budget."""
+        return self._spend()
+
+    def _spend(self) -> bool:
+        now = asyncio.get_running_loop().time()
+        return self.context.budget(self.call.group.name).spend(now)
--- /dev/null
+++ b/src/bergamotmast/direct_daemon.py
@@ -0,0 +1,116 @@
+"""The composition root of an entry that reaches upstreams on the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc as cabc
+import contextlib
+import logging
+import random
+import signal
+
+import aiohttp
+from aiohttp import web
+
+from .adapters.http_calls import client_session
+from .adapters.opaque_http import HttpUpstreamClient
+from .direct.context import Context
+from .direct.core import DirectCore
+from .direct.fleet import Fleet
+from .direct.following import Follower
+from .direct.front import DirectFront
+from .direct.placing import Placing
+from .platform.directory import PlatformDirectory
+from .platform.headers import PlatformDialect
+from .platform.store import PlatformStore
+from .settings import DirectEntrySettings
+from .telemetry import NullTelemetry
+
+logger = logging.getLogger(__name__)
+
+BACKLOG = 1024
+"""Connections waiting to be taken; an overflow costs a caller seconds."""
+
+STILL_ROUTED_SECONDS = 3.0
+"""How long after SIGTERM new connections may come: the balancer asks once a second
+and takes an entry out after two refusals."""
+
+SHUTDOWN_MARGIN_SECONDS = 0.8
+"""Left between the last answer and the platform's SIGKILL."""
+
+IDLE_CHECK_SECONDS = 0.1
+"""Between two looks whether the last request is answered."""
+
+
+async def serve_direct(settings: DirectEntrySettings) -> None:
+    """Run an entry until it is told to end and its last answer is out."""
+    logger.info("starts", extra={"zone": settings.zone})
+    rng = random.Random()
+    fleet = Fleet(PlatformDirectory())
+    placing = Placing(fleet, settings.zone, rng)
+    async with HttpUpstreamClient() as client, _store_session() as session:
+        context = Context(fleet, client, PlatformDialect(), placing, rng)
+        core = DirectCore(context, NullTelemetry())
+        front = DirectFront(core)
+        store = PlatformStore(session, settings.store_address)
+        told = _signals()
+        async with (
+            _serving(front.callers(), settings.listen_address),
+            _serving(front.probes(), settings.ready_address),
+            _running(Follower(store, fleet, rng).run()),
+        ):
+            await told.wait()
+            await _drain(core, settings.shutdown_seconds)
+    logger.info("stops")
+
+
+async def _drain(core: DirectCore, seconds: float) -> None:
+    """Serve on until callers are sent elsewhere and the last request is answered."""
+    loop = asyncio.get_running_loop()
+    core.stopping = True
+    logger.info("stops soon", extra={"running": core.running})
+    told_at = loop.time()
+    end_by = told_at + max(0.0, seconds - SHUTDOWN_MARGIN_SECONDS)
+    while loop.time() < end_by:
+        await asyncio.sleep(IDLE_CHECK_SECONDS)
+        if core.running == 0 and loop.time() - told_at >= STILL_ROUTED_SECONDS:
+            return
+
+
+def _signals() -> asyncio.Event:
+    """Return the event that SIGTERM sets; SIGHUP changes nothing that is read here."""
+    told = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, told.set)
+    loop.add_signal_handler(signal.SIGHUP, logger.info, "reload: nothing to read anew")
+    return told
+
+
+@contextlib.asynccontextmanager
+async def _store_session() -> cabc.AsyncIterator[aiohttp.ClientSession]:
+    async with client_session() as session:
+        yield session
+
+
+@contextlib.asynccontextmanager
+async def _serving(server: web.Server, address: str) -> cabc.AsyncIterator[None]:
+    host, _, port = address.rpartition(":")
+    runner = web.ServerRunner(server, shutdown_timeout=0.5)
+    await runner.setup()
+    try:
+        await web.TCPSite(runner, host, int(port), backlog=BACKLOG).start()
+        yield
+    finally:
+        await runner.cleanup()
+
+
+@contextlib.asynccontextmanager
+async def _running(work: cabc.Coroutine[object, object, None]) -> cabc.AsyncIterator[None]:
+    task = asyncio.create_task(work)
+    try:
+        yield
+    finally:
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
--- a/src/bergamotmast/logs.py
+++ b/src/bergamotmast/logs.py
@@ -9,7 +9,7 @@
 import sys
 import typing as t
 
-from pythonjsonlogger.json import JsonFormatter
+from .bounded_log import BoundedJsonHandler
 
 TEXT_FORMAT = "%(asctime)s %(levelname)s %(process_name)s %(name)s%(request)s"
 JSON_FIELDS = ("levelname", "name", "message", "process_name", "request_id")
@@ -75,6 +75,19 @@
 
 def _formatter(log_format: str) -> logging.Formatter:
     if log_format == "json":
+        from pythonjsonlogger.json import JsonFormatter
+
         fields = " ".join(f"%({field})s" for field in JSON_FIELDS)
         return JsonFormatter(fields, timestamp=True)
     return logging.Formatter(TEXT_FORMAT + " %(message)s")
+
+
+def configure_decision_logs(log_level: str, process_name: str) -> None:
+    """Send the logs of the whole process to standard output, bounded, as JSON."""
+    root = logging.getLogger()
+    for handler in root.handlers[:]:
+        root.removeHandler(handler)
+    handler = BoundedJsonHandler(sys.stdout.fileno(), process_name)
+    handler.addFilter(ContextFilter(process_name))
+    root.addHandler(handler)
+    root.setLevel(log_level.upper())
--- /dev/null
+++ b/src/bergamotmast/platform/__init__.py
@@ -0,0 +1,4 @@
+"""The users' platform: its names, formats and calls, and nothing that decides.
+
+Nothing outside this package imports it but the composition root.
+"""
--- /dev/null
+++ b/src/bergamotmast/platform/directory.py
@@ -0,0 +1,155 @@
+"""The platform's store entries: the operators' configuration and the upstreams."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..direct.model import CallerLimits
+from ..direct.model import CallKind
+from ..direct.model import EngineTraits
+from ..direct.model import Group
+from ..direct.model import Route
+from ..direct.model import Routing
+from ..direct.model import Target
+from ..direct.model import Upstream
+from ..errors import ConfigError
+from ..model import Role
+
+_KINDS = {
+    "safe": CallKind.IDEMPOTENT,
+    "unsafe": CallKind.AT_MOST_ONCE,
+    "streaming": CallKind.STREAM,
+}
+
+_STATES = {"ready": False, "draining": True}
+"""Whether an upstream in this state is leaving."""
+
+
+class _Wire(msgspec.Struct, frozen=True, rename="kebab"):
+    """Fields are spelled with dashes; what is not known is left out of account."""
+
+
+class _Split(_Wire, frozen=True):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(_Wire, frozen=True):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 1000.0
+    priority: int = 0
+    service: str = ""
+    traffic_split: tuple[_Split, ...] = ()
+    max_attempts: int = 1
+    resumable: bool = False
+    gap_aim_ms: float = 0.0
+
+
+class _Engine(_Wire, frozen=True):
+    slots: int = 64
+    kv_capacity_tokens: int = 1 << 30
+    handle_ttl_s: float = 5.0
+
+
+class _Service(_Wire, frozen=True):
+    name: str
+    engine: _Engine | None = None
+
+
+class _Limits(_Wire, frozen=True):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Config(_Wire, frozen=True):
+    version: int
+    routes: tuple[_Route, ...] = ()
+    services: tuple[_Service, ...] = ()
+    limits: _Limits = _Limits()
+
+
+class _Registration(_Wire, frozen=True):
+    """An upstream's entry.
+
+    ``sequence`` counts its writes and ``version`` is its software's: neither matters
+    here. ``born`` is when it started, in milliseconds of the wall clock.
+    """
+
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    stage: str = ""
+    born: int = 0
+
+
+class PlatformDirectory:
+    """A :class:`~bergamotmast.direct.ports.Directory`."""
+
+    config_key = "op/config"
+    upstream_prefix = "servers/"
+
+    def decode_routing(self, value: bytes) -> Routing:
+        """Read the configuration."""
+        try:
+            read = msgspec.json.decode(value, type=_Config)
+            return Routing(
+                generation=read.version,
+                routes=tuple(map(_route, read.routes)),
+                groups={s.name: Group(s.name, _engine(s.engine)) for s in read.services},
+                limits=CallerLimits(
+                    read.limits.max_header_bytes,
+                    read.limits.max_body_bytes,
+                    read.limits.idle_timeout_ms / 1e3,
+                ),
+            )
+        except (msgspec.DecodeError, KeyError) as error:
+            raise ConfigError(f"The configuration is not understood: {error}") from error
+
+    def decode_upstream(self, key: str, value: bytes) -> Upstream:
+        """Read an upstream's entry."""
+        try:
+            read = msgspec.json.decode(value, type=_Registration)
+            leaving = _STATES[read.state]
+            role = Role(read.stage) if read.stage else None
+        except (msgspec.DecodeError, KeyError, ValueError) as error:
+            raise ConfigError(f"{key} is not understood: {error}") from error
+        return Upstream(
+            name=key.removeprefix(self.upstream_prefix),
+            boot=str(read.born),
+            group=read.service,
+            address=read.address,
+            zone=read.zone,
+            slots=read.slots,
+            leaving=leaving,
+            role=role,
+        )
+
+
+def _route(route: _Route) -> Route:
+    split = route.traffic_split or (_Split(route.service),)
+    return Route(
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.prefix,
+        kind=_KINDS[route.kind],
+        targets=tuple(Target(part.service, part.weight) for part in split),
+        timeout=route.timeout_ms / 1e3,
+        objective=route.target_latency_ms / 1e3,
+        max_attempts=route.max_attempts,
+        rank=route.priority,
+        resumable=route.resumable,
+        gap_objective=route.gap_aim_ms / 1e3,
+    )
+
+
+def _engine(engine: _Engine | None) -> EngineTraits | None:
+    if engine is None:
+        return None
+    return EngineTraits(engine.slots, engine.kv_capacity_tokens, engine.handle_ttl_s)
--- /dev/null
+++ b/src/bergamotmast/platform/headers.py
@@ -0,0 +1,166 @@
+"""How requests and replies speak on the platform: headers and small bodies."""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+
+import msgspec
+
+from ..direct.model import CallTraits
+from ..direct.model import PromptPart
+from ..direct.ports import Attempt
+from ..direct.ports import Headers
+from ..direct.ports import LoadHint
+from ..direct.ports import Prefilled
+from ..direct.ports import ReplyTraits
+from ..errors import ReplyLostError
+from ..errors import RequestError
+from ..errors import ResultCode
+
+REQUEST_ID = "X-Request-Id"
+TIME_LEFT = "X-Deadline-Ms"
+"""A duration, not a point in time: milliseconds that are left."""
+EXPECTED_UPSTREAM = "X-Expect-Instance"
+EXPECTED_WEIGHTS = "X-Expect-Version"
+PRIORITY = "X-Request-Priority"
+STAGE = "X-Stage"
+KV_SOURCE = "X-Kv-Source"
+LAST_EVENT = "Last-Event-Id"
+PROMPT_PARTS = "X-Prompt-Prefix"
+TOKENS = "X-Token-Count"
+"""Prompt tokens and the most output tokens, with a comma between."""
+LENGTH_ESTIMATE = "X-Length-Hint"
+SIGNATURE = "X-Response-Signature"
+NOT_RUN = "X-Not-Executed"
+WEIGHTS = "X-Weight-Versions"
+LOAD = "X-Server-Load"
+
+SET_BY_SYSTEM = frozenset(
+    name.lower()
+    for name in (
+        TIME_LEFT,
+        EXPECTED_UPSTREAM,
+        EXPECTED_WEIGHTS,
+        PRIORITY,
+        STAGE,
+        KV_SOURCE,
+        "X-Kv-Hold",
+        "X-Kv-Backup",
+        "X-Pin-Ms",
+        "Kv-Fetch",
+    )
+)
+"""A caller's own copy could run its request on another's memory or out of turn."""
+
+WRONG_UPSTREAM_STATUS = 421
+
+
+class _PrefilledBody(msgspec.Struct, frozen=True):
+    transfer_handle: str = msgspec.field(name="transfer-handle")
+    version: int = 0
+
+
+class PlatformDialect:
+    """A :class:`~bergamotmast.direct.ports.Dialect`."""
+
+    def read_call(self, headers: cabc.Mapping[str, str]) -> CallTraits:
+        """Read a caller's headers."""
+        prompt_tokens, max_tokens = _tokens(headers.get(TOKENS, ""))
+        time_left = headers.get(TIME_LEFT)
+        return CallTraits(
+            request_id=headers.get(REQUEST_ID, ""),
+            time_left=None if time_left is None else _number(TIME_LEFT, time_left) / 1e3,
+            last_event=_count(headers.get(LAST_EVENT, "")),
+            prompt_tokens=prompt_tokens,
+            max_tokens=max_tokens,
+            expected_tokens=_count(headers.get(LENGTH_ESTIMATE, "")),
+            parts=_parts(headers.get(PROMPT_PARTS, "")),
+        )
+
+    def write_headers(self, headers: Headers, attempt: Attempt, now: float) -> Headers:
+        """Return the headers of a request to an upstream."""
+        left_out = SET_BY_SYSTEM
+        if attempt.last_event:
+            left_out |= {LAST_EVENT.lower()}
+        written = [item for item in headers if item[0].lower() not in left_out]
+        milliseconds = max(1, int((attempt.deadline - now) * 1e3))
+        written.append((TIME_LEFT, str(milliseconds)))
+        written.append((EXPECTED_UPSTREAM, attempt.upstream))
+        if attempt.priority is not None:
+            written.append((PRIORITY, str(attempt.priority)))
+        if attempt.prefill_only:
+            written.append((STAGE, "prefill"))
+        if attempt.kv_source:
+            written.append((KV_SOURCE, attempt.kv_source))
+        if attempt.last_event:
+            written.append((LAST_EVENT, str(attempt.last_event)))
+        if attempt.weights:
+            written.append((EXPECTED_WEIGHTS, attempt.weights))
+        return tuple(written)
+
+    def read_reply(self, status: int, headers: cabc.Mapping[str, str]) -> ReplyTraits:
+        """Read an upstream's status and headers."""
+        wrong_upstream = status == WRONG_UPSTREAM_STATUS
+        return ReplyTraits(
+            request_id=headers.get(REQUEST_ID, ""),
+            signed=bool(headers.get(SIGNATURE)) and "Content-Encoding" not in headers,
+            not_run=wrong_upstream or NOT_RUN in headers,
+            wrong_upstream=wrong_upstream,
+            weights=headers.get(WEIGHTS, ""),
+            load=_load(headers.get(LOAD, "")),
+        )
+
+    def read_prefilled(self, body: bytes) -> Prefilled:
+        """Read the reply to a request that only prefills."""
+        try:
+            read = msgspec.json.decode(body, type=_PrefilledBody)
+        except msgspec.DecodeError as error:
+            raise ReplyLostError(f"the prefill's reply is not understood: {error}") from error
+        return Prefilled(read.transfer_handle, str(read.version))
+
+    def kv_source(self, address: str, handle: str) -> str:
+        """Return the name of an exported KV cache for other engines."""
+        return f"{address}/{handle}"
+
+    def release_target(self, handle: str) -> tuple[str, str]:
+        """Return method and path that free an exported KV cache."""
+        return "DELETE", f"/kv-handle/{handle}"
+
+    def refusal_headers(self, request_id: str) -> Headers:
+        """Return the headers of an answer that the entry makes itself."""
+        return ((REQUEST_ID, request_id),) if request_id else ()
+
+
+def _number(name: str, text: str) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        value = -1.0
+    if not 0.0 <= value <= 1e9:
+        raise RequestError(ResultCode.BAD_HEADER, f"{name}: {text!r} is no duration.")
+    return value
+
+
+def _count(text: str) -> int:
+    """Return a whole number; 0 for none or for what is none, which only hints."""
+    text = text.strip()
+    return int(text) if text.isascii() and text.isdigit() and len(text) < 16 else 0
+
+
+def _tokens(text: str) -> tuple[int, int]:
+    first, _, second = text.partition(",")
+    return _count(first), _count(second)
+
+
+def _parts(text: str) -> tuple[PromptPart, ...]:
+    parts = []
+    for entry in text.split(","):
+        key, _, tokens = entry.strip().partition(":")
+        if key:
+            parts.append(PromptPart(key, _count(tokens)))
+    return tuple(parts)
+
+
+def _load(text: str) -> LoadHint | None:
+    numbers = [_count(part) for part in text.split(",")]
+    return LoadHint(*numbers) if len(numbers) == 3 else None
--- a/src/bergamotmast/settings.py
+++ b/src/bergamotmast/settings.py
@@ -157,6 +157,31 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class DirectEntrySettings:
+    """An entry's settings where it reaches upstreams without sides."""
+
+    name: str = _setting(NAME, _PROCESS, "unique name of this instance")
+    zone: str = _setting(NAME, _PROCESS, "availability zone of this instance")
+    shutdown_seconds: float = _setting(
+        number(0, 3600, "seconds"),
+        _PROCESS,
+        "most time from SIGTERM to the end of the process",
+        8.0,
+    )
+    store_address: str = _setting(ADDRESS, _PLATFORM, "the platform's store")
+    listen_address: str = _setting(ADDRESS, _CALLERS, "where callers come in")
+    ready_address: str = _setting(
+        ADDRESS, _CALLERS, "where the platform asks whether this entry is ready"
+    )
+    log_level: str = _setting(
+        choice("debug", "info", "warning", "error"), _LOGS, "least level", "info"
+    )
+    metrics_address: str = _setting(
+        optional(ADDRESS), _LOGS, "where Prometheus reads metrics; off if empty", ""
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SideSettings(SharedSettings):
     """A side's settings."""
@@ -178,10 +203,12 @@
     )
 
 
-_S = t.TypeVar("_S", bound=KeyValueSettings)
+AnySettings: t.TypeAlias = KeyValueSettings | DirectEntrySettings
+
+_S = t.TypeVar("_S", bound=AnySettings)
 
 
-def declarations(settings: type[KeyValueSettings]) -> tuple[Declaration, ...]:
+def declarations(settings: type[AnySettings]) -> tuple[Declaration, ...]:
     """Return the declarations of a settings class, by group."""
     found = [
         Declaration(field.name, *field.metadata[_DECLARATION])
@@ -192,7 +219,7 @@
 
 
 def add_settings(
-    parser: argparse.ArgumentParser, settings: type[KeyValueSettings]
+    parser: argparse.ArgumentParser, settings: type[AnySettings]
 ) -> None:
     """Give a parser a flag for each setting, under the group's heading."""
     groups: dict[str, argparse._ArgumentGroup] = {}
@@ -257,7 +284,7 @@
         raise SettingError(source, text, declaration.kind.allowed) from error
 
 
-def _check_together(settings: KeyValueSettings) -> None:
+def _check_together(settings: AnySettings) -> None:
     if isinstance(settings, EntrySettings):
         _both_or_none(settings, "tls_certificate_file", "tls_key_file")
     if isinstance(settings, SharedSettings):
