--- /dev/null
+++ b/src/bergamotmast/adapters/datagrams.py
@@ -0,0 +1,52 @@
+"""Datagrams between entries, over UDP."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc as cabc
+import contextlib
+import typing as t
+
+Address = tuple[str, int]
+
+
+class DatagramPort(asyncio.DatagramProtocol):
+    """One bound port; what can't be sent at once is dropped.
+
+    :param on_datagram: called with each datagram that arrives.
+    """
+
+    def __init__(self) -> None:
+        self.on_datagram: cabc.Callable[[bytes], None] | None = None
+        self.transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        # The library's class is no subclass of the one it documents.
+        self.transport = t.cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: Address) -> None:
+        """Hand a datagram over."""
+        if self.on_datagram is not None:
+            self.on_datagram(data)
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore that nobody listens there: the peer is gone or not yet up."""
+
+    def send(self, data: bytes, address: Address) -> None:
+        """Send a datagram."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.sendto(data, address)
+
+
+@contextlib.asynccontextmanager
+async def datagram_port(host: str, port: int) -> cabc.AsyncIterator[DatagramPort]:
+    """Bind a port for the body of an ``async with``."""
+    loop = asyncio.get_running_loop()
+    transport, protocol = await loop.create_datagram_endpoint(
+        DatagramPort, local_addr=(host, port)
+    )
+    try:
+        yield protocol
+    finally:
+        transport.close()
--- a/src/bergamotmast/direct/context.py
+++ b/src/bergamotmast/direct/context.py
@@ -7,11 +7,17 @@
 import dataclasses
 import random
 
+from ..policy.direct_roles import MixMeter
+from ..policy.engine_book import WorkKey
 from ..policy.retry_window import RetryWindow
 from .fleet import Fleet
 from .model import Call
 from .model import Upstream
+from .notices import LEAST_TOKENS
+from .notices import Notices
+from .notices import ReadNotice
 from .placing import Placing
+from .placing import upstream_hash
 from .ports import Dialect
 from .ports import Reply
 from .ports import ReplyTraits
@@ -22,6 +28,7 @@
 class Context:
     """The parts that every run of a request uses.
 
+    :param mix: what the streams of this entry ask of engines.
     :param budgets: second sends by group.
     :param background: tasks that outlive their request, until they are done.
     """
@@ -31,6 +38,8 @@
     dialect: Dialect
     placing: Placing
     rng: random.Random
+    notices: Notices | None = None
+    mix: MixMeter = dataclasses.field(default_factory=MixMeter)
     budgets: dict[str, RetryWindow] = dataclasses.field(default_factory=dict)
     background: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
 
@@ -38,6 +47,27 @@
         """Return a group's window of second sends."""
         return self.budgets.setdefault(group, RetryWindow())
 
+    def tell_begun(
+        self,
+        engine: Upstream,
+        key: WorkKey,
+        priority: int,
+        tokens: int,
+        parts: tuple[tuple[int, int], ...],
+    ) -> None:
+        """Tell the other entries of a prompt that an engine is about to read."""
+        if self.notices is not None and tokens >= LEAST_TOKENS:
+            # The last part belongs to this request or its session alone.
+            notice = ReadNotice(
+                upstream_hash(engine), key[1], priority, tokens, parts[:-1]
+            )
+            self.notices.tell(notice)
+
+    def tell_ended(self, engine: Upstream, key: WorkKey, tokens: int) -> None:
+        """Tell the other entries that a prompt they were told of is done with."""
+        if self.notices is not None and tokens >= LEAST_TOKENS:
+            self.notices.tell(ReadNotice(upstream_hash(engine), key[1], 0, 0))
+
     def spawn(self, work: cabc.Coroutine[object, object, None]) -> None:
         """Run something that no request waits for."""
         task = asyncio.create_task(work)
--- a/src/bergamotmast/direct/core.py
+++ b/src/bergamotmast/direct/core.py
@@ -65,6 +65,7 @@
         with request_context(request_id):
             self.running += 1
             route_name = ""
+            story: dict[str, object] = {}
             code = ResultCode.OK
             status = 0
             try:
@@ -73,7 +74,7 @@
                     method, target, host, traits, headers, items, body, arrived_at
                 )
                 route_name = call.route.name
-                status = await self._run(call, reply)
+                status = await self._run(call, reply, story)
             except RequestError as error:
                 code = error.code
                 status = await self._refuse(error, request_id, reply)
@@ -86,7 +87,7 @@
                 status = await self._refuse(RequestError(code), request_id, reply)
             finally:
                 self.running -= 1
-                self._log_end(route_name, code, status, arrived_at)
+                self._log_end(route_name, code, status, arrived_at, story)
 
     def _let_in(
         self,
@@ -134,11 +135,19 @@
             )
         return table
 
-    async def _run(self, call: Call, reply: CallerReply) -> int:
+    async def _run(
+        self, call: Call, reply: CallerReply, story: dict[str, object]
+    ) -> int:
         now = asyncio.get_running_loop().time()
         self.context.budget(call.group.name).on_request(now)
         if call.route.kind is CallKind.STREAM:
-            return await StreamRun(self.context, call, reply).run()
+            outputs = call.traits.expected_tokens or call.traits.max_tokens
+            self.context.mix.observe(call.traits.prompt_tokens, outputs, now)
+            stream = StreamRun(self.context, call, reply)
+            try:
+                return await stream.run()
+            finally:
+                story.update(stream.timeline.fields(call.arrived_at))
         return await PlainRun(self.context, call, reply).run()
 
     async def _refuse(
@@ -156,7 +165,12 @@
         return error.info.status
 
     def _log_end(
-        self, route: str, code: ResultCode, status: int, arrived_at: float
+        self,
+        route: str,
+        code: ResultCode,
+        status: int,
+        arrived_at: float,
+        story: dict[str, object],
     ) -> None:
         seconds = asyncio.get_running_loop().time() - arrived_at
         self.telemetry.on_ended("", route, code, seconds)
@@ -168,5 +182,6 @@
                 "code": int(code),
                 "status": status,
                 "ms": round(seconds * 1e3, 1),
+                **story,
             },
         )
--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -2,14 +2,23 @@
 
 from __future__ import annotations
 
+import collections.abc as cabc
 import dataclasses
 import logging
+import time
+
+import msgspec
 
 from ..errors import ConfigError
+from ..model import Role
 from ..ports import KeyValue
+from ..protocol.plan import ENGINES_PREFIX
+from ..protocol.plan import decode_engine_plan
+from ..protocol.plan import engine_of_key
 from .model import Group
 from .model import Upstream
 from .ports import Directory
+from .presence import PRESENCE_PREFIX
 from .routing import RouteTable
 
 logger = logging.getLogger(__name__)
@@ -22,6 +31,11 @@
 """
 
 
+CHANGE_SECONDS = 6.0
+"""How long an engine is left alone after the plan has changed its role: the change
+takes some three seconds, and one that was never carried out must not cost it longer."""
+
+
 @dataclasses.dataclass(slots=True)
 class Seen:
     """An upstream with what was read of it.
@@ -36,6 +50,17 @@
     gone_at: float | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Planned:
+    """The role that the plan has lately given an engine.
+
+    :param until: when the change should be over; a point in time.
+    """
+
+    role: Role
+    until: float
+
+
 class Fleet:
     """What the store said last.
 
@@ -43,12 +68,17 @@
     :param settled: whether the upstreams have been read once.
     """
 
-    def __init__(self, directory: Directory) -> None:
+    def __init__(
+        self, directory: Directory, clock: cabc.Callable[[], float] = time.monotonic
+    ) -> None:
         self.directory = directory
+        self.clock = clock
         self.table: RouteTable | None = None
         self.settled = False
         self.seen: dict[str, Seen] = {}
         self.unread: dict[str, int] = {}
+        self.planned: dict[str, Planned] = {}
+        self.entries: dict[str, tuple[str, int]] = {}
 
     @property
     def ready(self) -> bool:
@@ -65,8 +95,14 @@
         assert self.table is not None
         return self.table.routing.groups.get(name) or Group(name)
 
-    def members(self, group: str, now: float) -> list[Upstream]:
-        """Return the upstreams of a group that may be given new work."""
+    def engine_groups(self) -> list[str]:
+        """Return the names of the groups that serve models."""
+        assert self.table is not None
+        groups = self.table.routing.groups.values()
+        return [group.name for group in groups if group.engine is not None]
+
+    def present(self, group: str, now: float) -> list[Upstream]:
+        """Return the upstreams of a group that are not leaving."""
         return [
             seen.upstream
             for seen in self.seen.values()
@@ -75,6 +111,20 @@
             and (seen.gone_at is None or now < seen.gone_at)
         ]
 
+    def members(self, group: str, now: float) -> list[Upstream]:
+        """Return the upstreams of a group that may be given new work."""
+        return [u for u in self.present(group, now) if not self._changing(u, now)]
+
+    def _changing(self, upstream: Upstream, now: float) -> bool:
+        """Return whether an engine is on its way to another role.
+
+        It refuses all work meanwhile; a prompt sent there loses its time.
+        """
+        planned = self.planned.get(upstream.name)
+        if planned is None or now >= planned.until:
+            return False
+        return planned.role is not upstream.role
+
     def is_current(self, upstream: Upstream, now: float) -> bool:
         """Return whether an upstream may still be given new work."""
         seen = self.seen.get(upstream.name)
@@ -93,9 +143,14 @@
             self._put_routing(item)
         elif item.key.startswith(self.directory.upstream_prefix):
             self._put_upstream(item)
+        elif item.key.startswith(ENGINES_PREFIX):
+            self._put_planned(item)
+        elif item.key.startswith(PRESENCE_PREFIX):
+            self._put_entry(item)
 
     def remove(self, key: str, revision: int) -> None:
         """Take a key's removal; without a configuration the last one stays."""
+        self.entries.pop(key, None)
         seen = self.seen.get(key)
         if seen is not None and revision > seen.revision:
             del self.seen[key]
@@ -124,6 +179,27 @@
                 self.remove(key, seen.revision + 1)
         self.settled = True
 
+    def _put_entry(self, item: KeyValue) -> None:
+        host, _, port = item.value.decode(errors="replace").rpartition(":")
+        if port.isascii() and port.isdigit():
+            self.entries[item.key] = (host, int(port))
+
+    def _put_planned(self, item: KeyValue) -> None:
+        try:
+            part = decode_engine_plan(item.value)
+        except msgspec.DecodeError as error:
+            logger.warning(
+                "plan is not understood", extra={"key": item.key, "error": str(error)}
+            )
+            return
+        name = engine_of_key(item.key)
+        until = self.clock() + CHANGE_SECONDS
+        self.planned[name] = Planned(part.assignment.role, until)
+        logger.info(
+            "plan is known",
+            extra={"upstream": name, "role": part.assignment.role.value},
+        )
+
     def _put_routing(self, item: KeyValue) -> None:
         try:
             routing = self.directory.decode_routing(item.value)
--- a/src/bergamotmast/direct/following.py
+++ b/src/bergamotmast/direct/following.py
@@ -11,6 +11,7 @@
 from ..ports import KeyValue
 from ..ports import KeyValueService
 from .fleet import Fleet
+from .presence import PRESENCE_PREFIX
 
 logger = logging.getLogger(__name__)
 
@@ -49,14 +50,17 @@
 
     async def _read(self) -> int:
         directory = self.fleet.directory
-        entries = await self.kv.range(directory.upstream_prefix)
+        upstreams = await self.kv.range(directory.upstream_prefix)
         config = await self.kv.get(directory.config_key)
+        entries = await self.kv.range(PRESENCE_PREFIX)
         now = asyncio.get_running_loop().time()
-        self.fleet.replace(entries.items, now, self._after_outage(now))
+        self.fleet.replace(upstreams.items, now, self._after_outage(now))
+        for item in entries.items:
+            self.fleet.put(item)
         if config is not None:
             self.fleet.put(config)
         self._on_heard(now)
-        return entries.revision
+        return upstreams.revision
 
     async def _watch(self, revision: int) -> None:
         loop = asyncio.get_running_loop()
--- a/src/bergamotmast/direct/placing.py
+++ b/src/bergamotmast/direct/placing.py
@@ -5,6 +5,8 @@
 import asyncio
 import collections.abc as cabc
 import random
+import typing as t
+import zlib
 
 from ..errors import RequestError
 from ..errors import ResultCode
@@ -13,7 +15,9 @@
 from ..policy.direct_placement import Placement
 from ..policy.direct_placement import choose_answering
 from ..policy.direct_placement import place
+from ..policy.direct_placement import priority_of
 from ..policy.engine_book import EngineBook
+from ..policy.engine_book import WorkKey
 from ..policy.plain_choice import PlainBook
 from ..policy.plain_choice import PlainView
 from ..policy.plain_choice import choose_plain
@@ -22,22 +26,29 @@
 from .model import Upstream
 from .ports import LoadHint
 
+if t.TYPE_CHECKING:
+    from .notices import ReadNotice
+
 BookKey = tuple[str, str]
 """Name and boot: what was known of an upstream is void once it restarts."""
 
 
 class Placing:
-    """Where requests go, from this entry's own knowledge.
+    """Where requests go, from what this entry and its peers have sent.
 
+    :param name: of this entry.
     :param zone: availability zone of this entry.
     """
 
-    def __init__(self, fleet: Fleet, zone: str, rng: random.Random) -> None:
+    def __init__(self, fleet: Fleet, name: str, zone: str, rng: random.Random) -> None:
         self.fleet = fleet
+        self.name = name
         self.zone = zone
         self.rng = rng
         self.engines: dict[BookKey, EngineBook] = {}
         self.plain: dict[BookKey, PlainBook] = {}
+        self.by_hash: dict[int, BookKey] = {}
+        self.last_number = 0
 
     def engine_book(self, upstream: Upstream) -> EngineBook:
         """Return what is known of an engine."""
@@ -48,6 +59,7 @@
             engine = self.fleet.group(upstream.group).engine
             book = EngineBook(engine.kv_capacity if engine else 1)
             self.engines[key] = book
+            self.by_hash[upstream_hash(upstream)] = key
         return book
 
     def plain_book(self, upstream: Upstream) -> PlainBook:
@@ -59,6 +71,11 @@
             book = self.plain[key] = PlainBook()
         return book
 
+    def new_key(self) -> WorkKey:
+        """Return a key for a prompt that this entry is about to send."""
+        self.last_number += 1
+        return self.name, self.last_number
+
     def on_load(self, upstream: Upstream, load: LoadHint) -> None:
         """Take an upstream's word on its load."""
         now = asyncio.get_running_loop().time()
@@ -67,6 +84,23 @@
         else:
             self.plain_book(upstream).hint(load.running, load.waiting, now)
 
+    def on_notice(self, sender: str, notice: ReadNotice, now: float) -> None:
+        """Take another entry's word on a prompt it has sent."""
+        book = self.engines.get(self.by_hash.get(notice.engine, ("", "")))
+        if book is None:
+            return
+        key = (sender, notice.number)
+        if notice.tokens:
+            book.begin(key, notice.tokens, notice.priority, now)
+            book.prefix.store(notice.parts)
+        else:
+            book.end(key, now)
+
+    def to_read(self, call: Call, upstream: Upstream) -> int:
+        """Return the prompt tokens that an engine has not cached, as far as known."""
+        cached = self.engine_book(upstream).prefix.cached(shared_parts(call))
+        return max(1, call.traits.prompt_tokens - cached)
+
     def choose_plain(self, call: Call, tried: cabc.Collection[str]) -> Upstream:
         """Return the plain upstream for a request's next send.
 
@@ -100,7 +134,7 @@
         now = asyncio.get_running_loop().time()
         members = self._untried(call, tried, now)
         by_name = {member.name: member for member in members}
-        placement = place(self._views(call, members, now))
+        placement = place(self._views(call, members, now), call.route.objective)
         if placement is None:
             raise RequestError(ResultCode.NO_UPSTREAM)
         reader = by_name[placement.prefill] if placement.prefill else None
@@ -132,26 +166,21 @@
             book = self.engine_book(member)
             if now < book.failed_until:
                 continue
-            cached = book.prefix.cached(shared_parts(call))
-            to_read = max(1, call.traits.prompt_tokens - cached)
-            ahead = book.ahead(call.route.rank, now)
-            ahead += book.others(now) * self._mean_tokens()
+            to_read = self.to_read(call, member)
+            priority = priority_of(call.route.rank, to_read)
             views.append(
                 EngineView(
                     member.name,
                     member.role or Role.MIXED,
                     member.zone == self.zone,
-                    book.rate,
-                    ahead,
+                    book.wait_tokens(priority, now),
                     to_read,
-                    book.streams + book.others(now),
+                    book.slow(now),
+                    book.answers(now),
                 )
             )
         return views
 
-    def _mean_tokens(self) -> float:
-        return 500.0
-
     def _forget_gone(self) -> None:
         present = {
             (seen.upstream.name, seen.upstream.boot)
@@ -159,8 +188,18 @@
         }
         self.engines = {k: b for k, b in self.engines.items() if k in present}
         self.plain = {k: b for k, b in self.plain.items() if k in present}
+        self.by_hash = {h: k for h, k in self.by_hash.items() if k in present}
+
+
+def shared_parts(call: Call) -> tuple[tuple[int, int], ...]:
+    """Return hash and length of the parts of a request's prompt, in order."""
+    return tuple((_hash(part.key), part.tokens) for part in call.traits.parts)
+
+
+def upstream_hash(upstream: Upstream) -> int:
+    """Return the short name of an upstream's present life."""
+    return _hash(f"{upstream.name}/{upstream.boot}")
 
 
-def shared_parts(call: Call) -> list[tuple[str, int]]:
-    """Return the parts of a request's prompt, in order."""
-    return [(part.key, part.tokens) for part in call.traits.parts]
+def _hash(text: str) -> int:
+    return zlib.crc32(text.encode())
--- /dev/null
+++ b/src/bergamotmast/direct/presence.py
@@ -0,0 +1,58 @@
+"""Registers this entry in the key-value service, for as long as it lives."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+
+from ..backoff import Backoff
+from ..errors import PortError
+from ..ports import KeyValueService
+from ..ports import Put
+
+logger = logging.getLogger(__name__)
+
+PRESENCE_PREFIX = "/bergamotmast/entries/"
+
+LEASE_SECONDS = 12
+"""Time to live of an entry that has died; others send it datagrams in vain so long."""
+
+RENEWAL_SECONDS = 4.0
+"""Between renewals; two may fail before the lease lapses."""
+
+LONGEST_RETRY_SECONDS = 3.0
+"""Between two tries while the store does not answer."""
+
+
+class Presence:
+    """Keeps one key with this entry's address under a lease.
+
+    :param address: where other entries reach this one, ``host:port``.
+    """
+
+    def __init__(
+        self, kv: KeyValueService, name: str, address: str, rng: random.Random
+    ) -> None:
+        self.kv = kv
+        self.key = PRESENCE_PREFIX + name
+        self.value = address.encode()
+        self.backoff = Backoff(rng, first=0.3, longest=LONGEST_RETRY_SECONDS)
+
+    async def run(self) -> None:
+        """Register and stay registered until cancelled."""
+        while True:
+            try:
+                await self._hold()
+            except PortError as error:
+                logger.info("entry is not registered", extra={"error": error.message})
+            await asyncio.sleep(self.backoff.next_delay())
+
+    async def _hold(self) -> None:
+        lease = await self.kv.grant_lease(LEASE_SECONDS)
+        await self.kv.txn([], [Put(self.key, self.value, lease)])
+        self.backoff.reset()
+        while True:
+            await asyncio.sleep(RENEWAL_SECONDS)
+            if not await self.kv.keep_alive(lease):
+                return
--- /dev/null
+++ b/src/bergamotmast/direct/role_planner.py
@@ -0,0 +1,236 @@
+"""Gives engines their roles, in whichever entry holds the planner's lease.
+
+Authority is the product's own: the lease keeps two planners apart most of the time,
+and each order is preceded by a write of the plan that fails once another planner has
+taken it. The epoch of that write is the order's fencing token. The plan also tells
+every other entry which engine is about to change.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc as cabc
+import contextlib
+import dataclasses
+import enum
+import logging
+import random
+import typing as t
+
+from ..errors import AuthorityLostError
+from ..errors import OrderRefusedError
+from ..errors import PortError
+from ..model import Assignment
+from ..planner.authority import Authority
+from ..planner.plan_store import PlanStore
+from ..policy.direct_roles import EngineRole
+from ..policy.direct_roles import MixMeter
+from ..policy.direct_roles import RoleController
+from ..policy.direct_roles import RoleOrder
+from .fleet import Fleet
+from .model import Upstream
+from .placing import Placing
+
+logger = logging.getLogger(__name__)
+
+TICK_SECONDS = 0.5
+"""Between two looks at the fleet."""
+
+UNRESOLVED_SECONDS = 13.0
+"""An order without a reply may be carried out so much later; the engine gets no other
+one until then, and is counted as changing."""
+
+
+class OrderReply(enum.Enum):
+    """What an engine says to an order."""
+
+    TAKEN = "taken"
+    HOLDS = "holds"
+    CONFLICT = "conflict"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoleOrderCall:
+    """An order as an engine gets it.
+
+    :param sequence: orders that the engine must have taken before, and no more: an
+        order that is carried out late, after a newer one, then changes nothing.
+    :param holder: name of this machine.
+    :param token: authority; engines refuse a lower one than they have seen.
+    """
+
+    upstream: Upstream
+    order: RoleOrder
+    sequence: int
+    holder: str
+    token: int
+
+
+class EngineOrders(t.Protocol):
+    """Gives orders to engines."""
+
+    async def sequence(self, upstream: Upstream) -> int | None:
+        """Return how many orders an engine has taken; ``None`` while one is going on.
+
+        :raises PortError: if it can't be told.
+        """
+        ...
+
+    async def order(self, call: RoleOrderCall) -> OrderReply:
+        """Give an order.
+
+        :raises OrderRefusedError: if the engine has seen a higher token.
+        :raises NotReachedError: if nothing was sent.
+        :raises ReplyLostError: if the order may be carried out now or later.
+        """
+        ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pending:
+    """An order whose end has not been seen.
+
+    :param until: when the engine may get another one; a point in time.
+    """
+
+    order: RoleOrder
+    boot: str
+    until: float
+
+
+class RolePlanner:
+    """One entry's share in planning.
+
+    :param name: of this machine, as orders carry it.
+    :param quiet_seconds: pause between the orders of two holders.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        authority: Authority,
+        store: PlanStore,
+        fleet: Fleet,
+        placing: Placing,
+        orders: EngineOrders,
+        mix: MixMeter,
+        quiet_seconds: float,
+        rng: random.Random,
+    ) -> None:
+        self.name = name
+        self.authority = authority
+        self.store = store
+        self.fleet = fleet
+        self.placing = placing
+        self.orders = orders
+        self.mix = mix
+        self.quiet_seconds = quiet_seconds
+        self.rng = rng
+        self.controllers: dict[str, RoleController] = {}
+        self.pending: dict[str, Pending] = {}
+
+    async def run(self) -> None:
+        """Plan whenever this entry holds the lease, until cancelled."""
+        while True:
+            await self.authority.acquire()
+            logger.info("planner's lease is held", extra={"lease": self.authority.lease})
+            try:
+                await self._plan_while_held()
+            except (AuthorityLostError, OrderRefusedError, PortError) as error:
+                logger.warning("planner gives up", extra={"error": error.message})
+            finally:
+                self.pending.clear()
+                await self.authority.release()
+
+    async def _plan_while_held(self) -> None:
+        tasks = [
+            asyncio.create_task(self.authority.hold()),
+            asyncio.create_task(self._plan()),
+        ]
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            for task in tasks:
+                if task.done():
+                    task.result()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _plan(self) -> None:
+        token = await self.store.open()
+        logger.info("plan is open", extra={"epoch": token.epoch})
+        if token.epoch > 1:
+            # Another machine may have given an order a moment ago: two holders that
+            # take turns at one engine would leave it torn between them.
+            await asyncio.sleep(self.quiet_seconds)
+        while True:
+            with contextlib.suppress(PortError):
+                await self._tick()
+            await asyncio.sleep(TICK_SECONDS)
+
+    async def _tick(self) -> None:
+        if not self.fleet.ready:
+            return
+        now = asyncio.get_running_loop().time()
+        for group in self.fleet.engine_groups():
+            members = self.fleet.present(group, now)
+            self._settle(members, now)
+            settled = [m for m in members if m.name not in self.pending]
+            controller = self.controllers.setdefault(group, RoleController())
+            order = controller.decide(
+                [self._engine_role(m, now) for m in settled], self.mix.decode_share, now
+            )
+            if order is not None and not self._any_pending(members):
+                chosen = next(m for m in settled if m.name == order.name)
+                await self._give(chosen, order, now)
+
+    def _any_pending(self, members: cabc.Iterable[Upstream]) -> bool:
+        return any(member.name in self.pending for member in members)
+
+    def _engine_role(self, upstream: Upstream, now: float) -> EngineRole:
+        assert upstream.role is not None
+        book = self.placing.engine_book(upstream)
+        load = book.answers(now) + len(book.reading)
+        return EngineRole(upstream.name, upstream.role, load)
+
+    def _settle(self, members: list[Upstream], now: float) -> None:
+        """Forget orders that are carried out, void by a restart, or long overdue."""
+        for member in members:
+            pending = self.pending.get(member.name)
+            if pending is None:
+                continue
+            done = member.role is pending.order.role or member.boot != pending.boot
+            if done or now >= pending.until:
+                del self.pending[member.name]
+
+    async def _give(self, upstream: Upstream, order: RoleOrder, now: float) -> None:
+        sequence = await self.orders.sequence(upstream)
+        if sequence is None:
+            return
+        await self.store.write({upstream.name: Assignment(order.role)})
+        call = RoleOrderCall(
+            upstream, order, sequence, self.name, self.store.seen.epoch
+        )
+        self.pending[upstream.name] = Pending(
+            order, upstream.boot, now + UNRESOLVED_SECONDS
+        )
+        outcome = "no reply"
+        try:
+            reply = await self.orders.order(call)
+            outcome = reply.value
+            if reply is not OrderReply.TAKEN:
+                del self.pending[upstream.name]
+        finally:
+            logger.info(
+                "order given",
+                extra={
+                    "upstream": upstream.name,
+                    "role": order.role.value,
+                    "reason": order.reason,
+                    "sequence": sequence,
+                    "token": call.token,
+                    "decode_share": round(self.mix.decode_share, 3),
+                    "outcome": outcome,
+                },
+            )
--- a/src/bergamotmast/direct/stream_run.py
+++ b/src/bergamotmast/direct/stream_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import logging
 
 from ..errors import NotReachedError
@@ -10,7 +11,11 @@
 from ..errors import RequestError
 from ..errors import ResultCode
 from ..model import Role
-from ..policy.direct_placement import DECODE_SHARE
+from ..policy.direct_placement import FIRST_TOKEN_SECONDS
+from ..policy.direct_placement import priority_of
+from ..policy.engine_book import CALL_SECONDS
+from ..policy.engine_book import WorkKey
+from ..policy.engine_book import read_rate
 from .caller import CallerReply
 from .context import Context
 from .events import Event
@@ -38,6 +43,62 @@
     """A stream ended before its end, or its reply can't be used."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Read:
+    """A prompt booked at the engine that reads it.
+
+    :param tokens: prompt tokens that were thought not to be cached there.
+    :param predicted: seconds that it should take.
+    """
+
+    key: WorkKey
+    tokens: int
+    priority: int
+    began_at: float
+    predicted: float
+
+
+@dataclasses.dataclass(slots=True)
+class Timeline:
+    """When a stream came how far, as points in time; the last send's where it had more.
+
+    :param reader: engine that read the prompt for the answering one.
+    :param upstream: the answering engine.
+    :param to_read: prompt tokens that were thought not to be cached.
+    """
+
+    reader: str = ""
+    upstream: str = ""
+    to_read: int = 0
+    predicted: float = 0.0
+    placed_at: float | None = None
+    prefilled_at: float | None = None
+    replied_at: float | None = None
+    first_event_at: float | None = None
+
+    def fields(self, arrived_at: float) -> dict[str, object]:
+        """Return what a log line says of it, in milliseconds since the arrival."""
+        points = {
+            "placed_ms": self.placed_at,
+            "prefilled_ms": self.prefilled_at,
+            "replied_ms": self.replied_at,
+            "first_event_ms": self.first_event_at,
+        }
+        found: dict[str, object] = {
+            name: round((point - arrived_at) * 1e3, 1)
+            for name, point in points.items()
+            if point is not None
+        }
+        if self.upstream:
+            found |= {
+                "reader": self.reader,
+                "upstream": self.upstream,
+                "to_read": self.to_read,
+                "predicted_ms": round(self.predicted * 1e3, 1),
+            }
+        return found
+
+
 class StreamRun:
     """Runs one streamed request.
 
@@ -53,7 +114,7 @@
         self.last_event = call.traits.last_event
         self.weights = ""
         self.prefills = 0
-        self.first_event_at: float | None = None
+        self.timeline = Timeline()
 
     async def run(self) -> int:
         """Answer the caller and return the status.
@@ -92,15 +153,10 @@
         reader, upstream, placement = self.context.placing.place_stream(
             self.call, self.sends.excluded
         )
-        logger.info(
-            "placed",
-            extra={
-                "reader": reader.name if reader else "",
-                "upstream": upstream.name,
-                "predicted_ms": round(placement.first_token * 1e3),
-                "tokens": self.call.traits.prompt_tokens,
-            },
-        )
+        timeline = self.timeline
+        timeline.placed_at = asyncio.get_running_loop().time()
+        timeline.reader = reader.name if reader else ""
+        timeline.predicted = placement.first_token
         return reader, upstream
 
     async def _prefill(self, reader: Upstream) -> str:
@@ -110,30 +166,51 @@
         self.prefills += 1
         book = self.context.placing.engine_book(reader)
         loop = asyncio.get_running_loop()
-        parts = shared_parts(self.call)
-        to_read = max(1, self.call.traits.prompt_tokens - book.prefix.cached(parts))
-        number = book.begin(to_read, self.call.route.rank, loop.time())
-        done = False
+        read = self._begin_read(reader)
         try:
-            source = await self._exchange_prefill(reader)
-            done = True
-            book.prefix.store(parts)
+            source = await self._exchange_prefill(reader, read.priority)
+            now = loop.time()
+            book.measure(read.predicted, now - read.began_at, now)
+            self.timeline.prefilled_at = now
+            self.timeline.to_read = read.tokens
             return source
         except (NotReachedError, ReplyLostError) as error:
             book.failed_until = loop.time() + FAILED_SECONDS
             self._log_failure(reader, error.message, "prefill")
             return ""
         finally:
-            book.end(number, loop.time(), done=done)
+            self._end_read(reader, read)
+
+    def _begin_read(self, engine: Upstream) -> Read:
+        """Book a prompt at the engine that is about to read it, and tell the peers."""
+        context = self.context
+        book = context.placing.engine_book(engine)
+        now = asyncio.get_running_loop().time()
+        tokens = context.placing.to_read(self.call, engine)
+        priority = priority_of(self.call.route.rank, tokens)
+        wait = book.wait_tokens(priority, now)
+        rate = read_rate(engine.role or Role.MIXED)
+        predicted = (wait + tokens) / rate + CALL_SECONDS
+        key = context.placing.new_key()
+        parts = shared_parts(self.call)
+        book.begin(key, tokens, priority, now)
+        book.prefix.store(parts)
+        context.tell_begun(engine, key, priority, tokens, parts)
+        return Read(key, tokens, priority, now, predicted)
 
-    async def _exchange_prefill(self, reader: Upstream) -> str:
+    def _end_read(self, engine: Upstream, read: Read) -> None:
+        book = self.context.placing.engine_book(engine)
+        book.end(read.key, asyncio.get_running_loop().time())
+        self.context.tell_ended(engine, read.key, read.tokens)
+
+    async def _exchange_prefill(self, reader: Upstream, priority: int) -> str:
         call = self.call
         dialect = self.context.dialect
         now = asyncio.get_running_loop().time()
         attempt = Attempt(
             reader.name,
             call.deadline,
-            priority=self._priority(),
+            priority=priority,
             prefill_only=True,
             last_event=self.last_event,
         )
@@ -159,12 +236,16 @@
             raise
         book = self.context.placing.engine_book(upstream)
         loop = asyncio.get_running_loop()
-        parts = shared_parts(self.call)
-        to_read = max(1, self.call.traits.prompt_tokens - book.prefix.cached(parts))
-        reading = book.begin(1 if source else to_read, self.call.route.rank, loop.time())
+        read = None if source else self._begin_read(upstream)
+        self.timeline.upstream = upstream.name
+        if read is not None:
+            self.timeline.reader = ""
+            self.timeline.to_read = read.tokens
         taken = False
+        streaming = False
         try:
-            async with self._open(upstream, source) as reply:
+            async with self._open(upstream, source, read) as reply:
+                self.timeline.replied_at = loop.time()
                 traits = self.context.read_reply(self.call, upstream, reply)
                 if traits.request_id and (
                     traits.request_id != self.call.traits.request_id
@@ -179,12 +260,11 @@
                 if not traits.signed:
                     raise BrokenStreamError("the reply is not signed")
                 async for event in self._events(reply):
-                    if reading:
-                        share = 1.0 if upstream.role is Role.PREFILL else DECODE_SHARE
-                        book.end(reading, loop.time(), done=not source, share=share)
-                        reading = 0
+                    if not streaming:
+                        streaming = True
                         book.streams += 1
-                        book.prefix.store(parts)
+                        if read is not None:
+                            self._on_read(upstream, read)
                     await self._forward(event, reply, traits)
             await self._finish(reply, traits)
             return reply.status
@@ -196,21 +276,29 @@
             self._log_failure(upstream, str(error), "broken")
             self._refuse_unrepeatable()
         finally:
-            if reading:
-                book.end(reading, loop.time(), done=False)
-            else:
+            if streaming:
                 book.streams -= 1
+            elif read is not None:
+                self._end_read(upstream, read)
             if not taken:
                 self._release(source)
         return None
 
-    def _open(self, upstream: Upstream, source: str):  # type: ignore[no-untyped-def]
+    def _on_read(self, upstream: Upstream, read: Read) -> None:
+        """Note that the answering engine has read the prompt itself."""
+        now = asyncio.get_running_loop().time()
+        book = self.context.placing.engine_book(upstream)
+        book.measure(read.predicted + FIRST_TOKEN_SECONDS, now - read.began_at, now)
+        self._end_read(upstream, read)
+
+    def _open(self, upstream: Upstream, source: str, read: Read | None):  # type: ignore[no-untyped-def]
         call = self.call
         now = asyncio.get_running_loop().time()
+        tokens = call.traits.prompt_tokens if read is None else read.tokens
         attempt = Attempt(
             upstream.name,
             call.deadline,
-            priority=self._priority(),
+            priority=priority_of(call.route.rank, tokens),
             kv_source=source,
             last_event=self.last_event,
             weights=self.weights,
@@ -244,7 +332,7 @@
     async def _start(self, reply: Reply, traits: ReplyTraits) -> None:
         if self.reply.started:
             return
-        self.first_event_at = asyncio.get_running_loop().time()
+        self.timeline.first_event_at = asyncio.get_running_loop().time()
         self.weights = traits.weights
         await self.reply.start(reply.status, answer_headers(reply))
 
@@ -269,9 +357,6 @@
             return
         raise RequestError(ResultCode.OUTCOME_UNKNOWN) from None
 
-    def _priority(self) -> int:
-        return min(9, self.call.route.rank)
-
     def _release(self, source: str) -> None:
         if source:
             self.context.spawn(self._free(source))
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -12,6 +12,7 @@
 import aiohttp
 from aiohttp import web
 
+from .adapters.datagrams import datagram_port
 from .adapters.http_calls import client_session
 from .adapters.opaque_http import HttpUpstreamClient
 from .direct.context import Context
@@ -19,9 +20,16 @@
 from .direct.fleet import Fleet
 from .direct.following import Follower
 from .direct.front import DirectFront
+from .direct.notices import Notices
 from .direct.placing import Placing
+from .direct.presence import Presence
+from .direct.role_planner import RolePlanner
+from .history import NullHistory
+from .planner.authority import Authority
+from .planner.plan_store import PlanStore
 from .platform.directory import PlatformDirectory
 from .platform.headers import PlatformDialect
+from .platform.orders import PlatformOrders
 from .platform.store import PlatformStore
 from .settings import DirectEntrySettings
 from .telemetry import NullTelemetry
@@ -38,6 +46,15 @@
 SHUTDOWN_MARGIN_SECONDS = 0.8
 """Left between the last answer and the platform's SIGKILL."""
 
+PLANNER_LEASE_SECONDS = 5
+"""Time to live of the planner's lease: so long roles stay as they are after its end."""
+
+FIRST_LOOK_SECONDS = 1.5
+"""Bound of the first look at the lease: roles should be settled before callers come."""
+
+MOST_PLAN_WRITES = 24
+"""Engines changed by one transaction; the store takes 32 entries, three are ours."""
+
 IDLE_CHECK_SECONDS = 0.1
 """Between two looks whether the last request is answered."""
 
@@ -47,23 +64,62 @@
     logger.info("starts", extra={"zone": settings.zone})
     rng = random.Random()
     fleet = Fleet(PlatformDirectory())
-    placing = Placing(fleet, settings.zone, rng)
-    async with HttpUpstreamClient() as client, _store_session() as session:
+    placing = Placing(fleet, settings.name, settings.zone, rng)
+    host, _, port = settings.peer_address.rpartition(":")
+    async with (
+        HttpUpstreamClient() as client,
+        _store_session() as session,
+        datagram_port(host, int(port)) as peers,
+    ):
         context = Context(fleet, client, PlatformDialect(), placing, rng)
+        context.notices = Notices(
+            settings.name, placing, fleet.entries.values, peers.send
+        )
+        peers.on_datagram = context.notices.receive
         core = DirectCore(context, NullTelemetry())
         front = DirectFront(core)
         store = PlatformStore(session, settings.store_address)
+        presence = Presence(store, settings.name, settings.peer_address, rng)
         told = _signals()
         async with (
             _serving(front.callers(), settings.listen_address),
             _serving(front.probes(), settings.ready_address),
             _running(Follower(store, fleet, rng).run()),
+            _running(presence.run()),
+            _running(_planner(settings, store, context).run()),
         ):
             await told.wait()
             await _drain(core, settings.shutdown_seconds)
     logger.info("stops")
 
 
+def _planner(
+    settings: DirectEntrySettings, store: PlatformStore, context: Context
+) -> RolePlanner:
+    name = settings.name
+    authority = Authority(
+        store,
+        name,
+        context.rng,
+        PLANNER_LEASE_SECONDS,
+        first_look_seconds=FIRST_LOOK_SECONDS,
+    )
+    plan = PlanStore(
+        store, name, context.rng, NullHistory(), most_writes=MOST_PLAN_WRITES
+    )
+    return RolePlanner(
+        name,
+        authority,
+        plan,
+        context.fleet,
+        context.placing,
+        PlatformOrders(context.client),
+        context.mix,
+        settings.order_pause_ms / 1e3,
+        context.rng,
+    )
+
+
 async def _drain(core: DirectCore, seconds: float) -> None:
     """Serve on until callers are sent elsewhere and the last request is answered."""
     loop = asyncio.get_running_loop()
--- a/src/bergamotmast/planner/authority.py
+++ b/src/bergamotmast/planner/authority.py
@@ -24,6 +24,9 @@
 RENEWALS_PER_LEASE = 3
 """Two renewals in a row may fail before the lease lapses."""
 
+FIRST_LOOK_SECONDS = 5.0
+"""Within so long after the start, evenly drawn, a candidate first looks."""
+
 LEAST_POLL_SECONDS = 5.0
 MOST_POLL_SECONDS = 15.0
 """Between a candidate's looks at the holder, evenly drawn: 330 candidates make 33
@@ -37,6 +40,7 @@
     :param planner: name of the candidate.
     :param rng: source of jitter and nonces.
     :param lease_seconds: time to live of the lease.
+    :param first_look_seconds: bound of the first look's jitter.
     :param lease: the lease held; 0 for none.
     """
 
@@ -46,9 +50,11 @@
         planner: str,
         rng: random.Random,
         lease_seconds: int = LEASE_SECONDS,
+        first_look_seconds: float = FIRST_LOOK_SECONDS,
     ) -> None:
         self.kv = kv
         self.lease_seconds = lease_seconds
+        self.first_look_seconds = first_look_seconds
         self.planner = planner
         self.rng = rng
         self.lease = 0
@@ -59,7 +65,7 @@
         The first look is jittered too: candidates that start together, or that wait
         out the same outage, would otherwise all write in one moment.
         """
-        pause = self.rng.uniform(0.0, LEAST_POLL_SECONDS)
+        pause = self.rng.uniform(0.0, self.first_look_seconds)
         while True:
             await asyncio.sleep(pause)
             try:
--- a/src/bergamotmast/planner/plan_store.py
+++ b/src/bergamotmast/planner/plan_store.py
@@ -57,6 +57,7 @@
         the wall clock: after a restore of the service the lost epochs are not known to
         a new process, and a hint that only rises passes them. It is no safeguard; a
         clock that is wrong delays obedience after a restore and nothing else.
+    :param most_writes: engines changed by one transaction.
     :param plans: the plan as last read or written, by engine.
     :param seen: highest authority this process has seen.
     """
@@ -68,12 +69,14 @@
         rng: random.Random,
         history: HistorySink,
         epoch_hint: cabc.Callable[[], int] = no_epoch_hint,
+        most_writes: int = MOST_WRITES,
     ) -> None:
         self.kv = kv
         self.planner = planner
         self.rng = rng
         self.history = history
         self.epoch_hint = epoch_hint
+        self.most_writes = most_writes
         self.plans: dict[str, EnginePlan] = {}
         self.seen = NO_TOKEN
         self.head: PlanHead | None = None
@@ -121,8 +124,8 @@
         if self.head is None:
             raise AuthorityLostError("The plan has to be opened first.")
         names = sorted({*assignments, *removed})
-        for start in range(0, len(names), MOST_WRITES):
-            part = names[start : start + MOST_WRITES]
+        for start in range(0, len(names), self.most_writes):
+            part = names[start : start + self.most_writes]
             token = FencingToken(self.head.epoch, self.head.revision + 1)
             wanted = {n: assignments[n] for n in part if n in assignments}
             await self._commit(token, wanted, [n for n in part if n not in wanted])
--- /dev/null
+++ b/src/bergamotmast/platform/orders.py
@@ -0,0 +1,79 @@
+"""Orders to engines, as the platform's engines take them."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from ..direct.model import Upstream
+from ..direct.ports import UpstreamClient
+from ..direct.role_planner import OrderReply
+from ..direct.role_planner import RoleOrderCall
+from ..errors import OrderRefusedError
+from ..errors import ReplyLostError
+from .headers import EXPECTED_UPSTREAM
+
+CALL_SECONDS = 1.0
+"""Time for a report or for the reply to an order; both come within milliseconds."""
+
+_REPLIES = {202: OrderReply.TAKEN, 200: OrderReply.HOLDS, 409: OrderReply.CONFLICT}
+_FENCED = 412
+
+
+class _Report(msgspec.Struct, frozen=True):
+    """What an engine says of itself; ``sequence`` counts the orders it has taken."""
+
+    sequence: int
+    busy: bool
+
+
+class PlatformOrders:
+    """An :class:`~bergamotmast.direct.role_planner.EngineOrders`."""
+
+    def __init__(self, client: UpstreamClient) -> None:
+        self.client = client
+
+    async def sequence(self, upstream: Upstream) -> int | None:
+        """Return how many orders an engine has taken; ``None`` while one is going on."""
+        status, body = await self._call(upstream, "GET", "/report", b"")
+        if status != 200:
+            raise ReplyLostError(f"the report was answered {status}")
+        try:
+            report = msgspec.json.decode(body, type=_Report)
+        except msgspec.DecodeError as error:
+            raise ReplyLostError(f"the report is not understood: {error}") from error
+        return None if report.busy else report.sequence
+
+    async def order(self, call: RoleOrderCall) -> OrderReply:
+        """Give an order."""
+        body = msgspec.json.encode(
+            {
+                "operation": "stage",
+                "stage": call.order.role.value,
+                "holder": call.holder,
+                "fencing-token": call.token,
+                "precondition": call.sequence,
+            }
+        )
+        status, _ = await self._call(call.upstream, "POST", "/order", body)
+        if status == _FENCED:
+            raise OrderRefusedError("the engine has seen a higher fencing token")
+        if status not in _REPLIES:
+            raise ReplyLostError(f"the order was answered {status}")
+        return _REPLIES[status]
+
+    async def _call(
+        self, upstream: Upstream, method: str, target: str, body: bytes
+    ) -> tuple[int, bytes]:
+        headers = [(EXPECTED_UPSTREAM, upstream.name)]
+        if body:
+            headers.append(("Content-Type", "application/json"))
+        try:
+            async with asyncio.timeout(CALL_SECONDS):
+                async with self.client.send(
+                    upstream.address, method, target, tuple(headers), body, fresh=True
+                ) as reply:
+                    return reply.status, await reply.read()
+        except TimeoutError as error:
+            raise ReplyLostError(f"{target}: no answer in time") from error
--- a/src/bergamotmast/policy/direct_placement.py
+++ b/src/bergamotmast/policy/direct_placement.py
@@ -1,15 +1,17 @@
 """Where a prompt is read and where its answer is made.
 
-Load pattern: long prompts saturate the engines set apart for reading while the others
-have time to spare, then the mix turns round within minutes.
-
-Without it: with a fixed threshold between the two ways, every mix but one overloads
-either the reading engines or the answering ones.
-
-Each way's time to the first token is predicted: over a prefill engine and a transfer of
-its KV cache, or at the answering engine itself, which reads at :data:`DECODE_SHARE` of
-the speed between other requests' tokens. The earliest wins; a way that moves no memory
-is preferred within :data:`TRANSFER_SECONDS`.
+Load pattern: prompts of very different length share engines that read one at a time
+and don't interrupt a long one for a short one; long prompts saturate the engines set
+apart for reading while the others have time to spare; the mix turns within seconds.
+
+Without it: short prompts, the most urgent, miss their objective behind long ones, and
+with a fixed threshold between the two ways every mix but one overloads either the
+reading engines or the answering ones.
+
+Each way's time to the first token is predicted: over a reading engine and a transfer of
+its KV cache, or at the answering engine itself. The earliest wins, but for a long
+prompt that has time: of the engines that read it well within its objective it takes
+the fullest, so that others stay free of long prompts.
 """
 
 from __future__ import annotations
@@ -18,37 +20,50 @@
 import typing as t
 
 from ..model import Role
+from .engine_book import CALL_SECONDS
+from .engine_book import read_rate
 
-DECODE_SHARE = 0.5
-"""Speed at which an engine in the decode role reads prompts, against a prefill one."""
-
-TRANSFER_SECONDS = 0.015
+TRANSFER_SECONDS = 0.012
 """What a second call and the transfer of a KV cache take at least."""
 
 ZONE_SECONDS = 0.004
 """Penalty of an engine in another zone: bytes between zones are dear, the way longer."""
 
-FIRST_TOKEN_SECONDS = 0.01
+FIRST_TOKEN_SECONDS = 0.008
 """One step of a usual batch and the way back."""
 
+LONG_TOKENS = 3_000
+"""From this length on a prompt is kept away from engines that are free of such: it
+takes 60 ms to read, a quarter of the tightest objective."""
+
+PACKED_SHARE = 0.45
+"""Part of the objective within which a long prompt may be put behind others."""
+
+SHORT_BY_PRIORITY: t.Final = ((0, 1), (2, 2), (5, 4))
+"""First priority of each rank, and how many steps by size follow it."""
+
+FIRST_SIZE_STEP = 2_000
+"""Prompt tokens up to which a prompt has its rank's first priority; each doubling is
+a step further, so that what is read soon does not wait for what takes long."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineView:
     """An engine as a placement sees it.
 
-    :param rate: prompt tokens a second in the prefill role.
-    :param ahead: prompt tokens that a prompt of this rank waits for.
+    :param wait: prompt tokens that are read before a new prompt of this priority.
     :param to_read: tokens of this prompt that are not cached there.
-    :param streams: requests being answered there, as far as known.
+    :param slow: how many times slower than usual it is.
+    :param answers: answers under way there, as far as known.
     """
 
     name: str
     role: Role
     same_zone: bool
-    rate: float
-    ahead: float
+    wait: float
     to_read: int
-    streams: float
+    slow: float
+    answers: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,11 +80,21 @@
     first_token: float
 
 
+def priority_of(rank: int, tokens: int) -> int:
+    """Return the engines' priority of a prompt, 0 to 9."""
+    first, steps = SHORT_BY_PRIORITY[min(rank, len(SHORT_BY_PRIORITY) - 1)]
+    step = 0
+    size = FIRST_SIZE_STEP
+    while tokens > size and step < steps:
+        step += 1
+        size *= 2
+    return first + step
+
+
 def read_seconds(engine: EngineView) -> float:
     """Return the predicted time until an engine has read a prompt."""
-    share = 1.0 if engine.role is Role.PREFILL else DECODE_SHARE
-    seconds = (engine.ahead + engine.to_read) / (engine.rate * share)
-    return seconds if engine.same_zone else seconds + ZONE_SECONDS
+    seconds = (engine.wait + engine.to_read) / read_rate(engine.role)
+    return seconds * engine.slow + CALL_SECONDS
 
 
 def choose_answering(engines: t.Sequence[EngineView]) -> EngineView | None:
@@ -78,23 +103,55 @@
     return min(able, key=_answer_load, default=None)
 
 
-def place(engines: t.Sequence[EngineView]) -> Placement | None:
-    """Return the way with the earliest first token, or ``None`` where there is none."""
+def place(engines: t.Sequence[EngineView], objective: float) -> Placement | None:
+    """Return the way to take, or ``None`` where there is none.
+
+    :param objective: seconds to the first token.
+    """
     answering = choose_answering(engines)
     if answering is None:
         return None
-    able = [engine for engine in engines if engine.role is not Role.PREFILL]
-    direct = min(able, key=lambda e: (read_seconds(e), e.name))
-    best = Placement(None, direct.name, read_seconds(direct) + FIRST_TOKEN_SECONDS)
-    for engine in engines:
-        if engine.role is not Role.PREFILL:
-            continue
-        seconds = read_seconds(engine) + TRANSFER_SECONDS + FIRST_TOKEN_SECONDS
-        if seconds < best.first_token:
-            best = Placement(engine.name, answering.name, seconds)
-    return best
+    ways = [
+        (_first_token(engine), engine)
+        for engine in engines
+        if engine.role is Role.PREFILL
+    ]
+    ways += [
+        (_first_token(engine), engine)
+        for engine in engines
+        if engine.role is not Role.PREFILL
+    ]
+    seconds, engine = min(ways, key=lambda way: (_cost(*way), way[1].name))
+    if engine.to_read >= LONG_TOKENS:
+        seconds, engine = _packed(ways, objective) or (seconds, engine)
+    if engine.role is Role.PREFILL:
+        return Placement(engine.name, answering.name, seconds)
+    return Placement(None, engine.name, seconds)
+
+
+def _packed(
+    ways: t.Sequence[tuple[float, EngineView]], objective: float
+) -> tuple[float, EngineView] | None:
+    """Return the fullest reading engine that still reads well within the objective."""
+    able = [
+        way
+        for way in ways
+        if way[1].role is Role.PREFILL and way[0] <= objective * PACKED_SHARE
+    ]
+    return max(able, key=lambda way: (way[0], way[1].name), default=None)
+
+
+def _first_token(engine: EngineView) -> float:
+    seconds = read_seconds(engine) + FIRST_TOKEN_SECONDS
+    if engine.role is Role.PREFILL:
+        seconds += TRANSFER_SECONDS
+    return seconds
+
+
+def _cost(seconds: float, engine: EngineView) -> float:
+    return seconds if engine.same_zone else seconds + ZONE_SECONDS
 
 
 def _answer_load(engine: EngineView) -> tuple[float, str]:
-    load = engine.streams + engine.ahead / 2_000.0
+    load = engine.answers * engine.slow
     return (load if engine.same_zone else load + 1.0, engine.name)
--- /dev/null
+++ b/src/bergamotmast/policy/direct_roles.py
@@ -0,0 +1,134 @@
+"""How many engines read prompts and how many make answers.
+
+Load pattern: prompts of thousands of tokens with answers of a few dozen, a mix that
+swings within seconds, and a fleet that starts with whatever split its engines have.
+
+Without it: with two of six engines reading, prompts queue for seconds while four
+engines answer a handful of requests each.
+
+An answering engine batches: it makes some :data:`DECODE_RATE` tokens a second where a
+reading one reads :data:`PREFILL_RATE`, so answers of dozens of tokens need a small part
+of the fleet. It also reads prompts between tokens at about two fifths of the speed, so
+a second answering engine is no loss. :func:`wanted_answering` therefore keeps
+:data:`LEAST_ANSWERING` of them, that one may die, and more only where the mix asks for
+it. A change is made when that has been so for :data:`HOLD_SECONDS`: an engine is gone for
+seconds with each change, which a swing that turns back sooner does not pay. What has no
+engine at all is mended at once.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+import typing as t
+
+from ..model import Role
+
+PREFILL_RATE = 50_000.0
+"""Prompt tokens a second that a reading engine reads, steps included."""
+
+DECODE_RATE = 20_000.0
+"""Output tokens a second of an answering engine whose batch is half full."""
+
+LEAST_ANSWERING = 2
+"""Answering engines kept where there are four engines or more."""
+
+SAFETY = 1.5
+"""Answering engines kept for each one that the mean of the mix asks for."""
+
+HOLD_SECONDS = 8.0
+"""How long the mix must have asked for a change."""
+
+MIX_SECONDS = 20.0
+"""Time constant of the measured mix."""
+
+
+class MixMeter:
+    """The share of work that is making answers, over the last seconds."""
+
+    def __init__(self) -> None:
+        self.prefill = 0.0
+        self.decode = 0.0
+        self.at: float | None = None
+
+    def observe(self, prompt_tokens: float, output_tokens: float, now: float) -> None:
+        """Take a request that was let in."""
+        if self.at is not None:
+            fade = math.exp(-max(0.0, now - self.at) / MIX_SECONDS)
+            self.prefill *= fade
+            self.decode *= fade
+        self.at = now
+        self.prefill += prompt_tokens / PREFILL_RATE
+        self.decode += output_tokens / DECODE_RATE
+
+    @property
+    def decode_share(self) -> float:
+        """Share of the engines' time that makes answers; 0 where nothing is known."""
+        total = self.prefill + self.decode
+        return self.decode / total if total else 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineRole:
+    """An engine as the role policy sees it.
+
+    :param load: requests that it holds, as far as known.
+    """
+
+    name: str
+    role: Role
+    load: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoleOrder:
+    """A role that an engine should take."""
+
+    name: str
+    role: Role
+    reason: str
+
+
+def wanted_answering(engines: int, decode_share: float) -> int:
+    """Return how many of some engines should make answers."""
+    if engines <= 1:
+        return engines
+    least = LEAST_ANSWERING if engines >= 2 * LEAST_ANSWERING else 1
+    by_mix = math.ceil(engines * decode_share * SAFETY)
+    return min(engines - 1, max(least, by_mix))
+
+
+class RoleController:
+    """Decides which engine changes its role next, for one group."""
+
+    def __init__(self) -> None:
+        self.wished = 0
+        self.since: float | None = None
+
+    def decide(
+        self, engines: t.Sequence[EngineRole], decode_share: float, now: float
+    ) -> RoleOrder | None:
+        """Return the one change to begin now, or ``None``.
+
+        :param engines: all engines of the group that serve and are not changing.
+        """
+        answering = [e for e in engines if e.role is not Role.PREFILL]
+        reading = [e for e in engines if e.role is Role.PREFILL]
+        surplus = len(answering) - wanted_answering(len(engines), decode_share)
+        if surplus == 0 or len(engines) < 2:
+            self.since = None
+            return None
+        sign = 1 if surplus > 0 else -1
+        if self.since is None or sign != self.wished:
+            self.wished = sign
+            self.since = now
+        urgent = not answering or not reading
+        if not urgent and now - self.since < HOLD_SECONDS:
+            return None
+        if surplus > 0:
+            return RoleOrder(_least_loaded(answering), Role.PREFILL, "reads too little")
+        return RoleOrder(_least_loaded(reading), Role.DECODE, "answers too little")
+
+
+def _least_loaded(engines: t.Sequence[EngineRole]) -> str:
+    return min(engines, key=lambda engine: (engine.load, engine.name)).name
--- a/src/bergamotmast/policy/engine_book.py
+++ b/src/bergamotmast/policy/engine_book.py
@@ -1,63 +1,84 @@
-"""What one entry knows of each engine's work, from its own calls and their replies.
+"""What one entry knows of each engine's work, its own and what other entries told it.
 
-Load pattern: several entries place prompts on the same few engines without asking each
-other, and prompts differ in length a hundredfold.
+Load pattern: several entries place prompts on the same few engines, and prompts differ
+in length a hundredfold. An engine reads one prompt at a time to its end and then takes
+the most urgent one that waits.
 
-Without it: counting requests takes a prompt of fifty thousand tokens for one of five
-hundred, and the short ones behind it miss their objective while another engine idles.
+Without it: counting requests takes a prompt of fifty thousand tokens, a second of an
+engine's time, for one of five hundred; the short ones behind it miss their objective
+while another engine idles.
 
-Work is counted in prompt tokens that an engine still has to read. Own calls are known
-exactly; the others' are guessed from the running and waiting requests that the engine
-names in each reply, at the mean length of what this entry sends, and the guess fades
-within :data:`HINT_SECONDS` because queues of prompts turn over in less.
+The book therefore follows each engine as the queue that it is. Work is counted in
+prompt tokens still to be read; times follow from the rate and from how much slower than
+that the engine has shown itself lately.
 """
 
 from __future__ import annotations
 
 import collections
 import dataclasses
+import math
 import typing as t
 
-HINT_SECONDS = 0.4
-"""Time constant with which a reply's word on load fades: a prefill queue at its
-usual load is worked off in about this time."""
+from ..model import Role
+
+READ_RATE = 50_000.0
+"""Prompt tokens a second of a reading engine, the steps around them included."""
 
-FIRST_RATE = 55_000.0
-"""Prompt tokens a second that an engine is taken to read until it was measured."""
+ANSWERING_SHARE = 0.42
+"""Speed at which an answering engine reads prompts, against a reading one: half of it,
+and a step for the answers' tokens with each small piece."""
 
-RATE_SHARE = 0.1
-"""Weight of a new measurement of an engine's rate."""
+CALL_SECONDS = 0.009
+"""What a call to read a prompt takes beside the reading."""
 
-LEAST_MEASURED_TOKENS = 1_500
-"""Shorter prompts say more of an engine's queue than of its rate."""
+HINT_SECONDS = 0.4
+"""Time constant with which a reply's word on load fades."""
+
+FORGET_SECONDS = 4.0
+"""Work whose end was never heard of, by a lost notice or a dead entry, is forgotten."""
 
 CACHE_SHARE = 0.5
 """Part of an engine's KV memory that is taken to keep shared parts."""
 
+SLOW_WEIGHT = 0.25
+"""Weight of a new measurement of an engine's slowness, on a log scale."""
+
+SLOW_SECONDS = 4.0
+"""Time constant with which a slow engine is taken to be sound again; it is then tried
+with a request or two, which show whether it is."""
 
-@dataclasses.dataclass(slots=True)
+MOST_SLOW = 16.0
+"""Bound of the slowness: beyond it an engine gets nothing anyway."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
 class Work:
-    """One call's prompt on its way through an engine.
+    """One prompt on its way through an engine.
 
     :param tokens: prompt tokens that the engine has to read.
-    :param rank: urgency; 0 is the most urgent.
-    :param since: when it was sent; a point in time.
+    :param priority: the less, the sooner it is read.
+    :param since: when it was sent, or heard of; a point in time.
     """
 
     tokens: int
-    rank: int
+    priority: int
     since: float
 
 
+WorkKey: t.TypeAlias = tuple[str, int]
+"""Name of the entry that sent it, and that entry's number for it."""
+
+
 class PrefixMemory:
     """Shared prompt parts that an engine is believed to keep, the oldest leave first."""
 
     def __init__(self, capacity: int) -> None:
         self.capacity = capacity
-        self.held: collections.OrderedDict[str, int] = collections.OrderedDict()
+        self.held: collections.OrderedDict[int, int] = collections.OrderedDict()
         self.total = 0
 
-    def cached(self, parts: t.Sequence[tuple[str, int]]) -> int:
+    def cached(self, parts: t.Sequence[tuple[int, int]]) -> int:
         """Return how many tokens at a prompt's head need not be read again."""
         found = 0
         for key, tokens in parts:
@@ -66,7 +87,7 @@
             found += tokens
         return found
 
-    def store(self, parts: t.Sequence[tuple[str, int]]) -> None:
+    def store(self, parts: t.Sequence[tuple[int, int]]) -> None:
         """Note that an engine has read these parts just now."""
         for key, tokens in parts:
             self.total += tokens - self.held.pop(key, 0)
@@ -77,56 +98,97 @@
 
 
 class EngineBook:
-    """One engine as this entry knows it."""
+    """One engine as this entry knows it.
+
+    :param current: the work that it is thought to read now.
+    :param current_since: when that began; a point in time.
+    :param streams: own answers under way there.
+    :param slow: how many times slower than usual it is.
+    """
 
     def __init__(self, kv_capacity: int) -> None:
         self.prefix = PrefixMemory(int(kv_capacity * CACHE_SHARE))
-        self.reading: dict[int, Work] = {}
+        self.reading: dict[WorkKey, Work] = {}
+        self.current: WorkKey | None = None
+        self.current_since = 0.0
         self.streams = 0
-        self.rate = FIRST_RATE
+        self.stream_tokens = 0
         self.hint_others = 0
-        self.hint_at = float("-inf")
-        self.failed_until = float("-inf")
-        self.next_id = 0
-
-    def begin(self, tokens: int, rank: int, now: float) -> int:
-        """Note a prompt sent; return the number to end it by."""
-        self.next_id += 1
-        self.reading[self.next_id] = Work(tokens, rank, now)
-        return self.next_id
-
-    def end(self, number: int, now: float, *, done: bool, share: float = 1.0) -> None:
-        """Note that a prompt is read, or that its call has ended otherwise.
-
-        :param done: whether it was read to its end.
-        :param share: part of the engine's rate that prompts get in its role.
-        """
-        work = self.reading.pop(number, None)
-        if work is None or not done or work.tokens < LEAST_MEASURED_TOKENS:
+        self.hint_at = -math.inf
+        self.failed_until = -math.inf
+        self.slow_log = 0.0
+        self.slow_at = 0.0
+
+    def begin(self, key: WorkKey, tokens: int, priority: int, now: float) -> None:
+        """Note a prompt that waits at the engine from now on."""
+        self._forget_old(now)
+        self.reading[key] = Work(tokens, priority, now)
+        if self.current is None:
+            self._take_next(now)
+
+    def end(self, key: WorkKey, now: float) -> None:
+        """Note that a prompt is read, or that its call has ended otherwise."""
+        if self.reading.pop(key, None) is None:
             return
-        seconds = now - work.since
-        if seconds <= 0.0:
+        if key == self.current or self.current not in self.reading:
+            self._take_next(now)
+
+    def wait_tokens(self, priority: int, now: float) -> float:
+        """Return the tokens that are read before a new prompt of a priority."""
+        self._forget_old(now)
+        tokens = 0.0
+        for key, work in self.reading.items():
+            if key == self.current:
+                progress = max(0.0, now - self.current_since) * READ_RATE
+                tokens += max(0.0, work.tokens - progress / self.slow(now))
+            elif work.priority <= priority:
+                tokens += work.tokens
+        return tokens
+
+    def slow(self, now: float) -> float:
+        """Return how many times slower than usual the engine is taken to be."""
+        age = max(0.0, now - self.slow_at)
+        return math.exp(self.slow_log * math.exp(-age / SLOW_SECONDS))
+
+    def measure(self, predicted: float, actual: float, now: float) -> None:
+        """Compare a prediction with what the engine took.
+
+        What was faster than predicted counts at once, what was slower by its weight:
+        a queue that nobody told of looks like slowness once, a slow engine each time.
+        """
+        if predicted <= 0.0 or actual <= 0.0:
             return
-        measured = work.tokens / seconds / share
-        # A call's time holds its wait too: the rate follows what is faster at once
-        # and what is slower only a little, else a queue would pass for slowness.
-        weight = RATE_SHARE if measured > self.rate else RATE_SHARE / 10
-        self.rate += weight * (measured - self.rate)
+        ratio = math.log(min(MOST_SLOW, max(1.0, actual / predicted)))
+        known = math.log(self.slow(now))
+        weight = 1.0 if ratio < known else SLOW_WEIGHT
+        self.slow_log = known + weight * (ratio - known)
+        self.slow_at = now
 
     def hint(self, running: int, waiting: int, now: float) -> None:
         """Take an engine's word on its requests, this entry's own included."""
-        own = len(self.reading) + self.streams
-        self.hint_others = max(0, running + waiting - own)
+        self.hint_others = max(0, running + waiting - self.streams)
         self.hint_at = now
 
-    def others(self, now: float) -> float:
-        """Return how many requests of other entries are thought to be there."""
+    def answers(self, now: float) -> float:
+        """Return how many answers are thought to be under way there."""
         age = max(0.0, now - self.hint_at)
-        return self.hint_others * 2.0 ** (-age / HINT_SECONDS)
-
-    def ahead(self, rank: int, now: float) -> float:
-        """Return the own prompt tokens that a new prompt of a rank waits for.
-
-        What was sent long ago is partly read; it counts in full until its reply.
-        """
-        return float(sum(w.tokens for w in self.reading.values() if w.rank <= rank))
+        return self.streams + self.hint_others * 2.0 ** (-age / HINT_SECONDS)
+
+    def _take_next(self, now: float) -> None:
+        self.current = min(
+            self.reading,
+            key=lambda key: (self.reading[key].priority, self.reading[key].since),
+            default=None,
+        )
+        self.current_since = now
+
+    def _forget_old(self, now: float) -> None:
+        limit = now - FORGET_SECONDS
+        old = [key for key, work in self.reading.items() if work.since < limit]
+        for key in old:
+            self.end(key, now)
+
+
+def read_rate(role: Role) -> float:
+    """Return the prompt tokens a second of an engine in a role."""
+    return READ_RATE if role is Role.PREFILL else READ_RATE * ANSWERING_SHARE
--- a/src/bergamotmast/settings.py
+++ b/src/bergamotmast/settings.py
@@ -169,11 +169,20 @@
         "most time from SIGTERM to the end of the process",
         8.0,
     )
+    order_pause_ms: int = _setting(
+        integer(0, 600_000),
+        _PLATFORM,
+        "milliseconds between the orders of two planners",
+        3_000,
+    )
     store_address: str = _setting(ADDRESS, _PLATFORM, "the platform's store")
     listen_address: str = _setting(ADDRESS, _CALLERS, "where callers come in")
     ready_address: str = _setting(
         ADDRESS, _CALLERS, "where the platform asks whether this entry is ready"
     )
+    peer_address: str = _setting(
+        ADDRESS, _PROCESS, "where other entries send datagrams to this one"
+    )
     log_level: str = _setting(
         choice("debug", "info", "warning", "error"), _LOGS, "least level", "info"
     )
