--- a/src/bergamotmast/policy/direct_placement.py
+++ b/src/bergamotmast/policy/direct_placement.py
@@ -39,7 +39,20 @@
 PACKED_SHARE = 0.45
 """Part of the objective within which a long prompt may be put behind others."""
 
-SHORT_BY_PRIORITY: t.Final = ((0, 1), (2, 2), (5, 4))
+DIRECT_ANSWERS = 24
+"""Answers under way at an engine above which it reads no prompts itself. Each piece of
+a prompt makes its steps three times as long; with two dozen answers that still leaves
+them on time, with four dozen they pile up faster than they end."""
+
+DIRECT_TOKENS = 1_000
+"""Longest prompt that an answering engine reads itself while a reading one is there: it
+begins no answer while it reads, so that 50 ms of it delay all that arrive."""
+
+WAITING_ANSWERS = 6.0
+"""Answers more at an engine that are as bad for a new one as 1,000 prompt tokens that
+it reads first."""
+
+PRIORITY_STEPS: t.Final = ((0, 1), (2, 2), (5, 4))
 """First priority of each rank, and how many steps by size follow it."""
 
 FIRST_SIZE_STEP = 2_000
@@ -82,7 +95,7 @@
 
 def priority_of(rank: int, tokens: int) -> int:
     """Return the engines' priority of a prompt, 0 to 9."""
-    first, steps = SHORT_BY_PRIORITY[min(rank, len(SHORT_BY_PRIORITY) - 1)]
+    first, steps = PRIORITY_STEPS[min(rank, len(PRIORITY_STEPS) - 1)]
     step = 0
     size = FIRST_SIZE_STEP
     while tokens > size and step < steps:
@@ -120,6 +133,7 @@
         (_first_token(engine), engine)
         for engine in engines
         if engine.role is not Role.PREFILL
+        and (not ways or _may_read(engine))
     ]
     seconds, engine = min(ways, key=lambda way: (_cost(*way), way[1].name))
     if engine.to_read >= LONG_TOKENS:
@@ -129,6 +143,11 @@
     return Placement(None, engine.name, seconds)
 
 
+def _may_read(engine: EngineView) -> bool:
+    """Return whether an answering engine may read a prompt beside reading ones."""
+    return engine.answers <= DIRECT_ANSWERS and engine.to_read <= DIRECT_TOKENS
+
+
 def _packed(
     ways: t.Sequence[tuple[float, EngineView]], objective: float
 ) -> tuple[float, EngineView] | None:
@@ -153,5 +172,6 @@
 
 
 def _answer_load(engine: EngineView) -> tuple[float, str]:
-    load = engine.answers * engine.slow
+    waits = engine.wait / DIRECT_TOKENS * WAITING_ANSWERS
+    load = (engine.answers + waits) * engine.slow
     return (load if engine.same_zone else load + 1.0, engine.name)
--- a/src/bergamotmast/policy/direct_roles.py
+++ b/src/bergamotmast/policy/direct_roles.py
@@ -27,7 +27,7 @@
 PREFILL_RATE = 50_000.0
 """Prompt tokens a second that a reading engine reads, steps included."""
 
-DECODE_RATE = 20_000.0
+DECODE_RATE = 40_000.0
 """Output tokens a second of an answering engine whose batch is half full."""
 
 LEAST_ANSWERING = 2
--- a/src/bergamotmast/policy/engine_book.py
+++ b/src/bergamotmast/policy/engine_book.py
@@ -32,8 +32,9 @@
 CALL_SECONDS = 0.009
 """What a call to read a prompt takes beside the reading."""
 
-HINT_SECONDS = 0.4
-"""Time constant with which a reply's word on load fades."""
+HINT_SECONDS = 2.0
+"""Time constant with which an engine's word on its answers fades: they take a second
+or two, and each new one brings the engine's word anew."""
 
 FORGET_SECONDS = 4.0
 """Work whose end was never heard of, by a lost notice or a dead entry, is forgotten."""
