Shared prompt parts are fetched; a prompt's own part counts as cached once it was read

Cause: notes made when a prompt was sent counted its own last part as cached; a request that came back after it was given up in the queue was predicted to need one token and sent to an answering engine, which read 12,000 tokens and began no answers meanwhile.

--- a/src/bergamotmast/direct/placing.py
+++ b/src/bergamotmast/direct/placing.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections.abc as cabc
+import dataclasses
 import random
 import typing as t
 import zlib
@@ -33,6 +34,24 @@
 """Name and boot: what was known of an upstream is void once it restarts."""
 
 
+LEAST_FETCHED = 400
+"""Tokens of a prompt's beginning that are worth a fetch from another engine: they take
+8 ms to read and under 3 ms to fetch."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reading:
+    """What an engine has to do for a prompt.
+
+    :param tokens: to read.
+    :param fetch_from: address of the engine that keeps what need not be read; empty
+        where that is the engine itself.
+    """
+
+    tokens: int
+    fetch_from: str
+
+
 class Placing:
     """Where requests go, from what this entry and its peers have sent.
 
@@ -96,10 +115,19 @@
         else:
             book.end(key, now)
 
-    def to_read(self, call: Call, upstream: Upstream) -> int:
-        """Return the prompt tokens that an engine has not cached, as far as known."""
-        cached = self.engine_book(upstream).prefix.cached(shared_parts(call))
-        return max(1, call.traits.prompt_tokens - cached)
+    def reading(self, call: Call, upstream: Upstream) -> Reading:
+        """Return what an engine would have to read of a prompt, as far as known."""
+        parts = shared_parts(call)
+        own = self.engine_book(upstream).prefix.cached(parts)
+        best, source = own, ""
+        now = asyncio.get_running_loop().time()
+        for other in self.fleet.members(call.group.name, now):
+            if other.name == upstream.name:
+                continue
+            cached = self.engine_book(other).prefix.cached(parts)
+            if cached >= best + LEAST_FETCHED:
+                best, source = cached, other.address
+        return Reading(max(1, call.traits.prompt_tokens - best), source)
 
     def choose_plain(self, call: Call, tried: cabc.Collection[str]) -> Upstream:
         """Return the plain upstream for a request's next send.
@@ -166,7 +194,7 @@
             book = self.engine_book(member)
             if now < book.failed_until:
                 continue
-            to_read = self.to_read(call, member)
+            to_read = self.reading(call, member).tokens
             priority = priority_of(call.route.rank, to_read)
             views.append(
                 EngineView(
--- a/src/bergamotmast/direct/ports.py
+++ b/src/bergamotmast/direct/ports.py
@@ -24,6 +24,8 @@
     :param prefill_only: read the prompt and export its KV cache, do not answer.
     :param kv_source: where an exported KV cache is, as :meth:`Dialect.kv_source` gave
         it; empty for none.
+    :param fetch_from: address of an engine that keeps more of the prompt's beginning,
+        to be fetched from there instead of read; empty for none.
     :param last_event: go on after this event; 0 for the beginning.
     :param weights: version of the weights that must answer; empty for any.
     """
@@ -33,6 +35,7 @@
     priority: int | None = None
     prefill_only: bool = False
     kv_source: str = ""
+    fetch_from: str = ""
     last_event: int = 0
     weights: str = ""
 
--- a/src/bergamotmast/direct/stream_run.py
+++ b/src/bergamotmast/direct/stream_run.py
@@ -56,6 +56,7 @@
     priority: int
     began_at: float
     predicted: float
+    fetch_from: str
 
 
 @dataclasses.dataclass(slots=True)
@@ -167,8 +168,10 @@
         book = self.context.placing.engine_book(reader)
         loop = asyncio.get_running_loop()
         read = self._begin_read(reader)
+        done = False
         try:
-            source = await self._exchange_prefill(reader, read.priority)
+            source = await self._exchange_prefill(reader, read)
+            done = True
             now = loop.time()
             book.measure(read.predicted, now - read.began_at, now)
             self.timeline.prefilled_at = now
@@ -179,14 +182,15 @@
             self._log_failure(reader, error.message, "prefill")
             return ""
         finally:
-            self._end_read(reader, read)
+            self._end_read(reader, read, done=done)
 
     def _begin_read(self, engine: Upstream) -> Read:
         """Book a prompt at the engine that is about to read it, and tell the peers."""
         context = self.context
         book = context.placing.engine_book(engine)
         now = asyncio.get_running_loop().time()
-        tokens = context.placing.to_read(self.call, engine)
+        reading = context.placing.reading(self.call, engine)
+        tokens = reading.tokens
         priority = priority_of(self.call.route.rank, tokens)
         wait = book.wait_tokens(priority, now)
         rate = read_rate(engine.role or Role.MIXED)
@@ -194,24 +198,30 @@
         key = context.placing.new_key()
         parts = shared_parts(self.call)
         book.begin(key, tokens, priority, now)
-        book.prefix.store(parts)
+        # The last part is the request's or its session's own: it is noted once it has
+        # been read. Noted before, a request that comes back after it was given up in
+        # the queue would pass for cached and be read in the wrong place.
+        book.prefix.store(parts[:-1])
         context.tell_begun(engine, key, priority, tokens, parts)
-        return Read(key, tokens, priority, now, predicted)
+        return Read(key, tokens, priority, now, predicted, reading.fetch_from)
 
-    def _end_read(self, engine: Upstream, read: Read) -> None:
+    def _end_read(self, engine: Upstream, read: Read, *, done: bool) -> None:
         book = self.context.placing.engine_book(engine)
         book.end(read.key, asyncio.get_running_loop().time())
+        if done:
+            book.prefix.store(shared_parts(self.call))
         self.context.tell_ended(engine, read.key, read.tokens)
 
-    async def _exchange_prefill(self, reader: Upstream, priority: int) -> str:
+    async def _exchange_prefill(self, reader: Upstream, read: Read) -> str:
         call = self.call
         dialect = self.context.dialect
         now = asyncio.get_running_loop().time()
         attempt = Attempt(
             reader.name,
             call.deadline,
-            priority=priority,
+            priority=read.priority,
             prefill_only=True,
+            fetch_from=read.fetch_from,
             last_event=self.last_event,
         )
         headers = dialect.write_headers(call.headers, attempt, now)
@@ -279,7 +289,7 @@
             if streaming:
                 book.streams -= 1
             elif read is not None:
-                self._end_read(upstream, read)
+                self._end_read(upstream, read, done=False)
             if not taken:
                 self._release(source)
         return None
@@ -289,7 +299,7 @@
         now = asyncio.get_running_loop().time()
         book = self.context.placing.engine_book(upstream)
         book.measure(read.predicted + FIRST_TOKEN_SECONDS, now - read.began_at, now)
-        self._end_read(upstream, read)
+        self._end_read(upstream, read, done=True)
 
     def _open(self, upstream: Upstream, source: str, read: Read | None):  # type: ignore[no-untyped-def]
         call = self.call
@@ -300,6 +310,7 @@
             call.deadline,
             priority=priority_of(call.route.rank, tokens),
             kv_source=source,
+            fetch_from=read.fetch_from if read is not None else "",
             last_event=self.last_event,
             weights=self.weights,
         )
--- a/src/bergamotmast/platform/headers.py
+++ b/src/bergamotmast/platform/headers.py
@@ -25,6 +25,7 @@
 PRIORITY = "X-Request-Priority"
 STAGE = "X-Stage"
 KV_SOURCE = "X-Kv-Source"
+FETCH_FROM = "Kv-Fetch"
 LAST_EVENT = "Last-Event-Id"
 PROMPT_PARTS = "X-Prompt-Prefix"
 TOKENS = "X-Token-Count"
@@ -47,7 +48,7 @@
         "X-Kv-Hold",
         "X-Kv-Backup",
         "X-Pin-Ms",
-        "Kv-Fetch",
+        FETCH_FROM,
     )
 )
 """A caller's own copy could run its request on another's memory or out of turn."""
@@ -92,6 +93,8 @@
             written.append((STAGE, "prefill"))
         if attempt.kv_source:
             written.append((KV_SOURCE, attempt.kv_source))
+        if attempt.fetch_from:
+            written.append((FETCH_FROM, attempt.fetch_from))
         if attempt.last_event:
             written.append((LAST_EVENT, str(attempt.last_event)))
         if attempt.weights:
