--- a/src/bergamotmast/direct/stream_run.py
+++ b/src/bergamotmast/direct/stream_run.py
@@ -39,6 +39,10 @@
 """How long an engine that could not be reached, or broke off, is left alone."""
 
 
+REFUSED_SECONDS = 0.3
+"""How long an engine that refused a request is left alone: it is full or changing."""
+
+
 class BrokenStreamError(Exception):
     """A stream ended before its end, or its reply can't be used."""
 
@@ -172,9 +176,7 @@
         try:
             source = await self._exchange_prefill(reader, read)
             done = True
-            now = loop.time()
-            book.measure(read.predicted, now - read.began_at, now)
-            self.timeline.prefilled_at = now
+            self.timeline.prefilled_at = loop.time()
             self.timeline.to_read = read.tokens
             return source
         except (NotReachedError, ReplyLostError) as error:
@@ -195,6 +197,8 @@
         wait = book.wait_tokens(priority, now)
         rate = read_rate(engine.role or Role.MIXED)
         predicted = (wait + tokens) / rate + CALL_SECONDS
+        if engine.role is not Role.PREFILL:
+            predicted += FIRST_TOKEN_SECONDS
         key = context.placing.new_key()
         parts = shared_parts(self.call)
         book.begin(key, tokens, priority, now)
@@ -207,9 +211,12 @@
 
     def _end_read(self, engine: Upstream, read: Read, *, done: bool) -> None:
         book = self.context.placing.engine_book(engine)
-        book.end(read.key, asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        work = book.end(read.key, now)
         if done:
             book.prefix.store(shared_parts(self.call))
+        if done and work is not None and not work.overtaken:
+            book.measure(read.predicted, now - read.began_at, now)
         self.context.tell_ended(engine, read.key, read.tokens)
 
     async def _exchange_prefill(self, reader: Upstream, read: Read) -> str:
@@ -263,6 +270,7 @@
                     raise BrokenStreamError("the reply belongs to another request")
                 if traits.not_run:
                     self.sends.on_not_run()
+                    book.failed_until = loop.time() + _pause_after(traits)
                     raise BrokenStreamError(f"status {reply.status}, not run")
                 taken = True
                 if not 200 <= reply.status < 300:
@@ -274,7 +282,7 @@
                         streaming = True
                         book.streams += 1
                         if read is not None:
-                            self._on_read(upstream, read)
+                            self._end_read(upstream, read, done=True)
                     await self._forward(event, reply, traits)
             await self._finish(reply, traits)
             return reply.status
@@ -294,13 +302,6 @@
                 self._release(source)
         return None
 
-    def _on_read(self, upstream: Upstream, read: Read) -> None:
-        """Note that the answering engine has read the prompt itself."""
-        now = asyncio.get_running_loop().time()
-        book = self.context.placing.engine_book(upstream)
-        book.measure(read.predicted + FIRST_TOKEN_SECONDS, now - read.began_at, now)
-        self._end_read(upstream, read, done=True)
-
     def _open(self, upstream: Upstream, source: str, read: Read | None):  # type: ignore[no-untyped-def]
         call = self.call
         now = asyncio.get_running_loop().time()
@@ -395,3 +396,12 @@
                 "last_event": self.last_event,
             },
         )
+
+
+def _pause_after(refusal: ReplyTraits) -> float:
+    """Return how long an engine that refused is left alone.
+
+    One that is not what its entry says keeps refusing until the entry is right, which
+    takes a heartbeat; each request sent there meanwhile would be lost.
+    """
+    return FAILED_SECONDS if refusal.wrong_upstream else REFUSED_SECONDS
--- a/src/bergamotmast/policy/direct_roles.py
+++ b/src/bergamotmast/policy/direct_roles.py
@@ -39,6 +39,10 @@
 HOLD_SECONDS = 8.0
 """How long the mix must have asked for a change."""
 
+SETTLE_SECONDS = 1.5
+"""How long engines must have come or gone before the rest change for it: one that is
+back at once needs no change, and each second without is a second of an engine."""
+
 MIX_SECONDS = 20.0
 """Time constant of the measured mix."""
 
@@ -122,8 +126,11 @@
         if self.since is None or sign != self.wished:
             self.wished = sign
             self.since = now
+        # Without the mix, by the count of engines alone:
+        by_count = len(answering) > wanted_answering(len(engines), 0.0) and surplus > 0
         urgent = not answering or not reading
-        if not urgent and now - self.since < HOLD_SECONDS:
+        hold = SETTLE_SECONDS if by_count else HOLD_SECONDS
+        if not urgent and now - self.since < hold:
             return None
         if surplus > 0:
             return RoleOrder(_least_loaded(answering), Role.PREFILL, "reads too little")
--- a/src/bergamotmast/policy/engine_book.py
+++ b/src/bergamotmast/policy/engine_book.py
@@ -53,18 +53,20 @@
 """Bound of the slowness: beyond it an engine gets nothing anyway."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Work:
     """One prompt on its way through an engine.
 
     :param tokens: prompt tokens that the engine has to read.
     :param priority: the less, the sooner it is read.
     :param since: when it was sent, or heard of; a point in time.
+    :param overtaken: whether something more urgent has come since.
     """
 
     tokens: int
     priority: int
     since: float
+    overtaken: bool = False
 
 
 WorkKey: t.TypeAlias = tuple[str, int]
@@ -123,16 +125,18 @@
     def begin(self, key: WorkKey, tokens: int, priority: int, now: float) -> None:
         """Note a prompt that waits at the engine from now on."""
         self._forget_old(now)
+        for work in self.reading.values():
+            work.overtaken |= priority < work.priority
         self.reading[key] = Work(tokens, priority, now)
         if self.current is None:
             self._take_next(now)
 
-    def end(self, key: WorkKey, now: float) -> None:
+    def end(self, key: WorkKey, now: float) -> Work | None:
         """Note that a prompt is read, or that its call has ended otherwise."""
-        if self.reading.pop(key, None) is None:
-            return
-        if key == self.current or self.current not in self.reading:
+        work = self.reading.pop(key, None)
+        if work is not None and self.current not in self.reading:
             self._take_next(now)
+        return work
 
     def wait_tokens(self, priority: int, now: float) -> float:
         """Return the tokens that are read before a new prompt of a priority."""
