--- a/src/bergamotmast/daemons.py
+++ b/src/bergamotmast/daemons.py
@@ -34,6 +34,10 @@
 from .entry.http import CallerLimits
 from .errors import SettingError
 from .history import NullHistory
+from .lifecycle import METRICS_PATH
+from .lifecycle import address_errors
+from .lifecycle import exposition
+from .lifecycle import running
 from .policy.presets import PRESETS
 from .settings import EntrySettings
 from .settings import SharedSettings
@@ -44,8 +48,6 @@
 
 logger = logging.getLogger(__name__)
 
-METRICS_PATH = "/metrics"
-
 
 async def serve_entry(settings: EntrySettings) -> None:
     """Run an entry until it is told to end and its last answer is out."""
@@ -63,10 +65,10 @@
         )
         limits = CallerLimits(settings.max_body_bytes, settings.max_context_tokens)
         application = entry.application(limits)
-        application.router.add_get(METRICS_PATH, _exposition(metrics))
+        application.router.add_get(METRICS_PATH, exposition(metrics))
         async with (
             _serving(application, settings.listen_address, _tls(settings)),
-            _running(entry.run()),
+            running(entry.run()),
         ):
             await _until_told()
             await _bounded(entry.close(), settings.shutdown_seconds)
@@ -78,14 +80,14 @@
         metrics = OpenTelemetryMetrics(settings.name)
         parts = _parts(settings, _key_values(settings, session), metrics)
         keys = load_keys(settings.curve_secret_file, settings.curve_peers_file)
-        with _address_errors(settings.listen_address):
+        with address_errors(settings.listen_address):
             listener = ZmqListener(context, settings.listen_address, keys)
         side = _side(settings, parts, listener, session)
         application = web.Application()
-        application.router.add_get(METRICS_PATH, _exposition(metrics))
+        application.router.add_get(METRICS_PATH, exposition(metrics))
         async with (
             _serving(application, settings.metrics_address, None),
-            _running(side.run()),
+            running(side.run()),
         ):
             await _until_told()
             await _bounded(side.close(), settings.shutdown_seconds)
@@ -164,15 +166,6 @@
     return context
 
 
-def _exposition(
-    metrics: OpenTelemetryMetrics,
-) -> cabc.Callable[[web.Request], cabc.Awaitable[web.Response]]:
-    async def answer(request: web.Request) -> web.Response:
-        return web.Response(body=metrics.exposition(), content_type="text/plain")
-
-    return answer
-
-
 @contextlib.asynccontextmanager
 async def _serving(
     application: web.Application, address: str, tls: ssl.SSLContext | None
@@ -186,46 +179,13 @@
     await runner.setup()
     try:
         site = web.TCPSite(runner, host.strip("[]"), int(port), ssl_context=tls)
-        with _address_errors(address):
+        with address_errors(address):
             await site.start()
         yield
     finally:
         await runner.cleanup()
 
 
-@contextlib.contextmanager
-def _address_errors(address: str) -> cabc.Iterator[None]:
-    """Show an address that can't be listened on as the setting's error."""
-    try:
-        yield
-    except OSError as error:
-        allowed = f"an address that is free here: {error}"
-        raise SettingError("--listen-address", address, allowed) from error
-
-
-@contextlib.asynccontextmanager
-async def _running(
-    work: cabc.Coroutine[t.Any, t.Any, None],
-) -> cabc.AsyncIterator[None]:
-    """Run a process's tasks beside the body; their failure ends the process."""
-    main = asyncio.current_task()
-    assert main is not None
-    task = asyncio.create_task(work)
-
-    def on_done(done: asyncio.Task[None]) -> None:
-        if not done.cancelled() and done.exception() is not None:
-            main.cancel()
-
-    task.add_done_callback(on_done)
-    try:
-        yield
-    finally:
-        task.cancel()
-        await asyncio.wait({task})
-        if not task.cancelled() and (error := task.exception()) is not None:
-            raise error
-
-
 async def _until_told() -> None:
     """Wait for SIGTERM or SIGINT."""
     told = asyncio.Event()
--- a/src/bergamotmast/direct/front.py
+++ b/src/bergamotmast/direct/front.py
@@ -33,9 +33,9 @@
 class HttpCallerReply:
     """A :class:`~bergamotmast.direct.caller.CallerReply`."""
 
-    def __init__(self, request: web.BaseRequest, closing: bool) -> None:
+    def __init__(self, request: web.BaseRequest, core: DirectCore) -> None:
         self.request = request
-        self.closing = closing
+        self.core = core
         self.response: web.StreamResponse | None = None
 
     @property
@@ -76,16 +76,20 @@
         response = web.StreamResponse(status=status)
         for name, value in headers:
             response.headers.add(name, value)
-        if self.closing:
+        if self.core.stopping:
             response.force_close()
         return response
 
 
 class DirectFront:
-    """Translates between HTTP and a direct entry."""
+    """Translates between HTTP and a direct entry.
+
+    :param busy: connections whose request is being answered.
+    """
 
     def __init__(self, core: DirectCore) -> None:
         self.core = core
+        self.busy: set[asyncio.BaseProtocol] = set()
 
     def callers(self) -> web.Server:
         """Return the server that takes callers in."""
@@ -110,8 +114,15 @@
         return web.Response(status=200 if self.core.is_ready else 503)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.busy.add(request.protocol)
+        try:
+            return await self._answer(request)
+        finally:
+            self.busy.discard(request.protocol)
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived_at = asyncio.get_running_loop().time()
-        reply = HttpCallerReply(request, self.core.stopping)
+        reply = HttpCallerReply(request, self.core)
         body = await request.read()
         if len(body) > self.core.body_limit:
             status = CODE_INFO[ResultCode.BODY_TOO_LARGE].status
@@ -134,7 +145,7 @@
 def _new_request(
     message: RawRequestMessage,
     payload: StreamReader,
-    protocol: RequestHandler[web.BaseRequest],
+    protocol: RequestHandler,
     writer: AbstractStreamWriter,
     task: asyncio.Task[None],
 ) -> web.BaseRequest:
--- a/src/bergamotmast/direct/role_planner.py
+++ b/src/bergamotmast/direct/role_planner.py
@@ -133,7 +133,9 @@
         """Plan whenever this entry holds the lease, until cancelled."""
         while True:
             await self.authority.acquire()
-            logger.info("planner's lease is held", extra={"lease": self.authority.lease})
+            logger.info(
+                "planner's lease is held", extra={"lease": self.authority.lease}
+            )
             try:
                 await self._plan_while_held()
             except (AuthorityLostError, OrderRefusedError, PortError) as error:
--- a/src/bergamotmast/direct/stream_run.py
+++ b/src/bergamotmast/direct/stream_run.py
@@ -354,11 +354,7 @@
 
     async def _on_failure_status(self, reply: Reply, traits: ReplyTraits) -> int:
         body = await reply.read()
-        if (
-            reply.status in NOT_RUN_STATUSES
-            or not traits.signed
-            or self.reply.started
-        ):
+        if reply.status in NOT_RUN_STATUSES or not traits.signed or self.reply.started:
             raise BrokenStreamError(f"status {reply.status} without a promise")
         await self.reply.answer(reply.status, answer_headers(reply), body)
         return reply.status
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -9,11 +9,11 @@
 import random
 import signal
 
-import aiohttp
 from aiohttp import web
 
 from .adapters.datagrams import datagram_port
 from .adapters.http_calls import client_session
+from .adapters.metrics import OpenTelemetryMetrics
 from .adapters.opaque_http import HttpUpstreamClient
 from .direct.context import Context
 from .direct.core import DirectCore
@@ -24,7 +24,12 @@
 from .direct.placing import Placing
 from .direct.presence import Presence
 from .direct.role_planner import RolePlanner
+from .direct.serving import Listening
 from .history import NullHistory
+from .lifecycle import METRICS_PATH
+from .lifecycle import address_errors
+from .lifecycle import exposition
+from .lifecycle import running
 from .planner.authority import Authority
 from .planner.plan_store import PlanStore
 from .platform.directory import PlatformDirectory
@@ -32,20 +37,19 @@
 from .platform.orders import PlatformOrders
 from .platform.store import PlatformStore
 from .settings import DirectEntrySettings
-from .telemetry import NullTelemetry
 
 logger = logging.getLogger(__name__)
 
-BACKLOG = 1024
-"""Connections waiting to be taken; an overflow costs a caller seconds."""
+STILL_ROUTED_SECONDS = 2.6
+"""How long after SIGTERM new requests are taken: the balancer asks once a second and
+takes an entry out after two refusals."""
 
-STILL_ROUTED_SECONDS = 3.0
-"""How long after SIGTERM new connections may come: the balancer asks once a second
-and takes an entry out after two refusals."""
-
-SHUTDOWN_MARGIN_SECONDS = 0.8
+SHUTDOWN_MARGIN_SECONDS = 1.0
 """Left between the last answer and the platform's SIGKILL."""
 
+IDLE_CHECK_SECONDS = 0.05
+"""Between two looks whether the last request is answered."""
+
 PLANNER_LEASE_SECONDS = 5
 """Time to live of the planner's lease: so long roles stay as they are after its end."""
 
@@ -55,41 +59,42 @@
 MOST_PLAN_WRITES = 24
 """Engines changed by one transaction; the store takes 32 entries, three are ours."""
 
-IDLE_CHECK_SECONDS = 0.1
-"""Between two looks whether the last request is answered."""
-
 
 async def serve_direct(settings: DirectEntrySettings) -> None:
     """Run an entry until it is told to end and its last answer is out."""
     logger.info("starts", extra={"zone": settings.zone})
+    told = _signals()
     rng = random.Random()
+    metrics = OpenTelemetryMetrics(settings.name)
     fleet = Fleet(PlatformDirectory())
     placing = Placing(fleet, settings.name, settings.zone, rng)
     host, _, port = settings.peer_address.rpartition(":")
-    async with (
-        HttpUpstreamClient() as client,
-        _store_session() as session,
-        datagram_port(host, int(port)) as peers,
-    ):
+    async with contextlib.AsyncExitStack() as stack:
+        client = await stack.enter_async_context(HttpUpstreamClient())
+        session = await stack.enter_async_context(client_session())
+        with address_errors(settings.peer_address, "--peer-address"):
+            peers = await stack.enter_async_context(datagram_port(host, int(port)))
+        store = PlatformStore(session, settings.store_address)
         context = Context(fleet, client, PlatformDialect(), placing, rng)
         context.notices = Notices(
             settings.name, placing, fleet.entries.values, peers.send
         )
         peers.on_datagram = context.notices.receive
-        core = DirectCore(context, NullTelemetry())
+        core = DirectCore(context, metrics)
         front = DirectFront(core)
-        store = PlatformStore(session, settings.store_address)
+        callers = await _listen(
+            stack, front.callers(), settings.listen_address, front.busy
+        )
+        await _listen(stack, front.probes(), settings.ready_address)
+        if settings.metrics_address:
+            await _listen(stack, _metrics(metrics), settings.metrics_address)
         presence = Presence(store, settings.name, settings.peer_address, rng)
-        told = _signals()
-        async with (
-            _serving(front.callers(), settings.listen_address),
-            _serving(front.probes(), settings.ready_address),
-            _running(Follower(store, fleet, rng).run()),
-            _running(presence.run()),
-            _running(_planner(settings, store, context).run()),
-        ):
+        await stack.enter_async_context(running(Follower(store, fleet, rng).run()))
+        await stack.enter_async_context(running(presence.run()))
+        async with running(_planner(settings, store, context).run()):
             await told.wait()
-            await _drain(core, settings.shutdown_seconds)
+            core.stopping = True
+        await _drain(core, callers, settings.shutdown_seconds)
     logger.info("stops")
 
 
@@ -120,17 +125,41 @@
     )
 
 
-async def _drain(core: DirectCore, seconds: float) -> None:
+async def _listen(
+    stack: contextlib.AsyncExitStack,
+    server: web.Server,
+    address: str,
+    busy: cabc.Container[asyncio.BaseProtocol] = (),
+) -> Listening:
+    listening = Listening(server, address, busy)
+    stack.push_async_callback(listening.close)
+    with address_errors(address):
+        await listening.start()
+    return listening
+
+
+def _metrics(metrics: OpenTelemetryMetrics) -> web.Server:
+    answer = exposition(metrics)
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        if request.path != METRICS_PATH:
+            return web.Response(status=404)
+        return await answer(request)
+
+    return web.Server(handle, access_log=None)
+
+
+async def _drain(core: DirectCore, callers: Listening, seconds: float) -> None:
     """Serve on until callers are sent elsewhere and the last request is answered."""
     loop = asyncio.get_running_loop()
-    core.stopping = True
     logger.info("stops soon", extra={"running": core.running})
     told_at = loop.time()
     end_by = told_at + max(0.0, seconds - SHUTDOWN_MARGIN_SECONDS)
-    while loop.time() < end_by:
+    await asyncio.sleep(min(STILL_ROUTED_SECONDS, end_by - told_at))
+    await callers.stop_taking()
+    logger.info("takes no more requests", extra={"running": core.running})
+    while core.running and loop.time() < end_by:
         await asyncio.sleep(IDLE_CHECK_SECONDS)
-        if core.running == 0 and loop.time() - told_at >= STILL_ROUTED_SECONDS:
-            return
 
 
 def _signals() -> asyncio.Event:
@@ -139,34 +168,9 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told.set)
-    loop.add_signal_handler(signal.SIGHUP, logger.info, "reload: nothing to read anew")
+    loop.add_signal_handler(signal.SIGHUP, _on_reload)
     return told
 
 
-@contextlib.asynccontextmanager
-async def _store_session() -> cabc.AsyncIterator[aiohttp.ClientSession]:
-    async with client_session() as session:
-        yield session
-
-
-@contextlib.asynccontextmanager
-async def _serving(server: web.Server, address: str) -> cabc.AsyncIterator[None]:
-    host, _, port = address.rpartition(":")
-    runner = web.ServerRunner(server, shutdown_timeout=0.5)
-    await runner.setup()
-    try:
-        await web.TCPSite(runner, host, int(port), backlog=BACKLOG).start()
-        yield
-    finally:
-        await runner.cleanup()
-
-
-@contextlib.asynccontextmanager
-async def _running(work: cabc.Coroutine[object, object, None]) -> cabc.AsyncIterator[None]:
-    task = asyncio.create_task(work)
-    try:
-        yield
-    finally:
-        task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await task
+def _on_reload() -> None:
+    logger.info("reload", extra={"changed": "nothing that is read while running"})
--- /dev/null
+++ b/src/bergamotmast/lifecycle.py
@@ -0,0 +1,72 @@
+"""What the daemons share: tasks beside a body, addresses, metrics over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc as cabc
+import contextlib
+import typing as t
+
+from aiohttp import web
+
+from .errors import SettingError
+
+if t.TYPE_CHECKING:
+    from .adapters.metrics import OpenTelemetryMetrics
+
+METRICS_PATH = "/metrics"
+
+CANCEL_SECONDS = 0.5
+"""Most time that a cancelled task's own ending is waited for."""
+
+
+def exposition(
+    metrics: OpenTelemetryMetrics,
+) -> cabc.Callable[[web.BaseRequest], cabc.Awaitable[web.Response]]:
+    """Return the handler that answers with all series."""
+
+    async def answer(request: web.BaseRequest) -> web.Response:
+        return web.Response(body=metrics.exposition(), content_type="text/plain")
+
+    return answer
+
+
+@contextlib.contextmanager
+def address_errors(address: str, flag: str = "--listen-address") -> cabc.Iterator[None]:
+    """Show an address that can't be listened on as the setting's error."""
+    try:
+        yield
+    except OSError as error:
+        allowed = f"an address that is free here: {error}"
+        raise SettingError(flag, address, allowed) from error
+
+
+@contextlib.asynccontextmanager
+async def running(
+    work: cabc.Coroutine[t.Any, t.Any, None],
+) -> cabc.AsyncIterator[None]:
+    """Run a process's tasks beside the body; their failure ends the process.
+
+    A task that is cancelled may still want to say goodbye to a service that does not
+    answer; it gets :data:`CANCEL_SECONDS`, so that a process told to end does end.
+    """
+    main = asyncio.current_task()
+    assert main is not None
+    task = asyncio.create_task(work)
+
+    def on_done(done: asyncio.Task[None]) -> None:
+        if not done.cancelled() and done.exception() is not None:
+            main.cancel()
+
+    task.add_done_callback(on_done)
+    try:
+        yield
+    finally:
+        task.cancel()
+        await asyncio.wait({task}, timeout=CANCEL_SECONDS)
+        if (
+            task.done()
+            and not task.cancelled()
+            and (error := task.exception()) is not None
+        ):
+            raise error
--- a/src/bergamotmast/platform/directory.py
+++ b/src/bergamotmast/platform/directory.py
@@ -102,7 +102,9 @@
             return Routing(
                 generation=read.version,
                 routes=tuple(map(_route, read.routes)),
-                groups={s.name: Group(s.name, _engine(s.engine)) for s in read.services},
+                groups={
+                    s.name: Group(s.name, _engine(s.engine)) for s in read.services
+                },
                 limits=CallerLimits(
                     read.limits.max_header_bytes,
                     read.limits.max_body_bytes,
@@ -110,7 +112,9 @@
                 ),
             )
         except (msgspec.DecodeError, KeyError) as error:
-            raise ConfigError(f"The configuration is not understood: {error}") from error
+            raise ConfigError(
+                f"The configuration is not understood: {error}"
+            ) from error
 
     def decode_upstream(self, key: str, value: bytes) -> Upstream:
         """Read an upstream's entry."""
--- a/src/bergamotmast/platform/headers.py
+++ b/src/bergamotmast/platform/headers.py
@@ -70,7 +70,9 @@
         time_left = headers.get(TIME_LEFT)
         return CallTraits(
             request_id=headers.get(REQUEST_ID, ""),
-            time_left=None if time_left is None else _number(TIME_LEFT, time_left) / 1e3,
+            time_left=None
+            if time_left is None
+            else _number(TIME_LEFT, time_left) / 1e3,
             last_event=_count(headers.get(LAST_EVENT, "")),
             prompt_tokens=prompt_tokens,
             max_tokens=max_tokens,
@@ -118,7 +120,9 @@
         try:
             read = msgspec.json.decode(body, type=_PrefilledBody)
         except msgspec.DecodeError as error:
-            raise ReplyLostError(f"the prefill's reply is not understood: {error}") from error
+            raise ReplyLostError(
+                f"the prefill's reply is not understood: {error}"
+            ) from error
         return Prefilled(read.transfer_handle, str(read.version))
 
     def kv_source(self, address: str, handle: str) -> str:
--- a/src/bergamotmast/platform/store.py
+++ b/src/bergamotmast/platform/store.py
@@ -167,7 +167,9 @@
                 yield _watch_event(event)
             after = max(after, answer.store_revision)
 
-    async def _read(self, path: str, seconds: float = CALL_SECONDS) -> tuple[int, bytes]:
+    async def _read(
+        self, path: str, seconds: float = CALL_SECONDS
+    ) -> tuple[int, bytes]:
         try:
             status, body = await self._call("GET", path, None, seconds)
         except (NotReachedError, ReplyLostError) as error:
--- a/src/bergamotmast/policy/direct_placement.py
+++ b/src/bergamotmast/policy/direct_placement.py
@@ -132,8 +132,7 @@
     ways += [
         (_first_token(engine), engine)
         for engine in engines
-        if engine.role is not Role.PREFILL
-        and (not ways or _may_read(engine))
+        if engine.role is not Role.PREFILL and (not ways or _may_read(engine))
     ]
     seconds, engine = min(ways, key=lambda way: (_cost(*way), way[1].name))
     if engine.to_read >= LONG_TOKENS:
--- a/src/bergamotmast/settings.py
+++ b/src/bergamotmast/settings.py
@@ -227,9 +227,7 @@
     return tuple(sorted(found, key=lambda declaration: groups.index(declaration.group)))
 
 
-def add_settings(
-    parser: argparse.ArgumentParser, settings: type[AnySettings]
-) -> None:
+def add_settings(parser: argparse.ArgumentParser, settings: type[AnySettings]) -> None:
     """Give a parser a flag for each setting, under the group's heading."""
     groups: dict[str, argparse._ArgumentGroup] = {}
     for declaration in declarations(settings):
