--- a/serve.py
+++ b/serve.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+import os
 import pathlib
 import sys
 
 ROOT = pathlib.Path(__file__).resolve().parent
 
-# The build has compiled the package there; a start without it takes half again as long,
-# and after a fault that killed all entries nobody is served meanwhile.
-sys.pycache_prefix = str(ROOT / "target" / "pycache")
+# Nothing here speaks TLS, but the HTTP library reads all certificates of the machine as
+# it is imported: a tenth of a second, a sixth of the start.
+os.environ.setdefault("SSL_CERT_FILE", os.devnull)
+
 sys.path.insert(0, str(ROOT / "src"))
 
 from bergamotmast.cli import main  # noqa: E402
--- a/src/bergamotmast/direct/core.py
+++ b/src/bergamotmast/direct/core.py
@@ -61,7 +61,7 @@
         reply: CallerReply,
     ) -> None:
         """Answer one request."""
-        request_id = headers.get("X-Request-Id", "")
+        request_id = self.context.dialect.request_id(headers)
         with request_context(request_id):
             self.running += 1
             route_name = ""
--- a/src/bergamotmast/direct/front.py
+++ b/src/bergamotmast/direct/front.py
@@ -18,8 +18,6 @@
 
 logger = logging.getLogger(__name__)
 
-READY_PATH = "/readiness"
-
 HEADER_BYTES = 32_768
 """Longest line and header read; the operators' limit is below it."""
 
@@ -109,7 +107,7 @@
         return web.Server(self._ready, access_log=None)
 
     async def _ready(self, request: web.BaseRequest) -> web.StreamResponse:
-        if request.path != READY_PATH:
+        if request.path != self.core.context.dialect.ready_path:
             return web.Response(status=404)
         return web.Response(status=200 if self.core.is_ready else 503)
 
--- a/src/bergamotmast/direct/notices.py
+++ b/src/bergamotmast/direct/notices.py
@@ -56,7 +56,7 @@
 
 
 class Notices:
-    """This entry's notices, and those of others.
+    """Sends this entry's notices and takes those of others.
 
     :param peers: returns the addresses of the other entries.
     :param send: hands a datagram over, without waiting.
--- a/src/bergamotmast/direct/placing.py
+++ b/src/bergamotmast/direct/placing.py
@@ -117,17 +117,15 @@
 
     def reading(self, call: Call, upstream: Upstream) -> Reading:
         """Return what an engine would have to read of a prompt, as far as known."""
-        parts = shared_parts(call)
-        own = self.engine_book(upstream).prefix.cached(parts)
-        best, source = own, ""
         now = asyncio.get_running_loop().time()
-        for other in self.fleet.members(call.group.name, now):
-            if other.name == upstream.name:
-                continue
-            cached = self.engine_book(other).prefix.cached(parts)
-            if cached >= best + LEAST_FETCHED:
-                best, source = cached, other.address
-        return Reading(max(1, call.traits.prompt_tokens - best), source)
+        members = self.fleet.members(call.group.name, now)
+        cached = self._cached(call, members)
+        return _reading(call, upstream, cached.get(upstream.name, 0), cached, members)
+
+    def _cached(self, call: Call, members: list[Upstream]) -> dict[str, int]:
+        """Return how much of a prompt's beginning each engine is known to keep."""
+        parts = shared_parts(call)
+        return {m.name: self.engine_book(m).prefix.cached(parts) for m in members}
 
     def choose_plain(self, call: Call, tried: cabc.Collection[str]) -> Upstream:
         """Return the plain upstream for a request's next send.
@@ -190,11 +188,14 @@
         self, call: Call, members: list[Upstream], now: float
     ) -> list[EngineView]:
         views = []
+        everyone = self.fleet.members(call.group.name, now)
+        cached = self._cached(call, everyone)
         for member in members:
             book = self.engine_book(member)
             if now < book.failed_until:
                 continue
-            to_read = self.reading(call, member).tokens
+            own = cached.get(member.name, 0)
+            to_read = _reading(call, member, own, cached, everyone).tokens
             priority = priority_of(call.route.rank, to_read)
             views.append(
                 EngineView(
@@ -219,6 +220,20 @@
         self.by_hash = {h: k for h, k in self.by_hash.items() if k in present}
 
 
+def _reading(
+    call: Call,
+    upstream: Upstream,
+    own: int,
+    cached: dict[str, int],
+    members: list[Upstream],
+) -> Reading:
+    best, source = own, ""
+    for other in members:
+        if other.name != upstream.name and cached[other.name] >= best + LEAST_FETCHED:
+            best, source = cached[other.name], other.address
+    return Reading(max(1, call.traits.prompt_tokens - best), source)
+
+
 def shared_parts(call: Call) -> tuple[tuple[int, int], ...]:
     """Return hash and length of the parts of a request's prompt, in order."""
     return tuple((_hash(part.key), part.tokens) for part in call.traits.parts)
--- a/src/bergamotmast/direct/ports.py
+++ b/src/bergamotmast/direct/ports.py
@@ -83,6 +83,15 @@
 class Dialect(t.Protocol):
     """How requests and replies say what a direct entry must know."""
 
+    @property
+    def ready_path(self) -> str:
+        """Path at which the platform asks whether an entry is ready."""
+        ...
+
+    def request_id(self, headers: cabc.Mapping[str, str]) -> str:
+        """Return the id of a caller's request; empty where it has none."""
+        ...
+
     def read_call(self, headers: cabc.Mapping[str, str]) -> CallTraits:
         """Read a caller's headers.
 
--- a/src/bergamotmast/direct/stream_run.py
+++ b/src/bergamotmast/direct/stream_run.py
@@ -3,19 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
+import collections.abc as cabc
+import contextlib
 import logging
 
 from ..errors import NotReachedError
 from ..errors import ReplyLostError
 from ..errors import RequestError
 from ..errors import ResultCode
-from ..model import Role
-from ..policy.direct_placement import FIRST_TOKEN_SECONDS
 from ..policy.direct_placement import priority_of
-from ..policy.engine_book import CALL_SECONDS
-from ..policy.engine_book import WorkKey
-from ..policy.engine_book import read_rate
+from ..policy.engine_book import EngineBook
 from .caller import CallerReply
 from .context import Context
 from .events import Event
@@ -23,12 +20,15 @@
 from .forwarding import answer_headers
 from .model import Call
 from .model import Upstream
-from .placing import shared_parts
 from .plain_run import NOT_RUN_STATUSES
 from .ports import Attempt
 from .ports import Reply
 from .ports import ReplyTraits
+from .prompt_reads import PromptReads
+from .prompt_reads import Read
 from .sends import Sends
+from .silence import silence_limit
+from .timeline import Timeline
 
 logger = logging.getLogger(__name__)
 
@@ -39,6 +39,13 @@
 """How long an engine that could not be reached, or broke off, is left alone."""
 
 
+STALL_SECONDS = 1.2
+"""Longest pause between the events of a stream that may be resumed: its caller leaves
+after two seconds, and going on elsewhere takes some 400 ms."""
+
+MOST_PREFILLS = 2
+"""Engines that a prompt is sent to for reading before an answering one reads it."""
+
 REFUSED_SECONDS = 0.3
 """How long an engine that refused a request is left alone: it is full or changing."""
 
@@ -47,68 +54,12 @@
     """A stream ended before its end, or its reply can't be used."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Read:
-    """A prompt booked at the engine that reads it.
-
-    :param tokens: prompt tokens that were thought not to be cached there.
-    :param predicted: seconds that it should take.
-    """
-
-    key: WorkKey
-    tokens: int
-    priority: int
-    began_at: float
-    predicted: float
-    fetch_from: str
-
-
-@dataclasses.dataclass(slots=True)
-class Timeline:
-    """When a stream came how far, as points in time; the last send's where it had more.
-
-    :param reader: engine that read the prompt for the answering one.
-    :param upstream: the answering engine.
-    :param to_read: prompt tokens that were thought not to be cached.
-    """
-
-    reader: str = ""
-    upstream: str = ""
-    to_read: int = 0
-    predicted: float = 0.0
-    placed_at: float | None = None
-    prefilled_at: float | None = None
-    replied_at: float | None = None
-    first_event_at: float | None = None
-
-    def fields(self, arrived_at: float) -> dict[str, object]:
-        """Return what a log line says of it, in milliseconds since the arrival."""
-        points = {
-            "placed_ms": self.placed_at,
-            "prefilled_ms": self.prefilled_at,
-            "replied_ms": self.replied_at,
-            "first_event_ms": self.first_event_at,
-        }
-        found: dict[str, object] = {
-            name: round((point - arrived_at) * 1e3, 1)
-            for name, point in points.items()
-            if point is not None
-        }
-        if self.upstream:
-            found |= {
-                "reader": self.reader,
-                "upstream": self.upstream,
-                "to_read": self.to_read,
-                "predicted_ms": round(self.predicted * 1e3, 1),
-            }
-        return found
-
-
 class StreamRun:
     """Runs one streamed request.
 
     :param last_event: number of the last event that the caller has.
     :param weights: version of the weights that began the answer.
+    :param source: exported KV cache of the prompt that no engine has taken yet.
     """
 
     def __init__(self, context: Context, call: Call, reply: CallerReply) -> None:
@@ -116,9 +67,11 @@
         self.call = call
         self.reply = reply
         self.sends = Sends(context, call)
+        self.reads = PromptReads(context, call)
         self.last_event = call.traits.last_event
         self.weights = ""
         self.prefills = 0
+        self.source = ""
         self.timeline = Timeline()
 
     async def run(self) -> int:
@@ -136,23 +89,26 @@
             raise RequestError(code) from None
 
     async def _answer(self) -> int:
-        while True:
-            try:
+        try:
+            while True:
                 reader, upstream = self._place()
-            except RequestError:
-                if self.sends.maybe_ran:
-                    raise self.sends.exhausted() from None
-                raise
-            source = ""
-            if reader is not None:
-                source = await self._prefill(reader)
-                if source:
+                if reader is not None and not self.source:
+                    await self._prefill(reader)
+                    if not self.source and self.prefills < MOST_PREFILLS:
+                        continue
+                if self.source:
                     upstream = self.context.placing.answering(
                         self.call, self.sends.excluded
                     )
-            status = await self._send(upstream, source)
-            if status is not None:
-                return status
+                status = await self._send(upstream)
+                if status is not None:
+                    return status
+        except RequestError as error:
+            if self.sends.maybe_ran:
+                raise self.sends.exhausted(error.code) from None
+            raise
+        finally:
+            self._release()
 
     def _place(self) -> tuple[Upstream | None, Upstream]:
         reader, upstream, placement = self.context.placing.place_stream(
@@ -164,60 +120,27 @@
         timeline.predicted = placement.first_token
         return reader, upstream
 
-    async def _prefill(self, reader: Upstream) -> str:
-        """Have the prompt read and return the name of its KV cache, "" if that failed."""
+    async def _prefill(self, reader: Upstream) -> None:
+        """Have the prompt read; afterwards its KV cache is known if that went well."""
         if self.prefills and not self.sends.spend_extra():
-            return ""
+            self.prefills = MOST_PREFILLS
+            return
         self.prefills += 1
         book = self.context.placing.engine_book(reader)
         loop = asyncio.get_running_loop()
-        read = self._begin_read(reader)
+        read = self.reads.begin(reader)
         done = False
         try:
-            source = await self._exchange_prefill(reader, read)
+            async with silence_limit(book, read.began_at):
+                self.source = await self._exchange_prefill(reader, read)
             done = True
             self.timeline.prefilled_at = loop.time()
             self.timeline.to_read = read.tokens
-            return source
         except (NotReachedError, ReplyLostError) as error:
             book.failed_until = loop.time() + FAILED_SECONDS
             self._log_failure(reader, error.message, "prefill")
-            return ""
         finally:
-            self._end_read(reader, read, done=done)
-
-    def _begin_read(self, engine: Upstream) -> Read:
-        """Book a prompt at the engine that is about to read it, and tell the peers."""
-        context = self.context
-        book = context.placing.engine_book(engine)
-        now = asyncio.get_running_loop().time()
-        reading = context.placing.reading(self.call, engine)
-        tokens = reading.tokens
-        priority = priority_of(self.call.route.rank, tokens)
-        wait = book.wait_tokens(priority, now)
-        rate = read_rate(engine.role or Role.MIXED)
-        predicted = (wait + tokens) / rate + CALL_SECONDS
-        if engine.role is not Role.PREFILL:
-            predicted += FIRST_TOKEN_SECONDS
-        key = context.placing.new_key()
-        parts = shared_parts(self.call)
-        book.begin(key, tokens, priority, now)
-        # The last part is the request's or its session's own: it is noted once it has
-        # been read. Noted before, a request that comes back after it was given up in
-        # the queue would pass for cached and be read in the wrong place.
-        book.prefix.store(parts[:-1])
-        context.tell_begun(engine, key, priority, tokens, parts)
-        return Read(key, tokens, priority, now, predicted, reading.fetch_from)
-
-    def _end_read(self, engine: Upstream, read: Read, *, done: bool) -> None:
-        book = self.context.placing.engine_book(engine)
-        now = asyncio.get_running_loop().time()
-        work = book.end(read.key, now)
-        if done:
-            book.prefix.store(shared_parts(self.call))
-        if done and work is not None and not work.overtaken:
-            book.measure(read.predicted, now - read.began_at, now)
-        self.context.tell_ended(engine, read.key, read.tokens)
+            self.reads.end(reader, read, done=done)
 
     async def _exchange_prefill(self, reader: Upstream, read: Read) -> str:
         call = self.call
@@ -237,6 +160,7 @@
         ) as reply:
             traits = self.context.read_reply(call, reader, reply)
             body = await reply.read()
+            self._on_heard(reader)
             if reply.status != 200:
                 raise ReplyLostError(f"the prefill was answered {reply.status}")
             if traits.request_id and traits.request_id != call.traits.request_id:
@@ -244,45 +168,28 @@
             prefilled = dialect.read_prefilled(body)
         return dialect.kv_source(reader.address, prefilled.handle)
 
-    async def _send(self, upstream: Upstream, source: str) -> int | None:
+    async def _send(self, upstream: Upstream) -> int | None:
         """Have an engine answer; ``None`` where the request may go on elsewhere."""
-        try:
-            self.sends.begin(upstream)
-        except RequestError:
-            self._release(source)
-            raise
-        book = self.context.placing.engine_book(upstream)
+        self.sends.begin(upstream)
+        placing = self.context.placing
+        book = placing.engine_book(upstream)
         loop = asyncio.get_running_loop()
-        read = None if source else self._begin_read(upstream)
-        self.timeline.upstream = upstream.name
-        if read is not None:
-            self.timeline.reader = ""
-            self.timeline.to_read = read.tokens
-        taken = False
+        read = None if self.source else self.reads.begin(upstream)
+        self._note_send(upstream, read)
         streaming = False
         try:
-            async with self._open(upstream, source, read) as reply:
-                self.timeline.replied_at = loop.time()
-                traits = self.context.read_reply(self.call, upstream, reply)
-                if traits.request_id and (
-                    traits.request_id != self.call.traits.request_id
-                ):
-                    raise BrokenStreamError("the reply belongs to another request")
-                if traits.not_run:
-                    self.sends.on_not_run()
-                    book.failed_until = loop.time() + _pause_after(traits)
-                    raise BrokenStreamError(f"status {reply.status}, not run")
-                taken = True
+            async with self._open(upstream, read) as reply:
+                traits = self._check_reply(upstream, reply)
+                # The engine has taken the KV cache, if there was one.
+                self.source = ""
                 if not 200 <= reply.status < 300:
                     return await self._on_failure_status(reply, traits)
-                if not traits.signed:
-                    raise BrokenStreamError("the reply is not signed")
-                async for event in self._events(reply):
+                async for event in self._events(reply, book):
                     if not streaming:
                         streaming = True
                         book.streams += 1
                         if read is not None:
-                            self._end_read(upstream, read, done=True)
+                            self.reads.end(upstream, read, done=True)
                     await self._forward(event, reply, traits)
             await self._finish(reply, traits)
             return reply.status
@@ -292,17 +199,49 @@
             self._log_failure(upstream, error.message, "not reached")
         except (ReplyLostError, BrokenStreamError) as error:
             self._log_failure(upstream, str(error), "broken")
+            # Whatever became of the KV cache, it can't be taken twice.
+            self._release()
             self._refuse_unrepeatable()
         finally:
             if streaming:
                 book.streams -= 1
             elif read is not None:
-                self._end_read(upstream, read, done=False)
-            if not taken:
-                self._release(source)
+                self.reads.end(upstream, read, done=False)
         return None
 
-    def _open(self, upstream: Upstream, source: str, read: Read | None):  # type: ignore[no-untyped-def]
+    def _note_send(self, upstream: Upstream, read: Read | None) -> None:
+        self.timeline.upstream = upstream.name
+        if read is not None:
+            self.timeline.reader = ""
+            self.timeline.to_read = read.tokens
+
+    def _check_reply(self, upstream: Upstream, reply: Reply) -> ReplyTraits:
+        """Return what a reply says of itself if it is one to this request.
+
+        :raises BrokenStreamError: if it is not, or says that nothing ran.
+        """
+        now = asyncio.get_running_loop().time()
+        self.timeline.replied_at = now
+        self._on_heard(upstream)
+        traits = self.context.read_reply(self.call, upstream, reply)
+        if traits.request_id not in ("", self.call.traits.request_id):
+            raise BrokenStreamError("the reply belongs to another request")
+        if traits.not_run:
+            self.sends.on_not_run()
+            book = self.context.placing.engine_book(upstream)
+            book.failed_until = now + _pause_after(traits)
+            raise BrokenStreamError(f"status {reply.status}, not run")
+        if 200 <= reply.status < 300 and not traits.signed:
+            raise BrokenStreamError("the reply is not signed")
+        return traits
+
+    def _on_heard(self, upstream: Upstream) -> None:
+        book = self.context.placing.engine_book(upstream)
+        book.heard_at = asyncio.get_running_loop().time()
+
+    def _open(
+        self, upstream: Upstream, read: Read | None
+    ) -> contextlib.AbstractAsyncContextManager[Reply]:
         call = self.call
         now = asyncio.get_running_loop().time()
         tokens = call.traits.prompt_tokens if read is None else read.tokens
@@ -310,7 +249,7 @@
             upstream.name,
             call.deadline,
             priority=priority_of(call.route.rank, tokens),
-            kv_source=source,
+            kv_source=self.source,
             fetch_from=read.fetch_from if read is not None else "",
             last_event=self.last_event,
             weights=self.weights,
@@ -325,9 +264,27 @@
             fresh=not call.route.repeatable,
         )
 
-    async def _events(self, reply: Reply):  # type: ignore[no-untyped-def]
+    async def _events(
+        self, reply: Reply, book: EngineBook
+    ) -> cabc.AsyncIterator[Event]:
+        """Yield whole events.
+
+        :raises BrokenStreamError: if the stream ends within one, or pauses for so long
+            that a stream that may be resumed had better go on elsewhere.
+        """
         splitter = EventSplitter()
-        async for data in reply.chunks():
+        chunks = reply.chunks()
+        pause = STALL_SECONDS if self.call.route.resumable else None
+        while True:
+            try:
+                async with asyncio.timeout(pause):
+                    data = await anext(chunks, None)
+            except TimeoutError:
+                book.failed_until = asyncio.get_running_loop().time() + FAILED_SECONDS
+                raise BrokenStreamError("the stream stands still") from None
+            if data is None:
+                break
+            book.heard_at = asyncio.get_running_loop().time()
             for event in splitter.feed(data):
                 yield event
         if splitter.rest:
@@ -365,7 +322,9 @@
             return
         raise RequestError(ResultCode.OUTCOME_UNKNOWN) from None
 
-    def _release(self, source: str) -> None:
+    def _release(self) -> None:
+        """Free a KV cache that no engine will take any more."""
+        source, self.source = self.source, ""
         if source:
             self.context.spawn(self._free(source))
 
--- /dev/null
+++ b/src/bergamotmast/direct/timeline.py
@@ -0,0 +1,46 @@
+"""How far a stream came and when, for its line in the log."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class Timeline:
+    """When a stream came how far, as points in time; the last send's where it had more.
+
+    :param reader: engine that read the prompt for the answering one.
+    :param upstream: the answering engine.
+    :param to_read: prompt tokens that were thought not to be cached.
+    """
+
+    reader: str = ""
+    upstream: str = ""
+    to_read: int = 0
+    predicted: float = 0.0
+    placed_at: float | None = None
+    prefilled_at: float | None = None
+    replied_at: float | None = None
+    first_event_at: float | None = None
+
+    def fields(self, arrived_at: float) -> dict[str, object]:
+        """Return what a log line says of it, in milliseconds since the arrival."""
+        points = {
+            "placed_ms": self.placed_at,
+            "prefilled_ms": self.prefilled_at,
+            "replied_ms": self.replied_at,
+            "first_event_ms": self.first_event_at,
+        }
+        found: dict[str, object] = {
+            name: round((point - arrived_at) * 1e3, 1)
+            for name, point in points.items()
+            if point is not None
+        }
+        if self.upstream:
+            found |= {
+                "reader": self.reader,
+                "upstream": self.upstream,
+                "to_read": self.to_read,
+                "predicted_ms": round(self.predicted * 1e3, 1),
+            }
+        return found
--- a/src/bergamotmast/platform/headers.py
+++ b/src/bergamotmast/platform/headers.py
@@ -64,12 +64,18 @@
 class PlatformDialect:
     """A :class:`~bergamotmast.direct.ports.Dialect`."""
 
+    ready_path = "/readiness"
+
+    def request_id(self, headers: cabc.Mapping[str, str]) -> str:
+        """Return the id of a caller's request; empty where it has none."""
+        return headers.get(REQUEST_ID, "")
+
     def read_call(self, headers: cabc.Mapping[str, str]) -> CallTraits:
         """Read a caller's headers."""
         prompt_tokens, max_tokens = _tokens(headers.get(TOKENS, ""))
         time_left = headers.get(TIME_LEFT)
         return CallTraits(
-            request_id=headers.get(REQUEST_ID, ""),
+            request_id=self.request_id(headers),
             time_left=None
             if time_left is None
             else _number(TIME_LEFT, time_left) / 1e3,
--- a/src/bergamotmast/platform/orders.py
+++ b/src/bergamotmast/platform/orders.py
@@ -35,7 +35,7 @@
         self.client = client
 
     async def sequence(self, upstream: Upstream) -> int | None:
-        """Return how many orders an engine has taken; ``None`` while one is going on."""
+        """Return how many orders an engine has taken; ``None`` while one goes on."""
         status, body = await self._call(upstream, "GET", "/report", b"")
         if status != 200:
             raise ReplyLostError(f"the report was answered {status}")
--- a/src/bergamotmast/policy/direct_placement.py
+++ b/src/bergamotmast/policy/direct_placement.py
@@ -27,7 +27,7 @@
 """What a second call and the transfer of a KV cache take at least."""
 
 ZONE_SECONDS = 0.004
-"""Penalty of an engine in another zone: bytes between zones are dear, the way longer."""
+"""Penalty of an engine in another zone: bytes between zones are dear."""
 
 FIRST_TOKEN_SECONDS = 0.008
 """One step of a usual batch and the way back."""
--- a/src/bergamotmast/policy/engine_book.py
+++ b/src/bergamotmast/policy/engine_book.py
@@ -42,6 +42,11 @@
 CACHE_SHARE = 0.5
 """Part of an engine's KV memory that is taken to keep shared parts."""
 
+SILENT_SECONDS = 0.7
+"""An engine that has said nothing for so long, on any of this entry's calls, beside the
+time its present prompt takes, is taken for gone: callers leave after two seconds, and
+the prompt must be read anew before that."""
+
 SLOW_WEIGHT = 0.25
 """Weight of a new measurement of an engine's slowness, on a log scale."""
 
@@ -74,7 +79,7 @@
 
 
 class PrefixMemory:
-    """Shared prompt parts that an engine is believed to keep, the oldest leave first."""
+    """Shared prompt parts that an engine is believed to keep; the oldest leave."""
 
     def __init__(self, capacity: int) -> None:
         self.capacity = capacity
@@ -106,7 +111,8 @@
     :param current: the work that it is thought to read now.
     :param current_since: when that began; a point in time.
     :param streams: own answers under way there.
-    :param slow: how many times slower than usual it is.
+    :param heard_at: when it last said anything to this entry; a point in time.
+    :param failed_until: until when it is left alone; a point in time.
     """
 
     def __init__(self, kv_capacity: int) -> None:
@@ -119,6 +125,7 @@
         self.hint_others = 0
         self.hint_at = -math.inf
         self.failed_until = -math.inf
+        self.heard_at = -math.inf
         self.slow_log = 0.0
         self.slow_at = 0.0
 
@@ -177,7 +184,19 @@
     def answers(self, now: float) -> float:
         """Return how many answers are thought to be under way there."""
         age = max(0.0, now - self.hint_at)
-        return self.streams + self.hint_others * 2.0 ** (-age / HINT_SECONDS)
+        return self.streams + self.hint_others * math.exp(-age / HINT_SECONDS)
+
+    def silent_at(self, since: float, now: float) -> float:
+        """Return when an engine that stays silent must be taken for gone.
+
+        It may be busy with one prompt all the while, whose time is allowed for.
+
+        :param since: when the call that waits was sent; a point in time.
+        """
+        work = self.reading.get(self.current) if self.current else None
+        tokens = work.tokens if work is not None else 0
+        reading = tokens / (READ_RATE * ANSWERING_SHARE) * self.slow(now)
+        return max(since, self.heard_at) + SILENT_SECONDS + reading
 
     def _take_next(self, now: float) -> None:
         self.current = min(
--- a/src/bergamotmast/policy/plain_choice.py
+++ b/src/bergamotmast/policy/plain_choice.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import random
 import typing as t
 
@@ -48,7 +49,7 @@
     def load(self, now: float) -> float:
         """Return how many calls are thought to be there."""
         age = max(0.0, now - self.hint_at)
-        return self.running + self.hint_others * 2.0 ** (-age / HINT_SECONDS)
+        return self.running + self.hint_others * math.exp(-age / HINT_SECONDS)
 
     def is_ejected(self, now: float) -> bool:
         """Return whether it is left out for now."""
--- a/src/bergamotmast/settings.py
+++ b/src/bergamotmast/settings.py
@@ -255,7 +255,7 @@
     environment = os.environ if environment is None else environment
     values = {
         declaration.field: _value(declaration, given, environment)
-        for declaration in declarations(settings)
+        for declaration in declarations(t.cast("type[AnySettings]", settings))
     }
     loaded = settings(**values)
     _check_together(loaded)
