--- a/src/bergamotmast/direct/context.py
+++ b/src/bergamotmast/direct/context.py
@@ -9,6 +9,7 @@
 
 from ..policy.direct_roles import MixMeter
 from ..policy.engine_book import WorkKey
+from ..policy.retry_window import RetryLimits
 from ..policy.retry_window import RetryWindow
 from .fleet import Fleet
 from .model import Call
@@ -29,6 +30,7 @@
     """The parts that every run of a request uses.
 
     :param mix: what the streams of this entry ask of engines.
+    :param retry_limits: what all entries together may send a second time.
     :param budgets: second sends by group.
     :param background: tasks that outlive their request, until they are done.
     """
@@ -38,6 +40,7 @@
     dialect: Dialect
     placing: Placing
     rng: random.Random
+    retry_limits: RetryLimits = RetryLimits()
     notices: Notices | None = None
     mix: MixMeter = dataclasses.field(default_factory=MixMeter)
     budgets: dict[str, RetryWindow] = dataclasses.field(default_factory=dict)
@@ -45,7 +48,7 @@
 
     def budget(self, group: str) -> RetryWindow:
         """Return a group's window of second sends."""
-        return self.budgets.setdefault(group, RetryWindow())
+        return self.budgets.setdefault(group, RetryWindow(self.retry_limits))
 
     def tell_begun(
         self,
--- a/src/bergamotmast/direct/sends.py
+++ b/src/bergamotmast/direct/sends.py
@@ -72,4 +72,5 @@
 
     def _spend(self) -> bool:
         now = asyncio.get_running_loop().time()
-        return self.context.budget(self.call.group.name).spend(now)
+        entries = len(self.context.fleet.entries)
+        return self.context.budget(self.call.group.name).spend(entries, now)
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -36,6 +36,7 @@
 from .platform.headers import PlatformDialect
 from .platform.orders import PlatformOrders
 from .platform.store import PlatformStore
+from .policy.retry_window import RetryLimits
 from .settings import DirectEntrySettings
 
 logger = logging.getLogger(__name__)
@@ -76,6 +77,7 @@
             peers = await stack.enter_async_context(datagram_port(host, int(port)))
         store = PlatformStore(session, settings.store_address)
         context = Context(fleet, client, PlatformDialect(), placing, rng)
+        context.retry_limits = RetryLimits(settings.retry_share, settings.retry_free)
         context.notices = Notices(
             settings.name, placing, fleet.entries.values, peers.send
         )
--- a/src/bergamotmast/policy/retry_window.py
+++ b/src/bergamotmast/policy/retry_window.py
@@ -5,30 +5,48 @@
 
 Without it: second sends multiply the load just when capacity is missing.
 
-Thresholds: over any window of :data:`WINDOW_SECONDS`, second sends stay below
-:data:`SHARE` of the entry's own requests plus :data:`FREE`. Each entry keeps to its own
-part, so the fleet as a whole keeps to the operators' 0.2 however the traffic is spread
-and whichever entries come and go.
+Thresholds: the operators allow all entries together a share of the requests and a few
+more, over any window of :data:`WINDOW_SECONDS`. Each entry keeps to :data:`KEPT_SHARE`
+of that share of its own requests, and to its part of the few, so that the fleet as a
+whole keeps to the budget however the traffic is spread. Only half of the few are given
+out: an entry that is replaced begins with a part of its own.
 """
 
 from __future__ import annotations
 
 import collections
+import dataclasses
 
 WINDOW_SECONDS = 10.0
 """The operators' budget counts over windows of this length."""
 
-SHARE = 0.17
-"""Second sends for each request; under the operators' 0.2 for windows that differ."""
+KEPT_SHARE = 0.85
+"""Part of the operators' share that is used: their windows are not ours."""
 
-FREE = 1.0
-"""Second sends in a window that no request has to have earned."""
+FREE_SHARE = 0.5
+"""Part of the operators' few that is given out."""
+
+LEAST_ENTRIES = 4
+"""Entries that are reckoned with at least, also before the others are known."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryLimits:
+    """What the operators allow all entries together in one window.
+
+    :param share: second sends for each request.
+    :param free: second sends that no request has to have earned.
+    """
+
+    share: float = 0.2
+    free: float = 20.0
 
 
 class RetryWindow:
     """Counts one group's requests and second sends."""
 
-    def __init__(self) -> None:
+    def __init__(self, limits: RetryLimits) -> None:
+        self.limits = limits
         self.requests: collections.deque[float] = collections.deque()
         self.repeats: collections.deque[float] = collections.deque()
 
@@ -37,11 +55,16 @@
         self.requests.append(now)
         _forget(self.requests, now)
 
-    def spend(self, now: float) -> bool:
-        """Count a second send; ``False`` if it may not be made."""
+    def spend(self, entries: int, now: float) -> bool:
+        """Count a second send; ``False`` if it may not be made.
+
+        :param entries: entries that share the budget, as far as known.
+        """
         _forget(self.requests, now)
         _forget(self.repeats, now)
-        if len(self.repeats) + 1 > FREE + SHARE * len(self.requests):
+        earned = self.limits.share * KEPT_SHARE * len(self.requests)
+        free = self.limits.free * FREE_SHARE / max(entries, LEAST_ENTRIES)
+        if len(self.repeats) + 1 > free + earned:
             return False
         self.repeats.append(now)
         return True
--- a/src/bergamotmast/settings.py
+++ b/src/bergamotmast/settings.py
@@ -175,6 +175,18 @@
         "milliseconds between the orders of two planners",
         3_000,
     )
+    retry_share: float = _setting(
+        number(0, 10, "second sends"),
+        _WORK,
+        "second sends that all entries may make for each request in ten seconds",
+        0.2,
+    )
+    retry_free: float = _setting(
+        number(0, 1e6, "second sends"),
+        _WORK,
+        "second sends that they may make beside those",
+        20.0,
+    )
     store_address: str = _setting(ADDRESS, _PLATFORM, "the platform's store")
     listen_address: str = _setting(ADDRESS, _CALLERS, "where callers come in")
     ready_address: str = _setting(
--- /dev/null
+++ b/tests/direct_support.py
@@ -0,0 +1,220 @@
+"""A direct entry in this process, before stand-ins of the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import random
+import typing as t
+
+from bergamotmast.adapters.opaque_http import HttpUpstreamClient
+from bergamotmast.direct.context import Context
+from bergamotmast.direct.core import DirectCore
+from bergamotmast.direct.fleet import Fleet
+from bergamotmast.direct.front import DirectFront
+from bergamotmast.direct.placing import Placing
+from bergamotmast.direct.serving import Listening
+from bergamotmast.platform.directory import PlatformDirectory
+from bergamotmast.platform.headers import PlatformDialect
+from bergamotmast.ports import KeyValue
+from bergamotmast.telemetry import NullTelemetry
+from platform_standin import Replica
+
+HOST = "host.example"
+
+
+def route(prefix: str, kind: str, service: str = "plain", **more: t.Any) -> dict:
+    """Return a route as the operator writes it."""
+    return {
+        "name": f"r{prefix.replace('/', '-')}",
+        "host": HOST,
+        "prefix": prefix,
+        "kind": kind,
+        "timeout-ms": 3000,
+        "target-latency-ms": 200,
+        "priority": 0,
+        "service": service,
+        "max-attempts": 2,
+    } | more
+
+
+ROUTES = [
+    route("/order/", "unsafe", **{"max-attempts": 1}),
+    route("/read/", "safe"),
+    route("/talk/", "streaming", "llm", **{"max-attempts": 1, "resumable": False}),
+    route("/long/", "streaming", "llm", resumable=True, priority=2),
+]
+
+
+def config(version: int = 1, routes: list[dict] | None = None, **limits: int) -> dict:
+    """Return a configuration as the operator writes it."""
+    engine = {"slots": 64, "kv-capacity-tokens": 470_000, "handle-ttl-s": 5.0}
+    return {
+        "version": version,
+        "routes": ROUTES if routes is None else routes,
+        "services": [{"name": "plain"}, {"name": "llm", "engine": engine}],
+        "limits": limits,
+    }
+
+
+def registration(replica: Replica) -> dict:
+    """Return a replica's entry in the store."""
+    return {
+        "service": "plain",
+        "address": replica.address,
+        "zone": "zone-a",
+        "version": "v1",
+        "slots": 6,
+        "state": "ready",
+        "cold-remaining-ms": 0,
+        "sequence": 4,
+    } | replica.entry
+
+
+@dataclasses.dataclass
+class Answer:
+    """What a caller got.
+
+    :param complete: whether the answer's end came as HTTP has it.
+    :param closed: whether the entry closed the connection afterwards.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    complete: bool
+    closed: bool = False
+
+
+class Entry:
+    """A direct entry with its parts at hand."""
+
+    def __init__(self, core: DirectCore, listening: Listening, port: int) -> None:
+        self.core = core
+        self.listening = listening
+        self.port = port
+        self.revision = 100
+
+    @property
+    def fleet(self) -> Fleet:
+        return self.core.context.fleet
+
+    def put(self, key: str, value: object) -> None:
+        """Let the entry learn a key as if the store had told it."""
+        self.revision += 1
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.fleet.put(KeyValue(key, data, self.revision))
+
+    def register(self, replica: Replica, **changes: t.Any) -> None:
+        self.put(f"servers/{replica.name}", registration(replica) | changes)
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        return await asyncio.open_connection("127.0.0.1", self.port)
+
+    async def ask(
+        self,
+        target: str,
+        method: str = "POST",
+        body: bytes = b"hello",
+        request_id: str = "id-1",
+        **headers: str,
+    ) -> Answer:
+        """Ask on a connection of its own and read the whole answer."""
+        reader, writer = await self.connect()
+        try:
+            writer.write(request(target, method, body, request_id, **headers))
+            return await read_answer(reader)
+        finally:
+            writer.close()
+
+
+def request(
+    target: str,
+    method: str = "POST",
+    body: bytes = b"hello",
+    request_id: str = "id-1",
+    **headers: str,
+) -> bytes:
+    """Return a caller's request; header names have ``_`` for ``-``."""
+    sent = {"Host": HOST, "X-Request-Id": request_id, "X-Deadline-Ms": "2000"}
+    sent |= {name.replace("_", "-"): value for name, value in headers.items()}
+    if body:
+        sent["Content-Length"] = str(len(body))
+    lines = [f"{method} {target} HTTP/1.1", *(f"{k}: {v}" for k, v in sent.items())]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+async def read_answer(reader: asyncio.StreamReader) -> Answer:
+    """Read one answer, also one that breaks off."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    status = int(head[0].split(" ")[1])
+    headers = {
+        name.lower(): value.strip()
+        for name, _, value in (line.partition(":") for line in head[1:] if line)
+    }
+    if "content-length" in headers:
+        body = await reader.readexactly(int(headers["content-length"]))
+        return Answer(status, headers, body, True, reader.at_eof())
+    body, complete = b"", False
+    with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        while True:
+            size = int((await reader.readuntil(b"\r\n")).strip(), 16)
+            body += (await reader.readexactly(size + 2))[:-2]
+            if size == 0:
+                complete = True
+                break
+    return Answer(status, headers, body, complete)
+
+
+@contextlib.asynccontextmanager
+async def direct_entry(
+    *replicas: Replica, document: dict | None = None
+) -> t.AsyncIterator[Entry]:
+    """Serve replicas that are entered already through a direct entry."""
+    fleet = Fleet(PlatformDirectory(), asyncio.get_running_loop().time)
+    rng = random.Random(7)
+    placing = Placing(fleet, "entry-1", "zone-a", rng)
+    async with HttpUpstreamClient() as client:
+        context = Context(fleet, client, PlatformDialect(), placing, rng)
+        core = DirectCore(context, NullTelemetry())
+        front = DirectFront(core)
+        listening = Listening(front.callers(), "127.0.0.1:0", front.busy)
+        await listening.start()
+        port = listening.runner.addresses[0][1]
+        entry = Entry(core, listening, port)
+        fleet.settled = True
+        if document != {}:
+            entry.put("op/config", document or config())
+        for replica in replicas:
+            entry.register(replica)
+        try:
+            yield entry
+        finally:
+            await listening.close()
+
+
+@contextlib.asynccontextmanager
+async def serving(
+    *replicas: Replica, document: dict | None = None
+) -> t.AsyncIterator[Entry]:
+    """Start replicas and a direct entry before them."""
+    async with contextlib.AsyncExitStack() as stack:
+        for replica in replicas:
+            await stack.enter_async_context(replica)
+        yield await stack.enter_async_context(
+            direct_entry(*replicas, document=document)
+        )
+
+
+def engine(name: str, script: t.Any, stage: str = "decode") -> Replica:
+    """Return an engine that is not started yet."""
+    return Replica(name, script, service="llm", slots=64, stage=stage)
+
+
+async def until(condition: t.Callable[[], bool], seconds: float = 2.0) -> None:
+    """Wait for something to become true."""
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.005)
--- /dev/null
+++ b/tests/test_direct_calls.py
@@ -0,0 +1,367 @@
+"""Plain calls through a direct entry: what reaches a replica, what comes back."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+
+from direct_support import config
+from direct_support import read_answer
+from direct_support import request
+from direct_support import route
+from direct_support import serving
+from direct_support import until
+from platform_standin import SIGNATURE
+from platform_standin import Received
+from platform_standin import Replica
+from platform_standin import answer
+from platform_standin import hang
+from platform_standin import head
+from platform_standin import not_run
+from platform_standin import reset
+
+
+async def test_request_and_answer_pass_unchanged():
+    """Bytes that mean something to HTTP libraries pass as they are."""
+    replica = Replica("i-1", answer(201, b"\x00\xffbody", "X-Own: a, b"))
+    async with serving(replica) as entry:
+        target = "/order/a%2Fb//c/%7e;x?q=%20+&r=%zz"
+        got = await entry.ask(target, body=b"\x01\x02", X_Mine="yes")
+    received = replica.received[0]
+    assert (received.method, received.target) == ("POST", target)
+    assert received.body == b"\x01\x02"
+    assert received.headers["x-mine"] == "yes"
+    assert received.headers["host"] == "host.example"
+    assert received.headers["x-expect-instance"] == "i-1"
+    assert (got.status, got.body) == (201, b"\x00\xffbody")
+    assert got.headers["x-response-signature"] == SIGNATURE
+    assert got.headers["x-own"] == "a, b"
+
+
+async def test_nothing_is_added_that_changes_the_answer():
+    """A replica that is asked for an encoding might use it, and sign other bytes."""
+    replica = Replica("i-1", answer())
+    async with serving(replica) as entry:
+        await entry.ask("/order/x")
+    names = {name.lower() for name, _ in replica.received[0].raw_headers}
+    assert not names & {"accept-encoding", "user-agent", "accept", "content-type"}
+
+
+FORGED = {
+    "X_Expect_Instance": "i-other",
+    "X_Stage": "prefill",
+    "X_Kv_Source": "10.0.0.1:80/h1",
+    "X_Kv_Hold": "hold",
+    "X_Kv_Backup": "10.0.0.1:80",
+    "X_Pin_Ms": "4000",
+    "X_Request_Priority": "0",
+    "X_Expect_Version": "9",
+    "Kv_Fetch": "10.0.0.1:80",
+}
+
+
+async def test_headers_that_are_the_systems_to_set_are_not_passed_on():
+    """A caller sends another's handle or a place in front of the queue.
+
+    Passed on, its request would run on memory that belongs to someone else.
+    """
+    replica = Replica("i-1", answer())
+    async with serving(replica) as entry:
+        await entry.ask("/order/x", **FORGED)
+    headers = replica.received[0].headers
+    assert headers["x-expect-instance"] == "i-1"
+    for name in FORGED:
+        if name != "X_Expect_Instance":
+            assert name.lower().replace("_", "-") not in headers
+
+
+@pytest.mark.parametrize(
+    "extra",
+    [
+        "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+        "Content-Length: 5\r\nContent-Length: 6\r\n",
+        "Transfer-Encoding: chunked, identity\r\n",
+        "Content-Length: +5\r\n",
+    ],
+)
+async def test_request_of_unsure_length_reaches_nobody(extra):
+    """Two lengths: what one end takes for a body the other takes for a request.
+
+    The caller gets 400 and the connection is closed, since nobody can say where its
+    next request begins.
+    """
+    replica = Replica("i-1", answer())
+    async with serving(replica) as entry:
+        reader, writer = await entry.connect()
+        writer.write(
+            b"POST /order/x HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: a\r\n"
+            + extra.encode()
+            + b"\r\n0\r\n\r\nPOST /order/smuggled HTTP/1.1\r\nHost: host.example\r\n"
+            b"X-Request-Id: b\r\nContent-Length: 0\r\n\r\n"
+        )
+        got = await asyncio.wait_for(reader.read(), 2)
+        writer.close()
+    assert b" 400 " in got.split(b"\r\n")[0]
+    assert got.count(b"HTTP/1.") == 1
+    assert replica.received == []
+
+
+async def test_answer_to_another_request_is_not_delivered():
+    """A kept connection holds a late answer where the next one is expected.
+
+    The caller of the second request must not get the first one's answer.
+    """
+
+    async def script(replica: Replica, received: Received, writer) -> None:
+        writer.write(head(200, "somebody-else", "Content-Length: 3") + b"old")
+
+    replica = Replica("i-1", script)
+    async with serving(replica) as entry:
+        got = await entry.ask("/order/x")
+    assert got.status == 502
+    assert b"old" not in got.body
+    assert "x-response-signature" not in got.headers
+
+
+async def test_second_answer_on_a_kept_connection_is_discarded():
+    """A replica answers twice; the extra bytes come before the next request.
+
+    Both callers get their own answers, the second after another try elsewhere or on
+    another connection.
+    """
+
+    async def script(replica: Replica, received: Received, writer) -> None:
+        body = f"for {received.request_id}".encode()
+        whole = head(200, received.request_id, f"Content-Length: {len(body)}") + body
+        writer.write(whole)
+        await writer.drain()
+        if len(replica.received) == 1:
+            await asyncio.sleep(0.02)
+            writer.write(whole)
+
+    one, two = Replica("i-1", script), Replica("i-2", script)
+    async with serving(one, two) as entry:
+        bodies = []
+        for number in range(4):
+            got = await entry.ask("/read/x", request_id=f"id-{number}")
+            bodies.append((got.status, got.body))
+            await asyncio.sleep(0.04)
+    assert bodies == [(200, f"for id-{n}".encode()) for n in range(4)]
+
+
+async def test_success_without_signature_is_none():
+    """Something that is no replica answers 200; the order may or may not have run."""
+
+    async def script(replica: Replica, received: Received, writer) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+    replica = Replica("i-1", script)
+    async with serving(replica) as entry:
+        got = await entry.ask("/order/x")
+    assert got.status == 502
+
+
+@pytest.mark.parametrize("broken", [True, False])
+async def test_body_without_length_is_whole_only_after_a_clean_end(broken):
+    """A body that ends with its connection: a reset is no end of it."""
+
+    async def script(replica: Replica, received: Received, writer) -> None:
+        writer.write(head(200, received.request_id) + b"half of it")
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        if broken:
+            reset(writer)
+        else:
+            writer.close()
+
+    replica = Replica("i-1", script)
+    async with serving(replica) as entry:
+        got = await entry.ask("/order/x")
+    assert got.status == (502 if broken else 200)
+    assert (got.body == b"half of it") is not broken
+
+
+@pytest.mark.parametrize("cut", ["in the head", "in the body"])
+async def test_order_whose_answer_is_cut_off_is_not_sent_again(cut):
+    """The replica ran the order and died: only "unknown" is true, and one run."""
+
+    async def script(replica: Replica, received: Received, writer) -> None:
+        if cut == "in the body":
+            writer.write(head(200, received.request_id, "Content-Length: 9") + b"ha")
+            await writer.drain()
+            await asyncio.sleep(0.02)
+        reset(writer)
+
+    replicas = [Replica(f"i-{n}", script) for n in range(3)]
+    async with serving(*replicas) as entry:
+        got = await entry.ask("/order/x", method="PUT")
+    assert got.status == 502
+    assert sum(len(replica.received) for replica in replicas) == 1
+
+
+async def test_refusal_that_did_not_run_is_passed_on_as_such():
+    """The one replica that an order may be sent to is full: come back, it never ran."""
+    replicas = [Replica(f"i-{n}", not_run()) for n in range(2)]
+    async with serving(*replicas) as entry:
+        got = await entry.ask("/order/x")
+    assert got.status == 503
+    assert float(got.headers["retry-after"]) > 0
+    assert sum(len(replica.received) for replica in replicas) == 1
+
+
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+async def test_status_that_promises_too_much_is_not_passed_on(status):
+    """A replica says 503 without the mark that nothing ran: it may have run.
+
+    A 421 is such a mark by itself.
+    """
+    replica = Replica("i-1", answer(status, b"busy"))
+    async with serving(replica) as entry:
+        got = await entry.ask("/order/x")
+    assert got.status == (503 if status == 421 else 502)
+
+
+async def test_replica_that_is_not_there_costs_nothing():
+    """Nobody listens at one address: nothing was sent, so an order may go elsewhere."""
+    gone, sound = Replica("i-1", answer()), Replica("i-2", answer())
+    async with serving(gone, sound) as entry:
+        gone.server.close()
+        await gone.server.wait_closed()
+        results = [await entry.ask("/order/x", request_id=f"id-{n}") for n in range(6)]
+    assert {got.status for got in results} == {200}
+    assert len(sound.received) == 6
+
+
+async def test_failure_of_an_idempotent_call_is_tried_elsewhere():
+    """One replica fails; the caller sees the other's answer, and one second send."""
+    replicas = [Replica("i-1", answer(500, b"no")), Replica("i-2", answer())]
+    async with serving(*replicas) as entry:
+        statuses = [
+            (await entry.ask("/read/x", request_id=f"id-{n}")).status for n in range(4)
+        ]
+    assert statuses == [200] * 4
+
+
+async def test_failure_everywhere_is_the_replicas_own_answer():
+    replicas = [Replica(f"i-{n}", answer(500, b"no")) for n in range(3)]
+    async with serving(*replicas) as entry:
+        got = await entry.ask("/read/x")
+    assert (got.status, got.body) == (500, b"no")
+    assert got.headers["x-response-signature"] == SIGNATURE
+    assert sum(len(replica.received) for replica in replicas) == 2
+
+
+async def test_hanging_replica_holds_no_idempotent_call():
+    """A replica takes a call and says nothing; another answers well before the end.
+
+    The first one is told by the close that nobody waits any more.
+    """
+    stuck, sound = Replica("i-1", hang()), Replica("i-2", answer())
+    async with serving(stuck, sound) as entry:
+        began = time.monotonic()
+        results = await asyncio.gather(
+            *(entry.ask("/read/x", request_id=f"id-{n}") for n in range(6))
+        )
+        await until(lambda: len(stuck.closed) == len(stuck.received))
+    assert {got.status for got in results} == {200}
+    assert time.monotonic() - began < 1.0
+
+
+async def test_caller_that_leaves_takes_its_call_along():
+    """A caller closes its connection; within half a second the replica's is closed."""
+    replica = Replica("i-1", hang())
+    async with serving(replica) as entry:
+        _, writer = await entry.connect()
+        writer.write(request("/order/x"))
+        await until(lambda: bool(replica.received))
+        writer.close()
+        await until(lambda: replica.closed == ["id-1"], 0.5)
+
+
+async def test_time_left_goes_on_and_the_route_ends_a_call():
+    """The replica hears what is left, and a hanging one ends at the route's time.
+
+    The order was sent, so that the answer can't be a promise that it never ran.
+    """
+    replica = Replica("i-1", hang())
+    document = config(routes=[route("/order/", "unsafe", **{"timeout-ms": 300})])
+    async with serving(replica, document=document) as entry:
+        began = time.monotonic()
+        got = await entry.ask("/order/x", X_Deadline_Ms="60000")
+        seconds = time.monotonic() - began
+    assert got.status == 504
+    assert 0.25 < seconds < 0.6
+    assert 0 < int(replica.received[0].headers["x-deadline-ms"]) <= 300
+
+
+async def test_callers_own_time_goes_before_the_routes():
+    replica = Replica("i-1", answer())
+    async with serving(replica) as entry:
+        await entry.ask("/order/x", X_Deadline_Ms="700")
+    assert 600 < int(replica.received[0].headers["x-deadline-ms"]) <= 700
+
+
+@pytest.mark.parametrize(
+    ("headers", "status"),
+    [
+        ({"X_Deadline_Ms": "soon"}, 400),
+        ({"X_Deadline_Ms": "-5"}, 400),
+        ({"X_Deadline_Ms": "nan"}, 400),
+        ({"request_id": ""}, 400),
+        ({"Host": "elsewhere.example"}, 404),
+    ],
+)
+async def test_request_that_makes_no_sense_is_refused(headers, status):
+    replica = Replica("i-1", answer())
+    async with serving(replica) as entry:
+        got = await entry.ask("/order/x", **headers)
+    assert got.status == status
+    assert replica.received == []
+
+
+async def test_no_configuration_yet_is_not_the_callers_fault():
+    """An entry that has just started must not say 404: nobody comes back after it."""
+    async with serving(document={}) as entry:
+        got = await entry.ask("/order/x")
+        assert got.status == 503
+        assert "retry-after" in got.headers
+        assert not entry.core.is_ready
+        entry.put("op/config", config())
+        assert (await entry.ask("/nowhere/x")).status == 404
+
+
+async def test_body_beyond_the_operators_limit():
+    replica = Replica("i-1", answer())
+    document = config(**{"max-body-bytes": 100})
+    async with serving(replica, document=document) as entry:
+        got = await entry.ask("/order/x", body=b"x" * 101)
+    assert got.status == 413
+    assert replica.received == []
+
+
+async def test_answer_before_the_body_is_read_keeps_the_connection_in_step():
+    """A replica refuses a long body before it has come and reads on later.
+
+    The next call on that connection, or on a new one, is read from its beginning.
+    """
+    replica = Replica("i-1", answer())
+    async with serving(replica) as entry:
+        for number in range(3):
+            got = await entry.ask(
+                "/read/x", body=b"y" * 300_000, request_id=f"id-{number}"
+            )
+            assert got.status == 200
+    assert [len(r.body) for r in replica.received] == [300_000] * 3
+
+
+async def test_two_requests_on_one_connection():
+    replica = Replica("i-1", answer())
+    async with serving(replica) as entry:
+        reader, writer = await entry.connect()
+        for number in range(2):
+            writer.write(request("/read/x", request_id=f"id-{number}"))
+            got = await read_answer(reader)
+            assert got.headers["x-request-id"] == f"id-{number}"
+        writer.close()
--- /dev/null
+++ b/tests/test_direct_policy.py
@@ -0,0 +1,381 @@
+"""Decisions of a direct entry under load, without a network."""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+import itertools
+import random
+
+import pytest
+
+from bergamotmast.model import Role
+from bergamotmast.policy import direct_placement
+from bergamotmast.policy.direct_placement import DIRECT_ANSWERS
+from bergamotmast.policy.direct_placement import DIRECT_TOKENS
+from bergamotmast.policy.direct_placement import LONG_TOKENS
+from bergamotmast.policy.direct_placement import EngineView
+from bergamotmast.policy.direct_placement import place
+from bergamotmast.policy.direct_placement import priority_of
+from bergamotmast.policy.direct_roles import HOLD_SECONDS
+from bergamotmast.policy.direct_roles import SETTLE_SECONDS
+from bergamotmast.policy.direct_roles import EngineRole
+from bergamotmast.policy.direct_roles import MixMeter
+from bergamotmast.policy.direct_roles import RoleController
+from bergamotmast.policy.direct_roles import wanted_answering
+from bergamotmast.policy.engine_book import FORGET_SECONDS
+from bergamotmast.policy.engine_book import READ_RATE
+from bergamotmast.policy.engine_book import SILENT_SECONDS
+from bergamotmast.policy.engine_book import SLOW_SECONDS
+from bergamotmast.policy.engine_book import EngineBook
+from bergamotmast.policy.engine_book import PrefixMemory
+from bergamotmast.policy.plain_choice import EJECTED_SECONDS
+from bergamotmast.policy.plain_choice import FAILURES_TO_EJECT
+from bergamotmast.policy.plain_choice import PlainBook
+from bergamotmast.policy.plain_choice import PlainView
+from bergamotmast.policy.plain_choice import choose_plain
+from bergamotmast.policy.retry_window import WINDOW_SECONDS
+from bergamotmast.policy.retry_window import RetryLimits
+from bergamotmast.policy.retry_window import RetryWindow
+
+
+def view(name: str, role: Role = Role.PREFILL, **more) -> EngineView:
+    values = {"wait": 0.0, "to_read": 500, "slow": 1.0, "answers": 0.0}
+    return EngineView(name, role, True, **(values | more))
+
+
+def test_short_prompt_goes_where_it_is_read_first():
+    engines = [view("a", wait=9000.0), view("b", wait=100.0), view("d", Role.DECODE)]
+    engines[2] = dataclasses.replace(engines[2], to_read=DIRECT_TOKENS + 1)
+    chosen = place([dataclasses.replace(e, to_read=1500) for e in engines], 0.25)
+    assert chosen is not None
+    assert (chosen.prefill, chosen.answer) == ("b", "d")
+
+
+def test_long_prompt_leaves_the_free_engine_free():
+    """One engine has long prompts already, one is free, and the objective allows it."""
+    engines = [view("a", wait=5000.0), view("b"), view("d", Role.DECODE)]
+    long = [dataclasses.replace(e, to_read=LONG_TOKENS) for e in engines]
+    assert place(long, 0.8).prefill == "a"
+    assert place(long, 0.1).prefill == "b"
+
+
+def test_answering_engine_reads_short_prompts_only_while_it_has_time():
+    busy = view("a", wait=20_000.0)
+    idle, full = view("d", Role.DECODE), view("d", Role.DECODE, answers=40.0)
+    assert place([busy, idle], 0.25).prefill is None
+    assert full.answers > DIRECT_ANSWERS
+    assert place([busy, full], 0.25).prefill == "a"
+    long = [dataclasses.replace(e, to_read=DIRECT_TOKENS + 1) for e in (busy, idle)]
+    assert place(long, 0.25).prefill == "a"
+
+
+def test_without_a_reading_engine_the_answering_ones_read_all():
+    chosen = place([view("d", Role.DECODE, to_read=9000, answers=60.0)], 0.25)
+    assert (chosen.prefill, chosen.answer) == (None, "d")
+    assert place([view("a")], 0.25) is None
+    assert place([], 0.25) is None
+
+
+def test_slow_engine_is_avoided():
+    engines = [view("a", slow=5.0, to_read=2000), view("b", wait=2000.0, to_read=2000)]
+    assert place([*engines, view("d", Role.DECODE, to_read=2000)], 0.25).prefill == "b"
+
+
+def test_priorities_keep_the_order_of_ranks_and_sizes():
+    ranks = [
+        [priority_of(rank, tokens) for tokens in (100, 3000, 6000, 12_000, 50_000)]
+        for rank in (0, 1, 2, 7)
+    ]
+    for lower, higher in itertools.pairwise(ranks[:3]):
+        assert max(lower) < min(higher)
+    for steps in ranks:
+        assert steps == sorted(steps)
+        assert min(steps) >= 0
+        assert max(steps) <= 9
+
+
+def test_book_waits_for_the_prompt_under_way_and_what_is_more_urgent():
+    book = EngineBook(100_000)
+    book.begin(("e", 1), 10_000, 7, 0.0)
+    book.begin(("e", 2), 4_000, 7, 0.01)
+    book.begin(("f", 1), 1_000, 2, 0.02)
+    half = 5_000 / READ_RATE
+    assert book.wait_tokens(0, half) == pytest.approx(5_000)
+    assert book.wait_tokens(2, half) == pytest.approx(6_000)
+    assert book.wait_tokens(9, half) == pytest.approx(10_000)
+    book.end(("e", 1), 0.2)
+    # The more urgent one is next, whichever came first.
+    assert book.current == ("f", 1)
+
+
+def test_book_forgets_work_whose_end_was_never_heard_of():
+    """A peer died, or its datagram was lost: the engine must not look busy for ever."""
+    book = EngineBook(100_000)
+    book.begin(("peer", 1), 50_000, 0, 0.0)
+    assert book.wait_tokens(0, 0.1) > 0
+    assert book.wait_tokens(0, FORGET_SECONDS + 0.1) == 0
+    assert book.reading == {}
+
+
+def test_slowness_shows_and_fades():
+    book = EngineBook(100_000)
+    for number in range(6):
+        book.measure(0.05, 0.5, number * 0.1)
+    assert book.slow(0.5) > 4
+    assert book.slow(0.5 + 5 * SLOW_SECONDS) < 1.2
+    book.measure(0.05, 0.05, 1.0)
+    assert book.slow(1.0) == pytest.approx(1.0)
+
+
+def test_overtaken_work_is_marked():
+    """Its time would say more of the urgent work than of the engine."""
+    book = EngineBook(100_000)
+    book.begin(("e", 1), 5_000, 7, 0.0)
+    book.begin(("e", 2), 500, 0, 0.01)
+    assert not book.end(("e", 2), 0.2).overtaken
+    assert book.end(("e", 1), 0.2).overtaken
+    assert book.end(("e", 1), 0.3) is None
+
+
+def test_silence_allows_for_the_prompt_under_way():
+    book = EngineBook(100_000)
+    assert book.silent_at(5.0, 5.0) == pytest.approx(5.0 + SILENT_SECONDS)
+    book.begin(("e", 1), 50_000, 7, 5.0)
+    assert book.silent_at(5.0, 5.0) > 5.0 + SILENT_SECONDS + 1.0
+    book.heard_at = 6.0
+    assert book.silent_at(5.0, 6.0) > 6.0 + SILENT_SECONDS
+
+
+def test_prefix_memory_counts_only_an_unbroken_beginning():
+    memory = PrefixMemory(1_000)
+    memory.store([(1, 400), (2, 300)])
+    assert memory.cached([(1, 400), (3, 50), (2, 300)]) == 400
+    assert memory.cached([(2, 300)]) == 300
+    memory.store([(4, 600)])
+    assert memory.cached([(1, 400)]) == 0
+    assert memory.total <= 1_000
+
+
+def test_retries_stay_within_the_share_over_any_window():
+    """Everything fails, all the while: no window has more than the operators allow."""
+    rng = random.Random(3)
+    window = RetryWindow(RetryLimits(0.2, 20.0))
+    sent, repeated, now = [], [], 0.0
+    for _ in range(3_000):
+        now += rng.expovariate(40.0 if int(now / 7) % 2 else 5.0)
+        window.on_request(now)
+        sent.append(now)
+        if window.spend(5, now):
+            repeated.append(now)
+    for end in repeated:
+        since = end - WINDOW_SECONDS
+        most = 0.2 * sum(since <= at <= end for at in sent) + 20.0 / 5
+        assert sum(since < at <= end for at in repeated) <= most
+    assert len(repeated) > 0.1 * len(sent)
+
+
+def test_retries_of_the_whole_fleet_stay_within_the_few():
+    """Without traffic each entry has its part of the few, and half is held back."""
+    limits = RetryLimits(0.2, 58.0)
+    total = 0
+    for _ in range(10):
+        window = RetryWindow(limits)
+        while window.spend(10, 1.0):
+            total += 1
+    assert 0 < total <= 58.0 / 2
+
+
+def test_plain_upstream_that_fails_is_left_out_and_comes_back():
+    book = PlainBook()
+    for _ in range(FAILURES_TO_EJECT):
+        book.failed(1.0)
+    assert book.is_ejected(1.0)
+    assert not book.is_ejected(1.0 + EJECTED_SECONDS)
+    views = [
+        PlainView("a", True, 6, 0.0, book.is_ejected(1.0)),
+        PlainView("b", True, 6, 5.0),
+    ]
+    rng = random.Random(1)
+    assert {choose_plain(views, rng) for _ in range(20)} == {"b"}
+    assert choose_plain(views[:1], rng) == "a"
+    assert choose_plain([], rng) is None
+
+
+def test_plain_calls_spread_by_load():
+    rng = random.Random(5)
+    views = [PlainView(str(n), True, 6, load) for n, load in enumerate((0, 0, 6, 6))]
+    chosen = [choose_plain(views, rng) for _ in range(600)]
+    assert chosen.count("0") + chosen.count("1") > 450
+
+
+@pytest.mark.parametrize(
+    ("engines", "share", "wanted"),
+    [(1, 0.0, 1), (2, 0.0, 1), (3, 0.9, 2), (5, 0.0, 2), (6, 0.05, 2), (6, 0.5, 5)],
+)
+def test_answering_engines_wanted(engines, share, wanted):
+    assert wanted_answering(engines, share) == wanted
+
+
+def roles(prefill: int, decode: int) -> list[EngineRole]:
+    return [EngineRole(f"p{n}", Role.PREFILL) for n in range(prefill)] + [
+        EngineRole(f"d{n}", Role.DECODE, load=n) for n in range(decode)
+    ]
+
+
+def test_surplus_of_answering_engines_is_mended_after_a_moment():
+    """Two reading engines crash: the third answering one reads soon, not in 15 s."""
+    controller = RoleController()
+    assert controller.decide(roles(2, 3), 0.05, 0.0) is None
+    assert controller.decide(roles(2, 3), 0.05, SETTLE_SECONDS / 2) is None
+    order = controller.decide(roles(2, 3), 0.05, SETTLE_SECONDS)
+    assert (order.name, order.role) == ("d0", Role.PREFILL)
+
+
+def test_swing_of_the_mix_that_turns_back_changes_nothing():
+    controller = RoleController()
+    for tick in range(100):
+        share = 0.4 if tick % 8 < 4 else 0.05
+        assert controller.decide(roles(4, 2), share, tick * HOLD_SECONDS / 8) is None
+
+
+def test_lasting_shift_to_long_answers_moves_an_engine():
+    controller = RoleController()
+    orders = [controller.decide(roles(4, 2), 0.4, 0.5 * n) for n in range(20)]
+    found = [order for order in orders if order is not None]
+    assert found[0].role is Role.DECODE
+
+
+def test_role_without_any_engine_is_mended_at_once():
+    assert RoleController().decide(roles(3, 0), 0.0, 0.0).role is Role.DECODE
+
+
+def test_mix_meter_fades():
+    meter = MixMeter()
+    assert meter.decode_share == 0.0
+    meter.observe(5_000, 0, 0.0)
+    assert meter.decode_share == 0.0
+    for tick in range(400):
+        meter.observe(10, 2_000, tick * 0.5)
+    assert meter.decode_share > 0.9
+
+
+@dataclasses.dataclass
+class Prompt:
+    arrives: float
+    tokens: int
+    rank: int
+    objective: float
+
+
+class SerialEngines:
+    """Engines that read one prompt at a time, the most urgent waiting one next."""
+
+    def __init__(self, count: int) -> None:
+        self.books = [EngineBook(400_000) for _ in range(count)]
+        self.waiting = [[] for _ in range(count)]
+        self.running = [None] * count
+        self.late = {0: 0, 1: 0, 2: 0}
+        self.seen = {0: 0, 1: 0, 2: 0}
+
+    def load(self, number: int) -> int:
+        """Return how many prompts an engine has."""
+        return len(self.waiting[number]) + (self.running[number] is not None)
+
+    def advance(self, now: float) -> None:
+        for number in range(len(self.books)):
+            while self.running[number] and self.running[number][0] <= now:
+                done, prompt, key = self.running[number]
+                self.books[number].end(key, done)
+                self.seen[prompt.rank] += 1
+                self.late[prompt.rank] += done - prompt.arrives > prompt.objective
+                self.running[number] = None
+                if self.waiting[number]:
+                    _, _, prompt, key = heapq.heappop(self.waiting[number])
+                    self.start(number, prompt, key, done)
+
+    def start(self, number: int, prompt: Prompt, key, now: float) -> None:
+        self.running[number] = (now + prompt.tokens / READ_RATE, prompt, key)
+
+    def send(self, number: int, prompt: Prompt, key) -> None:
+        priority = priority_of(prompt.rank, prompt.tokens)
+        self.books[number].begin(key, prompt.tokens, priority, prompt.arrives)
+        if self.running[number] is None:
+            self.start(number, prompt, key, prompt.arrives)
+            return
+        item = (priority, prompt.arrives, prompt, key)
+        heapq.heappush(self.waiting[number], item)
+
+
+def afternoon(seed: int, seconds: float = 60.0) -> list[Prompt]:
+    """Return prompts of three kinds at four fifths of what four engines can read."""
+    rng = random.Random(seed)
+    prompts = []
+    kinds = [(30.0, 650, 0, 0.25), (17.0, 1_900, 1, 0.3), (11.0, 9_500, 2, 0.8)]
+    for rate, mean, rank, objective in kinds:
+        now = 0.0
+        while now < seconds:
+            now += rng.expovariate(rate)
+            tokens = int(min(54_000, mean * rng.lognormvariate(-0.35, 0.85)) + 1)
+            prompts.append(Prompt(now, tokens, rank, objective))
+    return sorted(prompts, key=lambda prompt: prompt.arrives)
+
+
+def replay(choose, seed: int) -> SerialEngines:
+    engines = SerialEngines(4)
+    for number, prompt in enumerate(afternoon(seed)):
+        engines.advance(prompt.arrives)
+        engines.send(choose(engines, prompt), prompt, ("e", number))
+    for later in range(60, 200):
+        engines.advance(float(later))
+    return engines
+
+
+def by_policy(engines: SerialEngines, prompt: Prompt) -> int:
+    priority = priority_of(prompt.rank, prompt.tokens)
+    views = [
+        EngineView(
+            str(number),
+            Role.PREFILL,
+            True,
+            book.wait_tokens(priority, prompt.arrives),
+            prompt.tokens,
+            1.0,
+            0.0,
+        )
+        for number, book in enumerate(engines.books)
+    ]
+    answering = EngineView("d", Role.DECODE, True, 0.0, prompt.tokens, 1.0, 99.0)
+    return int(place([*views, answering], prompt.objective).prefill)
+
+
+def by_count(engines: SerialEngines, prompt: Prompt) -> int:
+    return min(range(4), key=engines.load)
+
+
+def shortest_wait(engines: SerialEngines, prompt: Prompt) -> int:
+    priority = priority_of(prompt.rank, prompt.tokens)
+    return min(
+        range(4),
+        key=lambda n: engines.books[n].wait_tokens(priority, prompt.arrives),
+    )
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_short_prompts_among_long_ones_at_high_load(seed):
+    """Four engines at four fifths of their load, prompts of 50 to 54,000 tokens.
+
+    By counts a short prompt waits behind a long one while another engine idles. By
+    tokens, with long ones packed, the most urgent kind is late half as often at most.
+    """
+    counted, placed = replay(by_count, seed), replay(by_policy, seed)
+    assert placed.late[0] * 2 < counted.late[0]
+    assert sum(placed.late.values()) < sum(counted.late.values())
+
+
+def test_packing_long_prompts_keeps_engines_free(monkeypatch):
+    """Without packing, long prompts occupy every engine in turn."""
+    packed = sum(replay(by_policy, seed).late[0] for seed in range(6))
+    monkeypatch.setattr(direct_placement, "LONG_TOKENS", 1 << 30)
+    spread = sum(replay(by_policy, seed).late[0] for seed in range(6))
+    assert packed < spread
--- /dev/null
+++ b/tests/test_direct_streams.py
@@ -0,0 +1,274 @@
+"""Streams through a direct entry: prefill, handles, resume, breaks, callers that leave."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+
+from direct_support import engine
+from direct_support import request
+from direct_support import serving
+from direct_support import until
+from platform_standin import EngineScript
+from platform_standin import Received
+from platform_standin import Replica
+from platform_standin import answer
+from platform_standin import event
+from platform_standin import hang
+from platform_standin import head
+from platform_standin import not_run
+
+LONG = {"X_Token_Count": "6000,80", "X_Prompt_Prefix": "aa:2000,bb:4000"}
+SHORT = {"X_Token_Count": "400,80", "X_Prompt_Prefix": "cc:100,dd:300"}
+
+
+def events(first: int, last: int) -> bytes:
+    return b"".join(event(number) for number in range(first, last + 1))
+
+
+async def test_long_prompt_is_read_apart():
+    """A reading engine reads, an answering one streams from its handle."""
+    reader, answerer = EngineScript(), EngineScript()
+    one, two = engine("i-1", reader, "prefill"), engine("i-2", answerer)
+    async with serving(one, two) as entry:
+        got = await entry.ask("/talk/x", **LONG)
+    assert got.complete
+    assert got.body == events(1, 4)
+    assert one.received[0].headers["x-stage"] == "prefill"
+    assert two.received[0].headers["x-kv-source"] == f"{one.address}/h0"
+    assert "x-stage" not in two.received[0].headers
+    assert reader.freed == []
+
+
+async def test_events_come_as_they_are_made():
+    """An event must not wait for the next one."""
+    script = EngineScript(last=3, pause=0.15)
+    async with serving(engine("i-1", script)) as entry:
+        reader, writer = await entry.connect()
+        writer.write(request("/talk/x", **SHORT))
+        began = time.monotonic()
+        await reader.readuntil(b"id: 1")
+        assert time.monotonic() - began < 0.28
+        writer.close()
+
+
+async def test_stream_goes_on_elsewhere_with_whole_events():
+    """The engine dies within event 3; another goes on at 3, under the first's headers.
+
+    The caller sees each event once, in order, and one complete answer.
+    """
+    breaking = EngineScript(last=6, break_after=2, pause=0.05)
+    sound = EngineScript(last=6)
+    one, two = engine("i-1", breaking), engine("i-2", sound)
+    async with serving(one, two) as entry:
+        entry.register(two, state="draining")
+        task = asyncio.create_task(entry.ask("/long/x", **SHORT))
+        await until(lambda: bool(one.received))
+        entry.register(two)
+        got = await task
+    assert got.complete
+    assert got.body == events(1, 6)
+    resumed = two.received[0].headers
+    assert resumed["last-event-id"] == "2"
+    assert resumed["x-expect-version"] == "1"
+
+
+async def test_stream_that_may_not_resume_looks_incomplete():
+    """The engine dies within event 3 of a stream that must not run twice."""
+    one = engine("i-1", EngineScript(break_after=2))
+    two = engine("i-2", EngineScript())
+    async with serving(one, two) as entry:
+        entry.register(two, state="draining")
+        got = await entry.ask("/talk/x", **SHORT)
+    assert got.status == 200
+    assert not got.complete
+    assert got.body == events(1, 2)
+    assert two.received == []
+
+
+async def test_stream_never_runs_on_more_engines_than_its_route_allows():
+    replicas = [engine(f"i-{n}", EngineScript(break_after=1)) for n in range(4)]
+    async with serving(*replicas) as entry:
+        got = await entry.ask("/long/x", **SHORT)
+    assert not got.complete
+    assert sum(len(replica.received) for replica in replicas) == 2
+
+
+async def test_callers_last_event_is_kept():
+    """A caller resumes by itself: the engine hears its number, not ours."""
+    one = engine("i-1", EngineScript(last=5))
+    async with serving(one) as entry:
+        got = await entry.ask("/long/x", Last_Event_Id="3", **SHORT)
+    assert one.received[0].headers["last-event-id"] == "3"
+    assert got.body == events(4, 5)
+
+
+async def test_caller_that_leaves_a_stream_ends_it_at_the_engine():
+    one = engine("i-1", EngineScript(last=1000, pause=0.02))
+    async with serving(one) as entry:
+        reader, writer = await entry.connect()
+        writer.write(request("/talk/x", **SHORT))
+        await reader.readuntil(b"id: 1")
+        writer.close()
+        await until(lambda: one.closed == ["id-1"], 0.5)
+
+
+async def test_caller_that_leaves_during_the_prefill_ends_that():
+    one = engine("i-1", EngineScript(prefill_seconds=30), "prefill")
+    two = engine("i-2", EngineScript())
+    async with serving(one, two) as entry:
+        _, writer = await entry.connect()
+        writer.write(request("/talk/x", **LONG))
+        await until(lambda: bool(one.received))
+        writer.close()
+        await until(lambda: one.closed == ["id-1"], 0.5)
+    assert two.received == []
+
+
+async def test_handle_that_nobody_takes_is_freed():
+    """The prompt is read, then the caller leaves before an engine took the KV cache."""
+    reader = EngineScript()
+    one, two = engine("i-1", reader, "prefill"), engine("i-2", hang())
+    async with serving(one, two) as entry:
+        _, writer = await entry.connect()
+        writer.write(request("/talk/x", **LONG))
+        await until(lambda: bool(two.received))
+        writer.close()
+        await until(lambda: reader.freed == ["h0"])
+
+
+async def test_refused_handle_leads_to_a_direct_run():
+    """The engine can't have the KV cache (503, not run): it reads the prompt itself.
+
+    The same engine again is no second engine, so that a route with one attempt may.
+    """
+
+    async def script(replica: Replica, received: Received, writer) -> None:
+        if "x-kv-source" in received.headers:
+            await not_run()(replica, received, writer)
+        else:
+            await EngineScript()(replica, received, writer)
+
+    one, two = engine("i-1", EngineScript(), "prefill"), engine("i-2", script)
+    async with serving(one, two) as entry:
+        got = await entry.ask("/long/x", **LONG)
+    assert got.status in (200, 503)
+    if got.status == 503:
+        assert "retry-after" in got.headers
+
+
+async def test_silent_reading_engine_is_left_for_another():
+    """A reading engine loses power: nothing comes, no reset either.
+
+    The caller gets its first event well before it would leave, and the dead engine
+    gets no further prompt for a while.
+    """
+    dead = engine("i-1", hang(), "prefill")
+    sound = engine("i-2", EngineScript(), "prefill")
+    answerer = engine("i-3", EngineScript())
+    async with serving(dead, sound, answerer) as entry:
+        began = time.monotonic()
+        results = [
+            await entry.ask("/talk/x", request_id=f"id-{n}", **LONG) for n in range(4)
+        ]
+        seconds = time.monotonic() - began
+    assert [got.status for got in results] == [200] * 4
+    assert seconds < 1.9
+    assert len(dead.received) == 1
+
+
+async def test_stalled_stream_goes_on_elsewhere():
+    """An engine stops in the middle without closing: the stream goes on at another."""
+
+    async def stall(replica: Replica, received: Received, writer) -> None:
+        writer.write(
+            head(
+                200,
+                received.request_id,
+                "X-Weight-Versions: 1",
+                "Transfer-Encoding: chunked",
+            )
+        )
+        data = event(1)
+        writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+        await writer.drain()
+        await asyncio.sleep(30)
+
+    one, two = engine("i-1", stall), engine("i-2", EngineScript())
+    async with serving(one, two) as entry:
+        entry.register(two, state="draining")
+        task = asyncio.create_task(entry.ask("/long/x", **SHORT))
+        await until(lambda: bool(one.received))
+        entry.register(two)
+        got = await task
+    assert got.complete
+    assert got.body == events(1, 4)
+
+
+async def test_engine_that_refuses_is_left_alone_for_a_moment():
+    """An engine restarted into another role answers 421 until its entry is right.
+
+    The first request there is refused truthfully; the next ones go elsewhere.
+    """
+    wrong, sound = engine("i-1", not_run(421)), engine("i-2", EngineScript())
+    async with serving(wrong, sound) as entry:
+        statuses = [
+            (await entry.ask("/talk/x", request_id=f"id-{n}", **SHORT)).status
+            for n in range(5)
+        ]
+    assert statuses.count(503) <= 1
+    assert len(wrong.received) <= 1
+
+
+@pytest.mark.parametrize("resumable", [True, False])
+async def test_failure_before_the_first_event(resumable):
+    """An engine answers 500: passed on as it is, with its signature."""
+    one = engine("i-1", answer(500, b"broken"))
+    async with serving(one) as entry:
+        got = await entry.ask("/long/x" if resumable else "/talk/x", **SHORT)
+    assert (got.status, got.body) == (500, b"broken")
+    assert "x-response-signature" in got.headers
+
+
+async def test_shared_part_is_fetched_from_the_engine_that_keeps_it():
+    """Two prompts with one beginning go to two engines: the second fetches it."""
+    one = engine("i-1", EngineScript(prefill_seconds=0.3), "prefill")
+    two = engine("i-2", EngineScript(prefill_seconds=0.3), "prefill")
+    three = engine("i-3", EngineScript())
+    async with serving(one, two, three) as entry:
+        first = {"X_Token_Count": "12000,9", "X_Prompt_Prefix": "aa:3000,b1:9000"}
+        second = {"X_Token_Count": "12000,9", "X_Prompt_Prefix": "aa:3000,b2:9000"}
+        tasks = [asyncio.create_task(entry.ask("/talk/x", **first))]
+        await until(lambda: bool(one.received or two.received))
+        tasks.append(
+            asyncio.create_task(entry.ask("/talk/x", request_id="id-2", **second))
+        )
+        await asyncio.gather(*tasks)
+    reads = [r for r in (*one.received, *two.received)]
+    assert len(reads) == 2
+    fetches = [r.headers.get("kv-fetch") for r in reads]
+    if one.received and two.received:
+        assert one.address in fetches or two.address in fetches
+
+
+async def test_request_given_up_in_the_queue_does_not_pass_for_cached():
+    """A caller leaves while its prompt waits unread, and comes back with it.
+
+    Its own part was never read: taken for cached, 4,000 tokens would be read at an
+    answering engine, which begins no answer meanwhile.
+    """
+    one = engine("i-1", EngineScript(prefill_seconds=30), "prefill")
+    two = engine("i-2", EngineScript())
+    async with serving(one, two) as entry:
+        _, writer = await entry.connect()
+        writer.write(request("/long/x", **LONG))
+        await until(lambda: bool(one.received))
+        writer.close()
+        await until(lambda: bool(one.closed))
+        task = asyncio.create_task(entry.ask("/long/x", request_id="id-2", **LONG))
+        await until(lambda: len(one.received) == 2)
+        assert two.received == []
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
