--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -125,18 +125,6 @@
             return False
         return planned.role is not upstream.role
 
-    def is_current(self, upstream: Upstream, now: float) -> bool:
-        """Return whether an upstream may still be given new work."""
-        seen = self.seen.get(upstream.name)
-        if seen is None or seen.upstream.leaving:
-            return False
-        if seen.gone_at is not None and now >= seen.gone_at:
-            return False
-        return (
-            seen.upstream.boot == upstream.boot
-            and seen.upstream.address == upstream.address
-        )
-
     def put(self, item: KeyValue) -> None:
         """Take one key's new value."""
         if item.key == self.directory.config_key:
--- a/src/bergamotmast/direct/role_planner.py
+++ b/src/bergamotmast/direct/role_planner.py
@@ -10,7 +10,6 @@
 
 import asyncio
 import collections.abc as cabc
-import contextlib
 import dataclasses
 import enum
 import logging
@@ -36,6 +35,10 @@
 TICK_SECONDS = 0.5
 """Between two looks at the fleet."""
 
+PAUSE_SECONDS = (1.0, 3.0)
+"""Between two terms of one planner: a candidate that keeps losing the plan to another
+would otherwise call the store without end."""
+
 UNRESOLVED_SECONDS = 13.0
 """An order without a reply may be carried out so much later; the engine gets no other
 one until then, and is counted as changing."""
@@ -143,6 +146,7 @@
             finally:
                 self.pending.clear()
                 await self.authority.release()
+            await asyncio.sleep(self.rng.uniform(*PAUSE_SECONDS))
 
     async def _plan_while_held(self) -> None:
         tasks = [
@@ -167,8 +171,14 @@
             # take turns at one engine would leave it torn between them.
             await asyncio.sleep(self.quiet_seconds)
         while True:
-            with contextlib.suppress(PortError):
+            try:
                 await self._tick()
+            except OrderRefusedError:
+                raise
+            except PortError as error:
+                # An outage, or an engine that can't be reached, stops changes of roles
+                # and nothing else; the lease tells when it has lasted too long.
+                logger.info("no order given", extra={"error": error.message})
             await asyncio.sleep(TICK_SECONDS)
 
     async def _tick(self) -> None:
--- a/src/bergamotmast/policy/direct_roles.py
+++ b/src/bergamotmast/policy/direct_roles.py
@@ -12,8 +12,8 @@
 a second answering engine is no loss. :func:`wanted_answering` therefore keeps
 :data:`LEAST_ANSWERING` of them, that one may die, and more only where the mix asks for
 it. A change is made when that has been so for :data:`HOLD_SECONDS`: an engine is gone
-for seconds with each change, which a swing that turns back sooner does not pay. What has
-no engine at all is mended at once.
+for seconds with each change, which a swing that turns back sooner does not pay. What
+has no engine at all is mended at once.
 """
 
 from __future__ import annotations
--- a/src/bergamotmast/policy/engine_book.py
+++ b/src/bergamotmast/policy/engine_book.py
@@ -157,7 +157,7 @@
         return work
 
     def wait(self, priority: int, now: float) -> float:
-        """Return the usual seconds of what is read before a new prompt of a priority."""
+        """Return the usual seconds of what is read before a prompt of a priority."""
         self._forget_old(now)
         seconds = 0.0
         for key, work in self.reading.items():
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -289,8 +289,11 @@
 
     def put(self, key: str, value: object, lease: int = 0) -> None:
         """Write a key as the operator or a replica does."""
-        data = value if isinstance(value, bytes) else json.dumps(value).encode()
         self.revision += 1
+        self._put(key, value, lease)
+
+    def _put(self, key: str, value: object, lease: int) -> None:
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
         item = {
             "key": key,
             "value": base64.b64encode(data).decode(),
@@ -304,6 +307,9 @@
     def remove(self, key: str) -> None:
         """Remove a key."""
         self.revision += 1
+        self._remove(key)
+
+    def _remove(self, key: str) -> None:
         self.items.pop(key, None)
         self._note({"key": key, "revision": self.revision, "tombstone": True})
 
@@ -382,10 +388,12 @@
         for put in body["puts"]:
             if put["lease"] and put["lease"] not in self.leases:
                 return web.Response(status=404)
+        # All that one call writes is one change.
+        self.revision += 1
         for put in body["puts"]:
-            self.put(put["key"], base64.b64decode(put["value"]), put["lease"])
+            self._put(put["key"], base64.b64decode(put["value"]), put["lease"])
         for key in body["remove"]:
-            self.remove(key)
+            self._remove(key)
         return self._json({"revision": self.revision})
 
     async def _lease(self, request: web.Request) -> web.Response:
--- /dev/null
+++ b/tests/test_direct_fleet.py
@@ -0,0 +1,359 @@
+"""Configuration and upstreams of a direct entry, from a store with faults."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import random
+
+import pytest
+
+from bergamotmast.adapters.http_calls import client_session
+from bergamotmast.direct.fleet import CHANGE_SECONDS
+from bergamotmast.direct.fleet import RETURN_SECONDS
+from bergamotmast.direct.fleet import Fleet
+from bergamotmast.direct.following import OUTAGE_SECONDS
+from bergamotmast.direct.following import Follower
+from bergamotmast.direct.model import CallKind
+from bergamotmast.direct.placing import Placing
+from bergamotmast.direct.presence import PRESENCE_PREFIX
+from bergamotmast.direct.presence import Presence
+from bergamotmast.direct.routing import RouteTable
+from bergamotmast.direct.routing import pick_group
+from bergamotmast.errors import ConfigError
+from bergamotmast.errors import KeyValueOutcomeUnknownError
+from bergamotmast.errors import KeyValueUnavailableError
+from bergamotmast.errors import LeaseLapsedError
+from bergamotmast.model import Assignment
+from bergamotmast.model import Role
+from bergamotmast.platform import store as platform_store
+from bergamotmast.platform.directory import PlatformDirectory
+from bergamotmast.platform.store import PlatformStore
+from bergamotmast.ports import Compare
+from bergamotmast.ports import Delete
+from bergamotmast.ports import KeyValue
+from bergamotmast.ports import Put
+from bergamotmast.protocol.plan import EnginePlan
+from bergamotmast.protocol.plan import encode_record
+from bergamotmast.protocol.plan import engine_key
+from direct_support import config
+from direct_support import engine
+from direct_support import registration
+from direct_support import route
+from platform_standin import Replica
+from platform_standin import Store
+from platform_standin import answer
+
+
+@pytest.fixture(autouse=True)
+def _short_waits(monkeypatch):
+    monkeypatch.setattr(platform_store, "WATCH_SECONDS", 0.2)
+    monkeypatch.setattr(platform_store, "WATCH_SLACK_SECONDS", 0.3)
+
+
+@contextlib.asynccontextmanager
+async def following():
+    """Yield a store, a fleet that follows it, and the adapter between."""
+    async with Store() as store, client_session() as session:
+        fleet = Fleet(PlatformDirectory(), asyncio.get_running_loop().time)
+        adapter = PlatformStore(session, store.address)
+        task = asyncio.create_task(Follower(adapter, fleet, random.Random(1)).run())
+        try:
+            yield store, fleet, adapter
+        finally:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+
+async def until(condition, seconds=3.0):
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def names(fleet: Fleet, group: str = "plain") -> set[str]:
+    now = asyncio.get_running_loop().time()
+    return {upstream.name for upstream in fleet.members(group, now)}
+
+
+def entry(**changes) -> dict:
+    return registration(Replica("i", answer())) | {"address": "10.0.0.1:80"} | changes
+
+
+async def test_entry_is_ready_once_it_knows_both():
+    async with following() as (store, fleet, _):
+        await until(lambda: fleet.settled)
+        assert not fleet.ready
+        store.put("op/config", config())
+        store.put("servers/i-1", entry())
+        await until(lambda: fleet.ready and names(fleet) == {"i-1"})
+
+
+async def test_leaving_and_gone_upstreams_get_nothing_more():
+    async with following() as (store, fleet, _):
+        store.put("op/config", config())
+        for number in range(3):
+            store.put(f"servers/i-{number}", entry())
+        await until(lambda: names(fleet) == {"i-0", "i-1", "i-2"})
+        store.put("servers/i-0", entry(state="draining"))
+        store.remove("servers/i-1")
+        await until(lambda: names(fleet) == {"i-2"}, 0.5)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\xff\xfe",
+        b"[]",
+        b"{}",
+        json.dumps(entry(state="resting")).encode(),
+        json.dumps(entry(address=7)).encode(),
+        json.dumps(entry(slots="many")).encode(),
+        json.dumps(entry(stage="sleep")).encode(),
+        json.dumps(entry(born="yesterday")).encode(),
+        json.dumps({k: v for k, v in entry().items() if k != "zone"}).encode(),
+    ],
+)
+async def test_entry_of_another_writer_names_nobody(value):
+    """Bytes that can't be read, fields missing or of another type: the rest holds."""
+    async with following() as (store, fleet, _):
+        store.put("op/config", config())
+        store.put("servers/i-1", entry())
+        store.put("servers/i-2", value)
+        store.put("servers/i-3", entry())
+        await until(lambda: names(fleet) == {"i-1", "i-3"})
+
+
+async def test_reborn_upstream_is_another_one():
+    """A replica starts again under its id: handles, caches and counts are void."""
+    async with following() as (store, fleet, _):
+        store.put("op/config", config())
+        store.put("servers/i-1", entry(born=1000))
+        await until(lambda: names(fleet) == {"i-1"})
+        placing = Placing(fleet, "entry-1", "zone-a", random.Random(1))
+        placing.plain_book(fleet.members("plain", 0.0)[0]).running = 5
+        store.put("servers/i-1", entry(born=2000))
+        await until(lambda: fleet.members("plain", 0.0)[0].boot == "2000")
+        assert placing.plain_book(fleet.members("plain", 0.0)[0]).running == 0
+        assert len(placing.plain) == 1
+
+
+async def test_configuration_never_goes_back():
+    """A late answer brings an older version than the one in force."""
+    async with following() as (store, fleet, _):
+        store.put("op/config", config(7))
+        await until(lambda: fleet.generation == 7)
+        store.put("op/config", config(5))
+        store.put("servers/i-1", entry())
+        await until(lambda: names(fleet) == {"i-1"})
+        assert fleet.generation == 7
+
+
+async def test_configuration_that_is_not_understood_changes_nothing():
+    async with following() as (store, fleet, _):
+        store.put("op/config", config(7))
+        await until(lambda: fleet.generation == 7)
+        store.put("op/config", b"{]")
+        store.put("op/config", config(8, [route("/x/", "sometimes")]))
+        store.put("op/config", config(9))
+        await until(lambda: fleet.generation == 9)
+
+
+async def test_outage_leaves_what_is_known():
+    """The store is down: serving goes on with the last configuration and members."""
+    async with following() as (store, fleet, _):
+        store.put("op/config", config(7))
+        store.put("servers/i-1", entry())
+        await until(lambda: names(fleet) == {"i-1"})
+        store.outage = 503
+        await asyncio.sleep(0.5)
+        assert fleet.ready
+        assert names(fleet) == {"i-1"}
+        store.put("op/config", config(8))
+        store.outage = 0
+        await until(lambda: fleet.generation == 8, 2.0)
+
+
+async def test_entries_that_lapsed_in_an_outage_have_two_seconds():
+    """Leases ran out while the store was away, though the replicas live.
+
+    Used at once as gone, a store that was away for seconds would take the whole fleet
+    with it; one that is not back after two seconds is gone.
+    """
+    async with following() as (store, fleet, _):
+        store.put("op/config", config(7))
+        store.put("servers/i-1", entry())
+        store.put("servers/i-2", entry())
+        await until(lambda: names(fleet) == {"i-1", "i-2"})
+        store.outage = 503
+        await asyncio.sleep(OUTAGE_SECONDS + 0.5)
+        store.remove("servers/i-1")
+        store.remove("servers/i-2")
+        store.outage = 0
+        await asyncio.sleep(0.8)
+        assert names(fleet) == {"i-1", "i-2"}
+        store.put("servers/i-1", entry())
+        await until(lambda: names(fleet) == {"i-1"}, RETURN_SECONDS + 1.0)
+
+
+async def test_history_that_is_gone_leads_to_a_new_reading():
+    """The store has dropped what the watch would go on from (410)."""
+    async with following() as (store, fleet, _):
+        store.put("op/config", config(7))
+        store.put("servers/i-1", entry())
+        await until(lambda: names(fleet) == {"i-1"})
+        store.log.clear()
+        store.put("servers/i-2", entry())
+        store.log.clear()
+        store.remove("servers/i-1")
+        store.log.clear()
+        store.compacted = store.revision + 1
+        await asyncio.sleep(0.3)
+        store.compacted = 0
+        await until(lambda: names(fleet) == {"i-2"}, 4.0)
+
+
+async def test_watch_on_a_dead_connection_is_opened_anew():
+    """The connection went silent without a reset: nothing is heard, nothing fails.
+
+    The watch's own bound ends it, and what happened meanwhile is read.
+    """
+    async with following() as (store, fleet, _):
+        store.put("op/config", config(7))
+        await until(lambda: fleet.generation == 7)
+        store.silent = True
+        await asyncio.sleep(0.3)
+        store.put("op/config", config(8))
+        await until(lambda: fleet.generation == 8, 3.0)
+
+
+async def test_changing_engine_is_left_alone_for_a_while():
+    """The plan gives an engine another role: it refuses all work for seconds."""
+    async with following() as (store, fleet, _):
+        now = 0.0
+        fleet.clock = lambda: now
+        store.put("op/config", config())
+        store.put("servers/i-1", entry(service="llm", stage="decode"))
+        await until(lambda: names(fleet, "llm") == {"i-1"})
+        plan = EnginePlan(1, 1, Assignment(Role.PREFILL))
+        store.put(engine_key("i-1"), encode_record(plan))
+        await until(lambda: fleet.members("llm", now) == [])
+        assert len(fleet.present("llm", now)) == 1
+        # An order that was never carried out costs the engine no longer than that.
+        assert len(fleet.members("llm", CHANGE_SECONDS + 0.1)) == 1
+        store.put("servers/i-1", entry(service="llm", stage="prefill"))
+        await until(lambda: len(fleet.members("llm", now)) == 1)
+
+
+async def test_entries_know_each_other_while_they_live():
+    async with following() as (store, fleet, adapter):
+        presence = Presence(adapter, "entry-9", "10.0.0.9:7380", random.Random(1))
+        task = asyncio.create_task(presence.run())
+        key = PRESENCE_PREFIX + "entry-9"
+        await until(lambda: fleet.entries.get(key) == ("10.0.0.9", 7380))
+        task.cancel()
+        store.end_lease(next(iter(store.leases)))
+        await until(lambda: key not in fleet.entries)
+
+
+async def test_store_reads_all_pages():
+    async with following() as (store, _, adapter):
+        for number in range(7):
+            store.put(f"many/{number}", {"n": number})
+        found = await adapter.range("many/")
+        assert [item.key for item in found.items] == [f"many/{n}" for n in range(7)]
+
+
+async def test_store_transaction_and_its_failures():
+    async with following() as (store, _, adapter):
+        made = await adapter.txn([Compare("k", 0)], [Put("k", b"\x00v")])
+        assert made.succeeded
+        read = await adapter.get("k")
+        assert (read.value, read.mod_revision) == (b"\x00v", made.revision)
+        assert not (await adapter.txn([Compare("k", 0)], [Put("k", b"2")])).succeeded
+        assert (await adapter.txn([], [Delete("k")])).succeeded
+        assert await adapter.get("k") is None
+        with pytest.raises(LeaseLapsedError):
+            await adapter.txn([], [Put("k", b"v", lease=99)])
+        assert not await adapter.keep_alive(99)
+
+
+async def test_lost_reply_to_a_write_is_of_unknown_outcome():
+    """The store has done it and the answer is lost: "not done" would be wrong."""
+    async with following() as (store, _, adapter):
+        store.lose_replies = 1
+        with pytest.raises(KeyValueOutcomeUnknownError):
+            await adapter.txn([], [Put("k", b"v")])
+        assert (await adapter.get("k")).value == b"v"
+        store.outage = 503
+        with pytest.raises(KeyValueUnavailableError):
+            await adapter.txn([], [Put("k", b"w")])
+
+
+@pytest.mark.parametrize(
+    ("host", "target", "name"),
+    [
+        ("host.example", "/a/x", "a"),
+        ("HOST.example:8080", "/a/x", "a"),
+        ("host.example", "/a/b/x?y=/c/", "ab"),
+        ("host.example", "/a/bc/", "a"),
+        ("host.example", "/a", None),
+        ("host.example", "/", None),
+        ("host.example", "", None),
+        ("other.example", "/a/x", None),
+        ("", "/a/x", None),
+    ],
+)
+def test_longest_prefix_of_the_host(host, target, name):
+    routes = [
+        route("/a/", "safe", name="a"),
+        route("/a/b/", "unsafe", name="ab"),
+    ]
+    value = json.dumps(config(routes=routes)).encode()
+    table = RouteTable(PlatformDirectory().decode_routing(value))
+    found = table.find(host, target)
+    assert (found.name if found else None) == name
+
+
+def test_split_follows_its_weights():
+    split = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
+    document = config(routes=[route("/a/", "safe", **{"traffic-split": split})])
+    routing = PlatformDirectory().decode_routing(json.dumps(document).encode())
+    rng = random.Random(2)
+    drawn = [pick_group(routing.routes[0], rng) for _ in range(2_000)]
+    assert 120 < drawn.count("b") < 280
+
+
+def test_kinds_say_what_may_be_repeated():
+    kinds = {"safe": True, "unsafe": False, "streaming": False}
+    routes = [route(f"/{kind}/", kind) for kind in kinds]
+    routes.append(route("/resumed/", "streaming", resumable=True))
+    routing = PlatformDirectory().decode_routing(
+        json.dumps(config(routes=routes)).encode()
+    )
+    assert [r.repeatable for r in routing.routes] == [True, False, False, True]
+    assert routing.routes[2].kind is CallKind.STREAM
+
+
+def test_unknown_fields_are_left_out_of_account():
+    document = config() | {"new-field": {"deep": [1]}}
+    assert PlatformDirectory().decode_routing(json.dumps(document).encode()).routes
+    with pytest.raises(ConfigError):
+        PlatformDirectory().decode_routing(b"nothing")
+
+
+def test_older_reading_of_an_upstream_changes_nothing():
+    fleet = Fleet(PlatformDirectory(), lambda: 0.0)
+    fleet.put(KeyValue("servers/i-1", json.dumps(entry(state="draining")).encode(), 9))
+    fleet.put(KeyValue("servers/i-1", json.dumps(entry()).encode(), 5))
+    assert fleet.members("plain", 0.0) == []
+    fleet.remove("servers/i-1", 4)
+    assert "servers/i-1" in fleet.seen
+
+
+def test_stand_in_engine_registers_as_one():
+    replica = engine("i-1", answer())
+    value = json.dumps(registration(replica)).encode()
+    upstream = PlatformDirectory().decode_upstream("servers/i-1", value)
+    assert upstream.role is Role.DECODE
--- /dev/null
+++ b/tests/test_direct_process.py
@@ -0,0 +1,244 @@
+"""The direct entry as a process: start, readiness, signals, notices, metrics."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+import json
+import os
+import pathlib
+import signal
+import sys
+
+import aiohttp
+import msgspec
+import pytest
+
+from bergamotmast.direct.notices import Datagram
+from bergamotmast.direct.notices import ReadNotice
+from bergamotmast.direct.presence import PRESENCE_PREFIX
+from direct_support import config
+from direct_support import engine
+from direct_support import read_answer
+from direct_support import registration
+from direct_support import request
+from direct_support import route
+from platform_standin import EngineScript
+from platform_standin import Replica
+from platform_standin import Store
+from platform_standin import answer
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PORTS = itertools.count(20_000 + os.getpid() % 150 * 60)
+
+
+@dataclasses.dataclass
+class Process:
+    """A direct entry that runs."""
+
+    process: asyncio.subprocess.Process
+    port: int
+    ready_port: int
+    peer_port: int
+    metrics_port: int
+
+    async def get(self, port: int, path: str) -> tuple[int, str]:
+        async with aiohttp.ClientSession() as session:
+            url = f"http://127.0.0.1:{port}{path}"
+            async with session.get(url) as response:
+                return response.status, await response.text()
+
+    async def readiness(self) -> int:
+        try:
+            return (await self.get(self.ready_port, "/readiness"))[0]
+        except aiohttp.ClientError:
+            return 0
+
+    async def until_ready(self) -> None:
+        async with asyncio.timeout(20):
+            while await self.readiness() != 200:
+                await asyncio.sleep(0.05)
+
+
+@contextlib.asynccontextmanager
+async def process(store: Store, name: str = "entry-1", seconds: str = "8"):
+    """Run a direct entry as the platform does."""
+    ports = [next(PORTS) for _ in range(4)]
+    addresses = [f"127.0.0.1:{port}" for port in ports]
+    settings = {
+        "BERGAMOTMAST_NAME": name,
+        "BERGAMOTMAST_ZONE": "zone-a",
+        "BERGAMOTMAST_STORE_ADDRESS": store.address,
+        "BERGAMOTMAST_LISTEN_ADDRESS": addresses[0],
+        "BERGAMOTMAST_READY_ADDRESS": addresses[1],
+        "BERGAMOTMAST_PEER_ADDRESS": addresses[2],
+        "BERGAMOTMAST_METRICS_ADDRESS": addresses[3],
+        "BERGAMOTMAST_SHUTDOWN_SECONDS": seconds,
+    }
+    started = await asyncio.create_subprocess_exec(
+        sys.executable,
+        str(ROOT / "serve.py"),
+        "direct",
+        env=os.environ | settings,
+        stdout=asyncio.subprocess.PIPE,
+        limit=1 << 20,
+    )
+    try:
+        yield Process(started, *ports)
+    finally:
+        if started.returncode is None:
+            started.kill()
+        await started.communicate()
+
+
+async def logged(entry: Process) -> list[dict]:
+    """Return the process's log lines after its end."""
+    output, _ = await entry.process.communicate()
+    return [json.loads(line) for line in output.splitlines()]
+
+
+async def test_sigterm_cuts_nothing_off():
+    """SIGTERM comes while a stream runs and another connection is idle.
+
+    Readiness fails at once; new requests are still taken for a moment, with
+    "Connection: close"; the idle connection is closed before the end, the stream ends
+    whole, and the process ends before the platform would kill it.
+    """
+    script = EngineScript(last=30, pause=0.12)
+    async with Store() as store, engine("i-1", script) as replica:
+        talk = route("/talk/", "streaming", "llm", **{"timeout-ms": 8000})
+        store.put("op/config", config(routes=[talk]))
+        store.put("servers/i-1", registration(replica))
+        async with process(store) as entry:
+            await entry.until_ready()
+            reader, writer = await asyncio.open_connection("127.0.0.1", entry.port)
+            idle, idle_writer = await asyncio.open_connection("127.0.0.1", entry.port)
+            writer.write(
+                request("/talk/x", X_Token_Count="400,80", X_Deadline_Ms="8000")
+            )
+            await asyncio.sleep(0.3)
+            entry.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.2)
+            assert await entry.readiness() == 503
+            late, late_writer = await asyncio.open_connection("127.0.0.1", entry.port)
+            late_writer.write(request("/nowhere/x", request_id="id-2"))
+            refused = await read_answer(late)
+            assert refused.status == 404
+            assert refused.headers["connection"] == "close"
+            assert await asyncio.wait_for(idle.read(), 4) == b""
+            got = await asyncio.wait_for(read_answer(reader), 8)
+            assert got.complete
+            assert got.body.count(b"id:") == 30
+            await asyncio.wait_for(entry.process.wait(), 4)
+            for each in (writer, idle_writer, late_writer):
+                each.close()
+            lines = await logged(entry)
+    assert entry.process.returncode == 0
+    events = [line["event"] for line in lines]
+    for expected in ("starts", "store is reached", "stops soon", "stops"):
+        assert expected in events
+    ended = [line for line in lines if line["event"] == "request ended"]
+    assert {line["request_id"] for line in ended} == {"id-1", "id-2"}
+
+
+async def test_sighup_disturbs_nothing_and_metrics_are_served():
+    async with Store() as store, Replica("i-1", answer()) as replica:
+        store.put("op/config", config())
+        store.put("servers/i-1", registration(replica))
+        async with process(store) as entry:
+            await entry.until_ready()
+            entry.process.send_signal(signal.SIGHUP)
+            reader, writer = await asyncio.open_connection("127.0.0.1", entry.port)
+            writer.write(request("/order/x"))
+            assert (await read_answer(reader)).status == 200
+            writer.close()
+            status, text = await entry.get(entry.metrics_port, "/metrics")
+            assert status == 200
+            assert 'requests_ended_total{class="r-order-",code="ok"} 1.0' in text
+            assert "class_total_seconds_bucket" in text
+            assert await entry.readiness() == 200
+            entry.process.send_signal(signal.SIGTERM)
+            lines = await logged(entry)
+    assert "reload" in [line["event"] for line in lines]
+
+
+async def test_entries_find_and_tell_each_other():
+    """Two entries register; a long prompt at one is told to the other."""
+
+    class Peer(asyncio.DatagramProtocol):
+        def __init__(self) -> None:
+            self.found: list[bytes] = []
+
+        def datagram_received(self, data: bytes, addr: object) -> None:
+            self.found.append(data)
+
+    loop = asyncio.get_running_loop()
+    transport, peer = await loop.create_datagram_endpoint(
+        Peer, local_addr=("127.0.0.1", 0)
+    )
+    port = transport.get_extra_info("sockname")[1]
+    async with (
+        Store() as store,
+        engine("i-1", EngineScript(), "prefill") as one,
+        engine("i-2", EngineScript()) as two,
+    ):
+        store.put("op/config", config())
+        store.put("servers/i-1", registration(one))
+        store.put("servers/i-2", registration(two))
+        store.put(PRESENCE_PREFIX + "other", f"127.0.0.1:{port}".encode())
+        async with process(store) as entry:
+            await entry.until_ready()
+            # What is no notice must not disturb it.
+            for noise in (b"", b"\xff" * 40, msgspec.msgpack.encode([1, 2])):
+                transport.sendto(noise, ("127.0.0.1", entry.peer_port))
+            reader, writer = await asyncio.open_connection("127.0.0.1", entry.port)
+            headers = {"X_Token_Count": "6000,9", "X_Prompt_Prefix": "aa:2000,b1:4000"}
+            writer.write(request("/talk/x", **headers))
+            got = await read_answer(reader)
+            writer.close()
+            assert got.complete
+            await asyncio.sleep(0.1)
+            assert entry.process.returncode is None
+    transport.close()
+    notices = [
+        notice
+        for data in peer.found
+        for notice in msgspec.msgpack.decode(data, type=Datagram).notices
+    ]
+    assert [notice.tokens for notice in notices] == [6000, 0]
+    assert notices[0].parts[0][1] == 2000
+    assert isinstance(notices[0], ReadNotice)
+
+
+@pytest.mark.parametrize(
+    ("name", "value", "said"),
+    [
+        ("BERGAMOTMAST_STORE_ADDRESS", "nowhere", "--store-address"),
+        ("BERGAMOTMAST_SHUTDOWN_SECONDS", "-1", "BERGAMOTMAST_SHUTDOWN_SECONDS"),
+        ("BERGAMOTMAST_RETRY_SHARE", "much", "BERGAMOTMAST_RETRY_SHARE"),
+    ],
+)
+async def test_setting_that_is_not_allowed_is_named(name, value, said):
+    settings = {
+        "BERGAMOTMAST_NAME": "entry-1",
+        "BERGAMOTMAST_ZONE": "zone-a",
+        "BERGAMOTMAST_LISTEN_ADDRESS": "127.0.0.1:1",
+        "BERGAMOTMAST_READY_ADDRESS": "127.0.0.1:1",
+        "BERGAMOTMAST_PEER_ADDRESS": "127.0.0.1:1",
+        "BERGAMOTMAST_STORE_ADDRESS": "127.0.0.1:1",
+    }
+    started = await asyncio.create_subprocess_exec(
+        sys.executable,
+        str(ROOT / "serve.py"),
+        "direct",
+        env=os.environ | settings | {name: value},
+        stderr=asyncio.subprocess.PIPE,
+    )
+    _, error = await asyncio.wait_for(started.communicate(), 20)
+    assert started.returncode == 2
+    assert value in error.decode()
+    assert said.removeprefix("--").replace("-", "_").lower() in (
+        error.decode().lower().replace("-", "_")
+    )
--- /dev/null
+++ b/tests/test_direct_roles.py
@@ -0,0 +1,206 @@
+"""Orders to engines: one holder, a token each, nothing repeated too soon."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import random
+
+import pytest
+
+from bergamotmast.adapters.http_calls import client_session
+from bergamotmast.adapters.opaque_http import HttpUpstreamClient
+from bergamotmast.direct.fleet import Fleet
+from bergamotmast.direct.placing import Placing
+from bergamotmast.direct.role_planner import RolePlanner
+from bergamotmast.history import NullHistory
+from bergamotmast.planner.authority import Authority
+from bergamotmast.planner.plan_store import PlanStore
+from bergamotmast.platform.directory import PlatformDirectory
+from bergamotmast.platform.orders import PlatformOrders
+from bergamotmast.platform.store import PlatformStore
+from bergamotmast.policy.direct_roles import MixMeter
+from bergamotmast.ports import KeyValue
+from direct_support import config
+from direct_support import engine
+from direct_support import registration
+from platform_standin import Received
+from platform_standin import Replica
+from platform_standin import Store
+from platform_standin import reset
+
+
+class OrderedEngine:
+    """An engine that takes orders; ``how`` says how it answers them.
+
+    :param orders: bodies of the orders that arrived.
+    :param token: highest fencing token seen.
+    """
+
+    def __init__(self, how: str = "take") -> None:
+        self.how = how
+        self.orders: list[dict] = []
+        self.times: list[float] = []
+        self.token = 0
+
+    async def __call__(self, replica: Replica, received: Received, writer) -> None:
+        if received.target == "/report":
+            report = {"sequence": len(self.orders), "busy": False, "stage": "decode"}
+            self._answer(writer, 200, json.dumps(report).encode())
+            return
+        order = json.loads(received.body)
+        self.orders.append(order)
+        self.times.append(asyncio.get_running_loop().time())
+        if self.how == "lose":
+            reset(writer)
+        elif order["fencing-token"] < self.token:
+            self._answer(writer, 412)
+        else:
+            self.token = order["fencing-token"]
+            self._answer(writer, 409 if self.how == "conflict" else 202)
+        await writer.drain()
+
+    def _answer(self, writer, status: int, body: bytes = b"") -> None:
+        head = f"HTTP/1.1 {status} Word\r\nContent-Length: {len(body)}\r\n\r\n"
+        writer.write(head.encode() + body)
+
+
+@contextlib.asynccontextmanager
+async def planners(*scripts: OrderedEngine, count: int = 1, quiet: float = 0.0):
+    """Yield a store, fleets and planners over engines that all make answers."""
+    async with contextlib.AsyncExitStack() as stack:
+        store = await stack.enter_async_context(Store())
+        session = await stack.enter_async_context(client_session())
+        client = await stack.enter_async_context(HttpUpstreamClient())
+        replicas = [engine(f"i-{n}", script) for n, script in enumerate(scripts)]
+        for replica in replicas:
+            await stack.enter_async_context(replica)
+        found = []
+        for number in range(count):
+            fleet = Fleet(PlatformDirectory(), asyncio.get_running_loop().time)
+            fleet.settled = True
+            fleet.put(KeyValue("op/config", json.dumps(config()).encode(), 1))
+            for replica in replicas:
+                value = json.dumps(registration(replica)).encode()
+                fleet.put(KeyValue(f"servers/{replica.name}", value, 2))
+            name, rng = f"entry-{number}", random.Random(number)
+            adapter = PlatformStore(session, store.address)
+            found.append(
+                RolePlanner(
+                    name,
+                    Authority(adapter, name, rng, 2, first_look_seconds=0.01),
+                    PlanStore(adapter, name, rng, NullHistory(), most_writes=24),
+                    fleet,
+                    Placing(fleet, name, "zone-a", rng),
+                    PlatformOrders(client),
+                    MixMeter(),
+                    quiet,
+                    rng,
+                )
+            )
+        yield store, found
+
+
+@contextlib.asynccontextmanager
+async def run(planner: RolePlanner):
+    task = asyncio.create_task(planner.run())
+    try:
+        yield task
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+async def until(condition, seconds=5.0):
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+async def test_fleet_without_a_reading_engine_gets_one():
+    """Two engines, both answering: one is ordered to read, once."""
+    scripts = [OrderedEngine(), OrderedEngine()]
+    async with planners(*scripts) as (store, (planner,)), run(planner):
+        await until(lambda: any(script.orders for script in scripts))
+        await asyncio.sleep(1.2)
+    orders = [order for script in scripts for order in script.orders]
+    assert len(orders) == 1
+    assert orders[0] == {
+        "operation": "stage",
+        "stage": "prefill",
+        "holder": "entry-0",
+        "fencing-token": 1,
+        "precondition": 0,
+    }
+    assert any(key.startswith("/bergamotmast/plan/engines/") for key in store.items)
+
+
+async def test_order_whose_reply_is_lost_is_not_given_again():
+    """The engine may carry it out seconds later: a second order would tear it."""
+    scripts = [OrderedEngine("lose"), OrderedEngine("lose")]
+    async with planners(*scripts) as (_, (planner,)), run(planner):
+        await until(lambda: any(script.orders for script in scripts))
+        await asyncio.sleep(1.2)
+    assert sum(len(script.orders) for script in scripts) == 1
+
+
+async def test_refused_token_is_not_used_again():
+    """Another machine has given orders under a higher token: this one gives up.
+
+    It may order again only under a new authority, whose token is higher.
+    """
+    scripts = [OrderedEngine(), OrderedEngine()]
+    for script in scripts:
+        script.token = 2
+    async with planners(*scripts) as (_, (planner,)), run(planner):
+        await until(lambda: any(script.orders for script in scripts))
+        await asyncio.sleep(0.5)
+        tokens = [o["fencing-token"] for script in scripts for o in script.orders]
+    assert tokens == sorted(set(tokens))
+
+
+async def test_two_candidates_never_order_under_one_token():
+    """The holder is paused, its lease lapses, another takes over, the first wakes.
+
+    Its write of the plan fails, so that it gives no order any more; the new holder's
+    token is higher, and it lets the pause between two holders pass.
+    """
+    scripts = [OrderedEngine(), OrderedEngine()]
+    async with planners(*scripts, count=2, quiet=0.6) as (store, (one, two)):
+        await one.authority.acquire()
+        await one.store.open()
+        store.end_lease(one.authority.lease)
+        began = asyncio.get_running_loop().time()
+        async with run(two):
+            await until(lambda: any(script.orders for script in scripts))
+        first = min(at for script in scripts for at in script.times)
+        assert first - began >= 0.6
+        with contextlib.suppress(Exception):
+            await one._tick()
+        orders = [order for script in scripts for order in script.orders]
+    assert {order["holder"] for order in orders} == {"entry-1"}
+    assert {order["fencing-token"] for order in orders} == {2}
+
+
+async def test_released_lease_is_taken_by_the_next():
+    scripts = [OrderedEngine("conflict"), OrderedEngine("conflict")]
+    async with planners(*scripts, count=2) as (store, (one, two)):
+        async with run(one):
+            await until(lambda: one.authority.lease > 0)
+        await until(lambda: not store.leases)
+        async with run(two):
+            await until(lambda: two.authority.lease > 0)
+
+
+@pytest.mark.parametrize("known", [True, False])
+async def test_store_that_is_down_stops_orders_and_nothing_else(known):
+    scripts = [OrderedEngine(), OrderedEngine()]
+    async with planners(*scripts) as (store, (planner,)):
+        if known:
+            await planner.authority.acquire()
+        store.outage = 503
+        async with run(planner) as task:
+            await asyncio.sleep(0.6)
+            assert not task.done()
+    assert not any(script.orders for script in scripts)
--- /dev/null
+++ b/tests/test_platform_boundary.py
@@ -0,0 +1,64 @@
+"""The platform's names stand in one folder, and nothing decides there."""
+
+from __future__ import annotations
+
+import ast
+import pathlib
+import re
+
+import pytest
+
+from bergamotmast.platform import headers
+
+PACKAGE = pathlib.Path(headers.__file__).resolve().parent.parent
+PLATFORM = PACKAGE / "platform"
+ROOTS = {"direct_daemon.py"}
+"""The composition root, which alone imports the folder."""
+
+MOST_LINES = 900
+"""Length of the whole folder: it holds names, formats and calls."""
+
+
+def sources(folder: pathlib.Path) -> list[pathlib.Path]:
+    return sorted(folder.rglob("*.py"))
+
+
+OUTSIDE = [path for path in sources(PACKAGE) if PLATFORM not in path.parents]
+
+NAMES = re.compile(
+    r"X-Deadline-Ms|X-Expect-|X-Kv-|X-Stage|X-Token-Count|X-Prompt-Prefix"
+    r"|X-Not-Executed|X-Response-Signature|X-Server-Load|X-Weight-Versions"
+    r"|X-Request-Priority|X-Length-Hint|X-Pin-Ms|Kv-Fetch|kv-txn|kv-range|kv-watch"
+    r"|kv-handle|op/config|servers/|traffic-split|transfer-handle|/readiness|/order\b"
+    r"|target-latency-ms|max-attempts",
+    re.IGNORECASE,
+)
+
+
+@pytest.mark.parametrize("path", OUTSIDE, ids=lambda path: path.stem)
+def test_no_name_of_the_platform_outside_its_folder(path):
+    relative = path.relative_to(PACKAGE)
+    if relative.parts[0] in ("standins", "adapters", "bench"):
+        pytest.skip("the product's own protocols may use such words")
+    found = NAMES.findall(path.read_text())
+    assert found == []
+
+
+def test_only_the_composition_root_imports_it():
+    importers = set()
+    for path in OUTSIDE:
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.ImportFrom):
+                module = node.module or ""
+                if node.level and module.split(".")[0] == "platform":
+                    importers.add(path.name)
+    assert importers == ROOTS
+
+
+def test_it_stays_small_and_decides_nothing():
+    lines = sum(len(path.read_text().splitlines()) for path in sources(PLATFORM))
+    assert lines < MOST_LINES
+    for path in sources(PLATFORM):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.ImportFrom):
+                assert "policy" not in (node.module or "").split(".")
