A stalled stream is left only where another engine can go on; a lone answering engine gets a second soon

It is the one answering engine's memory that ran out, because one that left was replaced only after 8 s. Both tests fail without the change. The stall bound waits now until another engine, an attempt and the budget are there.

--- a/src/bergamotmast/direct/sends.py
+++ b/src/bergamotmast/direct/sends.py
@@ -6,6 +6,7 @@
 
 from ..errors import RequestError
 from ..errors import ResultCode
+from ..model import Role
 from .context import Context
 from .model import Call
 from .model import Upstream
@@ -31,6 +32,18 @@
         """Upstreams that need not be tried again."""
         return self.tried | self.unreached
 
+    def may_move(self) -> bool:
+        """Return whether the request could go on at an upstream it has not been to."""
+        if len(self.tried) >= self.call.route.max_attempts:
+            return False
+        now = asyncio.get_running_loop().time()
+        members = self.context.fleet.members(self.call.group.name, now)
+        others = (m for m in members if m.role is not Role.PREFILL)
+        if all(member.name in self.excluded for member in others):
+            return False
+        budget = self.context.budget(self.call.group.name)
+        return budget.has_room(len(self.context.fleet.entries), now)
+
     def begin(self, upstream: Upstream) -> None:
         """Count a send.
 
--- a/src/bergamotmast/direct/silence.py
+++ b/src/bergamotmast/direct/silence.py
@@ -1,4 +1,4 @@
-"""Bounds a call by how long its engine may say nothing at all."""
+"""Bounds a call by how long its engine may say nothing."""
 
 from __future__ import annotations
 
@@ -7,26 +7,28 @@
 import contextlib
 
 from ..errors import ReplyLostError
-from ..policy.engine_book import EngineBook
 
-CHECK_SECONDS = 0.1
+CHECK_SECONDS = 0.15
 """Between two looks whether an engine is still to be heard."""
 
 
 @contextlib.asynccontextmanager
-async def silence_limit(book: EngineBook, since: float) -> cabc.AsyncIterator[None]:
-    """Bound the body by how long an engine may say nothing at all.
+async def silence_limit(
+    silent_at: cabc.Callable[[], float],
+) -> cabc.AsyncIterator[None]:
+    """Bound the body by how long an engine may say nothing.
 
     A machine that lost power, or a connection that went silent, gives no error; with
-    the call's deadline as the only bound its caller would leave before the prompt is
-    read anew.
+    the call's deadline as the only bound its caller would leave before another engine
+    has taken over.
 
-    :param since: when the call was sent; a point in time.
+    :param silent_at: returns when the engine must be taken for gone, as things stand;
+        a point on the monotonic clock, infinity for never.
     :raises ReplyLostError: if the engine has been silent for too long.
     """
     try:
         async with asyncio.timeout(None) as limit:
-            watch = asyncio.create_task(_watch(book, since, limit))
+            watch = asyncio.create_task(_watch(silent_at, limit))
             try:
                 yield
             finally:
@@ -35,8 +37,8 @@
         raise ReplyLostError("the engine is silent") from None
 
 
-async def _watch(book: EngineBook, since: float, limit: asyncio.Timeout) -> None:
+async def _watch(silent_at: cabc.Callable[[], float], limit: asyncio.Timeout) -> None:
     loop = asyncio.get_running_loop()
-    while loop.time() < book.silent_at(since, loop.time()):
+    while loop.time() < silent_at():
         await asyncio.sleep(CHECK_SECONDS)
     limit.reschedule(loop.time())
--- a/src/bergamotmast/direct/stream_run.py
+++ b/src/bergamotmast/direct/stream_run.py
@@ -6,6 +6,7 @@
 import collections.abc as cabc
 import contextlib
 import logging
+import math
 
 from ..errors import NotReachedError
 from ..errors import ReplyLostError
@@ -59,6 +60,7 @@
 
     :param last_event: number of the last event that the caller has.
     :param weights: version of the weights that began the answer.
+    :param heard_at: when the answering engine last said anything; a point in time.
     :param source: exported KV cache of the prompt that no engine has taken yet.
     """
 
@@ -72,6 +74,7 @@
         self.weights = ""
         self.prefills = 0
         self.source = ""
+        self.heard_at = math.inf
         self.timeline = Timeline()
 
     async def run(self) -> int:
@@ -131,7 +134,9 @@
         read = self.reads.begin(reader)
         done = False
         try:
-            async with silence_limit(book, read.began_at):
+            async with silence_limit(
+                lambda: book.silent_at(read.began_at, loop.time())
+            ):
                 self.source = await self._exchange_prefill(reader, read)
             done = True
             self.timeline.prefilled_at = loop.time()
@@ -182,15 +187,17 @@
                 traits = self._check_reply(upstream, reply)
                 # The engine has taken the KV cache, if there was one.
                 self.source = ""
+                self.heard_at = loop.time()
                 if not 200 <= reply.status < 300:
                     return await self._on_failure_status(reply, traits)
-                async for event in self._events(reply, book):
-                    if not streaming:
-                        streaming = True
-                        book.streams += 1
-                        if read is not None:
-                            self.reads.end(upstream, read, done=True)
-                    await self._forward(event, reply, traits)
+                async with silence_limit(self._stalled_at):
+                    async for event in self._events(reply, book):
+                        if not streaming:
+                            streaming = True
+                            book.streams += 1
+                            if read is not None:
+                                self.reads.end(upstream, read, done=True)
+                        await self._forward(event, reply, traits)
             await self._finish(reply, traits)
             return reply.status
         except NotReachedError as error:
@@ -269,27 +276,27 @@
     ) -> cabc.AsyncIterator[Event]:
         """Yield whole events.
 
-        :raises BrokenStreamError: if the stream ends within one, or pauses for so long
-            that a stream that may be resumed had better go on elsewhere.
+        :raises BrokenStreamError: if the stream ends within one.
         """
         splitter = EventSplitter()
-        chunks = reply.chunks()
-        pause = STALL_SECONDS if self.call.route.resumable else None
-        while True:
-            try:
-                async with asyncio.timeout(pause):
-                    data = await anext(chunks, None)
-            except TimeoutError:
-                book.failed_until = asyncio.get_running_loop().time() + FAILED_SECONDS
-                raise BrokenStreamError("the stream stands still") from None
-            if data is None:
-                break
-            book.heard_at = asyncio.get_running_loop().time()
+        async for data in reply.chunks():
+            book.heard_at = self.heard_at = asyncio.get_running_loop().time()
             for event in splitter.feed(data):
                 yield event
         if splitter.rest:
             raise BrokenStreamError("the stream ended within an event")
 
+    def _stalled_at(self) -> float:
+        """Return when a stream had better go on elsewhere; never if it can't.
+
+        An engine that puts a request back for want of memory pauses for seconds and
+        then goes on. Ended without another engine to go on at, the answer would be
+        lost that the caller still waits for.
+        """
+        if not self.call.route.resumable or not self.sends.may_move():
+            return math.inf
+        return self.heard_at + STALL_SECONDS
+
     async def _forward(self, event: Event, reply: Reply, traits: ReplyTraits) -> None:
         if event.number is not None:
             if event.number <= self.last_event:
--- a/src/bergamotmast/policy/direct_roles.py
+++ b/src/bergamotmast/policy/direct_roles.py
@@ -126,8 +126,8 @@
         if self.since is None or sign != self.wished:
             self.wished = sign
             self.since = now
-        # Without the mix, by the count of engines alone:
-        by_count = len(answering) > wanted_answering(len(engines), 0.0) and surplus > 0
+        # Engines that came or went ask for it, whatever the mix:
+        by_count = sign * (len(answering) - wanted_answering(len(engines), 0.0)) > 0
         urgent = not answering or not reading
         hold = SETTLE_SECONDS if by_count else HOLD_SECONDS
         if not urgent and now - self.since < hold:
--- a/src/bergamotmast/policy/retry_window.py
+++ b/src/bergamotmast/policy/retry_window.py
@@ -60,14 +60,18 @@
 
         :param entries: entries that share the budget, as far as known.
         """
+        if not self.has_room(entries, now):
+            return False
+        self.repeats.append(now)
+        return True
+
+    def has_room(self, entries: int, now: float) -> bool:
+        """Return whether a second send may be made."""
         _forget(self.requests, now)
         _forget(self.repeats, now)
         earned = self.limits.share * KEPT_SHARE * len(self.requests)
         free = self.limits.free * FREE_SHARE / max(entries, LEAST_ENTRIES)
-        if len(self.repeats) + 1 > free + earned:
-            return False
-        self.repeats.append(now)
-        return True
+        return len(self.repeats) + 1 <= free + earned
 
 
 def _forget(times: collections.deque[float], now: float) -> None:
--- a/tests/test_direct_policy.py
+++ b/tests/test_direct_policy.py
@@ -240,6 +240,14 @@
     assert (order.name, order.role) == ("d0", Role.PREFILL)
 
 
+def test_answering_engine_that_leaves_is_replaced_after_a_moment():
+    """One answering engine is left: its memory fills and it puts answers back."""
+    controller = RoleController()
+    assert controller.decide(roles(4, 1), 0.05, 0.0) is None
+    order = controller.decide(roles(4, 1), 0.05, SETTLE_SECONDS)
+    assert order.role is Role.DECODE
+
+
 def test_swing_of_the_mix_that_turns_back_changes_nothing():
     controller = RoleController()
     for tick in range(100):
--- a/tests/test_direct_streams.py
+++ b/tests/test_direct_streams.py
@@ -7,8 +7,11 @@
 
 import pytest
 
+from bergamotmast.direct.stream_run import STALL_SECONDS
+from direct_support import config
 from direct_support import engine
 from direct_support import request
+from direct_support import route
 from direct_support import serving
 from direct_support import until
 from platform_standin import EngineScript
@@ -296,3 +299,23 @@
         ]
     assert statuses.count(503) == 2
     assert statuses[2:] == [200] * 6
+
+
+async def test_stalled_stream_without_another_engine_waits():
+    """The only engine puts a stream back for want of memory and goes on later.
+
+    Nobody else could go on with it: the caller gets the whole answer, late.
+    """
+
+    async def pausing(replica: Replica, received: Received, writer) -> None:
+        if not replica.received[:-1]:
+            script = EngineScript(last=2, pause=STALL_SECONDS + 0.4)
+            await script(replica, received, writer)
+
+    one = engine("i-1", pausing)
+    slow = route("/slow/", "streaming", "llm", resumable=True, **{"timeout-ms": 9000})
+    async with serving(one, document=config(routes=[slow])) as entry:
+        got = await entry.ask("/slow/x", X_Deadline_Ms="60000", **SHORT)
+    assert got.complete
+    assert got.body == events(1, 2)
+    assert len(one.received) == 1
