--- a/src/bergamotmast/direct/stream_run.py
+++ b/src/bergamotmast/direct/stream_run.py
@@ -190,7 +190,7 @@
                 self.heard_at = loop.time()
                 if not 200 <= reply.status < 300:
                     return await self._on_failure_status(reply, traits)
-                async with silence_limit(self._stalled_at):
+                async with self._stall_limit():
                     async for event in self._events(reply, book):
                         if not streaming:
                             streaming = True
@@ -286,6 +286,11 @@
         if splitter.rest:
             raise BrokenStreamError("the stream ended within an event")
 
+    def _stall_limit(self) -> contextlib.AbstractAsyncContextManager[None]:
+        if self.call.route.resumable:
+            return silence_limit(self._stalled_at)
+        return contextlib.nullcontext()
+
     def _stalled_at(self) -> float:
         """Return when a stream had better go on elsewhere; never if it can't.
 
@@ -293,7 +298,7 @@
         then goes on. Ended without another engine to go on at, the answer would be
         lost that the caller still waits for.
         """
-        if not self.call.route.resumable or not self.sends.may_move():
+        if not self.sends.may_move():
             return math.inf
         return self.heard_at + STALL_SECONDS
 
