--- a/src/bergamotmast/reference.py
+++ b/src/bergamotmast/reference.py
@@ -11,7 +11,9 @@
 
 from .errors import CODE_INFO
 from .errors import ResultCode
+from .settings import AnySettings
 from .settings import Declaration
+from .settings import DirectEntrySettings
 from .settings import EntrySettings
 from .settings import KeyValueSettings
 from .settings import SideSettings
@@ -57,9 +59,10 @@
 
 def settings_page() -> str:
     """Return the page of all settings."""
-    sections = (
+    sections: tuple[tuple[str, type[AnySettings]], ...] = (
         ("`bergamotmast entry`", EntrySettings),
         ("`bergamotmast side`", SideSettings),
+        ("`bergamotmast direct`", DirectEntrySettings),
         ("`bergamotmast config`", KeyValueSettings),
     )
     parts = [_SETTINGS_INTRO]
@@ -91,7 +94,7 @@
         (directory / name).write_text(page())
 
 
-def _settings_tables(settings: type[KeyValueSettings]) -> list[str]:
+def _settings_tables(settings: type[AnySettings]) -> list[str]:
     lines: list[str] = []
     group = ""
     for declaration in declarations(settings):
