Streams that nobody would wait for are refused at once; what stood twice is one

A stream whose first event is predicted after its caller leaves gets 503 and when to come back, before anything is sent. Work beside a lease, failed sends' log lines, deadlines' codes and decoding of the store's answers stood twice each.

--- a/src/bergamotmast/direct/model.py
+++ b/src/bergamotmast/direct/model.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import math
 
 from ..model import Role
 
@@ -37,6 +38,7 @@
     :param timeout: seconds after which a request is ended.
     :param objective: seconds to the answer, or to a stream's first event.
     :param gap_objective: seconds between two events of a stream; 0 for none.
+    :param patience: seconds after which a caller leaves a stream without an event.
     :param max_attempts: most upstreams that one request may be sent to.
     :param rank: urgency; 0 is the most urgent.
     :param resumable: whether a stream may go on at another upstream.
@@ -53,6 +55,7 @@
     rank: int = 0
     resumable: bool = False
     gap_objective: float = 0.0
+    patience: float = math.inf
 
     @property
     def repeatable(self) -> bool:
--- a/src/bergamotmast/direct/plain_run.py
+++ b/src/bergamotmast/direct/plain_run.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import dataclasses
-import logging
 
 from ..errors import NotReachedError
 from ..errors import ReplyLostError
@@ -19,8 +18,6 @@
 from .ports import Headers
 from .sends import Sends
 
-logger = logging.getLogger(__name__)
-
 PATIENCE = 2.0
 """Multiples of the objective after which an idempotent call is tried elsewhere: by
 then its answer is late, and an upstream that hangs would hold it to its deadline."""
@@ -57,10 +54,7 @@
             async with asyncio.timeout_at(self.call.deadline):
                 answer = await self._answer()
         except TimeoutError:
-            code = ResultCode.DEADLINE_EXCEEDED
-            if not self.sends.maybe_ran:
-                code = ResultCode.DEADLINE_UNREACHABLE
-            raise RequestError(code) from None
+            raise self.sends.out_of_time() from None
         await self.reply.answer(answer.status, answer.headers, answer.body)
         return answer.status
 
@@ -92,11 +86,13 @@
         except NotReachedError as error:
             book.failed(loop.time())
             self.sends.on_unreached(upstream)
-            self._log_failure(upstream, error.message, "not reached")
+            self.sends.log_failure(upstream, error.message, "not reached")
             return None
         except (ReplyLostError, TimeoutError) as error:
             book.failed(loop.time())
-            self._log_failure(upstream, str(error) or "no answer in time", "unknown")
+            self.sends.log_failure(
+                upstream, str(error) or "no answer in time", "unknown"
+            )
             if not self.call.route.repeatable:
                 raise RequestError(ResultCode.OUTCOME_UNKNOWN) from None
             if loop.time() >= self.call.deadline:
@@ -130,7 +126,7 @@
                 raise ReplyLostError("the reply belongs to another request")
             if traits.not_run:
                 self.sends.on_not_run()
-                self._log_failure(upstream, f"status {reply.status}", "not run")
+                self.sends.log_failure(upstream, f"status {reply.status}", "not run")
                 return None
             body = await reply.read()
             answer = PlainAnswer(reply.status, answer_headers(reply), body)
@@ -146,21 +142,10 @@
         self, upstream: Upstream, answer: PlainAnswer, signed: bool
     ) -> PlainAnswer | None:
         """Return a failure to pass on, or ``None`` to try elsewhere first."""
-        self._log_failure(upstream, f"status {answer.status}", "ran")
+        self.sends.log_failure(upstream, f"status {answer.status}", "ran")
         if answer.status in NOT_RUN_STATUSES or not signed:
             # Passed on, it would promise what the upstream did not promise.
             raise ReplyLostError(f"status {answer.status} without a promise")
         self.last_failure = answer
         may_repeat = self.call.route.repeatable and answer.status >= 500
         return None if may_repeat else answer
-
-    def _log_failure(self, upstream: Upstream, error: str, outcome: str) -> None:
-        logger.info(
-            "send failed",
-            extra={
-                "upstream": upstream.name,
-                "error": error,
-                "outcome": outcome,
-                "sends": self.sends.count,
-            },
-        )
--- a/src/bergamotmast/direct/role_planner.py
+++ b/src/bergamotmast/direct/role_planner.py
@@ -140,7 +140,7 @@
                 "planner's lease is held", extra={"lease": self.authority.lease}
             )
             try:
-                await self._plan_while_held()
+                await self.authority.while_held(self._plan())
             except (AuthorityLostError, OrderRefusedError, PortError) as error:
                 logger.warning("planner gives up", extra={"error": error.message})
             finally:
@@ -148,21 +148,6 @@
                 await self.authority.release()
             await asyncio.sleep(self.rng.uniform(*PAUSE_SECONDS))
 
-    async def _plan_while_held(self) -> None:
-        tasks = [
-            asyncio.create_task(self.authority.hold()),
-            asyncio.create_task(self._plan()),
-        ]
-        try:
-            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-            for task in tasks:
-                if task.done():
-                    task.result()
-        finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
-
     async def _plan(self) -> None:
         token = await self.store.open()
         logger.info("plan is open", extra={"epoch": token.epoch})
--- a/src/bergamotmast/direct/sends.py
+++ b/src/bergamotmast/direct/sends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 
 from ..errors import RequestError
 from ..errors import ResultCode
@@ -11,6 +12,8 @@
 from .model import Call
 from .model import Upstream
 
+logger = logging.getLogger(__name__)
+
 
 class Sends:
     """One request's sends to upstreams, held to its route and the shared budget.
@@ -79,6 +82,29 @@
             return RequestError(ResultCode.OUTCOME_UNKNOWN)
         return RequestError(code)
 
+    def out_of_time(self) -> RequestError:
+        """Return the error of a request whose deadline has passed."""
+        if self.maybe_ran:
+            return RequestError(ResultCode.DEADLINE_EXCEEDED)
+        return RequestError(ResultCode.DEADLINE_UNREACHABLE)
+
+    def log_failure(
+        self, upstream: Upstream, error: str, outcome: str, last_event: int = 0
+    ) -> None:
+        """Write the line of a send that failed.
+
+        :param outcome: what is known of the request at that upstream.
+        :param last_event: number of the last event that the caller has.
+        """
+        fields = {
+            "upstream": upstream.name,
+            "error": error,
+            "outcome": outcome,
+            "sends": self.count,
+            "last_event": last_event,
+        }
+        logger.info("send failed", extra=fields)
+
     def spend_extra(self) -> bool:
         """Take a further call to an upstream out of the budget."""
         return self._spend()
--- a/src/bergamotmast/direct/stream_run.py
+++ b/src/bergamotmast/direct/stream_run.py
@@ -12,6 +12,7 @@
 from ..errors import ReplyLostError
 from ..errors import RequestError
 from ..errors import ResultCode
+from ..policy.direct_placement import Placement
 from ..policy.direct_placement import priority_of
 from ..policy.engine_book import EngineBook
 from .caller import CallerReply
@@ -44,6 +45,9 @@
 """Longest pause between the events of a stream that may be resumed: its caller leaves
 after two seconds, and going on elsewhere takes some 400 ms."""
 
+LEAST_RETRY_AFTER = 0.3
+"""Seconds after which a refused caller may come back at the earliest."""
+
 MOST_PREFILLS = 2
 """Engines that a prompt is sent to for reading before an answering one reads it."""
 
@@ -86,10 +90,7 @@
             async with asyncio.timeout_at(self.call.deadline):
                 return await self._answer()
         except TimeoutError:
-            code = ResultCode.DEADLINE_EXCEEDED
-            if not self.sends.maybe_ran:
-                code = ResultCode.DEADLINE_UNREACHABLE
-            raise RequestError(code) from None
+            raise self.sends.out_of_time() from None
 
     async def _answer(self) -> int:
         try:
@@ -117,12 +118,29 @@
         reader, upstream, placement = self.context.placing.place_stream(
             self.call, self.sends.excluded
         )
+        now = asyncio.get_running_loop().time()
         timeline = self.timeline
-        timeline.placed_at = asyncio.get_running_loop().time()
+        timeline.placed_at = now
         timeline.reader = reader.name if reader else ""
         timeline.predicted = placement.first_token
+        self._refuse_hopeless(placement, now)
         return reader, upstream
 
+    def _refuse_hopeless(self, placement: Placement, now: float) -> None:
+        """Refuse at once what its caller would leave before its first event.
+
+        Let in, it would wait until its caller has gone, and some of it would be read
+        for nobody. Refused, the caller knows when to come back.
+        """
+        call = self.call
+        leaves_at = min(call.deadline, call.arrived_at + call.route.patience)
+        if self.reply.started or now + placement.first_token <= leaves_at:
+            return
+        retry_after = max(
+            LEAST_RETRY_AFTER, placement.first_token - call.route.objective
+        )
+        raise RequestError(ResultCode.DEADLINE_UNREACHABLE, retry_after=retry_after)
+
     async def _prefill(self, reader: Upstream) -> None:
         """Have the prompt read; afterwards its KV cache is known if that went well."""
         if self.prefills and not self.sends.spend_extra():
@@ -143,7 +161,7 @@
             self.timeline.to_read = read.tokens
         except (NotReachedError, ReplyLostError) as error:
             book.failed_until = loop.time() + FAILED_SECONDS
-            self._log_failure(reader, error.message, "prefill")
+            self.sends.log_failure(reader, error.message, "prefill")
         finally:
             self.reads.end(reader, read, done=done)
 
@@ -203,9 +221,11 @@
         except NotReachedError as error:
             book.failed_until = loop.time() + FAILED_SECONDS
             self.sends.on_unreached(upstream)
-            self._log_failure(upstream, error.message, "not reached")
+            self.sends.log_failure(
+                upstream, error.message, "not reached", self.last_event
+            )
         except (ReplyLostError, BrokenStreamError) as error:
-            self._log_failure(upstream, str(error), "broken")
+            self.sends.log_failure(upstream, str(error), "broken", self.last_event)
             # Whatever became of the KV cache, it can't be taken twice.
             self._release()
             self._refuse_unrepeatable()
@@ -352,18 +372,6 @@
         except (NotReachedError, ReplyLostError, TimeoutError) as error:
             logger.info("a KV cache was not freed", extra={"error": str(error)})
 
-    def _log_failure(self, upstream: Upstream, error: str, outcome: str) -> None:
-        logger.info(
-            "send failed",
-            extra={
-                "upstream": upstream.name,
-                "error": error,
-                "outcome": outcome,
-                "sends": self.sends.count,
-                "last_event": self.last_event,
-            },
-        )
-
 
 def _pause_after(refusal: ReplyTraits) -> float:
     """Return how long an engine that refused is left alone.
--- a/src/bergamotmast/planner/authority.py
+++ b/src/bergamotmast/planner/authority.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections.abc as cabc
 import random
 
 from ..backoff import Backoff
@@ -94,6 +95,19 @@
             await asyncio.sleep(renewal)
         self.lease = 0
 
+    async def while_held(self, *work: cabc.Coroutine[object, object, None]) -> None:
+        """Do some work until the lease lapses, or one of it ends or fails."""
+        tasks = [asyncio.create_task(part) for part in (self.hold(), *work)]
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            for task in tasks:
+                if task.done():
+                    task.result()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
     async def release(self) -> None:
         """Give the lease up, so that another candidate need not wait for its end."""
         await self._drop()
--- a/src/bergamotmast/planner/planner.py
+++ b/src/bergamotmast/planner/planner.py
@@ -110,30 +110,13 @@
         while True:
             await self.authority.acquire()
             try:
-                await self._plan_while_held()
+                await self.authority.while_held(self._plan(), self._follow_weights())
             except (AuthorityLostError, PortError) as error:
                 logger.warning("planner %s: %s", self.store.planner, error.message)
             finally:
                 self.planning = False
                 await self.authority.release()
 
-    async def _plan_while_held(self) -> None:
-        """Plan until the lease lapses or another planner takes the plan."""
-        tasks = [
-            asyncio.create_task(self.authority.hold()),
-            asyncio.create_task(self._plan()),
-            asyncio.create_task(self._follow_weights()),
-        ]
-        try:
-            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-            for task in tasks:
-                if task.done():
-                    task.result()
-        finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
-
     async def _plan(self) -> None:
         self.settling = Settling()
         await self.store.open()
--- a/src/bergamotmast/platform/directory.py
+++ b/src/bergamotmast/platform/directory.py
@@ -25,6 +25,13 @@
 """Whether an upstream in this state is leaving."""
 
 
+LEAST_PATIENCE_MS = 2_000.0
+OBJECTIVES_OF_PATIENCE = 4.0
+GAPS_OF_PATIENCE = 8.0
+"""Callers leave a stream without an event after the longest of these; the platform
+names them for all its routes."""
+
+
 class _Wire(msgspec.Struct, frozen=True, rename="kebab"):
     """Fields are spelled with dashes; what is not known is left out of account."""
 
@@ -150,9 +157,17 @@
         rank=route.priority,
         resumable=route.resumable,
         gap_objective=route.gap_aim_ms / 1e3,
+        patience=_patience(route),
     )
 
 
+def _patience(route: _Route) -> float:
+    """Return after how many seconds callers of a route leave a silent stream."""
+    objective = OBJECTIVES_OF_PATIENCE * route.target_latency_ms
+    gaps = GAPS_OF_PATIENCE * route.gap_aim_ms
+    return max(LEAST_PATIENCE_MS, objective, gaps) / 1e3
+
+
 def _engine(engine: _Engine | None) -> EngineTraits | None:
     if engine is None:
         return None
--- a/src/bergamotmast/platform/store.py
+++ b/src/bergamotmast/platform/store.py
@@ -16,6 +16,7 @@
 from ..errors import KeyValueUnavailableError
 from ..errors import LeaseLapsedError
 from ..errors import NotReachedError
+from ..errors import PortError
 from ..errors import ReplyLostError
 from ..ports import Compare
 from ..ports import Delete
@@ -211,22 +212,18 @@
 _S = t.TypeVar("_S", bound=msgspec.Struct)
 
 
-def _decode(body: bytes, kind: type[_S]) -> _S:
+def _decode(
+    body: bytes, kind: type[_S], failure: type[PortError] = KeyValueUnavailableError
+) -> _S:
     try:
         return msgspec.json.decode(body, type=kind)
     except msgspec.DecodeError as error:
-        raise KeyValueUnavailableError(
-            f"the store's answer is not understood: {error}"
-        ) from error
+        raise failure(f"the store's answer is not understood: {error}") from error
 
 
 def _decode_written(body: bytes, kind: type[_S]) -> _S:
-    try:
-        return msgspec.json.decode(body, type=kind)
-    except msgspec.DecodeError as error:
-        raise KeyValueOutcomeUnknownError(
-            f"the store's answer is not understood: {error}"
-        ) from error
+    """Decode the answer to a write, which has been done also if it is not read."""
+    return _decode(body, kind, KeyValueOutcomeUnknownError)
 
 
 def _bytes(item: _Item) -> bytes:
--- a/tests/test_direct_streams.py
+++ b/tests/test_direct_streams.py
@@ -319,3 +319,23 @@
     assert got.complete
     assert got.body == events(1, 2)
     assert len(one.received) == 1
+
+
+async def test_stream_that_nobody_would_wait_for_is_refused_at_once():
+    """Every engine has prompts for five seconds; callers leave after two.
+
+    The caller hears at once that nothing ran and when to come back.
+    """
+    one = engine("i-1", EngineScript(), "prefill")
+    two = engine("i-2", EngineScript())
+    async with serving(one, two) as entry:
+        placing = entry.core.context.placing
+        now = asyncio.get_running_loop().time()
+        for upstream in entry.fleet.members("llm", now):
+            placing.engine_book(upstream).begin(("peer", 1), 5.0, 0, now)
+        began = time.monotonic()
+        got = await entry.ask("/talk/x", **LONG)
+        assert time.monotonic() - began < 0.2
+    assert got.status == 503
+    assert float(got.headers["retry-after"]) > 1.0
+    assert one.received == two.received == []
