--- a/tests/test_direct_calls.py
+++ b/tests/test_direct_calls.py
@@ -365,3 +365,41 @@
             got = await read_answer(reader)
             assert got.headers["x-request-id"] == f"id-{number}"
         writer.close()
+
+
+async def test_order_never_goes_over_a_kept_connection():
+    """A replica drops idle connections without a word; a request on one is reset.
+
+    For an order that reset would mean "may have run" though nobody read it. It goes
+    over a connection of its own, so that the caller gets its answer.
+    """
+    replica = Replica("i-1", answer())
+    async with serving(replica) as entry:
+        assert (await entry.ask("/read/x")).status == 200
+        before = replica.connections
+        for number in range(3):
+            got = await entry.ask("/order/x", request_id=f"id-{number}")
+            assert got.status == 200
+    assert replica.connections == before + 3
+
+
+async def test_leaving_replica_gets_no_second_send_either():
+    """A call fails at one replica while the other starts to leave.
+
+    The second send must look at the members anew: what waited is held to the bound
+    for leaving replicas, too.
+    """
+    leaving = Replica("i-2", answer())
+
+    async def script(replica: Replica, received: Received, writer) -> None:
+        entry.register(leaving, zone="zone-b", state="draining")
+        await answer(500, b"no")(replica, received, writer)
+
+    failing = Replica("i-1", script)
+    async with serving(failing, leaving) as entry:
+        # In another zone, so that the first send goes to the failing one.
+        entry.register(leaving, zone="zone-b")
+        got = await entry.ask("/read/x")
+    assert got.status == 500
+    assert len(failing.received) == 1
+    assert leaving.received == []
