A refusal after a lost answer does not say that nothing ran

Cause (found by reading): a send that certainly did not run set maybe_ran to false, also where an earlier send of the same idempotent call may have run; the caller got 503, which promises that it did not. Ruled out for calls that may run once: they are never sent again after a lost answer. The test fails without the change (503 for 502, both cases).

--- a/src/bergamotmast/direct/sends.py
+++ b/src/bergamotmast/direct/sends.py
@@ -20,6 +20,7 @@
 
     :param tried: upstreams that it was sent to.
     :param maybe_ran: whether one of them may have run it.
+    :param maybe_ran_before: the same without the last send.
     """
 
     def __init__(self, context: Context, call: Call) -> None:
@@ -29,6 +30,7 @@
         self.unreached: set[str] = set()
         self.count = 0
         self.maybe_ran = False
+        self.maybe_ran_before = False
 
     @property
     def excluded(self) -> set[str]:
@@ -59,15 +61,16 @@
             raise self.exhausted(ResultCode.RETRY_BUDGET_SPENT)
         self.count += 1
         self.tried.add(upstream.name)
+        self.maybe_ran_before = self.maybe_ran
         self.maybe_ran = True
 
     def on_not_run(self) -> None:
-        """Note that the last send certainly did not run."""
-        self.maybe_ran = False
+        """Note that the last send certainly did not run; an earlier one still may."""
+        self.maybe_ran = self.maybe_ran_before
 
     def on_unreached(self, upstream: Upstream) -> None:
         """Note that nothing of the last send left this process."""
-        self.maybe_ran = False
+        self.on_not_run()
         self.count -= 1
         self.tried.discard(upstream.name)
         self.unreached.add(upstream.name)
--- a/tests/test_direct_calls.py
+++ b/tests/test_direct_calls.py
@@ -403,3 +403,26 @@
     assert got.status == 500
     assert len(failing.received) == 1
     assert leaving.received == []
+
+
+@pytest.mark.parametrize("second", ["refuses", "is not there"])
+async def test_refusal_after_a_lost_answer_does_not_say_that_nothing_ran(second):
+    """One replica runs a call and its answer is lost; the next one runs nothing.
+
+    The call may have run, whatever the second replica says of itself: 503 would
+    promise the caller that it did not.
+    """
+
+    async def script(replica: Replica, received: Received, writer) -> None:
+        reset(writer)
+
+    lost, refusing = Replica("i-1", script), Replica("i-2", not_run())
+    async with serving(lost, refusing) as entry:
+        # In another zone, so that the first send goes to the one that loses it.
+        entry.register(refusing, zone="zone-b")
+        if second == "is not there":
+            refusing.server.close()
+            await refusing.server.wait_closed()
+        got = await entry.ask("/read/x")
+    assert len(lost.received) == 1
+    assert got.status == 502
