--- a/src/bergamotmast/direct/events.py
+++ b/src/bergamotmast/direct/events.py
@@ -4,9 +4,6 @@
 
 import dataclasses
 
-MOST_EVENT_BYTES = 1 << 20
-"""Largest event held; an upstream that sends more is broken."""
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Event:
--- a/src/bergamotmast/direct/notices.py
+++ b/src/bergamotmast/direct/notices.py
@@ -28,9 +28,6 @@
 MOST_NOTICES = 64
 """In one datagram, which must fit into a packet."""
 
-MOST_DATAGRAM_BYTES = 1_400
-"""Longer ones would be split on the way, and one lost part would lose all."""
-
 
 class ReadNotice(msgspec.Struct, frozen=True, array_like=True):
     """A prompt's start or end at an engine.
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -11,7 +11,6 @@
 import socket
 import struct
 import typing as t
-import urllib.parse
 
 from aiohttp import web
 
@@ -411,8 +410,3 @@
     async def _end(self, request: web.Request) -> web.Response:
         self.end_lease(int(request.match_info["lease"]))
         return self._json({})
-
-
-def quoted(path: str) -> str:
-    """Return a path with everything but slashes quoted."""
-    return urllib.parse.quote(path)
