Deadlines count a suspension, and a connection in doubt is not used again

Cause, read from the code and the platform's notes: the monotonic clock stands still while a machine is suspended, so an entry that woke took its lease and its callers' deadlines for current; the lease was counted from the reply's arrival; and a kept connection on which a second answer lay was handed out, so that the next call ran, had its answer taken for another's, and ran again elsewhere.

The entry's event loop now runs on the clock that counts suspension; a lease counts from before it was asked for; an order is given only while the lease is in force by that clock; connections with unread bytes are closed before their use. Ruled out: checks at each use of a deadline (many places, one forgotten is enough).

Each new test but the one of the early refusal failed before: the early refusal was right already and is now held by a test in which the upstream really answers from the head alone.

--- a/src/bergamotmast/adapters/opaque_http.py
+++ b/src/bergamotmast/adapters/opaque_http.py
@@ -11,6 +11,8 @@
 
 import aiohttp
 import yarl
+from aiohttp.connector import Connection
+from aiohttp.tracing import Trace
 
 from ..direct.ports import Headers
 from ..errors import ReplyLostError
@@ -35,6 +37,30 @@
 """Longest header of a reply; upstreams send well under it."""
 
 
+class _CleanConnector(aiohttp.TCPConnector):
+    """Keeps connections whose state is sure, and closes the others before their use."""
+
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[Trace],
+        timeout: aiohttp.ClientTimeout,
+    ) -> Connection:
+        """Return a connection on which nothing is left of an earlier request.
+
+        An upstream may send more than one answer. The library keeps the connection and
+        takes the bytes that came while it was idle for the answer to its next request.
+        The id in an answer would tell, but only after that request has run, and its
+        caller would wait for it to run a second time.
+        """
+        while True:
+            connection = await super().connect(req, traces, timeout)
+            protocol = connection.protocol
+            if protocol is None or not protocol.should_close:
+                return connection
+            connection.close()
+
+
 class HttpReply:
     """A :class:`~bergamotmast.direct.ports.Reply`."""
 
@@ -148,7 +174,7 @@
                 limit=0, force_close=True, socket_factory=_new_socket
             )
         else:
-            connector = aiohttp.TCPConnector(
+            connector = _CleanConnector(
                 limit=0, keepalive_timeout=IDLE_SECONDS, socket_factory=_new_socket
             )
         return client_session(connector, decompress=False)
--- a/src/bergamotmast/commands/direct.py
+++ b/src/bergamotmast/commands/direct.py
@@ -5,6 +5,7 @@
 import argparse
 import asyncio
 
+from ..clocks import BootTimeEventLoop
 from ..direct_daemon import serve_direct
 from ..logs import configure_decision_logs
 from ..settings import DirectEntrySettings
@@ -21,5 +22,6 @@
     """Run an entry until SIGTERM."""
     settings = load_settings(DirectEntrySettings, arguments)
     configure_decision_logs(settings.log_level, settings.name)
-    asyncio.run(serve_direct(settings))
+    with asyncio.Runner(loop_factory=BootTimeEventLoop) as runner:
+        runner.run(serve_direct(settings))
     return 0
--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -5,7 +5,6 @@
 import collections.abc as cabc
 import dataclasses
 import logging
-import time
 
 import msgspec
 
@@ -68,9 +67,7 @@
     :param settled: whether the upstreams have been read once.
     """
 
-    def __init__(
-        self, directory: Directory, clock: cabc.Callable[[], float] = time.monotonic
-    ) -> None:
+    def __init__(self, directory: Directory, clock: cabc.Callable[[], float]) -> None:
         self.directory = directory
         self.clock = clock
         self.table: RouteTable | None = None
--- a/src/bergamotmast/direct/role_planner.py
+++ b/src/bergamotmast/direct/role_planner.py
@@ -206,6 +206,11 @@
         if sequence is None:
             return
         await self.store.write({upstream.name: Assignment(order.role)})
+        # Paused between the write and here, this machine would order on an authority
+        # that another one has taken over meanwhile. The engine's own check knows only
+        # tokens that have reached it.
+        if not self.authority.in_force:
+            raise AuthorityLostError("The lease may have lapsed before the order.")
         call = RoleOrderCall(
             upstream, order, sequence, self.name, self.store.seen.epoch
         )
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -67,7 +67,7 @@
     told = _signals()
     rng = random.Random()
     metrics = OpenTelemetryMetrics(settings.name)
-    fleet = Fleet(PlatformDirectory())
+    fleet = Fleet(PlatformDirectory(), asyncio.get_running_loop().time)
     placing = Placing(fleet, settings.name, settings.zone, rng)
     host, _, port = settings.peer_address.rpartition(":")
     async with contextlib.AsyncExitStack() as stack:
--- a/src/bergamotmast/planner/authority.py
+++ b/src/bergamotmast/planner/authority.py
@@ -43,6 +43,8 @@
     :param lease_seconds: time to live of the lease.
     :param first_look_seconds: bound of the first look's jitter.
     :param lease: the lease held; 0 for none.
+    :param lapses_at: until then the lease held can't have lapsed by itself; a point on
+        the event loop's clock.
     """
 
     def __init__(
@@ -59,6 +61,12 @@
         self.planner = planner
         self.rng = rng
         self.lease = 0
+        self.lapses_at = 0.0
+
+    @property
+    def in_force(self) -> bool:
+        """Whether the lease held can't have lapsed by itself yet."""
+        return self.lease != 0 and asyncio.get_running_loop().time() < self.lapses_at
 
     async def acquire(self) -> None:
         """Wait until this candidate holds the lease.
@@ -81,8 +89,7 @@
         loop = asyncio.get_running_loop()
         renewal = self.lease_seconds / RENEWALS_PER_LEASE
         backoff = Backoff(self.rng, longest=renewal)
-        lapses_at = loop.time() + self.lease_seconds
-        while loop.time() < lapses_at:
+        while self.in_force:
             sent_at = loop.time()
             try:
                 if not await self.kv.keep_alive(self.lease):
@@ -91,7 +98,7 @@
                 await asyncio.sleep(backoff.next_delay())
                 continue
             backoff.reset()
-            lapses_at = sent_at + self.lease_seconds
+            self.lapses_at = sent_at + self.lease_seconds
             await asyncio.sleep(renewal)
         self.lease = 0
 
@@ -115,7 +122,11 @@
     async def _try(self) -> bool:
         if await self.kv.get(HOLDER_KEY) is not None:
             return False
+        # From before the call: a process that is paused as the reply comes in would
+        # otherwise count the lease from its awakening and hold it after its end.
+        asked_at = asyncio.get_running_loop().time()
         self.lease = await self.kv.grant_lease(self.lease_seconds)
+        self.lapses_at = asked_at + self.lease_seconds
         value = f"{self.planner} {self.rng.getrandbits(64):016x}".encode()
         put = Put(HOLDER_KEY, value, self.lease)
         try:
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -97,8 +97,28 @@
             await asyncio.sleep(0.005)
 
 
-async def read_request(reader: asyncio.StreamReader) -> Received | None:
-    """Read one request with a length; ``None`` at the end of the connection."""
+class HeadReader(Replica):
+    """A replica that refuses each request by its head and never reads a body."""
+
+    def __init__(self, name: str, body: bytes) -> None:
+        super().__init__(name, answer(400, body))
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        received = await read_head(reader)
+        while received is not None:
+            self.received.append(received)
+            await t.cast(t.Any, self.script(self, received, writer))
+            if received.headers.get("content-length", "0") != "0":
+                await asyncio.sleep(10)
+            received = await read_head(reader)
+        writer.close()
+
+
+async def read_head(reader: asyncio.StreamReader) -> Received | None:
+    """Read a request up to its body; ``None`` at the end of the connection."""
     try:
         head = await reader.readuntil(b"\r\n\r\n")
     except asyncio.IncompleteReadError:
@@ -110,8 +130,16 @@
         for name, _, value in (line.partition(":") for line in lines[1:] if line)
     ]
     headers = {name.lower(): value for name, value in raw}
-    body = await reader.readexactly(int(headers.get("content-length", "0")))
-    return Received(method, target, headers, raw, body)
+    return Received(method, target, headers, raw, b"")
+
+
+async def read_request(reader: asyncio.StreamReader) -> Received | None:
+    """Read one request with a length; ``None`` at the end of the connection."""
+    received = await read_head(reader)
+    if received is not None:
+        length = int(received.headers.get("content-length", "0"))
+        received.body = await reader.readexactly(length)
+    return received
 
 
 def head(status: int, request_id: str, *lines: str) -> bytes:
--- a/tests/test_direct_calls.py
+++ b/tests/test_direct_calls.py
@@ -14,6 +14,7 @@
 from direct_support import serving
 from direct_support import until
 from platform_standin import SIGNATURE
+from platform_standin import HeadReader
 from platform_standin import Received
 from platform_standin import Replica
 from platform_standin import answer
@@ -151,6 +152,52 @@
     assert bodies == [(200, f"for id-{n}".encode()) for n in range(4)]
 
 
+async def test_connection_with_bytes_nobody_asked_for_is_closed():
+    """A replica answers twice; the extra answer lies there when the next call comes.
+
+    That call must not go over the connection: it would run, its answer would be taken
+    for another's, and the caller would wait for it to run a second time elsewhere.
+    """
+
+    async def script(replica: Replica, received: Received, writer) -> None:
+        body = f"for {received.request_id}".encode()
+        whole = head(200, received.request_id, f"Content-Length: {len(body)}") + body
+        writer.write(whole)
+        await writer.drain()
+        await asyncio.sleep(0.01)
+        writer.write(whole)
+        await writer.drain()
+
+    replica = Replica("i-1", script)
+    async with serving(replica) as entry:
+        for number in range(3):
+            got = await entry.ask("/read/x", request_id=f"id-{number}")
+            assert (got.status, got.body) == (200, f"for id-{number}".encode())
+            await asyncio.sleep(0.04)
+        ids = [received.request_id for received in replica.received]
+    assert ids == ["id-0", "id-1", "id-2"]
+    assert replica.connections == 3
+
+
+async def test_refusal_before_the_body_is_read_reaches_the_caller_at_once():
+    """A replica refuses a long body from its head alone and reads no further.
+
+    Its caller must not wait until the rest is written, which may be never; and no
+    other call may follow on a connection on which the rest of a body is due.
+    """
+    replica = HeadReader("i-1", b"too much")
+    document = config(**{"max-body-bytes": 10_000_000})
+    async with serving(replica, document=document) as entry:
+        async with asyncio.timeout(1.0):
+            got = await entry.ask(
+                "/read/x", body=b"y" * 8_000_000, X_Deadline_Ms="2500"
+            )
+        assert (got.status, got.body) == (400, b"too much")
+        again = await entry.ask("/read/x", request_id="id-2")
+    assert again.status == 400
+    assert replica.connections == 2
+
+
 async def test_success_without_signature_is_none():
     """Something that is no replica answers 200; the order may or may not have run."""
 
--- a/tests/test_direct_roles.py
+++ b/tests/test_direct_roles.py
@@ -14,6 +14,7 @@
 from bergamotmast.direct.fleet import Fleet
 from bergamotmast.direct.placing import Placing
 from bergamotmast.direct.role_planner import RolePlanner
+from bergamotmast.errors import AuthorityLostError
 from bergamotmast.history import NullHistory
 from bergamotmast.planner.authority import Authority
 from bergamotmast.planner.plan_store import PlanStore
@@ -183,6 +184,54 @@
     assert {order["fencing-token"] for order in orders} == {2}
 
 
+async def test_holder_suspended_before_an_order_looks_at_the_time_anew():
+    """The holder is suspended after its write of the plan, for longer than its lease.
+
+    Another machine may have taken over and ordered elsewhere meanwhile. The holder's
+    timers have not run yet when it wakes; it must not order on what it believed.
+    """
+    scripts = [OrderedEngine(), OrderedEngine()]
+    loop = asyncio.get_running_loop()
+    async with planners(*scripts) as (store, (planner,)):
+        write = planner.store.write
+
+        async def suspended(*arguments):
+            await write(*arguments)
+            awake = loop.time
+            loop.time = lambda: awake() + 60
+
+        planner.store.write = suspended
+        await planner.authority.acquire()
+        planner.mix.observe(3000, 10, loop.time())
+        await planner.store.open()
+        with pytest.raises(AuthorityLostError):
+            await planner._tick()
+    assert not any(script.orders for script in scripts)
+
+
+async def test_lease_counts_from_before_it_was_asked_for():
+    """A candidate is paused while the reply to its request for a lease comes in.
+
+    The lease runs from the store's receipt; counted from the awakening it would be
+    held after its end.
+    """
+    loop = asyncio.get_running_loop()
+    async with planners(OrderedEngine()) as (store, (planner,)):
+        service = planner.authority.kv
+        grant = service.grant_lease
+
+        async def slow(seconds):
+            lease = await grant(seconds)
+            awake = loop.time
+            loop.time = lambda: awake() + seconds
+            return lease
+
+        service.grant_lease = slow
+        await planner.authority.acquire()
+        assert planner.authority.lease
+        assert not planner.authority.in_force
+
+
 async def test_released_lease_is_taken_by_the_next():
     scripts = [OrderedEngine("conflict"), OrderedEngine("conflict")]
     async with planners(*scripts, count=2) as (store, (one, two)):
