A request read a moment before idle connections are closed is answered

Cause: 2.6 s after SIGTERM an entry closes its idle connections, those without a handler. The HTTP library starts a handler three turns of the event loop after it read a request: one read in between was sent to an engine and then cut off with its connection.

Now nothing is read any more first, what was read reaches its handler, and then the idle ones are closed. The library's pre_shutdown is not called any more: it drops the rest of a body that is still coming (second test).

--- a/src/bergamotmast/direct/core.py
+++ b/src/bergamotmast/direct/core.py
@@ -29,14 +29,12 @@
     """An entry that reaches upstreams directly.
 
     :param stopping: whether it is about to end; it serves on until it has.
-    :param running: requests that have no answer yet.
     """
 
     def __init__(self, context: Context, telemetry: Telemetry) -> None:
         self.context = context
         self.telemetry = telemetry
         self.stopping = False
-        self.running = 0
 
     @property
     def is_ready(self) -> bool:
@@ -63,7 +61,6 @@
         """Answer one request."""
         request_id = self.context.dialect.request_id(headers)
         with request_context(request_id):
-            self.running += 1
             route_name = ""
             story: dict[str, object] = {}
             code = ResultCode.OK
@@ -86,7 +83,6 @@
                 logger.exception("request failed")
                 status = await self._refuse(RequestError(code), request_id, reply)
             finally:
-                self.running -= 1
                 self._log_end(route_name, code, status, arrived_at, story)
 
     def _let_in(
--- a/src/bergamotmast/direct/front.py
+++ b/src/bergamotmast/direct/front.py
@@ -83,11 +83,14 @@
     """Translates between HTTP and a direct entry.
 
     :param busy: connections whose request is being answered.
+    :param ending: whether each connection is closed after the answer under way, also
+        one whose answer began before anyone knew of the end.
     """
 
     def __init__(self, core: DirectCore) -> None:
         self.core = core
         self.busy: set[asyncio.BaseProtocol] = set()
+        self.ending = False
 
     def callers(self) -> web.Server:
         """Return the server that takes callers in."""
@@ -114,7 +117,10 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self.busy.add(request.protocol)
         try:
-            return await self._answer(request)
+            response = await self._answer(request)
+            if self.ending:
+                response.force_close()
+            return response
         finally:
             self.busy.discard(request.protocol)
 
--- a/src/bergamotmast/direct/serving.py
+++ b/src/bergamotmast/direct/serving.py
@@ -10,6 +10,10 @@
 BACKLOG = 1024
 """Connections waiting to be taken; an overflow costs a caller seconds."""
 
+TURNS_TO_HANDLER = 5
+"""Turns of the event loop within which a request that was read is with its handler;
+the library takes three."""
+
 CLOSE_SECONDS = 0.3
 """Given to handlers that are still at work when all is closed."""
 
@@ -50,16 +54,35 @@
         An idle connection that stayed open could bring a request just before the
         process ends, which would then be cut off after it was read. Closed now, while
         it is idle, its caller knows that a request under way was never read.
+
+        A connection without a handler is not yet idle: its request may have been read
+        a moment ago. Closed then, the request would be sent to an upstream and cut off
+        there. So nothing is read any more first, and what was read reaches its handler.
         """
         if self.site is not None:
             await self.site.stop()
             self.site = None
-        self.server.pre_shutdown()
-        # The library stops reading idle connections here but leaves them open until
-        # the very end: their next request would be taken in and never looked at.
-        for connection in self.server.connections:
-            if connection not in self.busy and connection.transport is not None:
-                connection.transport.close()
+        quiet = self._without_handler()
+        for transport in quiet.values():
+            transport.pause_reading()
+        for _ in range(TURNS_TO_HANDLER):
+            await asyncio.sleep(0)
+        idle = self._without_handler()
+        for connection, transport in quiet.items():
+            if connection in idle:
+                transport.close()
+            elif not transport.is_closing():
+                transport.resume_reading()
+
+    def _without_handler(self) -> dict[asyncio.BaseProtocol, asyncio.Transport]:
+        """Return the open connections whose request, if any, has no handler yet."""
+        return {
+            connection: connection.transport
+            for connection in self.server.connections
+            if connection not in self.busy
+            and connection.transport is not None
+            and not connection.transport.is_closing()
+        }
 
     async def close(self) -> None:
         """Close everything."""
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -96,7 +96,7 @@
         async with running(_planner(settings, store, context).run()):
             await told.wait()
             core.stopping = True
-        await _drain(core, callers, settings.shutdown_seconds)
+        await _drain(front, callers, settings.shutdown_seconds)
     logger.info("stops")
 
 
@@ -151,16 +151,17 @@
     return web.Server(handle, access_log=None)
 
 
-async def _drain(core: DirectCore, callers: Listening, seconds: float) -> None:
+async def _drain(front: DirectFront, callers: Listening, seconds: float) -> None:
     """Serve on until callers are sent elsewhere and the last request is answered."""
     loop = asyncio.get_running_loop()
-    logger.info("stops soon", extra={"running": core.running})
+    logger.info("stops soon", extra={"running": len(front.busy)})
     told_at = loop.time()
     end_by = told_at + max(0.0, seconds - SHUTDOWN_MARGIN_SECONDS)
     await asyncio.sleep(min(STILL_ROUTED_SECONDS, end_by - told_at))
+    front.ending = True
     await callers.stop_taking()
-    logger.info("takes no more requests", extra={"running": core.running})
-    while core.running and loop.time() < end_by:
+    logger.info("takes no more requests", extra={"running": len(front.busy)})
+    while front.busy and loop.time() < end_by:
         await asyncio.sleep(IDLE_CHECK_SECONDS)
 
 
--- a/tests/direct_support.py
+++ b/tests/direct_support.py
@@ -91,8 +91,9 @@
 class Entry:
     """A direct entry with its parts at hand."""
 
-    def __init__(self, core: DirectCore, listening: Listening, port: int) -> None:
-        self.core = core
+    def __init__(self, front: DirectFront, listening: Listening, port: int) -> None:
+        self.front = front
+        self.core = front.core
         self.listening = listening
         self.port = port
         self.revision = 100
@@ -183,7 +184,7 @@
         listening = Listening(front.callers(), "127.0.0.1:0", front.busy)
         await listening.start()
         port = listening.runner.addresses[0][1]
-        entry = Entry(core, listening, port)
+        entry = Entry(front, listening, port)
         fleet.settled = True
         if document != {}:
             entry.put("op/config", document or config())
--- /dev/null
+++ b/tests/test_direct_stopping.py
@@ -0,0 +1,94 @@
+"""An entry that is about to end: what was read is answered, the rest never read."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+
+import pytest
+
+from direct_support import read_answer
+from direct_support import request
+from direct_support import serving
+from platform_standin import Received
+from platform_standin import Replica
+from platform_standin import answer
+
+
+async def idle_connection(entry):
+    """Return a kept connection on which a request has been answered."""
+    raw = socket.create_connection(("127.0.0.1", entry.port))
+    raw.setblocking(False)
+    reader, writer = await asyncio.open_connection(sock=raw)
+    writer.write(request("/read/x", request_id="before"))
+    assert (await read_answer(reader)).status == 200
+    return raw, reader, writer
+
+
+@pytest.mark.parametrize("turns", range(9))
+async def test_request_that_arrives_as_the_entry_stops_taking(turns):
+    """A kept connection brings a request at the moment when idle ones are closed.
+
+    Either it was never read, and its caller may send it elsewhere; or it was read, and
+    is answered whole. Cut off while it runs at a replica, its outcome would be unknown.
+    """
+    replica = Replica("i-1", answer())
+    async with serving(replica) as entry:
+        raw, reader, writer = await idle_connection(entry)
+        raw.send(request("/read/x", request_id="late"))
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        entry.front.ending = True
+        await entry.listening.stop_taking()
+        status = 0
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            status = (await asyncio.wait_for(read_answer(reader), 2)).status
+        await asyncio.sleep(0.05)
+        ids = [received.request_id for received in replica.received]
+        writer.close()
+    assert (status, ids) in [(0, ["before"]), (200, ["before", "late"])]
+
+
+async def test_body_that_is_still_coming_is_read_to_its_end():
+    """A request's head has been read when the entry stops taking, its body comes later.
+
+    The request is at work already: its caller gets its answer, then the connection is
+    closed.
+    """
+    replica = Replica("i-1", answer())
+    async with serving(replica) as entry:
+        raw, reader, writer = await idle_connection(entry)
+        whole = request("/read/x", body=b"x" * 1000, request_id="slow")
+        writer.write(whole[:-900])
+        await asyncio.sleep(0.05)
+        entry.front.ending = True
+        await entry.listening.stop_taking()
+        assert entry.front.busy
+        writer.write(whole[-900:])
+        got = await asyncio.wait_for(read_answer(reader), 2)
+        assert got.status == 200
+        assert await asyncio.wait_for(reader.read(), 2) == b""
+        assert not entry.front.busy
+        writer.close()
+
+
+async def test_answer_begun_before_the_end_closes_its_connection():
+    """The replica answers after the entry stopped taking; no header said "close".
+
+    The connection must not stay open: a next request on it would be cut off.
+    """
+
+    async def script(replica: Replica, received: Received, writer) -> None:
+        await asyncio.sleep(0.1 if received.request_id == "slow" else 0)
+        await answer()(replica, received, writer)
+
+    async with serving(Replica("i-1", script)) as entry:
+        raw, reader, writer = await idle_connection(entry)
+        writer.write(request("/read/x", request_id="slow"))
+        await asyncio.sleep(0.03)
+        entry.front.ending = True
+        await entry.listening.stop_taking()
+        assert (await read_answer(reader)).status == 200
+        assert await asyncio.wait_for(reader.read(), 2) == b""
+        writer.close()
