A role without any engine is mended at once, also past a change under way

The planner gave no second order before that change was over (six seconds), lost the store, its lease ran on for five seconds, its successor looked when its poll fell due and then waited three seconds for the sake of engines that nobody had ordered. Nothing was answered for nine seconds; each request was refused with a second's Retry-After and came back in vain. Ruled out: load (7 requests preempted, engines idle), members (all entries knew them within 10 ms).

Now: engines on their way count in the role they will have, and a role in which none serves is ordered beside other changes; an engine that has not changed after four seconds is not counted on. The lease is 3 s; candidates are told by their watch that it is free. The pause between two holders holds for engines whose last order this entry can't show to be old enough, and for no other. A new holder takes the old parts out of the plan: entries took them for new orders and left engines alone for six seconds. A stream waits for an answering engine that is on its way if its caller stays so long, and is told when to come back otherwise, spread over half a second.

--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from ..errors import ConfigError
+from ..model import FencingToken
 from ..model import Role
 from ..ports import KeyValue
 from ..protocol.plan import ENGINES_PREFIX
@@ -34,6 +35,9 @@
 """How long an engine is left alone after the plan has changed its role: the change
 takes some three seconds, and one that was never carried out must not cost it longer."""
 
+USUAL_CHANGE_SECONDS = 3.2
+"""From an order to the first request under the new role, as measured on engines."""
+
 
 @dataclasses.dataclass(slots=True)
 class Seen:
@@ -53,11 +57,18 @@
 class Planned:
     """The role that the plan has lately given an engine.
 
-    :param until: when the change should be over; a point in time.
+    :param at: when this entry learnt of it; a point in time.
+    :param token: authority of the order.
     """
 
     role: Role
-    until: float
+    at: float
+    token: FencingToken
+
+    @property
+    def until(self) -> float:
+        """When the change should be over, carried out or not; a point in time."""
+        return self.at + CHANGE_SECONDS
 
 
 class Fleet:
@@ -65,6 +76,7 @@
 
     :param table: routes in force; ``None`` before the first configuration.
     :param settled: whether the upstreams have been read once.
+    :param on_removal: called once a key is gone, by key.
     """
 
     def __init__(self, directory: Directory, clock: cabc.Callable[[], float]) -> None:
@@ -76,6 +88,7 @@
         self.unread: dict[str, int] = {}
         self.planned: dict[str, Planned] = {}
         self.entries: dict[str, tuple[str, int]] = {}
+        self.on_removal: dict[str, cabc.Callable[[], None]] = {}
 
     @property
     def ready(self) -> bool:
@@ -112,6 +125,20 @@
         """Return the upstreams of a group that may be given new work."""
         return [u for u in self.present(group, now) if not self._changing(u, now)]
 
+    def answers_from(self, group: str, now: float) -> float | None:
+        """Return when a group without an answering engine should have one again.
+
+        ``None`` where no engine is known to be on its way to that role.
+        """
+        begun = [
+            planned.at
+            for upstream in self.present(group, now)
+            if (planned := self.planned.get(upstream.name)) is not None
+            and planned.role is not Role.PREFILL
+            and self._changing(upstream, now)
+        ]
+        return min(begun) + USUAL_CHANGE_SECONDS if begun else None
+
     def _changing(self, upstream: Upstream, now: float) -> bool:
         """Return whether an engine is on its way to another role.
 
@@ -136,6 +163,8 @@
     def remove(self, key: str, revision: int) -> None:
         """Take a key's removal; without a configuration the last one stays."""
         self.entries.pop(key, None)
+        if key in self.on_removal:
+            self.on_removal[key]()
         seen = self.seen.get(key)
         if seen is not None and revision > seen.revision:
             del self.seen[key]
@@ -178,8 +207,7 @@
             )
             return
         name = engine_of_key(item.key)
-        until = self.clock() + CHANGE_SECONDS
-        self.planned[name] = Planned(part.assignment.role, until)
+        self.planned[name] = Planned(part.assignment.role, self.clock(), part.token)
         logger.info(
             "plan is known",
             extra={"upstream": name, "role": part.assignment.role.value},
--- a/src/bergamotmast/direct/role_planner.py
+++ b/src/bergamotmast/direct/role_planner.py
@@ -27,6 +27,7 @@
 from ..policy.direct_roles import RoleController
 from ..policy.direct_roles import RoleOrder
 from .fleet import Fleet
+from .fleet import Planned
 from .model import Upstream
 from .placing import Placing
 
@@ -39,6 +40,11 @@
 """Between two terms of one planner: a candidate that keeps losing the plan to another
 would otherwise call the store without end."""
 
+OVERDUE_SECONDS = 4.0
+"""An order is usually carried out within some three seconds. An engine that has not
+by then is not counted on in either role: where a role has no other, another engine is
+ordered to it."""
+
 UNRESOLVED_SECONDS = 13.0
 """An order without a reply may be carried out so much later; the engine gets no other
 one until then, and is counted as changing."""
@@ -93,11 +99,13 @@
 class Pending:
     """An order whose end has not been seen.
 
+    :param overdue_at: when it should have been carried out; a point in time.
     :param until: when the engine may get another one; a point in time.
     """
 
     order: RoleOrder
     boot: str
+    overdue_at: float
     until: float
 
 
@@ -105,7 +113,9 @@
     """One entry's share in planning.
 
     :param name: of this machine, as orders carry it.
-    :param quiet_seconds: pause between the orders of two holders.
+    :param quiet_seconds: pause between the orders of two holders to one engine.
+    :param quiet_until: when an engine that another holder may have ordered lately may
+        get this one's first order; points in time.
     """
 
     def __init__(
@@ -131,6 +141,7 @@
         self.rng = rng
         self.controllers: dict[str, RoleController] = {}
         self.pending: dict[str, Pending] = {}
+        self.quiet_until: dict[str, float] = {}
 
     async def run(self) -> None:
         """Plan whenever this entry holds the lease, until cancelled."""
@@ -149,12 +160,13 @@
             await asyncio.sleep(self.rng.uniform(*PAUSE_SECONDS))
 
     async def _plan(self) -> None:
+        known = dict(self.fleet.planned)
         token = await self.store.open()
-        logger.info("plan is open", extra={"epoch": token.epoch})
-        if token.epoch > 1:
-            # Another machine may have given an order a moment ago: two holders that
-            # take turns at one engine would leave it torn between them.
-            await asyncio.sleep(self.quiet_seconds)
+        self._leave_quiet(known)
+        logger.info(
+            "plan is open",
+            extra={"epoch": token.epoch, "quiet": sorted(self.quiet_until)},
+        )
         while True:
             try:
                 await self._tick()
@@ -166,6 +178,21 @@
                 logger.info("no order given", extra={"error": error.message})
             await asyncio.sleep(TICK_SECONDS)
 
+    def _leave_quiet(self, known: cabc.Mapping[str, Planned]) -> None:
+        """Note which engines another holder may have ordered a moment ago.
+
+        Two holders that take turns at one engine would leave it torn between them. The
+        plan as it was found tells each engine's last order, and what this entry knew
+        before tells how old that is; one that it did not know of counts as new.
+        """
+        now = asyncio.get_running_loop().time()
+        self.quiet_until = {}
+        for name, token in self.store.found.items():
+            planned = known.get(name)
+            at = planned.at if planned and planned.token == token else now
+            if at + self.quiet_seconds > now:
+                self.quiet_until[name] = at + self.quiet_seconds
+
     async def _tick(self) -> None:
         if not self.fleet.ready:
             return
@@ -173,23 +200,33 @@
         for group in self.fleet.engine_groups():
             members = self.fleet.present(group, now)
             self._settle(members, now)
-            settled = [m for m in members if m.name not in self.pending]
+            engines = [
+                self._engine_role(m, now) for m in members if self._known(m, now)
+            ]
             controller = self.controllers.setdefault(group, RoleController())
-            order = controller.decide(
-                [self._engine_role(m, now) for m in settled], self.mix.decode_share, now
-            )
-            if order is not None and not self._any_pending(members):
-                chosen = next(m for m in settled if m.name == order.name)
+            order = controller.decide(engines, self.mix.decode_share, now)
+            if order is None:
+                continue
+            # Engines change one at a time. Only where a role has no engine at all, and
+            # nothing is served, the order for one does not wait.
+            if order.urgent or not any(m.name in self.pending for m in members):
+                chosen = next(m for m in members if m.name == order.name)
                 await self._give(chosen, order, now)
 
-    def _any_pending(self, members: cabc.Iterable[Upstream]) -> bool:
-        return any(member.name in self.pending for member in members)
+    def _known(self, upstream: Upstream, now: float) -> bool:
+        """Return whether an engine's role is known, or the one it will have."""
+        pending = self.pending.get(upstream.name)
+        return pending is None or now < pending.overdue_at
 
     def _engine_role(self, upstream: Upstream, now: float) -> EngineRole:
+        pending = self.pending.get(upstream.name)
+        if pending is not None:
+            return EngineRole(upstream.name, pending.order.role, changing=True)
         assert upstream.role is not None
         book = self.placing.engine_book(upstream)
         load = book.answers(now) + len(book.reading)
-        return EngineRole(upstream.name, upstream.role, load)
+        may_change = now >= self.quiet_until.get(upstream.name, 0.0)
+        return EngineRole(upstream.name, upstream.role, load, may_change)
 
     def _settle(self, members: list[Upstream], now: float) -> None:
         """Forget orders that are carried out, void by a restart, or long overdue."""
@@ -215,7 +252,7 @@
             upstream, order, sequence, self.name, self.store.seen.epoch
         )
         self.pending[upstream.name] = Pending(
-            order, upstream.boot, now + UNRESOLVED_SECONDS
+            order, upstream.boot, now + OVERDUE_SECONDS, now + UNRESOLVED_SECONDS
         )
         outcome = "no reply"
         try:
--- a/src/bergamotmast/direct/stream_run.py
+++ b/src/bergamotmast/direct/stream_run.py
@@ -45,6 +45,15 @@
 """Longest pause between the events of a stream that may be resumed: its caller leaves
 after two seconds, and going on elsewhere takes some 400 ms."""
 
+ROLE_MARGIN_SECONDS = 0.3
+"""What a request needs once an answering engine is there."""
+
+ROLE_CHECK_SECONDS = 0.05
+"""Between two looks whether an answering engine is there."""
+
+RETURN_SPREAD_SECONDS = 0.5
+"""Callers that are told to come back for one event return over so long."""
+
 LEAST_RETRY_AFTER = 0.3
 """Seconds after which a refused caller may come back at the earliest."""
 
@@ -95,7 +104,7 @@
     async def _answer(self) -> int:
         try:
             while True:
-                reader, upstream = self._place()
+                reader, upstream = await self._place_in_time()
                 if reader is not None and not self.source:
                     await self._prefill(reader)
                     if not self.source and self.prefills < MOST_PREFILLS:
@@ -114,6 +123,46 @@
         finally:
             self._release()
 
+    async def _place_in_time(self) -> tuple[Upstream | None, Upstream]:
+        """Place the request, or wait for the engine that is on its way to answer it.
+
+        :raises RequestError: if there is none, or too late for this caller.
+        """
+        while True:
+            try:
+                return self._place()
+            except RequestError as error:
+                if error.code is not ResultCode.NO_UPSTREAM or self.sends.count:
+                    raise
+                await asyncio.sleep(self._wait_for_role())
+
+    def _wait_for_role(self) -> float:
+        """Return how long to wait until a placement may succeed.
+
+        With all answering engines gone, another one changes its role within seconds. A
+        caller that stays so long is served soonest if it waits here; any other is told
+        when to come back, spread so that not all return in one moment.
+
+        :raises RequestError: if the caller should come back.
+        """
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        ready_at = self.context.fleet.answers_from(self.call.group.name, now)
+        if ready_at is None:
+            raise RequestError(ResultCode.NO_UPSTREAM)
+        if ready_at + ROLE_MARGIN_SECONDS <= self._leaves_at():
+            return ROLE_CHECK_SECONDS
+        spread = self.context.rng.uniform(0.0, RETURN_SPREAD_SECONDS)
+        raise RequestError(
+            ResultCode.NO_UPSTREAM,
+            retry_after=max(LEAST_RETRY_AFTER, ready_at - now) + spread,
+        )
+
+    def _leaves_at(self) -> float:
+        """Return when the caller of a silent stream leaves; a point in time."""
+        call = self.call
+        return min(call.deadline, call.arrived_at + call.route.patience)
+
     def _place(self) -> tuple[Upstream | None, Upstream]:
         reader, upstream, placement = self.context.placing.place_stream(
             self.call, self.sends.excluded
@@ -133,8 +182,7 @@
         for nobody. Refused, the caller knows when to come back.
         """
         call = self.call
-        leaves_at = min(call.deadline, call.arrived_at + call.route.patience)
-        if self.reply.started or now + placement.first_token <= leaves_at:
+        if self.reply.started or now + placement.first_token <= self._leaves_at():
             return
         retry_after = max(
             LEAST_RETRY_AFTER, placement.first_token - call.route.objective
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -37,6 +37,7 @@
 from .platform.orders import PlatformOrders
 from .platform.store import PlatformStore
 from .policy.retry_window import RetryLimits
+from .protocol.plan import HOLDER_KEY
 from .settings import DirectEntrySettings
 
 logger = logging.getLogger(__name__)
@@ -51,8 +52,12 @@
 IDLE_CHECK_SECONDS = 0.05
 """Between two looks whether the last request is answered."""
 
-PLANNER_LEASE_SECONDS = 5
-"""Time to live of the planner's lease: so long roles stay as they are after its end."""
+PLANNER_LEASE_SECONDS = 3
+"""Time to live of the planner's lease: so long roles stay as they are after its end,
+also where all engines of one role are gone and nothing is served."""
+
+VACANCY_SPREAD_SECONDS = 0.3
+"""Within so long the entries look for a lease that has become free."""
 
 FIRST_LOOK_SECONDS = 1.5
 """Bound of the first look at the lease: roles should be settled before callers come."""
@@ -110,9 +115,16 @@
         context.rng,
         PLANNER_LEASE_SECONDS,
         first_look_seconds=FIRST_LOOK_SECONDS,
+        vacancy_spread_seconds=VACANCY_SPREAD_SECONDS,
     )
+    context.fleet.on_removal[HOLDER_KEY] = authority.on_vacant
     plan = PlanStore(
-        store, name, context.rng, NullHistory(), most_writes=MOST_PLAN_WRITES
+        store,
+        name,
+        context.rng,
+        NullHistory(),
+        most_writes=MOST_PLAN_WRITES,
+        carry_over=False,
     )
     return RolePlanner(
         name,
--- a/src/bergamotmast/planner/authority.py
+++ b/src/bergamotmast/planner/authority.py
@@ -42,6 +42,8 @@
     :param rng: source of jitter and nonces.
     :param lease_seconds: time to live of the lease.
     :param first_look_seconds: bound of the first look's jitter.
+    :param vacancy_spread_seconds: candidates that are told of a free lease look within
+        so long, evenly drawn.
     :param lease: the lease held; 0 for none.
     :param lapses_at: until then the lease held can't have lapsed by itself; a point on
         the event loop's clock.
@@ -54,14 +56,17 @@
         rng: random.Random,
         lease_seconds: int = LEASE_SECONDS,
         first_look_seconds: float = FIRST_LOOK_SECONDS,
+        vacancy_spread_seconds: float = LEAST_POLL_SECONDS,
     ) -> None:
         self.kv = kv
         self.lease_seconds = lease_seconds
         self.first_look_seconds = first_look_seconds
+        self.vacancy_spread_seconds = vacancy_spread_seconds
         self.planner = planner
         self.rng = rng
         self.lease = 0
         self.lapses_at = 0.0
+        self._vacant = asyncio.Event()
 
     @property
     def in_force(self) -> bool:
@@ -76,7 +81,7 @@
         """
         pause = self.rng.uniform(0.0, self.first_look_seconds)
         while True:
-            await asyncio.sleep(pause)
+            await self._wait(pause)
             try:
                 if await self._try():
                     return
@@ -84,6 +89,20 @@
                 await self._drop()
             pause = self.rng.uniform(LEAST_POLL_SECONDS, MOST_POLL_SECONDS)
 
+    def on_vacant(self) -> None:
+        """Learn that nobody holds the lease: a candidate then looks soon."""
+        self._vacant.set()
+
+    async def _wait(self, seconds: float) -> None:
+        """Sleep, but not on while the lease is known to be free."""
+        self._vacant.clear()
+        try:
+            async with asyncio.timeout(seconds):
+                await self._vacant.wait()
+        except TimeoutError:
+            return
+        await asyncio.sleep(self.rng.uniform(0.0, self.vacancy_spread_seconds))
+
     async def hold(self) -> None:
         """Renew the lease and return when it has lapsed."""
         loop = asyncio.get_running_loop()
--- a/src/bergamotmast/planner/plan_store.py
+++ b/src/bergamotmast/planner/plan_store.py
@@ -58,7 +58,11 @@
         a new process, and a hint that only rises passes them. It is no safeguard; a
         clock that is wrong delays obedience after a restore and nothing else.
     :param most_writes: engines changed by one transaction.
+    :param carry_over: whether a takeover writes all parts anew under its authority. Not
+        needed where engines compare the tokens of orders themselves; the parts are then
+        taken out, so that the plan holds this planner's orders only.
     :param plans: the plan as last read or written, by engine.
+    :param found: authority of each part as :meth:`open` found it.
     :param seen: highest authority this process has seen.
     """
 
@@ -70,6 +74,8 @@
         history: HistorySink,
         epoch_hint: cabc.Callable[[], int] = no_epoch_hint,
         most_writes: int = MOST_WRITES,
+        *,
+        carry_over: bool = True,
     ) -> None:
         self.kv = kv
         self.planner = planner
@@ -77,7 +83,9 @@
         self.history = history
         self.epoch_hint = epoch_hint
         self.most_writes = most_writes
+        self.carry_over = carry_over
         self.plans: dict[str, EnginePlan] = {}
+        self.found: dict[str, FencingToken] = {}
         self.seen = NO_TOKEN
         self.head: PlanHead | None = None
         self.head_revision = 0
@@ -103,11 +111,13 @@
             max(epoch, self.epoch_hint()),
             max(stored_revision, self.seen.revision) + 1,
         )
+        self.found = {name: part.token for name, part in stored.items()}
         self.plans = stored | lost
         await self._commit(token, {}, ())
+        if not self.carry_over:
+            return await self.write({}, removed=stored)
         parts = {name: part.assignment for name, part in self.plans.items()}
-        await self.write(parts)
-        return self.seen
+        return await self.write(parts)
 
     async def write(
         self,
--- a/src/bergamotmast/policy/direct_roles.py
+++ b/src/bergamotmast/policy/direct_roles.py
@@ -76,21 +76,31 @@
 class EngineRole:
     """An engine as the role policy sees it.
 
+    :param role: that it has, or that it is on its way to.
     :param load: requests that it holds, as far as known.
+    :param may_change: whether it may be given an order now.
+    :param changing: whether it is on its way and serves nothing.
     """
 
     name: str
     role: Role
     load: float = 0.0
+    may_change: bool = True
+    changing: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RoleOrder:
-    """A role that an engine should take."""
+    """A role that an engine should take.
+
+    :param urgent: whether no engine serves in a role: the order for one does not wait
+        for the end of another.
+    """
 
     name: str
     role: Role
     reason: str
+    urgent: bool = False
 
 
 def wanted_answering(engines: int, decode_share: float) -> int:
@@ -114,7 +124,8 @@
     ) -> RoleOrder | None:
         """Return the one change to begin now, or ``None``.
 
-        :param engines: all engines of the group that serve and are not changing.
+        :param engines: all engines of the group, but for those of which it can't be
+            told what becomes of them.
         """
         answering = [e for e in engines if e.role is not Role.PREFILL]
         reading = [e for e in engines if e.role is Role.PREFILL]
@@ -128,14 +139,17 @@
             self.since = now
         # Engines that came or went ask for it, whatever the mix:
         by_count = sign * (len(answering) - wanted_answering(len(engines), 0.0)) > 0
-        urgent = not answering or not reading
+        wanting = reading if surplus > 0 else answering
+        urgent = all(engine.changing for engine in wanting)
         hold = SETTLE_SECONDS if by_count else HOLD_SECONDS
         if not urgent and now - self.since < hold:
             return None
         if surplus > 0:
-            return RoleOrder(_least_loaded(answering), Role.PREFILL, "reads too little")
-        return RoleOrder(_least_loaded(reading), Role.DECODE, "answers too little")
-
-
-def _least_loaded(engines: t.Sequence[EngineRole]) -> str:
-    return min(engines, key=lambda engine: (engine.load, engine.name)).name
+            role, candidates, reason = Role.PREFILL, answering, "reads too little"
+        else:
+            role, candidates, reason = Role.DECODE, reading, "answers too little"
+        able = [e for e in candidates if e.may_change and not e.changing]
+        if not able:
+            return None
+        chosen = min(able, key=lambda engine: (engine.load, engine.name))
+        return RoleOrder(chosen.name, role, reason, urgent)
--- a/tests/test_direct_streams.py
+++ b/tests/test_direct_streams.py
@@ -7,9 +7,18 @@
 
 import pytest
 
+from bergamotmast.direct import fleet as fleet_module
+from bergamotmast.direct.fleet import USUAL_CHANGE_SECONDS
 from bergamotmast.direct.stream_run import STALL_SECONDS
+from bergamotmast.model import Assignment
+from bergamotmast.model import Role
+from bergamotmast.protocol.plan import EnginePlan
+from bergamotmast.protocol.plan import encode_record
+from bergamotmast.protocol.plan import engine_key
+from direct_support import Entry
 from direct_support import config
 from direct_support import engine
+from direct_support import registration
 from direct_support import request
 from direct_support import route
 from direct_support import serving
@@ -339,3 +348,49 @@
     assert got.status == 503
     assert float(got.headers["retry-after"]) > 1.0
     assert one.received == two.received == []
+
+
+def plan(entry: Entry, name: str, role: str) -> None:
+    """Let an entry learn that an engine has been ordered to change its role."""
+    part = EnginePlan(1, 1, Assignment(Role(role)))
+    entry.put(engine_key(name), encode_record(part))
+
+
+async def test_stream_waits_for_the_engine_that_is_about_to_answer(monkeypatch):
+    """All answering engines have left; a reading one is on its way to answering.
+
+    The caller stays long enough for it: it gets its answer as soon as the engine is
+    there, where a refusal would cost it the way back and forth.
+    """
+    monkeypatch.setattr(fleet_module, "USUAL_CHANGE_SECONDS", 0.6)
+    one, two = engine("i-1", EngineScript(), "prefill"), engine("i-2", EngineScript())
+    async with serving(one, two) as entry:
+        entry.register(two, state="draining")
+        entry.put("servers/i-3", registration(two) | {"stage": "prefill"})
+        plan(entry, "i-3", "decode")
+        task = asyncio.create_task(entry.ask("/talk/x", **LONG))
+        await asyncio.sleep(0.4)
+        assert not task.done()
+        entry.put("servers/i-3", registration(two))
+        got = await task
+    assert got.complete
+    assert got.body == events(1, 4)
+
+
+async def test_stream_is_told_when_an_engine_will_answer():
+    """The engine on its way is too late for this caller: it may come back then.
+
+    Callers that were all told the same moment would return in a flood.
+    """
+    one = engine("i-1", EngineScript(), "prefill")
+    told = set()
+    async with serving(one) as entry:
+        plan(entry, "i-1", "decode")
+        for number in range(5):
+            got = await entry.ask("/talk/x", request_id=f"id-{number}", **SHORT)
+            assert got.status == 503
+            told.add(float(got.headers["retry-after"]))
+    assert one.received == []
+    assert min(told) > USUAL_CHANGE_SECONDS - 0.5
+    assert max(told) < USUAL_CHANGE_SECONDS + 0.5
+    assert len(told) == 5
