--- a/src/bergamotmast/cli.py
+++ b/src/bergamotmast/cli.py
@@ -56,6 +56,7 @@
     Command("side", "stand before one upstream"),
     Command("config", "check, show, compare, edit the configuration"),
     Command("status", "show the fleet as an entry knows it"),
+    Command("explain", "tell what happened to a request, from logs"),
     Command("load", "replay a trace against an entry"),
     Command("bench", "compare policies on a trace or scenario, in virtual time"),
     Command("standin", "run a stand-in of something outside as a daemon"),
--- a/src/bergamotmast/direct/caller.py
+++ b/src/bergamotmast/direct/caller.py
@@ -1,12 +1,33 @@
-"""The caller's end of a request."""
+"""The caller's end of a request: what came in, and where the answer goes."""
 
 from __future__ import annotations
 
+import collections.abc as cabc
+import dataclasses
 import typing as t
 
 from .ports import Headers
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A request as its caller sent it.
+
+    :param target: path and query, not decoded.
+    :param headers: by name without regard to case; the first of each name.
+    :param items: all headers in order, doubled ones too.
+    :param arrived_at: point on the event loop's clock.
+    """
+
+    method: str
+    target: str
+    host: str
+    headers: cabc.Mapping[str, str]
+    items: Headers
+    body: bytes
+    arrived_at: float
+
+
 class CallerReply(t.Protocol):
     """Takes the answer to one request."""
 
--- a/src/bergamotmast/direct/core.py
+++ b/src/bergamotmast/direct/core.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import collections.abc as cabc
+import contextlib
 import logging
 
 from ..errors import RequestError
@@ -11,19 +11,22 @@
 from ..logs import request_context
 from ..telemetry import Telemetry
 from .caller import CallerReply
+from .caller import CallerRequest
 from .context import Context
 from .forwarding import pass_on
 from .model import Call
 from .model import CallKind
-from .model import CallTraits
 from .plain_run import PlainRun
-from .ports import Headers
 from .routing import RouteTable
 from .routing import pick_group
 from .stream_run import StreamRun
 
 logger = logging.getLogger(__name__)
 
+FIRST_READ_SECONDS = 0.4
+"""How long a request waits for an entry's first reading of the store, which takes some
+40 ms; with a store that is away its caller had better ask another entry."""
+
 
 class DirectCore:
     """An entry that reaches upstreams directly.
@@ -47,29 +50,16 @@
         table = self.context.fleet.table
         return table.routing.limits.body_bytes if table else 1 << 20
 
-    async def handle(
-        self,
-        method: str,
-        target: str,
-        host: str,
-        headers: cabc.Mapping[str, str],
-        items: Headers,
-        body: bytes,
-        arrived_at: float,
-        reply: CallerReply,
-    ) -> None:
+    async def handle(self, request: CallerRequest, reply: CallerReply) -> None:
         """Answer one request."""
-        request_id = self.context.dialect.request_id(headers)
+        request_id = self.context.dialect.request_id(request.headers)
         with request_context(request_id):
             route_name = ""
             story: dict[str, object] = {}
             code = ResultCode.OK
             status = 0
             try:
-                traits = self.context.dialect.read_call(headers)
-                call = self._let_in(
-                    method, target, host, traits, headers, items, body, arrived_at
-                )
+                call = await self._let_in(request)
                 route_name = call.route.name
                 status = await self._run(call, reply, story)
             except RequestError as error:
@@ -83,21 +73,12 @@
                 logger.exception("request failed")
                 status = await self._refuse(RequestError(code), request_id, reply)
             finally:
-                self._log_end(route_name, code, status, arrived_at, story)
+                self._log_end(route_name, code, status, request.arrived_at, story)
 
-    def _let_in(
-        self,
-        method: str,
-        target: str,
-        host: str,
-        traits: CallTraits,
-        headers: cabc.Mapping[str, str],
-        items: Headers,
-        body: bytes,
-        arrived_at: float,
-    ) -> Call:
-        table = self._table()
-        route = table.find(host, target)
+    async def _let_in(self, request: CallerRequest) -> Call:
+        traits = self.context.dialect.read_call(request.headers)
+        table = await self._table()
+        route = table.find(request.host, request.target)
         if route is None:
             raise RequestError(ResultCode.UNKNOWN_ROUTE)
         if not traits.request_id:
@@ -106,26 +87,34 @@
         if traits.time_left is not None:
             seconds = min(seconds, traits.time_left)
         group = self.context.fleet.group(pick_group(route, self.context.rng))
+        connection = request.headers.get("Connection", "")
         return Call(
             traits=traits,
             route=route,
             group=group,
-            method=method,
-            target=target,
-            headers=pass_on(items, headers.get("Connection", "")),
-            body=body,
-            arrived_at=arrived_at,
-            deadline=arrived_at + seconds,
+            method=request.method,
+            target=request.target,
+            headers=pass_on(request.items, connection),
+            body=request.body,
+            arrived_at=request.arrived_at,
+            deadline=request.arrived_at + seconds,
         )
 
-    def _table(self) -> RouteTable:
+    async def _table(self) -> RouteTable:
         """Return the routes in force.
 
-        Before the first configuration nothing is known to be wrong with a request:
-        a caller that is told 404 would not come back.
+        An entry takes callers as soon as it listens, a moment before it has read the
+        configuration: they wait that moment, since a refusal would cost each of them
+        the way back and half a second. Where the store does not answer, nothing is
+        known to be wrong with a request: a caller that is told 404 would not come back.
         """
-        table = self.context.fleet.table
-        if table is None or not self.context.fleet.settled:
+        fleet = self.context.fleet
+        if not fleet.ready:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(FIRST_READ_SECONDS):
+                    await fleet.first_ready.wait()
+        table = fleet.table
+        if table is None or not fleet.settled:
             raise RequestError(
                 ResultCode.NO_UPSTREAM, "No configuration is known yet.", 0.5
             )
--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections.abc as cabc
 import dataclasses
 import logging
@@ -76,6 +77,7 @@
 
     :param table: routes in force; ``None`` before the first configuration.
     :param settled: whether the upstreams have been read once.
+    :param first_ready: set once requests can be routed for the first time.
     :param on_removal: called once a key is gone, by key.
     """
 
@@ -89,6 +91,7 @@
         self.planned: dict[str, Planned] = {}
         self.entries: dict[str, tuple[str, int]] = {}
         self.on_removal: dict[str, cabc.Callable[[], None]] = {}
+        self.first_ready = asyncio.Event()
 
     @property
     def ready(self) -> bool:
@@ -192,6 +195,11 @@
             elif now >= seen.gone_at:
                 self.remove(key, seen.revision + 1)
         self.settled = True
+        self._note_ready()
+
+    def _note_ready(self) -> None:
+        if self.ready:
+            self.first_ready.set()
 
     def _put_entry(self, item: KeyValue) -> None:
         host, _, port = item.value.decode(errors="replace").rpartition(":")
@@ -227,6 +235,7 @@
         if routing.generation <= self.generation:
             return
         self.table = RouteTable(routing)
+        self._note_ready()
         logger.info(
             "configuration is in force",
             extra={
--- a/src/bergamotmast/direct/front.py
+++ b/src/bergamotmast/direct/front.py
@@ -13,6 +13,7 @@
 
 from ..errors import CODE_INFO
 from ..errors import ResultCode
+from .caller import CallerRequest
 from .core import DirectCore
 from .ports import Headers
 
@@ -132,16 +133,16 @@
             status = CODE_INFO[ResultCode.BODY_TOO_LARGE].status
             await reply.answer(status, (), b"")
         else:
-            await self.core.handle(
-                request.method,
-                request.raw_path,
-                request.headers.get("Host", ""),
-                request.headers,
-                tuple(request.headers.items()),
-                body,
-                arrived_at,
-                reply,
+            received = CallerRequest(
+                method=request.method,
+                target=request.raw_path,
+                host=request.headers.get("Host", ""),
+                headers=request.headers,
+                items=tuple(request.headers.items()),
+                body=body,
+                arrived_at=arrived_at,
             )
+            await self.core.handle(received, reply)
         assert reply.response is not None
         return reply.response
 
--- a/src/bergamotmast/direct/timeline.py
+++ b/src/bergamotmast/direct/timeline.py
@@ -36,7 +36,8 @@
             for name, point in points.items()
             if point is not None
         }
-        if self.upstream:
+        if self.placed_at is not None:
+            # A refusal, too, was decided by the prediction.
             found |= {
                 "reader": self.reader,
                 "upstream": self.upstream,
--- a/tests/test_direct_calls.py
+++ b/tests/test_direct_calls.py
@@ -379,6 +379,25 @@
         assert (await entry.ask("/nowhere/x")).status == 404
 
 
+async def test_entry_that_has_just_started_keeps_its_first_callers():
+    """All entries were down; callers come back the moment one listens again.
+
+    The first reading of the store takes some 40 ms more. They wait for it: refused,
+    each would come back half a second later, and late.
+    """
+    replica = Replica("i-1", answer())
+    async with serving(replica, document={}) as entry:
+        entry.fleet.settled = False
+        asking = asyncio.create_task(entry.ask("/read/x"))
+        await asyncio.sleep(0.1)
+        assert not asking.done()
+        entry.put("op/config", config())
+        entry.fleet.replace((), 0.0, after_outage=False)
+        entry.register(replica)
+        got = await asking
+    assert got.status == 200
+
+
 async def test_body_beyond_the_operators_limit():
     replica = Replica("i-1", answer())
     document = config(**{"max-body-bytes": 100})
--- a/tests/test_direct_streams.py
+++ b/tests/test_direct_streams.py
@@ -330,11 +330,13 @@
     assert len(one.received) == 1
 
 
-async def test_stream_that_nobody_would_wait_for_is_refused_at_once():
+async def test_stream_that_nobody_would_wait_for_is_refused_at_once(caplog):
     """Every engine has prompts for five seconds; callers leave after two.
 
-    The caller hears at once that nothing ran and when to come back.
+    The caller hears at once that nothing ran and when to come back, and the log tells
+    what time was predicted.
     """
+    caplog.set_level("INFO")
     one = engine("i-1", EngineScript(), "prefill")
     two = engine("i-2", EngineScript())
     async with serving(one, two) as entry:
@@ -348,6 +350,8 @@
     assert got.status == 503
     assert float(got.headers["retry-after"]) > 1.0
     assert one.received == two.received == []
+    (ended,) = [r for r in caplog.records if r.message == "request ended"]
+    assert ended.predicted_ms > 5_000
 
 
 def plan(entry: Entry, name: str, role: str) -> None:
