Fuzzing of the direct entry: headers, handles, events, entries, answers, settings

Found and mended, each test failed before: bytes of headers that are no UTF-8 were silently left out on the way in and out, and a path's part after '#' was cut off (the HTTP library's writer; such requests are refused now, such headers of an answer left out with a warning); a success without an id passed; a handle with a line break, an event id of thousands of digits and an entry whose address is none ended in an internal error. One check of a reply's id and signature stands in Context now instead of three.

--- a/src/bergamotmast/direct/context.py
+++ b/src/bergamotmast/direct/context.py
@@ -7,6 +7,7 @@
 import dataclasses
 import random
 
+from ..errors import ReplyLostError
 from ..policy.direct_roles import MixMeter
 from ..policy.engine_book import WorkKey
 from ..policy.retry_window import RetryLimits
@@ -79,8 +80,25 @@
         task.add_done_callback(self.background.discard)
 
     def read_reply(self, call: Call, upstream: Upstream, reply: Reply) -> ReplyTraits:
-        """Read a reply's headers and learn from what it says of its upstream's load."""
+        """Read a reply's headers and learn from what it says of its upstream's load.
+
+        :raises ReplyLostError: if it is another request's reply.
+        """
         traits = self.dialect.read_reply(reply.status, reply.headers)
         if traits.load is not None:
             self.placing.on_load(upstream, traits.load)
+        if traits.request_id not in ("", call.traits.request_id):
+            raise ReplyLostError("the reply belongs to another request")
         return traits
+
+    def check_success(self, call: Call, reply: Reply, traits: ReplyTraits) -> None:
+        """Check that a success is one that an upstream made for this request.
+
+        :raises ReplyLostError: if it is not.
+        """
+        if not 200 <= reply.status < 300:
+            return
+        if not traits.signed:
+            raise ReplyLostError("the reply is not signed")
+        if traits.request_id != call.traits.request_id:
+            raise ReplyLostError("the reply does not say whose it is")
--- a/src/bergamotmast/direct/core.py
+++ b/src/bergamotmast/direct/core.py
@@ -13,6 +13,7 @@
 from .caller import CallerReply
 from .caller import CallerRequest
 from .context import Context
+from .forwarding import is_writable
 from .forwarding import pass_on
 from .model import Call
 from .model import CallKind
@@ -83,6 +84,7 @@
             raise RequestError(ResultCode.UNKNOWN_ROUTE)
         if not traits.request_id:
             raise RequestError(ResultCode.BAD_HEADER, "A request needs an id.")
+        _check_writable(request)
         seconds = route.timeout
         if traits.time_left is not None:
             seconds = min(seconds, traits.time_left)
@@ -170,3 +172,18 @@
                 **story,
             },
         )
+
+
+def _check_writable(request: CallerRequest) -> None:
+    """Refuse what the HTTP library would not write as it was read.
+
+    It leaves out bytes that are no UTF-8, and a path's part after ``#``, which HTTP
+    allows in no request. The upstream would get another request than the caller sent.
+
+    :raises RequestError: for such a request.
+    """
+    if "#" in request.target:
+        raise RequestError(ResultCode.BAD_HEADER, "The path must not contain '#'.")
+    for name, value in request.items:
+        if not is_writable(value):
+            raise RequestError(ResultCode.BAD_HEADER, f"{name} is not in UTF-8.")
--- a/src/bergamotmast/direct/events.py
+++ b/src/bergamotmast/direct/events.py
@@ -4,6 +4,9 @@
 
 import dataclasses
 
+MOST_DIGITS = 18
+"""Of an event's number; a longer one is none, and Python refuses to read thousands."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Event:
@@ -51,5 +54,6 @@
         name, _, value = line.partition(b":")
         if name.strip() == b"id":
             text = value.strip()
-            return int(text) if text.isdigit() else None
+            is_number = text.isdigit() and len(text) <= MOST_DIGITS
+            return int(text) if is_number else None
     return None
--- a/src/bergamotmast/direct/forwarding.py
+++ b/src/bergamotmast/direct/forwarding.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import collections.abc as cabc
+import logging
 
 from .ports import Headers
 from .ports import Reply
 
+logger = logging.getLogger(__name__)
+
 OF_ONE_CONNECTION = frozenset(
     {
         "connection",
@@ -37,5 +40,18 @@
 
 
 def answer_headers(reply: Reply) -> Headers:
-    """Return the headers of a reply that its caller gets."""
-    return pass_on(reply.header_items(), reply.headers.get("Connection", ""))
+    """Return the headers of a reply that its caller gets.
+
+    The HTTP library writes headers as UTF-8 and would silently leave out bytes that
+    are none; a header with such bytes is left out whole, and the log says so.
+    """
+    passed = pass_on(reply.header_items(), reply.headers.get("Connection", ""))
+    unwritable = [name for name, value in passed if not is_writable(value)]
+    if unwritable:
+        logger.warning("headers are left out", extra={"headers": unwritable})
+    return tuple(item for item in passed if is_writable(item[1]))
+
+
+def is_writable(value: str) -> bool:
+    """Return whether a header's value is written as it was read."""
+    return value.isascii() or not any("\ud800" <= sign <= "\udfff" for sign in value)
--- a/src/bergamotmast/direct/plain_run.py
+++ b/src/bergamotmast/direct/plain_run.py
@@ -122,18 +122,15 @@
             fresh=not call.route.repeatable,
         ) as reply:
             traits = self.context.read_reply(call, upstream, reply)
-            if traits.request_id and traits.request_id != call.traits.request_id:
-                raise ReplyLostError("the reply belongs to another request")
             if traits.not_run:
                 self.sends.on_not_run()
                 self.sends.log_failure(upstream, f"status {reply.status}", "not run")
                 return None
+            self.context.check_success(call, reply, traits)
             body = await reply.read()
             answer = PlainAnswer(reply.status, answer_headers(reply), body)
         book = self.context.placing.plain_book(upstream)
         if 200 <= answer.status < 300:
-            if not traits.signed:
-                raise ReplyLostError("the reply is not signed")
             book.succeeded()
             return answer
         return self._on_failure_status(upstream, answer, traits.signed)
--- a/src/bergamotmast/direct/stream_run.py
+++ b/src/bergamotmast/direct/stream_run.py
@@ -229,13 +229,11 @@
         async with self.context.client.send(
             reader.address, call.method, call.target, headers, call.body, fresh=False
         ) as reply:
-            traits = self.context.read_reply(call, reader, reply)
+            self.context.read_reply(call, reader, reply)
             body = await reply.read()
             self._on_heard(reader)
             if reply.status != 200:
                 raise ReplyLostError(f"the prefill was answered {reply.status}")
-            if traits.request_id and traits.request_id != call.traits.request_id:
-                raise ReplyLostError("the reply belongs to another request")
             prefilled = dialect.read_prefilled(body)
         return dialect.kv_source(reader.address, prefilled.handle)
 
@@ -293,21 +291,19 @@
     def _check_reply(self, upstream: Upstream, reply: Reply) -> ReplyTraits:
         """Return what a reply says of itself if it is one to this request.
 
-        :raises BrokenStreamError: if it is not, or says that nothing ran.
+        :raises ReplyLostError: if it is not.
+        :raises BrokenStreamError: if it says that nothing ran.
         """
         now = asyncio.get_running_loop().time()
         self.timeline.replied_at = now
         self._on_heard(upstream)
         traits = self.context.read_reply(self.call, upstream, reply)
-        if traits.request_id not in ("", self.call.traits.request_id):
-            raise BrokenStreamError("the reply belongs to another request")
         if traits.not_run:
             self.sends.on_not_run()
             book = self.context.placing.engine_book(upstream)
             book.failed_until = now + _pause_after(traits)
             raise BrokenStreamError(f"status {reply.status}, not run")
-        if 200 <= reply.status < 300 and not traits.signed:
-            raise BrokenStreamError("the reply is not signed")
+        self.context.check_success(self.call, reply, traits)
         return traits
 
     def _on_heard(self, upstream: Upstream) -> None:
--- a/src/bergamotmast/platform/directory.py
+++ b/src/bergamotmast/platform/directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import msgspec
+import yarl
 
 from ..direct.model import CallerLimits
 from ..direct.model import CallKind
@@ -129,6 +130,7 @@
             read = msgspec.json.decode(value, type=_Registration)
             leaving = _STATES[read.state]
             role = Role(read.stage) if read.stage else None
+            _check_address(read.address)
         except (msgspec.DecodeError, KeyError, ValueError) as error:
             raise ConfigError(f"{key} is not understood: {error}") from error
         return Upstream(
@@ -143,6 +145,14 @@
         )
 
 
+def _check_address(address: str) -> None:
+    """Raise :exc:`ValueError` for what is no ``host:port``."""
+    host, _, port = address.rpartition(":")
+    parsed = yarl.URL.build(scheme="http", host=host, port=int(port))
+    if not parsed.port or parsed.host != host:
+        raise ValueError(f"{address!r} is no address")
+
+
 def _route(route: _Route) -> Route:
     split = route.traffic_split or (_Split(route.service),)
     return Route(
--- a/src/bergamotmast/platform/headers.py
+++ b/src/bergamotmast/platform/headers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections.abc as cabc
+import re
 
 import msgspec
 
@@ -55,6 +56,12 @@
 
 WRONG_UPSTREAM_STATUS = 421
 
+_ENCODING = "Content-Encoding"
+"""Nobody asks for one: what bears it is not the upstream's body."""
+
+_HANDLE = re.compile(r"[0-9A-Za-z._~:-]{1,200}")
+"""A handle stands in a header and in a path, and must not end either."""
+
 
 class _PrefilledBody(msgspec.Struct, frozen=True):
     transfer_handle: str = msgspec.field(name="transfer-handle")
@@ -114,7 +121,7 @@
         wrong_upstream = status == WRONG_UPSTREAM_STATUS
         return ReplyTraits(
             request_id=headers.get(REQUEST_ID, ""),
-            signed=bool(headers.get(SIGNATURE)) and "Content-Encoding" not in headers,
+            signed=_is_signed(headers),
             not_run=wrong_upstream or NOT_RUN in headers,
             wrong_upstream=wrong_upstream,
             weights=headers.get(WEIGHTS, ""),
@@ -129,6 +136,8 @@
             raise ReplyLostError(
                 f"the prefill's reply is not understood: {error}"
             ) from error
+        if not _HANDLE.fullmatch(read.transfer_handle):
+            raise ReplyLostError(f"{read.transfer_handle!r} is no handle")
         return Prefilled(read.transfer_handle, str(read.version))
 
     def kv_source(self, address: str, handle: str) -> str:
@@ -144,6 +153,12 @@
         return ((REQUEST_ID, request_id),) if request_id else ()
 
 
+def _is_signed(headers: cabc.Mapping[str, str]) -> bool:
+    signature = headers.get(SIGNATURE, "")
+    # One that was spoilt on the way could not be passed on.
+    return signature.isascii() and signature != "" and _ENCODING not in headers
+
+
 def _number(name: str, text: str) -> float:
     try:
         value = float(text)
