--- a/tests/test_direct_fleet.py
+++ b/tests/test_direct_fleet.py
@@ -354,6 +354,7 @@
 
 def test_stand_in_engine_registers_as_one():
     replica = engine("i-1", answer())
+    replica.address = "127.0.0.1:80"
     value = json.dumps(registration(replica)).encode()
     upstream = PlatformDirectory().decode_upstream("servers/i-1", value)
     assert upstream.role is Role.DECODE
