--- a/src/bergamotmast/direct/role_planner.py
+++ b/src/bergamotmast/direct/role_planner.py
@@ -40,6 +40,11 @@
 """Between two terms of one planner: a candidate that keeps losing the plan to another
 would otherwise call the store without end."""
 
+MOST_READING_AGE = 1.0
+"""Seconds from the reading of an engine's count of orders to the order for just that
+count. An engine that restarts counts from 0 again and takes two seconds at least: an
+order on an older reading might meet the same count in another life."""
+
 OVERDUE_SECONDS = 4.0
 """An order is usually carried out within some three seconds. An engine that has not
 by then is not counted on in either role: where a role has no other, another engine is
@@ -239,6 +244,8 @@
                 del self.pending[member.name]
 
     async def _give(self, upstream: Upstream, order: RoleOrder, now: float) -> None:
+        loop = asyncio.get_running_loop()
+        read_at = loop.time()
         sequence = await self.orders.sequence(upstream)
         if sequence is None:
             return
@@ -248,6 +255,9 @@
         # tokens that have reached it.
         if not self.authority.in_force:
             raise AuthorityLostError("The lease may have lapsed before the order.")
+        if loop.time() - read_at > MOST_READING_AGE:
+            logger.info("order is put off", extra={"upstream": upstream.name})
+            return
         call = RoleOrderCall(
             upstream, order, sequence, self.name, self.store.seen.epoch
         )
--- a/tests/test_direct_roles.py
+++ b/tests/test_direct_roles.py
@@ -303,6 +303,33 @@
     assert not any(script.orders for script in scripts)
 
 
+async def test_order_is_not_given_on_an_old_reading():
+    """The store takes its time over the plan's write, within the lease.
+
+    The engine may have restarted meanwhile and count from 0 again, so that the count
+    in the order would be one of another life. It is read anew first.
+    """
+    scripts = [OrderedEngine(), OrderedEngine()]
+    loop = asyncio.get_running_loop()
+    async with planners(*scripts) as (_, (planner,)):
+        planner.authority.lease_seconds = 60
+        await planner.authority.acquire()
+        await planner.store.open()
+        write = planner.store.write
+
+        async def slow(*arguments):
+            await write(*arguments)
+            awake = loop.time
+            loop.time = lambda: awake() + 2
+
+        planner.store.write = slow
+        await planner._tick()
+        assert not any(script.orders for script in scripts)
+        planner.store.write = write
+        await planner._tick()
+    assert sum(len(script.orders) for script in scripts) == 1
+
+
 async def test_lease_counts_from_before_it_was_asked_for():
     """A candidate is paused while the reply to its request for a lease comes in.
 
