--- a/src/bergamotmast/direct/core.py
+++ b/src/bergamotmast/direct/core.py
@@ -134,6 +134,7 @@
             try:
                 return await stream.run()
             finally:
+                story["prompt"] = call.traits.prompt_tokens
                 story.update(stream.timeline.fields(call.arrived_at))
         return await PlainRun(self.context, call, reply).run()
 
