--- a/tests/test_direct_process.py
+++ b/tests/test_direct_process.py
@@ -212,6 +212,31 @@
     assert isinstance(notices[0], ReadNotice)
 
 
+async def test_log_that_nobody_reads_holds_no_request():
+    """The collector of the logs hangs; the pipe is full after some hundred requests.
+
+    Callers notice nothing. Once it reads again, a line says how many are missing.
+    """
+    async with Store() as store, Replica("i-1", answer()) as replica:
+        store.put("op/config", config())
+        store.put("servers/i-1", registration(replica))
+        async with process(store) as entry:
+            await entry.until_ready()
+            reader, writer = await asyncio.open_connection("127.0.0.1", entry.port)
+            for number in range(2_500):
+                path = "/nowhere/" + "x" * 100
+                writer.write(request(path, request_id=f"{number}-" + "i" * 200))
+                got = await asyncio.wait_for(read_answer(reader), 1.0)
+                assert got.status == 404
+            writer.close()
+            entry.process.send_signal(signal.SIGTERM)
+            lines = await logged(entry)
+    ended = [line for line in lines if line["event"] == "request ended"]
+    assert len(ended) < 2_500
+    assert sum(line.get("dropped_before", 0) for line in lines) > 0
+    assert lines[-1]["event"] == "stops"
+
+
 @pytest.mark.parametrize(
     ("name", "value", "said"),
     [
