--- a/src/bergamotmast/direct/stream_run.py
+++ b/src/bergamotmast/direct/stream_run.py
@@ -41,7 +41,6 @@
 FAILED_SECONDS = 1.0
 """How long an engine that could not be reached, or broke off, is left alone."""
 
-
 STALL_SECONDS = 1.2
 """Longest pause between the events of a stream that may be resumed: its caller leaves
 after two seconds, and going on elsewhere takes some 400 ms."""
@@ -53,7 +52,7 @@
 """Between two looks whether an answering engine is there."""
 
 RETURN_SPREAD_SECONDS = 0.5
-"""Callers that are told to come back for one event return over so long."""
+"""Callers that are refused for one cause return over so long."""
 
 LEAST_RETRY_AFTER = 0.3
 """Seconds after which a refused caller may come back at the earliest."""
@@ -142,7 +141,7 @@
 
         With all answering engines gone, another one changes its role within seconds. A
         caller that stays so long is served soonest if it waits here; any other is told
-        when to come back, spread so that not all return in one moment.
+        when to come back.
 
         :raises RequestError: if the caller should come back.
         """
@@ -151,13 +150,20 @@
         ready_at = self.context.fleet.answers_from(self.call.group.name, now)
         if ready_at is None:
             raise RequestError(ResultCode.NO_UPSTREAM)
-        if ready_at + ROLE_MARGIN_SECONDS <= self._leaves_at():
+        # A change that is overdue may be over at any moment, or never.
+        if max(ready_at, now) + ROLE_MARGIN_SECONDS <= self._leaves_at():
             return ROLE_CHECK_SECONDS
+        raise self._refusal(ResultCode.NO_UPSTREAM, ready_at - now)
+
+    def _refusal(self, code: ResultCode, retry_after: float) -> RequestError:
+        """Return the error of a request whose caller should come back.
+
+        Callers that are refused for one burst or one lost engine would otherwise all
+        return in one moment, and most be refused again.
+        """
         spread = self.context.rng.uniform(0.0, RETURN_SPREAD_SECONDS)
-        raise RequestError(
-            ResultCode.NO_UPSTREAM,
-            retry_after=max(LEAST_RETRY_AFTER, ready_at - now) + spread,
-        )
+        retry_after = max(LEAST_RETRY_AFTER, retry_after) + spread
+        return RequestError(code, retry_after=retry_after)
 
     def _leaves_at(self) -> float:
         """Return when the caller of a silent stream leaves; a point in time."""
@@ -182,13 +188,12 @@
         Let in, it would wait until its caller has gone, and some of it would be read
         for nobody. Refused, the caller knows when to come back.
         """
-        call = self.call
         if self.reply.started or now + placement.first_token <= self._leaves_at():
             return
-        retry_after = max(
-            LEAST_RETRY_AFTER, placement.first_token - call.route.objective
+        raise self._refusal(
+            ResultCode.DEADLINE_UNREACHABLE,
+            placement.first_token - self.call.route.objective,
         )
-        raise RequestError(ResultCode.DEADLINE_UNREACHABLE, retry_after=retry_after)
 
     async def _prefill(self, reader: Upstream) -> None:
         """Have the prompt read; afterwards its KV cache is known if that went well."""
--- a/tests/test_direct_streams.py
+++ b/tests/test_direct_streams.py
@@ -354,6 +354,25 @@
     assert ended.predicted_ms > 5_000
 
 
+async def test_refused_callers_do_not_all_return_in_one_moment():
+    """A burst is refused for one cause, with the same prediction for all.
+
+    Told the same time to come back they would be a burst again, and refused again.
+    """
+    one = engine("i-1", EngineScript(), "prefill")
+    two = engine("i-2", EngineScript())
+    async with serving(one, two) as entry:
+        placing = entry.core.context.placing
+        now = asyncio.get_running_loop().time()
+        for upstream in entry.fleet.members("llm", now):
+            placing.engine_book(upstream).begin(("peer", 1), 5.0, 0, now)
+        told = []
+        for number in range(8):
+            got = await entry.ask("/talk/x", request_id=f"id-{number}", **LONG)
+            told.append(float(got.headers["retry-after"]))
+    assert max(told) - min(told) > 0.1
+
+
 def plan(entry: Entry, name: str, role: str) -> None:
     """Let an entry learn that an engine has been ordered to change its role."""
     part = EnginePlan(1, 1, Assignment(Role(role)))
@@ -398,3 +417,21 @@
     assert min(told) > USUAL_CHANGE_SECONDS - 0.5
     assert max(told) < USUAL_CHANGE_SECONDS + 0.5
     assert len(told) == 5
+
+
+async def test_stream_does_not_wait_for_a_change_that_never_ends(monkeypatch):
+    """The engine's change is overdue: its order was lost, as nobody here can know.
+
+    Each caller is told to come back before it would leave by itself, two seconds after
+    it came; held to the end it would have nothing.
+    """
+    monkeypatch.setattr(fleet_module, "USUAL_CHANGE_SECONDS", 0.1)
+    one = engine("i-1", EngineScript(), "prefill")
+    async with serving(one) as entry:
+        plan(entry, "i-1", "decode")
+        began = time.monotonic()
+        got = await entry.ask("/talk/x", X_Deadline_Ms="9000", **SHORT)
+        assert time.monotonic() - began < 1.9
+    assert got.status == 503
+    assert "retry-after" in got.headers
+    assert one.received == []
