An entry that ends while it takes the planner's lease gives it back

The log shows the reply to the takeover's write going out to a connection that was closed: told to end between the grant of the lease and that reply, the candidate gave nothing back, and nobody planned until the lease lapsed. Ruled out: load alone (the test waited five seconds for what takes none). New test, failed before: the takeover's reply is held back.

--- a/src/bergamotmast/planner/authority.py
+++ b/src/bergamotmast/planner/authority.py
@@ -87,6 +87,11 @@
                     return
             except PortError:
                 await self._drop()
+            except asyncio.CancelledError:
+                # Told to end with a lease granted and not yet its holder: left behind,
+                # the lease would keep all others from planning until it lapses.
+                await self._drop()
+                raise
             pause = self.rng.uniform(LEAST_POLL_SECONDS, MOST_POLL_SECONDS)
 
     def on_vacant(self) -> None:
--- a/tests/test_direct_roles.py
+++ b/tests/test_direct_roles.py
@@ -363,6 +363,29 @@
             await until(lambda: two.authority.lease > 0)
 
 
+async def test_entry_that_ends_as_it_takes_over_leaves_no_lease_behind():
+    """An entry is told to end while the reply to its takeover is on its way.
+
+    The lease it was granted would keep the others from planning until it lapses.
+    """
+    async with planners(OrderedEngine()) as (store, (planner,)):
+        service = planner.authority.kv
+        write = service.txn
+        asked = asyncio.Event()
+
+        async def slow(*arguments):
+            result = await write(*arguments)
+            asked.set()
+            await asyncio.sleep(10)
+            return result
+
+        service.txn = slow
+        async with run(planner):
+            await asyncio.wait_for(asked.wait(), 5)
+            assert store.leases
+        assert not store.leases
+
+
 @pytest.mark.parametrize("known", [True, False])
 async def test_store_that_is_down_stops_orders_and_nothing_else(known):
     scripts = [OrderedEngine(), OrderedEngine()]
