One fading hint for what upstreams say of their load

The books of engines and of plain upstreams worked it out twice in the same words. Behaviour as before. An attribute that nobody read is gone with it.

--- a/src/bergamotmast/policy/engine_book.py
+++ b/src/bergamotmast/policy/engine_book.py
@@ -23,6 +23,7 @@
 import typing as t
 
 from ..model import Role
+from .load_hint import FadingHint
 
 READ_RATE = 52_000.0
 """Prompt tokens a second of a reading engine, the steps around them included; measured
@@ -170,9 +171,7 @@
         self.current: WorkKey | None = None
         self.current_since = 0.0
         self.streams = 0
-        self.stream_tokens = 0
-        self.hint_others = 0
-        self.hint_at = -math.inf
+        self.hinted = FadingHint(HINT_SECONDS)
         self.failed_until = -math.inf
         self.heard_at = -math.inf
         self.slow_log = 0.0
@@ -235,13 +234,11 @@
 
     def hint(self, running: int, waiting: int, now: float) -> None:
         """Take an engine's word on its requests, this entry's own included."""
-        self.hint_others = max(0, running + waiting - self.streams)
-        self.hint_at = now
+        self.hinted.take(running, waiting, self.streams, now)
 
     def answers(self, now: float) -> float:
         """Return how many answers are thought to be under way there."""
-        age = max(0.0, now - self.hint_at)
-        return self.streams + self.hint_others * math.exp(-age / HINT_SECONDS)
+        return self.streams + self.hinted.others(now)
 
     def silent_at(self, since: float, now: float) -> float:
         """Return when an engine that stays silent must be taken for gone.
--- a/src/bergamotmast/policy/plain_choice.py
+++ b/src/bergamotmast/policy/plain_choice.py
@@ -14,10 +14,11 @@
 from __future__ import annotations
 
 import dataclasses
-import math
 import random
 import typing as t
 
+from .load_hint import FadingHint
+
 HINT_SECONDS = 0.3
 """Time constant with which a reply's word on load fades."""
 
@@ -36,20 +37,17 @@
 
     def __init__(self) -> None:
         self.running = 0
-        self.hint_others = 0
-        self.hint_at = float("-inf")
+        self.hinted = FadingHint(HINT_SECONDS)
         self.failures = 0
         self.ejected_until = float("-inf")
 
     def hint(self, running: int, waiting: int, now: float) -> None:
         """Take an upstream's word on its calls, this entry's own included."""
-        self.hint_others = max(0, running + waiting - self.running)
-        self.hint_at = now
+        self.hinted.take(running, waiting, self.running, now)
 
     def load(self, now: float) -> float:
         """Return how many calls are thought to be there."""
-        age = max(0.0, now - self.hint_at)
-        return self.running + self.hint_others * math.exp(-age / HINT_SECONDS)
+        return self.running + self.hinted.others(now)
 
     def is_ejected(self, now: float) -> bool:
         """Return whether it is left out for now."""
