Simpler where the change had grown: spending, role lookups, headers, log fields

Sends had a public method that only called a private one; the planner looked up each pending order twice; an answer's headers were checked twice; explain built a mapping from pairs at each look at a field; two ways of configuring logs removed handlers in the same loop; the levels of a log stood twice. Behaviour as before.

--- a/src/bergamotmast/direct/forwarding.py
+++ b/src/bergamotmast/direct/forwarding.py
@@ -46,10 +46,11 @@
     are none; a header with such bytes is left out whole, and the log says so.
     """
     passed = pass_on(reply.header_items(), reply.headers.get("Connection", ""))
-    unwritable = [name for name, value in passed if not is_writable(value)]
-    if unwritable:
-        logger.warning("headers are left out", extra={"headers": unwritable})
-    return tuple(item for item in passed if is_writable(item[1]))
+    written = tuple(item for item in passed if is_writable(item[1]))
+    if len(written) < len(passed):
+        left_out = [name for name, value in passed if not is_writable(value)]
+        logger.warning("headers are left out", extra={"headers": left_out})
+    return written
 
 
 def is_writable(value: str) -> bool:
--- a/src/bergamotmast/direct/role_planner.py
+++ b/src/bergamotmast/direct/role_planner.py
@@ -205,9 +205,8 @@
         for group in self.fleet.engine_groups():
             members = self.fleet.present(group, now)
             self._settle(members, now)
-            engines = [
-                self._engine_role(m, now) for m in members if self._known(m, now)
-            ]
+            found = [self._engine_role(member, now) for member in members]
+            engines = [engine for engine in found if engine is not None]
             controller = self.controllers.setdefault(group, RoleController())
             order = controller.decide(engines, self.mix.decode_share, now)
             if order is None:
@@ -218,14 +217,15 @@
                 chosen = next(m for m in members if m.name == order.name)
                 await self._give(chosen, order, now)
 
-    def _known(self, upstream: Upstream, now: float) -> bool:
-        """Return whether an engine's role is known, or the one it will have."""
-        pending = self.pending.get(upstream.name)
-        return pending is None or now < pending.overdue_at
+    def _engine_role(self, upstream: Upstream, now: float) -> EngineRole | None:
+        """Return the role that an engine has or is on its way to.
 
-    def _engine_role(self, upstream: Upstream, now: float) -> EngineRole:
+        ``None`` where an order is overdue: nobody can tell what becomes of the engine.
+        """
         pending = self.pending.get(upstream.name)
         if pending is not None:
+            if now >= pending.overdue_at:
+                return None
             return EngineRole(upstream.name, pending.order.role, changing=True)
         assert upstream.role is not None
         book = self.placing.engine_book(upstream)
--- a/src/bergamotmast/direct/sends.py
+++ b/src/bergamotmast/direct/sends.py
@@ -57,7 +57,7 @@
         new = upstream.name not in self.tried
         if new and len(self.tried) >= self.call.route.max_attempts:
             raise self.exhausted()
-        if self.count and not self._spend():
+        if self.count and not self.spend():
             raise self.exhausted(ResultCode.RETRY_BUDGET_SPENT)
         self.count += 1
         self.tried.add(upstream.name)
@@ -108,11 +108,8 @@
         }
         logger.info("send failed", extra=fields)
 
-    def spend_extra(self) -> bool:
-        """Take a further call to an upstream out of the budget."""
-        return self._spend()
-
-    def _spend(self) -> bool:
+    def spend(self) -> bool:
+        """Take a further call to an upstream out of the budget, if it has room."""
         now = asyncio.get_running_loop().time()
         entries = len(self.context.fleet.entries)
         return self.context.budget(self.call.group.name).spend(entries, now)
--- a/src/bergamotmast/direct/stream_run.py
+++ b/src/bergamotmast/direct/stream_run.py
@@ -197,7 +197,7 @@
 
     async def _prefill(self, reader: Upstream) -> None:
         """Have the prompt read; afterwards its KV cache is known if that went well."""
-        if self.prefills and not self.sends.spend_extra():
+        if self.prefills and not self.sends.spend():
             self.prefills = MOST_PREFILLS
             return
         self.prefills += 1
--- a/src/bergamotmast/explain.py
+++ b/src/bergamotmast/explain.py
@@ -49,11 +49,7 @@
     process: str
     event: str
     request_id: str
-    fields: tuple[tuple[str, t.Any], ...]
-
-    def field(self, name: str) -> t.Any:
-        """Return a field's value; ``None`` where the line does not have it."""
-        return dict(self.fields).get(name)
+    fields: cabc.Mapping[str, t.Any]
 
 
 def read_line(text: str) -> LogLine | None:
@@ -73,7 +69,7 @@
         process=str(plain.get("process", "")),
         event=plain["event"],
         request_id=str(plain.get("request_id", "")),
-        fields=tuple(item for item in plain.items() if item[0] not in _COMMON),
+        fields={name: plain[name] for name in plain if name not in _COMMON},
     )
 
 
@@ -95,8 +91,8 @@
 ) -> str:
     arrived = _arrival(met)
     last = max(line.steady for line in met)
-    named = {line.field("upstream") for line in met} | {
-        line.field("reader") for line in met
+    named = {line.fields.get("upstream") for line in met} | {
+        line.fields.get("reader") for line in met
     }
     told = [f"{request_id} at {process or 'a process without a name'}"]
     for line in sorted(own, key=lambda line: line.steady):
@@ -111,22 +107,24 @@
     """Return whether a line is of the request, its upstreams or its process."""
     if line.request_id or line.event in _ABOUT_STATE:
         return True
-    if line.field("dropped_before"):
+    if line.fields.get("dropped_before"):
         return True
-    return line.field("upstream") is not None and line.field("upstream") in named
+    return (
+        line.fields.get("upstream") is not None and line.fields.get("upstream") in named
+    )
 
 
 def _arrival(met: list[LogLine]) -> float:
     """Return when a request arrived, on its process's clock."""
     for line in met:
-        took = line.field("ms")
+        took = line.fields.get("ms")
         if line.event == "request ended" and isinstance(took, int | float):
             return line.steady - took / 1e3
     return min(line.steady for line in met)
 
 
 def _shown(line: LogLine, arrived: float) -> str:
-    fields = " ".join(f"{name}={_text(value)}" for name, value in line.fields)
+    fields = " ".join(f"{name}={_text(value)}" for name, value in line.fields.items())
     return f"  {line.steady - arrived:+8.3f} s  {line.event}  {fields}".rstrip()
 
 
@@ -136,7 +134,7 @@
         return (
             "  No end is logged here: it is still under way, or its line was dropped."
         )
-    code = ended[-1].field("code")
+    code = ended[-1].fields.get("code")
     if code not in {int(known) for known in ResultCode}:
         return f"  It ended with {code}, a result code that is not known here."
     result = ResultCode(code)
--- a/src/bergamotmast/logs.py
+++ b/src/bergamotmast/logs.py
@@ -64,11 +64,7 @@
 
 def configure_logs(log_format: str, log_level: str, process_name: str) -> None:
     """Send the logs of the whole process to the standard error stream."""
-    root = logging.getLogger()
-    for handler in root.handlers[:]:
-        root.removeHandler(handler)
-    root.addHandler(new_handler(log_format, process_name))
-    root.setLevel(log_level.upper())
+    _send_all_to(new_handler(log_format, process_name), log_level)
     # The library tells of each transition, twice a second for each engine at rest.
     logging.getLogger("transitions").setLevel(logging.WARNING)
 
@@ -84,10 +80,14 @@
 
 def configure_decision_logs(log_level: str, process_name: str) -> None:
     """Send the logs of the whole process to standard output, bounded, as JSON."""
-    root = logging.getLogger()
-    for handler in root.handlers[:]:
-        root.removeHandler(handler)
     handler = BoundedJsonHandler(sys.stdout.fileno(), process_name)
     handler.addFilter(ContextFilter(process_name))
+    _send_all_to(handler, log_level)
+
+
+def _send_all_to(handler: logging.Handler, log_level: str) -> None:
+    root = logging.getLogger()
+    for earlier in root.handlers[:]:
+        root.removeHandler(earlier)
     root.addHandler(handler)
     root.setLevel(log_level.upper())
--- a/src/bergamotmast/settings.py
+++ b/src/bergamotmast/settings.py
@@ -83,6 +83,9 @@
 _WORK = "Work"
 
 
+_LOG_LEVEL = choice("debug", "info", "warning", "error")
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class KeyValueSettings:
     """Where the key-value service is; all that the ``config`` commands need."""
@@ -121,9 +124,7 @@
     log_format: str = _setting(
         choice("text", "json"), _LOGS, "form of the logs", "text"
     )
-    log_level: str = _setting(
-        choice("debug", "info", "warning", "error"), _LOGS, "least level", "info"
-    )
+    log_level: str = _setting(_LOG_LEVEL, _LOGS, "least level", "info")
     policy: str = _setting(NAME, _WORK, "name of the policy under load", "default")
 
 
@@ -195,9 +196,7 @@
     peer_address: str = _setting(
         ADDRESS, _PROCESS, "where other entries send datagrams to this one"
     )
-    log_level: str = _setting(
-        choice("debug", "info", "warning", "error"), _LOGS, "least level", "info"
-    )
+    log_level: str = _setting(_LOG_LEVEL, _LOGS, "least level", "info")
     metrics_address: str = _setting(
         optional(ADDRESS), _LOGS, "where Prometheus reads metrics; off if empty", ""
     )
