After a prefill only answering engines are weighed

The choice looked at the reading ones too, hashed prompt parts for all of them, and left them out at the end. The engine chosen is the same.

--- a/src/bergamotmast/direct/placing.py
+++ b/src/bergamotmast/direct/placing.py
@@ -171,11 +171,12 @@
         :raises RequestError: if there is none.
         """
         now = asyncio.get_running_loop().time()
-        members = self._untried(call, tried, now)
-        chosen = choose_answering(self._views(call, members, now))
+        untried = self._untried(call, tried, now)
+        able = [member for member in untried if member.role is not Role.PREFILL]
+        chosen = choose_answering(self._views(call, able, now))
         if chosen is None:
             raise RequestError(ResultCode.NO_UPSTREAM)
-        return next(member for member in members if member.name == chosen.name)
+        return next(member for member in able if member.name == chosen.name)
 
     def _untried(
         self, call: Call, tried: cabc.Collection[str], now: float
