--- a/tests/test_direct_fleet.py
+++ b/tests/test_direct_fleet.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import contextlib
+import functools
 import json
 import random
 
 import pytest
 
+import direct_support
 from bergamotmast.adapters.http_calls import client_session
 from bergamotmast.direct.fleet import CHANGE_SECONDS
 from bergamotmast.direct.fleet import RETURN_SECONDS
@@ -66,10 +68,7 @@
             await asyncio.gather(task, return_exceptions=True)
 
 
-async def until(condition, seconds=3.0):
-    async with asyncio.timeout(seconds):
-        while not condition():
-            await asyncio.sleep(0.01)
+until = functools.partial(direct_support.until, seconds=3.0)
 
 
 def names(fleet: Fleet, group: str = "plain") -> set[str]:
@@ -98,7 +97,7 @@
         await until(lambda: names(fleet) == {"i-0", "i-1", "i-2"})
         store.put("servers/i-0", entry(state="draining"))
         store.remove("servers/i-1")
-        await until(lambda: names(fleet) == {"i-2"}, 0.5)
+        await until(lambda: names(fleet) == {"i-2"}, seconds=0.5)
 
 
 @pytest.mark.parametrize(
@@ -172,7 +171,7 @@
         assert names(fleet) == {"i-1"}
         store.put("op/config", config(8))
         store.outage = 0
-        await until(lambda: fleet.generation == 8, 2.0)
+        await until(lambda: fleet.generation == 8, seconds=2.0)
 
 
 async def test_entries_that_lapsed_in_an_outage_have_two_seconds():
@@ -194,7 +193,7 @@
         await asyncio.sleep(0.8)
         assert names(fleet) == {"i-1", "i-2"}
         store.put("servers/i-1", entry())
-        await until(lambda: names(fleet) == {"i-1"}, RETURN_SECONDS + 1.0)
+        await until(lambda: names(fleet) == {"i-1"}, seconds=RETURN_SECONDS + 1.0)
 
 
 async def test_history_that_is_gone_leads_to_a_new_reading():
@@ -211,7 +210,7 @@
         store.compacted = store.revision + 1
         await asyncio.sleep(0.3)
         store.compacted = 0
-        await until(lambda: names(fleet) == {"i-2"}, 4.0)
+        await until(lambda: names(fleet) == {"i-2"}, seconds=4.0)
 
 
 async def test_watch_on_a_dead_connection_is_opened_anew():
@@ -225,7 +224,7 @@
         store.silent = True
         await asyncio.sleep(0.3)
         store.put("op/config", config(8))
-        await until(lambda: fleet.generation == 8, 3.0)
+        await until(lambda: fleet.generation == 8, seconds=3.0)
 
 
 async def test_changing_engine_is_left_alone_for_a_while():
--- a/tests/test_direct_roles.py
+++ b/tests/test_direct_roles.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import contextlib
+import functools
 import json
 import random
 
 import pytest
 
+import direct_support
 from bergamotmast.adapters.http_calls import client_session
 from bergamotmast.adapters.opaque_http import HttpUpstreamClient
 from bergamotmast.direct.fleet import Fleet
@@ -122,10 +124,7 @@
         await asyncio.gather(task, return_exceptions=True)
 
 
-async def until(condition, seconds=5.0):
-    async with asyncio.timeout(seconds):
-        while not condition():
-            await asyncio.sleep(0.01)
+until = functools.partial(direct_support.until, seconds=5.0)
 
 
 async def test_fleet_without_a_reading_engine_gets_one():
--- a/tests/test_direct_streams.py
+++ b/tests/test_direct_streams.py
@@ -15,6 +15,7 @@
 from bergamotmast.protocol.plan import EnginePlan
 from bergamotmast.protocol.plan import encode_record
 from bergamotmast.protocol.plan import engine_key
+from direct_support import Answer
 from direct_support import Entry
 from direct_support import config
 from direct_support import engine
@@ -40,6 +41,15 @@
     return b"".join(event(number) for number in range(first, last + 1))
 
 
+async def ask_first(entry: Entry, path: str, one: Replica, two: Replica) -> Answer:
+    """Ask so that one engine gets the request, and another can take it over."""
+    entry.register(two, state="draining")
+    task = asyncio.create_task(entry.ask(path, **SHORT))
+    await until(lambda: bool(one.received))
+    entry.register(two)
+    return await task
+
+
 async def test_long_prompt_is_read_apart():
     """A reading engine reads, an answering one streams from its handle."""
     reader, answerer = EngineScript(), EngineScript()
@@ -75,11 +85,7 @@
     sound = EngineScript(last=6)
     one, two = engine("i-1", breaking), engine("i-2", sound)
     async with serving(one, two) as entry:
-        entry.register(two, state="draining")
-        task = asyncio.create_task(entry.ask("/long/x", **SHORT))
-        await until(lambda: bool(one.received))
-        entry.register(two)
-        got = await task
+        got = await ask_first(entry, "/long/x", one, two)
     assert got.complete
     assert got.body == events(1, 6)
     resumed = two.received[0].headers
@@ -210,11 +216,7 @@
 
     one, two = engine("i-1", stall), engine("i-2", EngineScript())
     async with serving(one, two) as entry:
-        entry.register(two, state="draining")
-        task = asyncio.create_task(entry.ask("/long/x", **SHORT))
-        await until(lambda: bool(one.received))
-        entry.register(two)
-        got = await task
+        got = await ask_first(entry, "/long/x", one, two)
     assert got.complete
     assert got.body == events(1, 4)
 
