--- /dev/null
+++ b/tests/test_direct_last_engine.py
@@ -0,0 +1,37 @@
+"""One engine of a model is left, and it reads prompts: all callers are refused.
+
+Engines are taken away one after another, as planned. The last answering one goes, and
+what is left only reads. A reading engine ends no request; an answering one reads and
+answers by itself. The planner leaves a fleet of one engine as it is, so every prompt is
+refused, for as long as no other engine comes.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from bergamotmast.model import Role
+from bergamotmast.policy.direct_roles import EngineRole
+from bergamotmast.policy.direct_roles import RoleController
+
+
+@pytest.mark.parametrize("decode_share", [0.0, 0.06, 1.0])
+def test_last_engine_that_only_reads_is_ordered_to_answer_at_once(decode_share):
+    controller = RoleController()
+    order = controller.decide([EngineRole("i-1", Role.PREFILL, 3)], decode_share, 100.0)
+    assert order is not None
+    assert (order.name, order.role, order.urgent) == ("i-1", Role.DECODE, True)
+
+
+def test_last_engine_that_answers_is_left_alone():
+    controller = RoleController()
+    for now in (100.0, 110.0, 130.0):
+        engines = [EngineRole("i-1", Role.DECODE)]
+        assert controller.decide(engines, 0.0, now) is None
+
+
+def test_last_engine_that_is_on_its_way_gets_no_second_order():
+    controller = RoleController()
+    engines = [EngineRole("i-1", Role.DECODE, changing=True)]
+    assert controller.decide(engines, 0.0, 100.0) is None
+    assert controller.decide([], 0.0, 100.5) is None
