Test: requests read in the pass in which an entry stops taking are answered

An event loop that stood still for 80 ms reads them and finds the time of taking over at once.

Ruled out: the process ended too early (it lived on); an answer's "Connection: close" (both connections were idle before).

--- a/tests/test_direct_stopping.py
+++ b/tests/test_direct_stopping.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import socket
+import time
 
 import pytest
 
@@ -50,6 +51,47 @@
     assert (status, ids) in [(0, ["before"]), (200, ["before", "late"])]
 
 
+async def outcome(reader):
+    """Return the status that a caller got, 0 for a connection closed without any."""
+    with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        return (await asyncio.wait_for(read_answer(reader), 2)).status
+    return 0
+
+
+async def test_requests_that_arrive_while_the_loop_stands_still_as_taking_ends():
+    """Callers of an entry told to end got a closed connection, though their calls ran.
+
+    The event loop stood still for 80 ms, as it does while memory is collected. When it
+    went on, it read two requests and found the time of taking over in the same pass;
+    neither had its handler yet, and both connections were closed as idle. The requests
+    still went to their upstreams: "sent at 50.982, reaches the upstream at 51.064, the
+    connection is closed at 51.069" for an entry that was told to end at 48.460 and
+    takes requests for 2.6 s more.
+    """
+    replica = Replica("i-1", answer())
+    async with serving(replica) as entry:
+        kept = [await idle_connection(entry) for _ in range(2)]
+
+        async def end_taking():
+            await asyncio.sleep(0.05)
+            entry.front.ending = True
+            await entry.listening.stop_taking()
+
+        ending = asyncio.create_task(end_taking())
+        await asyncio.sleep(0.01)
+        for number, (raw, _, _) in enumerate(kept):
+            raw.send(request("/read/x", request_id=f"late-{number}"))
+        time.sleep(0.08)
+        await ending
+        statuses = [await outcome(reader) for _, reader, _ in kept]
+        await asyncio.sleep(0.05)
+        ids = {received.request_id for received in replica.received}
+        for _, _, writer in kept:
+            writer.close()
+    assert statuses == [200, 200]
+    assert ids == {"before", "late-0", "late-1"}
+
+
 async def test_body_that_is_still_coming_is_read_to_its_end():
     """A request's head has been read when the entry stops taking, its body comes later.
 
