--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -8,6 +8,7 @@
 import trustme
 import zmq.auth
 
+from bergamotmast.adapters.curve_files import PUBLIC_KEY_LENGTH
 from bergamotmast.adapters.curve_files import load_keys
 from bergamotmast.errors import SettingError
 from process_fleet import process_fleet
@@ -41,6 +42,21 @@
     assert load_keys("", "") is None
 
 
+@pytest.mark.parametrize("place", [0, 20, PUBLIC_KEY_LENGTH - 1])
+def test_a_key_with_the_comment_mark_in_it_is_a_key(place, tmp_path):
+    """A process would not start: "give public keys of 40 characters, one a line".
+
+    Z85, in which keys are written, has "#" among its characters. A key that ends with
+    it, followed by a comment, was cut off at its last character; about one fleet of
+    three keys in thirty has such a key.
+    """
+    secret_file, _ = certificate(tmp_path, "side")
+    key = "a" * place + "#" + "b" * (PUBLIC_KEY_LENGTH - 1 - place)
+    path = tmp_path / "peers"
+    path.write_text(f"# all entries\n\n{key}  # the first\n  {key} \n{key}\n")
+    assert load_keys(secret_file, str(path)).server == key.encode()
+
+
 @pytest.mark.parametrize("content", ["", "# nothing\n", "too-short\n", "\xff\n"])
 def test_a_bad_peers_file_is_named(content, tmp_path):
     secret_file, _ = certificate(tmp_path, "side")
