A public key that ends in "#" is read whole

Cause: the peers file was cut at "# ", and Z85 has "#" among its characters. A key that ends in it, before a comment, lost its last character, and the process did not start. Ruled out: the file being written while it was read (it is written before the process starts). Now a comment begins only at the start of a word after the key, or of a line that is no key. What follows a key without being a comment is an error as before (a case for it is new).

--- a/src/bergamotmast/adapters/curve_files.py
+++ b/src/bergamotmast/adapters/curve_files.py
@@ -49,9 +49,22 @@
         raise SettingError(
             "--curve-peers-file", path, f"a list of keys: {error}"
         ) from error
-    keys = [line.partition("# ")[0].strip() for line in lines]
-    keys = [key for key in keys if key]
+    keys = [key for line in lines if (key := _key(line)) is not None]
     if not keys or any(len(key) != PUBLIC_KEY_LENGTH for key in keys):
         allowed = f"public keys of {PUBLIC_KEY_LENGTH} characters, one a line"
         raise SettingError("--curve-peers-file", path, allowed)
     return [key.encode() for key in keys]
+
+
+def _key(line: str) -> str | None:
+    """Return what a line has before its comment; nothing if that is all it has.
+
+    Keys may have ``#`` anywhere. Taken for a comment's mark there, it would leave a
+    process with a key that has lost its end, and unable to start.
+    """
+    word, _, rest = line.strip().partition(" ")
+    if not word or word.startswith("#") and len(word) != PUBLIC_KEY_LENGTH:
+        return None
+    if rest and not rest.lstrip().startswith("#"):
+        return line.strip()
+    return word
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -57,7 +57,9 @@
     assert load_keys(secret_file, str(path)).server == key.encode()
 
 
-@pytest.mark.parametrize("content", ["", "# nothing\n", "too-short\n", "\xff\n"])
+@pytest.mark.parametrize(
+    "content", ["", "# nothing\n", "too-short\n", "\xff\n", "k" * 40 + " more\n"]
+)
 def test_a_bad_peers_file_is_named(content, tmp_path):
     secret_file, _ = certificate(tmp_path, "side")
     path = tmp_path / "peers"
