--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -8,6 +8,7 @@
 import socket
 
 import pytest
+from aiohttp import web
 
 from bergamotmast.model import Assignment
 from bergamotmast.model import Role
@@ -219,6 +220,23 @@
     return len(data) - data.index(b"\r\n\r\n") - 4
 
 
+class HangingStore(Store):
+    """A store that ends no lease and renews none once it hangs."""
+
+    hangs = False
+
+    async def _keep(self, request: web.Request) -> web.Response:
+        return await self._unless_hung(super()._keep(request))
+
+    async def _end(self, request: web.Request) -> web.Response:
+        return await self._unless_hung(super()._end(request))
+
+    async def _unless_hung(self, reply) -> web.Response:
+        if self.hangs:
+            await asyncio.sleep(30)
+        return await reply
+
+
 async def test_end_is_kept_to_with_a_store_that_is_silent():
     """The store takes calls and answers none; an order hangs at its replica.
 
@@ -226,10 +244,11 @@
     have its answer, however long the store is waited for.
     """
     replica = Replica("i-1", hang())
-    store = Store()
+    store = HangingStore()
     async with entry_before(replica, store=store) as (entry, _):
-        await asyncio.sleep(2.0)
-        store.silent = True
+        await until(lambda: any("kv-txn" in call for call in store.calls))
+        await asyncio.sleep(1.0)
+        store.hangs = True
         reader, writer = await send(entry, request("/order/x", **CALLER))
         await until(lambda: bool(replica.received))
         loop = asyncio.get_running_loop()
