--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -4,29 +4,45 @@
 
 import asyncio
 import contextlib
+import json
+import logging
+import os
 import signal
 import socket
 
 import pytest
 from aiohttp import web
 
+from bergamotmast.bounded_log import BoundedJsonHandler
+from bergamotmast.direct.following import Follower
+from bergamotmast.direct.presence import PRESENCE_PREFIX
+from bergamotmast.direct.presence import Presence
+from bergamotmast.direct.role_planner import RolePlanner
+from bergamotmast.direct_daemon import serve_direct
+from bergamotmast.logs import ContextFilter
 from bergamotmast.model import Assignment
 from bergamotmast.model import Role
+from bergamotmast.protocol.plan import HEAD_KEY
 from bergamotmast.protocol.plan import EnginePlan
 from bergamotmast.protocol.plan import encode_record
 from bergamotmast.protocol.plan import engine_key
+from bergamotmast.settings import DirectEntrySettings
 from direct_support import config
 from direct_support import engine
 from direct_support import read_answer
 from direct_support import registration
 from direct_support import request
 from direct_support import route
+from direct_support import serving
 from direct_support import until
 from platform_standin import EngineScript
+from platform_standin import Received
 from platform_standin import Replica
 from platform_standin import Store
 from platform_standin import answer
 from platform_standin import hang
+from platform_standin import head
+from test_direct_process import PORTS
 from test_direct_process import Process
 from test_direct_process import process
 
@@ -260,3 +276,292 @@
     assert got is not None, "the connection was closed without an answer"
     assert got.status in (502, 504)
     assert seconds < float(SOON)
+
+
+@pytest.mark.parametrize("turns", range(8))
+async def test_connection_that_comes_as_the_entry_stops_taking_does_not_stay(turns):
+    """A caller connects in the moment at which the entry stops taking.
+
+    Its connection is in the system's queue, on its way to a handler, or has just got
+    one. Left open and idle, it could bring a request as the process ends; left without
+    a handler, its request would be read by nobody, and its caller would wait.
+    """
+    async with serving(Replica("i-1", answer())) as entry:
+        caller = socket.create_connection(("127.0.0.1", entry.port))
+        caller.setblocking(False)
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        entry.front.ending = True
+        await entry.listening.stop_taking()
+        with caller, contextlib.suppress(ConnectionError):
+            loop = asyncio.get_running_loop()
+            assert await asyncio.wait_for(loop.sock_recv(caller, 1), 1) == b""
+
+
+@pytest.mark.parametrize("part", [Follower, Presence, RolePlanner])
+async def test_failure_beside_the_requests_ends_no_request(part, monkeypatch):
+    """A task that serves no request fails for a cause that nobody has foreseen.
+
+    The order at work gets its answer. Ended at once, the process would leave every
+    caller of the moment with a closed connection.
+    """
+    fail = asyncio.Event()
+
+    async def run(self) -> None:
+        await fail.wait()
+        raise RuntimeError("unforeseen")
+
+    async def slow_answer(replica: Replica, received: Received, writer) -> None:
+        await asyncio.sleep(1.5)
+        await answer()(replica, received, writer)
+
+    async with Store() as store, Replica("i-1", slow_answer) as replica:
+        store.put("op/config", config())
+        store.put("servers/i-1", registration(replica))
+        async with entry_in_this_process(store) as (port, task):
+            if part is not Follower:
+                monkeypatch.setattr(part, "run", run)
+            else:
+                read = part.run
+
+                async def read_and_fail(self) -> None:
+                    with contextlib.suppress(TimeoutError):
+                        await asyncio.wait_for(read(self), 0.3)
+                    await run(self)
+
+                monkeypatch.setattr(part, "run", read_and_fail)
+            reader, writer = await connect_soon(port)
+            await asyncio.sleep(0.4)
+            writer.write(request("/order/x"))
+            await until(lambda: bool(replica.received))
+            fail.set()
+            got = await asyncio.wait_for(read_answer(reader), 2)
+            writer.close()
+            assert got.status == 200
+            assert got.body == b"fine"
+            task.cancel()
+
+
+@contextlib.asynccontextmanager
+async def entry_in_this_process(store: Store):
+    """Run all of an entry as a task; its end is waited for and its errors are not."""
+    ports = [next(PORTS) for _ in range(3)]
+    addresses = [f"127.0.0.1:{port}" for port in ports]
+    settings = DirectEntrySettings(
+        name="entry-1",
+        zone="zone-a",
+        store_address=store.address,
+        listen_address=addresses[0],
+        ready_address=addresses[1],
+        peer_address=addresses[2],
+        metrics_address="",
+        shutdown_seconds=8.0,
+        order_pause_ms=0,
+        retry_share=0.1,
+        retry_free=10,
+        log_level="info",
+    )
+    task = asyncio.create_task(serve_direct(settings))
+    try:
+        yield ports[0], task
+    finally:
+        task.cancel()
+        await asyncio.wait({task})
+        task.cancelled() or task.exception()
+
+
+async def connect_soon(port: int):
+    """Connect to a port that is about to be listened on."""
+    async with asyncio.timeout(2):
+        while True:
+            with contextlib.suppress(ConnectionError):
+                return await asyncio.open_connection("127.0.0.1", port)
+            await asyncio.sleep(0.02)
+
+
+UNREADABLE = {
+    HEAD_KEY: b"no plan",
+    engine_key("i-9"): b"no plan",
+    PRESENCE_PREFIX + "long": b"host:" + b"9" * 5000,
+    PRESENCE_PREFIX + "high": b"127.0.0.1:70000",
+    PRESENCE_PREFIX + "host": b"." + b"a" * 80 + b".example:7000",
+    "servers/deep": b'{"more":' + b"[" * 100_000,
+    "op/config": b'{"more":' + b"[" * 100_000,
+}
+
+
+@pytest.mark.parametrize("key", UNREADABLE)
+async def test_no_value_in_the_store_ends_the_entry(key):
+    """A key of the store holds what nobody can read, whoever wrote it.
+
+    It is left out of account. An entry that ended for it would cut off every request
+    at work, and so would each of its successors.
+    """
+    replica = Replica("i-1", answer())
+    async with entry_before(replica) as (entry, store):
+        store.put(key, UNREADABLE[key])
+        lasts = asyncio.get_running_loop().time() + 3.0
+        while asyncio.get_running_loop().time() < lasts:
+            reader, writer = await send(entry, request("/order/x", **CALLER))
+            got = await asyncio.wait_for(read_answer(reader), 2)
+            writer.close()
+            assert got.status == 200
+            await asyncio.sleep(0.1)
+        assert entry.process.returncode is None
+        late = Replica("i-2", answer(200, b"late"))
+        async with late:
+            store.put("servers/i-1", registration(replica) | {"state": "draining"})
+            store.put("servers/i-2", registration(late))
+            await asyncio.sleep(0.3)
+            reader, writer = await send(entry, request("/order/x", **CALLER))
+            got = await asyncio.wait_for(read_answer(reader), 2)
+            writer.close()
+        assert got.body == b"late"
+
+
+async def test_body_that_does_not_come_by_the_deadline():
+    """A request's head has come and its body does not, until its caller's time is over.
+
+    Nothing was sent on: the caller is told so in time.
+    """
+    replica = Replica("i-1", answer())
+    async with serving(replica) as entry:
+        reader, writer = await entry.connect()
+        whole = request("/order/x", body=b"x" * 1000, X_Deadline_Ms="300")
+        writer.write(whole[:-900])
+        got = await asyncio.wait_for(read_answer(reader), 1)
+        writer.close()
+    assert got.status == 503
+    assert got.headers["connection"] == "close"
+    assert replica.received == []
+
+
+async def test_body_that_breaks_off_in_a_wrong_chunk():
+    """A body comes in chunks, and one is none: the rest can't be read any more.
+
+    The request was not sent on, and its caller is told so at once.
+    """
+    replica = Replica("i-1", answer())
+    async with serving(replica) as entry:
+        reader, writer = await entry.connect()
+        head = request("/order/x", body=b"", Transfer_Encoding="chunked")
+        writer.write(head + b"3\r\nabc\r\n")
+        await asyncio.sleep(0.05)
+        writer.write(b"zz\r\n")
+        got = await asyncio.wait_for(read_answer(reader), 1)
+        writer.close()
+    assert got.status in (400, 503)
+    assert replica.received == []
+
+
+async def test_caller_that_asks_before_it_sends_its_body():
+    """A caller sends its body only once it is told to, as HTTP allows.
+
+    Untold, it would wait for the entry, and the entry for it.
+    """
+    replica = Replica("i-1", answer())
+    async with serving(replica) as entry:
+        reader, writer = await entry.connect()
+        whole = request("/order/x", body=b"x" * 1000, Expect="100-continue")
+        writer.write(whole[:-1000])
+        said = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 1)
+        assert said == b"HTTP/1.1 100 Continue\r\n\r\n"
+        writer.write(whole[-1000:])
+        got = await asyncio.wait_for(read_answer(reader), 1)
+        writer.close()
+    assert got.status == 200
+    assert replica.received[0].body == b"x" * 1000
+
+
+async def test_stream_to_a_caller_of_the_older_protocol():
+    """A caller speaks HTTP/1.0, which has no chunks: the end of the connection ends it.
+
+    An answer that breaks off must not look like one that is whole.
+    """
+    async with serving(engine("i-1", EngineScript(last=3))) as entry:
+        reader, writer = await entry.connect()
+        sent = request("/talk/x", X_Token_Count="400,9")
+        writer.write(sent.replace(b"HTTP/1.1", b"HTTP/1.0", 1))
+        got = await asyncio.wait_for(reader.read(), 2)
+        writer.close()
+    head, _, body = got.partition(b"\r\n\r\n")
+    assert b" 200 " in head.split(b"\r\n")[0]
+    assert b"chunked" not in head.lower()
+    assert body.count(b"id:") == 3
+
+
+async def test_broken_stream_to_a_caller_of_the_older_protocol():
+    """The engine breaks off: the connection is reset, where an end would look whole."""
+    script = EngineScript(last=3, break_after=2)
+    async with serving(engine("i-1", script)) as entry:
+        reader, writer = await entry.connect()
+        sent = request("/talk/x", X_Token_Count="400,9")
+        writer.write(sent.replace(b"HTTP/1.1", b"HTTP/1.0", 1))
+        with pytest.raises(ConnectionResetError):
+            await asyncio.wait_for(reader.read(), 2)
+        writer.close()
+
+
+async def test_answer_with_a_header_that_can_not_be_written():
+    """A replica's answer has a control character in a header.
+
+    The HTTP library reads it and refuses to write it. The answer goes out without that
+    header; nothing at all would leave the caller of an order that ran without a word.
+    """
+    script = answer(200, b"fine", "X-Odd: a\x07b", "X-Even: ab")
+    async with serving(Replica("i-1", script)) as entry:
+        got = await asyncio.wait_for(entry.ask("/order/x"), 2)
+    assert got.status == 200
+    assert got.body == b"fine"
+    assert got.headers["x-even"] == "ab"
+    assert "x-odd" not in got.headers
+
+
+@pytest.mark.parametrize("path", ["/order/x", "/talk/x"])
+async def test_status_that_is_no_answer_is_not_passed_on(path):
+    """A replica says that it changes the protocol, which nobody has asked it to do.
+
+    Passed on, the caller would wait for the answer that HTTP has follow.
+    """
+
+    async def script(replica: Replica, received: Received, writer) -> None:
+        writer.write(head(101, received.request_id))
+        await writer.drain()
+
+    plain, llm = Replica("i-1", script), engine("i-2", script)
+    async with serving(plain, llm) as entry:
+        got = await asyncio.wait_for(entry.ask(path, X_Token_Count="400,9"), 1)
+    assert got.status == 502
+
+
+async def test_line_that_can_not_be_written_ends_no_request():
+    """A request's id has bytes that are no UTF-8, and each of its lines bears the id.
+
+    It is refused in good order: the next request on its connection is answered.
+    """
+    readable, writable = os.pipe()
+    handler = BoundedJsonHandler(writable, "entry-1")
+    handler.addFilter(ContextFilter("entry-1"))
+    root = logging.getLogger()
+    root.addHandler(handler)
+    level = root.level
+    root.setLevel(logging.INFO)
+    try:
+        async with serving(Replica("i-1", answer())) as entry:
+            reader, writer = await entry.connect()
+            writer.write(request("/order/x").replace(b"id-1", b"id\xff"))
+            assert (await read_answer(reader)).status == 400
+            writer.write(request("/order/x"))
+            got = await asyncio.wait_for(read_answer(reader), 1)
+            writer.close()
+    finally:
+        root.setLevel(level)
+        root.removeHandler(handler)
+        lines = os.read(readable, 1 << 16).splitlines()
+        os.close(readable)
+        os.close(writable)
+    assert got.status == 200
+    ended = [
+        line for line in map(json.loads, lines) if line["event"] == "request ended"
+    ]
+    assert [line["status"] for line in ended] == [400, 200]
