No value in the store ends an entry

Cause: tasks that read the store raise for what their decoders do not foresee (an unreadable head or part of the plan, a port of 5,000 digits, JSON nested 100,000 deep), and a task's failure ends the process: every request at work is cut off, at every entry that reads the key, and again after each start. An entry's datagram address was taken unchecked besides: a name is looked up by the event loop at each datagram, a port out of range closes the port that datagrams are sent from. Ruled out: errors of the store's own answers, which are port errors and retried. Conclusion: a value that can't be taken is left out where it is taken; an unreadable head of the plan stops changes of roles only, since written anew without its epoch the plan could fall behind what engines have obeyed.

--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections.abc as cabc
 import dataclasses
+import ipaddress
 import logging
 
 import msgspec
@@ -39,6 +40,8 @@
 USUAL_CHANGE_SECONDS = 3.2
 """From an order to the first request under the new role, as measured on engines."""
 
+MOST_PORT = 65_535
+
 
 @dataclasses.dataclass(slots=True)
 class Seen:
@@ -153,7 +156,16 @@
         return planned.role is not upstream.role
 
     def put(self, item: KeyValue) -> None:
-        """Take one key's new value."""
+        """Take one key's new value; one that can't be taken is left out of account."""
+        try:
+            self._put(item)
+        except Exception:
+            # A value that its reader did not foresee would end the process with every
+            # request at work, and each of its successors. What was known stays, and
+            # the key is read anew with its next change.
+            logger.exception("key is not taken", extra={"key": item.key})
+
+    def _put(self, item: KeyValue) -> None:
         if item.key == self.directory.config_key:
             self._put_routing(item)
         elif item.key.startswith(self.directory.upstream_prefix):
@@ -202,9 +214,12 @@
             self.first_ready.set()
 
     def _put_entry(self, item: KeyValue) -> None:
-        host, _, port = item.value.decode(errors="replace").rpartition(":")
-        if port.isascii() and port.isdigit():
-            self.entries[item.key] = (host, int(port))
+        address = _datagram_address(item.value)
+        if address is None:
+            logger.warning("entry's address is none", extra={"key": item.key})
+            self.entries.pop(item.key, None)
+        else:
+            self.entries[item.key] = address
 
     def _put_planned(self, item: KeyValue) -> None:
         try:
@@ -274,3 +289,18 @@
                     "revision": item.mod_revision,
                 },
             )
+
+
+def _datagram_address(value: bytes) -> tuple[str, int] | None:
+    """Return an entry's address; ``None`` for what is no IP number and port.
+
+    A name would be looked up at each datagram, with the event loop standing still
+    meanwhile; a port out of range would close the port that datagrams are sent from.
+    """
+    host, _, port = value.decode(errors="replace").rpartition(":")
+    try:
+        ipaddress.ip_address(host)
+        number = int(port)
+    except ValueError:
+        return None
+    return (host, number) if 0 < number <= MOST_PORT else None
--- a/src/bergamotmast/planner/plan_store.py
+++ b/src/bergamotmast/planner/plan_store.py
@@ -10,8 +10,11 @@
 import asyncio
 import collections.abc as cabc
 import contextlib
+import logging
 import random
 
+import msgspec
+
 from ..errors import AuthorityLostError
 from ..errors import KeyValueOutcomeUnknownError
 from ..errors import KeyValueUnavailableError
@@ -22,6 +25,7 @@
 from ..model import FencingToken
 from ..ports import Compare
 from ..ports import Delete
+from ..ports import KeyValue
 from ..ports import KeyValueService
 from ..ports import Put
 from ..ports import RangeResult
@@ -37,6 +41,8 @@
 from ..protocol.plan import engine_of_key
 from ..protocol.plan import guard_key
 
+logger = logging.getLogger(__name__)
+
 MOST_WRITES = 100
 """Engines changed by one transaction; etcd takes 128 operations by default."""
 
@@ -99,7 +105,8 @@
         transactions at each takeover are enough to put every part above all before.
 
         :raises AuthorityLostError: if another planner wrote in the same moment.
-        :raises KeyValueUnavailableError: if the service is down; nothing changed.
+        :raises KeyValueUnavailableError: if the service is down, or its head record is
+            none; nothing changed.
         """
         found = await self.kv.range(PLAN_PREFIX)
         stored = self._read(found)
@@ -147,10 +154,12 @@
         self.head_revision = 0
         for item in found.items:
             if item.key == HEAD_KEY:
-                self.head = decode_head(item.value)
+                self.head = _head(item)
                 self.head_revision = item.mod_revision
             elif item.key.startswith(ENGINES_PREFIX):
-                stored[engine_of_key(item.key)] = decode_engine_plan(item.value)
+                part = _part(item)
+                if part is not None:
+                    stored[engine_of_key(item.key)] = part
         return stored
 
     def _lost_by_restore(self, stored: dict[str, EnginePlan]) -> dict[str, EnginePlan]:
@@ -224,6 +233,31 @@
         item = None
         with contextlib.suppress(KeyValueUnavailableError):
             item = await self.kv.get(HEAD_KEY)
-        if item is None or decode_head(item.value).nonce != nonce:
+        if item is None or _head(item).nonce != nonce:
             raise AuthorityLostError("A write of the plan has no known end.")
         return item.mod_revision
+
+
+def _head(item: KeyValue) -> PlanHead:
+    """Read the head record.
+
+    :raises KeyValueUnavailableError: for what is none. Written anew without its epoch,
+        the plan could fall behind what engines have obeyed.
+    """
+    try:
+        return decode_head(item.value)
+    except msgspec.DecodeError as error:
+        raise KeyValueUnavailableError(
+            f"The plan's head is not understood: {error}"
+        ) from error
+
+
+def _part(item: KeyValue) -> EnginePlan | None:
+    """Read one engine's part; what is none is left out as if nobody had written it."""
+    try:
+        return decode_engine_plan(item.value)
+    except msgspec.DecodeError as error:
+        logger.warning(
+            "plan is not understood", extra={"key": item.key, "error": str(error)}
+        )
+        return None
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -565,3 +565,19 @@
         line for line in map(json.loads, lines) if line["event"] == "request ended"
     ]
     assert [line["status"] for line in ended] == [400, 200]
+
+
+@pytest.mark.parametrize(
+    "address", ["host:7000", "127.0.0.1:70000", "127.0.0.1:0", "::1", ":7000", ""]
+)
+async def test_entry_is_only_told_of_prompts_at_an_ip_number_and_port(address):
+    """Another entry has registered under what is no address of datagrams.
+
+    A name would be looked up at each datagram, while all requests stand still; a port
+    out of range would close the port that datagrams are sent from.
+    """
+    async with serving() as entry:
+        entry.put(PRESENCE_PREFIX + "good", b"10.0.0.9:7380")
+        entry.put(PRESENCE_PREFIX + "bad", b"10.0.0.8:7380")
+        entry.put(PRESENCE_PREFIX + "bad", address.encode())
+        assert list(entry.fleet.entries.values()) == [("10.0.0.9", 7380)]
