A task that fails beside the requests ends an entry in the usual steps

Cause: `running` cancels the main task when a task beside it fails, which takes the entry down at once: what was at work got 0.6 s and then a closed connection. A planner that fails would do so at one entry after the other, as each takes the lease. Ruled out: cancelling the task is no failure; errors of ports are retried inside. A planner that fails each time gives the lease back each time, and the entry serves on. Conclusion: the failure of a task is told like SIGTERM; planning is tried again.

--- a/src/bergamotmast/direct/role_planner.py
+++ b/src/bergamotmast/direct/role_planner.py
@@ -159,6 +159,10 @@
                 await self.authority.while_held(self._plan())
             except (AuthorityLostError, OrderRefusedError, PortError) as error:
                 logger.warning("planner gives up", extra={"error": error.message})
+            except Exception:
+                # A fault in planning would otherwise end one entry after the other, as
+                # each takes the lease. Roles stay as they are, and requests are served.
+                logger.exception("planner has failed")
             finally:
                 self.pending.clear()
                 await self.authority.release()
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -27,6 +27,7 @@
 from .direct.serving import Listening
 from .history import NullHistory
 from .lifecycle import METRICS_PATH
+from .lifecycle import Ending
 from .lifecycle import address_errors
 from .lifecycle import exposition
 from .lifecycle import running
@@ -67,9 +68,14 @@
 
 
 async def serve_direct(settings: DirectEntrySettings) -> None:
-    """Run an entry until it is told to end and its last answer is out."""
+    """Run an entry until it is told to end and its last answer is out.
+
+    A task beside the requests that fails ends it too, in the same steps: the requests
+    at work are not concerned, and cut off, their callers would have no answer.
+    """
     logger.info("starts", extra={"zone": settings.zone})
-    told = _signals()
+    ending = Ending()
+    _end_on_signals(ending)
     rng = random.Random()
     metrics = OpenTelemetryMetrics(settings.name)
     fleet = Fleet(PlatformDirectory(), asyncio.get_running_loop().time)
@@ -96,13 +102,15 @@
         if settings.metrics_address:
             await _listen(stack, _metrics(metrics), settings.metrics_address)
         presence = Presence(store, settings.name, settings.peer_address, rng)
-        await stack.enter_async_context(running(Follower(store, fleet, rng).run()))
-        await stack.enter_async_context(running(presence.run()))
-        async with running(_planner(settings, store, context).run()):
-            await told.wait()
+        for work in (Follower(store, fleet, rng).run(), presence.run()):
+            await stack.enter_async_context(running(work, ending.on_failure))
+        planner = _planner(settings, store, context)
+        async with running(planner.run(), ending.on_failure):
+            await ending.told.wait()
             core.stopping = True
         await _drain(front, callers, settings.shutdown_seconds)
     logger.info("stops")
+    ending.raise_failure()
 
 
 def _planner(
@@ -177,14 +185,12 @@
         await asyncio.sleep(IDLE_CHECK_SECONDS)
 
 
-def _signals() -> asyncio.Event:
-    """Return the event that SIGTERM sets; SIGHUP changes nothing that is read here."""
-    told = asyncio.Event()
+def _end_on_signals(ending: Ending) -> None:
+    """Have SIGTERM end the process; SIGHUP changes nothing that is read here."""
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, told.set)
+        loop.add_signal_handler(number, ending.told.set)
     loop.add_signal_handler(signal.SIGHUP, _on_reload)
-    return told
 
 
 def _on_reload() -> None:
--- a/src/bergamotmast/lifecycle.py
+++ b/src/bergamotmast/lifecycle.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections.abc as cabc
 import contextlib
+import logging
 import typing as t
 
 from aiohttp import web
@@ -14,6 +15,8 @@
 if t.TYPE_CHECKING:
     from .adapters.metrics import OpenTelemetryMetrics
 
+logger = logging.getLogger(__name__)
+
 METRICS_PATH = "/metrics"
 
 CANCEL_SECONDS = 0.5
@@ -41,22 +44,52 @@
         raise SettingError(flag, address, allowed) from error
 
 
+class Ending:
+    """Whether a process is to end: told to, or for the failure of a task.
+
+    :param told: set once it is to end.
+    :param failure: of the first task that failed.
+    """
+
+    def __init__(self) -> None:
+        self.told = asyncio.Event()
+        self.failure: BaseException | None = None
+
+    def on_failure(self, failure: BaseException) -> None:
+        """Learn that a task has failed, without which the process can't go on long."""
+        logger.error("a task has failed", exc_info=failure)
+        self.failure = self.failure or failure
+        self.told.set()
+
+    def raise_failure(self) -> None:
+        """Raise the failure, if one led to the end."""
+        if self.failure is not None:
+            raise self.failure
+
+
 @contextlib.asynccontextmanager
 async def running(
     work: cabc.Coroutine[t.Any, t.Any, None],
+    on_failure: cabc.Callable[[BaseException], None] | None = None,
 ) -> cabc.AsyncIterator[None]:
     """Run a process's tasks beside the body; their failure ends the process.
 
     A task that is cancelled may still want to say goodbye to a service that does not
     answer; it gets :data:`CANCEL_SECONDS`, so that a process told to end does end.
+
+    :param on_failure: is told of a failure instead, and sees to the end.
     """
     main = asyncio.current_task()
     assert main is not None
     task = asyncio.create_task(work)
 
     def on_done(done: asyncio.Task[None]) -> None:
-        if not done.cancelled() and done.exception() is not None:
+        if done.cancelled() or (failure := done.exception()) is None:
+            return
+        if on_failure is None:
             main.cancel()
+        else:
+            on_failure(failure)
 
     task.add_done_callback(on_done)
     try:
@@ -65,7 +98,8 @@
         task.cancel()
         await asyncio.wait({task}, timeout=CANCEL_SECONDS)
         if (
-            task.done()
+            on_failure is None
+            and task.done()
             and not task.cancelled()
             and (error := task.exception()) is not None
         ):
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -13,7 +13,9 @@
 import pytest
 from aiohttp import web
 
+from bergamotmast import direct_daemon
 from bergamotmast.bounded_log import BoundedJsonHandler
+from bergamotmast.direct import role_planner
 from bergamotmast.direct.following import Follower
 from bergamotmast.direct.presence import PRESENCE_PREFIX
 from bergamotmast.direct.presence import Presence
@@ -22,7 +24,9 @@
 from bergamotmast.logs import ContextFilter
 from bergamotmast.model import Assignment
 from bergamotmast.model import Role
+from bergamotmast.planner import authority
 from bergamotmast.protocol.plan import HEAD_KEY
+from bergamotmast.protocol.plan import HOLDER_KEY
 from bergamotmast.protocol.plan import EnginePlan
 from bergamotmast.protocol.plan import encode_record
 from bergamotmast.protocol.plan import engine_key
@@ -581,3 +585,32 @@
         entry.put(PRESENCE_PREFIX + "bad", b"10.0.0.8:7380")
         entry.put(PRESENCE_PREFIX + "bad", address.encode())
         assert list(entry.fleet.entries.values()) == [("10.0.0.9", 7380)]
+
+
+async def test_fault_in_planning_ends_nothing(monkeypatch):
+    """The planner fails for a cause that nobody has foreseen, each time it plans.
+
+    It gives the lease back and tries again; the entry serves on.
+    """
+    monkeypatch.setattr(role_planner, "PAUSE_SECONDS", (0.05, 0.05))
+    monkeypatch.setattr(direct_daemon, "FIRST_LOOK_SECONDS", 0.01)
+    monkeypatch.setattr(authority, "LEAST_POLL_SECONDS", 0.01)
+    monkeypatch.setattr(authority, "MOST_POLL_SECONDS", 0.02)
+    failed = []
+
+    async def plan(self) -> None:
+        failed.append(self.authority.lease)
+        raise RuntimeError("unforeseen")
+
+    monkeypatch.setattr(RolePlanner, "_plan", plan)
+    async with Store() as store, Replica("i-1", answer()) as replica:
+        store.put("op/config", config())
+        store.put("servers/i-1", registration(replica))
+        async with entry_in_this_process(store) as (port, task):
+            await until(lambda: len(failed) >= 3, 5)
+            reader, writer = await connect_soon(port)
+            writer.write(request("/order/x"))
+            assert (await read_answer(reader)).status == 200
+            writer.close()
+            assert not task.done()
+        await until(lambda: HOLDER_KEY not in store.items)
