A request's body is waited for as long as its caller waits

Cause: the body was read before anything of the request was known, without a bound. A body that came late, or broke off in a wrong chunk (the HTTP library then ends it never), held its caller until it left; one that waits for "100 Continue" never heard of it. A body beyond the limit was read up to 64 MB first. Ruled out: a caller that leaves; its call was and is cancelled.

--- a/src/bergamotmast/direct/caller.py
+++ b/src/bergamotmast/direct/caller.py
@@ -9,6 +9,17 @@
 from .ports import Headers
 
 
+class CallerBody(t.Protocol):
+    """A request's body, which may come later than its head, or not at all."""
+
+    async def read(self, most: int) -> bytes | None:
+        """Return the whole body; ``None`` once it is longer than the limit.
+
+        :param most: bytes.
+        """
+        ...
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerRequest:
     """A request as its caller sent it.
@@ -16,6 +27,7 @@
     :param target: path and query, not decoded.
     :param headers: by name without regard to case; the first of each name.
     :param items: all headers in order, doubled ones too.
+    :param body: reads the body, or no more of it than a limit allows.
     :param arrived_at: point on the event loop's clock.
     """
 
@@ -24,7 +36,7 @@
     host: str
     headers: cabc.Mapping[str, str]
     items: Headers
-    body: bytes
+    body: CallerBody
     arrived_at: float
 
 
--- a/src/bergamotmast/direct/core.py
+++ b/src/bergamotmast/direct/core.py
@@ -28,6 +28,9 @@
 """How long a request waits for an entry's first reading of the store, which takes some
 40 ms; with a store that is away its caller had better ask another entry."""
 
+LONGEST_BODY_SECONDS = 60.0
+"""How long the body of a caller that names no deadline may take to come."""
+
 
 class DirectCore:
     """An entry that reaches upstreams directly.
@@ -78,6 +81,7 @@
 
     async def _let_in(self, request: CallerRequest) -> Call:
         traits = self.context.dialect.read_call(request.headers)
+        body = await self._body(request, traits.time_left)
         table = await self._table()
         route = table.find(request.host, request.target)
         if route is None:
@@ -97,11 +101,29 @@
             method=request.method,
             target=request.target,
             headers=pass_on(request.items, connection),
-            body=request.body,
+            body=body,
             arrived_at=request.arrived_at,
             deadline=request.arrived_at + seconds,
         )
 
+    async def _body(self, request: CallerRequest, time_left: float | None) -> bytes:
+        """Return a request's body.
+
+        :raises RequestError: if it is too large, or does not come in time. Its caller
+            would otherwise wait for the answer to what it takes for sent.
+        """
+        seconds = LONGEST_BODY_SECONDS if time_left is None else time_left
+        try:
+            async with asyncio.timeout_at(request.arrived_at + seconds):
+                body = await request.body.read(self.body_limit)
+        except TimeoutError:
+            raise RequestError(
+                ResultCode.DEADLINE_UNREACHABLE, "The body did not come in time."
+            ) from None
+        if body is None:
+            raise RequestError(ResultCode.BODY_TOO_LARGE)
+        return body
+
     async def _table(self) -> RouteTable:
         """Return the routes in force.
 
--- a/src/bergamotmast/direct/front.py
+++ b/src/bergamotmast/direct/front.py
@@ -5,14 +5,13 @@
 import asyncio
 import logging
 
+from aiohttp import HttpVersion11
 from aiohttp import web
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.http_parser import RawRequestMessage
 from aiohttp.streams import StreamReader
 from aiohttp.web_protocol import RequestHandler
 
-from ..errors import CODE_INFO
-from ..errors import ResultCode
 from .caller import CallerRequest
 from .core import DirectCore
 from .ports import Headers
@@ -25,8 +24,36 @@
 IDLE_SECONDS = 75.0
 """How long an idle caller's connection is kept, above the operators' limits."""
 
-MOST_BODY_BYTES = 1 << 26
-"""Largest body read, above the operators' limits."""
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+"""Tells a caller to send its body."""
+
+
+class HttpCallerBody:
+    """A :class:`~bergamotmast.direct.caller.CallerBody`."""
+
+    def __init__(self, request: web.BaseRequest) -> None:
+        self.request = request
+
+    async def read(self, most: int) -> bytes | None:
+        """Return the whole body; ``None`` once it is longer than the limit."""
+        if (self.request.content_length or 0) > most:
+            return None
+        await self._ask_for_it()
+        body = bytearray()
+        while part := await self.request.content.readany():
+            body += part
+            if len(body) > most:
+                return None
+        return bytes(body)
+
+    async def _ask_for_it(self) -> None:
+        """Tell a caller to send its body if it waits to be told, as HTTP allows."""
+        expected = self.request.headers.get("Expect", "").lower()
+        if expected == "100-continue" and self.request.version >= HttpVersion11:
+            writer = self.request.writer
+            await writer.write(CONTINUE)
+            # The library takes whatever was written for the beginning of the answer.
+            writer.output_size = 0
 
 
 class HttpCallerReply:
@@ -75,7 +102,8 @@
         response = web.StreamResponse(status=status)
         for name, value in headers:
             response.headers.add(name, value)
-        if self.core.stopping:
+        if self.core.stopping or not self.request.content.is_eof():
+            # Where the rest of a body may still come, no next request can be told.
             response.force_close()
         return response
 
@@ -126,23 +154,17 @@
             self.busy.discard(request.protocol)
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
-        arrived_at = asyncio.get_running_loop().time()
         reply = HttpCallerReply(request, self.core)
-        body = await request.read()
-        if len(body) > self.core.body_limit:
-            status = CODE_INFO[ResultCode.BODY_TOO_LARGE].status
-            await reply.answer(status, (), b"")
-        else:
-            received = CallerRequest(
-                method=request.method,
-                target=request.raw_path,
-                host=request.headers.get("Host", ""),
-                headers=request.headers,
-                items=tuple(request.headers.items()),
-                body=body,
-                arrived_at=arrived_at,
-            )
-            await self.core.handle(received, reply)
+        received = CallerRequest(
+            method=request.method,
+            target=request.raw_path,
+            host=request.headers.get("Host", ""),
+            headers=request.headers,
+            items=tuple(request.headers.items()),
+            body=HttpCallerBody(request),
+            arrived_at=asyncio.get_running_loop().time(),
+        )
+        await self.core.handle(received, reply)
         assert reply.response is not None
         return reply.response
 
@@ -161,5 +183,4 @@
         writer,
         task,
         asyncio.get_running_loop(),
-        client_max_size=MOST_BODY_BYTES,
     )
