A stream goes out to callers of HTTP/1.0 too

Cause: chunks were asked for whatever the caller speaks; the HTTP library refuses that for HTTP/1.0 after the answer counts as begun, and the connection was closed without a word though the request had run. After: the events, ended by the end of the connection; a stream that breaks off is reset, since a plain end would pass for a whole answer.

--- a/src/bergamotmast/direct/front.py
+++ b/src/bergamotmast/direct/front.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import logging
+import socket
+import struct
 
 from aiohttp import HttpVersion11
 from aiohttp import web
@@ -24,6 +26,9 @@
 IDLE_SECONDS = 75.0
 """How long an idle caller's connection is kept, above the operators' limits."""
 
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+"""Linger for no time: what is not sent is dropped, and the other end is told."""
+
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 """Tells a caller to send its body."""
 
@@ -80,7 +85,8 @@
     async def start(self, status: int, headers: Headers) -> None:
         """Send status and headers of a stream."""
         self.response = self._new(status, headers)
-        self.response.enable_chunked_encoding()
+        if self._has_chunks:
+            self.response.enable_chunked_encoding()
         await self.response.prepare(self.request)
 
     async def write(self, data: bytes) -> None:
@@ -94,9 +100,24 @@
         await self.response.write_eof()
 
     def abort(self) -> None:
-        """Close the connection without the chunk that would end the stream."""
-        if self.request.transport is not None:
-            self.request.transport.close()
+        """Close the connection so that a stream does not pass for complete.
+
+        In chunks, it lacks the one that would end it. Without, the end of the
+        connection ends it, and only a reset tells that something is missing.
+        """
+        transport = self.request.transport
+        if transport is None:
+            return
+        if self._has_chunks:
+            transport.close()
+        else:
+            sock = transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+            transport.abort()
+
+    @property
+    def _has_chunks(self) -> bool:
+        return self.request.version >= HttpVersion11
 
     def _new(self, status: int, headers: Headers) -> web.StreamResponse:
         response = web.StreamResponse(status=status)
