An answer with a header that can't be written goes out without it

Cause: the HTTP library reads control characters in a reply's headers and refuses to write them; the refusal came after the answer counted as begun, so that the connection was closed without a word though the order had run. Ruled out: callers' own headers; they are refused with 400 before anything is sent on, which now has a test. Before: 0 bytes. After: the answer without that header, and a line in the log. A refusal does not repeat an id that can't be written, which lost bytes unnoticed.

--- a/src/bergamotmast/direct/core.py
+++ b/src/bergamotmast/direct/core.py
@@ -166,7 +166,8 @@
         if reply.started:
             reply.abort()
             return 0
-        headers = list(self.context.dialect.refusal_headers(request_id))
+        named = self.context.dialect.refusal_headers(request_id)
+        headers = [item for item in named if is_writable(item[1])]
         if error.retry_after is not None:
             headers.append(("Retry-After", f"{error.retry_after:.2f}"))
         body = f"{int(error.code)} {error.message}\n".encode()
@@ -202,6 +203,7 @@
 
     It leaves out bytes that are no UTF-8, and a path's part after ``#``, which HTTP
     allows in no request. The upstream would get another request than the caller sent.
+    A control character it does not write at all.
 
     :raises RequestError: for such a request.
     """
@@ -209,4 +211,4 @@
         raise RequestError(ResultCode.BAD_HEADER, "The path must not contain '#'.")
     for name, value in request.items:
         if not is_writable(value):
-            raise RequestError(ResultCode.BAD_HEADER, f"{name} is not in UTF-8.")
+            raise RequestError(ResultCode.BAD_HEADER, f"{name} is no text in UTF-8.")
--- a/src/bergamotmast/direct/forwarding.py
+++ b/src/bergamotmast/direct/forwarding.py
@@ -4,6 +4,7 @@
 
 import collections.abc as cabc
 import logging
+import re
 
 from .ports import Headers
 from .ports import Reply
@@ -28,6 +29,9 @@
 """Headers that concern one connection only, by RFC 9110, and the length of the body,
 which each side of an entry writes anew."""
 
+_UNWRITABLE = re.compile(r"[\x00-\x08\x0a-\x1f\x7f\ud800-\udfff]")
+"""Control characters but the tab, and bytes that are no UTF-8 as they are read."""
+
 
 def pass_on(items: cabc.Iterable[tuple[str, str]], connection: str = "") -> Headers:
     """Return the headers that are passed on.
@@ -42,8 +46,9 @@
 def answer_headers(reply: Reply) -> Headers:
     """Return the headers of a reply that its caller gets.
 
-    The HTTP library writes headers as UTF-8 and would silently leave out bytes that
-    are none; a header with such bytes is left out whole, and the log says so.
+    The HTTP library would silently leave out bytes that are no UTF-8, and refuses the
+    whole answer for a control character; a header with either is left out, and the log
+    says so.
     """
     passed = pass_on(reply.header_items(), reply.headers.get("Connection", ""))
     written = tuple(item for item in passed if is_writable(item[1]))
@@ -55,4 +60,4 @@
 
 def is_writable(value: str) -> bool:
     """Return whether a header's value is written as it was read."""
-    return value.isascii() or not any("\ud800" <= sign <= "\udfff" for sign in value)
+    return _UNWRITABLE.search(value) is None
--- a/src/bergamotmast/direct/front.py
+++ b/src/bergamotmast/direct/front.py
@@ -78,8 +78,8 @@
         """Send a whole answer."""
         response = self._new(status, headers)
         response.content_length = len(body)
-        self.response = response
         await response.prepare(self.request)
+        self.response = response
         await response.write_eof(body)
 
     async def start(self, status: int, headers: Headers) -> None:
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -652,3 +652,19 @@
     assert got.headers["connection"] == "close"
     assert got.headers["x-request-id"] == "id-1"
     assert replica.received == []
+
+
+@pytest.mark.parametrize("name", ["X-Request-Id", "X-Other"])
+async def test_header_of_a_caller_that_can_not_be_written_is_refused(name):
+    """A caller's header has a control character: no upstream could get it unchanged."""
+    replica = Replica("i-1", answer())
+    async with serving(replica) as entry:
+        reader, writer = await entry.connect()
+        sent = request("/order/x").replace(
+            b"\r\n", f"\r\n{name}: a\x07b\r\n".encode(), 1
+        )
+        writer.write(sent)
+        got = await asyncio.wait_for(read_answer(reader), 1)
+        writer.close()
+    assert got.status == 400
+    assert replica.received == []
