A status that announces an answer is not passed on as one

Cause: a signed reply with a status below 200 that the HTTP library takes for final (101) was passed on, and its caller waited for the answer that HTTP has follow. The checks on what a reply may promise its caller stood twice, in the runs of plain calls and of streams; they are in one place now, before the body is read. Before: 101 to the caller of an order, no answer to that of a stream.

--- a/src/bergamotmast/direct/context.py
+++ b/src/bergamotmast/direct/context.py
@@ -25,6 +25,12 @@
 from .ports import UpstreamClient
 from .read_notice import ReadNotice
 
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""To a caller these say that its request did not run."""
+
+LEAST_FINAL_STATUS = 200
+"""Lower ones announce an answer, for which a caller would wait."""
+
 
 @dataclasses.dataclass(slots=True)
 class Context:
@@ -91,14 +97,16 @@
             raise ReplyLostError("the reply belongs to another request")
         return traits
 
-    def check_success(self, call: Call, reply: Reply, traits: ReplyTraits) -> None:
-        """Check that a success is one that an upstream made for this request.
+    def check_reply(self, call: Call, reply: Reply, traits: ReplyTraits) -> None:
+        """Check that a reply is an upstream's answer to this request.
 
-        :raises ReplyLostError: if it is not.
+        :raises ReplyLostError: if it is not, or if it would promise its caller what
+            the upstream did not promise.
         """
-        if not 200 <= reply.status < 300:
-            return
         if not traits.signed:
-            raise ReplyLostError("the reply is not signed")
-        if traits.request_id != call.traits.request_id:
-            raise ReplyLostError("the reply does not say whose it is")
+            raise ReplyLostError(f"status {reply.status} is not signed")
+        if 200 <= reply.status < 300:
+            if traits.request_id != call.traits.request_id:
+                raise ReplyLostError("the reply does not say whose it is")
+        elif reply.status < LEAST_FINAL_STATUS or reply.status in NOT_RUN_STATUSES:
+            raise ReplyLostError(f"status {reply.status} without a promise")
--- a/src/bergamotmast/direct/plain_run.py
+++ b/src/bergamotmast/direct/plain_run.py
@@ -22,9 +22,6 @@
 """Multiples of the objective after which an idempotent call is tried elsewhere: by
 then its answer is late, and an upstream that hangs would hold it to its deadline."""
 
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-"""To a caller these say that its request did not run."""
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlainAnswer:
@@ -126,23 +123,20 @@
                 self.sends.on_not_run()
                 self.sends.log_failure(upstream, f"status {reply.status}", "not run")
                 return None
-            self.context.check_success(call, reply, traits)
+            self.context.check_reply(call, reply, traits)
             body = await reply.read()
             answer = PlainAnswer(reply.status, answer_headers(reply), body)
         book = self.context.placing.plain_book(upstream)
         if 200 <= answer.status < 300:
             book.succeeded()
             return answer
-        return self._on_failure_status(upstream, answer, traits.signed)
+        return self._on_failure_status(upstream, answer)
 
     def _on_failure_status(
-        self, upstream: Upstream, answer: PlainAnswer, signed: bool
+        self, upstream: Upstream, answer: PlainAnswer
     ) -> PlainAnswer | None:
         """Return a failure to pass on, or ``None`` to try elsewhere first."""
         self.sends.log_failure(upstream, f"status {answer.status}", "ran")
-        if answer.status in NOT_RUN_STATUSES or not signed:
-            # Passed on, it would promise what the upstream did not promise.
-            raise ReplyLostError(f"status {answer.status} without a promise")
         self.last_failure = answer
         may_repeat = self.call.route.repeatable and answer.status >= 500
         return None if may_repeat else answer
--- a/src/bergamotmast/direct/stream_run.py
+++ b/src/bergamotmast/direct/stream_run.py
@@ -23,7 +23,6 @@
 from .forwarding import answer_headers
 from .model import Call
 from .model import Upstream
-from .plain_run import NOT_RUN_STATUSES
 from .ports import Attempt
 from .ports import Reply
 from .ports import ReplyTraits
@@ -259,7 +258,7 @@
                 self.source = ""
                 self.heard_at = loop.time()
                 if not 200 <= reply.status < 300:
-                    return await self._on_failure_status(reply, traits)
+                    return await self._on_failure_status(reply)
                 async with self._stall_limit():
                     async for event in self._events(reply, book):
                         if not streaming:
@@ -309,7 +308,7 @@
             book = self.context.placing.engine_book(upstream)
             book.failed_until = now + _pause_after(traits)
             raise BrokenStreamError(f"status {reply.status}, not run")
-        self.context.check_success(self.call, reply, traits)
+        self.context.check_reply(self.call, reply, traits)
         return traits
 
     def _on_heard(self, upstream: Upstream) -> None:
@@ -395,10 +394,10 @@
         await self._start(reply, traits)
         await self.reply.finish()
 
-    async def _on_failure_status(self, reply: Reply, traits: ReplyTraits) -> int:
+    async def _on_failure_status(self, reply: Reply) -> int:
         body = await reply.read()
-        if reply.status in NOT_RUN_STATUSES or not traits.signed or self.reply.started:
-            raise BrokenStreamError(f"status {reply.status} without a promise")
+        if self.reply.started:
+            raise BrokenStreamError(f"status {reply.status} in a stream")
         await self.reply.answer(reply.status, answer_headers(reply), body)
         return reply.status
 
