At the end of a process bodies, last bytes and a silent store are counted in

Causes, each with its listed test: a body that was late at the end was waited for until the process was gone; an answer whose last bytes were still with the event loop passed for sent (2,176,000 of 2,207,024 bytes arrived); a store that answered nothing used up half a second for each task's goodbye, first of all the planner's before requests were given their time, so that the process was killed with its answers. Now a body has the time limits of its request; the end waits for unsent bytes; the planner's goodbye runs beside the requests, and all others share one half second.

--- a/src/bergamotmast/direct/context.py
+++ b/src/bergamotmast/direct/context.py
@@ -12,7 +12,6 @@
 from ..policy.engine_book import WorkKey
 from ..policy.retry_window import RetryLimits
 from ..policy.retry_window import RetryWindow
-from .ending import Ending
 from .fleet import Fleet
 from .model import Call
 from .model import Upstream
@@ -25,6 +24,7 @@
 from .ports import ReplyTraits
 from .ports import UpstreamClient
 from .read_notice import ReadNotice
+from .time_limits import TimeLimits
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """To a caller these say that its request did not run."""
@@ -41,7 +41,7 @@
     :param retry_limits: what all entries together may send a second time.
     :param budgets: second sends by group.
     :param background: tasks that outlive their request, until they are done.
-    :param ending: what the end of the process means for requests.
+    :param time_limits: of all requests at work.
     """
 
     fleet: Fleet
@@ -54,10 +54,10 @@
     mix: MixMeter = dataclasses.field(default_factory=MixMeter)
     budgets: dict[str, RetryWindow] = dataclasses.field(default_factory=dict)
     background: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
-    ending: Ending = dataclasses.field(init=False)
+    time_limits: TimeLimits = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
-        self.ending = Ending(self.rng)
+        self.time_limits = TimeLimits(self.rng)
 
     def budget(self, group: str) -> RetryWindow:
         """Return a group's window of second sends."""
--- a/src/bergamotmast/direct/core.py
+++ b/src/bergamotmast/direct/core.py
@@ -93,7 +93,7 @@
         if traits.time_left is not None:
             seconds = min(seconds, traits.time_left)
         deadline = request.arrived_at + seconds
-        self.context.ending.let_in(deadline, asyncio.get_running_loop().time())
+        self.context.time_limits.let_in(deadline, asyncio.get_running_loop().time())
         group = self.context.fleet.group(pick_group(route, self.context.rng))
         connection = request.headers.get("Connection", "")
         return Call(
@@ -116,9 +116,11 @@
         """
         seconds = LONGEST_BODY_SECONDS if time_left is None else time_left
         try:
-            async with asyncio.timeout_at(request.arrived_at + seconds):
+            async with self.context.time_limits.limit(request.arrived_at + seconds):
                 body = await request.body.read(self.body_limit)
         except TimeoutError:
+            if self.context.time_limits.is_over(asyncio.get_running_loop().time()):
+                raise self.context.time_limits.refusal() from None
             raise RequestError(
                 ResultCode.DEADLINE_UNREACHABLE, "The body did not come in time."
             ) from None
--- a/src/bergamotmast/direct/plain_run.py
+++ b/src/bergamotmast/direct/plain_run.py
@@ -48,7 +48,7 @@
         :raises RequestError: if there is no answer to give.
         """
         try:
-            async with self.context.ending.limit(self.call.deadline):
+            async with self.context.time_limits.limit(self.call.deadline):
                 answer = await self._answer()
         except TimeoutError:
             raise self.sends.out_of_time() from None
--- a/src/bergamotmast/direct/sends.py
+++ b/src/bergamotmast/direct/sends.py
@@ -87,7 +87,7 @@
 
     def out_of_time(self) -> RequestError:
         """Return the error of a request whose time is over, or the process's."""
-        if self.context.ending.is_over(asyncio.get_running_loop().time()):
+        if self.context.time_limits.is_over(asyncio.get_running_loop().time()):
             return self._cut_short()
         if self.maybe_ran:
             return RequestError(ResultCode.DEADLINE_EXCEEDED)
@@ -96,7 +96,7 @@
     def _cut_short(self) -> RequestError:
         if self.maybe_ran:
             return RequestError(ResultCode.OUTCOME_UNKNOWN)
-        return self.context.ending.refusal()
+        return self.context.time_limits.refusal()
 
     def log_failure(
         self, upstream: Upstream, error: str, outcome: str, last_event: int = 0
--- a/src/bergamotmast/direct/serving.py
+++ b/src/bergamotmast/direct/serving.py
@@ -88,6 +88,19 @@
             and not connection.transport.is_closing()
         }
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether a part of an answer has still to go out.
+
+        The last bytes of an answer to a caller that reads slowly are with the event
+        loop after its handler is done, and would be lost with the process.
+        """
+        return any(
+            connection.transport is not None
+            and connection.transport.get_write_buffer_size() > 0
+            for connection in self.server.connections
+        )
+
     async def close(self) -> None:
         """Close everything."""
         await self.runner.cleanup()
--- a/src/bergamotmast/direct/stream_run.py
+++ b/src/bergamotmast/direct/stream_run.py
@@ -95,7 +95,7 @@
         :raises RequestError: if there is no answer to give; nothing was sent then.
         """
         try:
-            async with self.context.ending.limit(self.call.deadline):
+            async with self.context.time_limits.limit(self.call.deadline):
                 return await self._answer()
         except TimeoutError:
             raise self.sends.out_of_time() from None
--- a/src/bergamotmast/direct/ending.py
+++ b/src/bergamotmast/direct/time_limits.py
@@ -15,7 +15,7 @@
 from ..policy.last_requests import retry_after
 
 
-class Ending:
+class TimeLimits:
     """Says what is still taken, and ends what runs in time for it to be answered.
 
     :param end: ``None`` until the process is told to end.
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -29,6 +29,7 @@
 from .lifecycle import METRICS_PATH
 from .lifecycle import Ending
 from .lifecycle import address_errors
+from .lifecycle import cancel_together
 from .lifecycle import exposition
 from .lifecycle import running
 from .planner.authority import Authority
@@ -106,13 +107,18 @@
         if settings.metrics_address:
             await _listen(stack, _metrics(metrics), settings.metrics_address)
         presence = Presence(store, settings.name, settings.peer_address, rng)
-        for work in (Follower(store, fleet, rng).run(), presence.run()):
-            await stack.enter_async_context(running(work, ending.on_failure))
         planner = _planner(settings, store, context)
-        async with running(planner.run(), ending.on_failure):
-            await ending.told.wait()
-            core.stopping = True
+        works = (Follower(store, fleet, rng).run(), presence.run(), planner.run())
+        tasks = [
+            await stack.enter_async_context(running(work, ending.on_failure))
+            for work in works
+        ]
+        await ending.told.wait()
+        core.stopping = True
+        # Its goodbye gives the lease back, and must not use up the requests' time.
+        tasks[-1].cancel()
         await _drain(front, callers, settings.shutdown_seconds)
+        await cancel_together(tasks)
     logger.info("stops")
     ending.raise_failure()
 
@@ -187,22 +193,23 @@
     now = loop.time()
     end_by = now + max(0.0, seconds - SHUTDOWN_MARGIN_SECONDS)
     end = End(min(now + STILL_ROUTED_SECONDS, end_by), end_by)
-    front.core.context.ending.begin(end)
+    front.core.context.time_limits.begin(end)
     await asyncio.sleep(end.routed_until - now)
     front.ending = True
     await callers.close_idle()
     late_ms = round((loop.time() - end.routed_until) * 1e3, 1)
     running = len(front.busy)
     logger.info("finishes its requests", extra={"running": running, "late_ms": late_ms})
-    await _until_quiet(front, end_by)
+    await _until_quiet(front, callers, end_by)
     await callers.stop_taking()
     logger.info("takes no more requests", extra={"running": len(front.busy)})
-    await _until_quiet(front, end_by + LAST_ANSWERS_SECONDS)
+    await _until_quiet(front, callers, end_by + LAST_ANSWERS_SECONDS)
 
 
-async def _until_quiet(front: DirectFront, end_by: float) -> None:
+async def _until_quiet(front: DirectFront, callers: Listening, end_by: float) -> None:
+    """Wait until no request is at work and each answer is out, to its last byte."""
     loop = asyncio.get_running_loop()
-    while front.busy and loop.time() < end_by:
+    while (front.busy or callers.has_unsent) and loop.time() < end_by:
         await asyncio.sleep(IDLE_CHECK_SECONDS)
 
 
--- a/src/bergamotmast/lifecycle.py
+++ b/src/bergamotmast/lifecycle.py
@@ -71,9 +71,11 @@
 async def running(
     work: cabc.Coroutine[t.Any, t.Any, None],
     on_failure: cabc.Callable[[BaseException], None] | None = None,
-) -> cabc.AsyncIterator[None]:
+) -> cabc.AsyncIterator[asyncio.Task[None]]:
     """Run a process's tasks beside the body; their failure ends the process.
 
+    The body is given the task, and may cancel it before its own end.
+
     A task that is cancelled may still want to say goodbye to a service that does not
     answer; it gets :data:`CANCEL_SECONDS`, so that a process told to end does end.
 
@@ -93,7 +95,7 @@
 
     task.add_done_callback(on_done)
     try:
-        yield
+        yield task
     finally:
         task.cancel()
         await asyncio.wait({task}, timeout=CANCEL_SECONDS)
@@ -104,3 +106,14 @@
             and (error := task.exception()) is not None
         ):
             raise error
+
+
+async def cancel_together(tasks: cabc.Collection[asyncio.Task[None]]) -> None:
+    """Cancel tasks and wait once for all of them, at most :data:`CANCEL_SECONDS`.
+
+    One after the other, each that says goodbye to a silent service would take as long,
+    and the process would be killed before its last answers are out.
+    """
+    for task in tasks:
+        task.cancel()
+    await asyncio.wait(tasks, timeout=CANCEL_SECONDS)
