--- /dev/null
+++ b/tests/kept_callers.py
@@ -0,0 +1,105 @@
+"""Callers on kept connections that send one call after the other without rest."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import itertools
+import json
+
+PAUSE_SECONDS = 0.004
+
+numbers = itertools.count(1)
+
+
+@dataclasses.dataclass(frozen=True)
+class Call:
+    """How one call ended.
+
+    :param status: 0 if the connection was closed without any answer.
+    :param kept: whether an earlier answer had left the connection open.
+    :param outcome: what a refusal says: ``not_run``, ``ran`` or ``unknown``.
+    """
+
+    request_id: str
+    status: int
+    kept: bool
+    outcome: str
+
+
+class KeptCallers:
+    """So many callers of one entry, until the body ends or nobody listens.
+
+    :param calls: how each call ended.
+    """
+
+    def __init__(self, url: str, path: str = "/services/orders") -> None:
+        host, _, port = url.removeprefix("http://").rpartition(":")
+        self.host = host
+        self.port = int(port)
+        self.path = path
+        self.calls: list[Call] = []
+        self.stopping = False
+
+    @contextlib.asynccontextmanager
+    async def sending(self, count):
+        tasks = [asyncio.create_task(self._caller()) for _ in range(count)]
+        try:
+            yield self
+        finally:
+            self.stopping = True
+            await asyncio.wait_for(asyncio.gather(*tasks), 30)
+
+    async def _caller(self) -> None:
+        while not self.stopping:
+            try:
+                reader, writer = await asyncio.open_connection(self.host, self.port)
+            except OSError:
+                return
+            try:
+                await self._on_connection(reader, writer)
+            finally:
+                writer.close()
+
+    async def _on_connection(self, reader, writer) -> None:
+        kept = False
+        while not self.stopping:
+            request_id = f"k{next(numbers)}"
+            call, closes = await self._call(reader, writer, request_id, kept)
+            self.calls.append(call)
+            if closes:
+                return
+            kept = True
+            await asyncio.sleep(PAUSE_SECONDS)
+
+    async def _call(self, reader, writer, request_id, kept):
+        head = (
+            f"POST {self.path} HTTP/1.1\r\nHost: x\r\n"
+            f"X-Request-Id: {request_id}\r\nContent-Length: 3\r\n\r\n"
+        )
+        try:
+            writer.write(head.encode() + b"box")
+            answer = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+            length = answer.partition("content-length:")[2].partition("\r\n")[0]
+            body = await reader.readexactly(int(length))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return Call(request_id, 0, kept, ""), True
+        status = int(answer.split()[1])
+        outcome = "" if status == 200 else json.loads(body)["error"]["outcome"]
+        closes = "connection: close" in answer
+        return Call(request_id, status, kept, outcome), closes
+
+    @property
+    def cut(self) -> list[Call]:
+        """Calls that were neither answered nor refused."""
+        return [call for call in self.calls if not call.status]
+
+    @property
+    def statuses(self) -> dict[int, int]:
+        return dict(collections.Counter(call.status for call in self.calls))
+
+    @property
+    def outcomes(self) -> set[str]:
+        return {call.outcome for call in self.calls}
