--- a/tests/test_daemon_stopping.py
+++ b/tests/test_daemon_stopping.py
@@ -7,6 +7,7 @@
 import signal
 
 import aiohttp
+import pytest
 
 from bergamotmast.bench.trace import TraceRequest
 from bergamotmast.checker import summary
@@ -113,3 +114,24 @@
     assert leaving.cut == []
     assert "unknown" not in leaving.outcomes
     assert counts.answered_whole == counts.sent
+
+
+@pytest.mark.parametrize("name", ["entry-1", "side-service-1", "side-engine-1"])
+async def test_a_reload_disturbs_nothing(name, tmp_path):
+    # SIGHUP asks a process to read its files again. Nothing is read while running, so
+    # nobody may notice: every call is answered, every stream whole, the process stays.
+    flags = ("--log-level", "info")
+    async with process_fleet(
+        tmp_path, 1, 1, 1, side_flags=flags, entry_flags=flags
+    ) as f:
+        callers = KeptCallers(f.urls["entry-1"])
+        async with callers.sending(CALLERS), streaming(f, "entry-1", 2.0):
+            await asyncio.sleep(LOAD_SECONDS)
+            f.signal(name, signal.SIGHUP)
+            await asyncio.sleep(LOAD_SECONDS)
+            assert f.processes[name].returncode is None
+        counts = summary(f.records())
+        log = (tmp_path / f"{name}.log").read_text()
+    assert callers.unanswered == {}
+    assert counts.answered_whole == counts.sent
+    assert log.count("reload") == 1
