--- a/tests/test_daemon_stopping.py
+++ b/tests/test_daemon_stopping.py
@@ -135,3 +135,21 @@
     assert callers.unanswered == {}
     assert counts.answered_whole == counts.sent
     assert log.count("reload") == 1
+
+
+@pytest.mark.parametrize("again", [signal.SIGTERM, signal.SIGINT])
+@pytest.mark.parametrize("name", ["entry-1", "side-service-1"])
+async def test_a_second_signal_cuts_nothing_off(name, again, tmp_path):
+    # The platform says SIGTERM twice, or a person adds Ctrl-C. The process is ending
+    # already, and goes on ending as if told once.
+    async with process_fleet(tmp_path, engines=0, entries=1) as f:
+        callers = KeptCallers(f.urls["entry-1"])
+        async with callers.sending(CALLERS):
+            await asyncio.sleep(LOAD_SECONDS)
+            f.signal(name, signal.SIGTERM)
+            for _ in range(3):
+                await asyncio.sleep(0.05)
+                with contextlib.suppress(ProcessLookupError):
+                    f.signal(name, again)
+            assert await ended(f, name) == 0
+    assert (callers.cut, callers.outcomes - {"", "not_run"}) == ([], set())
