--- a/tests/test_daemon_stopping.py
+++ b/tests/test_daemon_stopping.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import signal
+import time
 
 import aiohttp
 import pytest
@@ -153,3 +154,74 @@
                     f.signal(name, again)
             assert await ended(f, name) == 0
     assert (callers.cut, callers.outcomes - {"", "not_run"}) == ([], set())
+
+
+SLOW_SECONDS = 30.0
+
+
+async def post(session, f, path="/services/orders"):
+    async with session.post(f.urls["entry-1"] + path, data=b"box") as response:
+        return (await response.json()).get("error", {}).get("outcome")
+
+
+async def test_who_is_left_at_the_end_of_the_time_is_told_what_is_known(tmp_path):
+    # One order runs at a service that takes one at a time, another waits behind it, a
+    # stream is half way. The entry's time is over: the caller of the first hears
+    # "unknown", that of the second "not run", the stream ends with a code.
+    flags = ("--service-concurrency", "1")
+    async with (
+        process_fleet(
+            tmp_path,
+            1,
+            1,
+            1,
+            entry_flags=("--shutdown-seconds", "6"),
+            side_flags=flags,
+            service_seconds=SLOW_SECONDS,
+        ) as f,
+        aiohttp.ClientSession() as session,
+    ):
+        running = asyncio.create_task(post(session, f))
+        await asyncio.sleep(0.3)
+        waiting = asyncio.create_task(post(session, f))
+        await asyncio.sleep(0.3)
+        driver = LoadDriver(session, f.urls["entry-1"], f.history)
+        long = asyncio.create_task(driver.send(stream(0.0, 1, 4_000)))
+        await asyncio.sleep(0.3)
+        told_at = time.monotonic()
+        f.signal("entry-1", signal.SIGTERM)
+        assert await ended(f, "entry-1") == 0
+        seconds = time.monotonic() - told_at
+        found = await asyncio.gather(running, waiting, return_exceptions=True)
+        result = await long
+    assert found == ["unknown", "not_run"]
+    assert (result.cut_off, result.outcome) == (False, "ran")
+    assert seconds < 8.0
+
+
+async def test_calls_that_a_side_leaves_at_the_end_of_its_time_are_known(tmp_path):
+    # An order runs at a side whose time is over. The side says so: its caller hears
+    # "unknown" at once, instead of waiting until the side counts as lost. A stream on
+    # another such side goes on elsewhere.
+    flags = ("--shutdown-seconds", "1")
+    async with (
+        process_fleet(
+            tmp_path, 2, 1, 1, side_flags=flags, service_seconds=SLOW_SECONDS
+        ) as f,
+        aiohttp.ClientSession() as session,
+    ):
+        running = asyncio.create_task(post(session, f))
+        driver = LoadDriver(session, f.urls["entry-1"], f.history)
+        calls = [driver.send(stream(0.0, i, 200)) for i in range(4)]
+        streams = asyncio.gather(*calls)
+        await asyncio.sleep(1.0)
+        told_at = time.monotonic()
+        for name in ("side-service-1", "side-engine-1"):
+            f.signal(name, signal.SIGTERM)
+        outcome = await running
+        seconds = time.monotonic() - told_at
+        for name in ("side-service-1", "side-engine-1"):
+            assert await ended(f, name) == 0
+        results = await streams
+    assert (outcome, [r.code for r in results]) == ("unknown", [0] * 4)
+    assert seconds < 3.0
