Test: the last answers of a side, read late

A closed ZeroMQ socket does flush: 20 of 20 frames arrive after context.destroy(linger=0) (new test, passes).

--- a/tests/test_daemon_stopping.py
+++ b/tests/test_daemon_stopping.py
@@ -225,3 +225,21 @@
         results = await streams
     assert (outcome, [r.code for r in results]) == ("unknown", [0] * 4)
     assert seconds < 3.0
+
+
+async def test_an_entry_that_stands_still_gets_the_last_answers_of_a_side(tmp_path):
+    # A side is told to end and hands over its last answers while its entry stands
+    # still. ZeroMQ drops what the entry has not read when the connection closes, and
+    # orders that ran would end as "unknown": the side waits until it hears the entry.
+    async with process_fleet(tmp_path, 0, 2, 1) as f:
+        callers = KeptCallers(f.urls["entry-1"])
+        async with callers.sending(CALLERS):
+            await asyncio.sleep(LOAD_SECONDS)
+            f.signal("side-service-1", signal.SIGTERM)
+            await asyncio.sleep(0.05)
+            await f.pause("entry-1", 1.0)
+            callers.stopping = True
+            assert await ended(f, "side-service-1") == 0
+        records = f.records()
+    assert callers.statuses[200] > CALLERS
+    assert (callers.unanswered, len(callers.ran(records))) == ({}, 0)
--- a/tests/test_zeromq.py
+++ b/tests/test_zeromq.py
@@ -169,3 +169,26 @@
     for link in [*links, friend]:
         link.close()
     listener.close()
+
+
+async def test_the_last_answers_of_a_side_go_out_before_its_process_ends():
+    # A side hands over its last answers, closes its address and ends: closing the
+    # context drops what open sockets hold, but waits for what a closed one has left.
+    address = free_address()
+    side, entry = zmq.asyncio.Context(), zmq.asyncio.Context()
+    listener = ZmqListener(side, address, None)
+    link = ZmqDialer(entry, None).dial(address)
+    await handed_over(link, b"hello")
+    peer, _ = await listener.receive()
+    answers = [b"%d" % i + bytes(20_000) for i in range(20)]
+    for frame in answers:
+        await listener.send(peer, frame)
+    listener.close()
+    side.destroy(linger=0)
+    received = []
+    async with asyncio.timeout(10):
+        while len(received) < len(answers):
+            received += await link.receive_many()
+    assert received == answers
+    link.close()
+    entry.destroy(linger=0)
