--- a/tests/test_daemon_stopping.py
+++ b/tests/test_daemon_stopping.py
@@ -243,3 +243,50 @@
         records = f.records()
     assert callers.statuses[200] > CALLERS
     assert (callers.unanswered, len(callers.ran(records))) == ({}, 0)
+
+
+FAILING = """
+import asyncio
+from {module} import {kind}
+
+async def run(self):
+    await asyncio.sleep(4.0)
+    raise RuntimeError("a fault of ours")
+
+{kind}.run = run
+from bergamotmast.cli import main
+
+main()
+"""
+
+
+async def test_a_fault_beside_the_requests_ends_an_entry_gracefully(tmp_path):
+    # A task that has no part in requests, the planner, fails in an entry under load.
+    # The process ends, since it is broken, but as if told to: no call is cut.
+    program = FAILING.format(module="bergamotmast.planner.planner", kind="Planner")
+    async with process_fleet(tmp_path, 0, 2, 1) as f:
+        await f.kill("entry-1")
+        await f.launch("entry-1", f.commands["entry-1"], ("-c", program))
+        await f.until_serving("entry-1", 2)
+        callers = KeptCallers(f.urls["entry-1"])
+        async with callers.sending(CALLERS):
+            assert await ended(f, "entry-1") != 0
+        log = (tmp_path / "entry-1.log").read_text()
+    assert callers.statuses[200] > CALLERS
+    assert (callers.cut, callers.outcomes - {"", "not_run"}) == ([], set())
+    assert "a fault of ours" in log
+
+
+async def test_a_fault_beside_the_requests_ends_a_side_gracefully(tmp_path):
+    # The task that follows the configuration fails in a side with calls under way.
+    # They are answered where they are, and new ones go to the other side.
+    program = FAILING.format(module="bergamotmast.config.watch", kind="ConfigWatcher")
+    async with process_fleet(tmp_path, 0, 2, 1) as f:
+        await f.kill("side-service-1")
+        await f.launch("side-service-1", f.commands["side-service-1"], ("-c", program))
+        await f.until_serving("entry-1", 2)
+        callers = KeptCallers(f.urls["entry-1"])
+        async with callers.sending(CALLERS):
+            assert await ended(f, "side-service-1") != 0
+    assert callers.statuses[200] > CALLERS
+    assert callers.unanswered == {}
