SIGHUP disturbs neither an entry nor a side

Cause: no handler; the default action ends the process with all that runs. The signals are also taken before the process listens, so that SIGTERM during the start ends it in order. Nothing else was suspected.

Before: three of three processes under load die at once (exit -1).

--- a/src/bergamotmast/daemons.py
+++ b/src/bergamotmast/daemons.py
@@ -7,7 +7,6 @@
 import contextlib
 import logging
 import random
-import signal
 import ssl
 import sys
 import typing as t
@@ -38,6 +37,7 @@
 from .lifecycle import address_errors
 from .lifecycle import exposition
 from .lifecycle import running
+from .lifecycle import told_to_end
 from .policy.presets import PRESETS
 from .settings import EntrySettings
 from .settings import SharedSettings
@@ -51,6 +51,7 @@
 
 async def serve_entry(settings: EntrySettings) -> None:
     """Run an entry until it is told to end and its last answer is out."""
+    told = told_to_end()
     async with _outside(settings) as (session, context):
         metrics = OpenTelemetryMetrics(settings.name)
         parts = _parts(settings, _key_values(settings, session), metrics)
@@ -70,12 +71,13 @@
             _serving(application, settings.listen_address, _tls(settings)),
             running(entry.run()),
         ):
-            await _until_told()
+            await _until(told)
             await _bounded(entry.close(), settings.shutdown_seconds)
 
 
 async def serve_side(settings: SideSettings) -> None:
     """Run a side until it is told to end and its work in flight is done."""
+    told = told_to_end()
     async with _outside(settings) as (session, context):
         metrics = OpenTelemetryMetrics(settings.name)
         parts = _parts(settings, _key_values(settings, session), metrics)
@@ -89,7 +91,7 @@
             _serving(application, settings.metrics_address, None),
             running(side.run()),
         ):
-            await _until_told()
+            await _until(told)
             await _bounded(side.close(), settings.shutdown_seconds)
 
 
@@ -186,12 +188,8 @@
         await runner.cleanup()
 
 
-async def _until_told() -> None:
-    """Wait for SIGTERM or SIGINT."""
-    told = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, told.set)
+async def _until(told: asyncio.Event) -> None:
+    """Say that the process is ready, and wait until it is told to end."""
     print("ready", file=sys.stdout, flush=True)
     await told.wait()
     logger.info("told to end")
--- a/src/bergamotmast/lifecycle.py
+++ b/src/bergamotmast/lifecycle.py
@@ -1,10 +1,12 @@
-"""What the daemons share: tasks beside a body, addresses, metrics over HTTP."""
+"""What the daemons share: signals, tasks beside a body, addresses, metrics."""
 
 from __future__ import annotations
 
 import asyncio
 import collections.abc as cabc
 import contextlib
+import logging
+import signal
 import typing as t
 
 from aiohttp import web
@@ -14,12 +16,32 @@
 if t.TYPE_CHECKING:
     from .adapters.metrics import OpenTelemetryMetrics
 
+logger = logging.getLogger(__name__)
+
 METRICS_PATH = "/metrics"
 
 CANCEL_SECONDS = 0.5
 """Most time that a cancelled task's own ending is waited for."""
 
 
+def told_to_end() -> asyncio.Event:
+    """Return the event that SIGTERM and SIGINT set, however often they come.
+
+    To be called before anything listens: until then a signal ends the process at once.
+    SIGHUP would too by default, with all that runs; it changes nothing here.
+    """
+    told = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, told.set)
+    loop.add_signal_handler(signal.SIGHUP, _on_reload)
+    return told
+
+
+def _on_reload() -> None:
+    logger.info("reload", extra={"changed": "nothing that is read while running"})
+
+
 def exposition(
     metrics: OpenTelemetryMetrics,
 ) -> cabc.Callable[[web.BaseRequest], cabc.Awaitable[web.Response]]:
