Taking stops without resetting what has reached the machine

`serving` belongs to both kinds of entry now. Three causes of requests cut off as a listening address stops taking:

- A request in the receive buffer that the loop has not read: closing the connection resets it.
Before an idle connection is closed, a look whether bytes wait there; then it is read on.
Bounded by a number of looks.
- A connection in the backlog that is not accepted, or was accepted in the same turn: closing the listening socket resets it.
The last ones are accepted through a second descriptor.
- An answer that a slow caller has not read when its handler is done: `emptied` waits until all connections are closed.

Ruled out: the library's own closing, which closes what has no handler.

--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -24,7 +24,6 @@
 from .direct.placing import Placing
 from .direct.presence import Presence
 from .direct.role_planner import RolePlanner
-from .direct.serving import Listening
 from .history import NullHistory
 from .lifecycle import METRICS_PATH
 from .lifecycle import address_errors
@@ -38,6 +37,7 @@
 from .platform.store import PlatformStore
 from .policy.retry_window import RetryLimits
 from .protocol.plan import HOLDER_KEY
+from .serving import Listening
 from .settings import DirectEntrySettings
 
 logger = logging.getLogger(__name__)
--- /dev/null
+++ b/src/bergamotmast/serving.py
@@ -0,0 +1,224 @@
+"""Listens for callers and probes, and stops in steps that cut nothing off."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc as cabc
+import contextlib
+import select
+import socket
+import ssl
+
+from aiohttp import web
+
+BACKLOG = 1024
+"""Connections waiting to be taken; an overflow costs a caller seconds."""
+
+TURNS_TO_HANDLER = 5
+"""Turns of the event loop within which a request that was read is with its handler;
+the library takes three."""
+
+MOST_LOOKS = 20
+"""Looks for idle connections before those that still bring bytes are closed too: a
+caller that sends bytes one by one must not hold the end up."""
+
+HANDSHAKE_SECONDS = 1.0
+"""Given to a TLS handshake that begins as the address is closed."""
+
+CLOSE_SECONDS = 0.3
+"""Given to handlers that are still at work when all is closed."""
+
+EMPTY_CHECK_SECONDS = 0.05
+"""Between two looks whether the last connection is closed."""
+
+
+class Listening:
+    """One server at one address.
+
+    :param busy: connections whose request is being answered.
+    :param tls: certificate and key; plain HTTP if ``None``.
+    """
+
+    def __init__(
+        self,
+        server: web.Server,
+        address: str,
+        busy: cabc.Container[asyncio.BaseProtocol] = (),
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self.server = server
+        self.busy = busy
+        self.address = address
+        self.tls = tls
+        self.runner = web.ServerRunner(server, shutdown_timeout=CLOSE_SECONDS)
+        self.sockets: list[socket.socket] = []
+
+    async def start(self) -> None:
+        """Listen.
+
+        :raises OSError: if the address can't be bound.
+        """
+        await self.runner.setup()
+        self.sockets = await _bound(self.address)
+        for listening in self.sockets:
+            site = web.SockSite(
+                self.runner, listening, backlog=BACKLOG, ssl_context=self.tls
+            )
+            await site.start()
+
+    async def stop_taking(self) -> None:
+        """Take no connection and no request any more; requests at work go on.
+
+        An idle connection that stayed open could bring a request just before the
+        process ends, which would then be cut off after it was read. Closed now, while
+        it is idle, its caller knows that a request under way was never read.
+        """
+        await self._stop_accepting()
+        for _ in range(MOST_LOOKS):
+            if not await self._close_idle(spare_unread=True):
+                return
+        await self._close_idle(spare_unread=False)
+
+    async def _stop_accepting(self) -> None:
+        """Close the address; who connected before is served.
+
+        Closing a listening socket resets the connections in its backlog, on which a
+        request may have been sent. So the last of them are accepted here, through a
+        second descriptor, which leaves microseconds between the look and the close.
+        """
+        loop = asyncio.get_running_loop()
+        kept = [listening.dup() for listening in self.sockets]
+        for listening in self.sockets:
+            loop.remove_reader(listening)
+        self.sockets = []
+        # A connection that was accepted a moment ago would be lost with its server.
+        await _turns(TURNS_TO_HANDLER)
+        for site in self.runner.sites:
+            await site.stop()
+        accepted = [c for listening in kept for c in _accept_and_close(listening)]
+        await asyncio.gather(*map(self._serve, accepted))
+
+    async def _serve(self, connection: socket.socket) -> None:
+        """Serve a connection that was accepted here."""
+        loop = asyncio.get_running_loop()
+        limit = HANDSHAKE_SECONDS if self.tls else None
+        with contextlib.suppress(OSError):
+            await loop.connect_accepted_socket(
+                self.server, connection, ssl=self.tls, ssl_handshake_timeout=limit
+            )
+
+    async def _close_idle(self, spare_unread: bool) -> bool:
+        """Close the idle connections; return whether one was spared.
+
+        A connection without a handler is not yet idle: its request may have been read
+        a moment ago. Closed then, the request would be sent to an upstream and cut off
+        there. So nothing is read any more first, and what was read reaches its handler.
+
+        :param spare_unread: whether those stay open on which bytes wait unread, since
+            closing them would reset a connection with a request on it.
+        """
+        await _turns(TURNS_TO_HANDLER)
+        quiet = self._without_handler()
+        for transport in quiet.values():
+            transport.pause_reading()
+        await _turns(TURNS_TO_HANDLER)
+        idle = self._without_handler()
+        spared = False
+        for connection, transport in quiet.items():
+            if transport.is_closing():
+                continue
+            if connection not in idle:
+                transport.resume_reading()
+            elif spare_unread and _has_unread(transport):
+                spared = True
+                transport.resume_reading()
+            else:
+                transport.close()
+        return spared
+
+    def _without_handler(self) -> dict[asyncio.BaseProtocol, asyncio.Transport]:
+        """Return the open connections whose request, if any, has no handler yet."""
+        return {
+            connection: connection.transport
+            for connection in self.server.connections
+            if connection not in self.busy
+            and connection.transport is not None
+            and not connection.transport.is_closing()
+        }
+
+    async def drain(self, routed_until: float, end_by: float) -> bool:
+        """Serve on until callers are sent elsewhere and the last answer is out.
+
+        Readiness fails already, and answers say that their connection closes.
+
+        :param routed_until: how long new requests are taken.
+        :param end_by: when the wait for the last answer ends; both are points on the
+            event loop's clock.
+        :returns: whether every answer is out.
+        """
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(min(routed_until, end_by) - loop.time())
+        await self.stop_taking()
+        return await self.emptied(end_by)
+
+    async def emptied(self, end_by: float) -> bool:
+        """Wait until the last answer is out, also at a caller who reads slowly.
+
+        A connection whose answer left it open is closed as it becomes idle.
+
+        :param end_by: when the wait ends on the event loop's clock.
+        :returns: whether all connections are closed.
+        """
+        loop = asyncio.get_running_loop()
+        while self.server.connections and loop.time() < end_by:
+            await self._close_idle(spare_unread=True)
+            await asyncio.sleep(EMPTY_CHECK_SECONDS)
+        return not self.server.connections
+
+    async def close(self) -> None:
+        """Close everything."""
+        await self.runner.cleanup()
+
+
+async def _turns(count: int) -> None:
+    """Give the event loop's other tasks so many turns."""
+    for _ in range(count):
+        await asyncio.sleep(0)
+
+
+async def _bound(address: str) -> list[socket.socket]:
+    """Return listening sockets, one for each address of the host."""
+    host, _, port = address.rpartition(":")
+    infos = await asyncio.get_running_loop().getaddrinfo(
+        host.strip("[]"), int(port), type=socket.SOCK_STREAM, flags=socket.AI_PASSIVE
+    )
+    found: list[socket.socket] = []
+    try:
+        for family, _, _, _, name in dict.fromkeys(infos):
+            new = socket.create_server(name[:2], family=family, backlog=BACKLOG)
+            new.setblocking(False)
+            found.append(new)
+    except OSError:
+        for earlier in found:
+            earlier.close()
+        raise
+    return found
+
+
+def _accept_and_close(listening: socket.socket) -> list[socket.socket]:
+    """Accept the connections that wait and close the listening socket."""
+    accepted: list[socket.socket] = []
+    with listening, contextlib.suppress(OSError):
+        while True:
+            connection, _ = listening.accept()
+            connection.setblocking(False)
+            accepted.append(connection)
+    return accepted
+
+
+def _has_unread(transport: asyncio.Transport) -> bool:
+    """Return whether bytes, or the end, wait in a connection's receive buffer."""
+    connection = transport.get_extra_info("socket")
+    poll = select.poll()
+    poll.register(connection.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
--- a/tests/direct_support.py
+++ b/tests/direct_support.py
@@ -15,10 +15,10 @@
 from bergamotmast.direct.fleet import Fleet
 from bergamotmast.direct.front import DirectFront
 from bergamotmast.direct.placing import Placing
-from bergamotmast.direct.serving import Listening
 from bergamotmast.platform.directory import PlatformDirectory
 from bergamotmast.platform.headers import PlatformDialect
 from bergamotmast.ports import KeyValue
+from bergamotmast.serving import Listening
 from bergamotmast.telemetry import NullTelemetry
 from platform_standin import Replica
 
--- /dev/null
+++ b/tests/test_serving.py
@@ -0,0 +1,149 @@
+"""A listening address that stops taking: what reached the process is answered."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+from aiohttp import web
+
+from bergamotmast.serving import Listening
+
+REQUEST = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+class Front:
+    """Answers after ``pace`` seconds with so many bytes; counts what it answered."""
+
+    def __init__(self, pace: float = 0.0, size: int = 2) -> None:
+        self.pace = pace
+        self.size = size
+        self.busy = set()
+        self.answered = 0
+
+    async def handle(self, request):
+        self.busy.add(request.protocol)
+        try:
+            await asyncio.sleep(self.pace)
+            self.answered += 1
+            return web.Response(body=b"x" * self.size)
+        finally:
+            self.busy.discard(request.protocol)
+
+    async def listen(self) -> Listening:
+        server = web.Server(self.handle, access_log=None)
+        listening = Listening(server, "127.0.0.1:0", self.busy)
+        await listening.start()
+        return listening
+
+
+def connect(listening):
+    raw = socket.create_connection(listening.runner.addresses[0])
+    raw.setblocking(False)
+    return raw
+
+
+async def read(raw, seconds=2.0):
+    """Return all that comes until the connection is closed."""
+    reader, writer = await asyncio.open_connection(sock=raw)
+    try:
+        return await asyncio.wait_for(reader.read(), seconds)
+    finally:
+        writer.close()
+
+
+@pytest.mark.parametrize("turns", range(9))
+async def test_a_request_in_the_receive_buffer_is_answered(turns):
+    # A kept connection's next request has reached the machine, but the process has
+    # not read it when it stops taking. Closing the connection would reset it.
+    front = Front()
+    listening = await front.listen()
+    raw = connect(listening)
+    raw.send(REQUEST)
+    while not front.answered:
+        await asyncio.sleep(0.01)
+    raw.send(REQUEST)
+    for _ in range(turns):
+        await asyncio.sleep(0)
+    await listening.stop_taking()
+    assert await listening.emptied(asyncio.get_running_loop().time() + 2)
+    assert (await read(raw)).count(b"200 OK") == front.answered == 2
+    await listening.close()
+
+
+@pytest.mark.parametrize("turns", range(9))
+async def test_a_connection_in_the_backlog_is_served(turns):
+    # Callers have connected and sent a request, but the process has not accepted them
+    # when it closes its address. Closing it at once would reset them.
+    front = Front()
+    listening = await front.listen()
+    raws = []
+    for number in range(20):
+        raws.append(connect(listening))
+        raws[-1].send(REQUEST)
+        if number < turns:
+            await asyncio.sleep(0)
+    await listening.stop_taking()
+    answers = await asyncio.gather(*map(read, raws))
+    assert [answer.count(b"200 OK") for answer in answers] == [1] * 20
+    with pytest.raises(OSError):
+        connect_again = socket.create_connection(raws[0].getpeername())
+        connect_again.close()
+    await listening.close()
+
+
+async def test_a_request_at_work_is_answered_and_its_connection_closed():
+    # Taking stops while a request runs. It is answered, and nothing is left open.
+    front = Front(pace=0.2)
+    listening = await front.listen()
+    raw = connect(listening)
+    raw.send(REQUEST)
+    await asyncio.sleep(0.05)
+    await listening.stop_taking()
+    assert await listening.emptied(asyncio.get_running_loop().time() + 2)
+    assert (await read(raw)).count(b"200 OK") == 1
+    await listening.close()
+
+
+async def test_a_caller_that_reads_slowly_gets_its_whole_answer():
+    # The handler is done, but most of the answer still waits for its caller to read.
+    # The process must not end before it is out; the wait has its bound.
+    size = 20_000_000
+    front = Front(size=size)
+    listening = await front.listen()
+    raw = connect(listening)
+    raw.send(REQUEST)
+    while not front.answered:
+        await asyncio.sleep(0.01)
+    await listening.stop_taking()
+    loop = asyncio.get_running_loop()
+    assert not await listening.emptied(loop.time() + 0.2)
+    emptied = asyncio.create_task(listening.emptied(loop.time() + 10))
+    answer = await read(raw, 10.0)
+    assert answer.count(b"x") == size
+    assert await emptied
+    await listening.close()
+
+
+async def test_a_caller_that_sends_byte_by_byte_does_not_hold_the_end_up():
+    # A caller drips its request's head, so that there is always something unread. It
+    # is closed after a bounded number of looks.
+    front = Front()
+    listening = await front.listen()
+    raw = connect(listening)
+    raw.send(REQUEST[:4])
+
+    async def drip():
+        while True:
+            await asyncio.sleep(0)
+            raw.send(b"x")
+
+    dripping = asyncio.create_task(drip())
+    await asyncio.sleep(0.05)
+    async with asyncio.timeout(2):
+        await listening.stop_taking()
+    await asyncio.wait({dripping}, timeout=2)
+    assert isinstance(dripping.exception(), OSError)
+    raw.close()
+    await listening.close()
