An entry ends in the steps of the direct entry

Cause: the process ended by the HTTP library's cleanup, which closes every connection without a handler, so each kept connection lost the call under way; nothing had told its caller to leave. Now readiness goes off and every answer says "Connection: close" for the 5 s of the balancer, then taking stops, then the last answer is waited for. Ruled out: the wait for requests in flight itself, which counted all of them; a longer notice, since a kept connection stays whatever its length.

--- a/src/bergamotmast/app.py
+++ b/src/bergamotmast/app.py
@@ -18,6 +18,7 @@
 from .config.store import ConfigStore
 from .config.watch import ConfigWatcher
 from .entry.admin import AdminHttp
+from .entry.core import SHUTDOWN_NOTICE
 from .entry.core import EntryCore
 from .entry.fleet import read_fleet
 from .entry.fleet_picture import EntryFleetView
@@ -107,6 +108,7 @@
     :param holder: the configuration in force.
     :param core: the entry itself.
     :param planner: plans while it holds the lease; ``None`` if it may not.
+    :param busy: connections whose request is being answered.
     """
 
     def __init__(
@@ -134,6 +136,7 @@
             rng=parts.rng,
             telemetry=parts.telemetry,
         )
+        self.busy: set[asyncio.BaseProtocol] = set()
         self.planner: Planner | None = None
         if may_plan:
             self.planner = self._new_planner(parts, weights, lease_seconds)
@@ -157,7 +160,9 @@
 
     def application(self, limits: CallerLimits | None = None) -> web.Application:
         """Return the HTTP application that serves callers and operators."""
-        application = EntryHttp(self.core, limits).application()
+        http = EntryHttp(self.core, limits)
+        self.busy = http.busy
+        application = http.application()
         admin = AdminHttp(self.holder, self.store, lambda: read_fleet(self.core))
         application.add_subapp(ADMIN_PATH, admin.application())
         return application
@@ -171,9 +176,12 @@
             if self.planner is not None:
                 group.create_task(self.planner.run())
 
-    async def close(self) -> None:
-        """Refuse new requests and wait until the last answer is out."""
-        await self.core.close()
+    async def close(self, notice: float = SHUTDOWN_NOTICE) -> None:
+        """Refuse new requests and wait until the last answer is out.
+
+        :param notice: seconds that the balancer is given first.
+        """
+        await self.core.close(notice)
         await self.claims.flush()
 
 
--- a/src/bergamotmast/daemons.py
+++ b/src/bergamotmast/daemons.py
@@ -30,6 +30,7 @@
 from .app import SideProcess
 from .app import engine_side
 from .app import service_side
+from .entry.core import SHUTDOWN_NOTICE
 from .entry.http import CallerLimits
 from .errors import SettingError
 from .history import NullHistory
@@ -39,6 +40,7 @@
 from .lifecycle import running
 from .lifecycle import told_to_end
 from .policy.presets import PRESETS
+from .serving import Listening
 from .settings import EntrySettings
 from .settings import SharedSettings
 from .settings import SideSettings
@@ -67,12 +69,12 @@
         limits = CallerLimits(settings.max_body_bytes, settings.max_context_tokens)
         application = entry.application(limits)
         application.router.add_get(METRICS_PATH, exposition(metrics))
-        async with (
-            _serving(application, settings.listen_address, _tls(settings)),
-            running(entry.run()),
-        ):
+        callers = Listening(
+            application, settings.listen_address, entry.busy, _tls(settings)
+        )
+        async with _serving(callers), running(entry.run()):
             await _until(told)
-            await _bounded(entry.close(), settings.shutdown_seconds)
+            await _end_entry(entry, callers, settings.shutdown_seconds)
 
 
 async def serve_side(settings: SideSettings) -> None:
@@ -87,10 +89,11 @@
         side = _side(settings, parts, listener, session)
         application = web.Application()
         application.router.add_get(METRICS_PATH, exposition(metrics))
-        async with (
-            _serving(application, settings.metrics_address, None),
-            running(side.run()),
-        ):
+        async with contextlib.AsyncExitStack() as stack:
+            if settings.metrics_address:
+                metrics_listening = Listening(application, settings.metrics_address)
+                await stack.enter_async_context(_serving(metrics_listening))
+            await stack.enter_async_context(running(side.run()))
             await _until(told)
             await _bounded(side.close(), settings.shutdown_seconds)
 
@@ -169,23 +172,24 @@
 
 
 @contextlib.asynccontextmanager
-async def _serving(
-    application: web.Application, address: str, tls: ssl.SSLContext | None
-) -> cabc.AsyncIterator[None]:
-    """Serve an application at an address; nothing if that is empty."""
-    if not address:
-        yield
-        return
-    host, _, port = address.rpartition(":")
-    runner = web.AppRunner(application, access_log=None)
-    await runner.setup()
+async def _serving(listening: Listening) -> cabc.AsyncIterator[None]:
+    with address_errors(listening.address):
+        await listening.start()
     try:
-        site = web.TCPSite(runner, host.strip("[]"), int(port), ssl_context=tls)
-        with address_errors(address):
-            await site.start()
         yield
     finally:
-        await runner.cleanup()
+        await listening.close()
+
+
+async def _end_entry(entry: EntryProcess, callers: Listening, seconds: float) -> None:
+    """Serve on until callers are sent elsewhere and the last request is answered."""
+    told_at = asyncio.get_running_loop().time()
+    end_by = told_at + seconds
+    entry.core.closing = True
+    if not await callers.drain(told_at + SHUTDOWN_NOTICE, end_by):
+        logger.warning("work in flight did not end within %g s", seconds)
+        return
+    await entry.close(notice=0.0)
 
 
 async def _until(told: asyncio.Event) -> None:
--- a/src/bergamotmast/entry/http.py
+++ b/src/bergamotmast/entry/http.py
@@ -68,17 +68,21 @@
 
     :param core: the entry.
     :param limits: how much one caller may ask for.
+    :param busy: connections whose request is being answered.
     """
 
     def __init__(self, core: EntryCore, limits: CallerLimits | None = None) -> None:
         self.core = core
         self.limits = limits or CallerLimits()
+        self.busy: set[asyncio.BaseProtocol] = set()
 
     def application(self) -> web.Application:
         """Return the application that serves callers."""
         application = web.Application(
-            client_max_size=self.limits.body_bytes, middlewares=[self._errors]
+            client_max_size=self.limits.body_bytes,
+            middlewares=[self._at_work, self._errors],
         )
+        application.on_response_prepare.append(self._say_close)
         router = application.router
         router.add_post("/v1/completions", self._completions)
         router.add_post("/v1/chat/completions", self._chat_completions)
@@ -89,6 +93,25 @@
         router.add_get("/health/sides", self._sides)
         return application
 
+    @web.middleware
+    async def _at_work(
+        self, request: web.Request, handler: _Handler
+    ) -> web.StreamResponse:
+        """Note which connections must not be closed as idle."""
+        self.busy.add(request.protocol)
+        try:
+            return await handler(request)
+        finally:
+            self.busy.discard(request.protocol)
+
+    async def _say_close(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Tell callers of an entry that ends to use another connection next."""
+        if self.core.closing:
+            response.force_close()
+            response.headers["Connection"] = "close"
+
     @web.middleware
     async def _errors(
         self, request: web.Request, handler: _Handler
--- a/src/bergamotmast/serving.py
+++ b/src/bergamotmast/serving.py
@@ -33,7 +33,7 @@
 
 
 class Listening:
-    """One server at one address.
+    """One server, or one application, at one address.
 
     :param busy: connections whose request is being answered.
     :param tls: certificate and key; plain HTTP if ``None``.
@@ -41,18 +41,23 @@
 
     def __init__(
         self,
-        server: web.Server,
+        server: web.Server | web.Application,
         address: str,
         busy: cabc.Container[asyncio.BaseProtocol] = (),
         tls: ssl.SSLContext | None = None,
     ) -> None:
-        self.server = server
         self.busy = busy
         self.address = address
         self.tls = tls
-        self.runner = web.ServerRunner(server, shutdown_timeout=CLOSE_SECONDS)
+        self.runner = _runner(server)
         self.sockets: list[socket.socket] = []
 
+    @property
+    def server(self) -> web.Server:
+        """The server that has the connections, once it is started."""
+        assert self.runner.server is not None
+        return self.runner.server
+
     async def start(self) -> None:
         """Listen.
 
@@ -180,6 +185,12 @@
         await self.runner.cleanup()
 
 
+def _runner(server: web.Server | web.Application) -> web.BaseRunner:
+    if isinstance(server, web.Application):
+        return web.AppRunner(server, shutdown_timeout=CLOSE_SECONDS, access_log=None)
+    return web.ServerRunner(server, shutdown_timeout=CLOSE_SECONDS)
+
+
 async def _turns(count: int) -> None:
     """Give the event loop's other tasks so many turns."""
     for _ in range(count):
