--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -7,7 +7,6 @@
 import contextlib
 import logging
 import random
-import signal
 
 from aiohttp import web
 
@@ -24,7 +23,6 @@
 from .direct.placing import Placing
 from .direct.presence import Presence
 from .direct.role_planner import RolePlanner
-from .direct.serving import Listening
 from .history import NullHistory
 from .lifecycle import METRICS_PATH
 from .lifecycle import Ending
@@ -32,6 +30,7 @@
 from .lifecycle import cancel_together
 from .lifecycle import exposition
 from .lifecycle import running
+from .lifecycle import told_to_end
 from .planner.authority import Authority
 from .planner.plan_store import PlanStore
 from .platform.directory import PlatformDirectory
@@ -41,6 +40,7 @@
 from .policy.last_requests import End
 from .policy.retry_window import RetryLimits
 from .protocol.plan import HOLDER_KEY
+from .serving import Listening
 from .settings import DirectEntrySettings
 
 logger = logging.getLogger(__name__)
@@ -79,8 +79,7 @@
     at work are not concerned, and cut off, their callers would have no answer.
     """
     logger.info("starts", extra={"zone": settings.zone})
-    ending = Ending()
-    _end_on_signals(ending)
+    ending = Ending(told_to_end())
     rng = random.Random()
     metrics = OpenTelemetryMetrics(settings.name)
     fleet = Fleet(PlatformDirectory(), asyncio.get_running_loop().time)
@@ -200,26 +199,8 @@
     late_ms = round((loop.time() - end.routed_until) * 1e3, 1)
     running = len(front.busy)
     logger.info("finishes its requests", extra={"running": running, "late_ms": late_ms})
-    await _until_quiet(front, callers, end_by)
+    while front.busy and loop.time() < end_by:
+        await asyncio.sleep(IDLE_CHECK_SECONDS)
     await callers.stop_taking()
     logger.info("takes no more requests", extra={"running": len(front.busy)})
-    await _until_quiet(front, callers, end_by + LAST_ANSWERS_SECONDS)
-
-
-async def _until_quiet(front: DirectFront, callers: Listening, end_by: float) -> None:
-    """Wait until no request is at work and each answer is out, to its last byte."""
-    loop = asyncio.get_running_loop()
-    while (front.busy or callers.has_unsent) and loop.time() < end_by:
-        await asyncio.sleep(IDLE_CHECK_SECONDS)
-
-
-def _end_on_signals(ending: Ending) -> None:
-    """Have SIGTERM end the process; SIGHUP changes nothing that is read here."""
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, ending.told.set)
-    loop.add_signal_handler(signal.SIGHUP, _on_reload)
-
-
-def _on_reload() -> None:
-    logger.info("reload", extra={"changed": "nothing that is read while running"})
+    await callers.emptied(end_by + LAST_ANSWERS_SECONDS)
