A line that can't be written ends no request

Cause: a record with bytes that are no UTF-8 (a caller's id stands in each line of its request), or with something that has no text, made the log raise where it was written; the caller's connection was closed after the answer, and the line was missing. Before: connection closed, no line. After: the next request on the connection is answered; such bytes are written as escapes, and a line that can't be written at all is counted with those that were dropped.

--- a/src/bergamotmast/bounded_log.py
+++ b/src/bergamotmast/bounded_log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import json
 import logging
 import os
 import time
@@ -53,7 +54,13 @@
         if not self._may_write(record):
             self.dropped += 1
             return
-        line = self._encode(record)
+        try:
+            line = self._encode(record)
+        except Exception:
+            # Whatever can't be written must not end the request that wrote it: its
+            # caller would have a closed connection in place of its answer.
+            self.dropped += 1
+            return
         if self.waiting_bytes + len(line) > MOST_WAITING_BYTES:
             self.dropped += 1
         else:
@@ -108,4 +115,12 @@
             fields["exception"] = logging.Formatter().formatException(record.exc_info)
         if self.dropped:
             fields["dropped_before"] = self.dropped
-        return msgspec.json.encode(fields, enc_hook=str) + b"\n"
+        return _json(fields) + b"\n"
+
+
+def _json(fields: dict[str, t.Any]) -> bytes:
+    try:
+        return msgspec.json.encode(fields, enc_hook=str)
+    except UnicodeEncodeError:
+        # A caller's bytes that are no UTF-8, which this one writes as escapes.
+        return json.dumps(fields, default=str).encode()
--- a/tests/test_bounded_log.py
+++ b/tests/test_bounded_log.py
@@ -108,3 +108,27 @@
     logger.info("anything")
     assert handler.waiting_bytes == 0
     os.close(writable)
+
+
+class Unwritable:
+    """Something that has no text."""
+
+    def __str__(self) -> str:
+        raise ValueError("no text")
+
+
+def test_line_with_bytes_that_are_no_utf8_is_written(pipe):
+    logger, _, readable = pipe
+    logger.info("request ended", extra={"target": "/a\udcff", "more": ["\ud800"]})
+    (line,) = lines(readable)
+    assert line["event"] == "request ended"
+    assert line["target"] == "/a\udcff"
+
+
+def test_line_that_can_not_be_written_is_counted_and_ends_nothing(pipe):
+    logger, _, readable = pipe
+    logger.info("request ended", extra={"upstream": Unwritable()})
+    logger.info("%d requests", "many")
+    logger.info("request ended")
+    (line,) = lines(readable)
+    assert line["dropped_before"] == 2
