--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -7,6 +7,7 @@
 import json
 import logging
 import os
+import resource
 import signal
 import socket
 
@@ -15,7 +16,9 @@
 
 from bergamotmast import direct_daemon
 from bergamotmast.bounded_log import BoundedJsonHandler
+from bergamotmast.direct import front
 from bergamotmast.direct import role_planner
+from bergamotmast.direct.events import EventSplitter
 from bergamotmast.direct.following import Follower
 from bergamotmast.direct.presence import PRESENCE_PREFIX
 from bergamotmast.direct.presence import Presence
@@ -45,6 +48,8 @@
 from platform_standin import Replica
 from platform_standin import Store
 from platform_standin import answer
+from platform_standin import chunk
+from platform_standin import event
 from platform_standin import hang
 from platform_standin import head
 from test_direct_process import PORTS
@@ -375,9 +380,9 @@
         task.cancelled() or task.exception()
 
 
-async def connect_soon(port: int):
+async def connect_soon(port: int, seconds: float = 2):
     """Connect to a port that is about to be listened on."""
-    async with asyncio.timeout(2):
+    async with asyncio.timeout(seconds):
         while True:
             with contextlib.suppress(ConnectionError):
                 return await asyncio.open_connection("127.0.0.1", port)
@@ -668,3 +673,231 @@
         writer.close()
     assert got.status == 400
     assert replica.received == []
+
+
+async def test_suspension_over_the_moment_at_which_an_entry_stops_taking():
+    """A process is suspended from before that moment to after it, and wakes.
+
+    Requests arrived meanwhile, on a kept connection and on a new one. All is over in
+    one pass of the event loop: what is read in it is answered.
+    """
+    replica = Replica("i-1", answer())
+    async with entry_before(replica, seconds="8") as (entry, _):
+        kept, kept_writer = await send(entry, request("/read/x", **CALLER))
+        assert (await read_answer(kept)).status == 200
+        loop = asyncio.get_running_loop()
+        entry.process.send_signal(signal.SIGTERM)
+        wakes_at = loop.time() + direct_daemon.STILL_ROUTED_SECONDS + 0.1
+        await asyncio.sleep(direct_daemon.STILL_ROUTED_SECONDS - 0.4)
+        entry.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(0.1)
+        kept_writer.write(request("/read/x", request_id="kept", **CALLER))
+        new, new_writer = await send(entry, request("/order/x", **CALLER))
+        await asyncio.sleep(wakes_at - loop.time())
+        entry.process.send_signal(signal.SIGCONT)
+        for reader in (kept, new):
+            assert (await asyncio.wait_for(read_answer(reader), 2)).status == 200
+        kept_writer.close()
+        new_writer.close()
+
+
+async def slow_answer(replica: Replica, received: Received, writer) -> None:
+    """Answer after a second."""
+    await asyncio.sleep(1.0)
+    await answer()(replica, received, writer)
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT, signal.SIGHUP])
+async def test_second_signal_cuts_nothing_off(number):
+    """An entry that was told to end gets another signal while an order is at work."""
+    replica = Replica("i-1", slow_answer)
+    async with entry_before(replica, seconds="8") as (entry, _):
+        reader, writer = await send(entry, request("/order/x", **CALLER))
+        await until(lambda: bool(replica.received))
+        for each in (signal.SIGTERM, number, number):
+            entry.process.send_signal(each)
+            await asyncio.sleep(0.1)
+        got = await asyncio.wait_for(read_answer(reader), 2)
+        writer.close()
+    assert got.status == 200
+
+
+async def test_signal_before_the_first_reading_of_the_store():
+    """The store does not answer as an entry starts; callers come, then SIGTERM.
+
+    They are told that nothing ran and when to come back.
+    """
+    async with Store() as store:
+        store.outage = 503
+        async with process(store, seconds="4") as entry:
+            reader, writer = await connect_soon(entry.port, 10)
+            writer.write(request("/order/x", **CALLER))
+            entry.process.send_signal(signal.SIGTERM)
+            got = await asyncio.wait_for(read_answer(reader), 2)
+            writer.close()
+            assert await asyncio.wait_for(entry.process.wait(), 4) == 0
+    assert got.status == 503
+    assert float(got.headers["retry-after"]) > 0
+
+
+async def test_log_whose_reader_is_gone_ends_no_request():
+    """Whatever reads the logs has ended: each write to them fails."""
+    replica = Replica("i-1", answer())
+    async with entry_before(replica) as (entry, _):
+        entry.process._transport.get_pipe_transport(1).close()
+        for _ in range(3):
+            reader, writer = await send(entry, request("/order/x", **CALLER))
+            got = await asyncio.wait_for(read_answer(reader), 2)
+            writer.close()
+            assert got.status == 200
+
+
+async def order_alone(entry: Process):
+    """Ask for something on a connection that is closed after the answer."""
+    reader, writer = await send(entry, request("/order/x", **CALLER))
+    try:
+        return await read_answer(reader)
+    finally:
+        writer.close()
+
+
+async def test_callers_beyond_the_limit_of_descriptors_wait_for_one():
+    """A process may open no further file: connections wait to be taken in.
+
+    Once others are closed they are taken, and their requests answered; none that was
+    read is lost, and an order that could not be sent on is refused as not run.
+    """
+    replica = Replica("i-1", answer())
+    async with entry_before(replica, seconds="8") as (entry, _):
+        pid = entry.process.pid
+        now_open = len(os.listdir(f"/proc/{pid}/fd"))
+        _, hard = resource.prlimit(pid, resource.RLIMIT_NOFILE)
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (now_open + 5, hard))
+        idle = [await send(entry, b"") for _ in range(5)]
+        calls = [asyncio.create_task(order_alone(entry)) for _ in range(10)]
+        await asyncio.sleep(0.3)
+        assert not any(call.done() for call in calls)
+        for _, writer in idle:
+            writer.close()
+        answers = await asyncio.wait_for(asyncio.gather(*calls), 20)
+    assert {got.status for got in answers} <= {200, 503}
+    assert len(replica.received) == sum(got.status == 200 for got in answers)
+
+
+async def test_group_that_vanishes_while_a_stream_waits():
+    """A stream waits for an engine; the operators take the route and its group out.
+
+    The engine comes under that name all the same, or does not: the caller is told.
+    """
+    one = engine("i-1", EngineScript(), "prefill")
+    async with serving(one, document=config(routes=ROUTES)) as entry:
+        plan = EnginePlan(1, 1, Assignment(Role.DECODE))
+        entry.put(engine_key("i-1"), encode_record(plan))
+        task = asyncio.create_task(entry.ask("/talk/x", **CALLER))
+        await asyncio.sleep(0.2)
+        entry.put("op/config", config(2, routes=[]) | {"services": []})
+        await asyncio.sleep(0.1)
+        entry.fleet.remove("servers/i-1", entry.revision + 1)
+        got = await asyncio.wait_for(task, 1)
+    assert got.status == 503
+
+
+@pytest.mark.parametrize("events", [0, 2])
+async def test_fault_of_the_entry_itself_is_told(events, monkeypatch):
+    """Something that nobody has foreseen fails, before the answer or within it.
+
+    Before, the caller is told; within, the stream looks incomplete.
+    """
+    split = EventSplitter.feed
+
+    def feed(self, data: bytes):
+        for whole in split(self, data):
+            if whole.number is not None and whole.number > events:
+                raise RuntimeError("unforeseen")
+            yield whole
+
+    monkeypatch.setattr(EventSplitter, "feed", feed)
+    async with serving(engine("i-1", EngineScript(pause=0.02))) as entry:
+        got = await asyncio.wait_for(entry.ask("/talk/x", X_Token_Count="400,9"), 2)
+    if events:
+        assert got.status == 200
+        assert got.body.count(b"id:") == events
+        assert not got.complete
+    else:
+        assert got.status == 500
+
+
+@pytest.mark.parametrize("turns", range(6))
+async def test_request_that_comes_as_its_connection_has_been_idle_too_long(
+    turns, monkeypatch
+):
+    """A kept connection brings a request in the moment at which it is to be closed.
+
+    Either it was not read, or it is answered.
+    """
+    monkeypatch.setattr(front, "IDLE_SECONDS", 0.2)
+    replica = Replica("i-1", answer())
+    async with serving(replica) as entry:
+        caller = socket.create_connection(("127.0.0.1", entry.port))
+        caller.setblocking(False)
+        loop = asyncio.get_running_loop()
+        sent = asyncio.Event()
+
+        def send_after(left: int) -> None:
+            if left:
+                loop.call_soon(send_after, left - 1)
+                return
+            with contextlib.suppress(ConnectionError):
+                caller.send(request("/order/x"))
+            sent.set()
+
+        await until(lambda: bool(entry.listening.server.connections))
+        (connection,) = entry.listening.server.connections
+        loop.call_at(connection._keepalive_handle.when() - 1e-4, send_after, turns)
+        await sent.wait()
+        got = b""
+        with contextlib.suppress(ConnectionError):
+            got = await asyncio.wait_for(loop.sock_recv(caller, 1 << 16), 1)
+        caller.close()
+        await asyncio.sleep(0.05)
+    assert got.startswith(b"HTTP/1.1 200") is bool(replica.received)
+
+
+async def test_request_behind_another_on_a_connection_that_closes_never_runs():
+    """Two requests come at once on one connection, and the entry is about to end.
+
+    The first answer says "Connection: close": by HTTP the second has not been run, and
+    it has not.
+    """
+    replica = Replica("i-1", answer())
+    async with serving(replica) as entry:
+        entry.core.stopping = True
+        reader, writer = await entry.connect()
+        first = request("/order/x", request_id="first")
+        writer.write(first + request("/order/x", request_id="second"))
+        got = await asyncio.wait_for(read_answer(reader), 1)
+        assert got.headers["connection"] == "close"
+        assert await asyncio.wait_for(reader.read(), 1) == b""
+        writer.close()
+    assert [received.request_id for received in replica.received] == ["first"]
+
+
+@pytest.mark.parametrize("path", ["/order/x", "/read/x", "/talk/x"])
+async def test_answer_that_breaks_off_in_a_wrong_chunk(path):
+    """A replica's answer comes in chunks, and one is none: the rest can't be read.
+
+    The call is taken for broken at once, not at its deadline.
+    """
+
+    async def script(replica: Replica, received: Received, writer) -> None:
+        lines = ("Transfer-Encoding: chunked", "Content-Type: text/event-stream")
+        writer.write(head(200, received.request_id, *lines) + chunk(event(1)))
+        await asyncio.sleep(0.05)
+        writer.write(b"zz\r\n")
+        await asyncio.sleep(5)
+
+    plain, llm = Replica("i-1", script), engine("i-2", script)
+    async with serving(plain, llm) as entry:
+        got = await asyncio.wait_for(entry.ask(path, X_Token_Count="400,9"), 1)
+    assert got.status == (200 if path == "/talk/x" else 502)
+    assert got.complete is (path != "/talk/x")
