An upstream's answer that breaks off in a wrong chunk is noticed at once

Cause: the HTTP library closes the connection on a chunk that is none, and leaves the body without an end; its reader waited until the deadline, or for the 1.2 s after which a stream goes on elsewhere. Ruled out: a connection that ends within a body; there the library ends the body. Before: an order 504 and a stream that can't resume cut off at their deadlines (2 s). After: 502, and a stream that looks incomplete, within 0.1 s; what may be repeated goes on elsewhere. The end of the connection now ends every body that it finds without one. A kept connection that is reset while idle is no fault, and not logged as one.

--- a/src/bergamotmast/adapters/opaque_http.py
+++ b/src/bergamotmast/adapters/opaque_http.py
@@ -66,7 +66,16 @@
 
     def __init__(self, response: aiohttp.ClientResponse) -> None:
         self.response = response
-        self.closed = self._watch_unframed(response)
+        self.closed = _end_of_connection(response)
+        self.unframed = _is_unframed(response)
+        if self.closed is not None:
+            self.closed.add_done_callback(self._on_closed)
+            _expect_failure(self.closed)
+
+    def forget(self) -> None:
+        """Watch no longer for the end of the connection, which may be kept."""
+        if self.closed is not None:
+            self.closed.remove_done_callback(self._on_closed)
 
     @property
     def status(self) -> int:
@@ -92,18 +101,15 @@
             yield part
         self._refuse_reset()
 
-    def _watch_unframed(
-        self, response: aiohttp.ClientResponse
-    ) -> asyncio.Future[None] | None:
-        """Return the future that tells how the connection of an unframed body ends."""
-        if "Content-Length" in response.headers:
-            return None
-        if "chunked" in response.headers.get("Transfer-Encoding", "").lower():
-            return None
-        connection = response.connection
-        if connection is None or connection.protocol is None:
-            return None
-        return connection.protocol.closed
+    def _on_closed(self, closed: asyncio.Future[None]) -> None:
+        """End a body whose connection has ended.
+
+        The library closes the connection on a chunk that is none and leaves the body
+        without an end: its reader would wait until the deadline.
+        """
+        body = self.response.content
+        if not body.is_eof() and body.exception() is None:
+            body.set_exception(aiohttp.ClientPayloadError("the body breaks off"))
 
     def _refuse_reset(self) -> None:
         """Refuse a body without a length whose connection was reset.
@@ -111,12 +117,38 @@
         The library takes a reset for the end of such a body, and the caller would get
         half of an answer as a whole one.
         """
-        if self.closed is not None and self.closed.done():
+        if self.unframed and self.closed is not None and self.closed.done():
             error = self.closed.exception()
             if error is not None:
                 raise ReplyLostError(f"an unframed reply was cut off: {error}")
 
 
+def _end_of_connection(
+    response: aiohttp.ClientResponse,
+) -> asyncio.Future[None] | None:
+    """Return the future that tells how the connection of a body ends."""
+    connection = response.connection
+    if connection is None or connection.protocol is None:
+        return None
+    return connection.protocol.closed
+
+
+def _expect_failure(closed: asyncio.Future[None]) -> None:
+    """Keep the event loop from logging a reset that concerns no request.
+
+    One callback a connection, however many replies it carries.
+    """
+    closed.remove_done_callback(asyncio.Future.exception)
+    closed.add_done_callback(asyncio.Future.exception)
+
+
+def _is_unframed(response: aiohttp.ClientResponse) -> bool:
+    """Return whether only the end of its connection ends a body."""
+    if "Content-Length" in response.headers:
+        return False
+    return "chunked" not in response.headers.get("Transfer-Encoding", "").lower()
+
+
 class HttpUpstreamClient:
     """An :class:`~bergamotmast.direct.ports.UpstreamClient`."""
 
@@ -162,9 +194,11 @@
             max_line_size=MOST_HEADER_BYTES,
             max_field_size=MOST_HEADER_BYTES,
         ) as response:
+            reply = HttpReply(response)
             try:
-                yield HttpReply(response)
+                yield reply
             finally:
+                reply.forget()
                 if not response.content.is_eof():
                     response.close()
 
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import gc
 import json
 import logging
 import os
@@ -52,6 +53,7 @@
 from platform_standin import event
 from platform_standin import hang
 from platform_standin import head
+from platform_standin import reset
 from test_direct_process import PORTS
 from test_direct_process import Process
 from test_direct_process import process
@@ -901,3 +903,22 @@
         got = await asyncio.wait_for(entry.ask(path, X_Token_Count="400,9"), 1)
     assert got.status == (200 if path == "/talk/x" else 502)
     assert got.complete is (path != "/talk/x")
+
+
+async def test_reset_of_an_idle_connection_is_no_fault(caplog):
+    """A replica resets a kept connection that carries no request: nothing is logged."""
+
+    async def script(replica: Replica, received: Received, writer) -> None:
+        writer.write(head(200, received.request_id, "Content-Length: 4"))
+        await asyncio.sleep(0.02)
+        writer.write(b"fine")
+        asyncio.get_running_loop().call_later(0.05, reset, writer)
+
+    replica = Replica("i-1", script)
+    async with serving(replica) as entry:
+        for _ in range(2):
+            assert (await entry.ask("/read/x")).status == 200
+            await asyncio.sleep(0.15)
+            gc.collect()
+    assert replica.connections == 2
+    assert not [r for r in caplog.records if r.levelno >= logging.WARNING]
