--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -8,6 +8,7 @@
 import json
 import logging
 import os
+import random
 import resource
 import signal
 import socket
@@ -24,12 +25,14 @@
 from bergamotmast.direct.presence import PRESENCE_PREFIX
 from bergamotmast.direct.presence import Presence
 from bergamotmast.direct.role_planner import RolePlanner
+from bergamotmast.direct.time_limits import TimeLimits
 from bergamotmast.direct_daemon import serve_direct
 from bergamotmast.errors import ResultCode
 from bergamotmast.logs import ContextFilter
 from bergamotmast.model import Assignment
 from bergamotmast.model import Role
 from bergamotmast.planner import authority
+from bergamotmast.policy.last_requests import End
 from bergamotmast.protocol.plan import HEAD_KEY
 from bergamotmast.protocol.plan import HOLDER_KEY
 from bergamotmast.protocol.plan import EnginePlan
@@ -924,3 +927,28 @@
             gc.collect()
     assert replica.connections == 2
     assert not [r for r in caplog.records if r.levelno >= logging.WARNING]
+
+
+async def test_end_begins_while_a_deadline_passes():
+    """A request's time is over, and it is still closing its connection to an upstream.
+
+    In that moment the entry is told to end: the limits of all requests are brought
+    forward, that of this one being past. The others end as they should.
+    """
+    loop = asyncio.get_running_loop()
+    limits = TimeLimits(random.Random(1))
+
+    async def work(seconds: float) -> None:
+        async with limits.limit(loop.time() + seconds):
+            try:
+                await asyncio.sleep(5)
+            finally:
+                await asyncio.sleep(0.1)
+
+    tasks = [asyncio.create_task(work(seconds)) for seconds in (0.02, 3.0)]
+    await asyncio.sleep(0.05)
+    now = loop.time()
+    limits.begin(End(now + 0.1, now + 0.2))
+    outcomes = await asyncio.gather(*tasks, return_exceptions=True)
+    assert [type(outcome) for outcome in outcomes] == [TimeoutError, TimeoutError]
+    assert loop.time() - now < 1.0
