An end that begins while a deadline passes cuts nothing off

Cause: as the end begins, the limits of all requests are brought forward, also one that has passed while its request still closes a connection; asyncio refuses that, and the error left the drain before its first step. Before: RuntimeError. After: limits that have passed stay as they are; the others are moved.

--- a/src/bergamotmast/direct/time_limits.py
+++ b/src/bergamotmast/direct/time_limits.py
@@ -34,7 +34,10 @@
         """
         self.end = end
         for limit in self.limits:
-            limit.reschedule(self._capped(limit.when()))
+            # One that has passed can't be moved, and the attempt would end the process
+            # with all that is at work. Its request ends by itself.
+            if not limit.expired():
+                limit.reschedule(self._capped(limit.when()))
 
     @contextlib.asynccontextmanager
     async def limit(self, deadline: float) -> cabc.AsyncIterator[None]:
