An upstream's answer without an end takes no more memory than it may

Cause: a reply's body, and the event under way of a stream, were kept whatever their length until the deadline; a process that runs out of memory is ended by the system with every request at work. Before: 40 MB of 40 MB kept, no answer by the caller's deadline (body and event). After: a body is given up at 64 MB, an event at 1 MB, as broken replies: 502, or the stream goes on elsewhere.

--- a/src/bergamotmast/adapters/opaque_http.py
+++ b/src/bergamotmast/adapters/opaque_http.py
@@ -33,6 +33,9 @@
 _LEFT_OUT = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 """Headers that the library would add by itself."""
 
+MOST_BODY_BYTES = 1 << 26
+"""Longest body of a reply that is read whole; upstreams send well under it."""
+
 MOST_HEADER_BYTES = 65_536
 """Longest header of a reply; upstreams send well under it."""
 
@@ -93,7 +96,14 @@
 
     async def read(self) -> bytes:
         """Return the whole body."""
-        return b"".join([part async for part in self.chunks()])
+        body = bytearray()
+        async for part in self.chunks():
+            body += part
+            if len(body) > MOST_BODY_BYTES:
+                # A body without an end would take all memory, and the system would end
+                # the process with every request at work.
+                raise ReplyLostError(f"a body of more than {MOST_BODY_BYTES} bytes")
+        return bytes(body)
 
     async def chunks(self) -> cabc.AsyncIterator[bytes]:
         """Yield the body as it arrives."""
--- a/src/bergamotmast/direct/stream_run.py
+++ b/src/bergamotmast/direct/stream_run.py
@@ -62,6 +62,10 @@
 REFUSED_SECONDS = 0.3
 """How long an engine that refused a request is left alone: it is full or changing."""
 
+MOST_EVENT_BYTES = 1 << 20
+"""Of a stream; one event carries a few words. One without an end would take all memory
+of the process."""
+
 
 class BrokenStreamError(Exception):
     """A stream ended before its end, or its reply can't be used."""
@@ -349,13 +353,15 @@
     ) -> cabc.AsyncIterator[Event]:
         """Yield whole events.
 
-        :raises BrokenStreamError: if the stream ends within one.
+        :raises BrokenStreamError: if the stream ends within one, or one has no end.
         """
         splitter = EventSplitter()
         async for data in reply.chunks():
             book.heard_at = self.heard_at = asyncio.get_running_loop().time()
             for event in splitter.feed(data):
                 yield event
+            if len(splitter.rest) > MOST_EVENT_BYTES:
+                raise BrokenStreamError("an event is too long")
         if splitter.rest:
             raise BrokenStreamError("the stream ended within an event")
 
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -17,6 +17,7 @@
 from aiohttp import web
 
 from bergamotmast import direct_daemon
+from bergamotmast.adapters import opaque_http
 from bergamotmast.bounded_log import BoundedJsonHandler
 from bergamotmast.direct import front
 from bergamotmast.direct import role_planner
@@ -952,3 +953,31 @@
     outcomes = await asyncio.gather(*tasks, return_exceptions=True)
     assert [type(outcome) for outcome in outcomes] == [TimeoutError, TimeoutError]
     assert loop.time() - now < 1.0
+
+
+@pytest.mark.parametrize("path", ["/order/x", "/talk/x"])
+async def test_answer_without_an_end_takes_no_more_memory_than_it_may(
+    path, monkeypatch
+):
+    """An upstream sends one body, or one event, and never stops.
+
+    Kept to its end, it would take the memory of the process, and the system would end
+    that with every request at work. It is taken for broken.
+    """
+    monkeypatch.setattr(opaque_http, "MOST_BODY_BYTES", 1 << 20)
+    sent = 0
+
+    async def script(replica: Replica, received: Received, writer) -> None:
+        nonlocal sent
+        writer.write(head(200, received.request_id, "Transfer-Encoding: chunked"))
+        while sent < 40 << 20:
+            writer.write(chunk(b"x" * (1 << 16)))
+            sent += 1 << 16
+            await writer.drain()
+        await hang()(replica, received, writer)
+
+    plain, llm = Replica("i-1", script), engine("i-2", script)
+    async with serving(plain, llm) as entry:
+        got = await asyncio.wait_for(entry.ask(path, X_Token_Count="400,9"), 2)
+    assert got.status == 502
+    assert sent < 40 << 20
