A side waits until its entries have read its last answers

Cause: ZeroMQ drops what the reading end has not taken when the connection closes. A side that closed as soon as all was handed over lost answers of calls that had run, and its word that it leaves. Ruled out: the linger of the closed socket (20 of 20 frames leave the process), offers that came too late (all the lost orders had run).

--- a/src/bergamotmast/side/core.py
+++ b/src/bergamotmast/side/core.py
@@ -143,12 +143,20 @@
         await self._idle.wait()
 
     async def leave(self) -> None:
-        """Refuse new work, hand waiting work back and wait for the rest."""
+        """Refuse new work, hand waiting work back and wait for the rest.
+
+        Offers that cross the news are refused meanwhile, and the last answers are read.
+        """
         self.leaving = True
         self._after_readiness_change()
         await self.drained()
+        await self.flush()
+        await self.server.until_read()
+        await self.flush()
+
+    async def flush(self) -> None:
+        """Hand over all frames; they would else wait for a turn that may not come."""
         await asyncio.gather(*self._background)
-        # The last frames would else wait for a turn that the process may not take.
         await self.server.outbox.flush()
 
     async def run(self) -> None:
--- a/src/bergamotmast/side/session.py
+++ b/src/bergamotmast/side/session.py
@@ -32,6 +32,7 @@
     :param version: protocol version that both ends know.
     :param expires_at: when the entry counts as lost unless it is heard again.
     :param beat_at: when the next beat to the entry is due.
+    :param heartbeats: beats heard from the entry.
     :param seen: attempts offered or cancelled, and whether each was ever started.
     """
 
@@ -45,10 +46,16 @@
     expires_at: float = 0.0
     beat_at: float = 0.0
     beats: int = 0
+    heartbeats: int = 0
     seen: collections.OrderedDict[str, bool] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
 
+    @property
+    def only_observes(self) -> bool:
+        """Whether the entry offers no work in this session."""
+        return self.interval > timing.BEAT_INTERVAL
+
     def on_heard(self, now: float) -> None:
         """Put off the moment at which the entry counts as lost."""
         self.expires_at = now + self.interval * timing.MISSED_BY_SIDE
--- a/src/bergamotmast/side/session_server.py
+++ b/src/bergamotmast/side/session_server.py
@@ -24,6 +24,13 @@
 logger = logging.getLogger(__name__)
 
 
+BEATS_UNTIL_READ = 2
+"""Beats of an entry after which it has read what was handed over before them."""
+
+READ_CHECK_INTERVAL = 0.05
+"""Seconds between two looks whether those beats were heard."""
+
+
 class SessionUser(t.Protocol):
     """The side's work, which sessions bring offers to."""
 
@@ -149,6 +156,7 @@
     ) -> None:
         match message:
             case messages.Heartbeat():
+                session.heartbeats += 1
                 await self._compare_generation(session.peer, message.generation)
             case messages.Offer():
                 await self.user.on_offer(session, message)
@@ -228,6 +236,26 @@
         )
         await self.send(session.peer, beat)
 
+    async def until_read(self) -> None:
+        """Wait until every entry has had a turn to read what was handed over.
+
+        ZeroMQ drops what an entry has not read when the connection closes: last answers
+        would be lost, and calls that ran end as unknown. The first beat heard may have
+        been under way before; an entry that sends the second has run since, and reads.
+        One that stays silent takes the side for lost after the same time.
+        """
+        working = [s for s in self.table.by_name.values() if not s.only_observes]
+        awaited = {s.name: s.heartbeats + BEATS_UNTIL_READ for s in working}
+        end_by = _now() + timing.SIDE_TIMEOUT
+        while awaited and _now() < end_by:
+            await asyncio.sleep(READ_CHECK_INTERVAL)
+            open_sessions = self.table.by_name
+            awaited = {
+                name: beats
+                for name, beats in awaited.items()
+                if name in open_sessions and open_sessions[name].heartbeats < beats
+            }
+
     async def _compare_generation(self, peer: bytes, generation: int) -> None:
         if question := config_exchange.pull(self.holder, generation):
             await self.send(peer, question)
