A caller that has just connected may send its request

Cause: as the address closed, a connection was idle for the moment between connecting and sending, and was closed as idle. Seen once in 35 cases of tests/test_daemon_stopping under load: a call on a new connection cut, not run. Now such callers get 0.2 s.

The new test fails without the pause and passes with it.

--- a/src/bergamotmast/serving.py
+++ b/src/bergamotmast/serving.py
@@ -22,6 +22,10 @@
 """Looks for idle connections before those that still bring bytes are closed too: a
 caller that sends bytes one by one must not hold the end up."""
 
+FIRST_REQUEST_SECONDS = 0.2
+"""Within which a caller that has connected sends its first request, also over a long
+way."""
+
 HANDSHAKE_SECONDS = 1.0
 """Given to a TLS handshake that begins as the address is closed."""
 
@@ -78,13 +82,13 @@
         process ends, which would then be cut off after it was read. Closed now, while
         it is idle, its caller knows that a request under way was never read.
         """
-        await self._stop_accepting()
+        await self.stop_accepting()
         for _ in range(MOST_LOOKS):
             if not await self._close_idle(spare_unread=True):
                 return
         await self._close_idle(spare_unread=False)
 
-    async def _stop_accepting(self) -> None:
+    async def stop_accepting(self) -> None:
         """Close the address; who connected before is served.
 
         Closing a listening socket resets the connections in its backlog, on which a
@@ -163,6 +167,10 @@
         """
         loop = asyncio.get_running_loop()
         await asyncio.sleep(min(routed_until, end_by) - loop.time())
+        await self.stop_accepting()
+        # Who connected a moment ago sends next: closed now, it would not know whether
+        # its request was read.
+        await asyncio.sleep(FIRST_REQUEST_SECONDS)
         await self.stop_taking()
         return await self.emptied(end_by)
 
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -93,6 +93,22 @@
     await listening.close()
 
 
+async def test_a_caller_that_has_just_connected_may_send_its_request():
+    # A caller connects right before the address is closed and sends a moment later.
+    # Its connection is idle in between; closed then, the caller would not know whether
+    # its request was read.
+    front = Front()
+    listening = await front.listen()
+    raw = connect(listening)
+    now = asyncio.get_running_loop().time()
+    draining = asyncio.create_task(listening.drain(now, now + 5))
+    await asyncio.sleep(0.1)
+    raw.send(REQUEST)
+    assert (await read(raw)).count(b"200 OK") == 1
+    assert await draining
+    await listening.close()
+
+
 async def test_a_request_at_work_is_answered_and_its_connection_closed():
     # Taking stops while a request runs. It is answered, and nothing is left open.
     front = Front(pace=0.2)
