--- /dev/null
+++ b/tests/series_callers.py
@@ -0,0 +1,146 @@
+"""Callers of a series of stops: without rest, and just as an entry stops taking."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import random
+import time
+
+from direct_support import Answer
+from direct_support import read_answer
+from direct_support import request
+from series_checks import Life
+from series_checks import Sent
+from series_fleet import SeriesFleet
+from series_plan import STILL_TAKING_SECONDS
+from series_plan import Stop
+
+ANSWER_SECONDS = 15.0
+"""Longest wait of a caller; no answer of a series takes so long."""
+
+ENDLESS = "/talk/x?ms=200&events=60"
+
+
+@dataclasses.dataclass
+class Connection:
+    """A caller's connection to one life of an entry."""
+
+    life: Life
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+
+class SeriesCallers:
+    """Sends requests and notes what became of them.
+
+    :param refused: when no entry took a connection.
+    :param taken: when one did.
+    """
+
+    def __init__(self, fleet: SeriesFleet, rng: random.Random) -> None:
+        self.fleet = fleet
+        self.rng = rng
+        self.sent: list[Sent] = []
+        self.refused: list[float] = []
+        self.taken: list[float] = []
+        self.over = asyncio.Event()
+
+    async def keep(self) -> None:
+        """Use connections to any entry, each until it is closed."""
+        pause = self.rng.choice((0.001, 0.01, 0.2))
+        while not self.over.is_set():
+            connection = await self._connect_anywhere()
+            if connection is None:
+                await asyncio.sleep(0.02)
+                continue
+            while await self._ask(connection, self._target()):
+                await asyncio.sleep(self.rng.uniform(0.0, 2 * pause))
+                if self.over.is_set():
+                    break
+            connection.writer.close()
+
+    async def outlast(self, stop: Stop) -> None:
+        """Ask for a stream that goes on past the entry's end."""
+        await self._on_new_connection(stop, ENDLESS)
+
+    async def aim(self, stop: Stop, told_after: float) -> None:
+        """Keep a connection idle and send just around the end of taking."""
+        life = self.fleet.current[stop.entry]
+        connection = await self._connect(life)
+        if connection is None:
+            return
+        if await self._ask(connection, "/read/x?ms=1"):
+            around = stop.still_seconds if stop.still_at else 0.05
+            after = STILL_TAKING_SECONDS + self.rng.uniform(-0.05, around)
+            await asyncio.sleep(told_after + after)
+            await self._ask(connection, self._target())
+        connection.writer.close()
+
+    async def open_late(self, stop: Stop) -> None:
+        """Open a connection around the end of taking, and send on it."""
+        await asyncio.sleep(STILL_TAKING_SECONDS + self.rng.uniform(-0.1, 0.3))
+        await self._on_new_connection(stop, self._target())
+
+    def longest_refusal(self) -> float:
+        """Return the longest time from a refusal to the next connection taken."""
+        waits = [0.0]
+        for at in self.refused:
+            waits.append(min((t for t in self.taken if t > at), default=at) - at)
+        return max(waits)
+
+    async def _on_new_connection(self, stop: Stop, target: str) -> None:
+        connection = await self._connect(self.fleet.current[stop.entry])
+        if connection is not None:
+            await asyncio.sleep(self.rng.choice((0.0, 0.0, 0.02, 0.5)))
+            await self._ask(connection, target)
+            connection.writer.close()
+
+    async def _connect_anywhere(self) -> Connection | None:
+        lives = list(self.fleet.current.values())
+        self.rng.shuffle(lives)
+        for life in lives:
+            connection = await self._connect(life)
+            if connection is not None:
+                return connection
+        self.refused.append(time.monotonic())
+        return None
+
+    async def _connect(self, life: Life) -> Connection | None:
+        port = self.fleet.entry_ports[life.entry]
+        try:
+            streams = await asyncio.open_connection("127.0.0.1", port)
+        except ConnectionError:
+            return None
+        self.taken.append(time.monotonic())
+        return Connection(self.fleet.current[life.entry], *streams)
+
+    def _target(self) -> str:
+        kind = self.rng.choice(("/order/", "/read/", "/talk/", "/long/"))
+        if kind in ("/order/", "/read/"):
+            return f"{kind}x?ms={self.rng.choice((1, 20, 300, 900))}"
+        events, pause = self.rng.choice(((3, 5), (5, 20), (15, 150)))
+        return f"{kind}x?ms={pause}&events={events}"
+
+    async def _ask(self, connection: Connection, target: str) -> bool:
+        """Send one request and return whether another one may follow."""
+        sent = Sent(f"q-{len(self.sent)}", target, connection.life)
+        self.sent.append(sent)
+        data = request(target, request_id=sent.request_id, X_Deadline_Ms="14000")
+        got = None
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            got = await self._exchange(connection, data)
+        sent.ended_at = time.monotonic()
+        if got is None:
+            return False
+        sent.status, sent.complete, sent.body = got.status, got.complete, got.body
+        return got.complete and got.headers.get("connection") != "close"
+
+    async def _exchange(self, connection: Connection, data: bytes) -> Answer:
+        cut = self.rng.randrange(len(data)) if self.rng.random() < 0.3 else 0
+        if cut:
+            connection.writer.write(data[:cut])
+            await asyncio.sleep(self.rng.uniform(0.0, 0.06))
+        connection.writer.write(data[cut:])
+        return await asyncio.wait_for(read_answer(connection.reader), ANSWER_SECONDS)
--- /dev/null
+++ b/tests/series_checks.py
@@ -0,0 +1,148 @@
+"""What callers and replicas saw of a series of stops, and what must hold of it."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import re
+import time
+
+from series_plan import Plan
+
+KILL_SECONDS = 8.0
+"""When the platform kills an entry that was told to end."""
+
+LONGEST_ANSWER_SECONDS = 6.9
+"""An answer that takes longer than this after SIGTERM may be cut off."""
+
+NOT_RUN = frozenset({408, 421, 429, 503})
+LOST_AT_REPLICA = frozenset({502, 504})
+STREAMS = ("/talk/", "/long/")
+AT_MOST_ONCE = ("/order/", "/talk/")
+
+
+@dataclasses.dataclass
+class Life:
+    """One process of an entry, as the platform sees it; 0.0 is not yet.
+
+    :param signals: what it was sent beside the first SIGTERM.
+    """
+
+    entry: int
+    process: asyncio.subprocess.Process
+    signals: set[int] = dataclasses.field(default_factory=set)
+    ready_at: float = 0.0
+    told_at: float = 0.0
+    killed_at: float = 0.0
+    ended_at: float = 0.0
+
+    def fault(self) -> str:
+        """Return what is wrong with its end, if anything."""
+        code = self.process.returncode
+        if code is None or self.killed_at:
+            return ""
+        if not self.told_at:
+            return f"entry-{self.entry} ended by itself with {code}"
+        seconds = self.ended_at - self.told_at
+        if seconds > KILL_SECONDS:
+            return f"entry-{self.entry} ended {seconds:.2f} s after SIGTERM"
+        # By then, or as yet, no request is with it.
+        if code == 0 or -code in self.signals or not self.ready_at:
+            return ""
+        return f"entry-{self.entry} ended with {code}"
+
+
+@dataclasses.dataclass
+class Sent:
+    """A request as its caller knows it.
+
+    :param status: 0 without a whole answer.
+    :param complete: whether the answer's end came as HTTP has it.
+    """
+
+    request_id: str
+    target: str
+    life: Life
+    status: int = 0
+    complete: bool = False
+    body: bytes = b""
+    began_at: float = dataclasses.field(default_factory=time.monotonic)
+    ended_at: float = 0.0
+
+    def fault(self, runs: int, plan: Plan) -> str:
+        """Return what is wrong with its end, if anything.
+
+        :param runs: how often a replica received it.
+        """
+        if runs > 1 and self.target.startswith(AT_MOST_ONCE):
+            return "ran twice"
+        if self.status == 0:
+            return "cut off" if runs and not self._may_be_lost() else ""
+        if self.status in NOT_RUN:
+            return "not run, it was told" if runs else ""
+        if self.status in LOST_AT_REPLICA:
+            replicas_close = plan.leaves or plan.replica_idle < 1.0
+            return "" if replicas_close else "lost without a cause"
+        if self.status != 200:
+            return "no answer to this request"
+        return self._answer_fault()
+
+    def show(self, fault: str, runs: int) -> str:
+        """Return a fault with all that is known of the request."""
+        told = self.life.told_at
+        began, ended = self.began_at - told, self.ended_at - told
+        after = f"{began:.3f} to {ended:.3f} s after SIGTERM" if told else "no SIGTERM"
+        return (
+            f"{fault}: {self.request_id} {self.target} at entry-{self.life.entry}, "
+            f"status {self.status}, {runs} runs, {after}"
+        )
+
+    def _may_be_lost(self) -> bool:
+        """Return whether it was in flight as its entry was killed, or out of time."""
+        life = self.life
+        if life.killed_at:
+            return self.ended_at >= life.killed_at
+        too_late = self.ended_at - life.told_at > LONGEST_ANSWER_SECONDS
+        return bool(life.told_at) and too_late
+
+    def _answer_fault(self) -> str:
+        if not self.target.startswith(STREAMS):
+            fine = self.body == f"fine {self.request_id}".encode()
+            return "" if fine else "another body"
+        last = int(self.target.rpartition("=")[2])
+        numbers = [int(n) for n in re.findall(rb"id: (\d+)\n", self.body)]
+        if numbers != list(range(1, len(numbers) + 1)):
+            return f"events {numbers}"
+        if self.complete:
+            return "" if len(numbers) == last else f"whole with {len(numbers)} events"
+        return "" if self._may_be_lost() else f"broken after {len(numbers)} events"
+
+
+@dataclasses.dataclass
+class Report:
+    """What a series showed.
+
+    :param refused: attempts to connect at which no entry listened.
+    :param no_taker: longest time from such an attempt to a connection, in seconds.
+    :param none_ready: time in which no entry said that it is ready, in seconds.
+    """
+
+    faults: list[str]
+    statuses: dict[int, int]
+    refused: int
+    no_taker: float
+    none_ready: float
+
+
+def find_faults(
+    plan: Plan, sent: list[Sent], lives: list[Life], received: list[str]
+) -> list[str]:
+    """Return all that must not be, one line each."""
+    runs = collections.Counter(received)
+    faults = ["" if received else "no request reached a replica"]
+    faults += [life.fault() for life in lives]
+    for each in sent:
+        fault = each.fault(runs[each.request_id], plan)
+        faults.append(fault and each.show(fault, runs[each.request_id]))
+    return [fault for fault in faults if fault]
--- /dev/null
+++ b/tests/series_fleet.py
@@ -0,0 +1,237 @@
+"""The processes of a series of stops: entries, replicas, and the store before them."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import pathlib
+import random
+import signal
+import socket
+import sys
+import time
+import typing as t
+
+from aiohttp import web
+
+from direct_support import HOST
+from direct_support import config
+from direct_support import route
+from platform_standin import Store
+from series_checks import KILL_SECONDS
+from series_checks import Life
+from series_plan import Plan
+
+TESTS = pathlib.Path(__file__).resolve().parent
+
+PORT_BLOCKS = range(5_000, 11_800, 200)
+"""Below those of other tests, and of the system's own choice."""
+
+START_SECONDS = 20.0
+
+LONG_MS = {"timeout-ms": 15_000}
+ROUTES = [
+    route("/order/", "unsafe", **{"max-attempts": 1}),
+    route("/read/", "safe", **{"target-latency-ms": 1000}),
+    route("/talk/", "streaming", "llm", **{"max-attempts": 1}, **LONG_MS),
+    route("/long/", "streaming", "llm", resumable=True, **LONG_MS),
+]
+
+
+class SeriesStore(Store):
+    """The platform's store, which may be slow.
+
+    :param delay: seconds that each call takes before anything is done.
+    """
+
+    delay = 0.0
+
+    @web.middleware
+    async def _faults(self, request: web.Request, handler: t.Any) -> web.StreamResponse:
+        await asyncio.sleep(self.delay)
+        return await super()._faults(request, handler)
+
+
+class SeriesFleet:
+    """Starts and ends the processes of a series.
+
+    :param folder: where they log and replicas note what they receive.
+    :param current: the latest process of each entry.
+    """
+
+    def __init__(self, plan: Plan, folder: pathlib.Path, rng: random.Random) -> None:
+        self.plan = plan
+        self.folder = folder
+        self.rng = rng
+        self.store = SeriesStore()
+        self.block, base = _reserve_ports()
+        self.entry_ports = [base + 1 + 3 * n for n in range(plan.entries)]
+        self.replica_ports = [base + 100 + n for n in range(plan.replicas)]
+        self.replicas: dict[int, asyncio.subprocess.Process] = {}
+        self.lives: list[Life] = []
+        self.current: dict[int, Life] = {}
+        self.watches: list[asyncio.Task[None]] = []
+
+    async def __aenter__(self) -> SeriesFleet:
+        """Start everything and wait until it serves."""
+        await self.store.__aenter__()
+        self.store.put("op/config", config(routes=ROUTES))
+        async with asyncio.TaskGroup() as group:
+            for number in range(self.plan.replicas):
+                group.create_task(self.start_replica(number))
+        async with asyncio.TaskGroup() as group:
+            for number in range(self.plan.entries):
+                group.create_task(self.start_entry(number))
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        for life in self.lives:
+            if life.process.returncode is None:
+                life.killed_at = life.killed_at or time.monotonic()
+                life.process.kill()
+        for replica in self.replicas.values():
+            if replica.returncode is None:
+                replica.kill()
+            await replica.wait()
+        await asyncio.gather(*self.watches)
+        await self.store.__aexit__()
+        self.block.close()
+
+    def received(self) -> list[str]:
+        """Return the ids of all requests that replicas received, in order."""
+        return self._record.read_text().split() if self._record.exists() else []
+
+    async def is_ready(self, entry: int) -> bool:
+        """Return what an entry says of its readiness."""
+        try:
+            streams = await asyncio.open_connection(
+                "127.0.0.1", self.entry_ports[entry] + 1
+            )
+            reader, writer = streams
+            try:
+                ask = f"GET /readiness HTTP/1.1\r\nHost: {HOST}\r\n\r\n"
+                writer.write(ask.encode())
+                async with asyncio.timeout(1.0):
+                    return b" 200 " in await reader.readline()
+            finally:
+                writer.close()
+        except (ConnectionError, TimeoutError):
+            return False
+
+    async def start_replica(self, number: int) -> None:
+        """Start a replica and register it."""
+        port = self.replica_ports[number]
+        self.replicas[number] = await self._spawn(
+            f"replica-{number}.log",
+            "series_replica.py",
+            str(port),
+            str(self.plan.replica_idle),
+            str(self._record),
+        )
+        async with asyncio.timeout(START_SECONDS):
+            while not await _listens(port):
+                await asyncio.sleep(0.02)
+        kind: dict[str, object] = {"service": "plain"}
+        if number >= self.plan.plain:
+            kind = {"service": "llm", "stage": "decode"}
+        entry = {"address": f"127.0.0.1:{port}", "zone": "zone-a", "version": "v1"}
+        state = {"state": "ready", "cold-remaining-ms": 0, "sequence": 4, "slots": 64}
+        self.store.put(f"servers/i-{number}", entry | kind | state)
+
+    async def leave(self, number: int) -> None:
+        """End a replica, known before or only after, and bring it back."""
+        process, key = self.replicas[number], f"servers/i-{number}"
+        known_before = self.rng.random() < 0.5
+        if known_before:
+            self.store.remove(key)
+            await asyncio.sleep(0.1)
+        process.terminate()
+        await process.wait()
+        if not known_before:
+            self.store.remove(key)
+        await asyncio.sleep(1.0)
+        await self.start_replica(number)
+
+    async def start_entry(self, number: int) -> None:
+        """Start an entry and wait until it is ready, or has ended."""
+        ports = range(self.entry_ports[number], self.entry_ports[number] + 3)
+        listen, ready, peer = (f"127.0.0.1:{port}" for port in ports)
+        process = await self._spawn(
+            f"entry-{number}.log",
+            "series_entry.py",
+            "direct",
+            BERGAMOTMAST_NAME=f"entry-{number}",
+            BERGAMOTMAST_ZONE="zone-a",
+            BERGAMOTMAST_STORE_ADDRESS=self.store.address,
+            BERGAMOTMAST_LISTEN_ADDRESS=listen,
+            BERGAMOTMAST_READY_ADDRESS=ready,
+            BERGAMOTMAST_PEER_ADDRESS=peer,
+            BERGAMOTMAST_SHUTDOWN_SECONDS=str(KILL_SECONDS),
+        )
+        life = Life(number, process)
+        self.lives.append(life)
+        self.current[number] = life
+        self.watches.append(asyncio.create_task(_watch_end(life)))
+        while process.returncode is None and not await self.is_ready(number):
+            await asyncio.sleep(0.02)
+        life.ready_at = time.monotonic() if process.returncode is None else 0.0
+
+    async def restart_entry(self, number: int) -> None:
+        """Kill an entry, start it anew and wait until it is ready."""
+        life = self.current.pop(number)
+        life.killed_at = time.monotonic()
+        life.process.kill()
+        await life.process.wait()
+        await self.start_entry(number)
+
+    async def _spawn(
+        self, log: str, script: str, *arguments: str, **settings: str
+    ) -> asyncio.subprocess.Process:
+        with (self.folder / log).open("ab") as output:
+            return await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(TESTS / script),
+                *arguments,
+                env=os.environ | settings,
+                stdout=output,
+                stderr=output,
+            )
+
+    @property
+    def _record(self) -> pathlib.Path:
+        return self.folder / "received"
+
+
+async def send_signal(life: Life, number: signal.Signals, after: float) -> None:
+    """Send a signal after a while to a process that still runs then."""
+    await asyncio.sleep(after)
+    if life.process.returncode is None:
+        life.signals.add(number)
+        life.process.send_signal(number)
+
+
+async def _watch_end(life: Life) -> None:
+    await life.process.wait()
+    life.ended_at = time.monotonic()
+
+
+async def _listens(port: int) -> bool:
+    try:
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+    except ConnectionError:
+        return False
+    writer.close()
+    return True
+
+
+def _reserve_ports() -> tuple[socket.socket, int]:
+    """Return a block of ports that no other series uses, held by its first."""
+    for base in PORT_BLOCKS:
+        held = socket.socket()
+        try:
+            held.bind(("127.0.0.1", base))
+        except OSError:
+            held.close()
+            continue
+        return held, base
+    raise RuntimeError("too many series run at once")
--- /dev/null
+++ b/tests/series_replica.py
@@ -0,0 +1,94 @@
+"""A replica as a process: notes what it receives, and ends as it is told to.
+
+Run as ``python series_replica.py PORT IDLE_SECONDS RECORD_FILE``. A request says by its
+path how it is answered: ``?ms=40`` after 40 ms, ``?ms=40&events=9`` by nine events with
+40 ms before each.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import signal
+import sys
+import urllib.parse
+
+from platform_standin import Received
+from platform_standin import chunk
+from platform_standin import event
+from platform_standin import head
+from platform_standin import read_request
+
+STREAM_HEADERS = ("Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+
+
+class SeriesReplica:
+    """A replica that finishes its work after SIGTERM and closes what is idle."""
+
+    def __init__(self, idle_seconds: float, record: int) -> None:
+        self.idle_seconds = idle_seconds
+        self.record = record
+        self.open: set[asyncio.StreamWriter] = set()
+        self.busy: set[asyncio.StreamWriter] = set()
+        self.told = asyncio.Event()
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.open.add(writer)
+        lost = (ConnectionError, asyncio.IncompleteReadError, TimeoutError)
+        with contextlib.suppress(*lost):
+            while not self.told.is_set():
+                received = await asyncio.wait_for(
+                    read_request(reader), self.idle_seconds
+                )
+                if received is None:
+                    break
+                self.busy.add(writer)
+                await self._answer(received, writer)
+                self.busy.discard(writer)
+        self.busy.discard(writer)
+        self.open.discard(writer)
+        writer.close()
+
+    async def _answer(self, received: Received, writer: asyncio.StreamWriter) -> None:
+        request_id = received.request_id
+        if not request_id:
+            writer.write(b"HTTP/1.1 404 Word\r\nContent-Length: 0\r\n\r\n")
+            return
+        os.write(self.record, f"{request_id}\n".encode())
+        query = urllib.parse.parse_qs(received.target.partition("?")[2])
+        pause = int(query["ms"][0]) / 1e3
+        if "events" not in query:
+            await asyncio.sleep(pause)
+            body = f"fine {request_id}".encode()
+            length = f"Content-Length: {len(body)}"
+            writer.write(head(200, request_id, length) + body)
+            return
+        first = int(received.headers.get("last-event-id", "0")) + 1
+        writer.write(head(200, request_id, "X-Weight-Versions: 1", *STREAM_HEADERS))
+        for number in range(first, int(query["events"][0]) + 1):
+            await asyncio.sleep(pause)
+            writer.write(chunk(event(number)))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+
+
+async def run(port: int, idle_seconds: float, record: int) -> None:
+    """Serve until SIGTERM and until the last request is answered."""
+    replica = SeriesReplica(idle_seconds, record)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, replica.told.set)
+    server = await asyncio.start_server(replica.serve, "127.0.0.1", port, backlog=512)
+    await replica.told.wait()
+    server.close()
+    for writer in replica.open - replica.busy:
+        writer.close()
+    while replica.busy:
+        await asyncio.sleep(0.02)
+
+
+if __name__ == "__main__":
+    record_file = os.open(sys.argv[3], os.O_WRONLY | os.O_CREAT | os.O_APPEND)
+    asyncio.run(run(int(sys.argv[1]), float(sys.argv[2]), record_file))
--- /dev/null
+++ b/tests/stop_series.py
@@ -0,0 +1,210 @@
+"""Stops, reloads and restarts of direct entries in series, drawn from a seed.
+
+By hand: ``PYTHONPATH=src:tests python tests/stop_series.py --first 100 --count 50``.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import collections
+import pathlib
+import random
+import shutil
+import signal
+import sys
+import tempfile
+import time
+
+from series_callers import SeriesCallers
+from series_checks import Report
+from series_checks import find_faults
+from series_fleet import SeriesFleet
+from series_fleet import send_signal
+from series_plan import Plan
+from series_plan import Stop
+from series_plan import draw_plan
+
+SERIES_SECONDS = 90.0
+"""A series that takes longer hangs."""
+
+BEFORE_SIGTERM_SECONDS = 0.2
+"""Callers that keep a connection idle have theirs by then."""
+
+NEXT_STOP_SECONDS = 4.0
+"""Most time that a new start is waited for before the same entry is stopped again."""
+
+PROBE_SECONDS = 0.05
+
+KEPT = {
+    100: "ends too late: a stream goes on for long",
+    101: "ends too late, and by SIGHUP: as 100 and 123",
+    103: "ends too late: as 100",
+    106: "ends too late: as 100",
+    107: "ends too late: as 100",
+    112: "ends too late: as 100",
+    116: "ends too late: as 100",
+    118: "ends too late: as 100",
+    120: "ends too late: as 100",
+    123: "ends by SIGHUP that comes before it has a handler",
+    114: "ends by SIGHUP: as 123",
+    125: "ends by SIGHUP: as 123",
+    132: "ends by SIGHUP: as 123",
+    135: "ends too late: as 100",
+    137: "ends too late: as 100",
+    138: "ends by SIGHUP: as 123",
+}
+"""Seeds that broke, each with its cause."""
+
+
+class Series:
+    """Plays a plan."""
+
+    def __init__(self, plan: Plan, folder: pathlib.Path, seed: int) -> None:
+        self.plan = plan
+        rng = random.Random(f"callers-{seed}")
+        self.fleet = SeriesFleet(plan, folder, rng)
+        self.callers = SeriesCallers(self.fleet, rng)
+        self.none_ready = 0.0
+        self.begin = 0.0
+
+    async def run(self) -> Report:
+        """Play the plan and check what callers and replicas saw."""
+        async with asyncio.timeout(SERIES_SECONDS), self.fleet:
+            self.begin = time.monotonic()
+            async with asyncio.TaskGroup() as group:
+                for _ in range(self.plan.keepers):
+                    group.create_task(self.callers.keep())
+                group.create_task(self._watch_readiness())
+                await self._play()
+                self.callers.over.set()
+        sent, lives = self.callers.sent, self.fleet.lives
+        return Report(
+            find_faults(self.plan, sent, lives, self.fleet.received()),
+            dict(collections.Counter(each.status for each in sent)),
+            len(self.callers.refused),
+            self.callers.longest_refusal(),
+            self.none_ready,
+        )
+
+    async def _play(self) -> None:
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._store_fault())
+            for at, number in self.plan.leaves:
+                group.create_task(self._leave(at, number))
+            for at, entry in self.plan.reloads:
+                group.create_task(self._reload(at, entry))
+            for entry in range(self.plan.entries):
+                group.create_task(self._stop_and_start(entry))
+
+    async def _until(self, at: float) -> None:
+        await asyncio.sleep(self.begin + at - time.monotonic())
+
+    async def _leave(self, at: float, number: int) -> None:
+        await self._until(at)
+        await self.fleet.leave(number)
+
+    async def _reload(self, at: float, entry: int) -> None:
+        await self._until(at)
+        await send_signal(self.fleet.current[entry], signal.SIGHUP, 0.0)
+
+    async def _store_fault(self) -> None:
+        if not self.plan.store_fault:
+            return
+        await self._until(self.plan.store_fault_at)
+        store = self.fleet.store
+        store.outage, store.delay = self.plan.store_outage, self.plan.store_delay
+        await asyncio.sleep(self.plan.store_fault)
+        store.outage, store.delay = 0, 0.0
+
+    async def _watch_readiness(self) -> None:
+        before = time.monotonic()
+        while not self.callers.over.is_set():
+            probes = map(self.fleet.is_ready, range(self.plan.entries))
+            ready = await asyncio.gather(*probes)
+            now = time.monotonic()
+            self.none_ready += 0.0 if any(ready) else now - before
+            before = now
+            await asyncio.sleep(PROBE_SECONDS)
+
+    async def _stop_and_start(self, entry: int) -> None:
+        for stop in (s for s in self.plan.stops if s.entry == entry):
+            await self._until(stop.at)
+            await self._end(stop)
+            if stop.restart is None:
+                return
+            await asyncio.sleep(stop.restart)
+            start = asyncio.create_task(self.fleet.start_entry(entry))
+            await asyncio.wait({start}, timeout=NEXT_STOP_SECONDS)
+
+    async def _end(self, stop: Stop) -> None:
+        life = self.fleet.current[stop.entry]
+        if stop.killed:
+            life.killed_at = time.monotonic()
+            life.process.kill()
+            await life.process.wait()
+            return
+        async with asyncio.TaskGroup() as group:
+            for _ in range(stop.endless):
+                group.create_task(self.callers.outlast(stop))
+            for _ in range(stop.aimed):
+                group.create_task(self.callers.aim(stop, BEFORE_SIGTERM_SECONDS))
+            await asyncio.sleep(BEFORE_SIGTERM_SECONDS)
+            life.told_at = time.monotonic()
+            await send_signal(life, signal.SIGTERM, 0.0)
+            for _ in range(stop.opened):
+                group.create_task(self.callers.open_late(stop))
+            for after, number in stop.again:
+                group.create_task(send_signal(life, number, after))
+            if stop.still_at:
+                group.create_task(self._hold(stop))
+            await life.process.wait()
+
+    async def _hold(self, stop: Stop) -> None:
+        """Make a process, or its event loop alone, stand still for a while."""
+        life = self.fleet.current[stop.entry]
+        await send_signal(life, stop.still_by, stop.still_at)
+        if stop.still_by == signal.SIGSTOP:
+            await send_signal(life, signal.SIGCONT, stop.still_seconds)
+
+
+async def run_plan(plan: Plan, seed: int) -> Report:
+    """Play a plan; what was logged stays where something broke."""
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f"series-{seed}-"))
+    report = await Series(plan, folder, seed).run()
+    if report.faults:
+        (folder / "faults").write_text("\n".join(report.faults) + "\n")
+    else:
+        shutil.rmtree(folder)
+    return report
+
+
+def main() -> int:
+    """Play series of fresh seeds and say what each showed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--first", type=int, default=1000)
+    parser.add_argument("--count", type=int, default=50)
+    parser.add_argument("--most", type=int, default=4)
+    parser.add_argument("--kept", action="store_true", help="those that broke before")
+    arguments = parser.parse_args()
+    seeds = list(range(arguments.first, arguments.first + arguments.count))
+    if arguments.kept:
+        seeds = list(KEPT)
+    broken = 0
+    for seed in seeds:
+        report = asyncio.run(run_plan(draw_plan(seed, arguments.most), seed))
+        broken += bool(report.faults)
+        print(
+            f"seed {seed}: {report.statuses}, refused {report.refused}, longest "
+            f"{report.no_taker:.2f} s, none ready {report.none_ready:.2f} s, "
+            f"faults {len(report.faults)}",
+            *report.faults[:20],
+            sep="\n  ",
+            flush=True,
+        )
+    print(f"{broken} of {len(seeds)} broke")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
