--- a/src/bergamotmast/direct/core.py
+++ b/src/bergamotmast/direct/core.py
@@ -28,6 +28,9 @@
 """How long a request waits for an entry's first reading of the store, which takes some
 40 ms; with a store that is away its caller had better ask another entry."""
 
+LONGEST_BODY_SECONDS = 60.0
+"""How long the body of a caller that names no deadline may take to come."""
+
 
 class DirectCore:
     """An entry that reaches upstreams directly.
@@ -78,6 +81,7 @@
 
     async def _let_in(self, request: CallerRequest) -> Call:
         traits = self.context.dialect.read_call(request.headers)
+        body = await self._body(request, traits.time_left)
         table = await self._table()
         route = table.find(request.host, request.target)
         if route is None:
@@ -88,6 +92,8 @@
         seconds = route.timeout
         if traits.time_left is not None:
             seconds = min(seconds, traits.time_left)
+        deadline = request.arrived_at + seconds
+        self.context.time_limits.let_in(deadline, asyncio.get_running_loop().time())
         group = self.context.fleet.group(pick_group(route, self.context.rng))
         connection = request.headers.get("Connection", "")
         return Call(
@@ -97,11 +103,31 @@
             method=request.method,
             target=request.target,
             headers=pass_on(request.items, connection),
-            body=request.body,
+            body=body,
             arrived_at=request.arrived_at,
-            deadline=request.arrived_at + seconds,
+            deadline=deadline,
         )
 
+    async def _body(self, request: CallerRequest, time_left: float | None) -> bytes:
+        """Return a request's body.
+
+        :raises RequestError: if it is too large, or does not come in time. Its caller
+            would otherwise wait for the answer to what it takes for sent.
+        """
+        seconds = LONGEST_BODY_SECONDS if time_left is None else time_left
+        try:
+            async with self.context.time_limits.limit(request.arrived_at + seconds):
+                body = await request.body.read(self.body_limit)
+        except TimeoutError:
+            if self.context.time_limits.is_over(asyncio.get_running_loop().time()):
+                raise self.context.time_limits.refusal() from None
+            raise RequestError(
+                ResultCode.DEADLINE_UNREACHABLE, "The body did not come in time."
+            ) from None
+        if body is None:
+            raise RequestError(ResultCode.BODY_TOO_LARGE)
+        return body
+
     async def _table(self) -> RouteTable:
         """Return the routes in force.
 
@@ -144,7 +170,8 @@
         if reply.started:
             reply.abort()
             return 0
-        headers = list(self.context.dialect.refusal_headers(request_id))
+        named = self.context.dialect.refusal_headers(request_id)
+        headers = [item for item in named if is_writable(item[1])]
         if error.retry_after is not None:
             headers.append(("Retry-After", f"{error.retry_after:.2f}"))
         body = f"{int(error.code)} {error.message}\n".encode()
@@ -180,6 +207,7 @@
 
     It leaves out bytes that are no UTF-8, and a path's part after ``#``, which HTTP
     allows in no request. The upstream would get another request than the caller sent.
+    A control character it does not write at all.
 
     :raises RequestError: for such a request.
     """
@@ -187,4 +215,4 @@
         raise RequestError(ResultCode.BAD_HEADER, "The path must not contain '#'.")
     for name, value in request.items:
         if not is_writable(value):
-            raise RequestError(ResultCode.BAD_HEADER, f"{name} is not in UTF-8.")
+            raise RequestError(ResultCode.BAD_HEADER, f"{name} is no text in UTF-8.")
--- a/src/bergamotmast/direct/front.py
+++ b/src/bergamotmast/direct/front.py
@@ -4,15 +4,16 @@
 
 import asyncio
 import logging
+import socket
+import struct
 
+from aiohttp import HttpVersion11
 from aiohttp import web
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.http_parser import RawRequestMessage
 from aiohttp.streams import StreamReader
 from aiohttp.web_protocol import RequestHandler
 
-from ..errors import CODE_INFO
-from ..errors import ResultCode
 from .caller import CallerRequest
 from .core import DirectCore
 from .ports import Headers
@@ -25,8 +26,39 @@
 IDLE_SECONDS = 75.0
 """How long an idle caller's connection is kept, above the operators' limits."""
 
-MOST_BODY_BYTES = 1 << 26
-"""Largest body read, above the operators' limits."""
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+"""Linger for no time: what is not sent is dropped, and the other end is told."""
+
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+"""Tells a caller to send its body."""
+
+
+class HttpCallerBody:
+    """A :class:`~bergamotmast.direct.caller.CallerBody`."""
+
+    def __init__(self, request: web.BaseRequest) -> None:
+        self.request = request
+
+    async def read(self, most: int) -> bytes | None:
+        """Return the whole body; ``None`` once it is longer than the limit."""
+        if (self.request.content_length or 0) > most:
+            return None
+        await self._ask_for_it()
+        body = bytearray()
+        while part := await self.request.content.readany():
+            body += part
+            if len(body) > most:
+                return None
+        return bytes(body)
+
+    async def _ask_for_it(self) -> None:
+        """Tell a caller to send its body if it waits to be told, as HTTP allows."""
+        expected = self.request.headers.get("Expect", "").lower()
+        if expected == "100-continue" and self.request.version >= HttpVersion11:
+            writer = self.request.writer
+            await writer.write(CONTINUE)
+            # The library takes whatever was written for the beginning of the answer.
+            writer.output_size = 0
 
 
 class HttpCallerReply:
@@ -46,14 +78,15 @@
         """Send a whole answer."""
         response = self._new(status, headers)
         response.content_length = len(body)
-        self.response = response
         await response.prepare(self.request)
+        self.response = response
         await response.write_eof(body)
 
     async def start(self, status: int, headers: Headers) -> None:
         """Send status and headers of a stream."""
         self.response = self._new(status, headers)
-        self.response.enable_chunked_encoding()
+        if self._has_chunks:
+            self.response.enable_chunked_encoding()
         await self.response.prepare(self.request)
 
     async def write(self, data: bytes) -> None:
@@ -67,15 +100,31 @@
         await self.response.write_eof()
 
     def abort(self) -> None:
-        """Close the connection without the chunk that would end the stream."""
-        if self.request.transport is not None:
-            self.request.transport.close()
+        """Close the connection so that a stream does not pass for complete.
+
+        In chunks, it lacks the one that would end it. Without, the end of the
+        connection ends it, and only a reset tells that something is missing.
+        """
+        transport = self.request.transport
+        if transport is None:
+            return
+        if self._has_chunks:
+            transport.close()
+        else:
+            sock = transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+            transport.abort()
+
+    @property
+    def _has_chunks(self) -> bool:
+        return self.request.version >= HttpVersion11
 
     def _new(self, status: int, headers: Headers) -> web.StreamResponse:
         response = web.StreamResponse(status=status)
         for name, value in headers:
             response.headers.add(name, value)
-        if self.core.stopping:
+        if self.core.stopping or not self.request.content.is_eof():
+            # Where the rest of a body may still come, no next request can be told.
             response.force_close()
         return response
 
@@ -126,23 +175,17 @@
             self.busy.discard(request.protocol)
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
-        arrived_at = asyncio.get_running_loop().time()
         reply = HttpCallerReply(request, self.core)
-        body = await request.read()
-        if len(body) > self.core.body_limit:
-            status = CODE_INFO[ResultCode.BODY_TOO_LARGE].status
-            await reply.answer(status, (), b"")
-        else:
-            received = CallerRequest(
-                method=request.method,
-                target=request.raw_path,
-                host=request.headers.get("Host", ""),
-                headers=request.headers,
-                items=tuple(request.headers.items()),
-                body=body,
-                arrived_at=arrived_at,
-            )
-            await self.core.handle(received, reply)
+        received = CallerRequest(
+            method=request.method,
+            target=request.raw_path,
+            host=request.headers.get("Host", ""),
+            headers=request.headers,
+            items=tuple(request.headers.items()),
+            body=HttpCallerBody(request),
+            arrived_at=asyncio.get_running_loop().time(),
+        )
+        await self.core.handle(received, reply)
         assert reply.response is not None
         return reply.response
 
@@ -161,5 +204,4 @@
         writer,
         task,
         asyncio.get_running_loop(),
-        client_max_size=MOST_BODY_BYTES,
     )
