--- a/tests/series_callers.py
+++ b/tests/series_callers.py
@@ -83,6 +83,19 @@
         await asyncio.sleep(STILL_TAKING_SECONDS + self.rng.uniform(-0.1, 0.3))
         await self._on_new_connection(stop, self._target())
 
+    async def follow(self, stop: Stop) -> None:
+        """Connect and send, with pauses, until the process is gone."""
+        life = self.fleet.current[stop.entry]
+        while life.process.returncode is None:
+            connection = await self._connect(life)
+            if connection is None:
+                await asyncio.sleep(0.005)
+                continue
+            await asyncio.sleep(self.rng.choice((0.0, 0.0, 0.02, 0.2)))
+            while await self._ask(connection, self._target()):
+                await asyncio.sleep(self.rng.uniform(0.0, 0.3))
+            connection.writer.close()
+
     def longest_refusal(self) -> float:
         """Return the longest time from a refusal to the next connection taken."""
         waits = [0.0]
--- a/tests/series_plan.py
+++ b/tests/series_plan.py
@@ -12,6 +12,9 @@
 IN_TURN_SECONDS = 1.2
 """Between the stops of two entries in planned work."""
 
+LATE_SEEDS = 1000
+"""From this seed on, callers and halts also follow an entry up to its very end."""
+
 MOST_KEEPERS = 24
 """Callers that one process plays without becoming the slowest part."""
 
@@ -28,6 +31,8 @@
     :param aimed: idle connections that send just around the end of taking.
     :param opened: connections opened around the end of taking.
     :param endless: streams that outlast the time to end.
+    :param dogged: callers that connect and send until the process is gone.
+    :param halts: when its event loop stands still once more.
     """
 
     entry: int
@@ -41,6 +46,8 @@
     aimed: int = 4
     opened: int = 0
     endless: int = 0
+    dogged: int = 0
+    halts: tuple[float, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -88,6 +95,8 @@
     if rng.random() < 0.3:
         early = stops[0].at + rng.uniform(3.5, 6.0)
         stops.append(_draw_stop(rng, 0, early, kills=False))
+    if seed >= LATE_SEEDS:
+        stops = [_with_late_part(stop, random.Random(f"late-{seed}")) for stop in stops]
     reloads = rng.choice((0, 2, 6))
     leaves = rng.sample(range(plain + engines), rng.choice((0, 0, 1, 3)))
     return Plan(
@@ -128,3 +137,10 @@
         opened=rng.choice((0, 0, 5, 20)),
         endless=rng.choice((0, 0, 0, 1)),
     )
+
+
+def _with_late_part(stop: Stop, rng: random.Random) -> Stop:
+    moments = (rng.uniform(STILL_TAKING_SECONDS, 5.0) for _ in range(8))
+    return dataclasses.replace(
+        stop, dogged=rng.choice((0, 1, 3, 8)), halts=tuple(sorted(moments))
+    )
--- a/tests/stop_series.py
+++ b/tests/stop_series.py
@@ -156,6 +156,10 @@
                 group.create_task(self.callers.open_late(stop))
             for after, number in stop.again:
                 group.create_task(send_signal(life, number, after))
+            for _ in range(stop.dogged):
+                group.create_task(self.callers.follow(stop))
+            for after in stop.halts:
+                group.create_task(send_signal(life, signal.SIGUSR2, after))
             if stop.still_at:
                 group.create_task(self._hold(stop))
             await life.process.wait()
