--- a/tests/series_checks.py
+++ b/tests/series_checks.py
@@ -26,11 +26,13 @@
 class Life:
     """One process of an entry, as the platform sees it; 0.0 is not yet.
 
+    :param handle: descriptor that stands for the process.
     :param signals: what it was sent beside the first SIGTERM.
     """
 
     entry: int
     process: asyncio.subprocess.Process
+    handle: int
     signals: set[int] = dataclasses.field(default_factory=set)
     ready_at: float = 0.0
     told_at: float = 0.0
