--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -40,6 +40,7 @@
 from .policy.last_requests import End
 from .policy.retry_window import RetryLimits
 from .protocol.plan import HOLDER_KEY
+from .serving import FIRST_REQUEST_SECONDS
 from .serving import Listening
 from .settings import DirectEntrySettings
 
@@ -194,13 +195,15 @@
     end = End(min(now + STILL_ROUTED_SECONDS, end_by), end_by)
     front.core.context.time_limits.begin(end)
     await asyncio.sleep(end.routed_until - now)
-    front.ending = True
-    await callers.close_idle()
     late_ms = round((loop.time() - end.routed_until) * 1e3, 1)
+    front.ending = True
+    await callers.close_long_idle()
     running = len(front.busy)
     logger.info("finishes its requests", extra={"running": running, "late_ms": late_ms})
     while front.busy and loop.time() < end_by:
         await asyncio.sleep(IDLE_CHECK_SECONDS)
+    await callers.stop_accepting()
+    await asyncio.sleep(FIRST_REQUEST_SECONDS)
     await callers.stop_taking()
     logger.info("takes no more requests", extra={"running": len(front.busy)})
     await callers.emptied(end_by + LAST_ANSWERS_SECONDS)
