Test processes take ports that nobody uses

An entry of a test did not start, "address already in use", once in six runs on twelve workers: the ports of two workers overlapped since there are more tests of processes than ports a worker was given. Each port is looked at for connections and datagrams before it is taken.

--- a/tests/support.py
+++ b/tests/support.py
@@ -58,15 +58,23 @@
 )
 
 
-def free_address() -> str:
+def free_port() -> int:
+    """Return a port that neither a connection nor datagrams use now."""
     for port in PORTS:
-        with contextlib.suppress(OSError), socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            probe.bind(("127.0.0.1", port))
-            return f"127.0.0.1:{port}"
+        with contextlib.suppress(OSError):
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(type=kind) as probe:
+                    if kind is socket.SOCK_STREAM:
+                        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                    probe.bind(("127.0.0.1", port))
+            return port
     raise AssertionError("no port is free")
 
 
+def free_address() -> str:
+    return f"127.0.0.1:{free_port()}"
+
+
 def expected_text(tokens: int) -> str:
     return "".join(f"w{i} " for i in range(tokens))
 
--- a/tests/test_direct_process.py
+++ b/tests/test_direct_process.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import itertools
 import json
 import os
 import pathlib
@@ -29,9 +28,9 @@
 from platform_standin import Replica
 from platform_standin import Store
 from platform_standin import answer
+from support import free_port
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-PORTS = itertools.count(20_000 + os.getpid() % 150 * 60)
 
 
 @dataclasses.dataclass
@@ -65,7 +64,7 @@
 @contextlib.asynccontextmanager
 async def process(store: Store, name: str = "entry-1", seconds: str = "8"):
     """Run a direct entry as the platform does."""
-    ports = [next(PORTS) for _ in range(4)]
+    ports = [free_port() for _ in range(4)]
     addresses = [f"127.0.0.1:{port}" for port in ports]
     settings = {
         "BERGAMOTMAST_NAME": name,
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -58,7 +58,7 @@
 from platform_standin import hang
 from platform_standin import head
 from platform_standin import reset
-from test_direct_process import PORTS
+from support import free_port
 from test_direct_process import Process
 from test_direct_process import process
 
@@ -361,7 +361,7 @@
 @contextlib.asynccontextmanager
 async def entry_in_this_process(store: Store):
     """Run all of an entry as a task; its end is waited for and its errors are not."""
-    ports = [next(PORTS) for _ in range(3)]
+    ports = [free_port() for _ in range(3)]
     addresses = [f"127.0.0.1:{port}" for port in ports]
     settings = DirectEntrySettings(
         name="entry-1",
