--- a/src/bergamotmast/serving.py
+++ b/src/bergamotmast/serving.py
@@ -83,6 +83,10 @@
         it is idle, its caller knows that a request under way was never read.
         """
         await self.stop_accepting()
+        await self.close_idle()
+
+    async def close_idle(self) -> None:
+        """Close the connections on which no request is at work."""
         for _ in range(MOST_LOOKS):
             if not await self._close_idle(spare_unread=True):
                 return
--- /dev/null
+++ b/tests/test_direct_ending.py
@@ -0,0 +1,169 @@
+"""An entry told to end, as a process: no closed port, and true answers to the last."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import signal
+
+from bergamotmast.direct import fleet as fleet_module
+from bergamotmast.policy.last_requests import End
+from direct_support import config
+from direct_support import engine
+from direct_support import read_answer
+from direct_support import registration
+from direct_support import request
+from direct_support import route
+from direct_support import serving
+from direct_support import until
+from platform_standin import EngineScript
+from platform_standin import Replica
+from platform_standin import Store
+from platform_standin import answer
+from test_direct_process import process
+from test_direct_streams import LONG
+from test_direct_streams import plan
+
+
+@dataclasses.dataclass
+class Outcome:
+    """What a caller of its own connection got; status 0: closed, -1: no listener."""
+
+    request_id: str
+    status: int
+    headers: dict[str, str]
+
+
+async def call(port: int, request_id: str, target: str = "/read/x", **headers: str):
+    try:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    except OSError:
+        return Outcome(request_id, -1, {})
+    try:
+        writer.write(request(target, request_id=request_id, **headers))
+        got = await read_answer(reader)
+        return Outcome(request_id, got.status, got.headers)
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return Outcome(request_id, 0, {})
+    finally:
+        writer.close()
+
+
+async def hang(replica, received, writer):
+    """Run a request and never answer it."""
+    await asyncio.sleep(60)
+
+
+async def test_an_entry_told_to_end_takes_callers_while_it_lives():
+    """All entries are restarted in turn, and callers find closed ports for seconds.
+
+    An entry that was told to end stopped listening after 2.6 s, and lived on until its
+    last stream was over. Its balancer had no other entry to send callers to. What can
+    be answered in time is answered; anything else is told when to come back.
+    """
+    script = EngineScript(last=40, pause=0.14)
+    async with (
+        Store() as store,
+        Replica("i-1", answer()) as plain,
+        engine("i-2", script) as streaming,
+    ):
+        talk = route("/talk/", "streaming", "llm", **{"timeout-ms": 9000})
+        store.put("op/config", config(routes=[talk, route("/read/", "safe")]))
+        store.put("servers/i-1", registration(plain))
+        store.put("servers/i-2", registration(streaming))
+        async with process(store) as entry:
+            await entry.until_ready()
+            sent = {"X_Token_Count": "400,80", "X_Deadline_Ms": "9000"}
+            stream = asyncio.create_task(call(entry.port, "s", "/talk/x", **sent))
+            await until(lambda: bool(streaming.received))
+            entry.process.send_signal(signal.SIGTERM)
+            outcomes = await outcomes_until(stream, entry.port)
+            assert (await stream).status == 200
+            await asyncio.wait_for(entry.process.wait(), 4)
+        ran = {received.request_id for received in plain.received}
+    statuses = [outcome.status for outcome in outcomes]
+    assert set(statuses) == {200, 503}, statuses
+    refused = [outcome for outcome in outcomes if outcome.status == 503]
+    assert all(float(outcome.headers["retry-after"]) > 0 for outcome in refused)
+    assert not ran & {outcome.request_id for outcome in refused}
+    patient = {outcome.request_id for outcome in outcomes[::2]}
+    assert patient.issuperset(outcome.request_id for outcome in refused)
+
+
+async def outcomes_until(stream: asyncio.Task, port: int) -> list[Outcome]:
+    """Call until a stream is over, with much time and with little by turns.
+
+    A call that the entry may have met after its last answer is left out.
+    """
+    outcomes = []
+    while True:
+        ms = "1000" if len(outcomes) % 2 else "2500"
+        outcome = await call(port, f"r-{len(outcomes)}", X_Deadline_Ms=ms)
+        await asyncio.sleep(0.1)
+        if stream.done():
+            return outcomes
+        outcomes.append(outcome)
+
+
+async def test_what_still_runs_at_the_very_end_is_answered():
+    """An entry's time to end is over while orders are at work.
+
+    A closed connection would tell their callers nothing. They are told that their
+    outcome is unknown, or that their own time is over, and the process still ends
+    before it would be killed.
+    """
+    async with Store() as store, Replica("i-1", hang) as plain:
+        slow = {"timeout-ms": 20_000, "target-latency-ms": 9000}
+        store.put("op/config", config(routes=[route("/order/", "unsafe", **slow)]))
+        store.put("servers/i-1", registration(plain))
+        async with process(store, seconds="4") as entry:
+            await entry.until_ready()
+            calls = [
+                asyncio.create_task(
+                    call(entry.port, f"o-{ms}", "/order/x", X_Deadline_Ms=ms)
+                )
+                for ms in ("20000", "2000")
+            ]
+            await asyncio.sleep(0.2)
+            entry.process.send_signal(signal.SIGTERM)
+            await asyncio.wait_for(entry.process.wait(), 4)
+            outcomes = [await asyncio.wait_for(task, 1) for task in calls]
+    assert entry.process.returncode == 0
+    assert [outcome.status for outcome in outcomes] == [502, 504]
+
+
+async def test_what_waits_at_the_very_end_has_not_run(monkeypatch):
+    """An entry ends while a request waits for an engine that is on its way.
+
+    It was sent nowhere: its caller is told so and when to come back, at once.
+    """
+    monkeypatch.setattr(fleet_module, "USUAL_CHANGE_SECONDS", 0.6)
+    one = engine("i-1", EngineScript(), "prefill")
+    async with serving(one) as entry:
+        plan(entry, "i-1", "decode")
+        waiting = asyncio.create_task(entry.ask("/talk/x", **LONG))
+        await asyncio.sleep(0.2)
+        assert not waiting.done()
+        now = asyncio.get_running_loop().time()
+        entry.core.context.time_limits.begin(End(now, now + 0.1))
+        got = await asyncio.wait_for(waiting, 1)
+    assert got.status == 503
+    assert float(got.headers["retry-after"]) > 0
+    assert one.received == []
+
+
+async def test_a_stream_that_the_end_cuts_off_looks_cut_off():
+    """A stream is not over when the process has to end.
+
+    What came so far was delivered; the stream's end is missing, so that nobody takes
+    it for whole.
+    """
+    async with serving(engine("i-1", EngineScript(last=50, pause=0.05))) as entry:
+        streaming = asyncio.create_task(entry.ask("/talk/x"))
+        await asyncio.sleep(0.3)
+        now = asyncio.get_running_loop().time()
+        entry.core.context.time_limits.begin(End(now, now + 0.1))
+        got = await asyncio.wait_for(streaming, 1)
+    assert got.status == 200
+    assert got.body.count(b"id:") >= 3
+    assert not got.complete
