A failing task ends an entry or a side in the steps of a planned end

Cause: the failure of any task cancelled all others of the process, the sessions among them, and the process's own wait. Each task stands alone now: the failure is logged, the process ends as if told to, and its exit status says that it failed. Ruled out: a fault of the requests themselves, which need neither the planner nor the configuration watch.

--- a/src/bergamotmast/app.py
+++ b/src/bergamotmast/app.py
@@ -51,6 +51,8 @@
     from .ports import PlainService
     from .ports import WeightStore
 
+Work: t.TypeAlias = cabc.Coroutine[t.Any, t.Any, None]
+
 ADMIN_PATH = "/admin/v1"
 
 SERVICE_RATE = 1e6
@@ -102,6 +104,13 @@
         return math.inf
 
 
+async def _together(works: cabc.Iterable[Work]) -> None:
+    """Run works until cancelled; the first failure ends all."""
+    async with asyncio.TaskGroup() as group:
+        for work in works:
+            group.create_task(work)
+
+
 class EntryProcess:
     """One entry: connections to sides, configuration, callers, maybe the planner.
 
@@ -167,14 +176,16 @@
         application.add_subapp(ADMIN_PATH, admin.application())
         return application
 
+    def works(self) -> list[Work]:
+        """Return what runs until cancelled, each independent of the others' failure."""
+        works = [self.watcher.run(), self.core.run(), self.claims.run()]
+        if self.planner is not None:
+            works.append(self.planner.run())
+        return works
+
     async def run(self) -> None:
         """Run until cancelled."""
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self.watcher.run())
-            group.create_task(self.core.run())
-            group.create_task(self.claims.run())
-            if self.planner is not None:
-                group.create_task(self.planner.run())
+        await _together(self.works())
 
     async def close(self, notice: float = SHUTDOWN_NOTICE) -> None:
         """Refuse new requests and wait until the last answer is out.
@@ -214,13 +225,16 @@
         )
         self.keeper: OrderKeeper | None = None
 
+    def works(self) -> list[Work]:
+        """Return what runs until cancelled, each independent of the others' failure."""
+        works = [self.watcher.run(), self.core.run()]
+        if self.keeper is not None:
+            works.append(self.keeper.run())
+        return works
+
     async def run(self) -> None:
         """Run until cancelled."""
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self.watcher.run())
-            group.create_task(self.core.run())
-            if self.keeper is not None:
-                group.create_task(self.keeper.run())
+        await _together(self.works())
 
     async def close(self) -> None:
         """Refuse new work and wait until the work in flight is done."""
--- a/src/bergamotmast/daemons.py
+++ b/src/bergamotmast/daemons.py
@@ -28,6 +28,7 @@
 from .app import EntryProcess
 from .app import ProcessParts
 from .app import SideProcess
+from .app import Work
 from .app import engine_side
 from .app import service_side
 from .entry.core import SHUTDOWN_NOTICE
@@ -35,7 +36,9 @@
 from .errors import SettingError
 from .history import NullHistory
 from .lifecycle import METRICS_PATH
+from .lifecycle import Ending
 from .lifecycle import address_errors
+from .lifecycle import cancel_together
 from .lifecycle import exposition
 from .lifecycle import running
 from .lifecycle import told_to_end
@@ -52,8 +55,12 @@
 
 
 async def serve_entry(settings: EntrySettings) -> None:
-    """Run an entry until it is told to end and its last answer is out."""
-    told = told_to_end()
+    """Run an entry until it is told to end and its last answer is out.
+
+    A task that fails ends the process in the same steps: most requests at work need
+    none of what failed, and would be cut off.
+    """
+    ending = Ending(told_to_end())
     async with _outside(settings) as (session, context):
         metrics = OpenTelemetryMetrics(settings.name)
         parts = _parts(settings, _key_values(settings, session), metrics)
@@ -72,14 +79,18 @@
         callers = Listening(
             application, settings.listen_address, entry.busy, _tls(settings)
         )
-        async with _serving(callers), running(entry.run()):
-            await _until(told)
+        async with _serving(callers), _running_apart(entry.works(), ending):
+            await _until(ending.told)
             await _end_entry(entry, callers, settings.shutdown_seconds)
+    ending.raise_failure()
 
 
 async def serve_side(settings: SideSettings) -> None:
-    """Run a side until it is told to end and its work in flight is done."""
-    told = told_to_end()
+    """Run a side until it is told to end and its work in flight is done.
+
+    A task that fails ends the process in the same steps.
+    """
+    ending = Ending(told_to_end())
     async with _outside(settings) as (session, context):
         metrics = OpenTelemetryMetrics(settings.name)
         parts = _parts(settings, _key_values(settings, session), metrics)
@@ -93,9 +104,10 @@
             if settings.metrics_address:
                 metrics_listening = Listening(application, settings.metrics_address)
                 await stack.enter_async_context(_serving(metrics_listening))
-            await stack.enter_async_context(running(side.run()))
-            await _until(told)
+            await stack.enter_async_context(_running_apart(side.works(), ending))
+            await _until(ending.told)
             await _bounded(side.close(), settings.shutdown_seconds)
+    ending.raise_failure()
 
 
 def _side(
@@ -181,6 +193,22 @@
         await listening.close()
 
 
+@contextlib.asynccontextmanager
+async def _running_apart(
+    works: cabc.Iterable[Work], ending: Ending
+) -> cabc.AsyncIterator[None]:
+    """Run works beside the body; the failure of one leaves the others running."""
+    async with contextlib.AsyncExitStack() as stack:
+        tasks = [
+            await stack.enter_async_context(running(work, ending.on_failure))
+            for work in works
+        ]
+        try:
+            yield
+        finally:
+            await cancel_together(tasks)
+
+
 async def _end_entry(entry: EntryProcess, callers: Listening, seconds: float) -> None:
     """Serve on until callers are sent elsewhere and the last request is answered."""
     told_at = asyncio.get_running_loop().time()
