Who is left when an entry's time is over is told what is known

Now each request in flight ends as at its deadline: the side is asked, and the caller hears "not run" (307), "ran" (400) or "unknown" (500), within 2 s. Ruled out: the wait of 5 s, which counts within the time.

--- a/src/bergamotmast/daemons.py
+++ b/src/bergamotmast/daemons.py
@@ -53,6 +53,10 @@
 
 logger = logging.getLogger(__name__)
 
+LAST_WORD_SECONDS = 2.0
+"""Given after ``--shutdown-seconds`` for telling callers what became of their requests:
+a side's word takes up to 0.5 s, the end of a claim up to 1 s."""
+
 
 async def serve_entry(settings: EntrySettings) -> None:
     """Run an entry until it is told to end and its last answer is out.
@@ -216,8 +220,9 @@
     entry.core.closing = True
     if not await callers.drain(told_at + SHUTDOWN_NOTICE, end_by):
         logger.warning("work in flight did not end within %g s", seconds)
-        return
-    await entry.close(notice=0.0)
+        entry.core.end_requests()
+        await callers.emptied(end_by + LAST_WORD_SECONDS)
+    await _bounded(entry.close(notice=0.0), LAST_WORD_SECONDS)
 
 
 async def _until(told: asyncio.Event) -> None:
@@ -227,9 +232,12 @@
     logger.info("told to end")
 
 
-async def _bounded(work: cabc.Awaitable[None], seconds: float) -> None:
+async def _bounded(work: cabc.Awaitable[None], seconds: float) -> bool:
+    """Return whether work ended within its time."""
     try:
         async with asyncio.timeout(seconds):
             await work
     except TimeoutError:
         logger.warning("work in flight did not end within %g s", seconds)
+        return False
+    return True
--- a/src/bergamotmast/entry/attempt.py
+++ b/src/bergamotmast/entry/attempt.py
@@ -22,7 +22,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DeadlinePassed:
-    """The caller's deadline has passed."""
+    """The caller's deadline has passed, or the entry's own time is over."""
 
 
 Event: t.TypeAlias = (
--- a/src/bergamotmast/entry/core.py
+++ b/src/bergamotmast/entry/core.py
@@ -30,6 +30,7 @@
 from .membership import Membership
 from .model_run import ModelRun
 from .peer import Peer
+from .placement import Placement
 from .service_run import ServiceRun
 
 logger = logging.getLogger(__name__)
@@ -78,6 +79,7 @@
         self.closing = False
         self.refusing = False
         self.in_flight = 0
+        self.placements: set[Placement] = set()
         self._attempts = itertools.count(1)
         self._hellos = itertools.count(1)
         self._idle = asyncio.Event()
@@ -100,6 +102,15 @@
         self.refusing = True
         await self._idle.wait()
 
+    def end_requests(self) -> None:
+        """Let all requests in flight end now: each caller hears what is known of it.
+
+        One that waits is "not run", one that runs ran, any other is "unknown".
+        """
+        self.refusing = True
+        for placement in self.placements:
+            placement.end()
+
     @property
     def is_ready(self) -> bool:
         """Whether the platform's balancer should send callers here."""
@@ -117,8 +128,9 @@
             raise RequestError(
                 ResultCode.UNKNOWN_MODEL, f"No selector carries model {call.model!r}."
             )
-        with self._counted(call):
-            chunks = ModelRun(self, call).chunks()
+        run = ModelRun(self, call)
+        with self._counted(call, run.placement):
+            chunks = run.chunks()
             async with contextlib.aclosing(chunks):
                 last = 0.0
                 async for chunk in chunks:
@@ -131,8 +143,9 @@
         :raises RequestError: if it ends without one.
         """
         self._check_open()
-        with self._counted(call):
-            return await ServiceRun(self, call).answer()
+        run = ServiceRun(self, call)
+        with self._counted(call, run.placement):
+            return await run.answer()
 
     # What a run asks of its entry
 
@@ -200,9 +213,12 @@
         return now
 
     @contextlib.contextmanager
-    def _counted(self, call: ModelCall | ServiceCall) -> cabc.Iterator[None]:
+    def _counted(
+        self, call: ModelCall | ServiceCall, placement: Placement
+    ) -> cabc.Iterator[None]:
         """Count a request in flight and measure its end."""
         self.in_flight += 1
+        self.placements.add(placement)
         self._idle.clear()
         code = ResultCode.CANCELLED_BY_CALLER
         try:
@@ -215,6 +231,7 @@
             seconds = asyncio.get_running_loop().time() - call.arrived_at
             self.telemetry.on_ended(call.tenant, call.request_class, code, seconds)
             self.in_flight -= 1
+            self.placements.discard(placement)
             if self.in_flight == 0:
                 self._idle.set()
 
--- a/src/bergamotmast/entry/placement.py
+++ b/src/bergamotmast/entry/placement.py
@@ -57,6 +57,8 @@
         refusal for load, if there was one.
     :param may_have_run: whether some attempt may have started.
     :param has_run: whether some attempt is known to have started.
+    :param ending: whether no further attempt may be made, since the entry ends.
+    :param attempt: the one under way.
     """
 
     def __init__(self, entry: RunsEntry, call: ModelCall | ServiceCall) -> None:
@@ -69,6 +71,14 @@
         self.refusals = 0
         self.no_choice = Choice(None, ResultCode.NO_UPSTREAM, RETRY_AFTER_NO_UPSTREAM)
         self.failures = 0
+        self.ending = False
+        self.attempt: EntryAttempt | None = None
+
+    def end(self) -> None:
+        """Let the request end now, as the entry does, with what is known of it."""
+        self.ending = True
+        if self.attempt is not None:
+            self.attempt.events.put_nowait(DeadlinePassed())
 
     def now(self) -> float:
         """Return the time on the local monotonic clock."""
@@ -81,6 +91,8 @@
         :raises RequestError: if there is none.
         """
         while True:
+            if self.ending:
+                raise self.error(ResultCode.SHUTTING_DOWN, None)
             choice = self._choose_now(resumed_tokens)
             if choice.upstream is not None:
                 return choice
@@ -125,6 +137,7 @@
         except NotReachedError:
             self.on_refused(upstream, ResultCode.NOT_HANDED_OVER, None)
             return None
+        self.attempt = attempt
         loop = asyncio.get_running_loop()
         attempt.timer = loop.call_at(
             self.call.deadline, attempt.events.put_nowait, DeadlinePassed()
@@ -190,6 +203,7 @@
 
     def leave(self, attempt: EntryAttempt) -> None:
         """Ignore everything that still comes of an attempt."""
+        self.attempt = None
         if attempt.timer is not None:
             attempt.timer.cancel()
         peer = self.entry.membership.peers.get(attempt.upstream)
@@ -218,7 +232,12 @@
                 code = ResultCode.UPSTREAM_FAILED
             elif self.may_have_run:
                 code = ResultCode.OUTCOME_UNKNOWN
-        return RequestError(code, retry_after=retry_after)
+        detail = ""
+        if code is ResultCode.EXPIRED_IN_QUEUE and self.ending:
+            code = ResultCode.SHUTTING_DOWN
+        elif code is ResultCode.DEADLINE_EXCEEDED and self.ending:
+            detail = "The request ran and was not whole when the entry ended."
+        return RequestError(code, detail, retry_after)
 
     def _tell_policy(self, upstream: str, code: ResultCode, tokens: int) -> None:
         self.entry.policy.on_ended(upstream, self.call, code, tokens, self.now())
