A side whose time is over says so of what still runs

Its entries noticed 2.5 s later and waited 10 s for calls that may not be repeated. Now each running attempt is ended with "failed", and the entries have their two beats to read it. Ruled out: the linger of the context, which a closed socket overrides.

Before: the caller of an order hears "unknown" after 13.6 s.

--- a/src/bergamotmast/daemons.py
+++ b/src/bergamotmast/daemons.py
@@ -110,7 +110,9 @@
                 await stack.enter_async_context(_serving(metrics_listening))
             await stack.enter_async_context(_running_apart(side.works(), ending))
             await _until(ending.told)
-            await _bounded(side.close(), settings.shutdown_seconds)
+            if not await _bounded(side.core.leave(), settings.shutdown_seconds):
+                await side.core.end_attempts()
+            side.listener.close()
     ending.raise_failure()
 
 
--- a/src/bergamotmast/side/core.py
+++ b/src/bergamotmast/side/core.py
@@ -52,6 +52,8 @@
     AttemptPhase.DONE: "done",
 }
 
+ENDED_DETAIL = "the side's time to end was over"
+
 RETRY_AFTER_FULL = 1.0
 """Seconds after which a caller refused for load may come back."""
 
@@ -154,6 +156,22 @@
         await self.server.until_read()
         await self.flush()
 
+    async def end_attempts(self) -> None:
+        """End what still runs and say so: the entries need not wait for this side.
+
+        Streams go on elsewhere; a call that may not be repeated ends as unknown now,
+        not when the side counts as lost.
+        """
+        for name in self.running:
+            attempt = self.attempts[name]
+            failed = messages.Failed(name, ResultCode.OUTCOME_UNKNOWN, ENDED_DETAIL)
+            await self.send(attempt.session.peer, failed)
+            if attempt.task is not None:
+                attempt.task.cancel()
+        await self.flush()
+        await self.server.until_read()
+        await self.flush()
+
     async def flush(self) -> None:
         """Hand over all frames; they would else wait for a turn that may not come."""
         await asyncio.gather(*self._background)
