--- a/src/bergamotmast/serving.py
+++ b/src/bergamotmast/serving.py
@@ -83,14 +83,24 @@
         it is idle, its caller knows that a request under way was never read.
         """
         await self.stop_accepting()
-        await self.close_idle()
+        await self._close_idle_ones()
 
-    async def close_idle(self) -> None:
-        """Close the connections on which no request is at work."""
+    async def close_long_idle(self) -> None:
+        """Close the connections on which no request is at work, but for new ones.
+
+        Who has just connected sends next, and is answered as long as this listens.
+        """
+        known = frozenset(self.server.connections)
+        await asyncio.sleep(FIRST_REQUEST_SECONDS)
+        await self._close_idle_ones(known)
+
+    async def _close_idle_ones(
+        self, among: cabc.Container[asyncio.BaseProtocol] | None = None
+    ) -> None:
         for _ in range(MOST_LOOKS):
-            if not await self._close_idle(spare_unread=True):
+            if not await self._close_idle(spare_unread=True, among=among):
                 return
-        await self._close_idle(spare_unread=False)
+        await self._close_idle(spare_unread=False, among=among)
 
     async def stop_accepting(self) -> None:
         """Close the address; who connected before is served.
@@ -120,7 +130,11 @@
                 self.server, connection, ssl=self.tls, ssl_handshake_timeout=limit
             )
 
-    async def _close_idle(self, spare_unread: bool) -> bool:
+    async def _close_idle(
+        self,
+        spare_unread: bool,
+        among: cabc.Container[asyncio.BaseProtocol] | None = None,
+    ) -> bool:
         """Close the idle connections; return whether one was spared.
 
         A connection without a handler is not yet idle: its request may have been read
@@ -129,13 +143,14 @@
 
         :param spare_unread: whether those stay open on which bytes wait unread, since
             closing them would reset a connection with a request on it.
+        :param among: the connections that may be closed; all if ``None``.
         """
         await _turns(TURNS_TO_HANDLER)
-        quiet = self._without_handler()
+        quiet = self._without_handler(among)
         for transport in quiet.values():
             transport.pause_reading()
         await _turns(TURNS_TO_HANDLER)
-        idle = self._without_handler()
+        idle = self._without_handler(among)
         spared = False
         for connection, transport in quiet.items():
             if transport.is_closing():
@@ -149,12 +164,15 @@
                 transport.close()
         return spared
 
-    def _without_handler(self) -> dict[asyncio.BaseProtocol, asyncio.Transport]:
+    def _without_handler(
+        self, among: cabc.Container[asyncio.BaseProtocol] | None
+    ) -> dict[asyncio.BaseProtocol, asyncio.Transport]:
         """Return the open connections whose request, if any, has no handler yet."""
         return {
             connection: connection.transport
             for connection in self.server.connections
             if connection not in self.busy
+            and (among is None or connection in among)
             and connection.transport is not None
             and not connection.transport.is_closing()
         }
