--- a/tests/stop_series.py
+++ b/tests/stop_series.py
@@ -54,6 +54,10 @@
     135: "ends too late: as 100",
     137: "ends too late: as 100",
     138: "ends by SIGHUP: as 123",
+    139: "ends by SIGHUP: as 123",
+    204: "ends by SIGHUP: as 123",
+    205: "ends by SIGHUP: as 123",
+    1005: "ends by SIGHUP: as 123",
 }
 """Seeds that broke, each with its cause."""
 
--- a/tests/test_stop_series.py
+++ b/tests/test_stop_series.py
@@ -11,6 +11,8 @@
 
 import pytest
 
+from series_checks import Life
+from series_checks import Sent
 from series_fleet import SeriesFleet
 from series_fleet import send_signal
 from series_fleet import until_loading
@@ -72,3 +74,42 @@
         await send_signal(life, signal.SIGHUP, 0.0)
         await start
         assert life.process.returncode is None
+
+
+@pytest.mark.parametrize(
+    ("target", "status", "body", "complete", "runs", "fault"),
+    [
+        ("/order/x?ms=1", 0, b"", False, 0, ""),
+        ("/order/x?ms=1", 0, b"", False, 1, "cut off"),
+        ("/order/x?ms=1", 503, b"", True, 0, ""),
+        ("/order/x?ms=1", 503, b"", True, 1, "not run, it was told"),
+        ("/order/x?ms=1", 502, b"", True, 1, "lost without a cause"),
+        ("/order/x?ms=1", 404, b"", True, 0, "no answer to this request"),
+        ("/order/x?ms=1", 200, b"fine q-1", True, 1, ""),
+        ("/order/x?ms=1", 200, b"fine q-1", True, 2, "ran twice"),
+        ("/read/x?ms=1", 200, b"fine q-2", True, 2, "another body"),
+        ("/long/x?ms=1&events=2", 200, b"id: 1\n", False, 1, "broken after 1 events"),
+        ("/long/x?ms=1&events=2", 200, b"id: 1\n", True, 1, "whole with 1 events"),
+        ("/long/x?ms=1&events=2", 200, b"id: 2\n", True, 1, "events [2]"),
+        ("/long/x?ms=1&events=2", 200, b"id: 1\nid: 2\n", True, 2, ""),
+    ],
+)
+def test_checks_name_what_must_not_be(target, status, body, complete, runs, fault):
+    life = Life(entry=0, process=None, handle=0, told_at=100.0)
+    sent = Sent("q-1", target, life, status, complete, body, 101.0, 102.0)
+    assert sent.fault(runs, STORE_HANGS) == fault
+
+
+@pytest.mark.parametrize(
+    ("killed_at", "ended_at", "fault"),
+    [
+        (0.0, 106.8, "cut off"),
+        (0.0, 107.0, ""),
+        (101.5, 101.6, ""),
+        (101.7, 101.6, "cut off"),
+    ],
+)
+def test_only_what_was_in_flight_may_be_lost(killed_at, ended_at, fault):
+    life = Life(entry=0, process=None, handle=0, told_at=100.0, killed_at=killed_at)
+    sent = Sent("q-1", "/read/x?ms=1", life, began_at=101.0, ended_at=ended_at)
+    assert sent.fault(1, STORE_HANGS) == fault
