--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import contextlib
+import gc
 import json
 import logging
 import os
+import random
 import resource
 import signal
 import socket
@@ -15,6 +17,7 @@
 from aiohttp import web
 
 from bergamotmast import direct_daemon
+from bergamotmast.adapters import opaque_http
 from bergamotmast.bounded_log import BoundedJsonHandler
 from bergamotmast.direct import front
 from bergamotmast.direct import role_planner
@@ -23,12 +26,14 @@
 from bergamotmast.direct.presence import PRESENCE_PREFIX
 from bergamotmast.direct.presence import Presence
 from bergamotmast.direct.role_planner import RolePlanner
+from bergamotmast.direct.time_limits import TimeLimits
 from bergamotmast.direct_daemon import serve_direct
 from bergamotmast.errors import ResultCode
 from bergamotmast.logs import ContextFilter
 from bergamotmast.model import Assignment
 from bergamotmast.model import Role
 from bergamotmast.planner import authority
+from bergamotmast.policy.last_requests import End
 from bergamotmast.protocol.plan import HEAD_KEY
 from bergamotmast.protocol.plan import HOLDER_KEY
 from bergamotmast.protocol.plan import EnginePlan
@@ -52,6 +57,7 @@
 from platform_standin import event
 from platform_standin import hang
 from platform_standin import head
+from platform_standin import reset
 from test_direct_process import PORTS
 from test_direct_process import Process
 from test_direct_process import process
@@ -691,8 +697,10 @@
         await asyncio.sleep(direct_daemon.STILL_ROUTED_SECONDS - 0.4)
         entry.process.send_signal(signal.SIGSTOP)
         await asyncio.sleep(0.1)
-        kept_writer.write(request("/read/x", request_id="kept", **CALLER))
-        new, new_writer = await send(entry, request("/order/x", **CALLER))
+        # Both leave before the process ends, so that both are still taken.
+        brief = CALLER | {"X_Deadline_Ms": "2000"}
+        kept_writer.write(request("/read/x", request_id="kept", **brief))
+        new, new_writer = await send(entry, request("/order/x", **brief))
         await asyncio.sleep(wakes_at - loop.time())
         entry.process.send_signal(signal.SIGCONT)
         for reader in (kept, new):
@@ -761,6 +769,15 @@
         writer.close()
 
 
+async def descriptors_held(pid: int) -> int:
+    """Return how many descriptors a process holds besides those of passing calls."""
+    counts = []
+    for _ in range(20):
+        counts.append(len(os.listdir(f"/proc/{pid}/fd")))
+        await asyncio.sleep(0.05)
+    return min(counts)
+
+
 async def test_callers_beyond_the_limit_of_descriptors_wait_for_one():
     """A process may open no further file: connections wait to be taken in.
 
@@ -770,7 +787,7 @@
     replica = Replica("i-1", answer())
     async with entry_before(replica, seconds="8") as (entry, _):
         pid = entry.process.pid
-        now_open = len(os.listdir(f"/proc/{pid}/fd"))
+        now_open = await descriptors_held(pid)
         _, hard = resource.prlimit(pid, resource.RLIMIT_NOFILE)
         resource.prlimit(pid, resource.RLIMIT_NOFILE, (now_open + 5, hard))
         idle = [await send(entry, b"") for _ in range(5)]
@@ -901,3 +918,75 @@
         got = await asyncio.wait_for(entry.ask(path, X_Token_Count="400,9"), 1)
     assert got.status == (200 if path == "/talk/x" else 502)
     assert got.complete is (path != "/talk/x")
+
+
+async def test_reset_of_an_idle_connection_is_no_fault(caplog):
+    """A replica resets a kept connection that carries no request: nothing is logged."""
+
+    async def script(replica: Replica, received: Received, writer) -> None:
+        writer.write(head(200, received.request_id, "Content-Length: 4"))
+        await asyncio.sleep(0.02)
+        writer.write(b"fine")
+        asyncio.get_running_loop().call_later(0.05, reset, writer)
+
+    replica = Replica("i-1", script)
+    async with serving(replica) as entry:
+        for _ in range(2):
+            assert (await entry.ask("/read/x")).status == 200
+            await asyncio.sleep(0.15)
+            gc.collect()
+    assert replica.connections == 2
+    assert not [r for r in caplog.records if r.levelno >= logging.WARNING]
+
+
+async def test_end_begins_while_a_deadline_passes():
+    """A request's time is over, and it is still closing its connection to an upstream.
+
+    In that moment the entry is told to end: the limits of all requests are brought
+    forward, that of this one being past. The others end as they should.
+    """
+    loop = asyncio.get_running_loop()
+    limits = TimeLimits(random.Random(1))
+
+    async def work(seconds: float) -> None:
+        async with limits.limit(loop.time() + seconds):
+            try:
+                await asyncio.sleep(5)
+            finally:
+                await asyncio.sleep(0.1)
+
+    tasks = [asyncio.create_task(work(seconds)) for seconds in (0.02, 3.0)]
+    await asyncio.sleep(0.05)
+    now = loop.time()
+    limits.begin(End(now + 0.1, now + 0.2))
+    outcomes = await asyncio.gather(*tasks, return_exceptions=True)
+    assert [type(outcome) for outcome in outcomes] == [TimeoutError, TimeoutError]
+    assert loop.time() - now < 1.0
+
+
+@pytest.mark.parametrize("path", ["/order/x", "/talk/x"])
+async def test_answer_without_an_end_takes_no_more_memory_than_it_may(
+    path, monkeypatch
+):
+    """An upstream sends one body, or one event, and never stops.
+
+    Kept to its end, it would take the memory of the process, and the system would end
+    that with every request at work. It is taken for broken.
+    """
+    monkeypatch.setattr(opaque_http, "MOST_BODY_BYTES", 1 << 20)
+    sent = 0
+
+    async def script(replica: Replica, received: Received, writer) -> None:
+        nonlocal sent
+        writer.write(head(200, received.request_id, "Transfer-Encoding: chunked"))
+        while sent < 40 << 20:
+            writer.write(chunk(b"x" * (1 << 16)))
+            sent += 1 << 16
+            await writer.drain()
+        await hang()(replica, received, writer)
+
+    plain, llm = Replica("i-1", script), engine("i-2", script)
+    async with serving(plain, llm) as entry:
+        got = await asyncio.wait_for(entry.ask(path, X_Token_Count="400,9"), 2)
+    assert got.status == 502
+    assert sent < 40 << 20
