The hashes of a prompt's parts are worked out once, where the request is let in

They were worked out anew at each placement, each booking of the prompt, and its end: by the code four times for a stream that one engine reads and answers, five where another reads. Nothing else changes.

--- a/src/bergamotmast/direct/core.py
+++ b/src/bergamotmast/direct/core.py
@@ -17,6 +17,7 @@
 from .forwarding import pass_on
 from .model import Call
 from .model import CallKind
+from .placing import shared_parts
 from .plain_run import PlainRun
 from .routing import RouteTable
 from .routing import pick_group
@@ -106,6 +107,7 @@
             body=body,
             arrived_at=request.arrived_at,
             deadline=deadline,
+            parts=shared_parts(traits),
         )
 
     async def _body(self, request: CallerRequest, time_left: float | None) -> bytes:
--- a/src/bergamotmast/direct/model.py
+++ b/src/bergamotmast/direct/model.py
@@ -163,6 +163,7 @@
     :param target: path and query as received.
     :param headers: headers to pass on, without those of one connection.
     :param deadline: when the answer must be out.
+    :param parts: hash and length of the parts of its prompt, in order.
     """
 
     traits: CallTraits
@@ -174,3 +175,4 @@
     body: bytes
     arrived_at: float
     deadline: float
+    parts: tuple[tuple[int, int], ...] = ()
--- a/src/bergamotmast/direct/placing.py
+++ b/src/bergamotmast/direct/placing.py
@@ -24,6 +24,7 @@
 from ..policy.plain_choice import choose_plain
 from .fleet import Fleet
 from .model import Call
+from .model import CallTraits
 from .model import Upstream
 from .ports import LoadHint
 from .read_notice import ReadNotice
@@ -123,8 +124,7 @@
 
     def _cached(self, call: Call, members: list[Upstream]) -> dict[str, int]:
         """Return how much of a prompt's beginning each engine is known to keep."""
-        parts = shared_parts(call)
-        return {m.name: self.engine_book(m).prefix.cached(parts) for m in members}
+        return {m.name: self.engine_book(m).prefix.cached(call.parts) for m in members}
 
     def choose_plain(self, call: Call, tried: cabc.Collection[str]) -> Upstream:
         """Return the plain upstream for a request's next send.
@@ -246,9 +246,9 @@
     return Reading(max(1, call.traits.prompt_tokens - best), source)
 
 
-def shared_parts(call: Call) -> tuple[tuple[int, int], ...]:
+def shared_parts(traits: CallTraits) -> tuple[tuple[int, int], ...]:
     """Return hash and length of the parts of a request's prompt, in order."""
-    return tuple((_hash(part.key), part.tokens) for part in call.traits.parts)
+    return tuple((_hash(part.key), part.tokens) for part in traits.parts)
 
 
 def upstream_hash(upstream: Upstream) -> int:
--- a/src/bergamotmast/direct/prompt_reads.py
+++ b/src/bergamotmast/direct/prompt_reads.py
@@ -15,7 +15,6 @@
 from .context import Context
 from .model import Call
 from .model import Upstream
-from .placing import shared_parts
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,7 +55,7 @@
         if engine.role is not Role.PREFILL:
             predicted += FIRST_TOKEN_SECONDS
         key = context.placing.new_key()
-        parts = shared_parts(self.call)
+        parts = self.call.parts
         book.begin(key, seconds, priority, now)
         # The last part is the request's or its session's own: it is noted once it has
         # been read. Noted before, a request that comes back after it was given up in
@@ -74,7 +73,7 @@
         now = asyncio.get_running_loop().time()
         work = book.end(read.key, now)
         if done:
-            book.prefix.store(shared_parts(self.call))
+            book.prefix.store(self.call.parts)
         if done and work is not None and not work.overtaken:
             book.measure(read.predicted, now - read.began_at, now)
         self.context.tell_ended(engine, read.key, read.tokens)
