A stream's steps stand in modules of their own

Placing and refusing, having the prompt read, one send to the answering engine, and the KV cache between the two were one class of 430 lines.

--- /dev/null
+++ b/src/bergamotmast/direct/answering.py
@@ -0,0 +1,232 @@
+"""Has one engine answer a stream, from the send to the last event that it makes."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc as cabc
+import contextlib
+import math
+
+from ..errors import NotReachedError
+from ..errors import ReplyLostError
+from ..errors import RequestError
+from ..errors import ResultCode
+from ..policy.direct_placement import answer_priority
+from ..policy.direct_placement import priority_of
+from .events import Event
+from .events import EventSplitter
+from .forwarding import answer_headers
+from .model import Upstream
+from .ports import Attempt
+from .ports import Reply
+from .ports import ReplyTraits
+from .prompt_reads import Read
+from .silence import silence_limit
+from .stream import Stream
+
+STALL_SECONDS = 1.2
+"""Longest pause between the events of a stream that may be resumed: its caller leaves
+after two seconds, and going on elsewhere takes some 400 ms."""
+
+REFUSED_SECONDS = 0.3
+"""How long an engine that refused a request is left alone: it is full or changing."""
+
+WRONG_UPSTREAM_SECONDS = 1.0
+"""How long an engine is left alone that is not what its entry says: it keeps refusing
+until the entry is right, which takes a heartbeat."""
+
+MOST_EVENT_BYTES = 1 << 20
+"""Of a stream; one event carries a few words. One without an end would take all memory
+of the process."""
+
+
+class BrokenStreamError(Exception):
+    """A stream ended before its end, or its reply can't be used."""
+
+
+class Answering:
+    """One send of a stream to the engine that answers it.
+
+    :param read: the prompt's booking, where this engine reads it too.
+    :param heard_at: when the engine last said anything; a point in time.
+    :param streaming: whether it has made an event.
+    """
+
+    def __init__(self, stream: Stream, upstream: Upstream) -> None:
+        self.stream = stream
+        self.context = stream.context
+        self.call = stream.call
+        self.upstream = upstream
+        self.book = stream.context.placing.engine_book(upstream)
+        self.read: Read | None = None
+        self.heard_at = math.inf
+        self.streaming = False
+
+    async def run(self) -> int | None:
+        """Return the status; ``None`` where the request may go on elsewhere.
+
+        :raises RequestError: if it must not go on, or no send is left.
+        """
+        self.stream.sends.begin(self.upstream)
+        self._book()
+        try:
+            return await self._exchange()
+        except NotReachedError as error:
+            self.stream.leave_alone(self.upstream)
+            self.stream.sends.on_unreached(self.upstream)
+            self._log_failure(error.message, "not reached")
+        except (ReplyLostError, BrokenStreamError) as error:
+            self._log_failure(str(error), "broken")
+            # Whatever became of the KV cache, it can't be taken twice.
+            self.stream.cache.release()
+            self._refuse_unrepeatable()
+        finally:
+            self._unbook()
+        return None
+
+    def _book(self) -> None:
+        """Book the prompt at this engine unless another has read it."""
+        timeline = self.stream.timeline
+        timeline.upstream = self.upstream.name
+        if not self.stream.cache:
+            self.read = self.stream.reads.begin(self.upstream)
+            timeline.reader = ""
+            timeline.to_read = self.read.tokens
+
+    def _on_event(self) -> None:
+        """Note the engine's first event: by then it has read the prompt."""
+        if self.streaming:
+            return
+        self.streaming = True
+        self.book.streams += 1
+        if self.read is not None:
+            self.stream.reads.end(self.upstream, self.read, done=True)
+
+    def _unbook(self) -> None:
+        if self.streaming:
+            self.book.streams -= 1
+        elif self.read is not None:
+            self.stream.reads.end(self.upstream, self.read, done=False)
+
+    async def _exchange(self) -> int:
+        async with self._open() as reply:
+            traits = self._check(reply)
+            self.stream.cache.taken()
+            self.heard_at = asyncio.get_running_loop().time()
+            if not 200 <= reply.status < 300:
+                return await self._on_failure_status(reply)
+            async with self._stall_limit():
+                async for event in self._events(reply):
+                    self._on_event()
+                    await self._forward(event, reply, traits)
+        await self._start(reply, traits)
+        await self.stream.reply.finish()
+        return reply.status
+
+    def _open(self) -> contextlib.AbstractAsyncContextManager[Reply]:
+        call, read = self.call, self.read
+        now = asyncio.get_running_loop().time()
+        attempt = Attempt(
+            self.upstream.name,
+            call.deadline,
+            priority=self._priority(),
+            kv_source=self.stream.cache.source,
+            fetch_from=read.fetch_from if read is not None else "",
+            last_event=self.stream.last_event,
+            weights=self.stream.weights,
+        )
+        headers = self.context.dialect.write_headers(call.headers, attempt, now)
+        return self.context.client.send(
+            self.upstream.address,
+            call.method,
+            call.target,
+            headers,
+            call.body,
+            fresh=not call.route.repeatable,
+        )
+
+    def _priority(self) -> int:
+        traits, rank = self.call.traits, self.call.route.rank
+        if self.read is not None:
+            return priority_of(rank, self.read.tokens)
+        return answer_priority(rank, traits.prompt_tokens, traits.max_tokens)
+
+    def _check(self, reply: Reply) -> ReplyTraits:
+        """Return what a reply says of itself if it is one to this request.
+
+        :raises ReplyLostError: if it is not.
+        :raises BrokenStreamError: if it says that nothing ran.
+        """
+        self.stream.timeline.replied_at = asyncio.get_running_loop().time()
+        self.stream.on_heard(self.upstream)
+        traits = self.context.read_reply(self.call, self.upstream, reply)
+        if traits.not_run:
+            self.stream.sends.on_not_run()
+            wrong = traits.wrong_upstream
+            pause = WRONG_UPSTREAM_SECONDS if wrong else REFUSED_SECONDS
+            self.stream.leave_alone(self.upstream, pause)
+            raise BrokenStreamError(f"status {reply.status}, not run")
+        self.context.check_reply(self.call, reply, traits)
+        return traits
+
+    async def _events(self, reply: Reply) -> cabc.AsyncIterator[Event]:
+        """Yield whole events.
+
+        :raises BrokenStreamError: if the stream ends within one, or one has no end.
+        """
+        splitter = EventSplitter()
+        async for data in reply.chunks():
+            self.book.heard_at = self.heard_at = asyncio.get_running_loop().time()
+            for event in splitter.feed(data):
+                yield event
+            if len(splitter.rest) > MOST_EVENT_BYTES:
+                raise BrokenStreamError("an event is too long")
+        if splitter.rest:
+            raise BrokenStreamError("the stream ended within an event")
+
+    def _stall_limit(self) -> contextlib.AbstractAsyncContextManager[None]:
+        if self.call.route.resumable:
+            return silence_limit(self._stalled_at)
+        return contextlib.nullcontext()
+
+    def _stalled_at(self) -> float:
+        """Return when a stream had better go on elsewhere; never if it can't.
+
+        An engine that puts a request back for want of memory pauses for seconds and
+        then goes on. Ended without another engine to go on at, the answer would be
+        lost that the caller still waits for.
+        """
+        if not self.stream.sends.may_move():
+            return math.inf
+        return self.heard_at + STALL_SECONDS
+
+    async def _forward(self, event: Event, reply: Reply, traits: ReplyTraits) -> None:
+        if event.number is not None:
+            if event.number <= self.stream.last_event:
+                return
+            self.stream.last_event = event.number
+        await self._start(reply, traits)
+        await self.stream.reply.write(event.data)
+
+    async def _start(self, reply: Reply, traits: ReplyTraits) -> None:
+        if self.stream.reply.started:
+            return
+        self.stream.timeline.first_event_at = asyncio.get_running_loop().time()
+        self.stream.weights = traits.weights
+        await self.stream.reply.start(reply.status, answer_headers(reply))
+
+    async def _on_failure_status(self, reply: Reply) -> int:
+        body = await reply.read()
+        if self.stream.reply.started:
+            raise BrokenStreamError(f"status {reply.status} in a stream")
+        await self.stream.reply.answer(reply.status, answer_headers(reply), body)
+        return reply.status
+
+    def _log_failure(self, error: str, outcome: str) -> None:
+        last_event = self.stream.last_event
+        self.stream.sends.log_failure(self.upstream, error, outcome, last_event)
+
+    def _refuse_unrepeatable(self) -> None:
+        """Raise where the request must not be sent again."""
+        if self.stream.sends.maybe_ran and not self.call.route.repeatable:
+            raise RequestError(ResultCode.OUTCOME_UNKNOWN) from None
--- a/src/bergamotmast/direct/core.py
+++ b/src/bergamotmast/direct/core.py
@@ -158,12 +158,12 @@
         if call.route.kind is CallKind.STREAM:
             outputs = call.traits.expected_tokens or call.traits.max_tokens
             self.context.mix.observe(call.traits.prompt_tokens, outputs, now)
-            stream = StreamRun(self.context, call, reply)
+            run = StreamRun(self.context, call, reply)
             try:
-                return await stream.run()
+                return await run.run()
             finally:
                 story["prompt"] = call.traits.prompt_tokens
-                story.update(stream.timeline.fields(call.arrived_at))
+                story.update(run.stream.timeline.fields(call.arrived_at))
         return await PlainRun(self.context, call, reply).run()
 
     async def _refuse(
--- /dev/null
+++ b/src/bergamotmast/direct/stream_placing.py
@@ -0,0 +1,106 @@
+"""Where a stream goes, whether it waits for an engine, and whom it is refused for."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ..errors import RequestError
+from ..errors import ResultCode
+from ..policy.direct_placement import Placement
+from .model import Upstream
+from .stream import Stream
+
+ROLE_MARGIN_SECONDS = 0.3
+"""What a request needs once an answering engine is there."""
+
+ROLE_CHECK_SECONDS = 0.05
+"""Between two looks whether an answering engine is there."""
+
+RETURN_SPREAD_SECONDS = 0.5
+"""Callers that are refused for one cause return over so long."""
+
+LEAST_RETRY_AFTER = 0.3
+"""Seconds after which a refused caller may come back at the earliest."""
+
+
+class StreamPlacing:
+    """Places one stream, at once or as soon as an engine can take it."""
+
+    def __init__(self, stream: Stream) -> None:
+        self.stream = stream
+        self.context = stream.context
+        self.call = stream.call
+
+    async def place(self) -> tuple[Upstream | None, Upstream]:
+        """Place the request, or wait for the engine that is on its way to answer it.
+
+        :returns: the engine that reads the prompt, if another, and the answering one.
+        :raises RequestError: if there is none, or too late for this caller.
+        """
+        while True:
+            try:
+                return self._place()
+            except RequestError as error:
+                sent = self.stream.sends.count
+                if error.code is not ResultCode.NO_UPSTREAM or sent:
+                    raise
+                await asyncio.sleep(self._wait_for_role())
+
+    def _place(self) -> tuple[Upstream | None, Upstream]:
+        reader, upstream, placement = self.context.placing.place_stream(
+            self.call, self.stream.sends.excluded
+        )
+        now = asyncio.get_running_loop().time()
+        timeline = self.stream.timeline
+        timeline.placed_at = now
+        timeline.reader = reader.name if reader else ""
+        timeline.predicted = placement.first_token
+        self._refuse_hopeless(placement, now)
+        return reader, upstream
+
+    def _wait_for_role(self) -> float:
+        """Return how long to wait until a placement may succeed.
+
+        With all answering engines gone, another one changes its role within seconds. A
+        caller that stays so long is served soonest if it waits here; any other is told
+        when to come back.
+
+        :raises RequestError: if the caller should come back.
+        """
+        now = asyncio.get_running_loop().time()
+        ready_at = self.context.fleet.answers_from(self.call.group.name, now)
+        if ready_at is None:
+            raise RequestError(ResultCode.NO_UPSTREAM)
+        # A change that is overdue may be over at any moment, or never.
+        if max(ready_at, now) + ROLE_MARGIN_SECONDS <= self._leaves_at():
+            return ROLE_CHECK_SECONDS
+        raise self._refusal(ResultCode.NO_UPSTREAM, ready_at - now)
+
+    def _refuse_hopeless(self, placement: Placement, now: float) -> None:
+        """Refuse at once what its caller would leave before its first event.
+
+        Let in, it would wait until its caller has gone, and some of it would be read
+        for nobody. Refused, the caller knows when to come back.
+        """
+        in_time = now + placement.first_token <= self._leaves_at()
+        if self.stream.reply.started or in_time:
+            return
+        raise self._refusal(
+            ResultCode.DEADLINE_UNREACHABLE,
+            placement.first_token - self.call.route.objective,
+        )
+
+    def _refusal(self, code: ResultCode, retry_after: float) -> RequestError:
+        """Return the error of a request whose caller should come back.
+
+        Callers that are refused for one burst or one lost engine would otherwise all
+        return in one moment, and most be refused again.
+        """
+        spread = self.context.rng.uniform(0.0, RETURN_SPREAD_SECONDS)
+        retry_after = max(LEAST_RETRY_AFTER, retry_after) + spread
+        return RequestError(code, retry_after=retry_after)
+
+    def _leaves_at(self) -> float:
+        """Return when the caller of a silent stream leaves; a point in time."""
+        call = self.call
+        return min(call.deadline, call.arrived_at + call.route.patience)
--- a/tests/test_direct_streams.py
+++ b/tests/test_direct_streams.py
@@ -8,8 +8,8 @@
 import pytest
 
 from bergamotmast.direct import fleet as fleet_module
+from bergamotmast.direct.answering import STALL_SECONDS
 from bergamotmast.direct.fleet import USUAL_CHANGE_SECONDS
-from bergamotmast.direct.stream_run import STALL_SECONDS
 from bergamotmast.model import Assignment
 from bergamotmast.model import Role
 from bergamotmast.protocol.plan import EnginePlan
