--- a/src/bergamotmast/serving.py
+++ b/src/bergamotmast/serving.py
@@ -22,6 +22,10 @@
 """Looks for idle connections before those that still bring bytes are closed too: a
 caller that sends bytes one by one must not hold the end up."""
 
+FIRST_REQUEST_SECONDS = 0.2
+"""Within which a caller that has connected sends its first request, also over a long
+way."""
+
 HANDSHAKE_SECONDS = 1.0
 """Given to a TLS handshake that begins as the address is closed."""
 
@@ -78,17 +82,27 @@
         process ends, which would then be cut off after it was read. Closed now, while
         it is idle, its caller knows that a request under way was never read.
         """
-        await self._stop_accepting()
-        await self.close_idle()
+        await self.stop_accepting()
+        await self._close_idle_ones()
+
+    async def close_long_idle(self) -> None:
+        """Close the connections on which no request is at work, but for new ones.
+
+        Who has just connected sends next, and is answered as long as this listens.
+        """
+        known = frozenset(self.server.connections)
+        await asyncio.sleep(FIRST_REQUEST_SECONDS)
+        await self._close_idle_ones(known)
 
-    async def close_idle(self) -> None:
-        """Close the connections on which no request is at work."""
+    async def _close_idle_ones(
+        self, among: cabc.Container[asyncio.BaseProtocol] | None = None
+    ) -> None:
         for _ in range(MOST_LOOKS):
-            if not await self._close_idle(spare_unread=True):
+            if not await self._close_idle(spare_unread=True, among=among):
                 return
-        await self._close_idle(spare_unread=False)
+        await self._close_idle(spare_unread=False, among=among)
 
-    async def _stop_accepting(self) -> None:
+    async def stop_accepting(self) -> None:
         """Close the address; who connected before is served.
 
         Closing a listening socket resets the connections in its backlog, on which a
@@ -116,7 +130,11 @@
                 self.server, connection, ssl=self.tls, ssl_handshake_timeout=limit
             )
 
-    async def _close_idle(self, spare_unread: bool) -> bool:
+    async def _close_idle(
+        self,
+        spare_unread: bool,
+        among: cabc.Container[asyncio.BaseProtocol] | None = None,
+    ) -> bool:
         """Close the idle connections; return whether one was spared.
 
         A connection without a handler is not yet idle: its request may have been read
@@ -125,13 +143,14 @@
 
         :param spare_unread: whether those stay open on which bytes wait unread, since
             closing them would reset a connection with a request on it.
+        :param among: the connections that may be closed; all if ``None``.
         """
         await _turns(TURNS_TO_HANDLER)
-        quiet = self._without_handler()
+        quiet = self._without_handler(among)
         for transport in quiet.values():
             transport.pause_reading()
         await _turns(TURNS_TO_HANDLER)
-        idle = self._without_handler()
+        idle = self._without_handler(among)
         spared = False
         for connection, transport in quiet.items():
             if transport.is_closing():
@@ -145,12 +164,15 @@
                 transport.close()
         return spared
 
-    def _without_handler(self) -> dict[asyncio.BaseProtocol, asyncio.Transport]:
+    def _without_handler(
+        self, among: cabc.Container[asyncio.BaseProtocol] | None
+    ) -> dict[asyncio.BaseProtocol, asyncio.Transport]:
         """Return the open connections whose request, if any, has no handler yet."""
         return {
             connection: connection.transport
             for connection in self.server.connections
             if connection not in self.busy
+            and (among is None or connection in among)
             and connection.transport is not None
             and not connection.transport.is_closing()
         }
@@ -167,6 +189,10 @@
         """
         loop = asyncio.get_running_loop()
         await asyncio.sleep(min(routed_until, end_by) - loop.time())
+        await self.stop_accepting()
+        # Who connected a moment ago sends next: closed now, it would not know whether
+        # its request was read.
+        await asyncio.sleep(FIRST_REQUEST_SECONDS)
         await self.stop_taking()
         return await self.emptied(end_by)
 
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -769,6 +769,15 @@
         writer.close()
 
 
+async def descriptors_held(pid: int) -> int:
+    """Return how many descriptors a process holds besides those of passing calls."""
+    counts = []
+    for _ in range(20):
+        counts.append(len(os.listdir(f"/proc/{pid}/fd")))
+        await asyncio.sleep(0.05)
+    return min(counts)
+
+
 async def test_callers_beyond_the_limit_of_descriptors_wait_for_one():
     """A process may open no further file: connections wait to be taken in.
 
@@ -778,7 +787,7 @@
     replica = Replica("i-1", answer())
     async with entry_before(replica, seconds="8") as (entry, _):
         pid = entry.process.pid
-        now_open = len(os.listdir(f"/proc/{pid}/fd"))
+        now_open = await descriptors_held(pid)
         _, hard = resource.prlimit(pid, resource.RLIMIT_NOFILE)
         resource.prlimit(pid, resource.RLIMIT_NOFILE, (now_open + 5, hard))
         idle = [await send(entry, b"") for _ in range(5)]
