--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -12,6 +12,7 @@
 import resource
 import signal
 import socket
+import time
 
 import pytest
 from aiohttp import web
@@ -990,3 +991,65 @@
         got = await asyncio.wait_for(entry.ask(path, X_Token_Count="400,9"), 2)
     assert got.status == 502
     assert sent < 40 << 20
+
+
+async def test_request_that_waits_as_a_stalled_process_finds_its_connection_idle(
+    monkeypatch,
+):
+    """The event loop stands still over the end of a connection's idle time.
+
+    A request has come meanwhile, and is found in one pass with the timer: it is answered.
+    """
+    monkeypatch.setattr(front, "IDLE_SECONDS", 0.2)
+    replica = Replica("i-1", answer())
+    async with serving(replica) as entry:
+        with socket.create_connection(("127.0.0.1", entry.port)) as caller:
+            caller.setblocking(False)
+            await until(lambda: bool(entry.listening.server.connections))
+            caller.send(request("/order/x"))
+            time.sleep(0.3)
+            loop = asyncio.get_running_loop()
+            got = await asyncio.wait_for(loop.sock_recv(caller, 1 << 16), 1)
+    assert got.startswith(b"HTTP/1.1 200")
+
+
+async def test_head_that_comes_in_two_parts_around_the_close_of_idle_connections():
+    """Half of a request's head has come as the entry closes what is idle.
+
+    Its connection is no idle one: closed, its caller would not know whether the request
+    was read.
+    """
+    replica = Replica("i-1", answer())
+    async with serving(replica) as entry:
+        reader, writer = await entry.connect()
+        whole = request("/read/x")
+        writer.write(whole[:60])
+        await asyncio.sleep(0.05)
+        entry.core.stopping = entry.front.ending = True
+        await entry.listening.stop_taking()
+        writer.write(whole[60:])
+        got = await asyncio.wait_for(read_answer(reader), 1)
+        assert got.headers["connection"] == "close"
+        writer.close()
+    assert got.status == 200
+
+
+async def test_request_behind_a_stream_that_began_before_the_end():
+    """A stream began before anyone knew of the end, and ends after it.
+
+    It did not say that its connection closes, and the next request has been read on it:
+    it is answered, and that answer says so.
+    """
+    async with serving(
+        engine("i-1", EngineScript(last=5, pause=0.05)), Replica("i-2", answer())
+    ) as entry:
+        reader, writer = await entry.connect()
+        writer.write(request("/talk/x", X_Token_Count="400,9", request_id="first"))
+        await reader.readuntil(b"id: 1")
+        entry.core.stopping = entry.front.ending = True
+        writer.write(request("/read/x", request_id="second"))
+        await reader.readuntil(b"0\r\n\r\n")
+        got = await asyncio.wait_for(read_answer(reader), 1)
+        writer.close()
+    assert got.status == 200
+    assert got.headers["connection"] == "close"
