A request read behind a stream that began before the end is answered

Cause: an answer that began before the entry was told to end has its connection closed after it, though its headers did not say so, also where the next request was read. Ruled out: an answer that said so; by HTTP what is behind it has not been run. Before: the connection was closed under the second request. After: it is answered, and says that the connection closes.

--- a/src/bergamotmast/direct/front.py
+++ b/src/bergamotmast/direct/front.py
@@ -168,7 +168,7 @@
         self.busy.add(request.protocol)
         try:
             response = await self._answer(request)
-            if self.ending:
+            if self.ending and not _has_next(request.protocol):
                 response.force_close()
             return response
         finally:
@@ -190,6 +190,15 @@
         return reply.response
 
 
+def _has_next(connection: RequestHandler) -> bool:
+    """Return whether a request has been read behind the one that is being answered.
+
+    Closed without having said so, its caller would not know that it was not run; its
+    own answer says that the connection closes.
+    """
+    return bool(connection._messages)
+
+
 def _new_request(
     message: RawRequestMessage,
     payload: StreamReader,
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -998,7 +998,7 @@
 ):
     """The event loop stands still over the end of a connection's idle time.
 
-    A request has come meanwhile, and is found in one pass with the timer: it is answered.
+    A request has come meanwhile, found in one pass with the timer: it is answered.
     """
     monkeypatch.setattr(front, "IDLE_SECONDS", 0.2)
     replica = Replica("i-1", answer())
