The last engine of a model is ordered to answer if it only reads

Cause: the role policy left a fleet of one engine as it is, and planned work had left one that reads; every prompt was refused until another came. Ruled out: a planner without its lease, an engine that may not be ordered (it took the order at once).

--- a/src/bergamotmast/policy/direct_roles.py
+++ b/src/bergamotmast/policy/direct_roles.py
@@ -106,6 +106,7 @@
 def wanted_answering(engines: int, decode_share: float) -> int:
     """Return how many of some engines should make answers."""
     if engines <= 1:
+        # A last engine that only reads ends no request; an answering one reads too.
         return engines
     least = LEAST_ANSWERING if engines >= 2 * LEAST_ANSWERING else 1
     by_mix = math.ceil(engines * decode_share * SAFETY)
@@ -130,7 +131,7 @@
         answering = [e for e in engines if e.role is not Role.PREFILL]
         reading = [e for e in engines if e.role is Role.PREFILL]
         surplus = len(answering) - wanted_answering(len(engines), decode_share)
-        if surplus == 0 or len(engines) < 2:
+        if surplus == 0:
             self.since = None
             return None
         sign = 1 if surplus > 0 else -1
