--- a/src/bergamotmast/direct/core.py
+++ b/src/bergamotmast/direct/core.py
@@ -17,6 +17,7 @@
 from .forwarding import pass_on
 from .model import Call
 from .model import CallKind
+from .placing import shared_parts
 from .plain_run import PlainRun
 from .routing import RouteTable
 from .routing import pick_group
@@ -106,6 +107,7 @@
             body=body,
             arrived_at=request.arrived_at,
             deadline=deadline,
+            parts=shared_parts(traits),
         )
 
     async def _body(self, request: CallerRequest, time_left: float | None) -> bytes:
@@ -156,12 +158,12 @@
         if call.route.kind is CallKind.STREAM:
             outputs = call.traits.expected_tokens or call.traits.max_tokens
             self.context.mix.observe(call.traits.prompt_tokens, outputs, now)
-            stream = StreamRun(self.context, call, reply)
+            run = StreamRun(self.context, call, reply)
             try:
-                return await stream.run()
+                return await run.run()
             finally:
                 story["prompt"] = call.traits.prompt_tokens
-                story.update(stream.timeline.fields(call.arrived_at))
+                story.update(run.stream.timeline.fields(call.arrived_at))
         return await PlainRun(self.context, call, reply).run()
 
     async def _refuse(
