--- a/tests/series_fleet.py
+++ b/tests/series_fleet.py
@@ -223,8 +223,14 @@
 
 
 async def _watch_end(life: Life) -> None:
-    await life.process.wait()
+    """Note when a process ends, without the way through a waiting thread."""
+    loop = asyncio.get_running_loop()
+    ended = asyncio.Event()
+    loop.add_reader(life.handle, ended.set)
+    await ended.wait()
     life.ended_at = time.monotonic()
+    loop.remove_reader(life.handle)
+    await life.process.wait()
 
 
 async def _listens(port: int) -> bool:
