--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -1053,3 +1053,32 @@
         writer.close()
     assert got.status == 200
     assert got.headers["connection"] == "close"
+
+
+@pytest.mark.parametrize("target", ["http://xn--/read/x", "http://[::1/x", "//[::1/x"])
+async def test_target_that_can_not_be_understood_is_refused(target):
+    """A request names a host that is none, in the form that proxies are asked in.
+
+    The HTTP library fails on it between the reading of the head and the handler, and
+    would leave the connection open and read by nobody.
+    """
+    async with serving(Replica("i-1", answer())) as entry:
+        reader, writer = await entry.connect()
+        writer.write(request(target, body=b"", method="GET"))
+        got = await asyncio.wait_for(read_answer(reader), 1)
+        writer.close()
+    assert got.status in (400, 404)
+
+
+@pytest.mark.parametrize("version", ["HTTP/0.9", "HTTP/2.0"])
+async def test_stream_to_a_caller_of_another_protocol(version):
+    """The head names a version that has no chunks, or none in this form."""
+    async with serving(engine("i-1", EngineScript(last=3))) as entry:
+        reader, writer = await entry.connect()
+        sent = request("/talk/x", X_Token_Count="400,9", Connection="close")
+        writer.write(sent.replace(b"HTTP/1.1", version.encode(), 1))
+        got = await asyncio.wait_for(reader.read(), 2)
+        writer.close()
+    head, _, body = got.partition(b"\r\n\r\n")
+    assert b" 200 " in head.split(b"\r\n")[0]
+    assert body.count(b"id:") == 3
