A head that the HTTP library fails on after reading it is answered

Cause: the library works out the host of a target in absolute form between the reading of a head and its handler; for a host that is none (http://xn--/) it raises there, the connection's task ends, and the connection stays open with nobody to read it. Chunks were asked for in versions above HTTP/1.1 too, which the library refuses as for HTTP/1.0. Ruled out: targets that it can't split at all; it answers 400 by itself. Before: no answer (1 of 3 targets, 1 of 2 versions). After: 404 for the target, as it was sent; the stream to its end.

--- a/src/bergamotmast/direct/front.py
+++ b/src/bergamotmast/direct/front.py
@@ -7,6 +7,7 @@
 import socket
 import struct
 
+import yarl
 from aiohttp import HttpVersion11
 from aiohttp import web
 from aiohttp.abc import AbstractStreamWriter
@@ -29,6 +30,8 @@
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 """Linger for no time: what is not sent is dropped, and the other end is told."""
 
+ROOT = yarl.URL("/")
+
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 """Tells a caller to send its body."""
 
@@ -117,7 +120,7 @@
 
     @property
     def _has_chunks(self) -> bool:
-        return self.request.version >= HttpVersion11
+        return bool(self.request.version == HttpVersion11)
 
     def _new(self, status: int, headers: Headers) -> web.StreamResponse:
         response = web.StreamResponse(status=status)
@@ -157,7 +160,7 @@
 
     def probes(self) -> web.Server:
         """Return the server that says whether this entry is ready."""
-        return web.Server(self._ready, access_log=None)
+        return web.Server(self._ready, request_factory=_new_request, access_log=None)
 
     async def _ready(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path != self.core.context.dialect.ready_path:
@@ -206,6 +209,10 @@
     writer: AbstractStreamWriter,
     task: asyncio.Task[None],
 ) -> web.BaseRequest:
+    if message.url.absolute:
+        # The library fails on a host that is none before any handler has the request,
+        # which would then have no answer. The target is read as it was sent.
+        message = message._replace(url=ROOT)
     return web.BaseRequest(
         message,
         payload,
