An ending entry listens until what came before is answered, and no longer

Cause: with no other entry for the balancer, short calls kept an ending process alive and put off its next start.

--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -184,9 +184,9 @@
 async def _drain(front: DirectFront, callers: Listening, seconds: float) -> None:
     """Serve on until callers are sent elsewhere and the last request is answered.
 
-    It listens to the end: where all entries are restarted in turn, the balancer has no
-    other to send callers to, and 1 to 7 in 100 requests of such a day found a closed
-    port.
+    It listens until all that came before is answered: where all entries are restarted
+    in turn, the balancer has no other to send callers to. What they ask for is answered
+    or refused truthfully, where a closed port would say nothing.
     """
     loop = asyncio.get_running_loop()
     logger.info("stops soon", extra={"running": len(front.busy)})
@@ -200,7 +200,9 @@
     await callers.close_long_idle()
     running = len(front.busy)
     logger.info("finishes its requests", extra={"running": running, "late_ms": late_ms})
-    while front.busy and loop.time() < end_by:
+    # Those that come now are short, and must not put off the start that follows.
+    earlier = frozenset(front.busy)
+    while earlier & front.busy and loop.time() < end_by:
         await asyncio.sleep(IDLE_CHECK_SECONDS)
     await callers.stop_accepting()
     await asyncio.sleep(FIRST_REQUEST_SECONDS)
