The listening socket's second descriptor is made at the start

Cause: it was made as taking stops, which fails where no descriptor is free, and the error ended the process before its answers. Ruled out: the accepts themselves, whose errors are passed over. Before: "Too many open files" out of stop_taking.

--- a/src/bergamotmast/serving.py
+++ b/src/bergamotmast/serving.py
@@ -55,6 +55,7 @@
         self.tls = tls
         self.runner = _runner(server)
         self.sockets: list[socket.socket] = []
+        self.kept: list[socket.socket] = []
 
     @property
     def server(self) -> web.Server:
@@ -69,6 +70,8 @@
         """
         await self.runner.setup()
         self.sockets = await _bound(self.address)
+        # Duplicated now: as the address closes, no descriptor may be free.
+        self.kept = [listening.dup() for listening in self.sockets]
         for listening in self.sockets:
             site = web.SockSite(
                 self.runner, listening, backlog=BACKLOG, ssl_context=self.tls
@@ -110,7 +113,7 @@
         second descriptor, which leaves microseconds between the look and the close.
         """
         loop = asyncio.get_running_loop()
-        kept = [listening.dup() for listening in self.sockets]
+        kept, self.kept = self.kept, []
         for listening in self.sockets:
             loop.remove_reader(listening)
         self.sockets = []
@@ -212,6 +215,8 @@
 
     async def close(self) -> None:
         """Close everything."""
+        for listening in self.kept:
+            listening.close()
         await self.runner.cleanup()
 
 
