The last claims are written in a time of their own

Cause: put-off claims were written only when no request was left, and a silent store held the end up, first with that write and then with the goodbyes of the tasks, one after the other. Now the write has 1 s in any case, and the goodbyes are waited for together.

--- a/src/bergamotmast/app.py
+++ b/src/bergamotmast/app.py
@@ -18,7 +18,6 @@
 from .config.store import ConfigStore
 from .config.watch import ConfigWatcher
 from .entry.admin import AdminHttp
-from .entry.core import SHUTDOWN_NOTICE
 from .entry.core import EntryCore
 from .entry.fleet import read_fleet
 from .entry.fleet_picture import EntryFleetView
@@ -187,12 +186,9 @@
         """Run until cancelled."""
         await _together(self.works())
 
-    async def close(self, notice: float = SHUTDOWN_NOTICE) -> None:
-        """Refuse new requests and wait until the last answer is out.
-
-        :param notice: seconds that the balancer is given first.
-        """
-        await self.core.close(notice)
+    async def close(self) -> None:
+        """Refuse new requests and wait until the last answer is out."""
+        await self.core.close()
         await self.claims.flush()
 
 
--- a/src/bergamotmast/daemons.py
+++ b/src/bergamotmast/daemons.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections.abc as cabc
 import contextlib
+import functools
 import logging
 import random
 import ssl
@@ -40,7 +41,6 @@
 from .lifecycle import address_errors
 from .lifecycle import cancel_together
 from .lifecycle import exposition
-from .lifecycle import running
 from .lifecycle import told_to_end
 from .policy.presets import PRESETS
 from .serving import Listening
@@ -53,9 +53,12 @@
 
 logger = logging.getLogger(__name__)
 
+CLAIMS_SECONDS = 1.0
+"""Given to the last records of claims; a silent key-value service takes none."""
+
 LAST_WORD_SECONDS = 2.0
 """Given after ``--shutdown-seconds`` for telling callers what became of their requests:
-a side's word takes up to 0.5 s, the end of a claim up to 1 s."""
+a side's word takes up to 0.5 s, the end of a call's claim up to 1 s."""
 
 
 async def serve_entry(settings: EntrySettings) -> None:
@@ -203,16 +206,23 @@
 async def _running_apart(
     works: cabc.Iterable[Work], ending: Ending
 ) -> cabc.AsyncIterator[None]:
-    """Run works beside the body; the failure of one leaves the others running."""
-    async with contextlib.AsyncExitStack() as stack:
-        tasks = [
-            await stack.enter_async_context(running(work, ending.on_failure))
-            for work in works
-        ]
-        try:
-            yield
-        finally:
-            await cancel_together(tasks)
+    """Run works beside the body; the failure of one leaves the others running.
+
+    Their own endings are waited for together: one after the other, each that says
+    goodbye to a silent service would hold the end up.
+    """
+    tasks = [asyncio.create_task(work) for work in works]
+    for task in tasks:
+        task.add_done_callback(functools.partial(_on_task_done, ending))
+    try:
+        yield
+    finally:
+        await cancel_together(tasks)
+
+
+def _on_task_done(ending: Ending, task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and (failure := task.exception()) is not None:
+        ending.on_failure(failure)
 
 
 async def _end_entry(entry: EntryProcess, callers: Listening, seconds: float) -> None:
@@ -224,7 +234,9 @@
         logger.warning("work in flight did not end within %g s", seconds)
         entry.core.end_requests()
         await callers.emptied(end_by + LAST_WORD_SECONDS)
-    await _bounded(entry.close(notice=0.0), LAST_WORD_SECONDS)
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(CLAIMS_SECONDS):
+            await entry.claims.flush()
 
 
 async def _until(told: asyncio.Event) -> None:
