A connection of which half a request's head has come is not closed for idle

Cause: the HTTP library tells of a request once its head is whole; a head that comes in two parts, as large ones do over a longer way, left its connection among the idle ones that are closed as an entry ends. Ruled out: bodies that are late; their requests are at work. The rest of a body whose request was refused does not keep a connection open: the library then waits for no request.

--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -1082,3 +1082,39 @@
     head, _, body = got.partition(b"\r\n\r\n")
     assert b" 200 " in head.split(b"\r\n")[0]
     assert body.count(b"id:") == 3
+
+
+async def test_rest_of_a_refused_body_holds_no_end_up():
+    """A request was refused before its body had come, and its caller sends the rest.
+
+    Its answer is out: the connection is idle, and closed as such.
+    """
+    replica = Replica("i-1", answer())
+    async with serving(replica, document=config(**{"max-body-bytes": 10})) as entry:
+        reader, writer = await entry.connect()
+        whole = request("/order/x", body=b"x" * 1000)
+        writer.write(whole[:-900])
+        assert (await read_answer(reader)).status == 413
+        writer.write(whole[-900:-100])
+        await asyncio.sleep(0.05)
+        (connection,) = entry.listening.server.connections
+        assert connection not in entry.front.busy
+        writer.close()
+
+
+async def test_part_of_a_head_is_forgotten_once_the_request_is_answered():
+    """A head came in two parts; its connection is idle again after the answer."""
+    replica = Replica("i-1", answer())
+    async with serving(replica) as entry:
+        reader, writer = await entry.connect()
+        whole = request("/read/x", body=b"x" * 100)
+        for part in (whole[:60], whole[60:-50], whole[-50:]):
+            writer.write(part)
+            await asyncio.sleep(0.02)
+            (connection,) = entry.listening.server.connections
+            if part != whole[-50:]:
+                assert connection in entry.front.busy
+        assert (await read_answer(reader)).status == 200
+        await asyncio.sleep(0.02)
+        assert connection not in entry.front.busy
+        writer.close()
