--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -1053,3 +1053,68 @@
         writer.close()
     assert got.status == 200
     assert got.headers["connection"] == "close"
+
+
+@pytest.mark.parametrize("target", ["http://xn--/read/x", "http://[::1/x", "//[::1/x"])
+async def test_target_that_can_not_be_understood_is_refused(target):
+    """A request names a host that is none, in the form that proxies are asked in.
+
+    The HTTP library fails on it between the reading of the head and the handler, and
+    would leave the connection open and read by nobody.
+    """
+    async with serving(Replica("i-1", answer())) as entry:
+        reader, writer = await entry.connect()
+        writer.write(request(target, body=b"", method="GET"))
+        got = await asyncio.wait_for(read_answer(reader), 1)
+        writer.close()
+    assert got.status in (400, 404)
+
+
+@pytest.mark.parametrize("version", ["HTTP/0.9", "HTTP/2.0"])
+async def test_stream_to_a_caller_of_another_protocol(version):
+    """The head names a version that has no chunks, or none in this form."""
+    async with serving(engine("i-1", EngineScript(last=3))) as entry:
+        reader, writer = await entry.connect()
+        sent = request("/talk/x", X_Token_Count="400,9", Connection="close")
+        writer.write(sent.replace(b"HTTP/1.1", version.encode(), 1))
+        got = await asyncio.wait_for(reader.read(), 2)
+        writer.close()
+    head, _, body = got.partition(b"\r\n\r\n")
+    assert b" 200 " in head.split(b"\r\n")[0]
+    assert body.count(b"id:") == 3
+
+
+async def test_rest_of_a_refused_body_holds_no_end_up():
+    """A request was refused before its body had come, and its caller sends the rest.
+
+    Its answer is out: the connection is idle, and closed as such.
+    """
+    replica = Replica("i-1", answer())
+    async with serving(replica, document=config(**{"max-body-bytes": 10})) as entry:
+        reader, writer = await entry.connect()
+        whole = request("/order/x", body=b"x" * 1000)
+        writer.write(whole[:-900])
+        assert (await read_answer(reader)).status == 413
+        writer.write(whole[-900:-100])
+        await asyncio.sleep(0.05)
+        (connection,) = entry.listening.server.connections
+        assert connection not in entry.front.busy
+        writer.close()
+
+
+async def test_part_of_a_head_is_forgotten_once_the_request_is_answered():
+    """A head came in two parts; its connection is idle again after the answer."""
+    replica = Replica("i-1", answer())
+    async with serving(replica) as entry:
+        reader, writer = await entry.connect()
+        whole = request("/read/x", body=b"x" * 100)
+        for part in (whole[:60], whole[60:-50], whole[-50:]):
+            writer.write(part)
+            await asyncio.sleep(0.02)
+            (connection,) = entry.listening.server.connections
+            if part != whole[-50:]:
+                assert connection in entry.front.busy
+        assert (await read_answer(reader)).status == 200
+        await asyncio.sleep(0.02)
+        assert connection not in entry.front.busy
+        writer.close()
