--- a/tests/stop_series.py
+++ b/tests/stop_series.py
@@ -58,7 +58,13 @@
     204: "ends by SIGHUP: as 123",
     205: "ends by SIGHUP: as 123",
     1005: "ends by SIGHUP: as 123",
+    500: "ended too late, and 504, once: too many series at a time; see 5103",
+    502: "ended too late once: as 5103",
     4011: "ended too late once: 0.9 s from the last log line to the process's end",
+    5002: "ended too late once: as 5103",
+    5003: "ended too late once: as 5103",
+    5100: "ended too late once: as 5103",
+    5103: "ended too late once: starts took 2 to 9 s then; clean beside one series",
 }
 """Seeds that broke, each with its cause."""
 
