An entry's collections leave the objects of its start out

Cause: what made the event loop stand still, and so widened every gap between a read and its handler, was the collection of the oldest generation over all modules. Ruled out: processor time of requests (1 to 2 ms each).

--- a/src/bergamotmast/commands/direct.py
+++ b/src/bergamotmast/commands/direct.py
@@ -23,6 +23,9 @@
     """Run an entry until SIGTERM."""
     settings = load_settings(DirectEntrySettings, arguments)
     configure_decision_logs(settings.log_level, settings.name)
+    # Collections of the oldest generation would look through all modules each time and
+    # stop the event loop for 33 to 67 ms (longest of 20,000 calls; 1 to 2 ms without).
+    gc.freeze()
     with asyncio.Runner(loop_factory=BootTimeEventLoop) as runner:
         runner.run(serve_direct(settings))
     # The interpreter would look through all objects once more at its end, which is the
