--- a/tests/support.py
+++ b/tests/support.py
@@ -44,8 +44,9 @@
 
 MODEL = "appraiser"
 
-PORTS = itertools.count(12_000 + os.getpid() % 200 * 100)
-"""Ports of this process, below those that the system gives to outgoing connections."""
+PORTS = itertools.count(12_000 + os.getpid() % 20 * 1000)
+"""Ports of this process, below those that the system gives to outgoing connections; a
+worker's tests take some hundred, and its neighbours' ids are the next ones."""
 STATE = EngineState(
     boot_id="boot-1",
     assignment=Assignment(Role.MIXED, (f"{MODEL}@1",)),
