Workers of one test run have ports of their own

Two tests of processes failed in a whole run, "address already in use" in both: ranges went by process ids, and two workers with the same one found the same port free at once.

--- a/tests/support.py
+++ b/tests/support.py
@@ -44,9 +44,12 @@
 
 MODEL = "appraiser"
 
-PORTS = itertools.count(12_000 + os.getpid() % 20 * 1000)
-"""Ports of this process, below those that the system gives to outgoing connections; a
-worker's tests take some hundred, and its neighbours' ids are the next ones."""
+WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+
+PORTS = itertools.count(12_000 + WORKER % 20 * 1000 + os.getppid() % 7 * 100)
+"""Ports of this process, below those that the system gives to outgoing connections.
+Workers never share them: two that look for a free one at once would both take it."""
+
 STATE = EngineState(
     boot_id="boot-1",
     assignment=Assignment(Role.MIXED, (f"{MODEL}@1",)),
