How a listener stops is told by its module, and in the field's words

Behaviour as before, but for:

An idle connection over TLS no longer holds the end up. Cause: the library waits 30 s for the caller's "close notify", which a caller that does not look at its pool never sends. Ruled out: an answer still going out (there is none).

--- a/src/bergamotmast/app.py
+++ b/src/bergamotmast/app.py
@@ -175,7 +175,7 @@
         application.add_subapp(ADMIN_PATH, admin.application())
         return application
 
-    def works(self) -> list[Work]:
+    def background_tasks(self) -> list[Work]:
         """Return what runs until cancelled, each independent of the others' failure."""
         works = [self.watcher.run(), self.core.run(), self.claims.run()]
         if self.planner is not None:
@@ -184,7 +184,7 @@
 
     async def run(self) -> None:
         """Run until cancelled."""
-        await _together(self.works())
+        await _together(self.background_tasks())
 
     async def close(self) -> None:
         """Refuse new requests and wait until the last answer is out."""
@@ -221,7 +221,7 @@
         )
         self.keeper: OrderKeeper | None = None
 
-    def works(self) -> list[Work]:
+    def background_tasks(self) -> list[Work]:
         """Return what runs until cancelled, each independent of the others' failure."""
         works = [self.watcher.run(), self.core.run()]
         if self.keeper is not None:
@@ -230,7 +230,7 @@
 
     async def run(self) -> None:
         """Run until cancelled."""
-        await _together(self.works())
+        await _together(self.background_tasks())
 
     async def close(self) -> None:
         """Refuse new work and wait until the work in flight is done."""
--- a/src/bergamotmast/daemons.py
+++ b/src/bergamotmast/daemons.py
@@ -56,7 +56,7 @@
 CLAIMS_SECONDS = 1.0
 """Given to the last records of claims; a silent key-value service takes none."""
 
-LAST_WORD_SECONDS = 2.0
+FINAL_ANSWER_SECONDS = 2.0
 """Given after ``--shutdown-seconds`` for telling callers what became of their requests:
 a side's word takes up to 0.5 s, the end of a call's claim up to 1 s."""
 
@@ -86,7 +86,10 @@
         callers = Listening(
             application, settings.listen_address, entry.busy, _tls(settings)
         )
-        async with _serving(callers), _running_apart(entry.works(), ending):
+        async with (
+            _serving(callers),
+            _running_independently(entry.background_tasks(), ending),
+        ):
             await _until(ending.told)
             await _end_entry(entry, callers, settings.shutdown_seconds)
     ending.raise_failure()
@@ -111,7 +114,9 @@
             if settings.metrics_address:
                 metrics_listening = Listening(application, settings.metrics_address)
                 await stack.enter_async_context(_serving(metrics_listening))
-            await stack.enter_async_context(_running_apart(side.works(), ending))
+            await stack.enter_async_context(
+                _running_independently(side.background_tasks(), ending)
+            )
             await _until(ending.told)
             if not await _bounded(side.core.leave(), settings.shutdown_seconds):
                 await side.core.end_attempts()
@@ -203,13 +208,13 @@
 
 
 @contextlib.asynccontextmanager
-async def _running_apart(
+async def _running_independently(
     works: cabc.Iterable[Work], ending: Ending
 ) -> cabc.AsyncIterator[None]:
     """Run works beside the body; the failure of one leaves the others running.
 
-    Their own endings are waited for together: one after the other, each that says
-    goodbye to a silent service would hold the end up.
+    Their own endings are waited for together: one after the other, each that tells
+    its end to a silent service would hold the process up.
     """
     tasks = [asyncio.create_task(work) for work in works]
     for task in tasks:
@@ -233,7 +238,7 @@
     if not await callers.drain(told_at + SHUTDOWN_NOTICE, end_by):
         logger.warning("work in flight did not end within %g s", seconds)
         entry.core.end_requests()
-        await callers.emptied(end_by + LAST_WORD_SECONDS)
+        await callers.wait_until_closed(end_by + FINAL_ANSWER_SECONDS)
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(CLAIMS_SECONDS):
             await entry.claims.flush()
--- a/src/bergamotmast/direct/core.py
+++ b/src/bergamotmast/direct/core.py
@@ -94,7 +94,9 @@
         if traits.time_left is not None:
             seconds = min(seconds, traits.time_left)
         deadline = request.arrived_at + seconds
-        self.context.time_limits.let_in(deadline, asyncio.get_running_loop().time())
+        self.context.time_limits.check_admission(
+            deadline, asyncio.get_running_loop().time()
+        )
         group = self.context.fleet.group(pick_group(route, self.context.rng))
         connection = request.headers.get("Connection", "")
         return Call(
--- a/src/bergamotmast/direct/time_limits.py
+++ b/src/bergamotmast/direct/time_limits.py
@@ -52,7 +52,7 @@
             finally:
                 self.limits.discard(limit)
 
-    def let_in(self, deadline: float, now: float) -> None:
+    def check_admission(self, deadline: float, now: float) -> None:
         """Check that a request can be finished.
 
         :raises RequestError: if its caller should come back.
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -115,7 +115,7 @@
         ]
         await ending.told.wait()
         core.stopping = True
-        # Its goodbye gives the lease back, and must not use up the requests' time.
+        # It gives the lease back meanwhile, which must not use up the requests' time.
         tasks[-1].cancel()
         await _drain(front, callers, settings.shutdown_seconds)
         await cancel_together(tasks)
@@ -208,4 +208,4 @@
     await asyncio.sleep(FIRST_REQUEST_SECONDS)
     await callers.stop_taking()
     logger.info("takes no more requests", extra={"running": len(front.busy)})
-    await callers.emptied(end_by + LAST_ANSWERS_SECONDS)
+    await callers.wait_until_closed(end_by + LAST_ANSWERS_SECONDS)
--- a/src/bergamotmast/lifecycle.py
+++ b/src/bergamotmast/lifecycle.py
@@ -95,7 +95,7 @@
 
     The body is given the task, and may cancel it before its own end.
 
-    A task that is cancelled may still want to say goodbye to a service that does not
+    A task that is cancelled may still want to tell its end to a service that does not
     answer; it gets :data:`CANCEL_SECONDS`, so that a process told to end does end.
 
     :param on_failure: is told of a failure instead, and sees to the end.
@@ -130,7 +130,7 @@
 async def cancel_together(tasks: cabc.Collection[asyncio.Task[None]]) -> None:
     """Cancel tasks and wait once for all of them, at most :data:`CANCEL_SECONDS`.
 
-    One after the other, each that says goodbye to a silent service would take as long,
+    One after the other, each that tells its end to a silent service would take as long,
     and the process would be killed before its last answers are out.
     """
     for task in tasks:
--- a/src/bergamotmast/serving.py
+++ b/src/bergamotmast/serving.py
@@ -1,4 +1,15 @@
-"""Listens for callers and probes, and stops in steps that cut nothing off."""
+"""Listens for callers and probes, and stops in steps that cut nothing off.
+
+A process that is to end goes through these, in order:
+
+1. Its readiness fails, and each answer says that its connection closes, so that nobody
+   sends a second request on it. Callers still come until the balancer has noticed.
+2. :meth:`Listening.stop_accepting`: the address is closed, and who had connected is
+   served. An entry may close connections that have been idle for long before that.
+3. :meth:`Listening.stop_taking`: idle connections are closed. What has been sent on
+   them by then is read and answered first.
+4. :meth:`Listening.wait_until_closed`: the last answers go out.
+"""
 
 from __future__ import annotations
 
@@ -14,13 +25,13 @@
 BACKLOG = 1024
 """Connections waiting to be taken; an overflow costs a caller seconds."""
 
-TURNS_TO_HANDLER = 5
-"""Turns of the event loop within which a request that was read is with its handler;
-the library takes three."""
+ITERATIONS_TO_HANDLER = 5
+"""Iterations of the event loop within which a request that was read is with its
+handler; the HTTP library takes three, on Python 3.11."""
 
-MOST_LOOKS = 20
-"""Looks for idle connections before those that still bring bytes are closed too: a
-caller that sends bytes one by one must not hold the end up."""
+MOST_PASSES = 20
+"""Passes over the idle connections before those that still bring bytes are closed too:
+a caller that sends bytes one by one must not hold the end up."""
 
 FIRST_REQUEST_SECONDS = 0.2
 """Within which a caller that has connected sends its first request, also over a long
@@ -29,11 +40,14 @@
 HANDSHAKE_SECONDS = 1.0
 """Given to a TLS handshake that begins as the address is closed."""
 
+CONSENT_SECONDS = 0.3
+"""Given to the caller of an idle connection to answer "close notify" over TLS."""
+
 CLOSE_SECONDS = 0.3
 """Given to handlers that are still at work when all is closed."""
 
 EMPTY_CHECK_SECONDS = 0.05
-"""Between two looks whether the last connection is closed."""
+"""Between two checks whether the last connection is closed."""
 
 
 class Listening:
@@ -55,7 +69,7 @@
         self.tls = tls
         self.runner = _runner(server)
         self.sockets: list[socket.socket] = []
-        self.kept: list[socket.socket] = []
+        self.duplicates: list[socket.socket] = []
 
     @property
     def server(self) -> web.Server:
@@ -71,7 +85,7 @@
         await self.runner.setup()
         self.sockets = await _bound(self.address)
         # Duplicated now: as the address closes, no descriptor may be free.
-        self.kept = [listening.dup() for listening in self.sockets]
+        self.duplicates = [listening.dup() for listening in self.sockets]
         for listening in self.sockets:
             site = web.SockSite(
                 self.runner, listening, backlog=BACKLOG, ssl_context=self.tls
@@ -86,7 +100,7 @@
         it is idle, its caller knows that a request under way was never read.
         """
         await self.stop_accepting()
-        await self._close_idle_ones()
+        await self._close_idle_repeatedly()
 
     async def close_long_idle(self) -> None:
         """Close the connections on which no request is at work, but for new ones.
@@ -95,33 +109,33 @@
         """
         known = frozenset(self.server.connections)
         await asyncio.sleep(FIRST_REQUEST_SECONDS)
-        await self._close_idle_ones(known)
+        await self._close_idle_repeatedly(known)
 
-    async def _close_idle_ones(
+    async def _close_idle_repeatedly(
         self, among: cabc.Container[asyncio.BaseProtocol] | None = None
     ) -> None:
-        for _ in range(MOST_LOOKS):
-            if not await self._close_idle(spare_unread=True, among=among):
+        for _ in range(MOST_PASSES):
+            if not await self._close_idle_once(spare_unread=True, among=among):
                 return
-        await self._close_idle(spare_unread=False, among=among)
+        await self._close_idle_once(spare_unread=False, among=among)
 
     async def stop_accepting(self) -> None:
         """Close the address; who connected before is served.
 
         Closing a listening socket resets the connections in its backlog, on which a
         request may have been sent. So the last of them are accepted here, through a
-        second descriptor, which leaves microseconds between the look and the close.
+        second descriptor, which leaves microseconds between the last and the close.
         """
         loop = asyncio.get_running_loop()
-        kept, self.kept = self.kept, []
+        duplicates, self.duplicates = self.duplicates, []
         for listening in self.sockets:
             loop.remove_reader(listening)
         self.sockets = []
         # A connection that was accepted a moment ago would be lost with its server.
-        await _turns(TURNS_TO_HANDLER)
+        await _iterations(ITERATIONS_TO_HANDLER)
         for site in self.runner.sites:
             await site.stop()
-        accepted = [c for listening in kept for c in _accept_and_close(listening)]
+        accepted = [c for listening in duplicates for c in _accept_and_close(listening)]
         await asyncio.gather(*map(self._serve, accepted))
 
     async def _serve(self, connection: socket.socket) -> None:
@@ -133,7 +147,7 @@
                 self.server, connection, ssl=self.tls, ssl_handshake_timeout=limit
             )
 
-    async def _close_idle(
+    async def _close_idle_once(
         self,
         spare_unread: bool,
         among: cabc.Container[asyncio.BaseProtocol] | None = None,
@@ -148,14 +162,14 @@
             closing them would reset a connection with a request on it.
         :param among: the connections that may be closed; all if ``None``.
         """
-        await _turns(TURNS_TO_HANDLER)
-        quiet = self._without_handler(among)
-        for transport in quiet.values():
+        await _iterations(ITERATIONS_TO_HANDLER)
+        candidates = self._without_handler(among)
+        for transport in candidates.values():
             transport.pause_reading()
-        await _turns(TURNS_TO_HANDLER)
+        await _iterations(ITERATIONS_TO_HANDLER)
         idle = self._without_handler(among)
         spared = False
-        for connection, transport in quiet.items():
+        for connection, transport in candidates.items():
             if transport.is_closing():
                 continue
             if connection not in idle:
@@ -164,9 +178,20 @@
                 spared = True
                 transport.resume_reading()
             else:
-                transport.close()
+                self._close(transport)
         return spared
 
+    def _close(self, transport: asyncio.Transport) -> None:
+        """Close an idle connection.
+
+        With TLS the library waits half a minute for the caller's consent, and a caller
+        that does not look at its idle connections gives none: the end would wait, too.
+        """
+        transport.close()
+        if self.tls is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(CONSENT_SECONDS, transport.abort)
+
     def _without_handler(
         self, among: cabc.Container[asyncio.BaseProtocol] | None
     ) -> dict[asyncio.BaseProtocol, asyncio.Transport]:
@@ -197,9 +222,9 @@
         # its request was read.
         await asyncio.sleep(FIRST_REQUEST_SECONDS)
         await self.stop_taking()
-        return await self.emptied(end_by)
+        return await self.wait_until_closed(end_by)
 
-    async def emptied(self, end_by: float) -> bool:
+    async def wait_until_closed(self, end_by: float) -> bool:
         """Wait until the last answer is out, also at a caller who reads slowly.
 
         A connection whose answer left it open is closed as it becomes idle.
@@ -209,13 +234,13 @@
         """
         loop = asyncio.get_running_loop()
         while self.server.connections and loop.time() < end_by:
-            await self._close_idle(spare_unread=True)
+            await self._close_idle_once(spare_unread=True)
             await asyncio.sleep(EMPTY_CHECK_SECONDS)
         return not self.server.connections
 
     async def close(self) -> None:
         """Close everything."""
-        for listening in self.kept:
+        for listening in self.duplicates:
             listening.close()
         await self.runner.cleanup()
 
@@ -226,8 +251,8 @@
     return web.ServerRunner(server, shutdown_timeout=CLOSE_SECONDS)
 
 
-async def _turns(count: int) -> None:
-    """Give the event loop's other tasks so many turns."""
+async def _iterations(count: int) -> None:
+    """Let the event loop run so many iterations."""
     for _ in range(count):
         await asyncio.sleep(0)
 
--- a/tests/test_review.py
+++ b/tests/test_review.py
@@ -49,7 +49,7 @@
             while True:
                 stack.enter_context(socket.socket())
         await listening.stop_taking()
-        assert await listening.emptied(asyncio.get_running_loop().time() + 2)
+        assert await listening.wait_until_closed(asyncio.get_running_loop().time() + 2)
     loop = asyncio.get_running_loop()
     got = await asyncio.wait_for(loop.sock_recv(raw, 1000), 1)
     assert got.count(b"200 OK") == 1
@@ -127,9 +127,11 @@
         loop = asyncio.get_running_loop()
         kept = await loop.run_in_executor(None, ask)
         await listening.stop_taking()
-        emptied = await listening.emptied(loop.time() + SOON_SECONDS)
+        wait_until_closed = await listening.wait_until_closed(
+            loop.time() + SOON_SECONDS
+        )
         kept.close()
-    assert emptied
+    assert wait_until_closed
 
 
 @pytest.mark.parametrize("turns", range(16))
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -67,7 +67,7 @@
     for _ in range(turns):
         await asyncio.sleep(0)
     await listening.stop_taking()
-    assert await listening.emptied(asyncio.get_running_loop().time() + 2)
+    assert await listening.wait_until_closed(asyncio.get_running_loop().time() + 2)
     assert (await read(raw)).count(b"200 OK") == front.answered == 2
     await listening.close()
 
@@ -117,7 +117,7 @@
     raw.send(REQUEST)
     await asyncio.sleep(0.05)
     await listening.stop_taking()
-    assert await listening.emptied(asyncio.get_running_loop().time() + 2)
+    assert await listening.wait_until_closed(asyncio.get_running_loop().time() + 2)
     assert (await read(raw)).count(b"200 OK") == 1
     await listening.close()
 
@@ -134,11 +134,13 @@
         await asyncio.sleep(0.01)
     await listening.stop_taking()
     loop = asyncio.get_running_loop()
-    assert not await listening.emptied(loop.time() + 0.2)
-    emptied = asyncio.create_task(listening.emptied(loop.time() + 10))
+    assert not await listening.wait_until_closed(loop.time() + 0.2)
+    wait_until_closed = asyncio.create_task(
+        listening.wait_until_closed(loop.time() + 10)
+    )
     answer = await read(raw, 10.0)
     assert answer.count(b"x") == size
-    assert await emptied
+    assert await wait_until_closed
     await listening.close()
 
 
