A side whose time is over tells of all that still runs

Cause: attempts end while others are told of, and the set that was gone through changed: the side ended with "Set changed size during iteration", and the entries of the rest waited until it counted as lost. Found by reading the change. The test failed with that error before and passes.

--- a/src/bergamotmast/side/core.py
+++ b/src/bergamotmast/side/core.py
@@ -162,9 +162,11 @@
         Streams go on elsewhere; a call that may not be repeated ends as unknown now,
         not when the side counts as lost.
         """
-        for name in self.running:
-            attempt = self.attempts[name]
-            failed = messages.Failed(name, ResultCode.OUTCOME_UNKNOWN, ENDED_DETAIL)
+        # Attempts end, and are forgotten, while others are told of.
+        for attempt in [self.attempts[name] for name in sorted(self.running)]:
+            failed = messages.Failed(
+                attempt.name, ResultCode.OUTCOME_UNKNOWN, ENDED_DETAIL
+            )
             await self.send(attempt.session.peer, failed)
             if attempt.task is not None:
                 attempt.task.cancel()
