Both daemons run their background tasks in one way

"running" and a second form of it in daemons.py did the same: start tasks, report the first failure, cancel at the end. The branch of "running" that cancelled the main task was called by nobody any more, and the direct entry waited for its tasks twice. Behaviour is the same.

--- a/src/bergamotmast/daemons.py
+++ b/src/bergamotmast/daemons.py
@@ -5,7 +5,6 @@
 import asyncio
 import collections.abc as cabc
 import contextlib
-import functools
 import logging
 import random
 import ssl
@@ -29,7 +28,6 @@
 from .app import EntryProcess
 from .app import ProcessParts
 from .app import SideProcess
-from .app import Work
 from .app import engine_side
 from .app import service_side
 from .entry.core import SHUTDOWN_NOTICE
@@ -39,8 +37,8 @@
 from .lifecycle import METRICS_PATH
 from .lifecycle import Ending
 from .lifecycle import address_errors
-from .lifecycle import cancel_together
 from .lifecycle import exposition
+from .lifecycle import running
 from .lifecycle import told_to_end
 from .policy.presets import PRESETS
 from .serving import Listening
@@ -88,7 +86,7 @@
         )
         async with (
             _serving(callers),
-            _running_independently(entry.background_tasks(), ending),
+            running(entry.background_tasks(), ending),
         ):
             await _until(ending.told)
             await _end_entry(entry, callers, settings.shutdown_seconds)
@@ -114,9 +112,7 @@
             if settings.metrics_address:
                 metrics_listening = Listening(application, settings.metrics_address)
                 await stack.enter_async_context(_serving(metrics_listening))
-            await stack.enter_async_context(
-                _running_independently(side.background_tasks(), ending)
-            )
+            await stack.enter_async_context(running(side.background_tasks(), ending))
             await _until(ending.told)
             if not await _bounded(side.core.leave(), settings.shutdown_seconds):
                 await side.core.end_attempts()
@@ -207,29 +203,6 @@
         await listening.close()
 
 
-@contextlib.asynccontextmanager
-async def _running_independently(
-    works: cabc.Iterable[Work], ending: Ending
-) -> cabc.AsyncIterator[None]:
-    """Run works beside the body; the failure of one leaves the others running.
-
-    Their own endings are waited for together: one after the other, each that tells
-    its end to a silent service would hold the process up.
-    """
-    tasks = [asyncio.create_task(work) for work in works]
-    for task in tasks:
-        task.add_done_callback(functools.partial(_on_task_done, ending))
-    try:
-        yield
-    finally:
-        await cancel_together(tasks)
-
-
-def _on_task_done(ending: Ending, task: asyncio.Task[None]) -> None:
-    if not task.cancelled() and (failure := task.exception()) is not None:
-        ending.on_failure(failure)
-
-
 async def _end_entry(entry: EntryProcess, callers: Listening, seconds: float) -> None:
     """Serve on until callers are sent elsewhere and the last request is answered."""
     told_at = asyncio.get_running_loop().time()
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -27,7 +27,6 @@
 from .lifecycle import METRICS_PATH
 from .lifecycle import Ending
 from .lifecycle import address_errors
-from .lifecycle import cancel_together
 from .lifecycle import exposition
 from .lifecycle import running
 from .lifecycle import told_to_end
@@ -109,16 +108,12 @@
         presence = Presence(store, settings.name, settings.peer_address, rng)
         planner = _planner(settings, store, context)
         works = (Follower(store, fleet, rng).run(), presence.run(), planner.run())
-        tasks = [
-            await stack.enter_async_context(running(work, ending.on_failure))
-            for work in works
-        ]
+        tasks = await stack.enter_async_context(running(works, ending))
         await ending.told.wait()
         core.stopping = True
         # It gives the lease back meanwhile, which must not use up the requests' time.
         tasks[-1].cancel()
         await _drain(front, callers, settings.shutdown_seconds)
-        await cancel_together(tasks)
     logger.info("stops")
     ending.raise_failure()
 
--- a/src/bergamotmast/lifecycle.py
+++ b/src/bergamotmast/lifecycle.py
@@ -88,51 +88,26 @@
 
 @contextlib.asynccontextmanager
 async def running(
-    work: cabc.Coroutine[t.Any, t.Any, None],
-    on_failure: cabc.Callable[[BaseException], None] | None = None,
-) -> cabc.AsyncIterator[asyncio.Task[None]]:
-    """Run a process's tasks beside the body; their failure ends the process.
-
-    The body is given the task, and may cancel it before its own end.
+    works: cabc.Iterable[cabc.Coroutine[t.Any, t.Any, None]], ending: Ending
+) -> cabc.AsyncIterator[list[asyncio.Task[None]]]:
+    """Run a process's tasks beside the body; the failure of one leaves the others.
+
+    The body is given the tasks in order, and may cancel one before its own end. At its
+    end they are cancelled and waited for together, at most :data:`CANCEL_SECONDS`: one
+    after the other, each that tells its end to a silent service would take as long, and
+    the process would be killed before its last answers are out.
+    """
+    tasks = [asyncio.create_task(work) for work in works]
 
-    A task that is cancelled may still want to tell its end to a service that does not
-    answer; it gets :data:`CANCEL_SECONDS`, so that a process told to end does end.
+    def on_done(task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and (failure := task.exception()) is not None:
+            ending.on_failure(failure)
 
-    :param on_failure: is told of a failure instead, and sees to the end.
-    """
-    main = asyncio.current_task()
-    assert main is not None
-    task = asyncio.create_task(work)
-
-    def on_done(done: asyncio.Task[None]) -> None:
-        if done.cancelled() or (failure := done.exception()) is None:
-            return
-        if on_failure is None:
-            main.cancel()
-        else:
-            on_failure(failure)
-
-    task.add_done_callback(on_done)
+    for task in tasks:
+        task.add_done_callback(on_done)
     try:
-        yield task
+        yield tasks
     finally:
-        task.cancel()
-        await asyncio.wait({task}, timeout=CANCEL_SECONDS)
-        if (
-            on_failure is None
-            and task.done()
-            and not task.cancelled()
-            and (error := task.exception()) is not None
-        ):
-            raise error
-
-
-async def cancel_together(tasks: cabc.Collection[asyncio.Task[None]]) -> None:
-    """Cancel tasks and wait once for all of them, at most :data:`CANCEL_SECONDS`.
-
-    One after the other, each that tells its end to a silent service would take as long,
-    and the process would be killed before its last answers are out.
-    """
-    for task in tasks:
-        task.cancel()
-    await asyncio.wait(tasks, timeout=CANCEL_SECONDS)
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks, timeout=CANCEL_SECONDS)
