A connection is idle only once nothing has come on it, also over TLS and within a head

Cause: stop_taking() paused reading to look for unread bytes. The product's own entry did not know of a head that had come in part; only the direct entry did. Ruled out: the request reaching a handler (no answer, nothing run).

Reading goes on now, and a connection is closed only if nothing came on it for as many iterations as a request takes to its handler. Connections that know of their head serve both entries (connections.py, out of direct/front.py); a head that is not whole after 0.5 s is closed, where the direct entry kept it to the very end.

Two assertions in test_lost_answers.py look at Listening.is_idle() instead of front.busy, which no longer holds connections within a head; they ask the same.

--- a/src/bergamotmast/direct/front.py
+++ b/src/bergamotmast/direct/front.py
@@ -6,7 +6,6 @@
 import logging
 import socket
 import struct
-import typing as t
 
 import yarl
 from aiohttp import HttpVersion11
@@ -133,76 +132,22 @@
         return response
 
 
-class Connection(RequestHandler):
-    """A caller's connection that knows whether a part of a request's head has come.
-
-    The library tells of a request once its head is whole. A connection that is closed
-    within a head is no idle one to its caller, who can't know whether it was read.
-    """
-
-    __slots__ = ("within_head",)
-
-    def __init__(self, manager: web.Server, **options: t.Any) -> None:
-        super().__init__(manager, **options)
-        self.within_head = False
-
-    def data_received(self, data: bytes) -> None:
-        """Take bytes, and note whether they begin a head without ending it."""
-        super().data_received(data)
-        waits = self._waiter is not None and not self._waiter.done()
-        self.within_head = waits and bool(data)
-
-
-class CallerServer(web.Server):
-    """A server of :class:`Connection`."""
-
-    def __call__(self) -> Connection:
-        """Return the protocol of a new connection."""
-        return Connection(self, loop=self._loop, **self._kwargs)
-
-
-class Busy:
-    """The connections with a request at work, or with a part of one."""
-
-    def __init__(self) -> None:
-        self.at_work: set[asyncio.BaseProtocol] = set()
-
-    def __len__(self) -> int:
-        """Return on how many a request is at work."""
-        return len(self.at_work)
-
-    def __contains__(self, connection: object) -> bool:
-        """Return whether a connection must not be closed for idle."""
-        if connection in self.at_work:
-            return True
-        return isinstance(connection, Connection) and connection.within_head
-
-    def begin(self, connection: Connection) -> None:
-        """Note a request at work; what came until now is its head, or its body."""
-        connection.within_head = False
-        self.at_work.add(connection)
-
-    def end(self, connection: Connection) -> None:
-        """Note that a request is answered."""
-        self.at_work.discard(connection)
-
-
 class DirectFront:
     """Translates between HTTP and a direct entry.
 
-    :param busy: connections that are not idle.
+    :param busy: connections on which a request is at work.
     :param ending: whether each connection is closed after the answer under way, also
         one whose answer began before anyone knew of the end.
     """
 
     def __init__(self, core: DirectCore) -> None:
         self.core = core
-        self.busy = Busy()
+        self.busy: set[asyncio.BaseProtocol] = set()
         self.ending = False
 
     def callers(self) -> web.Server:
         """Return the server that takes callers in."""
-        return CallerServer(
+        return web.Server(
             self._handle,
             request_factory=_new_request,
             handler_cancellation=True,
@@ -224,15 +169,14 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         connection = request.protocol
-        assert isinstance(connection, Connection)
-        self.busy.begin(connection)
+        self.busy.add(connection)
         try:
             response = await self._answer(request)
             if self.ending and not _has_next(connection):
                 response.force_close()
             return response
         finally:
-            self.busy.end(connection)
+            self.busy.discard(connection)
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         reply = HttpCallerReply(request, self.core)
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -196,8 +196,8 @@
     running = len(front.busy)
     logger.info("finishes its requests", extra={"running": running, "late_ms": late_ms})
     # Those that come now are short, and must not put off the start that follows.
-    earlier = frozenset(front.busy.at_work)
-    while earlier & front.busy.at_work and loop.time() < end_by:
+    earlier = frozenset(front.busy)
+    while earlier & front.busy and loop.time() < end_by:
         await asyncio.sleep(IDLE_CHECK_SECONDS)
     await callers.stop_accepting()
     await asyncio.sleep(FIRST_REQUEST_SECONDS)
--- a/src/bergamotmast/serving.py
+++ b/src/bergamotmast/serving.py
@@ -22,6 +22,11 @@
 
 from aiohttp import web
 
+from .connections import Connection
+from .connections import ConnectionAppRunner
+from .connections import ConnectionServer
+from .connections import ConnectionServerRunner
+
 BACKLOG = 1024
 """Connections waiting to be taken; an overflow costs a caller seconds."""
 
@@ -30,8 +35,8 @@
 handler; the HTTP library takes three, on Python 3.11."""
 
 MOST_PASSES = 20
-"""Passes over the idle connections before those that still bring bytes are closed too:
-a caller that sends bytes one by one must not hold the end up."""
+"""Passes over the idle connections; one that still brings bytes after so many brings
+whole requests, which are answered."""
 
 FIRST_REQUEST_SECONDS = 0.2
 """Within which a caller that has connected sends its first request, also over a long
@@ -72,9 +77,9 @@
         self.duplicates: list[socket.socket] = []
 
     @property
-    def server(self) -> web.Server:
+    def server(self) -> ConnectionServer:
         """The server that has the connections, once it is started."""
-        assert self.runner.server is not None
+        assert isinstance(self.runner.server, ConnectionServer)
         return self.runner.server
 
     async def start(self) -> None:
@@ -101,6 +106,11 @@
         """
         await self.stop_accepting()
         await self._close_idle_repeatedly()
+        loop = asyncio.get_running_loop()
+        for connection, transport in self._without_handler().items():
+            until = connection.head_until
+            if until is not None:
+                loop.call_at(until, self._close_within_head, connection, transport)
 
     async def close_long_idle(self) -> None:
         """Close the connections on which no request is at work, but for new ones.
@@ -114,10 +124,10 @@
     async def _close_idle_repeatedly(
         self, among: cabc.Container[asyncio.BaseProtocol] | None = None
     ) -> None:
+        """Close idle connections until no bytes come on those that are left."""
         for _ in range(MOST_PASSES):
-            if not await self._close_idle_once(spare_unread=True, among=among):
+            if not await self._close_idle_once(among):
                 return
-        await self._close_idle_once(spare_unread=False, among=among)
 
     async def stop_accepting(self) -> None:
         """Close the address; who connected before is served.
@@ -148,38 +158,44 @@
             )
 
     async def _close_idle_once(
-        self,
-        spare_unread: bool,
-        among: cabc.Container[asyncio.BaseProtocol] | None = None,
+        self, among: cabc.Container[asyncio.BaseProtocol] | None = None
     ) -> bool:
-        """Close the idle connections; return whether one was spared.
+        """Close the idle connections; return whether one of the rest brings bytes.
 
         A connection without a handler is not yet idle: its request may have been read
         a moment ago. Closed then, the request would be sent to an upstream and cut off
-        there. So nothing is read any more first, and what was read reaches its handler.
+        there. So it is closed once nothing has come for long enough that what was read
+        before has reached its handler. Reading goes on meanwhile: with TLS the library
+        would take bytes in though it was told to pause, and they would be lost unseen.
 
-        :param spare_unread: whether those stay open on which bytes wait unread, since
-            closing them would reset a connection with a request on it.
         :param among: the connections that may be closed; all if ``None``.
         """
         await _iterations(ITERATIONS_TO_HANDLER)
         candidates = self._without_handler(among)
-        for transport in candidates.values():
-            transport.pause_reading()
+        received = [connection.received for connection in candidates]
         await _iterations(ITERATIONS_TO_HANDLER)
-        idle = self._without_handler(among)
-        spared = False
-        for connection, transport in candidates.items():
-            if transport.is_closing():
+        now = asyncio.get_running_loop().time()
+        bytes_come = False
+        for connection, before in zip(candidates, received, strict=True):
+            transport = connection.transport
+            if not self.is_idle(connection, now) or transport is None:
                 continue
-            if connection not in idle:
-                transport.resume_reading()
-            elif spare_unread and _has_unread(transport):
-                spared = True
-                transport.resume_reading()
-            else:
+            if connection.received == before and not _has_unread(transport):
                 self._close(transport)
-        return spared
+            else:
+                bytes_come = True
+        return bytes_come
+
+    def is_idle(self, connection: Connection, now: float) -> bool:
+        """Return whether neither a request nor a part of a head is at work."""
+        return connection not in self.busy and not connection.is_within_head(now)
+
+    def _close_within_head(
+        self, connection: Connection, transport: asyncio.Transport
+    ) -> None:
+        """Close a connection unless its head has become whole."""
+        if connection.head_until is not None and not transport.is_closing():
+            self._close(transport)
 
     def _close(self, transport: asyncio.Transport) -> None:
         """Close an idle connection.
@@ -193,13 +209,14 @@
             loop.call_later(CONSENT_SECONDS, transport.abort)
 
     def _without_handler(
-        self, among: cabc.Container[asyncio.BaseProtocol] | None
-    ) -> dict[asyncio.BaseProtocol, asyncio.Transport]:
+        self, among: cabc.Container[asyncio.BaseProtocol] | None = None
+    ) -> dict[Connection, asyncio.Transport]:
         """Return the open connections whose request, if any, has no handler yet."""
         return {
             connection: connection.transport
             for connection in self.server.connections
-            if connection not in self.busy
+            if isinstance(connection, Connection)
+            and connection not in self.busy
             and (among is None or connection in among)
             and connection.transport is not None
             and not connection.transport.is_closing()
@@ -234,7 +251,7 @@
         """
         loop = asyncio.get_running_loop()
         while self.server.connections and loop.time() < end_by:
-            await self._close_idle_once(spare_unread=True)
+            await self._close_idle_once()
             await asyncio.sleep(EMPTY_CHECK_SECONDS)
         return not self.server.connections
 
@@ -247,8 +264,10 @@
 
 def _runner(server: web.Server | web.Application) -> web.BaseRunner:
     if isinstance(server, web.Application):
-        return web.AppRunner(server, shutdown_timeout=CLOSE_SECONDS, access_log=None)
-    return web.ServerRunner(server, shutdown_timeout=CLOSE_SECONDS)
+        return ConnectionAppRunner(
+            server, shutdown_timeout=CLOSE_SECONDS, access_log=None
+        )
+    return ConnectionServerRunner(server, shutdown_timeout=CLOSE_SECONDS)
 
 
 async def _iterations(count: int) -> None:
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -1098,12 +1098,13 @@
         writer.write(whole[-900:-100])
         await asyncio.sleep(0.05)
         (connection,) = entry.listening.server.connections
-        assert connection not in entry.front.busy
+        assert entry.listening.is_idle(connection, asyncio.get_running_loop().time())
         writer.close()
 
 
 async def test_part_of_a_head_is_forgotten_once_the_request_is_answered():
     """A head came in two parts; its connection is idle again after the answer."""
+    loop = asyncio.get_running_loop()
     replica = Replica("i-1", answer())
     async with serving(replica) as entry:
         reader, writer = await entry.connect()
@@ -1113,8 +1114,8 @@
             await asyncio.sleep(0.02)
             (connection,) = entry.listening.server.connections
             if part != whole[-50:]:
-                assert connection in entry.front.busy
+                assert not entry.listening.is_idle(connection, loop.time())
         assert (await read_answer(reader)).status == 200
         await asyncio.sleep(0.02)
-        assert connection not in entry.front.busy
+        assert entry.listening.is_idle(connection, loop.time())
         writer.close()
