--- a/src/bergamotmast/direct/answering.py
+++ b/src/bergamotmast/direct/answering.py
@@ -148,8 +148,10 @@
     def _priority(self) -> int:
         traits, rank = self.call.traits, self.call.route.rank
         if self.read is not None:
-            return priority_of(rank, self.read.tokens)
-        return answer_priority(rank, traits.prompt_tokens, traits.max_tokens)
+            return priority_of(rank, self.read.tokens, self.context.decisions)
+        return answer_priority(
+            rank, traits.prompt_tokens, traits.max_tokens, self.context.decisions
+        )
 
     def _check(self, reply: Reply) -> ReplyTraits:
         """Return what a reply says of itself if it is one to this request.
--- a/src/bergamotmast/direct/context.py
+++ b/src/bergamotmast/direct/context.py
@@ -8,6 +8,7 @@
 import random
 
 from ..errors import ReplyLostError
+from ..policy.decisions import Decisions
 from ..policy.direct_roles import MixMeter
 from ..policy.engine_book import WorkKey
 from ..policy.retry_window import RetryLimits
@@ -59,10 +60,19 @@
     def __post_init__(self) -> None:
         self.time_limits = TimeLimits(self.rng)
 
+    @property
+    def decisions(self) -> Decisions:
+        """Which decisions are taken."""
+        return self.placing.decisions
+
     def budget(self, group: str) -> RetryWindow:
         """Return a group's window of second sends."""
         return self.budgets.setdefault(group, RetryWindow(self.retry_limits))
 
+    def _tells(self, tokens: int) -> bool:
+        """Return whether the other entries are told of a prompt of this length."""
+        return self.decisions.notices and tokens >= LEAST_TOKENS
+
     def tell_begun(
         self,
         engine: Upstream,
@@ -73,7 +83,7 @@
         parts: tuple[tuple[int, int], ...],
     ) -> None:
         """Tell the other entries of a prompt that an engine is about to read."""
-        if self.notices is not None and tokens >= LEAST_TOKENS:
+        if self.notices is not None and self._tells(tokens):
             # The last part belongs to this request or its session alone.
             notice = ReadNotice(
                 upstream_hash(engine), key[1], priority, tokens, cached, parts[:-1]
@@ -82,7 +92,7 @@
 
     def tell_ended(self, engine: Upstream, key: WorkKey, tokens: int) -> None:
         """Tell the other entries that a prompt they were told of is done with."""
-        if self.notices is not None and tokens >= LEAST_TOKENS:
+        if self.notices is not None and self._tells(tokens):
             self.notices.tell(ReadNotice(upstream_hash(engine), key[1], 0, 0))
 
     def spawn(self, work: cabc.Coroutine[object, object, None]) -> None:
--- a/src/bergamotmast/direct/placing.py
+++ b/src/bergamotmast/direct/placing.py
@@ -11,6 +11,8 @@
 from ..errors import RequestError
 from ..errors import ResultCode
 from ..model import Role
+from ..policy.decisions import ALL
+from ..policy.decisions import Decisions
 from ..policy.direct_placement import EngineView
 from ..policy.direct_placement import Placement
 from ..policy.direct_placement import choose_answering
@@ -58,7 +60,15 @@
     :param zone: availability zone of this entry.
     """
 
-    def __init__(self, fleet: Fleet, name: str, zone: str, rng: random.Random) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        name: str,
+        zone: str,
+        rng: random.Random,
+        decisions: Decisions = ALL,
+    ) -> None:
+        self.decisions = decisions
         self.fleet = fleet
         self.name = name
         self.zone = zone
@@ -96,6 +106,8 @@
 
     def on_load(self, upstream: Upstream, load: LoadHint) -> None:
         """Take an upstream's word on its load."""
+        if not self.decisions.load_hints:
+            return
         now = asyncio.get_running_loop().time()
         if upstream.role is not None:
             self.engine_book(upstream).hint(load.running, load.waiting, now)
@@ -120,7 +132,8 @@
         now = asyncio.get_running_loop().time()
         members = self.fleet.members(call.group.name, now)
         cached = self._cached(call, members)
-        return _reading(call, upstream, cached.get(upstream.name, 0), cached, members)
+        own = cached.get(upstream.name, 0)
+        return self._reading(call, upstream, own, cached, members)
 
     def _cached(self, call: Call, members: list[Upstream]) -> dict[str, int]:
         """Return how much of a prompt's beginning each engine is known to keep."""
@@ -137,10 +150,10 @@
         views = [
             PlainView(
                 member.name,
-                member.zone == self.zone,
+                self._is_near(member),
                 max(1, member.slots),
                 self.plain_book(member).load(now),
-                self.plain_book(member).is_ejected(now),
+                self._is_ejected(member, now),
             )
             for member in members
         ]
@@ -159,7 +172,8 @@
         now = asyncio.get_running_loop().time()
         members = self._untried(call, tried, now)
         by_name = {member.name: member for member in members}
-        placement = place(self._views(call, members, now), call.route.objective)
+        views = self._views(call, members, now)
+        placement = place(views, call.route.objective, self.decisions)
         if placement is None:
             raise RequestError(ResultCode.NO_UPSTREAM)
         reader = by_name[placement.prefill] if placement.prefill else None
@@ -193,14 +207,17 @@
         for member in self._sound(members, now):
             book = self.engine_book(member)
             own = cached.get(member.name, 0)
-            to_read = _reading(call, member, own, cached, everyone).tokens
-            priority = priority_of(call.route.rank, to_read)
+            to_read = self._reading(call, member, own, cached, everyone).tokens
+            priority = priority_of(call.route.rank, to_read, self.decisions)
+            wait = book.wait(priority, now)
+            if self.decisions.urgent_load:
+                wait = book.expected_wait(priority, now)
             views.append(
                 EngineView(
                     member.name,
                     member.role or Role.MIXED,
-                    member.zone == self.zone,
-                    book.expected_wait(priority, now),
+                    self._is_near(member),
+                    wait,
                     to_read,
                     book.slow(now),
                     book.answers(now),
@@ -216,12 +233,37 @@
         have refused one in the same moment, leaving all alone would refuse everything
         for as long.
         """
+        if not self.decisions.leaving_alone:
+            return members
         sound = [m for m in members if now >= self.engine_book(m).failed_until]
         if any(member.role is not Role.PREFILL for member in sound):
             return sound
         answering = [m for m in members if m.role is not Role.PREFILL]
         return sound + answering
 
+    def _reading(
+        self,
+        call: Call,
+        upstream: Upstream,
+        own: int,
+        cached: dict[str, int],
+        members: list[Upstream],
+    ) -> Reading:
+        best, source = own, ""
+        others = members if self.decisions.fetching else []
+        for other in others:
+            found = cached[other.name]
+            if other.name != upstream.name and found >= best + LEAST_FETCHED:
+                best, source = found, other.address
+        return Reading(max(1, call.traits.prompt_tokens - best), source)
+
+    def _is_near(self, upstream: Upstream) -> bool:
+        """Return whether an upstream is taken to be in this availability zone."""
+        return upstream.zone == self.zone or not self.decisions.zone_preference
+
+    def _is_ejected(self, upstream: Upstream, now: float) -> bool:
+        return self.decisions.ejection and self.plain_book(upstream).is_ejected(now)
+
     def _forget_gone(self) -> None:
         present = {
             (seen.upstream.name, seen.upstream.boot)
@@ -232,20 +274,6 @@
         self.by_hash = {h: k for h, k in self.by_hash.items() if k in present}
 
 
-def _reading(
-    call: Call,
-    upstream: Upstream,
-    own: int,
-    cached: dict[str, int],
-    members: list[Upstream],
-) -> Reading:
-    best, source = own, ""
-    for other in members:
-        if other.name != upstream.name and cached[other.name] >= best + LEAST_FETCHED:
-            best, source = cached[other.name], other.address
-    return Reading(max(1, call.traits.prompt_tokens - best), source)
-
-
 def shared_parts(traits: CallTraits) -> tuple[tuple[int, int], ...]:
     """Return hash and length of the parts of a request's prompt, in order."""
     return tuple((_hash(part.key), part.tokens) for part in traits.parts)
--- a/src/bergamotmast/direct/prompt_reads.py
+++ b/src/bergamotmast/direct/prompt_reads.py
@@ -47,7 +47,7 @@
         now = asyncio.get_running_loop().time()
         reading = context.placing.reading(self.call, engine)
         tokens = reading.tokens
-        priority = priority_of(self.call.route.rank, tokens)
+        priority = priority_of(self.call.route.rank, tokens, context.decisions)
         cached = max(0, self.call.traits.prompt_tokens - tokens)
         seconds = read_seconds(tokens, cached)
         share = role_share(engine.role or Role.MIXED)
@@ -74,6 +74,7 @@
         work = book.end(read.key, now)
         if done:
             book.prefix.store(self.call.parts)
-        if done and work is not None and not work.overtaken:
+        learns = self.context.decisions.slowness
+        if learns and done and work is not None and not work.overtaken:
             book.measure(read.predicted, now - read.began_at, now)
         self.context.tell_ended(engine, read.key, read.tokens)
--- a/src/bergamotmast/direct/role_planner.py
+++ b/src/bergamotmast/direct/role_planner.py
@@ -203,7 +203,7 @@
                 self.quiet_until[name] = at + self.quiet_seconds
 
     async def _tick(self) -> None:
-        if not self.fleet.ready:
+        if not self.fleet.ready or not self.placing.decisions.role_changes:
             return
         now = asyncio.get_running_loop().time()
         for group in self.fleet.engine_groups():
--- a/src/bergamotmast/direct/stream_placing.py
+++ b/src/bergamotmast/direct/stream_placing.py
@@ -83,7 +83,8 @@
         for nobody. Refused, the caller knows when to come back.
         """
         in_time = now + placement.first_token <= self._leaves_at()
-        if self.stream.reply.started or in_time:
+        refuses = self.context.decisions.refusal
+        if not refuses or self.stream.reply.started or in_time:
             return
         raise self._refusal(
             ResultCode.DEADLINE_UNREACHABLE,
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -36,6 +36,7 @@
 from .platform.headers import PlatformDialect
 from .platform.orders import PlatformOrders
 from .platform.store import PlatformStore
+from .policy.decisions import Decisions
 from .policy.last_requests import End
 from .policy.retry_window import RetryLimits
 from .protocol.plan import HOLDER_KEY
@@ -83,7 +84,8 @@
     rng = random.Random()
     metrics = OpenTelemetryMetrics(settings.name)
     fleet = Fleet(PlatformDirectory(), asyncio.get_running_loop().time)
-    placing = Placing(fleet, settings.name, settings.zone, rng)
+    decisions = Decisions.without(filter(None, settings.switched_off.split(",")))
+    placing = Placing(fleet, settings.name, settings.zone, rng, decisions)
     host, _, port = settings.peer_address.rpartition(":")
     async with contextlib.AsyncExitStack() as stack:
         client = await stack.enter_async_context(HttpUpstreamClient())
--- a/src/bergamotmast/policy/direct_placement.py
+++ b/src/bergamotmast/policy/direct_placement.py
@@ -20,6 +20,8 @@
 import typing as t
 
 from ..model import Role
+from .decisions import ALL
+from .decisions import Decisions
 from .engine_book import CALL_SECONDS
 from .engine_book import read_seconds
 from .engine_book import role_share
@@ -107,9 +109,11 @@
     first_token: float
 
 
-def priority_of(rank: int, tokens: int) -> int:
+def priority_of(rank: int, tokens: int, decisions: Decisions = ALL) -> int:
     """Return the engines' priority of a prompt, 0 to 9."""
     first, steps = PRIORITY_STEPS[min(rank, len(PRIORITY_STEPS) - 1)]
+    if not decisions.size_priority:
+        return first
     step = 0
     size = FIRST_SIZE_STEP
     while tokens > size and step < steps:
@@ -118,7 +122,9 @@
     return first + step
 
 
-def answer_priority(rank: int, prompt_tokens: int, most_outputs: int) -> int:
+def answer_priority(
+    rank: int, prompt_tokens: int, most_outputs: int, decisions: Decisions = ALL
+) -> int:
     """Return the engines' priority of an answer whose prompt is read, 0 to 9.
 
     An answering engine makes some sixty answers at once. With one of two gone they are
@@ -127,9 +133,10 @@
 
     :param most_outputs: bound of its output tokens; 0 for unknown.
     """
-    if 0 < most_outputs <= SHORT_ANSWER_TOKENS:
+    is_short = 0 < most_outputs <= SHORT_ANSWER_TOKENS
+    if is_short and decisions.short_answers_first:
         return 0
-    return priority_of(rank, prompt_tokens)
+    return priority_of(rank, prompt_tokens, decisions)
 
 
 def predict_read(engine: EngineView) -> float:
@@ -144,7 +151,9 @@
     return min(able, key=_answer_load, default=None)
 
 
-def place(engines: t.Sequence[EngineView], objective: float) -> Placement | None:
+def place(
+    engines: t.Sequence[EngineView], objective: float, decisions: Decisions = ALL
+) -> Placement | None:
     """Return the way to take, or ``None`` where there is none.
 
     :param objective: seconds to the first token.
@@ -160,10 +169,11 @@
     ways += [
         (_first_token(engine), engine)
         for engine in engines
-        if engine.role is not Role.PREFILL and (not ways or _may_read(engine))
+        if engine.role is not Role.PREFILL
+        and (not ways or (decisions.direct_reading and _may_read(engine)))
     ]
     seconds, engine = min(ways, key=lambda way: (_cost(*way), way[1].name))
-    if engine.to_read >= LONG_TOKENS:
+    if decisions.packing and engine.to_read >= LONG_TOKENS:
         seconds, engine = _packed(ways, objective) or (seconds, engine)
     if engine.role is Role.PREFILL:
         return Placement(engine.name, answering.name, seconds)
--- a/src/bergamotmast/setting_kinds.py
+++ b/src/bergamotmast/setting_kinds.py
@@ -58,6 +58,17 @@
     return Kind(parse, f"one of {', '.join(values)}")
 
 
+def several(*values: str) -> Kind:
+    """Return the kind that allows some words, with commas between."""
+
+    def parse(text: str) -> str:
+        if not set(text.split(",")) <= set(values):
+            raise ValueError(text)
+        return text
+
+    return Kind(parse, f"some of {', '.join(values)}, with commas between")
+
+
 def optional(kind: Kind) -> Kind:
     """Return a kind that also allows nothing, which is the empty text."""
 
--- a/src/bergamotmast/settings.py
+++ b/src/bergamotmast/settings.py
@@ -13,6 +13,7 @@
 import typing as t
 
 from .errors import SettingError
+from .policy.decisions import DECISION_NAMES
 from .setting_kinds import ADDRESS
 from .setting_kinds import BOOLEAN
 from .setting_kinds import FILE
@@ -23,6 +24,7 @@
 from .setting_kinds import integer
 from .setting_kinds import number
 from .setting_kinds import optional
+from .setting_kinds import several
 
 DEFAULT_BODY_BYTES = 8 << 20
 DEFAULT_CONTEXT_TOKENS = 131_072
@@ -188,6 +190,12 @@
         "second sends that they may make beside those",
         20.0,
     )
+    switched_off: str = _setting(
+        optional(several(*sorted(DECISION_NAMES))),
+        _WORK,
+        "decisions that are not taken, to see what they are worth",
+        "",
+    )
     store_address: str = _setting(ADDRESS, _PLATFORM, "the platform's store")
     listen_address: str = _setting(ADDRESS, _CALLERS, "where callers come in")
     ready_address: str = _setting(
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,40 @@
+"""Decisions of a direct entry that can be switched off."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+
+from bergamotmast.policy.decisions import ALL
+from bergamotmast.policy.decisions import DECISION_NAMES
+from bergamotmast.policy.decisions import Decisions
+from bergamotmast.policy.direct_placement import LONG_TOKENS
+from bergamotmast.policy.direct_placement import place
+from bergamotmast.policy.direct_placement import priority_of
+from test_direct_policy import view
+
+
+@pytest.mark.parametrize("name", sorted(DECISION_NAMES))
+def test_one_is_switched_off_and_the_rest_stay(name):
+    assert Decisions.without([name]) == dataclasses.replace(ALL, **{name: False})
+
+
+def test_an_unknown_one_is_named():
+    with pytest.raises(ValueError, match="no decision: pakcing"):
+        Decisions.without(["pakcing"])
+
+
+def test_without_packing_a_long_prompt_takes_the_free_engine():
+    engines = [view("a", wait=0.1), view("b"), view("d", wait=0.3)]
+    long = [dataclasses.replace(e, to_read=LONG_TOKENS) for e in engines]
+    answering = dataclasses.replace(long[2], role=None)
+    engines = [*long[:2], answering]
+    off = Decisions.without(["packing"])
+    assert place(engines, 0.8).prefill == "a"
+    assert place(engines, 0.8, off).prefill == "b"
+
+
+def test_without_size_priority_all_of_a_rank_are_alike():
+    off = Decisions.without(["size_priority"])
+    assert priority_of(1, 100, off) == priority_of(1, 90_000, off)
