--- a/src/bergamotmast/direct/answering.py
+++ b/src/bergamotmast/direct/answering.py
@@ -20,6 +20,7 @@
 from .ports import Attempt
 from .ports import Reply
 from .ports import ReplyTraits
+from .prefilling import SILENT
 from .prompt_reads import Read
 from .silence import silence_limit
 from .stream import Stream
@@ -188,19 +189,19 @@
 
     def _stall_limit(self) -> contextlib.AbstractAsyncContextManager[None]:
         if self.call.route.resumable:
-            return silence_limit(self._stalled_at)
+            return silence_limit(self._stall_verdict)
         return contextlib.nullcontext()
 
-    def _stalled_at(self) -> float:
-        """Return when a stream had better go on elsewhere; never if it can't.
+    async def _stall_verdict(self) -> str:
+        """Return why a stream had better go on elsewhere; never if it can't.
 
         An engine that puts a request back for want of memory pauses for seconds and
         then goes on. Ended without another engine to go on at, the answer would be
         lost that the caller still waits for.
         """
-        if not self.stream.sends.may_move():
-            return math.inf
-        return self.heard_at + STALL_SECONDS
+        now = asyncio.get_running_loop().time()
+        stalls = now >= self.heard_at + STALL_SECONDS
+        return SILENT if stalls and self.stream.sends.may_move() else ""
 
     async def _forward(self, event: Event, reply: Reply, traits: ReplyTraits) -> None:
         if event.number is not None:
--- a/src/bergamotmast/direct/context.py
+++ b/src/bergamotmast/direct/context.py
@@ -21,10 +21,12 @@
 from .placing import Placing
 from .placing import upstream_hash
 from .ports import Dialect
+from .ports import EngineCheck
 from .ports import Reply
 from .ports import ReplyTraits
 from .ports import UpstreamClient
 from .read_notice import ReadNotice
+from .silence import EngineChecks
 from .time_limits import TimeLimits
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -41,6 +43,7 @@
     :param mix: what the streams of this entry ask of engines.
     :param retry_limits: what all entries together may send a second time.
     :param budgets: second sends by group.
+    :param engine_check: tells a dead engine from a busy one, if anything does.
     :param background: tasks that outlive their request, until they are done.
     :param time_limits: of all requests at work.
     """
@@ -52,13 +55,16 @@
     rng: random.Random
     retry_limits: RetryLimits = RetryLimits()
     notices: Notices | None = None
+    engine_check: EngineCheck | None = None
     mix: MixMeter = dataclasses.field(default_factory=MixMeter)
     budgets: dict[str, RetryWindow] = dataclasses.field(default_factory=dict)
     background: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
     time_limits: TimeLimits = dataclasses.field(init=False)
+    engine_checks: EngineChecks = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
         self.time_limits = TimeLimits(self.rng)
+        self.engine_checks = EngineChecks(self.placing, self.engine_check)
 
     @property
     def decisions(self) -> Decisions:
--- a/src/bergamotmast/direct/ports.py
+++ b/src/bergamotmast/direct/ports.py
@@ -190,6 +190,17 @@
         ...
 
 
+class EngineCheck(t.Protocol):
+    """Tells a dead engine from a busy one."""
+
+    async def answers(self, engine: Upstream) -> bool:
+        """Ask an engine for something that waits for no other work.
+
+        Returns whether it has answered, within some tenths of a second.
+        """
+        ...
+
+
 class UpstreamClient(t.Protocol):
     """Sends requests to upstreams."""
 
--- a/src/bergamotmast/direct/prefilling.py
+++ b/src/bergamotmast/direct/prefilling.py
@@ -6,6 +6,7 @@
 
 from ..errors import NotReachedError
 from ..errors import ReplyLostError
+from ..errors import RequestError
 from .model import Upstream
 from .ports import Attempt
 from .prompt_reads import Read
@@ -16,44 +17,91 @@
 """Engines that a prompt is sent to for reading before an answering one reads it."""
 
 
+SILENT = "the engine is silent"
+OVERDUE = "the prompt is overdue"
+
+
 class Prefilling:
-    """The prefills of one stream."""
+    """The prefills of one stream.
+
+    The first one that an engine takes is no second send. One that fails is: whether the
+    engine had taken it can't be told, and if not, the next one is the first.
+
+    :param count: engines asked so far.
+    :param done: whether one of them has read the prompt.
+    """
 
     def __init__(self, stream: Stream) -> None:
         self.stream = stream
         self.context = stream.context
         self.count = 0
+        self.done = False
 
     @property
     def may_go_on(self) -> bool:
         """Whether another engine may be asked to read the prompt."""
-        return self.count < MOST_PREFILLS
+        return self.count < MOST_PREFILLS and self.stream.sends.has_room()
 
     async def run(self, reader: Upstream) -> None:
         """Have the prompt read; afterwards its KV cache is known if that went well."""
         stream = self.stream
-        if self.count and not stream.sends.spend():
+        if self.done and not stream.sends.spend():
             self.count = MOST_PREFILLS
             return
         self.count += 1
-        book = self.context.placing.engine_book(reader)
         loop = asyncio.get_running_loop()
         read = stream.reads.begin(reader)
         done = False
         try:
-            async with silence_limit(
-                lambda: book.silent_at(read.began_at, loop.time())
-            ):
+            async with silence_limit(lambda: self._verdict(reader, read)):
                 stream.cache.source = await self._exchange(reader, read)
-            done = True
+            done = self.done = True
             stream.timeline.prefilled_at = loop.time()
             stream.timeline.to_read = read.tokens
-        except (NotReachedError, ReplyLostError) as error:
-            stream.leave_alone(reader)
-            stream.sends.log_failure(reader, error.message, "prefill")
+        except NotReachedError as error:
+            self._on_failure(reader, error.message)
+        except ReplyLostError as error:
+            stream.sends.count_repeat()
+            self._on_failure(reader, error.message)
         finally:
             stream.reads.end(reader, read, done=done)
 
+    def _on_failure(self, reader: Upstream, error: str) -> None:
+        self.stream.unread_at.add(reader.name)
+        if error != OVERDUE:
+            self.stream.leave_alone(reader)
+        self.stream.sends.log_failure(reader, error, "prefill")
+
+    async def _verdict(self, reader: Upstream, read: Read) -> str:
+        """Return why a prompt that waits at an engine is to be begun anew elsewhere."""
+        if not self.context.decisions.silence:
+            return ""
+        book = self.context.placing.engine_book(reader)
+        now = asyncio.get_running_loop().time()
+        if now >= book.silent_at(read.began_at, now):
+            if not await self.context.engine_checks.lives(reader):
+                return SILENT
+        if now >= book.overdue_at(read.key) and self._is_in_time_elsewhere(reader):
+            return OVERDUE
+        return ""
+
+    def _is_in_time_elsewhere(self, reader: Upstream) -> bool:
+        """Return whether another engine would still serve this stream.
+
+        What an engine that lives has read of a prompt is lost where it is begun anew;
+        where the caller would leave before, it loses nothing by waiting.
+        """
+        stream = self.stream
+        if not self.may_go_on:
+            return False
+        excluded = {*stream.excluded, reader.name}
+        try:
+            *_, placement = self.context.placing.place_stream(stream.call, excluded)
+        except RequestError:
+            return False
+        now = asyncio.get_running_loop().time()
+        return now + placement.first_token <= stream.leaves_at
+
     async def _exchange(self, reader: Upstream, read: Read) -> str:
         """Send the prompt and return the name of its KV cache."""
         call = self.stream.call
--- a/src/bergamotmast/direct/prompt_reads.py
+++ b/src/bergamotmast/direct/prompt_reads.py
@@ -56,7 +56,7 @@
             predicted += FIRST_TOKEN_SECONDS
         key = context.placing.new_key()
         parts = self.call.parts
-        book.begin(key, seconds, priority, now)
+        book.begin(key, seconds, priority, now, share)
         # The last part is the request's or its session's own: it is noted once it has
         # been read. Noted before, a request that comes back after it was given up in
         # the queue would pass for cached and be read in the wrong place.
--- a/src/bergamotmast/direct/sends.py
+++ b/src/bergamotmast/direct/sends.py
@@ -46,8 +46,7 @@
         others = (m for m in members if m.role is not Role.PREFILL)
         if all(member.name in self.excluded for member in others):
             return False
-        budget = self.context.budget(self.call.group.name)
-        return budget.has_room(len(self.context.fleet.entries), now)
+        return self.has_room()
 
     def begin(self, upstream: Upstream) -> None:
         """Count a send.
@@ -115,6 +114,17 @@
         }
         logger.info("send failed", extra=fields)
 
+    def has_room(self) -> bool:
+        """Return whether the budget has room for a further call to an upstream."""
+        now = asyncio.get_running_loop().time()
+        entries = len(self.context.fleet.entries)
+        return self.context.budget(self.call.group.name).has_room(entries, now)
+
+    def count_repeat(self) -> None:
+        """Take out of the budget what has been made already, room or not."""
+        now = asyncio.get_running_loop().time()
+        self.context.budget(self.call.group.name).count_repeat(now)
+
     def spend(self) -> bool:
         """Take a further call to an upstream out of the budget, if it has room."""
         now = asyncio.get_running_loop().time()
--- a/src/bergamotmast/direct/stream.py
+++ b/src/bergamotmast/direct/stream.py
@@ -23,6 +23,7 @@
     :param cache: of its prompt, where an engine has read that for another.
     :param last_event: number of the last event that the caller has.
     :param weights: version of the weights that began the answer.
+    :param unread_at: engines that were asked to read its prompt and did not.
     """
 
     def __init__(self, context: Context, call: Call, reply: CallerReply) -> None:
@@ -35,6 +36,18 @@
         self.timeline = Timeline()
         self.last_event = call.traits.last_event
         self.weights = ""
+        self.unread_at: set[str] = set()
+
+    @property
+    def excluded(self) -> set[str]:
+        """Engines that need not be tried again."""
+        return self.sends.excluded | self.unread_at
+
+    @property
+    def leaves_at(self) -> float:
+        """When the caller leaves if it has no event by then; a point in time."""
+        call = self.call
+        return min(call.deadline, call.arrived_at + call.route.patience)
 
     def on_heard(self, engine: Upstream) -> None:
         """Note that an engine has said something."""
--- a/src/bergamotmast/direct/stream_placing.py
+++ b/src/bergamotmast/direct/stream_placing.py
@@ -48,7 +48,7 @@
 
     def _place(self) -> tuple[Upstream | None, Upstream]:
         reader, upstream, placement = self.context.placing.place_stream(
-            self.call, self.stream.sends.excluded
+            self.call, self.stream.excluded
         )
         now = asyncio.get_running_loop().time()
         timeline = self.stream.timeline
@@ -72,7 +72,7 @@
         if ready_at is None:
             raise RequestError(ResultCode.NO_UPSTREAM)
         # A change that is overdue may be over at any moment, or never.
-        if max(ready_at, now) + ROLE_MARGIN_SECONDS <= self._leaves_at():
+        if max(ready_at, now) + ROLE_MARGIN_SECONDS <= self.stream.leaves_at:
             return ROLE_CHECK_SECONDS
         raise self._refusal(ResultCode.NO_UPSTREAM, ready_at - now)
 
@@ -82,7 +82,7 @@
         Let in, it would wait until its caller has gone, and some of it would be read
         for nobody. Refused, the caller knows when to come back.
         """
-        in_time = now + placement.first_token <= self._leaves_at()
+        in_time = now + placement.first_token <= self.stream.leaves_at
         refuses = self.context.decisions.refusal
         if not refuses or self.stream.reply.started or in_time:
             return
@@ -100,8 +100,3 @@
         spread = self.context.rng.uniform(0.0, RETURN_SPREAD_SECONDS)
         retry_after = max(LEAST_RETRY_AFTER, retry_after) + spread
         return RequestError(code, retry_after=retry_after)
-
-    def _leaves_at(self) -> float:
-        """Return when the caller of a silent stream leaves; a point in time."""
-        call = self.call
-        return min(call.deadline, call.arrived_at + call.route.patience)
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -93,7 +93,10 @@
         with address_errors(settings.peer_address, "--peer-address"):
             peers = await stack.enter_async_context(datagram_port(host, int(port)))
         store = PlatformStore(session, settings.store_address)
-        context = Context(fleet, client, PlatformDialect(), placing, rng)
+        orders = PlatformOrders(client)
+        context = Context(
+            fleet, client, PlatformDialect(), placing, rng, engine_check=orders
+        )
         context.retry_limits = RetryLimits(settings.retry_share, settings.retry_free)
         context.notices = Notices(
             settings.name, placing, fleet.entries.values, peers.send
@@ -108,7 +111,7 @@
         if settings.metrics_address:
             await _listen(stack, _metrics(metrics), settings.metrics_address)
         presence = Presence(store, settings.name, settings.peer_address, rng)
-        planner = _planner(settings, store, context)
+        planner = _planner(settings, store, context, orders)
         works = (Follower(store, fleet, rng).run(), presence.run(), planner.run())
         tasks = await stack.enter_async_context(running(works, ending))
         await ending.told.wait()
@@ -121,7 +124,10 @@
 
 
 def _planner(
-    settings: DirectEntrySettings, store: PlatformStore, context: Context
+    settings: DirectEntrySettings,
+    store: PlatformStore,
+    context: Context,
+    orders: PlatformOrders,
 ) -> RolePlanner:
     name = settings.name
     authority = Authority(
@@ -147,7 +153,7 @@
         plan,
         context.fleet,
         context.placing,
-        PlatformOrders(context.client),
+        orders,
         context.mix,
         settings.order_pause_ms / 1e3,
         context.rng,
--- a/src/bergamotmast/platform/orders.py
+++ b/src/bergamotmast/platform/orders.py
@@ -11,9 +11,13 @@
 from ..direct.role_planner import OrderReply
 from ..direct.role_planner import RoleOrderCall
 from ..errors import OrderRefusedError
+from ..errors import PortError
 from ..errors import ReplyLostError
 from .headers import EXPECTED_UPSTREAM
 
+CHECK_SECONDS = 0.3
+"""Time for a report that is asked for to see whether an engine lives."""
+
 CALL_SECONDS = 1.0
 """Time for a report or for the reply to an order; both come within milliseconds."""
 
@@ -29,7 +33,10 @@
 
 
 class PlatformOrders:
-    """An :class:`~bergamotmast.direct.role_planner.EngineOrders`."""
+    """An :class:`~bergamotmast.direct.role_planner.EngineOrders`.
+
+    It is an :class:`~bergamotmast.direct.ports.EngineCheck` too: both ask for a report.
+    """
 
     def __init__(self, client: UpstreamClient) -> None:
         self.client = client
@@ -45,6 +52,16 @@
             raise ReplyLostError(f"the report is not understood: {error}") from error
         return None if report.busy else report.sequence
 
+    async def answers(self, engine: Upstream) -> bool:
+        """Return whether an engine answers; a report waits for no other work."""
+        try:
+            async with asyncio.timeout(CHECK_SECONDS):
+                status, _ = await self._call(engine, "GET", "/report", b"")
+        except (PortError, TimeoutError):
+            # Not to be reached and not heard in time are one answer: no.
+            return False
+        return status == 200
+
     async def order(self, call: RoleOrderCall) -> OrderReply:
         """Give an order."""
         body = msgspec.json.encode(
--- a/src/bergamotmast/policy/engine_book.py
+++ b/src/bergamotmast/policy/engine_book.py
@@ -64,8 +64,12 @@
 
 SILENT_SECONDS = 0.7
 """An engine that has said nothing for so long, on any of this entry's calls, beside the
-time its present prompt takes, is taken for gone: callers leave after two seconds, and
-the prompt must be read anew before that."""
+time its present prompt takes, may be gone: callers leave after two seconds, and the
+prompt must be read anew before that."""
+
+OVERDUE_FACTOR = 2.0
+"""Multiples of the time predicted for a prompt after which it is overdue at an engine
+that lives: what waits there unknown to this entry seldom doubles it."""
 
 SLOW_WEIGHT = 0.25
 """Weight of a new measurement of an engine's slowness, on a log scale."""
@@ -85,12 +89,14 @@
     :param seconds: that a reading engine of usual speed takes for it.
     :param priority: the less, the sooner it is read.
     :param since: when it was sent, or heard of; a point in time.
+    :param due_at: when it should be read; a point in time.
     :param overtaken: whether something more urgent has come since.
     """
 
     seconds: float
     priority: int
     since: float
+    due_at: float
     overtaken: bool = False
 
 
@@ -177,12 +183,25 @@
         self.slow_log = 0.0
         self.slow_at = 0.0
 
-    def begin(self, key: WorkKey, seconds: float, priority: int, now: float) -> None:
-        """Note a prompt that waits at the engine from now on."""
-        self._forget_old(now)
+    def begin(
+        self,
+        key: WorkKey,
+        seconds: float,
+        priority: int,
+        now: float,
+        share: float = 1.0,
+    ) -> None:
+        """Note a prompt that waits at the engine from now on.
+
+        :param share: speed at which the engine reads, against a usual reading one.
+        """
+        pace = self.slow(now) / share
+        due_at = now + (self.wait(priority, now) + seconds) * pace
         for work in self.reading.values():
-            work.overtaken |= priority < work.priority
-        self.reading[key] = Work(seconds, priority, now)
+            if priority < work.priority:
+                work.overtaken = True
+                work.due_at += seconds * pace
+        self.reading[key] = Work(seconds, priority, now, due_at)
         self.urgent.add(priority, seconds, now)
         if self.current is None:
             self._take_next(now)
@@ -240,8 +259,22 @@
         """Return how many answers are thought to be under way there."""
         return self.streams + self.hinted.others(now)
 
+    def overdue_at(self, key: WorkKey) -> float:
+        """Return when a prompt is overdue, whatever else its engine does.
+
+        It is reckoned from what stood before this prompt, its own length and what has
+        overtaken it: a bound for all prompts would take the longest ones, which an
+        engine reads for a second and more, from every engine just before they are read.
+        A prompt that is no longer booked has been forgotten as too old.
+        """
+        work = self.reading.get(key)
+        if work is None:
+            return -math.inf
+        expected = work.due_at - work.since
+        return work.since + OVERDUE_FACTOR * expected + SILENT_SECONDS
+
     def silent_at(self, since: float, now: float) -> float:
-        """Return when an engine that stays silent must be taken for gone.
+        """Return when an engine that stays silent may be gone.
 
         It may be busy with one prompt all the while, whose time is allowed for.
 
--- a/src/bergamotmast/policy/retry_window.py
+++ b/src/bergamotmast/policy/retry_window.py
@@ -62,9 +62,13 @@
         """
         if not self.has_room(entries, now):
             return False
-        self.repeats.append(now)
+        self.count_repeat(now)
         return True
 
+    def count_repeat(self, now: float) -> None:
+        """Count a second send that has been made."""
+        self.repeats.append(now)
+
     def has_room(self, entries: int, now: float) -> bool:
         """Return whether a second send may be made."""
         _forget(self.requests, now)
--- a/tests/direct_support.py
+++ b/tests/direct_support.py
@@ -15,6 +15,7 @@
 from bergamotmast.direct.fleet import Fleet
 from bergamotmast.direct.front import DirectFront
 from bergamotmast.direct.placing import Placing
+from bergamotmast.direct.ports import EngineCheck
 from bergamotmast.platform.directory import PlatformDirectory
 from bergamotmast.platform.headers import PlatformDialect
 from bergamotmast.ports import KeyValue
@@ -171,14 +172,18 @@
 
 @contextlib.asynccontextmanager
 async def direct_entry(
-    *replicas: Replica, document: dict | None = None
+    *replicas: Replica,
+    document: dict | None = None,
+    engine_check: EngineCheck | None = None,
 ) -> t.AsyncIterator[Entry]:
     """Serve replicas that are entered already through a direct entry."""
     fleet = Fleet(PlatformDirectory(), asyncio.get_running_loop().time)
     rng = random.Random(7)
     placing = Placing(fleet, "entry-1", "zone-a", rng)
     async with HttpUpstreamClient() as client:
-        context = Context(fleet, client, PlatformDialect(), placing, rng)
+        context = Context(
+            fleet, client, PlatformDialect(), placing, rng, engine_check=engine_check
+        )
         core = DirectCore(context, NullTelemetry())
         front = DirectFront(core)
         listening = Listening(front.callers(), "127.0.0.1:0", front.busy)
@@ -198,14 +203,16 @@
 
 @contextlib.asynccontextmanager
 async def serving(
-    *replicas: Replica, document: dict | None = None
+    *replicas: Replica,
+    document: dict | None = None,
+    engine_check: EngineCheck | None = None,
 ) -> t.AsyncIterator[Entry]:
     """Start replicas and a direct entry before them."""
     async with contextlib.AsyncExitStack() as stack:
         for replica in replicas:
             await stack.enter_async_context(replica)
         yield await stack.enter_async_context(
-            direct_entry(*replicas, document=document)
+            direct_entry(*replicas, document=document, engine_check=engine_check)
         )
 
 
--- /dev/null
+++ b/tests/test_silent_engines.py
@@ -0,0 +1,187 @@
+"""Prompts at engines that say nothing: busy, dead, or answering everything but one."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+
+from bergamotmast.platform.orders import PlatformOrders
+from bergamotmast.policy.engine_book import FORGET_SECONDS
+from bergamotmast.policy.engine_book import OVERDUE_FACTOR
+from bergamotmast.policy.engine_book import SILENT_SECONDS
+from bergamotmast.policy.engine_book import EngineBook
+from bergamotmast.policy.engine_book import read_seconds
+from bergamotmast.policy.retry_window import RetryLimits
+from bergamotmast.policy.retry_window import RetryWindow
+from direct_support import config
+from direct_support import engine
+from direct_support import route
+from direct_support import serving
+from platform_standin import EngineScript
+from platform_standin import answer
+from platform_standin import hang
+
+LONG = {"X_Token_Count": "6000,80", "X_Prompt_Prefix": "aa:2000,bb:4000"}
+PATIENT = route("/talk/", "streaming", "llm", **{"target-latency-ms": 700})
+
+
+class Check:
+    """Says of every engine whether it lives."""
+
+    def __init__(self, lives: bool) -> None:
+        self.lives = lives
+        self.asked: list[str] = []
+
+    async def answers(self, engine):
+        self.asked.append(engine.name)
+        await asyncio.sleep(0.01)
+        return self.lives
+
+
+async def test_engine_that_is_only_busy_keeps_a_long_prompt():
+    """A long prompt is begun anew at one engine after the other; its caller leaves.
+
+    It is being read, and the book takes the short one behind it for the one under way.
+    Nothing is heard for longer than that one takes. Taken for dead, the engine loses
+    what it has read, and the next one is late in turn.
+    """
+    busy = engine("i-1", EngineScript(prefill_seconds=1.2), "prefill")
+    idle = engine("i-2", EngineScript(), "prefill")
+    check = Check(lives=True)
+    async with serving(
+        busy,
+        idle,
+        engine("i-3", EngineScript()),
+        document=config(routes=[PATIENT]),
+        engine_check=check,
+    ) as entry:
+        entry.register(idle, state="draining")
+        short = asyncio.create_task(entry.ask("/talk/x", **LONG))
+        await asyncio.sleep(0.05)
+        asked = asyncio.create_task(
+            entry.ask("/talk/x", request_id="long", X_Token_Count="30000,80")
+        )
+        await asyncio.sleep(0.05)
+        entry.register(idle)
+        got = await asked
+        await short
+    assert got.complete
+    assert set(check.asked) == {"i-1"}
+    assert "long" not in [received.request_id for received in idle.received]
+
+
+async def test_prompt_that_a_living_engine_never_reads_goes_elsewhere():
+    """An engine answers everything but this prompt: its caller is served by another."""
+    mute = engine("i-2", hang(), "prefill")
+    sound = engine("i-1", EngineScript(), "prefill")
+    async with serving(
+        mute,
+        sound,
+        engine("i-3", EngineScript()),
+        document=config(routes=[PATIENT]),
+        engine_check=Check(lives=True),
+    ) as entry:
+        began = time.monotonic()
+        got = await entry.ask("/talk/x", **LONG)
+        seconds = time.monotonic() - began
+    assert got.complete
+    assert len(mute.received) == 1
+    assert seconds < 2.0
+
+
+async def test_one_question_serves_all_that_wait():
+    """A dozen prompts wait at an engine without power; it is asked once at a time."""
+    dead = engine("i-1", hang(), "prefill")
+    sound = engine("i-2", EngineScript(), "prefill")
+    check = Check(lives=False)
+    async with serving(
+        dead, sound, engine("i-3", EngineScript()), engine_check=check
+    ) as entry:
+        entry.register(sound, state="draining")
+        asked = [
+            asyncio.create_task(entry.ask("/talk/x", request_id=f"id-{n}", **LONG))
+            for n in range(12)
+        ]
+        await asyncio.sleep(0.2)
+        entry.register(sound)
+        answers = await asyncio.gather(*asked)
+    assert [got.status for got in answers] == [200] * 12
+    assert len(check.asked) < 6
+
+
+@pytest.mark.parametrize(
+    ("script", "lives"), [(answer(), True), (answer(503), False), (hang(), False)]
+)
+async def test_a_report_tells_whether_an_engine_lives(script, lives):
+    one = engine("i-1", script)
+    async with serving(one) as entry:
+        context = entry.front.core.context
+        (upstream,) = context.fleet.members("llm", asyncio.get_running_loop().time())
+        assert await PlatformOrders(context.client).answers(upstream) is lives
+
+
+async def test_prompts_that_fail_everywhere_stay_within_the_budget():
+    """All reading engines die: each request begins anew until the budget is spent.
+
+    A prompt whose engine never took it is a send like any other. Counted only from the
+    second one on, requests that fail twice make one send more than the budget knows.
+    """
+    dead = [engine(f"i-{n}", hang(), "prefill") for n in range(3)]
+    last = engine("i-9", EngineScript())
+    async with serving(*dead, last, document=config(routes=[PATIENT])) as entry:
+        context = entry.front.core.context
+        context.retry_limits = limits = RetryLimits(0.2, 8.0)
+        await asyncio.gather(
+            *(entry.ask("/talk/x", request_id=f"id-{n}", **LONG) for n in range(60))
+        )
+    arrivals = sum(len(replica.received) for replica in (*dead, last))
+    # All of them are sent before any is known to fail: one each can't be held back.
+    assert arrivals - 60 <= 60 + limits.share * 60 + limits.free
+
+
+def test_a_long_prompt_is_given_the_time_it_takes():
+    """44,000 tokens behind 17,000: at 1.2 s, the first half of it is read.
+
+    The caller leaves after 2.4 s. Begun anew elsewhere then, it would be read there by
+    2.3 s at best, and everything behind it would wait a second longer.
+    """
+    book = EngineBook(500_000)
+    book.begin(("e", 1), read_seconds(17_000), 5, 0.0)
+    book.begin(("e", 2), read_seconds(44_000), 8, 0.0)
+    takes = read_seconds(17_000) + read_seconds(44_000)
+    assert book.overdue_at(("e", 2)) == pytest.approx(
+        OVERDUE_FACTOR * takes + SILENT_SECONDS
+    )
+    assert book.overdue_at(("e", 1)) < book.overdue_at(("e", 2))
+
+
+def test_what_overtakes_a_prompt_puts_its_end_off():
+    book = EngineBook(500_000)
+    book.begin(("e", 1), 0.5, 8, 0.0)
+    before = book.overdue_at(("e", 1))
+    book.begin(("e", 2), 0.3, 2, 0.1)
+    assert book.overdue_at(("e", 1)) == pytest.approx(before + OVERDUE_FACTOR * 0.3)
+
+
+def test_a_slow_engine_is_given_longer():
+    book = EngineBook(500_000)
+    for number in range(12):
+        book.measure(0.1, 0.3, number * 0.05)
+    book.begin(("e", 1), 0.5, 8, 0.6)
+    assert book.overdue_at(("e", 1)) > 0.6 + OVERDUE_FACTOR * 0.5 * 2 + SILENT_SECONDS
+
+
+def test_a_forgotten_prompt_is_overdue():
+    book = EngineBook(500_000)
+    book.begin(("e", 1), 0.5, 8, 0.0)
+    book.wait(9, FORGET_SECONDS + 0.1)
+    assert book.overdue_at(("e", 1)) < 0.0
+
+
+def test_sends_that_were_made_count_room_or_not():
+    window = RetryWindow(RetryLimits(0.0, 8.0))
+    for _ in range(5):
+        window.count_repeat(1.0)
+    assert not window.has_room(4, 1.0)
