--- a/src/bergamotmast/direct/answering.py
+++ b/src/bergamotmast/direct/answering.py
@@ -51,6 +51,7 @@
     :param read: the prompt's booking, where this engine reads it too.
     :param heard_at: when the engine last said anything; a point in time.
     :param streaming: whether it has made an event.
+    :param sent_at: when it was told to take a prompt that was read elsewhere.
     """
 
     def __init__(self, stream: Stream, upstream: Upstream) -> None:
@@ -62,6 +63,7 @@
         self.read: Read | None = None
         self.heard_at = math.inf
         self.streaming = False
+        self.sent_at: float | None = None
 
     async def run(self) -> int | None:
         """Return the status; ``None`` where the request may go on elsewhere.
@@ -102,6 +104,10 @@
         self.book.streams += 1
         if self.read is not None:
             self.stream.reads.end(self.upstream, self.read, done=True)
+        elif self.sent_at is not None and self.context.decisions.learning:
+            seconds = asyncio.get_running_loop().time() - self.sent_at
+            transfers = self.book.reads.transfers
+            transfers.learn(self.call.traits.prompt_tokens, 0, seconds)
 
     def _unbook(self) -> None:
         if self.streaming:
@@ -127,6 +133,8 @@
     def _open(self) -> contextlib.AbstractAsyncContextManager[Reply]:
         call, read = self.call, self.read
         now = asyncio.get_running_loop().time()
+        if self.stream.cache:
+            self.sent_at = now
         attempt = Attempt(
             self.upstream.name,
             call.deadline,
--- a/src/bergamotmast/direct/context.py
+++ b/src/bergamotmast/direct/context.py
@@ -96,10 +96,16 @@
             )
             self.notices.tell(notice)
 
-    def tell_ended(self, engine: Upstream, key: WorkKey, tokens: int) -> None:
-        """Tell the other entries that a prompt they were told of is done with."""
+    def tell_ended(
+        self, engine: Upstream, key: WorkKey, tokens: int, *, done: bool
+    ) -> None:
+        """Tell the other entries that a prompt they were told of is done with.
+
+        :param done: whether it was read to its end.
+        """
         if self.notices is not None and self._tells(tokens):
-            self.notices.tell(ReadNotice(upstream_hash(engine), key[1], 0, 0))
+            notice = ReadNotice(upstream_hash(engine), key[1], 0, 0, done=done)
+            self.notices.tell(notice)
 
     def spawn(self, work: cabc.Coroutine[object, object, None]) -> None:
         """Run something that no request waits for."""
--- a/src/bergamotmast/direct/placing.py
+++ b/src/bergamotmast/direct/placing.py
@@ -20,10 +20,10 @@
 from ..policy.direct_placement import priority_of
 from ..policy.engine_book import EngineBook
 from ..policy.engine_book import WorkKey
-from ..policy.engine_book import read_seconds
 from ..policy.plain_choice import PlainBook
 from ..policy.plain_choice import PlainView
 from ..policy.plain_choice import choose_plain
+from ..policy.read_model import GroupReads
 from .fleet import Fleet
 from .model import Call
 from .model import CallTraits
@@ -74,6 +74,7 @@
         self.zone = zone
         self.rng = rng
         self.engines: dict[BookKey, EngineBook] = {}
+        self.reads: dict[str, GroupReads] = {}
         self.plain: dict[BookKey, PlainBook] = {}
         self.by_hash: dict[int, BookKey] = {}
         self.last_number = 0
@@ -85,9 +86,11 @@
         if book is None:
             self._forget_gone()
             engine = self.fleet.group(upstream.group).engine
-            book = EngineBook(engine.kv_capacity if engine else 1)
+            reads = self.reads.setdefault(upstream.group, GroupReads())
+            book = EngineBook(engine.kv_capacity if engine else 1, reads)
             self.engines[key] = book
             self.by_hash[upstream_hash(upstream)] = key
+        book.role = upstream.role or Role.MIXED
         return book
 
     def plain_book(self, upstream: Upstream) -> PlainBook:
@@ -121,11 +124,13 @@
             return
         key = (sender, notice.number)
         if notice.tokens:
-            seconds = read_seconds(notice.tokens, notice.cached)
+            seconds = book.occupied(notice.tokens, notice.cached)
             book.begin(key, seconds, notice.priority, now)
             book.prefix.store(notice.parts)
         else:
-            book.end(key, now)
+            book.end(key, now, done=notice.done)
+            if notice.done:
+                book.heard_at = now
 
     def reading(self, call: Call, upstream: Upstream) -> Reading:
         """Return what an engine would have to read of a prompt, as far as known."""
@@ -219,9 +224,10 @@
                     self._is_near(member),
                     wait,
                     to_read,
+                    book.read_seconds(to_read, call.traits.prompt_tokens - to_read),
                     book.slow(now),
                     book.answers(now),
-                    call.traits.prompt_tokens - to_read,
+                    book.reads.transfers.times.seconds(call.traits.prompt_tokens, 0),
                 )
             )
         return views
--- a/src/bergamotmast/direct/prompt_reads.py
+++ b/src/bergamotmast/direct/prompt_reads.py
@@ -5,13 +5,9 @@
 import asyncio
 import dataclasses
 
-from ..model import Role
-from ..policy.direct_placement import FIRST_TOKEN_SECONDS
 from ..policy.direct_placement import priority_of
-from ..policy.engine_book import CALL_SECONDS
+from ..policy.engine_book import EngineBook
 from ..policy.engine_book import WorkKey
-from ..policy.engine_book import read_seconds
-from ..policy.engine_book import role_share
 from .context import Context
 from .model import Call
 from .model import Upstream
@@ -22,14 +18,18 @@
     """A prompt booked at the engine that reads it.
 
     :param tokens: prompt tokens that were thought not to be cached there.
+    :param cached: tokens before them.
     :param predicted: seconds that it should take.
+    :param alone: whether nothing else was known to be at the engine.
     """
 
     key: WorkKey
     tokens: int
+    cached: int
     priority: int
     began_at: float
     predicted: float
+    alone: bool
     fetch_from: str
 
 
@@ -49,20 +49,20 @@
         tokens = reading.tokens
         priority = priority_of(self.call.route.rank, tokens, context.decisions)
         cached = max(0, self.call.traits.prompt_tokens - tokens)
-        seconds = read_seconds(tokens, cached)
-        share = role_share(engine.role or Role.MIXED)
-        predicted = (book.wait(priority, now) + seconds) / share + CALL_SECONDS
-        if engine.role is not Role.PREFILL:
-            predicted += FIRST_TOKEN_SECONDS
+        wait = book.wait(priority, now)
+        predicted = wait + book.read_seconds(tokens, cached)
+        alone = not book.reading
         key = context.placing.new_key()
         parts = self.call.parts
-        book.begin(key, seconds, priority, now, share)
+        book.begin(key, book.occupied(tokens, cached), priority, now)
         # The last part is the request's or its session's own: it is noted once it has
         # been read. Noted before, a request that comes back after it was given up in
         # the queue would pass for cached and be read in the wrong place.
         book.prefix.store(parts[:-1])
         context.tell_begun(engine, key, priority, tokens, cached, parts)
-        return Read(key, tokens, priority, now, predicted, reading.fetch_from)
+        return Read(
+            key, tokens, cached, priority, now, predicted, alone, reading.fetch_from
+        )
 
     def end(self, engine: Upstream, read: Read, *, done: bool) -> None:
         """Take a prompt off the books, and learn from the time it took.
@@ -71,10 +71,16 @@
         """
         book = self.context.placing.engine_book(engine)
         now = asyncio.get_running_loop().time()
-        work = book.end(read.key, now)
+        work = book.end(read.key, now, done=done)
         if done:
             book.prefix.store(self.call.parts)
-        learns = self.context.decisions.slowness
-        if learns and done and work is not None and not work.overtaken:
-            book.measure(read.predicted, now - read.began_at, now)
-        self.context.tell_ended(engine, read.key, read.tokens)
+        if done and work is not None and not work.overtaken:
+            self._learn(book, read, now - read.began_at, now)
+        self.context.tell_ended(engine, read.key, read.tokens, done=done)
+
+    def _learn(self, book: EngineBook, read: Read, seconds: float, now: float) -> None:
+        decisions = self.context.decisions
+        if decisions.slowness:
+            book.measure(read.predicted, seconds, now)
+        if decisions.learning and read.alone:
+            book.learn(read.tokens, read.cached, seconds)
--- a/src/bergamotmast/direct/read_notice.py
+++ b/src/bergamotmast/direct/read_notice.py
@@ -15,6 +15,7 @@
     :param tokens: prompt tokens to read; 0 at its end.
     :param cached: tokens before those that the engine need not read.
     :param parts: hash and length of the prompt's shared parts.
+    :param done: at its end, whether it was read.
     """
 
     engine: int
@@ -23,3 +24,4 @@
     tokens: t.Annotated[int, msgspec.Meta(ge=0, le=1 << 32)]
     cached: t.Annotated[int, msgspec.Meta(ge=0, le=1 << 32)] = 0
     parts: tuple[tuple[int, int], ...] = ()
+    done: bool = False
--- a/src/bergamotmast/policy/decisions.py
+++ b/src/bergamotmast/policy/decisions.py
@@ -22,6 +22,7 @@
     :param direct_reading: short prompts may be read by the engine that answers.
     :param zone_preference: engines in the entry's availability zone go first.
     :param refusal: a caller that would leave before its first event is told at once.
+    :param learning: what engines take to read is learned from what reads take.
     :param slowness: engines are compared with what they were predicted to take.
     :param silence: a prompt is begun anew where its engine is silent for too long.
     :param load_hints: what upstreams say of their load counts.
@@ -39,6 +40,7 @@
     direct_reading: bool = True
     zone_preference: bool = True
     refusal: bool = True
+    learning: bool = True
     slowness: bool = True
     silence: bool = True
     load_hints: bool = True
--- a/src/bergamotmast/policy/direct_placement.py
+++ b/src/bergamotmast/policy/direct_placement.py
@@ -22,12 +22,6 @@
 from ..model import Role
 from .decisions import ALL
 from .decisions import Decisions
-from .engine_book import CALL_SECONDS
-from .engine_book import read_seconds
-from .engine_book import role_share
-
-TRANSFER_SECONDS = 0.012
-"""What a second call and the transfer of a KV cache take at least."""
 
 ZONE_SECONDS = 0.015
 """Penalty of an engine in another zone: bytes between zones are dear, and a prompt's go
@@ -37,9 +31,6 @@
 ZONE_ANSWERS = 4.0
 """Answers more at an engine in the same zone that are as good as one elsewhere."""
 
-FIRST_TOKEN_SECONDS = 0.008
-"""One step of a usual batch and the way back."""
-
 LONG_TOKENS = 3_000
 """From this length on a prompt is kept away from engines that are free of such: it
 takes 60 ms to read, a quarter of the tightest objective."""
@@ -78,9 +69,10 @@
 class EngineView:
     """An engine as a placement sees it.
 
-    :param wait: usual seconds of what is read before a prompt of this priority.
+    :param wait: seconds of what is read before a prompt of this priority.
     :param to_read: tokens of this prompt that are not cached there.
-    :param cached: tokens of this prompt before those.
+    :param read: seconds that it takes for this prompt without a queue.
+    :param transfer: seconds from there to the first token at another engine.
     :param slow: how many times slower than usual it is.
     :param answers: answers under way there, as far as known.
     """
@@ -90,9 +82,10 @@
     same_zone: bool
     wait: float
     to_read: int
+    read: float
     slow: float
     answers: float
-    cached: int = 0
+    transfer: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -141,8 +134,7 @@
 
 def predict_read(engine: EngineView) -> float:
     """Return the predicted time until an engine has read a prompt."""
-    seconds = engine.wait + read_seconds(engine.to_read, engine.cached)
-    return seconds / role_share(engine.role) * engine.slow + CALL_SECONDS
+    return (engine.wait + engine.read) * engine.slow
 
 
 def choose_answering(engines: t.Sequence[EngineView]) -> EngineView | None:
@@ -198,10 +190,8 @@
 
 
 def _first_token(engine: EngineView) -> float:
-    seconds = predict_read(engine) + FIRST_TOKEN_SECONDS
-    if engine.role is Role.PREFILL:
-        seconds += TRANSFER_SECONDS
-    return seconds
+    seconds = predict_read(engine)
+    return seconds + engine.transfer if engine.role is Role.PREFILL else seconds
 
 
 def _cost(seconds: float, engine: EngineView) -> float:
--- a/src/bergamotmast/policy/engine_book.py
+++ b/src/bergamotmast/policy/engine_book.py
@@ -8,11 +8,10 @@
 engine's time, for one of five hundred; the short ones behind it miss their objective
 while another engine idles.
 
-The book therefore follows each engine as the queue that it is, in seconds that a
-reading engine of usual speed takes. A prompt's length alone is not enough: each of its
-tokens is compared with all before it, so that 50,000 tokens take half again as long as
-their share of 10,000 would say; believed to be done by then, the engine would be sent
-short prompts that wait for the rest.
+The book therefore follows each engine as the queue that it is, in seconds that this
+engine takes. What it reads at present decides how long even the most urgent prompt
+waits, and nobody tells it: it is guessed from what was there as the last one ended, and
+guessed anew once that one takes longer than it can.
 """
 
 from __future__ import annotations
@@ -24,25 +23,20 @@
 
 from ..model import Role
 from .load_hint import FadingHint
+from .read_model import GroupReads
+from .read_model import Pace
 
-READ_RATE = 52_000.0
-"""Prompt tokens a second of a reading engine, the steps around them included; measured
-from single prompts of 500 to 5,000 tokens on an idle engine."""
-
-PAIR_SECONDS = 0.37e-9
-"""Seconds for each pair of a token read and one before it; measured from prompts of
-30,000 to 50,000 tokens."""
-
-ANSWERING_SHARE = 0.42
-"""Speed at which an answering engine reads prompts, against a reading one: half of it,
-and a step for the answers' tokens with each small piece."""
-
-LEAST_LEFT = 0.1
+LEAST_LEFT = 0.3
 """Part of the present prompt that is always taken to be left: its end has not been
 heard of, and short prompts that nobody tells of may have gone before it."""
 
-CALL_SECONDS = 0.009
-"""What a call to read a prompt takes beside the reading."""
+TURN_SECONDS = 0.02
+"""An engine has begun its next prompt by so much before the end of the last is heard
+of. What came later can't be the one that it reads."""
+
+OVERRUN_FACTOR = 1.3
+"""Multiples of its time, beside :data:`TURN_SECONDS`, after which the present prompt
+must be another one than was thought."""
 
 HINT_SECONDS = 2.0
 """Time constant with which an engine's word on its answers fades: they take a second
@@ -67,6 +61,9 @@
 time its present prompt takes, may be gone: callers leave after two seconds, and the
 prompt must be read anew before that."""
 
+SILENT_FACTOR = 2.0
+"""Multiples of that time that are allowed for."""
+
 OVERDUE_FACTOR = 2.0
 """Multiples of the time predicted for a prompt after which it is overdue at an engine
 that lives: what waits there unknown to this entry seldom doubles it."""
@@ -86,7 +83,7 @@
 class Work:
     """One prompt on its way through an engine.
 
-    :param seconds: that a reading engine of usual speed takes for it.
+    :param seconds: for which it keeps the engine from others.
     :param priority: the less, the sooner it is read.
     :param since: when it was sent, or heard of; a point in time.
     :param due_at: when it should be read; a point in time.
@@ -168,9 +165,14 @@
     :param streams: own answers under way there.
     :param heard_at: when it last said anything to this entry; a point in time.
     :param failed_until: until when it is left alone; a point in time.
+    :param role: that it had when it was last looked at.
+    :param reads: what the engines of its group take to read.
     """
 
-    def __init__(self, kv_capacity: int) -> None:
+    def __init__(self, kv_capacity: int, reads: GroupReads | None = None) -> None:
+        self.reads = reads or GroupReads()
+        self.role = Role.PREFILL
+        self.pace = Pace()
         self.prefix = PrefixMemory(int(kv_capacity * CACHE_SHARE))
         self.reading: dict[WorkKey, Work] = {}
         self.urgent = UrgentLoad()
@@ -183,39 +185,48 @@
         self.slow_log = 0.0
         self.slow_at = 0.0
 
-    def begin(
-        self,
-        key: WorkKey,
-        seconds: float,
-        priority: int,
-        now: float,
-        share: float = 1.0,
-    ) -> None:
-        """Note a prompt that waits at the engine from now on.
-
-        :param share: speed at which the engine reads, against a usual reading one.
+    def occupied(self, tokens: int, cached: int) -> float:
+        """Return for how many seconds a prompt keeps this engine from others.
+
+        :param tokens: to read.
+        :param cached: tokens before them that it need not read.
         """
-        pace = self.slow(now) / share
-        due_at = now + (self.wait(priority, now) + seconds) * pace
+        times = self.reads.of(self.role).times
+        return times.occupied(tokens, cached) * self.pace.factor
+
+    def read_seconds(self, tokens: int, cached: int) -> float:
+        """Return how long this engine takes for a prompt that meets no queue."""
+        times = self.reads.of(self.role).times
+        return times.seconds(tokens, cached) * self.pace.factor
+
+    def begin(self, key: WorkKey, seconds: float, priority: int, now: float) -> None:
+        """Note a prompt that waits at the engine from now on."""
+        slow = self.slow(now)
+        due_at = now + (self.wait(priority, now) + seconds) * slow
         for work in self.reading.values():
             if priority < work.priority:
                 work.overtaken = True
-                work.due_at += seconds * pace
+                work.due_at += seconds * slow
         self.reading[key] = Work(seconds, priority, now, due_at)
         self.urgent.add(priority, seconds, now)
         if self.current is None:
             self._take_next(now)
 
-    def end(self, key: WorkKey, now: float) -> Work | None:
-        """Note that a prompt is read, or that its call has ended otherwise."""
+    def end(self, key: WorkKey, now: float, *, done: bool = True) -> Work | None:
+        """Note that a prompt is read, or that its call has ended otherwise.
+
+        :param done: whether it was read to its end: the engine reads another one now,
+            whichever was taken for the present one.
+        """
         work = self.reading.pop(key, None)
-        if work is not None and self.current not in self.reading:
-            self._take_next(now)
+        if work is not None and (done or key == self.current):
+            self._take_next(now - TURN_SECONDS)
         return work
 
     def wait(self, priority: int, now: float) -> float:
-        """Return the usual seconds of what is read before a prompt of a priority."""
+        """Return the seconds of what is read before a prompt of a priority."""
         self._forget_old(now)
+        self._guess_again(now)
         seconds = 0.0
         for key, work in self.reading.items():
             if key == self.current:
@@ -226,7 +237,7 @@
         return seconds
 
     def expected_wait(self, priority: int, now: float) -> float:
-        """Return the usual seconds until a prompt of a priority is read.
+        """Return the seconds until a prompt of a priority is read.
 
         That is what is read before it, and the more urgent that comes meanwhile.
         """
@@ -251,6 +262,12 @@
         self.slow_log = known + weight * (ratio - known)
         self.slow_at = now
 
+    def learn(self, tokens: int, cached: int, seconds: float) -> None:
+        """Take what a read took that met no queue, as far as known."""
+        model = self.reads.of(self.role)
+        self.pace.learn(model.times.seconds(tokens, cached), seconds)
+        model.learn(tokens, cached, seconds / self.pace.factor)
+
     def hint(self, running: int, waiting: int, now: float) -> None:
         """Take an engine's word on its requests, this entry's own included."""
         self.hinted.take(running, waiting, self.streams, now)
@@ -282,34 +299,51 @@
         """
         work = self.reading.get(self.current) if self.current else None
         seconds = work.seconds if work is not None else 0.0
-        reading = seconds / ANSWERING_SHARE * self.slow(now)
+        reading = SILENT_FACTOR * seconds * self.slow(now)
         return max(since, self.heard_at) + SILENT_SECONDS + reading
 
-    def _take_next(self, now: float) -> None:
-        self.current = min(
-            self.reading,
-            key=lambda key: (self.reading[key].priority, self.reading[key].since),
-            default=None,
-        )
-        self.current_since = now
-
-    def _forget_old(self, now: float) -> None:
-        limit = now - FORGET_SECONDS
-        old = [key for key, work in self.reading.items() if work.since < limit]
-        for key in old:
-            self.end(key, now)
+    def _take_next(self, at: float) -> None:
+        """Guess what the engine reads since a point in time."""
+        self.current_since = at
+        there = [key for key, work in self.reading.items() if work.since <= at]
+        if there:
+            self.current = min(there, key=self._order)
+            return
+        # Nothing waited: the engine began with the first that came.
+        self.current = min(self.reading, key=self._since, default=None)
+        if self.current is not None:
+            self.current_since = self._since(self.current)
 
+    def _guess_again(self, now: float) -> None:
+        """Take another prompt for the present one if that should long be read.
 
-def read_seconds(tokens: int, cached: int = 0) -> float:
-    """Return how long a reading engine of usual speed takes for a prompt.
+        The engine then reads something longer, which had come before. Left at the
+        guess, it would look as good as free to an urgent prompt for as long as that
+        takes, a second at times, and all of them would be sent there.
+        """
+        work = self.reading.get(self.current) if self.current else None
+        if work is None:
+            return
+        elapsed = (now - self.current_since) / self.slow(now)
+        if elapsed <= work.seconds * OVERRUN_FACTOR + TURN_SECONDS:
+            return
+        begun_by = self.current_since + TURN_SECONDS
+        longer = [
+            key
+            for key, other in self.reading.items()
+            if other.since <= begun_by and other.seconds > elapsed
+        ]
+        self.current = min(longer, key=self._order, default=self.current)
 
-    :param tokens: to read.
-    :param cached: tokens before them that it need not read.
-    """
-    pairs = tokens * (cached + tokens / 2)
-    return tokens / READ_RATE + pairs * PAIR_SECONDS
+    def _order(self, key: WorkKey) -> tuple[int, float]:
+        """Return by what the engine chooses its next prompt."""
+        return self.reading[key].priority, self.reading[key].since
 
+    def _since(self, key: WorkKey) -> float:
+        return self.reading[key].since
 
-def role_share(role: Role) -> float:
-    """Return the speed at which engines of a role read, against a reading one."""
-    return 1.0 if role is Role.PREFILL else ANSWERING_SHARE
+    def _forget_old(self, now: float) -> None:
+        limit = now - FORGET_SECONDS
+        old = [key for key, work in self.reading.items() if work.since < limit]
+        for key in old:
+            self.end(key, now, done=False)
--- a/tests/test_direct_policy.py
+++ b/tests/test_direct_policy.py
@@ -32,20 +32,27 @@
 from bergamotmast.policy.engine_book import URGENT_SECONDS
 from bergamotmast.policy.engine_book import EngineBook
 from bergamotmast.policy.engine_book import PrefixMemory
-from bergamotmast.policy.engine_book import read_seconds
 from bergamotmast.policy.plain_choice import EJECTED_SECONDS
 from bergamotmast.policy.plain_choice import FAILURES_TO_EJECT
 from bergamotmast.policy.plain_choice import PlainBook
 from bergamotmast.policy.plain_choice import PlainView
 from bergamotmast.policy.plain_choice import choose_plain
+from bergamotmast.policy.read_model import READING_GUESS
 from bergamotmast.policy.retry_window import WINDOW_SECONDS
 from bergamotmast.policy.retry_window import RetryLimits
 from bergamotmast.policy.retry_window import RetryWindow
 
 
+def read_seconds(tokens: int, cached: int = 0) -> float:
+    """Return how long an engine of the first guess reads a prompt."""
+    return READING_GUESS.occupied(tokens, cached)
+
+
 def view(name: str, role: Role = Role.PREFILL, **more) -> EngineView:
-    values = {"wait": 0.0, "to_read": 500, "slow": 1.0, "answers": 0.0}
-    return EngineView(name, role, True, **(values | more))
+    values = {"wait": 0.0, "to_read": 500, "slow": 1.0, "answers": 0.0} | more
+    share = 1.0 if role is Role.PREFILL else 2.2
+    values.setdefault("read", share * read_seconds(values["to_read"]))
+    return EngineView(name, role, True, **values)
 
 
 def test_short_prompt_goes_where_it_is_read_first():
@@ -385,12 +392,13 @@
             True,
             book.wait(priority, prompt.arrives),
             prompt.tokens,
+            read_seconds(prompt.tokens),
             1.0,
             0.0,
         )
         for number, book in enumerate(engines.books)
     ]
-    answering = EngineView("d", Role.DECODE, True, 0.0, prompt.tokens, 1.0, 99.0)
+    answering = view("d", Role.DECODE, to_read=prompt.tokens, answers=99.0)
     return int(place([*views, answering], prompt.objective).prefill)
 
 
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -12,7 +12,7 @@
 from bergamotmast.policy.engine_book import OVERDUE_FACTOR
 from bergamotmast.policy.engine_book import SILENT_SECONDS
 from bergamotmast.policy.engine_book import EngineBook
-from bergamotmast.policy.engine_book import read_seconds
+from bergamotmast.policy.read_model import READING_GUESS
 from bergamotmast.policy.retry_window import RetryLimits
 from bergamotmast.policy.retry_window import RetryWindow
 from direct_support import config
@@ -148,9 +148,9 @@
     2.3 s at best, and everything behind it would wait a second longer.
     """
     book = EngineBook(500_000)
-    book.begin(("e", 1), read_seconds(17_000), 5, 0.0)
-    book.begin(("e", 2), read_seconds(44_000), 8, 0.0)
-    takes = read_seconds(17_000) + read_seconds(44_000)
+    book.begin(("e", 1), READING_GUESS.occupied(17_000, 0), 5, 0.0)
+    book.begin(("e", 2), READING_GUESS.occupied(44_000, 0), 8, 0.0)
+    takes = READING_GUESS.occupied(17_000, 0) + READING_GUESS.occupied(44_000, 0)
     assert book.overdue_at(("e", 2)) == pytest.approx(
         OVERDUE_FACTOR * takes + SILENT_SECONDS
     )
