--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -117,6 +117,11 @@
         groups = self.table.routing.groups.values()
         return [group.name for group in groups if group.engine is not None]
 
+    def tightest_objective(self, group: str) -> float:
+        """Return the least objective of the streams that a group serves, in seconds."""
+        assert self.table is not None
+        return self.table.tightest_objective(group)
+
     def present(self, group: str, now: float) -> list[Upstream]:
         """Return the upstreams of a group that are not leaving."""
         return [
--- a/src/bergamotmast/direct/placing.py
+++ b/src/bergamotmast/direct/placing.py
@@ -178,7 +178,8 @@
         members = self._untried(call, tried, now)
         by_name = {member.name: member for member in members}
         views = self._views(call, members, now)
-        placement = place(views, call.route.objective, self.decisions)
+        tightest = self.fleet.tightest_objective(call.group.name)
+        placement = place(views, call.route.objective, tightest, self.decisions)
         if placement is None:
             raise RequestError(ResultCode.NO_UPSTREAM)
         reader = by_name[placement.prefill] if placement.prefill else None
@@ -223,7 +224,6 @@
                     member.role or Role.MIXED,
                     self._is_near(member),
                     wait,
-                    to_read,
                     book.read_seconds(to_read, call.traits.prompt_tokens - to_read),
                     book.slow(now),
                     book.answers(now),
--- a/src/bergamotmast/direct/routing.py
+++ b/src/bergamotmast/direct/routing.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import math
 import random
 
+from .model import CallKind
 from .model import Route
 from .model import Routing
 
@@ -16,6 +18,11 @@
         self.by_host: dict[str, dict[str, Route]] = {}
         for route in routing.routes:
             self.by_host.setdefault(route.host, {})[route.prefix] = route
+        self.tightest = _tightest_objectives(routing)
+
+    def tightest_objective(self, group: str) -> float:
+        """Return the least objective of the streams that a group serves, in seconds."""
+        return self.tightest.get(group, math.inf)
 
     def find(self, host: str, target: str) -> Route | None:
         """Return the route with the longest prefix that begins the path.
@@ -36,6 +43,17 @@
         return None
 
 
+def _tightest_objectives(routing: Routing) -> dict[str, float]:
+    found: dict[str, float] = {}
+    for route in routing.routes:
+        if route.kind is not CallKind.STREAM:
+            continue
+        for target in route.targets:
+            known = found.get(target.group, math.inf)
+            found[target.group] = min(known, route.objective)
+    return found
+
+
 def pick_group(route: Route, rng: random.Random) -> str:
     """Return the name of the group that takes a request, drawn by weight."""
     if len(route.targets) == 1:
--- a/src/bergamotmast/policy/direct_placement.py
+++ b/src/bergamotmast/policy/direct_placement.py
@@ -31,9 +31,9 @@
 ZONE_ANSWERS = 4.0
 """Answers more at an engine in the same zone that are as good as one elsewhere."""
 
-LONG_TOKENS = 3_000
-"""From this length on a prompt is kept away from engines that are free of such: it
-takes 60 ms to read, a quarter of the tightest objective."""
+LONG_SHARE = 0.33
+"""A prompt that takes so much of the group's tightest objective to read is kept away
+from engines that are free of such."""
 
 PACKED_SHARE = 0.45
 """Part of the objective within which a long prompt may be put behind others. Entries
@@ -45,9 +45,9 @@
 a prompt makes its steps three times as long; with two dozen answers that still leaves
 them on time, with four dozen they pile up faster than they end."""
 
-DIRECT_TOKENS = 1_000
-"""Longest prompt that an answering engine reads itself while a reading one is there: it
-begins no answer while it reads, so that 50 ms of it delay all that arrive."""
+DIRECT_SHARE = 0.28
+"""Most of the group's tightest objective that an answering engine may read for, while a
+reading one is there: it begins no answer meanwhile, which delays all that arrive."""
 
 WAITING_ANSWERS = 300.0
 """Answers more at an engine that are as bad for a new one as a second of prompts that
@@ -70,7 +70,6 @@
     """An engine as a placement sees it.
 
     :param wait: seconds of what is read before a prompt of this priority.
-    :param to_read: tokens of this prompt that are not cached there.
     :param read: seconds that it takes for this prompt without a queue.
     :param transfer: seconds from there to the first token at another engine.
     :param slow: how many times slower than usual it is.
@@ -81,7 +80,6 @@
     role: Role
     same_zone: bool
     wait: float
-    to_read: int
     read: float
     slow: float
     answers: float
@@ -144,12 +142,17 @@
 
 
 def place(
-    engines: t.Sequence[EngineView], objective: float, decisions: Decisions = ALL
+    engines: t.Sequence[EngineView],
+    objective: float,
+    tightest: float,
+    decisions: Decisions = ALL,
 ) -> Placement | None:
     """Return the way to take, or ``None`` where there is none.
 
     :param objective: seconds to the first token.
+    :param tightest: the least objective of all that the engines serve.
     """
+    direct_seconds = DIRECT_SHARE * tightest if decisions.direct_reading else 0.0
     answering = choose_answering(engines)
     if answering is None:
         return None
@@ -162,19 +165,19 @@
         (_first_token(engine), engine)
         for engine in engines
         if engine.role is not Role.PREFILL
-        and (not ways or (decisions.direct_reading and _may_read(engine)))
+        and (not ways or _may_read(engine, direct_seconds))
     ]
     seconds, engine = min(ways, key=lambda way: (_cost(*way), way[1].name))
-    if decisions.packing and engine.to_read >= LONG_TOKENS:
+    if decisions.packing and engine.read >= LONG_SHARE * tightest:
         seconds, engine = _packed(ways, objective) or (seconds, engine)
     if engine.role is Role.PREFILL:
         return Placement(engine.name, answering.name, seconds)
     return Placement(None, engine.name, seconds)
 
 
-def _may_read(engine: EngineView) -> bool:
+def _may_read(engine: EngineView, most_seconds: float) -> bool:
     """Return whether an answering engine may read a prompt beside reading ones."""
-    return engine.answers <= DIRECT_ANSWERS and engine.to_read <= DIRECT_TOKENS
+    return engine.answers <= DIRECT_ANSWERS and engine.read <= most_seconds
 
 
 def _packed(
