--- a/src/bergamotmast/direct/answering.py
+++ b/src/bergamotmast/direct/answering.py
@@ -12,7 +12,6 @@
 from ..errors import RequestError
 from ..errors import ResultCode
 from ..policy.direct_placement import answer_priority
-from ..policy.direct_placement import priority_of
 from .events import Event
 from .events import EventSplitter
 from .forwarding import answer_headers
@@ -157,7 +156,7 @@
     def _priority(self) -> int:
         traits, rank = self.call.traits, self.call.route.rank
         if self.read is not None:
-            return priority_of(rank, self.read.tokens, self.context.decisions)
+            return self.read.priority
         return answer_priority(
             rank, traits.prompt_tokens, traits.max_tokens, self.context.decisions
         )
--- a/src/bergamotmast/direct/model.py
+++ b/src/bergamotmast/direct/model.py
@@ -176,3 +176,8 @@
     arrived_at: float
     deadline: float
     parts: tuple[tuple[int, int], ...] = ()
+
+    @property
+    def leaves_at(self) -> float:
+        """When the caller leaves if it has no event by then; a point in time."""
+        return min(self.deadline, self.arrived_at + self.route.patience)
--- a/src/bergamotmast/direct/placing.py
+++ b/src/bergamotmast/direct/placing.py
@@ -45,11 +45,13 @@
     """What an engine has to do for a prompt.
 
     :param tokens: to read.
+    :param fetched: tokens before them that it has to fetch first.
     :param fetch_from: address of the engine that keeps what need not be read; empty
         where that is the engine itself.
     """
 
     tokens: int
+    fetched: int
     fetch_from: str
 
 
@@ -126,7 +128,7 @@
         if notice.tokens:
             seconds = book.occupied(notice.tokens, notice.cached)
             book.begin(key, seconds, notice.priority, now)
-            book.prefix.store(notice.parts)
+            book.prefix.expect(key, notice.all_parts(key))
         else:
             book.end(key, now, done=notice.done)
             if notice.done:
@@ -136,13 +138,11 @@
         """Return what an engine would have to read of a prompt, as far as known."""
         now = asyncio.get_running_loop().time()
         members = self.fleet.members(call.group.name, now)
-        cached = self._cached(call, members)
-        own = cached.get(upstream.name, 0)
-        return self._reading(call, upstream, own, cached, members)
+        return self._reading(call, upstream, self._kept(call, members), members)
 
-    def _cached(self, call: Call, members: list[Upstream]) -> dict[str, int]:
-        """Return how much of a prompt's beginning each engine is known to keep."""
-        return {m.name: self.engine_book(m).prefix.cached(call.parts) for m in members}
+    def _kept(self, call: Call, members: list[Upstream]) -> dict[str, int]:
+        """Return how much of a prompt's beginning could be fetched from each engine."""
+        return {m.name: self.engine_book(m).prefix.kept(call.parts) for m in members}
 
     def choose_plain(self, call: Call, tried: cabc.Collection[str]) -> Upstream:
         """Return the plain upstream for a request's next send.
@@ -209,11 +209,11 @@
     ) -> list[EngineView]:
         views = []
         everyone = self.fleet.members(call.group.name, now)
-        cached = self._cached(call, everyone)
+        kept = self._kept(call, everyone)
         for member in self._sound(members, now):
             book = self.engine_book(member)
-            own = cached.get(member.name, 0)
-            to_read = self._reading(call, member, own, cached, everyone).tokens
+            reading = self._reading(call, member, kept, everyone)
+            to_read = reading.tokens
             priority = priority_of(call.route.rank, to_read, self.decisions)
             wait = book.wait(priority, now)
             if self.decisions.urgent_load:
@@ -228,6 +228,7 @@
                     book.slow(now),
                     book.answers(now),
                     book.reads.transfers.times.seconds(call.traits.prompt_tokens, 0),
+                    book.occupied(reading.fetched, 0) if self.decisions.copies else 0.0,
                 )
             )
         return views
@@ -251,17 +252,17 @@
         self,
         call: Call,
         upstream: Upstream,
-        own: int,
-        cached: dict[str, int],
+        kept: dict[str, int],
         members: list[Upstream],
     ) -> Reading:
+        own = self.engine_book(upstream).prefix.cached(call.parts)
         best, source = own, ""
         others = members if self.decisions.fetching else []
         for other in others:
-            found = cached[other.name]
+            found = kept[other.name]
             if other.name != upstream.name and found >= best + LEAST_FETCHED:
                 best, source = found, other.address
-        return Reading(max(1, call.traits.prompt_tokens - best), source)
+        return Reading(max(1, call.traits.prompt_tokens - best), best - own, source)
 
     def _is_near(self, upstream: Upstream) -> bool:
         """Return whether an upstream is taken to be in this availability zone."""
--- a/src/bergamotmast/direct/prefilling.py
+++ b/src/bergamotmast/direct/prefilling.py
@@ -100,7 +100,7 @@
         except RequestError:
             return False
         now = asyncio.get_running_loop().time()
-        return now + placement.first_token <= stream.leaves_at
+        return now + placement.first_token <= stream.call.leaves_at
 
     async def _exchange(self, reader: Upstream, read: Read) -> str:
         """Send the prompt and return the name of its KV cache."""
--- a/src/bergamotmast/direct/prompt_reads.py
+++ b/src/bergamotmast/direct/prompt_reads.py
@@ -55,10 +55,7 @@
         key = context.placing.new_key()
         parts = self.call.parts
         book.begin(key, book.occupied(tokens, cached), priority, now)
-        # The last part is the request's or its session's own: it is noted once it has
-        # been read. Noted before, a request that comes back after it was given up in
-        # the queue would pass for cached and be read in the wrong place.
-        book.prefix.store(parts[:-1])
+        book.prefix.expect(key, parts)
         context.tell_begun(engine, key, priority, tokens, cached, parts)
         return Read(
             key, tokens, cached, priority, now, predicted, alone, reading.fetch_from
@@ -72,8 +69,6 @@
         book = self.context.placing.engine_book(engine)
         now = asyncio.get_running_loop().time()
         work = book.end(read.key, now, done=done)
-        if done:
-            book.prefix.store(self.call.parts)
         if done and work is not None and not work.overtaken:
             self._learn(book, read, now - read.began_at, now)
         self.context.tell_ended(engine, read.key, read.tokens, done=done)
--- a/src/bergamotmast/direct/read_notice.py
+++ b/src/bergamotmast/direct/read_notice.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from ..policy.engine_book import WorkKey
+
 
 class ReadNotice(msgspec.Struct, frozen=True, array_like=True):
     """A prompt's start or end at an engine.
@@ -25,3 +27,11 @@
     cached: t.Annotated[int, msgspec.Meta(ge=0, le=1 << 32)] = 0
     parts: tuple[tuple[int, int], ...] = ()
     done: bool = False
+
+    def all_parts(self, key: WorkKey) -> tuple[tuple[int, int], ...]:
+        """Return the prompt's parts, its own one under a name of its own.
+
+        Nobody else asks for that one, but the engine keeps it and forgets another.
+        """
+        own = self.tokens + self.cached - sum(tokens for _, tokens in self.parts)
+        return (*self.parts, (hash(key), own)) if own > 0 else self.parts
--- a/src/bergamotmast/direct/stream.py
+++ b/src/bergamotmast/direct/stream.py
@@ -43,12 +43,6 @@
         """Engines that need not be tried again."""
         return self.sends.excluded | self.unread_at
 
-    @property
-    def leaves_at(self) -> float:
-        """When the caller leaves if it has no event by then; a point in time."""
-        call = self.call
-        return min(call.deadline, call.arrived_at + call.route.patience)
-
     def on_heard(self, engine: Upstream) -> None:
         """Note that an engine has said something."""
         book = self.context.placing.engine_book(engine)
--- a/src/bergamotmast/direct/stream_placing.py
+++ b/src/bergamotmast/direct/stream_placing.py
@@ -72,7 +72,7 @@
         if ready_at is None:
             raise RequestError(ResultCode.NO_UPSTREAM)
         # A change that is overdue may be over at any moment, or never.
-        if max(ready_at, now) + ROLE_MARGIN_SECONDS <= self.stream.leaves_at:
+        if max(ready_at, now) + ROLE_MARGIN_SECONDS <= self.stream.call.leaves_at:
             return ROLE_CHECK_SECONDS
         raise self._refusal(ResultCode.NO_UPSTREAM, ready_at - now)
 
@@ -82,7 +82,7 @@
         Let in, it would wait until its caller has gone, and some of it would be read
         for nobody. Refused, the caller knows when to come back.
         """
-        in_time = now + placement.first_token <= self.stream.leaves_at
+        in_time = now + placement.first_token <= self.stream.call.leaves_at
         refuses = self.context.decisions.refusal
         if not refuses or self.stream.reply.started or in_time:
             return
--- a/src/bergamotmast/policy/decisions.py
+++ b/src/bergamotmast/policy/decisions.py
@@ -16,6 +16,7 @@
 
     :param packing: long prompts go where long ones are, so that others stay free.
     :param fetching: an engine takes a prompt's beginning from one that keeps it.
+    :param copies: a second copy of a prompt's beginning is made where that is worth it.
     :param urgent_load: waits are stretched by the more urgent prompts that come.
     :param size_priority: of one rank, short prompts are read before long ones.
     :param short_answers_first: answers of a few tokens are begun before others.
@@ -34,6 +35,7 @@
 
     packing: bool = True
     fetching: bool = True
+    copies: bool = True
     urgent_load: bool = True
     size_priority: bool = True
     short_answers_first: bool = True
--- a/src/bergamotmast/policy/direct_placement.py
+++ b/src/bergamotmast/policy/direct_placement.py
@@ -49,6 +49,10 @@
 """Most of the group's tightest objective that an answering engine may read for, while a
 reading one is there: it begins no answer meanwhile, which delays all that arrive."""
 
+COPY_SHARE = 0.3
+"""Penalty of a second copy of a prompt's beginning, as a share of the time in which it
+is read: the copy takes the place of another one, which is then read again."""
+
 WAITING_ANSWERS = 300.0
 """Answers more at an engine that are as bad for a new one as a second of prompts that
 it reads first: six for 20 ms."""
@@ -71,6 +75,7 @@
 
     :param wait: seconds of what is read before a prompt of this priority.
     :param read: seconds that it takes for this prompt without a queue.
+    :param fetched: seconds that it would read for what it fetches from another engine.
     :param transfer: seconds from there to the first token at another engine.
     :param slow: how many times slower than usual it is.
     :param answers: answers under way there, as far as known.
@@ -84,6 +89,7 @@
     slow: float
     answers: float
     transfer: float = 0.0
+    fetched: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -198,6 +204,8 @@
 
 
 def _cost(seconds: float, engine: EngineView) -> float:
+    """Return the predicted seconds, and what the choice costs others."""
+    seconds += COPY_SHARE * engine.fetched
     return seconds if engine.same_zone else seconds + ZONE_SECONDS
 
 
--- a/src/bergamotmast/policy/engine_book.py
+++ b/src/bergamotmast/policy/engine_book.py
@@ -45,8 +45,9 @@
 FORGET_SECONDS = 4.0
 """Work whose end was never heard of, by a lost notice or a dead entry, is forgotten."""
 
-CACHE_SHARE = 0.5
-"""Part of an engine's KV memory that is taken to keep shared parts."""
+CACHE_SHARE = 0.8
+"""Part of an engine's KV memory that is taken to keep what it has read; the rest is for
+requests at work."""
 
 URGENT_SECONDS = 1.0
 """Time constant with which the load of more urgent prompts is measured: bursts last
@@ -130,24 +131,46 @@
         self.seconds = {known: s * factor for known, s in self.seconds.items()}
 
 
+Parts: t.TypeAlias = t.Sequence[tuple[int, int]]
+"""Hash and tokens of the parts of a prompt, in order."""
+
+
 class PrefixMemory:
-    """Shared prompt parts that an engine is believed to keep; the oldest leave."""
+    """Prompt parts that an engine is believed to keep; the oldest leave.
+
+    :param held: parts that it has read.
+    :param coming: parts of prompts that wait there or are being read.
+    """
 
     def __init__(self, capacity: int) -> None:
         self.capacity = capacity
         self.held: collections.OrderedDict[int, int] = collections.OrderedDict()
         self.total = 0
+        self.coming: dict[WorkKey, Parts] = {}
 
-    def cached(self, parts: t.Sequence[tuple[int, int]]) -> int:
-        """Return how many tokens at a prompt's head need not be read again."""
-        found = 0
-        for key, tokens in parts:
-            if key not in self.held:
-                break
-            found += tokens
-        return found
+    def kept(self, parts: Parts) -> int:
+        """Return how many tokens at a prompt's head another engine could fetch."""
+        return _beginning(parts, self.held)
+
+    def cached(self, parts: Parts) -> int:
+        """Return how many tokens at a prompt's head it will not read again.
 
-    def store(self, parts: t.Sequence[tuple[int, int]]) -> None:
+        What comes there counts: it is read first, or as a part of this prompt.
+        """
+        coming = {key for expected in self.coming.values() for key, _ in expected}
+        return _beginning(parts, self.held.keys() | coming)
+
+    def expect(self, work: WorkKey, parts: Parts) -> None:
+        """Note that a prompt is on its way."""
+        self.coming[work] = parts
+
+    def settle(self, work: WorkKey, *, done: bool) -> None:
+        """Note that a prompt has been read, or will not be."""
+        parts = self.coming.pop(work, ())
+        if done:
+            self.store(parts)
+
+    def store(self, parts: Parts) -> None:
         """Note that an engine has read these parts just now."""
         for key, tokens in parts:
             self.total += tokens - self.held.pop(key, 0)
@@ -157,6 +180,15 @@
             self.total -= tokens
 
 
+def _beginning(parts: Parts, known: t.Container[int]) -> int:
+    found = 0
+    for key, tokens in parts:
+        if key not in known:
+            break
+        found += tokens
+    return found
+
+
 class EngineBook:
     """One engine as this entry knows it.
 
@@ -219,6 +251,7 @@
             whichever was taken for the present one.
         """
         work = self.reading.pop(key, None)
+        self.prefix.settle(key, done=done)
         if work is not None and (done or key == self.current):
             self._take_next(now - TURN_SECONDS)
         return work
--- a/tests/test_direct_streams.py
+++ b/tests/test_direct_streams.py
@@ -247,24 +247,29 @@
 
 
 async def test_shared_part_is_fetched_from_the_engine_that_keeps_it():
-    """Two prompts with one beginning go to two engines: the second fetches it."""
+    """A prompt's beginning is kept by an engine that reads something else for long.
+
+    Another engine fetches it from there. While the beginning is only on its way, it
+    can't be had, and the engine that asks for it would read it all by itself.
+    """
     one = engine("i-1", EngineScript(prefill_seconds=0.3), "prefill")
     two = engine("i-2", EngineScript(prefill_seconds=0.3), "prefill")
     three = engine("i-3", EngineScript())
+    first = {"X_Token_Count": "12000,9", "X_Prompt_Prefix": "aa:3000,b1:9000"}
+    other = {"X_Token_Count": "12000,9", "X_Prompt_Prefix": "cc:3000,b3:9000"}
+    second = {"X_Token_Count": "12000,9", "X_Prompt_Prefix": "aa:3000,b2:9000"}
     async with serving(one, two, three) as entry:
-        first = {"X_Token_Count": "12000,9", "X_Prompt_Prefix": "aa:3000,b1:9000"}
-        second = {"X_Token_Count": "12000,9", "X_Prompt_Prefix": "aa:3000,b2:9000"}
-        tasks = [asyncio.create_task(entry.ask("/talk/x", **first))]
-        await until(lambda: bool(one.received or two.received))
+        entry.register(two, state="draining")
+        await entry.ask("/talk/x", **first)
+        tasks = [asyncio.create_task(entry.ask("/talk/x", request_id="id-2", **other))]
+        await until(lambda: len(one.received) == 2)
+        entry.register(two)
         tasks.append(
-            asyncio.create_task(entry.ask("/talk/x", request_id="id-2", **second))
+            asyncio.create_task(entry.ask("/talk/x", request_id="id-3", **second))
         )
         await asyncio.gather(*tasks)
-    reads = [r for r in (*one.received, *two.received)]
-    assert len(reads) == 2
-    fetches = [r.headers.get("kv-fetch") for r in reads]
-    if one.received and two.received:
-        assert one.address in fetches or two.address in fetches
+    fetches = [received.headers.get("kv-fetch") for received in two.received]
+    assert fetches == [one.address]
 
 
 async def test_request_given_up_in_the_queue_does_not_pass_for_cached():
