--- a/src/bergamotmast/direct/stream_placing.py
+++ b/src/bergamotmast/direct/stream_placing.py
@@ -7,6 +7,8 @@
 from ..errors import RequestError
 from ..errors import ResultCode
 from ..policy.direct_placement import Placement
+from ..policy.direct_refusal import is_hopeless
+from ..policy.direct_refusal import retry_after
 from .model import Upstream
 from .stream import Stream
 
@@ -16,12 +18,6 @@
 ROLE_CHECK_SECONDS = 0.05
 """Between two looks whether an answering engine is there."""
 
-RETURN_SPREAD_SECONDS = 0.5
-"""Callers that are refused for one cause return over so long."""
-
-LEAST_RETRY_AFTER = 0.3
-"""Seconds after which a refused caller may come back at the earliest."""
-
 
 class StreamPlacing:
     """Places one stream, at once or as soon as an engine can take it."""
@@ -72,31 +68,18 @@
         if ready_at is None:
             raise RequestError(ResultCode.NO_UPSTREAM)
         # A change that is overdue may be over at any moment, or never.
-        if max(ready_at, now) + ROLE_MARGIN_SECONDS <= self.stream.call.leaves_at:
+        if max(ready_at, now) + ROLE_MARGIN_SECONDS <= self.call.leaves_at:
             return ROLE_CHECK_SECONDS
         raise self._refusal(ResultCode.NO_UPSTREAM, ready_at - now)
 
     def _refuse_hopeless(self, placement: Placement, now: float) -> None:
-        """Refuse at once what its caller would leave before its first event.
-
-        Let in, it would wait until its caller has gone, and some of it would be read
-        for nobody. Refused, the caller knows when to come back.
-        """
-        in_time = now + placement.first_token <= self.stream.call.leaves_at
-        refuses = self.context.decisions.refusal
-        if not refuses or self.stream.reply.started or in_time:
+        """Refuse at once what its caller would leave before its first event."""
+        if not self.context.decisions.refusal or self.stream.reply.started:
             return
-        raise self._refusal(
-            ResultCode.DEADLINE_UNREACHABLE,
-            placement.first_token - self.call.route.objective,
-        )
-
-    def _refusal(self, code: ResultCode, retry_after: float) -> RequestError:
-        """Return the error of a request whose caller should come back.
+        if is_hopeless(placement.first_token, self.call.leaves_at - now):
+            late = placement.first_token - self.call.route.objective
+            raise self._refusal(ResultCode.DEADLINE_UNREACHABLE, late)
 
-        Callers that are refused for one burst or one lost engine would otherwise all
-        return in one moment, and most be refused again.
-        """
-        spread = self.context.rng.uniform(0.0, RETURN_SPREAD_SECONDS)
-        retry_after = max(LEAST_RETRY_AFTER, retry_after) + spread
-        return RequestError(code, retry_after=retry_after)
+    def _refusal(self, code: ResultCode, seconds: float) -> RequestError:
+        """Return the error of a request whose caller should come back."""
+        return RequestError(code, retry_after=retry_after(self.context.rng, seconds))
--- a/src/bergamotmast/direct/time_limits.py
+++ b/src/bergamotmast/direct/time_limits.py
@@ -10,9 +10,10 @@
 
 from ..errors import RequestError
 from ..errors import ResultCode
+from ..policy.direct_refusal import retry_after
+from ..policy.last_requests import RETURN_SECONDS
 from ..policy.last_requests import End
 from ..policy.last_requests import is_taken
-from ..policy.last_requests import retry_after
 
 
 class TimeLimits:
@@ -62,7 +63,8 @@
 
     def refusal(self) -> RequestError:
         """Return the error of a request that did not run because the process ends."""
-        return RequestError(ResultCode.SHUTTING_DOWN, retry_after=retry_after(self.rng))
+        seconds = retry_after(self.rng, RETURN_SECONDS)
+        return RequestError(ResultCode.SHUTTING_DOWN, retry_after=seconds)
 
     def is_over(self, now: float) -> bool:
         """Return whether requests are ended now for the end of the process."""
--- a/src/bergamotmast/policy/last_requests.py
+++ b/src/bergamotmast/policy/last_requests.py
@@ -15,14 +15,10 @@
 from __future__ import annotations
 
 import dataclasses
-import random
 
 RETURN_SECONDS = 0.5
 """Refused callers come back no sooner: a restarted entry takes about a second."""
 
-RETURN_SPREAD_SECONDS = 0.5
-"""Callers refused by one entry return over so long."""
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class End:
@@ -39,8 +35,3 @@
 def is_taken(end: End, deadline: float, now: float) -> bool:
     """Return whether a request with a deadline is still let in."""
     return now <= end.routed_until or deadline <= end.end_by
-
-
-def retry_after(rng: random.Random) -> float:
-    """Return after how many seconds a refused caller should come back."""
-    return RETURN_SECONDS + rng.uniform(0.0, RETURN_SPREAD_SECONDS)
--- a/tests/test_policy_last_requests.py
+++ b/tests/test_policy_last_requests.py
@@ -6,11 +6,11 @@
 
 import pytest
 
+from bergamotmast.policy.direct_refusal import RETURN_SPREAD_SECONDS
+from bergamotmast.policy.direct_refusal import retry_after
 from bergamotmast.policy.last_requests import RETURN_SECONDS
-from bergamotmast.policy.last_requests import RETURN_SPREAD_SECONDS
 from bergamotmast.policy.last_requests import End
 from bergamotmast.policy.last_requests import is_taken
-from bergamotmast.policy.last_requests import retry_after
 
 END = End(routed_until=12.6, end_by=17.0)
 
@@ -38,7 +38,7 @@
     spread more than a quarter of them return.
     """
     rng = random.Random(4)
-    told = sorted(retry_after(rng) for _ in range(100))
+    told = sorted(retry_after(rng, RETURN_SECONDS) for _ in range(100))
     assert told[0] >= RETURN_SECONDS
     assert told[-1] <= RETURN_SECONDS + RETURN_SPREAD_SECONDS
     tenth = RETURN_SPREAD_SECONDS / 10
