--- a/bench/play_days.py
+++ b/bench/play_days.py
@@ -118,13 +118,15 @@
         values = [p.report["parts"][weight][2] for p in plays]
         cells.append(f"{part[0]} {statistics.mean(values):.3f}")
     prices = {row[0]: 0.0 for row in plays[0].report["prices"]}
-    means = {
-        name: statistics.mean(p.prices(name) for p in plays) for name in prices
-    }
+    means = {name: statistics.mean(p.prices(name) for p in plays) for name in prices}
     dearest = sorted(means.items(), key=lambda item: -item[1])[:4]
     cells.append(f"prices {sum(means.values()):.3f}")
     cells += [f"{name[:32]} {value:.4f}" for name, value in dearest]
-    broken = [f"{p.day}/{p.seed}:{','.join(p.report['breaks'])}" for p in plays if p.report["breaks"]]
+    broken = [
+        f"{p.day}/{p.seed}:{','.join(p.report['breaks'])}"
+        for p in plays
+        if p.report["breaks"]
+    ]
     missed = sum(bool(p.report["missed"]) for p in plays)
     if broken:
         cells.append(f"BROKEN {' '.join(broken)}")
@@ -133,6 +135,17 @@
     return "; ".join(cells)
 
 
+def difference(plays: list[Play], first: list[Play]) -> str:
+    """Return by how much plays differ from the first variant's of the same days."""
+    before = {(p.day, p.seed): p.report["G"] for p in first}
+    pairs = [(p.report["G"], before.get((p.day, p.seed))) for p in plays]
+    found = [now - then for now, then in pairs if then is not None]
+    if not found:
+        return "nothing to compare"
+    error = statistics.pstdev(found) / len(found) ** 0.5
+    return f"{statistics.mean(found):+.3f} (standard error {error:.3f})"
+
+
 def main() -> None:
     """Play all, print a table."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
@@ -149,7 +162,9 @@
     options.folder.mkdir(parents=True, exist_ok=True)
     copies = {v.name: v.copy_to(options.folder) for v in options.variant}
     for copy in copies.values():
-        subprocess.run([options.bench, "build"], cwd=copy, capture_output=True, check=True)
+        subprocess.run(
+            [options.bench, "build"], cwd=copy, capture_output=True, check=True
+        )
     jobs = [
         (variant.name, site, day, int(seed))
         for site in options.site
@@ -162,14 +177,22 @@
         plays = [result for result in results if result is not None]
     for site in options.site:
         print(f"== {site.stem}")
+        here = [p for p in plays if p.site == site.stem]
+        first = [p for p in here if p.variant == options.variant[0].name]
         for variant in options.variant:
-            own = [p for p in plays if (p.variant, p.site) == (variant.name, site.stem)]
+            own = [p for p in here if p.variant == variant.name]
             if own:
                 print(f"{variant.name:20} {len(own):3} plays: {summary(own)}")
+                print(" " * 21 + f"against the first: {difference(own, first)}")
                 by_day: dict[str, list[float]] = {}
                 for p in own:
                     by_day.setdefault(p.day, []).append(p.report["G"])
-                print(" " * 21 + "  ".join(f"{d} {statistics.median(w):.3f}" for d, w in by_day.items()))
+                print(
+                    " " * 21
+                    + "  ".join(
+                        f"{d} {statistics.median(w):.3f}" for d, w in by_day.items()
+                    )
+                )
     for name, copy in copies.items():
         for entry in (copy / "journal").glob("*.json"):
             shutil.copy(entry, ROOT / "journal" / entry.name)
--- a/src/bergamotmast/direct/context.py
+++ b/src/bergamotmast/direct/context.py
@@ -10,7 +10,7 @@
 from ..errors import ReplyLostError
 from ..policy.decisions import Decisions
 from ..policy.direct_roles import MixMeter
-from ..policy.engine_book import WorkKey
+from ..policy.prefix_memory import WorkKey
 from ..policy.retry_window import RetryLimits
 from ..policy.retry_window import RetryWindow
 from .fleet import Fleet
--- a/src/bergamotmast/direct/placing.py
+++ b/src/bergamotmast/direct/placing.py
@@ -19,10 +19,10 @@
 from ..policy.direct_placement import place
 from ..policy.direct_placement import priority_of
 from ..policy.engine_book import EngineBook
-from ..policy.engine_book import WorkKey
 from ..policy.plain_choice import PlainBook
 from ..policy.plain_choice import PlainView
 from ..policy.plain_choice import choose_plain
+from ..policy.prefix_memory import WorkKey
 from ..policy.read_model import GroupReads
 from .fleet import Fleet
 from .model import Call
--- a/src/bergamotmast/direct/prompt_reads.py
+++ b/src/bergamotmast/direct/prompt_reads.py
@@ -7,7 +7,7 @@
 
 from ..policy.direct_placement import priority_of
 from ..policy.engine_book import EngineBook
-from ..policy.engine_book import WorkKey
+from ..policy.prefix_memory import WorkKey
 from .context import Context
 from .model import Call
 from .model import Upstream
--- a/src/bergamotmast/direct/read_notice.py
+++ b/src/bergamotmast/direct/read_notice.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ..policy.engine_book import WorkKey
+from ..policy.prefix_memory import WorkKey
 
 
 class ReadNotice(msgspec.Struct, frozen=True, array_like=True):
--- a/src/bergamotmast/policy/engine_book.py
+++ b/src/bergamotmast/policy/engine_book.py
@@ -16,13 +16,13 @@
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 import math
-import typing as t
 
 from ..model import Role
 from .load_hint import FadingHint
+from .prefix_memory import PrefixMemory
+from .prefix_memory import WorkKey
 from .read_model import GroupReads
 from .read_model import Pace
 
@@ -98,10 +98,6 @@
     overtaken: bool = False
 
 
-WorkKey: t.TypeAlias = tuple[str, int]
-"""Name of the entry that sent it, and that entry's number for it."""
-
-
 class UrgentLoad:
     """How much of an engine's time goes to prompts of each priority, lately.
 
@@ -131,64 +127,6 @@
         self.seconds = {known: s * factor for known, s in self.seconds.items()}
 
 
-Parts: t.TypeAlias = t.Sequence[tuple[int, int]]
-"""Hash and tokens of the parts of a prompt, in order."""
-
-
-class PrefixMemory:
-    """Prompt parts that an engine is believed to keep; the oldest leave.
-
-    :param held: parts that it has read.
-    :param coming: parts of prompts that wait there or are being read.
-    """
-
-    def __init__(self, capacity: int) -> None:
-        self.capacity = capacity
-        self.held: collections.OrderedDict[int, int] = collections.OrderedDict()
-        self.total = 0
-        self.coming: dict[WorkKey, Parts] = {}
-
-    def kept(self, parts: Parts) -> int:
-        """Return how many tokens at a prompt's head another engine could fetch."""
-        return _beginning(parts, self.held)
-
-    def cached(self, parts: Parts) -> int:
-        """Return how many tokens at a prompt's head it will not read again.
-
-        What comes there counts: it is read first, or as a part of this prompt.
-        """
-        coming = {key for expected in self.coming.values() for key, _ in expected}
-        return _beginning(parts, self.held.keys() | coming)
-
-    def expect(self, work: WorkKey, parts: Parts) -> None:
-        """Note that a prompt is on its way."""
-        self.coming[work] = parts
-
-    def settle(self, work: WorkKey, *, done: bool) -> None:
-        """Note that a prompt has been read, or will not be."""
-        parts = self.coming.pop(work, ())
-        if done:
-            self.store(parts)
-
-    def store(self, parts: Parts) -> None:
-        """Note that an engine has read these parts just now."""
-        for key, tokens in parts:
-            self.total += tokens - self.held.pop(key, 0)
-            self.held[key] = tokens
-        while self.total > self.capacity and self.held:
-            _, tokens = self.held.popitem(last=False)
-            self.total -= tokens
-
-
-def _beginning(parts: Parts, known: t.Container[int]) -> int:
-    found = 0
-    for key, tokens in parts:
-        if key not in known:
-            break
-        found += tokens
-    return found
-
-
 class EngineBook:
     """One engine as this entry knows it.
 
--- a/tests/test_direct_load.py
+++ b/tests/test_direct_load.py
@@ -13,7 +13,7 @@
 from bergamotmast.policy.direct_placement import DIRECT_SHARE
 from bergamotmast.policy.direct_placement import place
 from bergamotmast.policy.engine_book import EngineBook
-from bergamotmast.policy.engine_book import PrefixMemory
+from bergamotmast.policy.prefix_memory import PrefixMemory
 from test_direct_policy import view
 
 OBJECTIVE = 0.6
--- a/tests/test_direct_policy.py
+++ b/tests/test_direct_policy.py
@@ -32,12 +32,12 @@
 from bergamotmast.policy.engine_book import SLOW_SECONDS
 from bergamotmast.policy.engine_book import URGENT_SECONDS
 from bergamotmast.policy.engine_book import EngineBook
-from bergamotmast.policy.engine_book import PrefixMemory
 from bergamotmast.policy.plain_choice import EJECTED_SECONDS
 from bergamotmast.policy.plain_choice import FAILURES_TO_EJECT
 from bergamotmast.policy.plain_choice import PlainBook
 from bergamotmast.policy.plain_choice import PlainView
 from bergamotmast.policy.plain_choice import choose_plain
+from bergamotmast.policy.prefix_memory import PrefixMemory
 from bergamotmast.policy.read_model import READING_GUESS
 from bergamotmast.policy.retry_window import WINDOW_SECONDS
 from bergamotmast.policy.retry_window import RetryLimits
