--- a/bench/play_days.py
+++ b/bench/play_days.py
@@ -193,7 +193,7 @@
                         f"{d} {statistics.median(w):.3f}" for d, w in by_day.items()
                     )
                 )
-    for name, copy in copies.items():
+    for copy in copies.values():
         for entry in (copy / "journal").glob("*.json"):
             shutil.copy(entry, ROOT / "journal" / entry.name)
 
