--- a/src/bergamotmast/policy/direct_placement.py
+++ b/src/bergamotmast/policy/direct_placement.py
@@ -48,7 +48,7 @@
 """Most of the group's tightest objective that an answering engine may read for, while a
 reading one is there: it begins no answer meanwhile, which delays all that arrive."""
 
-COPY_SHARE = 0.3
+COPY_SHARE = 0.6
 """Penalty of a second copy of a prompt's beginning, as a share of the time in which it
 is read: the copy takes the place of another one, which is then read again."""
 
--- a/src/bergamotmast/policy/engine_book.py
+++ b/src/bergamotmast/policy/engine_book.py
@@ -45,10 +45,6 @@
 FORGET_SECONDS = 4.0
 """Work whose end was never heard of, by a lost notice or a dead entry, is forgotten."""
 
-CACHE_SHARE = 0.8
-"""Part of an engine's KV memory that is taken to keep what it has read; the rest is for
-requests at work."""
-
 URGENT_SECONDS = 1.0
 """Time constant with which the load of more urgent prompts is measured: bursts last
 some seconds, and a wait that counts is under two."""
@@ -143,7 +139,7 @@
         self.reads = reads or GroupReads()
         self.role = Role.PREFILL
         self.pace = Pace()
-        self.prefix = PrefixMemory(int(kv_capacity * CACHE_SHARE))
+        self.prefix = PrefixMemory(kv_capacity)
         self.reading: dict[WorkKey, Work] = {}
         self.urgent = UrgentLoad()
         self.current: WorkKey | None = None
