--- a/bench/play_days.py
+++ b/bench/play_days.py
@@ -29,6 +29,12 @@
 )
 
 
+def bring_journal_home(copy: pathlib.Path) -> None:
+    """Copy the journal entries of a copy's plays to this checkout, whatever they say."""
+    for entry in (copy / "journal").glob("*.json"):
+        shutil.copy(entry, ROOT / "journal" / entry.name)
+
+
 @dataclasses.dataclass(frozen=True)
 class Variant:
     """A source tree, and what is switched off in it."""
@@ -47,6 +53,7 @@
     def copy_to(self, folder: pathlib.Path) -> pathlib.Path:
         """Return a checkout of its own in which the bench can play."""
         copy = folder / self.name
+        bring_journal_home(copy)
         shutil.rmtree(copy, ignore_errors=True)
         shutil.copytree(self.tree, copy, ignore=NOT_COPIED, symlinks=True)
         if (self.tree / "target" / "deps").exists():
@@ -101,6 +108,7 @@
     done = subprocess.run(
         command, cwd=copy, capture_output=True, text=True, check=False
     )
+    bring_journal_home(copy)
     if not report.exists():
         print(name, day, seed, done.stdout[-600:], done.stderr[-300:], file=sys.stderr)
         return None
@@ -193,9 +201,6 @@
                         f"{d} {statistics.median(w):.3f}" for d, w in by_day.items()
                     )
                 )
-    for copy in copies.values():
-        for entry in (copy / "journal").glob("*.json"):
-            shutil.copy(entry, ROOT / "journal" / entry.name)
 
 
 if __name__ == "__main__":
