--- a/bench/play_days.py
+++ b/bench/play_days.py
@@ -30,7 +30,7 @@
 
 
 def bring_journal_home(copy: pathlib.Path) -> None:
-    """Copy the journal entries of a copy's plays to this checkout, whatever they say."""
+    """Copy the journal entries of a copy's plays to this checkout."""
     for entry in (copy / "journal").glob("*.json"):
         shutil.copy(entry, ROOT / "journal" / entry.name)
 
