A prompt that was not read is sent on only out of the retry budget, and refused truthfully without room

Cause: a read that fails before its engine has taken it is an arrival beyond the first as soon as another one follows. It was counted after the fact, so that a collapse of all reading engines still sent each request on at once. Now the next send is taken out of the budget as the read fails; without room its caller is told that nothing ran, and when to come back. Test: three dead engines, 60 requests, 1, 4 and 31 entries: arrivals beyond the first within share and few (before: one for each request).

--- a/src/bergamotmast/direct/prefilling.py
+++ b/src/bergamotmast/direct/prefilling.py
@@ -7,6 +7,8 @@
 from ..errors import NotReachedError
 from ..errors import ReplyLostError
 from ..errors import RequestError
+from ..errors import ResultCode
+from ..policy.direct_refusal import retry_after
 from .model import Upstream
 from .ports import Attempt
 from .prompt_reads import Read
@@ -20,6 +22,9 @@
 SILENT = "the engine is silent"
 OVERDUE = "the prompt is overdue"
 
+RETURN_SECONDS = 0.5
+"""A caller that is refused for want of room in the retry budget returns no sooner."""
+
 
 class Prefilling:
     """The prefills of one stream.
@@ -40,7 +45,7 @@
     @property
     def may_go_on(self) -> bool:
         """Whether another engine may be asked to read the prompt."""
-        return self.count < MOST_PREFILLS and self.stream.sends.has_room()
+        return self.count < MOST_PREFILLS
 
     async def run(self, reader: Upstream) -> None:
         """Have the prompt read; afterwards its KV cache is known if that went well."""
@@ -61,11 +66,21 @@
         except NotReachedError as error:
             self._on_failure(reader, error.message)
         except ReplyLostError as error:
-            stream.sends.count_repeat()
             self._on_failure(reader, error.message)
+            self._spend_or_refuse()
         finally:
             stream.reads.end(reader, read, done=done)
 
+    def _spend_or_refuse(self) -> None:
+        """Take the next send of a prompt that was not read out of the budget.
+
+        :raises RequestError: without room. Where every engine fails, sending on would
+            multiply the load, and the prompt has not run: its caller may come back.
+        """
+        if not self.stream.sends.spend():
+            seconds = retry_after(self.context.rng, RETURN_SECONDS)
+            raise RequestError(ResultCode.RETRY_BUDGET_SPENT, retry_after=seconds)
+
     def _on_failure(self, reader: Upstream, error: str) -> None:
         self.stream.unread_at.add(reader.name)
         if error != OVERDUE:
@@ -92,7 +107,7 @@
         where the caller would leave before, it loses nothing by waiting.
         """
         stream = self.stream
-        if not self.may_go_on:
+        if not self.may_go_on or not stream.sends.has_room():
             return False
         excluded = {*stream.excluded, reader.name}
         try:
--- a/src/bergamotmast/direct/sends.py
+++ b/src/bergamotmast/direct/sends.py
@@ -120,11 +120,6 @@
         entries = len(self.context.fleet.entries)
         return self.context.budget(self.call.group.name).has_room(entries, now)
 
-    def count_repeat(self) -> None:
-        """Take out of the budget what has been made already, room or not."""
-        now = asyncio.get_running_loop().time()
-        self.context.budget(self.call.group.name).count_repeat(now)
-
     def spend(self) -> bool:
         """Take a further call to an upstream out of the budget, if it has room."""
         now = asyncio.get_running_loop().time()
--- a/src/bergamotmast/policy/retry_window.py
+++ b/src/bergamotmast/policy/retry_window.py
@@ -62,12 +62,8 @@
         """
         if not self.has_room(entries, now):
             return False
-        self.count_repeat(now)
-        return True
-
-    def count_repeat(self, now: float) -> None:
-        """Count a second send that has been made."""
         self.repeats.append(now)
+        return True
 
     def has_room(self, entries: int, now: float) -> bool:
         """Return whether a second send may be made."""
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -14,7 +14,6 @@
 from bergamotmast.policy.engine_book import EngineBook
 from bergamotmast.policy.read_model import READING_GUESS
 from bergamotmast.policy.retry_window import RetryLimits
-from bergamotmast.policy.retry_window import RetryWindow
 from direct_support import config
 from direct_support import engine
 from direct_support import route
@@ -104,6 +103,7 @@
     async with serving(
         dead, sound, engine("i-3", EngineScript()), engine_check=check
     ) as entry:
+        entry.front.core.context.retry_limits = RetryLimits(1.0, 100.0)
         entry.register(sound, state="draining")
         asked = [
             asyncio.create_task(entry.ask("/talk/x", request_id=f"id-{n}", **LONG))
@@ -127,23 +127,28 @@
         assert await PlatformOrders(context.client).answers(upstream) is lives
 
 
-async def test_prompts_that_fail_everywhere_stay_within_the_budget():
+@pytest.mark.parametrize("entries", [1, 4, 31])
+async def test_prompts_that_fail_everywhere_stay_within_the_budget(entries):
     """All reading engines die: each request begins anew until the budget is spent.
 
     A prompt whose engine never took it is a send like any other. Counted only from the
     second one on, requests that fail twice make one send more than the budget knows.
+    The others are told that theirs did not run.
     """
     dead = [engine(f"i-{n}", hang(), "prefill") for n in range(3)]
     last = engine("i-9", EngineScript())
     async with serving(*dead, last, document=config(routes=[PATIENT])) as entry:
         context = entry.front.core.context
         context.retry_limits = limits = RetryLimits(0.2, 8.0)
-        await asyncio.gather(
+        for number in range(entries):
+            context.fleet.entries[f"e{number}"] = ("127.0.0.1", 9)
+        answers = await asyncio.gather(
             *(entry.ask("/talk/x", request_id=f"id-{n}", **LONG) for n in range(60))
         )
     arrivals = sum(len(replica.received) for replica in (*dead, last))
-    # All of them are sent before any is known to fail: one each can't be held back.
-    assert arrivals - 60 <= 60 + limits.share * 60 + limits.free
+    assert arrivals - 60 <= limits.share * 60 + limits.free / entries
+    assert {got.status for got in answers} <= {200, 503}
+    assert all("retry-after" in got.headers for got in answers if got.status == 503)
 
 
 def test_a_long_prompt_is_given_the_time_it_takes():
@@ -183,10 +188,3 @@
     book.begin(("e", 1), 0.5, 8, 0.0)
     book.wait(9, FORGET_SECONDS + 0.1)
     assert book.overdue_at(("e", 1)) < 0.0
-
-
-def test_sends_that_were_made_count_room_or_not():
-    window = RetryWindow(RetryLimits(0.0, 8.0))
-    for _ in range(5):
-        window.count_repeat(1.0)
-    assert not window.has_room(4, 1.0)
