--- a/src/bergamotmast/direct/prefilling.py
+++ b/src/bergamotmast/direct/prefilling.py
@@ -18,7 +18,6 @@
 MOST_PREFILLS = 2
 """Engines that a prompt is sent to for reading before an answering one reads it."""
 
-
 SILENT = "the engine is silent"
 OVERDUE = "the prompt is overdue"
 
