--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -377,6 +377,7 @@
         retry_share=0.1,
         retry_free=10,
         log_level="info",
+        switched_off="",
     )
     task = asyncio.create_task(serve_direct(settings))
     try:
