A connection over TLS that its caller closes as taking stops is left out

With TLS the socket is gone one turn before the library tells, and the look for unread bytes raised AttributeError out of stop_taking(), which ends the process.

--- a/src/bergamotmast/serving.py
+++ b/src/bergamotmast/serving.py
@@ -178,7 +178,10 @@
         bytes_come = False
         for connection, before in zip(candidates, received, strict=True):
             transport = connection.transport
-            if not self.is_idle(connection, now) or transport is None:
+            if transport is None or transport.is_closing():
+                # With TLS, its socket may be closed already.
+                continue
+            if not self.is_idle(connection, now):
                 continue
             if connection.received == before and not _has_unread(transport):
                 self._close(transport)
--- a/tests/test_review.py
+++ b/tests/test_review.py
@@ -164,6 +164,38 @@
     assert too_late or got.count(b"200 OK") == 1
 
 
+async def test_callers_over_tls_that_leave_as_taking_stops_end_nothing(tls):
+    """An entry with TLS fails as it stops, and cuts off what it still answers.
+
+    Idle callers leave in the very moment in which idle connections are looked for. The
+    system's socket is closed one turn of the event loop before the library tells of it:
+    asked for unread bytes in between, it raises, and the error ends the process.
+    """
+    server, caller = tls
+    front = Front()
+    async with tls_listening(front, server) as listening:
+        kept = [
+            await asyncio.open_connection(
+                *listening.runner.addresses[0], ssl=caller, server_hostname="127.0.0.1"
+            )
+            for _ in range(30)
+        ]
+        for _, writer in kept:
+            writer.write(REQUEST)
+        for reader, _ in kept:
+            await reader.readuntil(b"\r\n\r\n")
+        stopping = asyncio.create_task(listening.stop_taking())
+        for number, (_, writer) in enumerate(kept):
+            if number % 2:
+                writer.transport.abort()
+            else:
+                writer.close()
+            await asyncio.sleep(0)
+        await stopping
+        for connection in listening.server.connections:
+            assert connection.transport is None or connection.transport.is_closing()
+
+
 @pytest.mark.parametrize("part", [4, len(REQUEST) - 2])
 async def test_a_request_whose_head_has_come_in_part_is_answered(part):
     """A caller finds its connection closed in the midst of sending its request.
