The mix of work is reckoned with a fixed reading rate again

Ruled out: more orders (13 and 14), more tokens read again (1.88 -> 1.62 million). Test: a mix in which a tenth more reading takes the third engine away.

--- a/src/bergamotmast/direct/core.py
+++ b/src/bergamotmast/direct/core.py
@@ -159,8 +159,7 @@
         self.context.budget(call.group.name).on_request(now)
         if call.route.kind is CallKind.STREAM:
             outputs = call.traits.expected_tokens or call.traits.max_tokens
-            seconds = self.context.placing.read_seconds(call)
-            self.context.mix.observe(seconds, outputs, now)
+            self.context.mix.observe(call.traits.prompt_tokens, outputs, now)
             run = StreamRun(self.context, call, reply)
             try:
                 return await run.run()
--- a/src/bergamotmast/direct/placing.py
+++ b/src/bergamotmast/direct/placing.py
@@ -81,11 +81,6 @@
         self.by_hash: dict[int, BookKey] = {}
         self.last_number = 0
 
-    def read_seconds(self, call: Call) -> float:
-        """Return for how long a whole prompt keeps a reading engine from others."""
-        reads = self.reads.setdefault(call.group.name, GroupReads())
-        return reads.reading.times.occupied(call.traits.prompt_tokens, 0)
-
     def engine_book(self, upstream: Upstream) -> EngineBook:
         """Return what is known of an engine."""
         key = (upstream.name, upstream.boot)
--- a/src/bergamotmast/policy/direct_roles.py
+++ b/src/bergamotmast/policy/direct_roles.py
@@ -23,6 +23,10 @@
 
 from ..model import Role
 
+PREFILL_RATE = 50_000.0
+"""Prompt tokens a second of a reading engine, against :data:`DECODE_RATE`: what counts
+is the ratio of the two, which says how many answering engines are enough."""
+
 DECODE_RATE = 40_000.0
 """Output tokens a second of an answering engine whose batch is half full."""
 
@@ -51,17 +55,14 @@
         self.decode = 0.0
         self.at: float | None = None
 
-    def observe(self, read_seconds: float, output_tokens: float, now: float) -> None:
-        """Take a request that was let in.
-
-        :param read_seconds: for which its prompt keeps a reading engine from others.
-        """
+    def observe(self, prompt_tokens: float, output_tokens: float, now: float) -> None:
+        """Take a request that was let in."""
         if self.at is not None:
             fade = math.exp(-max(0.0, now - self.at) / MIX_SECONDS)
             self.prefill *= fade
             self.decode *= fade
         self.at = now
-        self.prefill += read_seconds
+        self.prefill += prompt_tokens / PREFILL_RATE
         self.decode += output_tokens / DECODE_RATE
 
     @property
--- a/tests/test_direct_policy.py
+++ b/tests/test_direct_policy.py
@@ -322,13 +322,24 @@
 def test_mix_meter_fades():
     meter = MixMeter()
     assert meter.decode_share == 0.0
-    meter.observe(0.1, 0, 0.0)
+    meter.observe(5_000, 0, 0.0)
     assert meter.decode_share == 0.0
     for tick in range(400):
-        meter.observe(0.0002, 2_000, tick * 0.5)
+        meter.observe(10, 2_000, tick * 0.5)
     assert meter.decode_share > 0.9
 
 
+def test_a_large_fleet_keeps_a_third_answering_engine():
+    """25 engines, 2,100 output tokens to 45,000 read: with two answering, all waits.
+
+    A tenth more time for reading in the mix takes the third one away. Answers no longer
+    fit into the memory of the two that are left, and begin again and again.
+    """
+    meter = MixMeter()
+    meter.observe(45_000, 2_100, 0.0)
+    assert wanted_answering(25, meter.decode_share) == 3
+
+
 @dataclasses.dataclass
 class Prompt:
     arrives: float
