--- a/src/bergamotmast/direct/silence.py
+++ b/src/bergamotmast/direct/silence.py
@@ -41,7 +41,9 @@
             finally:
                 watch.cancel()
     except TimeoutError:
-        raise ReplyLostError(reasons[0]) from None
+        # Without a verdict it is the system that has given the connection up.
+        reason = reasons[0] if reasons else "the connection timed out"
+        raise ReplyLostError(reason) from None
 
 
 async def _watch(verdict: Verdict, limit: asyncio.Timeout, reasons: list[str]) -> None:
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from bergamotmast.direct.silence import silence_limit
+from bergamotmast.errors import ReplyLostError
 from bergamotmast.platform.orders import PlatformOrders
 from bergamotmast.policy.engine_book import FORGET_SECONDS
 from bergamotmast.policy.engine_book import OVERDUE_FACTOR
@@ -188,3 +190,17 @@
     book.begin(("e", 1), 0.5, 8, 0.0)
     book.wait(9, FORGET_SECONDS + 0.1)
     assert book.overdue_at(("e", 1)) < 0.0
+
+
+async def test_a_time_out_of_the_call_itself_is_a_lost_reply():
+    """The system gives a connection up while the engine is not yet taken for silent.
+
+    That ends the call as any lost reply does; it must not pass for a fault of ours.
+    """
+
+    async def goes_on() -> str:
+        return ""
+
+    with pytest.raises(ReplyLostError):
+        async with silence_limit(goes_on):
+            raise TimeoutError
