--- /dev/null
+++ b/bench/play_days.py
@@ -0,0 +1,179 @@
+"""Plays days of the users' bench with several source trees or switches, side by side.
+
+    python bench/play_days.py --bench FLEETBENCH --site SITE.toml --seeds 1,2,3 \
+        --variant before=../before --variant now=. --variant no-packing=.:packing
+
+A variant is a name, a checkout and, after a colon, the decisions switched off in it
+(names of :class:`bergamotmast.policy.decisions.Decisions`). Each is played in a copy of
+its own, on the same days and seeds; journal entries are brought back to this checkout.
+Prints, for each variant, the medians and the spread of what the bench reports.
+"""
+
+from __future__ import annotations
+
+import argparse
+import concurrent.futures
+import dataclasses
+import json
+import pathlib
+import shutil
+import statistics
+import subprocess
+import sys
+import tomllib
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+SWITCHES = "BERGAMOTMAST_SWITCHED_OFF"
+NOT_COPIED = shutil.ignore_patterns(
+    ".git", ".venv", "target", "journal", "__pycache__", ".*_cache", ".hypothesis"
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Variant:
+    """A source tree, and what is switched off in it."""
+
+    name: str
+    tree: pathlib.Path
+    off: str
+
+    @classmethod
+    def read(cls, text: str) -> Variant:
+        """Read ``NAME=TREE[:SWITCH,...]``."""
+        name, _, rest = text.partition("=")
+        tree, _, off = rest.partition(":")
+        return cls(name, pathlib.Path(tree).resolve(), off)
+
+    def copy_to(self, folder: pathlib.Path) -> pathlib.Path:
+        """Return a checkout of its own in which the bench can play."""
+        copy = folder / self.name
+        shutil.rmtree(copy, ignore_errors=True)
+        shutil.copytree(self.tree, copy, ignore=NOT_COPIED, symlinks=True)
+        if (self.tree / "target" / "deps").exists():
+            shutil.copytree(self.tree / "target" / "deps", copy / "target" / "deps")
+        if self.off:
+            deploy = copy / "deploy" / "system.toml"
+            deploy.write_text(deploy.read_text() + f'{SWITCHES} = "{self.off}"\n')
+        for command in ("git init -q", "git add -A", "git commit -qm trial"):
+            subprocess.run(command.split(), cwd=copy, check=True)
+        return copy
+
+
+@dataclasses.dataclass(frozen=True)
+class Play:
+    """One day with one seed, as one variant serves it."""
+
+    variant: str
+    site: str
+    day: str
+    seed: int
+    report: dict
+
+    def prices(self, name: str) -> float:
+        """Return what the bench takes off the worth under a price's name."""
+        return sum(row[2] for row in self.report["prices"] if row[0] == name)
+
+
+def day_names(site: pathlib.Path) -> list[str]:
+    """Return the standard days of a site."""
+    return [day["name"] for day in tomllib.loads(site.read_text())["day"]]
+
+
+def play(
+    bench: str,
+    copies: dict[str, pathlib.Path],
+    job: tuple[str, pathlib.Path, str, int],
+    options: argparse.Namespace,
+) -> Play | None:
+    """Play one day; ``None`` if the bench reported nothing."""
+    name, site, day, seed = job
+    copy = copies[name]
+    reports = copy.parent / "reports"
+    reports.mkdir(exist_ok=True)
+    report = reports / f"{name}-{site.stem}-{day}-{seed}.json"
+    report.unlink(missing_ok=True)
+    command = [bench, "run", str(site), day, "--report", str(report)]
+    command += ["--why", f"{options.why} ({name}, seed {seed})"]
+    if seed:
+        command += ["--seed", str(seed)]
+    if not options.cpu:
+        command.append("--no-cpu")
+    done = subprocess.run(
+        command, cwd=copy, capture_output=True, text=True, check=False
+    )
+    if not report.exists():
+        print(name, day, seed, done.stdout[-600:], done.stderr[-300:], file=sys.stderr)
+        return None
+    return Play(name, site.stem, day, seed, json.loads(report.read_text()))
+
+
+def summary(plays: list[Play]) -> str:
+    """Return one line on some plays of one variant."""
+    worth = [p.report["G"] for p in plays]
+    cells = [f"worth {statistics.median(worth):.3f} (mean {statistics.mean(worth):.3f}"]
+    cells[0] += f", {min(worth):.3f} to {max(worth):.3f})"
+    for key in ("served", "refused", "failed"):
+        cells.append(f"{key} {statistics.mean(p.report[key] for p in plays):.3f}")
+    for weight, part in enumerate(plays[0].report["parts"]):
+        values = [p.report["parts"][weight][2] for p in plays]
+        cells.append(f"{part[0]} {statistics.mean(values):.3f}")
+    prices = {row[0]: 0.0 for row in plays[0].report["prices"]}
+    means = {
+        name: statistics.mean(p.prices(name) for p in plays) for name in prices
+    }
+    dearest = sorted(means.items(), key=lambda item: -item[1])[:4]
+    cells.append(f"prices {sum(means.values()):.3f}")
+    cells += [f"{name[:32]} {value:.4f}" for name, value in dearest]
+    broken = [f"{p.day}/{p.seed}:{','.join(p.report['breaks'])}" for p in plays if p.report["breaks"]]
+    missed = sum(bool(p.report["missed"]) for p in plays)
+    if broken:
+        cells.append(f"BROKEN {' '.join(broken)}")
+    if missed:
+        cells.append(f"floors missed in {missed}")
+    return "; ".join(cells)
+
+
+def main() -> None:
+    """Play all, print a table."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--bench", required=True)
+    parser.add_argument("--site", action="append", required=True, type=pathlib.Path)
+    parser.add_argument("--variant", action="append", required=True, type=Variant.read)
+    parser.add_argument("--days", default="", help="names; the standard days if empty")
+    parser.add_argument("--seeds", default="0", help="0: the day's own")
+    parser.add_argument("--folder", type=pathlib.Path, default=ROOT.parent / "plays")
+    parser.add_argument("--jobs", type=int, default=3, help="plays at a time")
+    parser.add_argument("--cpu", action="store_true", help="count processor time")
+    parser.add_argument("--why", default="Variants side by side")
+    options = parser.parse_args()
+    options.folder.mkdir(parents=True, exist_ok=True)
+    copies = {v.name: v.copy_to(options.folder) for v in options.variant}
+    for copy in copies.values():
+        subprocess.run([options.bench, "build"], cwd=copy, capture_output=True, check=True)
+    jobs = [
+        (variant.name, site, day, int(seed))
+        for site in options.site
+        for day in (options.days.split(",") if options.days else day_names(site))
+        for seed in options.seeds.split(",")
+        for variant in options.variant
+    ]
+    with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
+        results = pool.map(lambda job: play(options.bench, copies, job, options), jobs)
+        plays = [result for result in results if result is not None]
+    for site in options.site:
+        print(f"== {site.stem}")
+        for variant in options.variant:
+            own = [p for p in plays if (p.variant, p.site) == (variant.name, site.stem)]
+            if own:
+                print(f"{variant.name:20} {len(own):3} plays: {summary(own)}")
+                by_day: dict[str, list[float]] = {}
+                for p in own:
+                    by_day.setdefault(p.day, []).append(p.report["G"])
+                print(" " * 21 + "  ".join(f"{d} {statistics.median(w):.3f}" for d, w in by_day.items()))
+    for name, copy in copies.items():
+        for entry in (copy / "journal").glob("*.json"):
+            shutil.copy(entry, ROOT / "journal" / entry.name)
+
+
+if __name__ == "__main__":
+    main()
