Each second send and each one refused says what the retry budget went by

The incident's hypotheses differ in what an entry had counted and how many entries it knew as it sent something again; neither was in a log or a metric. One class now decides over second sends, whoever asks, writes a line for each and counts it. The counter comes first on the metrics page: of a long page the users' monitoring keeps the beginning. No decision has changed.

--- a/src/bergamotmast/adapters/metrics.py
+++ b/src/bergamotmast/adapters/metrics.py
@@ -110,6 +110,7 @@
         self.tenants = _Bounded(MAX_TENANTS)
         self.classes = _Bounded(MAX_CLASSES)
         meter = self.provider.get_meter("bergamotmast")
+        self.second_sends = meter.create_counter("second.sends")
         self.first_token = self._pair("first_token")
         self.total = self._pair("total")
         self.queue_wait = self._pair("queue_wait")
@@ -181,6 +182,11 @@
         """Take a message that only a later protocol version knows."""
         self.unknown.add(1)
 
+    def on_second_send(self, group: str, *, allowed: bool) -> None:
+        """Take a second send to a group, or one that the retry budget refused."""
+        labels = {"group": self.classes(group), "allowed": str(allowed).lower()}
+        self.second_sends.add(1, labels)
+
     def exposition(self) -> bytes:
         """Return all series in Prometheus' text format."""
         return prometheus_client.generate_latest(self.registry)
--- a/src/bergamotmast/direct/context.py
+++ b/src/bergamotmast/direct/context.py
@@ -11,8 +11,6 @@
 from ..policy.decisions import Decisions
 from ..policy.direct_roles import MixMeter
 from ..policy.prefix_memory import WorkKey
-from ..policy.retry_window import RetryLimits
-from ..policy.retry_window import RetryWindow
 from .fleet import Fleet
 from .model import Call
 from .model import Upstream
@@ -26,6 +24,7 @@
 from .ports import ReplyTraits
 from .ports import UpstreamClient
 from .read_notice import ReadNotice
+from .second_sends import SecondSends
 from .silence import EngineChecks
 from .time_limits import TimeLimits
 
@@ -41,8 +40,7 @@
     """The parts that every run of a request uses.
 
     :param mix: what the streams of this entry ask of engines.
-    :param retry_limits: what all entries together may send a second time.
-    :param budgets: second sends by group.
+    :param second_sends: what this entry may send a second time.
     :param engine_check: tells a dead engine from a busy one, if anything does.
     :param background: tasks that outlive their request, until they are done.
     :param time_limits: of all requests at work.
@@ -53,11 +51,10 @@
     dialect: Dialect
     placing: Placing
     rng: random.Random
-    retry_limits: RetryLimits = RetryLimits()
+    second_sends: SecondSends
     notices: Notices | None = None
     engine_check: EngineCheck | None = None
     mix: MixMeter = dataclasses.field(default_factory=MixMeter)
-    budgets: dict[str, RetryWindow] = dataclasses.field(default_factory=dict)
     background: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
     time_limits: TimeLimits = dataclasses.field(init=False)
     engine_checks: EngineChecks = dataclasses.field(init=False)
@@ -71,10 +68,6 @@
         """Which decisions are taken."""
         return self.placing.decisions
 
-    def budget(self, group: str) -> RetryWindow:
-        """Return a group's window of second sends."""
-        return self.budgets.setdefault(group, RetryWindow(self.retry_limits))
-
     def _tells(self, tokens: int) -> bool:
         """Return whether the other entries are told of a prompt of this length."""
         return self.decisions.notices and tokens >= LEAST_TOKENS
--- a/src/bergamotmast/direct/core.py
+++ b/src/bergamotmast/direct/core.py
@@ -155,9 +155,9 @@
     async def _run(
         self, call: Call, reply: CallerReply, story: dict[str, object]
     ) -> int:
-        now = asyncio.get_running_loop().time()
-        self.context.budget(call.group.name).on_request(now)
+        self.context.second_sends.on_request(call.group.name)
         if call.route.kind is CallKind.STREAM:
+            now = asyncio.get_running_loop().time()
             outputs = call.traits.expected_tokens or call.traits.max_tokens
             self.context.mix.observe(call.traits.prompt_tokens, outputs, now)
             run = StreamRun(self.context, call, reply)
--- /dev/null
+++ b/src/bergamotmast/direct/second_sends.py
@@ -0,0 +1,63 @@
+"""Who may send a request again, and what counts it.
+
+Every way to send again asks here: a plain call, a prompt that has to be read anew, a
+stream that goes on at another engine. What is tried again inside one request is held to
+its route by :mod:`.sends`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from ..policy.retry_window import RetryLimits
+from ..policy.retry_window import RetryWindow
+from ..telemetry import Telemetry
+from .fleet import Fleet
+
+logger = logging.getLogger(__name__)
+
+
+class SecondSends:
+    """Keeps one entry's part of the retry budget that all entries share, by group.
+
+    :param limits: what all entries together may send a second time.
+    """
+
+    def __init__(self, fleet: Fleet, limits: RetryLimits, telemetry: Telemetry) -> None:
+        self.fleet = fleet
+        self.limits = limits
+        self.telemetry = telemetry
+        self.windows: dict[str, RetryWindow] = {}
+
+    def on_request(self, group: str) -> None:
+        """Count a caller's request for a group."""
+        self._window(group).on_request(asyncio.get_running_loop().time())
+
+    def has_room(self, group: str) -> bool:
+        """Return whether the budget has room for a second send to a group."""
+        now = asyncio.get_running_loop().time()
+        return self._window(group).has_room(len(self.fleet.entries), now)
+
+    def spend(self, group: str) -> bool:
+        """Take a second send out of the budget, if it has room."""
+        now = asyncio.get_running_loop().time()
+        window = self._window(group)
+        entries = len(self.fleet.entries)
+        account = window.account(entries, now)
+        allowed = window.spend(entries, now)
+        self.telemetry.on_second_send(group, allowed=allowed)
+        logger.info(
+            "second send" if allowed else "second send is refused",
+            extra={
+                "group": group,
+                "requests": account.requests,
+                "repeats": account.repeats,
+                "room": round(account.room, 2),
+                "entries": entries,
+            },
+        )
+        return allowed
+
+    def _window(self, group: str) -> RetryWindow:
+        return self.windows.setdefault(group, RetryWindow(self.limits))
--- a/src/bergamotmast/direct/sends.py
+++ b/src/bergamotmast/direct/sends.py
@@ -116,12 +116,8 @@
 
     def has_room(self) -> bool:
         """Return whether the budget has room for a further call to an upstream."""
-        now = asyncio.get_running_loop().time()
-        entries = len(self.context.fleet.entries)
-        return self.context.budget(self.call.group.name).has_room(entries, now)
+        return self.context.second_sends.has_room(self.call.group.name)
 
     def spend(self) -> bool:
         """Take a further call to an upstream out of the budget, if it has room."""
-        now = asyncio.get_running_loop().time()
-        entries = len(self.context.fleet.entries)
-        return self.context.budget(self.call.group.name).spend(entries, now)
+        return self.context.second_sends.spend(self.call.group.name)
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -23,6 +23,7 @@
 from .direct.placing import Placing
 from .direct.presence import Presence
 from .direct.role_planner import RolePlanner
+from .direct.second_sends import SecondSends
 from .history import NullHistory
 from .lifecycle import METRICS_PATH
 from .lifecycle import Ending
@@ -94,10 +95,17 @@
             peers = await stack.enter_async_context(datagram_port(host, int(port)))
         store = PlatformStore(session, settings.store_address)
         orders = PlatformOrders(client)
+        limits = RetryLimits(settings.retry_share, settings.retry_free)
+        second_sends = SecondSends(fleet, limits, metrics)
         context = Context(
-            fleet, client, PlatformDialect(), placing, rng, engine_check=orders
+            fleet,
+            client,
+            PlatformDialect(),
+            placing,
+            rng,
+            second_sends,
+            engine_check=orders,
         )
-        context.retry_limits = RetryLimits(settings.retry_share, settings.retry_free)
         context.notices = Notices(
             settings.name, placing, fleet.entries.values, peers.send
         )
--- a/src/bergamotmast/policy/retry_window.py
+++ b/src/bergamotmast/policy/retry_window.py
@@ -42,6 +42,20 @@
     free: float = 20.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryAccount:
+    """What decides whether a second send may be made.
+
+    :param requests: callers' requests of the last window.
+    :param repeats: second sends of the last window.
+    :param room: second sends that may be made now.
+    """
+
+    requests: int
+    repeats: int
+    room: float
+
+
 class RetryWindow:
     """Counts one group's requests and second sends."""
 
@@ -67,11 +81,16 @@
 
     def has_room(self, entries: int, now: float) -> bool:
         """Return whether a second send may be made."""
+        return self.account(entries, now).room >= 1.0
+
+    def account(self, entries: int, now: float) -> RetryAccount:
+        """Return what is counted now."""
         _forget(self.requests, now)
         _forget(self.repeats, now)
-        earned = self.limits.share * KEPT_SHARE * len(self.requests)
+        requests, repeats = len(self.requests), len(self.repeats)
+        earned = self.limits.share * KEPT_SHARE * requests
         free = self.limits.free * FREE_SHARE / max(entries, LEAST_ENTRIES)
-        return len(self.repeats) + 1 <= free + earned
+        return RetryAccount(requests, repeats, free + earned - repeats)
 
 
 def _forget(times: collections.deque[float], now: float) -> None:
--- a/src/bergamotmast/telemetry.py
+++ b/src/bergamotmast/telemetry.py
@@ -43,6 +43,10 @@
         """Take a message that only a later protocol version knows."""
         ...
 
+    def on_second_send(self, group: str, *, allowed: bool) -> None:
+        """Take a second send to a group, or one that the retry budget refused."""
+        ...
+
 
 class NullTelemetry:
     """Measures nothing."""
@@ -71,3 +75,6 @@
 
     def on_unknown_message(self) -> None:
         """Drop it."""
+
+    def on_second_send(self, group: str, *, allowed: bool) -> None:
+        """Drop it."""
--- a/tests/direct_support.py
+++ b/tests/direct_support.py
@@ -16,8 +16,10 @@
 from bergamotmast.direct.front import DirectFront
 from bergamotmast.direct.placing import Placing
 from bergamotmast.direct.ports import EngineCheck
+from bergamotmast.direct.second_sends import SecondSends
 from bergamotmast.platform.directory import PlatformDirectory
 from bergamotmast.platform.headers import PlatformDialect
+from bergamotmast.policy.retry_window import RetryLimits
 from bergamotmast.ports import KeyValue
 from bergamotmast.serving import Listening
 from bergamotmast.telemetry import NullTelemetry
@@ -181,10 +183,17 @@
     rng = random.Random(7)
     placing = Placing(fleet, "entry-1", "zone-a", rng)
     async with HttpUpstreamClient() as client:
+        telemetry = NullTelemetry()
         context = Context(
-            fleet, client, PlatformDialect(), placing, rng, engine_check=engine_check
+            fleet,
+            client,
+            PlatformDialect(),
+            placing,
+            rng,
+            SecondSends(fleet, RetryLimits(), telemetry),
+            engine_check=engine_check,
         )
-        core = DirectCore(context, NullTelemetry())
+        core = DirectCore(context, telemetry)
         front = DirectFront(core)
         listening = Listening(front.callers(), "127.0.0.1:0", front.busy)
         await listening.start()
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -105,7 +105,7 @@
     async with serving(
         dead, sound, engine("i-3", EngineScript()), engine_check=check
     ) as entry:
-        entry.front.core.context.retry_limits = RetryLimits(1.0, 100.0)
+        entry.front.core.context.second_sends.limits = RetryLimits(1.0, 100.0)
         entry.register(sound, state="draining")
         asked = [
             asyncio.create_task(entry.ask("/talk/x", request_id=f"id-{n}", **LONG))
@@ -141,7 +141,7 @@
     last = engine("i-9", EngineScript())
     async with serving(*dead, last, document=config(routes=[PATIENT])) as entry:
         context = entry.front.core.context
-        context.retry_limits = limits = RetryLimits(0.2, 8.0)
+        context.second_sends.limits = limits = RetryLimits(0.2, 8.0)
         for number in range(entries):
             context.fleet.entries[f"e{number}"] = ("127.0.0.1", 9)
         answers = await asyncio.gather(
