--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -78,15 +78,22 @@
 class Fleet:
     """What the store said last.
 
+    :param own_entry: key under which this entry registers.
     :param table: routes in force; ``None`` before the first configuration.
     :param settled: whether the upstreams have been read once.
     :param first_ready: set once requests can be routed for the first time.
     :param on_removal: called once a key is gone, by key.
     """
 
-    def __init__(self, directory: Directory, clock: cabc.Callable[[], float]) -> None:
+    def __init__(
+        self,
+        directory: Directory,
+        clock: cabc.Callable[[], float],
+        own_entry: str = "",
+    ) -> None:
         self.directory = directory
         self.clock = clock
+        self.own_entry = own_entry
         self.table: RouteTable | None = None
         self.settled = False
         self.seen: dict[str, Seen] = {}
--- a/src/bergamotmast/direct/presence.py
+++ b/src/bergamotmast/direct/presence.py
@@ -25,6 +25,11 @@
 """Between two tries while the store does not answer."""
 
 
+def presence_key(name: str) -> str:
+    """Return the key under which an entry registers."""
+    return PRESENCE_PREFIX + name
+
+
 class Presence:
     """Keeps one key with this entry's address under a lease.
 
@@ -35,7 +40,7 @@
         self, kv: KeyValueService, name: str, address: str, rng: random.Random
     ) -> None:
         self.kv = kv
-        self.key = PRESENCE_PREFIX + name
+        self.key = presence_key(name)
         self.value = address.encode()
         self.backoff = Backoff(rng, first=0.3, longest=LONGEST_RETRY_SECONDS)
 
--- a/src/bergamotmast/direct/second_sends.py
+++ b/src/bergamotmast/direct/second_sends.py
@@ -55,6 +55,7 @@
                 "repeats": account.repeats,
                 "room": round(account.room, 2),
                 "entries": entries,
+                "registered": self.fleet.own_entry in self.fleet.entries,
             },
         )
         return allowed
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -22,6 +22,7 @@
 from .direct.notices import Notices
 from .direct.placing import Placing
 from .direct.presence import Presence
+from .direct.presence import presence_key
 from .direct.role_planner import RolePlanner
 from .direct.second_sends import SecondSends
 from .history import NullHistory
@@ -84,7 +85,8 @@
     ending = Ending(told_to_end())
     rng = random.Random()
     metrics = OpenTelemetryMetrics(settings.name)
-    fleet = Fleet(PlatformDirectory(), asyncio.get_running_loop().time)
+    clock = asyncio.get_running_loop().time
+    fleet = Fleet(PlatformDirectory(), clock, presence_key(settings.name))
     decisions = Decisions.without(filter(None, settings.switched_off.split(",")))
     placing = Placing(fleet, settings.name, settings.zone, rng, decisions)
     host, _, port = settings.peer_address.rpartition(":")
--- a/tests/test_second_sends.py
+++ b/tests/test_second_sends.py
@@ -2,13 +2,35 @@
 
 from __future__ import annotations
 
+import asyncio
+import collections.abc as cabc
 import logging
+import random
+
+import pytest
 
 from bergamotmast.adapters.metrics import OpenTelemetryMetrics
+from bergamotmast.direct.fleet import Fleet
+from bergamotmast.direct.presence import presence_key
+from bergamotmast.direct.second_sends import SecondSends
+from bergamotmast.platform.directory import PlatformDirectory
+from bergamotmast.policy.retry_window import WINDOW_SECONDS
 from bergamotmast.policy.retry_window import RetryLimits
+from bergamotmast.policy.retry_window import RetryWindow
+from bergamotmast.ports import KeyValue
+from bergamotmast.telemetry import NullTelemetry
+from direct_support import config
+from direct_support import engine
+from direct_support import route
 from direct_support import serving
+from platform_standin import EngineScript
+from platform_standin import Received
 from platform_standin import Replica
+from platform_standin import Script
 from platform_standin import not_run
+from platform_standin import reset
+
+LONG = {"X_Token_Count": "12000,80", "X_Prompt_Prefix": "aa:2000,bb:10000"}
 
 
 async def test_each_second_send_says_what_the_budget_went_by(caplog):
@@ -29,3 +51,172 @@
     for allowed in ("true", "false"):
         series = f'second_sends_total{{allowed="{allowed}",group="plain"}} 1.0'
         assert series in exposed
+
+
+class Member:
+    """What one entry knows of the others, and its part of the budget."""
+
+    def __init__(self, number: int, limits: RetryLimits) -> None:
+        clock = asyncio.get_running_loop().time
+        self.key = presence_key(f"e{number}")
+        self.fleet = Fleet(PlatformDirectory(), clock, self.key)
+        self.second_sends = SecondSends(self.fleet, limits, NullTelemetry())
+
+    def learn(self, keys: cabc.Iterable[str]) -> None:
+        for key in keys:
+            self.fleet.put(KeyValue(key, b"127.0.0.1:9", 1))
+
+    def forget(self, keys: cabc.Iterable[str]) -> None:
+        for key in keys:
+            self.fleet.remove(key, 2)
+
+    def send_all(self) -> int:
+        """Send again as often as the budget lets, as if every engine failed."""
+        return sum(iter(lambda: self.second_sends.spend("llm"), False))
+
+
+def full_members(count: int, limits: RetryLimits) -> list[Member]:
+    """Return entries that know each other."""
+    members = [Member(number, limits) for number in range(count)]
+    keys = [member.key for member in members]
+    for member in members:
+        member.learn(keys)
+    return members
+
+
+def over_budget(
+    requests: list[float], repeats: list[float], limits: RetryLimits
+) -> float:
+    """Return by how many second sends the worst window is over what is allowed.
+
+    Allowed is a share of the requests of the window, of the one before it or of the one
+    that began half a window earlier, whichever has most, and the few.
+    """
+
+    def count(times: list[float], since: float) -> int:
+        return sum(since <= at <= since + WINDOW_SECONDS for at in times)
+
+    return max(
+        count(repeats, since)
+        - limits.free
+        - limits.share
+        * max(
+            count(requests, since - shift)
+            for shift in (0.0, WINDOW_SECONDS / 2, WINDOW_SECONDS)
+        )
+        for since in repeats
+    )
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("entries", [5, 28, 330])
+async def test_entries_that_heard_of_few_others_stay_within_the_budget(entries):
+    """All start at once and lose the store: each knows those that came before it."""
+    limits = RetryLimits(0.2, 40.0 * entries)
+    members = [Member(number, limits) for number in range(entries)]
+    keys = [member.key for member in members]
+    for number, member in enumerate(members):
+        member.learn(keys[: number + 1])
+    await asyncio.sleep(WINDOW_SECONDS)
+    assert sum(member.send_all() for member in members) <= limits.free
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("entries", [5, 28, 330])
+async def test_entries_whose_registrations_lapse_stay_within_the_budget(entries):
+    """The store is away for longer than the leases; on its return it lists nobody."""
+    limits = RetryLimits(0.2, 40.0 * entries)
+    members = full_members(entries, limits)
+    await asyncio.sleep(WINDOW_SECONDS)
+    keys = [member.key for member in members]
+    for member in members:
+        member.forget(keys)
+    assert sum(member.send_all() for member in members) <= limits.free
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("entries", [5, 28])
+async def test_entries_that_start_again_and_again_stay_within_the_budget(entries):
+    """Each start gives out the entry's part anew, three times in one window."""
+    limits = RetryLimits(0.2, 40.0 * entries)
+    members = full_members(entries, limits)
+    await asyncio.sleep(WINDOW_SECONDS)
+    sent = sum(member.send_all() for member in members)
+    for _ in range(3):
+        members = full_members(entries, limits)
+        await asyncio.sleep(WINDOW_SECONDS / 4)
+        sent += sum(member.send_all() for member in members)
+    assert sent <= limits.free
+
+
+BURSTS = {
+    "at both edges of a window": ((10.0, 12.5, 4.0), (17.5, 20.0, 4.0)),
+    "higher ones": ((10.0, 12.4, 8.0), (17.6, 20.0, 8.0)),
+    "with little between them": (
+        (0.0, 10.0, 0.1),
+        (10.0, 12.5, 4.0),
+        (12.5, 17.5, 0.1),
+        (17.5, 20.0, 4.0),
+        (20.0, 40.0, 0.1),
+    ),
+    "none": (),
+}
+
+
+def drawn_times(
+    rng: random.Random, bursts: tuple[tuple[float, float, float], ...]
+) -> cabc.Iterator[float]:
+    """Yield when requests come: 75 a second, more or fewer in bursts."""
+    now = 0.0
+    while now < 40.0:
+        factors = [factor for since, end, factor in bursts if since <= now < end]
+        now += rng.expovariate(75.0 * (factors[0] if factors else 1.0))
+        yield now
+
+
+@pytest.mark.parametrize("bursts", BURSTS.values(), ids=BURSTS)
+@pytest.mark.parametrize("entries", [1, 5, 28])
+def test_failures_between_two_bursts_stay_within_the_budget(entries, bursts):
+    """Engines fail as the second burst comes; the first one's requests pay twice."""
+    limits = RetryLimits(0.2, 58.0)
+    rng = random.Random(entries)
+    windows = [RetryWindow(limits) for _ in range(entries)]
+    requests, repeats = [], []
+    for now in drawn_times(rng, bursts):
+        window = rng.choice(windows)
+        window.on_request(now)
+        requests.append(now)
+        while 17.3 <= now < 22.0 and window.spend(entries, now):
+            repeats.append(now)
+    assert repeats
+    assert over_budget(requests, repeats, limits) <= 0.0
+
+
+def closes_unanswered() -> Script:
+    """Return the script of an engine that is gone: it ends each connection."""
+
+    async def script(
+        replica: Replica, received: Received, writer: asyncio.StreamWriter
+    ) -> None:
+        reset(writer)
+
+    return script
+
+
+@pytest.mark.parametrize("entries", [1, 28])
+async def test_prompts_that_gone_engines_drop_stay_within_the_budget(entries):
+    """Every prompt is dropped by an engine that is still registered, and sent on."""
+    gone = [engine(f"i-{n}", closes_unanswered(), "prefill") for n in range(40)]
+    last = engine("i-last", EngineScript())
+    patient = route("/talk/", "streaming", "llm", **{"target-latency-ms": 700})
+    async with serving(*gone, last, document=config(routes=[patient])) as entry:
+        context = entry.core.context
+        context.second_sends.limits = limits = RetryLimits(0.2, 8.0)
+        for number in range(entries):
+            context.fleet.entries[f"e{number}"] = ("127.0.0.1", 9)
+        answers = [
+            await entry.ask("/talk/x", request_id=f"id-{n}", **LONG) for n in range(40)
+        ]
+    arrivals = sum(len(replica.received) for replica in (*gone, last))
+    assert arrivals - 40 <= limits.share * 40 + limits.free / entries
+    assert {got.status for got in answers} <= {200, 503}
