An entry whose registration has lapsed still counts among those that share the budget

Callers saw nothing; the services would have: after an outage of the store that outlasts the leases it lists nobody for up to four seconds, while all entries serve. Each reckoned its part of the few second sends with four entries at least: 28 gave out 3,920 where 1,120 are allowed, 330 gave out 544,500 of 13,200.

Cause: what the store lists was taken for who serves. Seen wrong in the other direction it only gives out less.

--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -13,6 +13,7 @@
 from ..errors import ConfigError
 from ..model import FencingToken
 from ..model import Role
+from ..policy.entry_share import EntryShare
 from ..ports import KeyValue
 from ..protocol.plan import ENGINES_PREFIX
 from ..protocol.plan import decode_engine_plan
@@ -80,6 +81,8 @@
 
     :param own_entry: key under which this entry registers.
     :param table: routes in force; ``None`` before the first configuration.
+    :param entries: where the entries that the store lists take datagrams, by key.
+    :param entry_share: counts those that share a budget.
     :param settled: whether the upstreams have been read once.
     :param first_ready: set once requests can be routed for the first time.
     :param on_removal: called once a key is gone, by key.
@@ -100,6 +103,7 @@
         self.unread: dict[str, int] = {}
         self.planned: dict[str, Planned] = {}
         self.entries: dict[str, tuple[str, int]] = {}
+        self.entry_share = EntryShare()
         self.on_removal: dict[str, cabc.Callable[[], None]] = {}
         self.first_ready = asyncio.Event()
 
@@ -189,7 +193,7 @@
 
     def remove(self, key: str, revision: int) -> None:
         """Take a key's removal; without a configuration the last one stays."""
-        self.entries.pop(key, None)
+        self._forget_entry(key)
         if key in self.on_removal:
             self.on_removal[key]()
         seen = self.seen.get(key)
@@ -229,10 +233,18 @@
         address = _datagram_address(item.value)
         if address is None:
             logger.warning("entry's address is none", extra={"key": item.key})
-            self.entries.pop(item.key, None)
+            self._forget_entry(item.key)
         else:
             self.entries[item.key] = address
 
+    def _forget_entry(self, key: str) -> None:
+        if self.entries.pop(key, None) is not None:
+            self.entry_share.on_lapsed(key, self.clock())
+
+    def count_entries(self) -> int:
+        """Return how many entries serve, as far as can be told."""
+        return self.entry_share.entries(self.entries, self.clock())
+
     def _put_planned(self, item: KeyValue) -> None:
         try:
             part = decode_engine_plan(item.value)
--- a/src/bergamotmast/direct/second_sends.py
+++ b/src/bergamotmast/direct/second_sends.py
@@ -37,13 +37,13 @@
     def has_room(self, group: str) -> bool:
         """Return whether the budget has room for a second send to a group."""
         now = asyncio.get_running_loop().time()
-        return self._window(group).has_room(len(self.fleet.entries), now)
+        return self._window(group).has_room(self.fleet.count_entries(), now)
 
     def spend(self, group: str) -> bool:
         """Take a second send out of the budget, if it has room."""
         now = asyncio.get_running_loop().time()
         window = self._window(group)
-        entries = len(self.fleet.entries)
+        entries = self.fleet.count_entries()
         account = window.account(entries, now)
         allowed = window.spend(entries, now)
         self.telemetry.on_second_send(group, allowed=allowed)
--- a/src/bergamotmast/policy/retry_window.py
+++ b/src/bergamotmast/policy/retry_window.py
@@ -26,9 +26,6 @@
 FREE_SHARE = 0.5
 """Part of the operators' few that is given out."""
 
-LEAST_ENTRIES = 4
-"""Entries that are reckoned with at least, also before the others are known."""
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RetryLimits:
@@ -72,7 +69,7 @@
     def spend(self, entries: int, now: float) -> bool:
         """Count a second send; ``False`` if it may not be made.
 
-        :param entries: entries that share the budget, as far as known.
+        :param entries: entries that share the budget.
         """
         if not self.has_room(entries, now):
             return False
@@ -89,7 +86,7 @@
         _forget(self.repeats, now)
         requests, repeats = len(self.requests), len(self.repeats)
         earned = self.limits.share * KEPT_SHARE * requests
-        free = self.limits.free * FREE_SHARE / max(entries, LEAST_ENTRIES)
+        free = self.limits.free * FREE_SHARE / entries
         return RetryAccount(requests, repeats, free + earned - repeats)
 
 
--- /dev/null
+++ b/tests/test_entry_share.py
@@ -0,0 +1,27 @@
+"""Counts of the entries that share something."""
+
+from __future__ import annotations
+
+from bergamotmast.policy.entry_share import LEAST_ENTRIES
+from bergamotmast.policy.entry_share import REMEMBERED_SECONDS
+from bergamotmast.policy.entry_share import EntryShare
+
+NAMES = [f"e{number}" for number in range(8)]
+
+
+def test_an_entry_that_has_lapsed_counts_for_a_while():
+    share = EntryShare()
+    share.on_lapsed("e7", 1.0)
+    assert share.entries(NAMES[:7], 1.0) == 8
+    assert share.entries(NAMES[:7], 1.0 + REMEMBERED_SECONDS) == 7
+
+
+def test_an_entry_that_is_back_counts_once():
+    share = EntryShare()
+    share.on_lapsed("e7", 1.0)
+    assert share.entries(NAMES, 2.0) == 8
+    assert share.entries(NAMES[:7], 3.0) == 7
+
+
+def test_few_entries_are_taken_for_some():
+    assert EntryShare().entries([], 0.0) == LEAST_ENTRIES
--- a/tests/test_second_sends.py
+++ b/tests/test_second_sends.py
@@ -131,7 +131,7 @@
     keys = [member.key for member in members]
     for member in members:
         member.forget(keys)
-    assert sum(member.send_all() for member in members) <= limits.free
+    assert 0 < sum(member.send_all() for member in members) <= limits.free
 
 
 @pytest.mark.looptime
