An entry that left while nothing was heard of the store is forgotten

A reading of the whole store added entries and removed none: one whose removal was dropped from the history stayed for the life of the process, got a datagram for each long prompt, and counted among those that share the retry budget, so that less was given out than there is. test_entry_that_left_unseen_is_forgotten failed before (waited in vain for 4 s).

--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -225,6 +225,14 @@
         self.settled = True
         self._note_ready()
 
+    def replace_entries(self, items: tuple[KeyValue, ...]) -> None:
+        """Take a whole reading of the entries' registrations."""
+        present = {item.key for item in items}
+        for key in [key for key in self.entries if key not in present]:
+            self._forget_entry(key)
+        for item in items:
+            self.put(item)
+
     def _note_ready(self) -> None:
         if self.ready:
             self.first_ready.set()
--- a/src/bergamotmast/direct/following.py
+++ b/src/bergamotmast/direct/following.py
@@ -55,8 +55,7 @@
         entries = await self.kv.range(PRESENCE_PREFIX)
         now = asyncio.get_running_loop().time()
         self.fleet.replace(upstreams.items, now, self._after_outage(now))
-        for item in entries.items:
-            self.fleet.put(item)
+        self.fleet.replace_entries(entries.items)
         if config is not None:
             self.fleet.put(config)
         self._on_heard(now)
--- a/src/bergamotmast/policy/entry_share.py
+++ b/src/bergamotmast/policy/entry_share.py
@@ -1,7 +1,7 @@
 """Which part of what all entries may do together falls to one of them.
 
-Load pattern: entries start again, are cut off from the store or lose their registrations
-while upstreams fail, and all of them want to send again at once.
+Load pattern: entries start again, are cut off from the store or lose their
+registrations while upstreams fail, and all of them want to send again at once.
 
 Without it: each takes the entries that it happens to see for all there are. Where all
 see few, they give out many times what they may.
@@ -12,8 +12,8 @@
 import collections.abc as cabc
 
 REMEMBERED_SECONDS = 60.0
-"""How long an entry counts on whose registration has lapsed: one that is cut off from the
-store serves on, and one that the store has lost registers anew."""
+"""How long an entry counts on whose registration has lapsed: one that is cut off from
+the store serves on, and one that the store has lost registers anew."""
 
 LEAST_ENTRIES = 4
 """Entries that are reckoned with at least, also before the others are known."""
--- a/tests/test_direct_fleet.py
+++ b/tests/test_direct_fleet.py
@@ -32,6 +32,7 @@
 from bergamotmast.platform import store as platform_store
 from bergamotmast.platform.directory import PlatformDirectory
 from bergamotmast.platform.store import PlatformStore
+from bergamotmast.policy.entry_share import LEAST_ENTRIES
 from bergamotmast.ports import Compare
 from bergamotmast.ports import Delete
 from bergamotmast.ports import KeyValue
@@ -256,6 +257,22 @@
         await until(lambda: key not in fleet.entries)
 
 
+async def test_entry_that_left_unseen_is_forgotten():
+    """Its removal was dropped from the history before the watch came to it."""
+    async with following() as (store, fleet, _):
+        key = PRESENCE_PREFIX + "entry-9"
+        store.put(key, b"10.0.0.9:7380")
+        await until(lambda: key in fleet.entries)
+        store.log.clear()
+        store.remove(key)
+        store.log.clear()
+        store.compacted = store.revision + 1
+        await asyncio.sleep(0.3)
+        store.compacted = 0
+        await until(lambda: key not in fleet.entries, seconds=4.0)
+        assert fleet.count_entries() == LEAST_ENTRIES
+
+
 async def test_store_reads_all_pages():
     async with following() as (store, _, adapter):
         for number in range(7):
