A second send fits into every window that the operators may look at

An entry compared its second sends of the last ten seconds with its requests of the same ten. The operators take any ten seconds, with the requests of these, of the ten before or of those that began five before. With bursts at both edges of the last ten seconds and engines that fail in the second one, an entry paid with requests of both: up to 110 second sends over what is allowed in the worst window (4 times the load for 2.5 s, twice, 7.5 s apart; 28 entries, 58 free).

A second send must now also fit into each window that began in the last ten seconds, by the operators' own count, in slots of a quarter of a second, rounded to the entry's disadvantage; counts of slots take the place of the times of each request. The share that is used goes from 0.85 to 0.9, as the windows are theirs now.

--- a/src/bergamotmast/policy/retry_window.py
+++ b/src/bergamotmast/policy/retry_window.py
@@ -6,8 +6,10 @@
 Without it: second sends multiply the load just when capacity is missing.
 
 Thresholds: the operators allow all entries together a share of the requests and a few
-more, over any window of :data:`WINDOW_SECONDS`. Each entry keeps to :data:`KEPT_SHARE`
-of that share of its own requests, and to its part of the few, so that the fleet as a
+more, over any window of :data:`WINDOW_SECONDS`. Counted are the requests of that window,
+of the one before it or of the one that began half a window earlier, whichever has most.
+Each entry keeps to :data:`KEPT_SHARE` of that share of its own requests, in its last
+window and in each that began since, and to its part of the few, so that the fleet as a
 whole keeps to the budget however the traffic is spread. Only half of the few are given
 out: an entry that starts again has a part that grows, beside what its last life spent.
 """
@@ -16,12 +18,21 @@
 
 import collections
 import dataclasses
+import itertools
 
 WINDOW_SECONDS = 10.0
 """The operators' budget counts over windows of this length."""
 
-KEPT_SHARE = 0.85
-"""Part of the operators' share that is used: their windows are not ours."""
+SLOT_SECONDS = 0.25
+"""Requests and second sends are counted by spans of this length."""
+
+WINDOW_SLOTS = int(WINDOW_SECONDS / SLOT_SECONDS)
+
+HALF_SLOTS = WINDOW_SLOTS // 2
+
+KEPT_SHARE = 0.9
+"""Part of the operators' share that is used: they count a request as it is sent, an
+entry as it arrives."""
 
 FREE_SHARE = 0.5
 """Part of the operators' few that is given out."""
@@ -53,18 +64,45 @@
     room: float
 
 
+class SlotCounts:
+    """Counts what happens in each of the last slots, the present one included.
+
+    :param slots: how many are kept.
+    """
+
+    def __init__(self, slots: int) -> None:
+        self.counts = collections.deque([0] * slots, maxlen=slots)
+        self.last = 0
+
+    def add(self, now: float) -> None:
+        """Count one."""
+        self.advance(now)
+        self.counts[-1] += 1
+
+    def advance(self, now: float) -> None:
+        """Let the slots go by that have passed since the last call."""
+        present = int(now // SLOT_SECONDS)
+        passed = min(max(0, present - self.last), len(self.counts))
+        self.counts.extend([0] * passed)
+        self.last = max(self.last, present)
+
+    def totals(self, now: float) -> list[int]:
+        """Return how many were counted in the last 0, 1, 2, ... slots."""
+        self.advance(now)
+        return [0, *itertools.accumulate(reversed(self.counts))]
+
+
 class RetryWindow:
     """Counts one group's requests and second sends."""
 
     def __init__(self, limits: RetryLimits) -> None:
         self.limits = limits
-        self.requests: collections.deque[float] = collections.deque()
-        self.repeats: collections.deque[float] = collections.deque()
+        self.requests = SlotCounts(2 * WINDOW_SLOTS + 1)
+        self.repeats = SlotCounts(WINDOW_SLOTS + 1)
 
     def on_request(self, now: float) -> None:
         """Count a caller's request."""
-        self.requests.append(now)
-        _forget(self.requests, now)
+        self.requests.add(now)
 
     def spend(self, part: float, now: float) -> bool:
         """Count a second send; ``False`` if it may not be made.
@@ -73,7 +111,7 @@
         """
         if not self.has_room(part, now):
             return False
-        self.repeats.append(now)
+        self.repeats.add(now)
         return True
 
     def has_room(self, part: float, now: float) -> bool:
@@ -82,14 +120,25 @@
 
     def account(self, part: float, now: float) -> RetryAccount:
         """Return what is counted now."""
-        _forget(self.requests, now)
-        _forget(self.repeats, now)
-        requests, repeats = len(self.requests), len(self.repeats)
-        earned = self.limits.share * KEPT_SHARE * requests
+        requests = self.requests.totals(now)
+        repeats = self.repeats.totals(now)
+        earned = self.limits.share * KEPT_SHARE
+        own = earned * requests[WINDOW_SLOTS] - repeats[-1]
+        others = (
+            earned * _counted_requests(requests, slots) - repeats[slots]
+            for slots in range(1, len(repeats))
+        )
         free = self.limits.free * FREE_SHARE * part
-        return RetryAccount(requests, repeats, free + earned - repeats)
+        room = free + min(own, *others)
+        return RetryAccount(requests[WINDOW_SLOTS], repeats[-1], room)
+
 
+def _counted_requests(totals: list[int], slots: int) -> int:
+    """Return the requests that count for a window that began so many slots ago.
 
-def _forget(times: collections.deque[float], now: float) -> None:
-    while times and times[0] < now - WINDOW_SECONDS:
-        times.popleft()
+    :param totals: requests of the last 0, 1, 2, ... slots.
+    """
+    present = totals[slots]
+    before = totals[slots + WINDOW_SLOTS] - present
+    between = totals[slots + HALF_SLOTS] - totals[max(0, slots - HALF_SLOTS)]
+    return max(present, before, between)
