--- a/src/bergamotmast/policy/retry_window.py
+++ b/src/bergamotmast/policy/retry_window.py
@@ -8,10 +8,11 @@
 Thresholds: the operators allow all entries together a share of the requests and a few
 more, over any window of :data:`WINDOW_SECONDS`. Counted are the requests of that
 window, of the one before it or of the one that began half a window earlier, whichever
-has most. Each entry keeps to :data:`KEPT_SHARE` of that share of its own requests, in its last
-window and in each that began since, and to its part of the few, so that the fleet as a
-whole keeps to the budget however the traffic is spread. Only half of the few are given
-out: an entry that starts again has a part that grows, beside what its last life spent.
+has most. Each entry keeps to :data:`KEPT_SHARE` of that share of its own requests, in
+its last window and in each that began since, and to its part of the few, so that the
+fleet as a whole keeps to the budget however the traffic is spread. Only half of the few
+are given out: an entry that starts again has a part that grows, beside what its last
+life spent.
 """
 
 from __future__ import annotations
