A store that reads and does not watch is read with growing pauses

Looked for as another way to send again: the pause after a lost watch went back to its first, a tenth of a second at most, with each reading that succeeded, so that only a store that failed every call was spared.

--- a/src/bergamotmast/direct/following.py
+++ b/src/bergamotmast/direct/following.py
@@ -28,7 +28,9 @@
 
     A watch may be cut, may lose its history, or may hear nothing on a connection that
     is dead: the store's adapter ends each wait after a bounded time, and whatever
-    ends a watch leads to a whole new reading.
+    ends a watch leads to a whole new reading. Only a watch that was answered has the
+    next one follow soon: a store that reads and does not watch would otherwise be read
+    without a pause by all entries.
     """
 
     def __init__(self, kv: KeyValueService, fleet: Fleet, rng: random.Random) -> None:
@@ -65,6 +67,7 @@
         loop = asyncio.get_running_loop()
         async for event in self.kv.watch("", revision + 1):
             self._on_heard(loop.time())
+            self.backoff.reset()
             if event is None:
                 continue
             if event.value is None:
@@ -78,7 +81,6 @@
     def _on_heard(self, now: float) -> None:
         self.heard_at = now
         self.fleet.entry_share.on_heard(now)
-        self.backoff.reset()
         if self.lost:
             self.lost = False
             logger.info("store is reached", extra={"dependency": "store"})
--- a/src/bergamotmast/key_watch.py
+++ b/src/bergamotmast/key_watch.py
@@ -45,13 +45,13 @@
                 found = await kv.range(prefix)
             for item in found.items:
                 yield item
-            backoff.reset()
             async with contextlib.aclosing(
                 kv.watch(prefix, found.revision + 1)
             ) as stream:
                 while True:
                     async with asyncio.timeout(SILENCE_SECONDS):
                         event = await anext(stream)
+                    backoff.reset()
                     if event is not None:
                         yield event
         except (PortError, TimeoutError, StopAsyncIteration) as error:
--- a/tests/test_direct_fleet.py
+++ b/tests/test_direct_fleet.py
@@ -16,6 +16,7 @@
 from bergamotmast.direct.fleet import RETURN_SECONDS
 from bergamotmast.direct.fleet import Fleet
 from bergamotmast.direct.following import OUTAGE_SECONDS
+from bergamotmast.direct.following import LONGEST_RETRY_SECONDS
 from bergamotmast.direct.following import Follower
 from bergamotmast.direct.model import CallKind
 from bergamotmast.direct.placing import Placing
@@ -257,6 +258,19 @@
         await until(lambda: key not in fleet.entries)
 
 
+async def test_store_that_does_not_watch_is_not_read_without_a_pause():
+    """Each watch fails at once, each reading succeeds: the pauses must still grow."""
+    async with following() as (store, fleet, _):
+        store.compacted = 1_000_000
+        await until(lambda: fleet.settled)
+        store.calls.clear()
+        seconds = 3.0
+        await asyncio.sleep(seconds)
+        readings = sum(call.endswith("/kv-watch") for call in store.calls)
+    # A pause is drawn from zero to its longest, and the first three are shorter.
+    assert readings <= 2 * (3 + 2 * seconds / LONGEST_RETRY_SECONDS)
+
+
 async def test_entry_that_left_unseen_is_forgotten():
     """Its removal was dropped from the history before the watch came to it."""
     async with following() as (store, fleet, _):
