Two tests of a lost history wait for the new reading, not for 0.3 s

The stand-in said for 0.3 s that the history is gone; a watch that is slow to come back never hears of it, and nothing tells the follower of what it missed. Shown by a run with 0.1 s in place of 0.3 s: it and test_entry_that_left_unseen_is_forgotten fail each time. A store that has dropped its history does not get it back: both now refuse watches until the store is read anew, whenever that is, and assert the same.

--- a/tests/test_direct_fleet.py
+++ b/tests/test_direct_fleet.py
@@ -73,6 +73,14 @@
 until = functools.partial(direct_support.until, seconds=3.0)
 
 
+async def refuse_watches_until_read(store: Store) -> None:
+    """Say that the history is gone until the whole store is read anew."""
+    store.calls.clear()
+    store.compacted = store.revision + 1
+    await until(lambda: "GET /kv-range" in store.calls)
+    store.compacted = 0
+
+
 def names(fleet: Fleet, group: str = "plain") -> set[str]:
     now = asyncio.get_running_loop().time()
     return {upstream.name for upstream in fleet.members(group, now)}
@@ -209,9 +217,7 @@
         store.log.clear()
         store.remove("servers/i-1")
         store.log.clear()
-        store.compacted = store.revision + 1
-        await asyncio.sleep(0.3)
-        store.compacted = 0
+        await refuse_watches_until_read(store)
         await until(lambda: names(fleet) == {"i-2"}, seconds=4.0)
 
 
@@ -280,9 +286,7 @@
         store.log.clear()
         store.remove(key)
         store.log.clear()
-        store.compacted = store.revision + 1
-        await asyncio.sleep(0.3)
-        store.compacted = 0
+        await refuse_watches_until_read(store)
         await until(lambda: key not in fleet.entries, seconds=4.0)
         now = asyncio.get_running_loop().time()
         assert fleet.entry_share.entries(fleet.entries, now) == LEAST_ENTRIES
