An answering engine that drops a stream without a word is left alone for a moment

Callers saw 502 for streams, and the fleet spent its second sends: an engine that is gone but still registered has no work, looks best to each next request of each entry, and drops them all until the store knows that it is gone. Reading engines that fail, and answering ones that can't be reached, were left alone for a second; an answering one that takes the request and closes the connection was not.

It is now left alone as the others are, where it said nothing at all to this request; an answer that breaks off later says nothing of the next one. The rule that some answering engine is always kept holds here, too. test_engine_that_drops_a_stream_does_not_draw_the_next_ones failed before (more than one of six streams met the engine).

--- a/src/bergamotmast/direct/answering.py
+++ b/src/bergamotmast/direct/answering.py
@@ -79,6 +79,9 @@
             self._log_failure(error.message, "not reached")
         except (ReplyLostError, BrokenStreamError) as error:
             self._log_failure(str(error), "broken")
+            if self.heard_at == math.inf:
+                # Without work it would look best to each of the next requests.
+                self.stream.leave_alone(self.upstream)
             # Whatever became of the KV cache, it can't be taken twice.
             self.stream.cache.release()
             self._refuse_unrepeatable()
@@ -118,7 +121,6 @@
         async with self._open() as reply:
             traits = self._check(reply)
             self.stream.cache.taken()
-            self.heard_at = asyncio.get_running_loop().time()
             if not 200 <= reply.status < 300:
                 return await self._on_failure_status(reply)
             async with self._stall_limit():
@@ -167,7 +169,8 @@
         :raises ReplyLostError: if it is not.
         :raises BrokenStreamError: if it says that nothing ran.
         """
-        self.stream.timeline.replied_at = asyncio.get_running_loop().time()
+        self.heard_at = asyncio.get_running_loop().time()
+        self.stream.timeline.replied_at = self.heard_at
         self.stream.on_heard(self.upstream)
         traits = self.context.read_reply(self.call, self.upstream, reply)
         if traits.not_run:
--- a/tests/test_second_sends.py
+++ b/tests/test_second_sends.py
@@ -23,6 +23,7 @@
 from direct_support import engine
 from direct_support import route
 from direct_support import serving
+from direct_support import until
 from platform_standin import EngineScript
 from platform_standin import Received
 from platform_standin import Replica
@@ -30,6 +31,11 @@
 from platform_standin import not_run
 from platform_standin import reset
 
+SHORT = {
+    "X_Token_Count": "400,80",
+    "X_Prompt_Prefix": "cc:100,dd:300",
+    "X_Deadline_Ms": "20000",
+}
 LONG = {"X_Token_Count": "12000,80", "X_Prompt_Prefix": "aa:2000,bb:10000"}
 
 
@@ -230,3 +236,27 @@
     arrivals = sum(len(replica.received) for replica in (*gone, last))
     assert arrivals - 40 <= limits.share * 40 + limits.free / entries
     assert {got.status for got in answers} <= {200, 503}
+
+
+async def test_engine_that_drops_a_stream_does_not_draw_the_next_ones():
+    """An engine that is gone but still registered has no work and looks best to all."""
+    gone = engine("i-1", closes_unanswered())
+    busy = engine("i-2", EngineScript(pause=0.2))
+    patient = route("/long/", "streaming", "llm", **{"timeout-ms": 20_000})
+    document = config(routes=[patient | {"resumable": True}])
+    async with serving(gone, busy, document=document) as entry:
+        entry.register(gone, state="draining")
+        asked = []
+        for number in range(9):
+            asked.append(
+                asyncio.create_task(
+                    entry.ask("/long/x", request_id=f"id-{number}", **SHORT)
+                )
+            )
+            if number == 2:
+                await until(lambda: len(busy.received) == 3)
+                entry.register(gone)
+            await asyncio.sleep(0.05)
+        answers = await asyncio.gather(*asked)
+    assert [got.status for got in answers] == [200] * 9
+    assert len(gone.received) == 1
