A process test holds the part of the retry budget that grows from an entry's start

Without the wiring of an entry's own registration its part would stay 0 for ever, and no other test would tell: with an empty key in the composition root it fails (0.0 < 0.0).

--- a/tests/test_direct_process.py
+++ b/tests/test_direct_process.py
@@ -28,6 +28,7 @@
 from platform_standin import Replica
 from platform_standin import Store
 from platform_standin import answer
+from platform_standin import not_run
 from support import free_port
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -142,6 +143,28 @@
     assert {line["request_id"] for line in ended} == {"id-1", "id-2"}
 
 
+async def test_part_of_the_retry_budget_grows_from_the_start_of_a_process():
+    """Without a part of its own an entry could send nothing again before it is busy."""
+    replicas = [Replica(f"i-{number}", not_run()) for number in range(2)]
+    async with Store() as store, replicas[0], replicas[1]:
+        store.put("op/config", config())
+        for replica in replicas:
+            store.put(f"servers/{replica.name}", registration(replica))
+        async with process(store) as entry:
+            await entry.until_ready()
+            for _ in range(2):
+                await asyncio.sleep(1.0)
+                reader, writer = await asyncio.open_connection("127.0.0.1", entry.port)
+                writer.write(request("/read/x"))
+                assert (await read_answer(reader)).status == 503
+                writer.close()
+            entry.process.send_signal(signal.SIGTERM)
+            lines = await logged(entry)
+    asked = [line for line in lines if line["event"].startswith("second send")]
+    assert [line["entries"] for line in asked] == [1, 1]
+    assert 0.0 < asked[0]["part"] < asked[1]["part"] < 1.0
+
+
 async def test_sighup_disturbs_nothing_and_metrics_are_served():
     async with Store() as store, Replica("i-1", answer()) as replica:
         store.put("op/config", config())
