The checker of histories is a package of its own

Four modules at the root of the package, three of them named checker_*, were one subject. What others use is imported from the package; the modules are named for what they hold.

--- a/src/bergamotmast/checker_fleet.py
+++ b/src/bergamotmast/checker/fleet.py
@@ -8,25 +8,25 @@
 import dataclasses
 import math
 
-from .checker_types import Check
-from .checker_types import Limits
-from .checker_types import Rule
-from .checker_types import Violation
-from .history import AnyRecord
-from .history import ConfigAccepted
-from .history import ConfigInForce
-from .history import Execution
-from .history import LeavingAnnounced
-from .history import OrderEnded
-from .history import OrderTaken
-from .history import PlanWritten
-from .history import ProcessReachable
-from .history import ProcessStarted
-from .history import ProcessStopped
-from .history import ProcessUnreachable
-from .history import StayingAnnounced
-from .model import NO_TOKEN
-from .model import FencingToken
+from ..history import AnyRecord
+from ..history import ConfigAccepted
+from ..history import ConfigInForce
+from ..history import Execution
+from ..history import LeavingAnnounced
+from ..history import OrderEnded
+from ..history import OrderTaken
+from ..history import PlanWritten
+from ..history import ProcessReachable
+from ..history import ProcessStarted
+from ..history import ProcessStopped
+from ..history import ProcessUnreachable
+from ..history import StayingAnnounced
+from ..model import NO_TOKEN
+from ..model import FencingToken
+from .rules import Check
+from .rules import Limits
+from .rules import Rule
+from .rules import Violation
 
 
 def check_one_order(
--- a/src/bergamotmast/checker.py
+++ b/src/bergamotmast/checker/history_check.py
@@ -6,14 +6,14 @@
 import collections.abc as cabc
 import dataclasses
 
-from .checker_fleet import FLEET_CHECKS
-from .checker_requests import REQUEST_CHECKS
-from .checker_types import Limits
-from .checker_types import Violation
-from .errors import ResultCode
-from .history import AnyRecord
-from .history import RequestAnswered
-from .history import RequestSent
+from ..errors import ResultCode
+from ..history import AnyRecord
+from ..history import RequestAnswered
+from ..history import RequestSent
+from .fleet import FLEET_CHECKS
+from .requests import REQUEST_CHECKS
+from .rules import Limits
+from .rules import Violation
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/bergamotmast/checker_requests.py
+++ b/src/bergamotmast/checker/requests.py
@@ -4,16 +4,16 @@
 
 import collections.abc as cabc
 
-from .checker_types import Check
-from .checker_types import Limits
-from .checker_types import Rule
-from .checker_types import Violation
-from .errors import Outcome
-from .errors import ResultCode
-from .history import AnyRecord
-from .history import Execution
-from .history import RequestAnswered
-from .history import RequestSent
+from ..errors import Outcome
+from ..errors import ResultCode
+from ..history import AnyRecord
+from ..history import Execution
+from ..history import RequestAnswered
+from ..history import RequestSent
+from .rules import Check
+from .rules import Limits
+from .rules import Rule
+from .rules import Violation
 
 
 def _sent(records: cabc.Iterable[AnyRecord]) -> dict[str, RequestSent]:
--- a/src/bergamotmast/checker_types.py
+++ b/src/bergamotmast/checker/rules.py
@@ -7,7 +7,7 @@
 import enum
 import typing as t
 
-from .history import AnyRecord
+from ..history import AnyRecord
 
 
 class Rule(enum.Enum):
--- a/src/bergamotmast/demo.py
+++ b/src/bergamotmast/demo.py
@@ -15,9 +15,9 @@
 
 from .bench.trace import TraceRequest
 from .checker import Summary
+from .checker import Violation
 from .checker import check
 from .checker import summary
-from .checker_types import Violation
 from .demo_fleet import DRAINED_ENGINE
 from .demo_fleet import MODEL
 from .demo_fleet import demo_plan
--- a/src/bergamotmast/faults/run.py
+++ b/src/bergamotmast/faults/run.py
@@ -10,9 +10,9 @@
 import looptime
 
 from ..checker import Summary
+from ..checker import Violation
 from ..checker import check
 from ..checker import summary
-from ..checker_types import Violation
 from ..history import AnyRecord
 from .callers import Callers
 from .gates import install
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -3,10 +3,10 @@
 import pytest
 
 from bergamotmast import history as h
+from bergamotmast.checker import Limits
+from bergamotmast.checker import Rule
 from bergamotmast.checker import check
 from bergamotmast.checker import summary
-from bergamotmast.checker_types import Limits
-from bergamotmast.checker_types import Rule
 
 SENT = h.RequestSent(at=0, request="r", request_class="c", expected_text="whole")
 ONCE = h.RequestSent(
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -10,9 +10,9 @@
 import pytest
 
 from bergamotmast.bench.trace import TraceRequest
+from bergamotmast.checker import Rule
 from bergamotmast.checker import check
 from bergamotmast.checker import summary
-from bergamotmast.checker_types import Rule
 from bergamotmast.errors import Outcome
 from bergamotmast.errors import SettingError
 from bergamotmast.history import Execution
