--- a/tests/test_second_sends.py
+++ b/tests/test_second_sends.py
@@ -133,6 +133,7 @@
     keys = [member.key for member in members]
     for number, member in enumerate(members):
         member.learn(keys[: number + 1])
+    await serve(members, 0.0)
     await asyncio.sleep(WINDOW_SECONDS)
     assert sum(member.send_all() for member in members) <= limits.free
 
