Read the whole store in one range call

An entry that starts or loses its watch read the store with three or more calls: upstreams, configuration and other entries. Each call is charged for, and all entries of a fleet read at the same time on startup or after a connection loss. A single range over all keys returns the same data: one call, and one more for each further page.

Rejected: stale reads at a tenth of the price, because their result could not be acted on before a watch has been answered.

Test: test_full_read_makes_one_store_call (three calls before).

--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -203,6 +203,20 @@
                 extra={"upstream": seen.upstream.name, "revision": revision},
             )
 
+    def replace_all(
+        self, items: tuple[KeyValue, ...], now: float, after_outage: bool
+    ) -> None:
+        """Update upstreams, entries and configuration from a read of all keys.
+
+        :param after_outage: keep missing upstreams for :data:`RETURN_SECONDS`.
+        """
+        upstream_prefix = self.directory.upstream_prefix
+        self.replace(_items_with_prefix(upstream_prefix, items), now, after_outage)
+        self.replace_entries(_items_with_prefix(PRESENCE_PREFIX, items))
+        for item in items:
+            if item.key == self.directory.config_key:
+                self.put(item)
+
     def replace(
         self, items: tuple[KeyValue, ...], now: float, after_outage: bool
     ) -> None:
@@ -319,6 +333,12 @@
             )
 
 
+def _items_with_prefix(
+    prefix: str, items: tuple[KeyValue, ...]
+) -> tuple[KeyValue, ...]:
+    return tuple(item for item in items if item.key.startswith(prefix))
+
+
 def _datagram_address(value: bytes) -> tuple[str, int] | None:
     """Return an entry's address; ``None`` for what is no IP number and port.
 
--- a/src/bergamotmast/direct/following.py
+++ b/src/bergamotmast/direct/following.py
@@ -11,7 +11,6 @@
 from ..ports import KeyValue
 from ..ports import KeyValueService
 from .fleet import Fleet
-from .presence import PRESENCE_PREFIX
 
 logger = logging.getLogger(__name__)
 
@@ -51,17 +50,13 @@
             await asyncio.sleep(self.backoff.next_delay())
 
     async def _read(self) -> int:
-        directory = self.fleet.directory
-        upstreams = await self.kv.range(directory.upstream_prefix)
-        config = await self.kv.get(directory.config_key)
-        entries = await self.kv.range(PRESENCE_PREFIX)
+        # A single range over all keys: each store call is charged for, and all entries
+        # of a fleet read at the same time on startup or after a connection loss.
+        result = await self.kv.range("")
         now = asyncio.get_running_loop().time()
-        self.fleet.replace(upstreams.items, now, self._after_outage(now))
-        self.fleet.replace_entries(entries.items)
-        if config is not None:
-            self.fleet.put(config)
+        self.fleet.replace_all(result.items, now, self._after_outage(now))
         self._on_heard(now)
-        return upstreams.revision
+        return result.revision
 
     async def _watch(self, revision: int) -> None:
         loop = asyncio.get_running_loop()
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -277,6 +277,7 @@
     :param compacted: revision below which watches get 410.
     :param silent: whether watches hear nothing and never end.
     :param lose_replies: how many of the next writes are done and not answered.
+    :param page_size: maximum number of items in one range response.
     """
 
     def __init__(self) -> None:
@@ -288,6 +289,7 @@
         self.compacted = 0
         self.silent = False
         self.lose_replies = 0
+        self.page_size = 2
         self.calls: list[str] = []
         self.changed = asyncio.Event()
         self.address = ""
@@ -376,7 +378,7 @@
         prefix = request.query["prefix"]
         after = request.query.get("after", "")
         keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
-        page = keys[:2]
+        page = keys[: self.page_size]
         return self._json(
             {
                 "items": [self.items[key] for key in page],
--- a/tests/test_direct_fleet.py
+++ b/tests/test_direct_fleet.py
@@ -99,6 +99,20 @@
         await until(lambda: fleet.ready and names(fleet) == {"i-1"})
 
 
+async def test_full_read_makes_one_store_call():
+    """Several calls per entry would exhaust the store's calls when a fleet starts."""
+    async with following() as (store, fleet, _):
+        store.page_size = 500
+        store.put("op/config", config(7))
+        store.put("servers/i-1", entry())
+        store.put(PRESENCE_PREFIX + "entry-9", b"10.0.0.9:7380")
+        await refuse_watches_until_read(store)
+        await until(lambda: fleet.ready and names(fleet) == {"i-1"} and fleet.entries)
+        await until(lambda: store.calls[-1] == "GET /kv-watch")
+    start = store.calls.index("GET /kv-range")
+    assert store.calls[start : start + 2] == ["GET /kv-range", "GET /kv-watch"]
+
+
 async def test_leaving_and_gone_upstreams_get_nothing_more():
     async with following() as (store, fleet, _):
         store.put("op/config", config())
