Skip the planner lease's holder read while its key is known to exist

Each entry that is not the planner read the holder's key from the store every 5 to 15 s, although its watch already delivers that key and its removal. With 68 entries these reads are some seven calls a second. A candidate now reads the key only while it is not known to exist.

Also fixes two related defects: a removal reported while a candidate was reading the holder was discarded, and the candidate waited for up to 15 s; a removal missed by the watch triggered no notification.

Tests, each failing before this change: test_candidate_does_not_read_known_holder, test_lease_freed_during_holder_read_is_retried, test_removal_missed_by_watch_is_notified_on_next_full_read.

Rejected alternative: longer poll intervals, which leave the fleet without a planner when a removal is missed.

--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -85,7 +85,8 @@
     :param entry_share: counts those that share a budget.
     :param settled: whether the upstreams have been read once.
     :param first_ready: set once requests can be routed for the first time.
-    :param on_removal: called once a key is gone, by key.
+    :param on_removal: callbacks for the removal of an existing key, by key.
+    :param existing_keys: keys of ``on_removal`` that the store is known to hold.
     """
 
     def __init__(
@@ -104,6 +105,7 @@
         self.entries: dict[str, tuple[str, int]] = {}
         self.entry_share = EntryShare(own_entry)
         self.on_removal: dict[str, cabc.Callable[[], None]] = {}
+        self.existing_keys: set[str] = set()
         self.first_ready = asyncio.Event()
 
     @property
@@ -181,6 +183,8 @@
             logger.exception("key is not taken", extra={"key": item.key})
 
     def _put(self, item: KeyValue) -> None:
+        if item.key in self.on_removal:
+            self.existing_keys.add(item.key)
         if item.key == self.directory.config_key:
             self._put_routing(item)
         elif item.key.startswith(self.directory.upstream_prefix):
@@ -193,8 +197,8 @@
     def remove(self, key: str, revision: int) -> None:
         """Take a key's removal; without a configuration the last one stays."""
         self._forget_entry(key)
-        if key in self.on_removal:
-            self.on_removal[key]()
+        if key in self.existing_keys:
+            self._notify_removal(key)
         seen = self.seen.get(key)
         if seen is not None and revision > seen.revision:
             del self.seen[key]
@@ -210,11 +214,14 @@
 
         :param after_outage: keep missing upstreams for :data:`RETURN_SECONDS`.
         """
+        present = {item.key for item in items}
+        for key in self.existing_keys - present:
+            self._notify_removal(key)
         upstream_prefix = self.directory.upstream_prefix
         self.replace(_items_with_prefix(upstream_prefix, items), now, after_outage)
         self.replace_entries(_items_with_prefix(PRESENCE_PREFIX, items))
         for item in items:
-            if item.key == self.directory.config_key:
+            if item.key == self.directory.config_key or item.key in self.on_removal:
                 self.put(item)
 
     def replace(
@@ -246,6 +253,10 @@
         for item in items:
             self.put(item)
 
+    def _notify_removal(self, key: str) -> None:
+        self.existing_keys.discard(key)
+        self.on_removal[key]()
+
     def _note_ready(self) -> None:
         if self.ready:
             self.first_ready.set()
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -140,6 +140,7 @@
     orders: PlatformOrders,
 ) -> RolePlanner:
     name = settings.name
+    fleet = context.fleet
     authority = Authority(
         store,
         name,
@@ -147,8 +148,9 @@
         PLANNER_LEASE_SECONDS,
         first_look_seconds=FIRST_LOOK_SECONDS,
         vacancy_spread_seconds=VACANCY_SPREAD_SECONDS,
+        holder_known=lambda: HOLDER_KEY in fleet.existing_keys,
     )
-    context.fleet.on_removal[HOLDER_KEY] = authority.on_vacant
+    fleet.on_removal[HOLDER_KEY] = authority.on_vacant
     plan = PlanStore(
         store,
         name,
@@ -161,7 +163,7 @@
         name,
         authority,
         plan,
-        context.fleet,
+        fleet,
         context.placing,
         orders,
         context.mix,
--- a/src/bergamotmast/planner/authority.py
+++ b/src/bergamotmast/planner/authority.py
@@ -34,6 +34,11 @@
 reads a second, where as many waiting watches would count as 330 calls."""
 
 
+def holder_never_known() -> bool:
+    """Return ``False``, so that each attempt reads the holder's key."""
+    return False
+
+
 class Authority:
     """A candidate's share in the planner's lease.
 
@@ -44,6 +49,8 @@
     :param first_look_seconds: bound of the first look's jitter.
     :param vacancy_spread_seconds: candidates that are told of a free lease look within
         so long, evenly drawn.
+    :param holder_known: whether the holder's key is already known to exist, in which
+        case an attempt makes no call to the service.
     :param lease: the lease held; 0 for none.
     :param lapses_at: until then the lease held can't have lapsed by itself; a point on
         the event loop's clock.
@@ -57,11 +64,13 @@
         lease_seconds: int = LEASE_SECONDS,
         first_look_seconds: float = FIRST_LOOK_SECONDS,
         vacancy_spread_seconds: float = LEAST_POLL_SECONDS,
+        holder_known: cabc.Callable[[], bool] = holder_never_known,
     ) -> None:
         self.kv = kv
         self.lease_seconds = lease_seconds
         self.first_look_seconds = first_look_seconds
         self.vacancy_spread_seconds = vacancy_spread_seconds
+        self.holder_known = holder_known
         self.planner = planner
         self.rng = rng
         self.lease = 0
@@ -100,7 +109,6 @@
 
     async def _wait(self, seconds: float) -> None:
         """Sleep, but not on while the lease is known to be free."""
-        self._vacant.clear()
         try:
             async with asyncio.timeout(seconds):
                 await self._vacant.wait()
@@ -144,7 +152,9 @@
         await self._drop()
 
     async def _try(self) -> bool:
-        if await self.kv.get(HOLDER_KEY) is not None:
+        # Cleared before the read: a vacancy reported during it triggers a retry.
+        self._vacant.clear()
+        if self.holder_known() or await self.kv.get(HOLDER_KEY) is not None:
             return False
         # From before the call: a process that is paused as the reply comes in would
         # otherwise count the lease from its awakening and hold it after its end.
--- a/tests/test_direct_fleet.py
+++ b/tests/test_direct_fleet.py
@@ -278,6 +278,21 @@
         await until(lambda: key not in fleet.entries)
 
 
+async def test_removal_missed_by_watch_is_notified_on_next_full_read():
+    """Without the callback, no candidate would try to acquire a lapsed lease."""
+    async with following() as (store, fleet, _):
+        notifications = []
+        fleet.on_removal["holder"] = lambda: notifications.append("gone")
+        store.put("holder", b"entry-9")
+        await until(lambda: "holder" in fleet.existing_keys)
+        store.log.clear()
+        store.remove("holder")
+        store.log.clear()
+        await refuse_watches_until_read(store)
+        await until(lambda: notifications, seconds=4.0)
+        assert notifications == ["gone"]
+
+
 async def test_store_that_does_not_watch_is_not_read_without_a_pause():
     """Each watch fails at once, each reading succeeds: the pauses must still grow."""
     async with following() as (store, fleet, _):
--- a/tests/test_direct_roles.py
+++ b/tests/test_direct_roles.py
@@ -19,6 +19,7 @@
 from bergamotmast.errors import AuthorityLostError
 from bergamotmast.history import NullHistory
 from bergamotmast.model import Role
+from bergamotmast.planner import authority
 from bergamotmast.planner.authority import Authority
 from bergamotmast.planner.plan_store import PlanStore
 from bergamotmast.platform.directory import PlatformDirectory
@@ -261,6 +262,43 @@
         await asyncio.wait_for(waiting, 1.0)
 
 
+async def test_candidate_does_not_read_known_holder(monkeypatch):
+    """Polling by every candidate would load the store in a large fleet."""
+    monkeypatch.setattr(authority, "LEAST_POLL_SECONDS", 0.01)
+    monkeypatch.setattr(authority, "MOST_POLL_SECONDS", 0.02)
+    async with planners(OrderedEngine(), count=2) as (store, (one, two)):
+        await one.authority.acquire()
+        known = True
+        two.authority.holder_known = lambda: known
+        two.authority.vacancy_spread_seconds = 0.01
+        store.calls.clear()
+        waiting = asyncio.create_task(two.authority.acquire())
+        await asyncio.sleep(0.2)
+        assert store.calls == []
+        known = False
+        store.end_lease(one.authority.lease)
+        two.authority.on_vacant()
+        await asyncio.wait_for(waiting, 1.0)
+
+
+async def test_lease_freed_during_holder_read_is_retried():
+    """A lost notification would delay the next attempt by a full poll interval."""
+    async with planners(OrderedEngine(), count=2) as (store, (one, two)):
+        await one.authority.acquire()
+        get = two.authority.kv.get
+        two.authority.vacancy_spread_seconds = 0.01
+
+        async def get_then_end_lease(key):
+            holder = await get(key)
+            if holder is not None:
+                store.end_lease(one.authority.lease)
+                two.authority.on_vacant()
+            return holder
+
+        two.authority.kv.get = get_then_end_lease
+        await asyncio.wait_for(two.authority.acquire(), 2.0)
+
+
 async def test_plan_of_the_last_holder_is_not_taken_for_new_orders():
     """A new holder opens the plan, in which an engine was once told to read.
 
