Batch store changes made in quick succession into one watch call

Each answered watch was followed immediately by the next one, so every change cost each entry one call: while a fleet starts, each entry received every other entry's registration in a separate call. The store client now waits 0.4 s between an answer with changes and the next watch. A change after an idle period is received as soon as before; a change that follows another is received up to 0.4 s later. The deadlines for no longer using leaving upstreams are 2 s or more.

Test, failing before: test_changes_in_quick_succession_are_received_in_few_watch_calls.

--- a/src/bergamotmast/platform/store.py
+++ b/src/bergamotmast/platform/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 import collections.abc as cabc
 import typing as t
@@ -40,6 +41,11 @@
 WATCH_SLACK_SECONDS = 0.7
 """How much later than its wait a watch's answer is still on its way."""
 
+WATCH_PAUSE_SECONDS = 0.4
+"""Delay between a watch answer with changes and the next watch call. Every entry
+receives every change; the delay lets one call return several changes made in quick
+succession, as when a fleet starts."""
+
 
 class _Wire(msgspec.Struct, frozen=True, rename="kebab"):
     pass
@@ -167,6 +173,8 @@
             for event in answer.events:
                 yield _watch_event(event)
             after = max(after, answer.store_revision)
+            if answer.events:
+                await asyncio.sleep(WATCH_PAUSE_SECONDS)
 
     async def _read(
         self, path: str, seconds: float = CALL_SECONDS
--- a/tests/test_direct_fleet.py
+++ b/tests/test_direct_fleet.py
@@ -7,6 +7,7 @@
 import functools
 import json
 import random
+import time
 
 import pytest
 
@@ -32,6 +33,7 @@
 from bergamotmast.model import Role
 from bergamotmast.platform import store as platform_store
 from bergamotmast.platform.directory import PlatformDirectory
+from bergamotmast.platform.store import WATCH_PAUSE_SECONDS
 from bergamotmast.platform.store import PlatformStore
 from bergamotmast.policy.entry_share import LEAST_ENTRIES
 from bergamotmast.ports import Compare
@@ -278,6 +280,21 @@
         await until(lambda: key not in fleet.entries)
 
 
+async def test_changes_in_quick_succession_are_received_in_few_watch_calls():
+    """Guards against one watch call per registration while a fleet starts."""
+    async with following() as (store, fleet, _):
+        await until(lambda: fleet.settled)
+        store.calls.clear()
+        started_at = time.monotonic()
+        for number in range(40):
+            store.put(f"{PRESENCE_PREFIX}entry-{number}", b"10.0.0.9:7380")
+            await asyncio.sleep(0.02)
+        await until(lambda: len(fleet.entries) == 40)
+        seconds = time.monotonic() - started_at
+    # One call per pause, plus the initial watch and one call of margin.
+    assert store.calls.count("GET /kv-watch") <= 2 + seconds / WATCH_PAUSE_SECONDS
+
+
 async def test_removal_missed_by_watch_is_notified_on_next_full_read():
     """Without the callback, no candidate would try to acquire a lapsed lease."""
     async with following() as (store, fleet, _):
