Derive the store watch timeout from the platform's recovery bound

A watch waited 2 s on every deployment, the shortest time within which a watch on a connection that has gone silent must be detected. The wait is now derived from the platform's bound (--store-recovery-ms): 2 s where the bound is 3 s, 4 s where it is 5 s.

Also fixed: connections to the store were kept alive and shared. If all of them went silent at once, the read that follows a failed watch waited 1 s on another silent connection and exceeded the bound. Each call to the store now opens its own connection.

Test, failing with kept-alive connections: test_configuration_applies_within_recovery_time_after_connections_go_silent.

Rejected: waits longer than the bound with TCP keep-alive, which does not detect a store that answers nothing while its machine is still up.

--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -11,7 +11,6 @@
 from aiohttp import web
 
 from .adapters.datagrams import datagram_port
-from .adapters.http_calls import client_session
 from .adapters.metrics import OpenTelemetryMetrics
 from .adapters.opaque_http import HttpUpstreamClient
 from .direct.context import Context
@@ -38,6 +37,7 @@
 from .platform.headers import PlatformDialect
 from .platform.orders import PlatformOrders
 from .platform.store import PlatformStore
+from .platform.store import store_session
 from .policy.decisions import Decisions
 from .policy.last_requests import End
 from .policy.retry_window import RetryLimits
@@ -92,10 +92,12 @@
     host, _, port = settings.peer_address.rpartition(":")
     async with contextlib.AsyncExitStack() as stack:
         client = await stack.enter_async_context(HttpUpstreamClient())
-        session = await stack.enter_async_context(client_session())
+        session = await stack.enter_async_context(store_session())
         with address_errors(settings.peer_address, "--peer-address"):
             peers = await stack.enter_async_context(datagram_port(host, int(port)))
-        store = PlatformStore(session, settings.store_address)
+        store = PlatformStore(
+            session, settings.store_address, settings.store_recovery_ms / 1e3
+        )
         orders = PlatformOrders(client)
         limits = RetryLimits(settings.retry_share, settings.retry_free)
         second_sends = SecondSends(fleet, limits, metrics)
--- a/src/bergamotmast/platform/store.py
+++ b/src/bergamotmast/platform/store.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from ..adapters.http_calls import JSON_TYPE
+from ..adapters.http_calls import client_session
 from ..adapters.http_calls import exchange
 from ..errors import KeyValueOutcomeUnknownError
 from ..errors import KeyValueUnavailableError
@@ -33,20 +34,27 @@
 CONNECT_SECONDS = 0.5
 """Time to open a connection to the store."""
 
-WATCH_SECONDS = 2.0
-"""How long a watch waits. An open connection may go silent for good; a new
-configuration must be in force two seconds after a machine is whole again, which this
-and :data:`WATCH_SLACK_SECONDS` leave time for."""
-
 WATCH_SLACK_SECONDS = 0.7
 """How much later than its wait a watch's answer is still on its way."""
 
+RANGE_READ_SECONDS = 0.3
+"""Time reserved for reading all keys again after a watch has failed."""
+
 WATCH_PAUSE_SECONDS = 0.4
 """Delay between a watch answer with changes and the next watch call. Every entry
 receives every change; the delay lets one call return several changes made in quick
 succession, as when a fleet starts."""
 
 
+def store_session() -> aiohttp.ClientSession:
+    """Return a session that opens a new connection for each call to the store.
+
+    If all connections go silent at once, a reused one would delay the read that follows
+    a failed watch.
+    """
+    return client_session(aiohttp.TCPConnector(force_close=True))
+
+
 class _Wire(msgspec.Struct, frozen=True, rename="kebab"):
     pass
 
@@ -83,12 +91,18 @@
 class PlatformStore:
     """A :class:`~bergamotmast.ports.KeyValueService`.
 
+    :param session: a session from :func:`store_session`.
     :param address: where the store listens, ``host:port``.
+    :param recovery_seconds: maximum time to detect a silent connection and read all
+        keys again.
     """
 
-    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
+    def __init__(
+        self, session: aiohttp.ClientSession, address: str, recovery_seconds: float
+    ) -> None:
         self.session = session
         self.url = f"http://{address}"
+        self.watch_seconds = recovery_seconds - WATCH_SLACK_SECONDS - RANGE_READ_SECONDS
 
     async def get(self, key: str) -> KeyValue | None:
         """Read one key."""
@@ -162,10 +176,10 @@
                 {
                     "prefix": prefix,
                     "after": after,
-                    "wait-ms": int(WATCH_SECONDS * 1000),
+                    "wait-ms": int(self.watch_seconds * 1000),
                 }
             )
-            seconds = WATCH_SECONDS + WATCH_SLACK_SECONDS
+            seconds = self.watch_seconds + WATCH_SLACK_SECONDS
             _, body = await self._read(f"/kv-watch?{query}", seconds)
             answer = _decode(body, _Events)
             if not answer.events:
--- a/src/bergamotmast/settings.py
+++ b/src/bergamotmast/settings.py
@@ -197,6 +197,12 @@
         "",
     )
     store_address: str = _setting(ADDRESS, _PLATFORM, "the platform's store")
+    store_recovery_ms: int = _setting(
+        integer(1_500, 31_000),
+        _PLATFORM,
+        "milliseconds in which a connection to the store that went silent is replaced",
+        3_000,
+    )
     listen_address: str = _setting(ADDRESS, _CALLERS, "where callers come in")
     ready_address: str = _setting(
         ADDRESS, _CALLERS, "where the platform asks whether this entry is ready"
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -277,6 +277,7 @@
     :param compacted: revision below which watches get 410.
     :param silent: whether watches hear nothing and never end.
     :param lose_replies: how many of the next writes are done and not answered.
+    :param silent_connections: connections on which requests are no longer answered.
     :param page_size: maximum number of items in one range response.
     """
 
@@ -289,6 +290,8 @@
         self.compacted = 0
         self.silent = False
         self.lose_replies = 0
+        self.connections: set[asyncio.BaseTransport] = set()
+        self.silent_connections: set[asyncio.BaseTransport] = set()
         self.page_size = 2
         self.calls: list[str] = []
         self.changed = asyncio.Event()
@@ -353,8 +356,20 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def silence_connections(self) -> None:
+        """Stop answering on all connections that have carried a request so far."""
+        self.silent_connections |= self.connections
+
     @web.middleware
     async def _faults(self, request: web.Request, handler: t.Any) -> web.StreamResponse:
+        assert request.transport is not None
+        self.connections.add(request.transport)
+        response = await self._answer(request, handler)
+        while request.transport in self.silent_connections:
+            await asyncio.sleep(0.05)
+        return response
+
+    async def _answer(self, request: web.Request, handler: t.Any) -> web.StreamResponse:
         self.calls.append(f"{request.method} {request.path}")
         if self.outage:
             return web.Response(status=self.outage)
--- a/tests/test_direct_fleet.py
+++ b/tests/test_direct_fleet.py
@@ -12,7 +12,6 @@
 import pytest
 
 import direct_support
-from bergamotmast.adapters.http_calls import client_session
 from bergamotmast.direct.fleet import CHANGE_SECONDS
 from bergamotmast.direct.fleet import RETURN_SECONDS
 from bergamotmast.direct.fleet import Fleet
@@ -35,6 +34,7 @@
 from bergamotmast.platform.directory import PlatformDirectory
 from bergamotmast.platform.store import WATCH_PAUSE_SECONDS
 from bergamotmast.platform.store import PlatformStore
+from bergamotmast.platform.store import store_session
 from bergamotmast.policy.entry_share import LEAST_ENTRIES
 from bergamotmast.ports import Compare
 from bergamotmast.ports import Delete
@@ -51,19 +51,21 @@
 from platform_standin import Store
 from platform_standin import answer
 
+RECOVERY_SECONDS = 0.8
+"""Watches wait 0.2 s with the slack set in :func:`_short_waits`."""
+
 
 @pytest.fixture(autouse=True)
 def _short_waits(monkeypatch):
-    monkeypatch.setattr(platform_store, "WATCH_SECONDS", 0.2)
     monkeypatch.setattr(platform_store, "WATCH_SLACK_SECONDS", 0.3)
 
 
 @contextlib.asynccontextmanager
 async def following():
     """Yield a store, a fleet that follows it, and the adapter between."""
-    async with Store() as store, client_session() as session:
+    async with Store() as store, store_session() as session:
         fleet = Fleet(PlatformDirectory(), asyncio.get_running_loop().time)
-        adapter = PlatformStore(session, store.address)
+        adapter = PlatformStore(session, store.address, RECOVERY_SECONDS)
         task = asyncio.create_task(Follower(adapter, fleet, random.Random(1)).run())
         try:
             yield store, fleet, adapter
@@ -251,6 +253,17 @@
         await until(lambda: fleet.generation == 8, seconds=3.0)
 
 
+async def test_configuration_applies_within_recovery_time_after_connections_go_silent():
+    """The read after a failed watch must not wait on another silent connection."""
+    async with following() as (store, fleet, adapter):
+        store.put("op/config", config(7))
+        await until(lambda: fleet.generation == 7)
+        await adapter.get("op/config")
+        store.silence_connections()
+        store.put("op/config", config(8))
+        await until(lambda: fleet.generation == 8, seconds=RECOVERY_SECONDS)
+
+
 async def test_changing_engine_is_left_alone_for_a_while():
     """The plan gives an engine another role: it refuses all work for seconds."""
     async with following() as (store, fleet, _):
--- a/tests/test_direct_roles.py
+++ b/tests/test_direct_roles.py
@@ -11,7 +11,6 @@
 import pytest
 
 import direct_support
-from bergamotmast.adapters.http_calls import client_session
 from bergamotmast.adapters.opaque_http import HttpUpstreamClient
 from bergamotmast.direct.fleet import Fleet
 from bergamotmast.direct.placing import Placing
@@ -25,6 +24,7 @@
 from bergamotmast.platform.directory import PlatformDirectory
 from bergamotmast.platform.orders import PlatformOrders
 from bergamotmast.platform.store import PlatformStore
+from bergamotmast.platform.store import store_session
 from bergamotmast.policy.direct_roles import MixMeter
 from bergamotmast.policy.direct_roles import RoleOrder
 from bergamotmast.ports import KeyValue
@@ -77,7 +77,7 @@
     """Yield a store, fleets and planners over engines that all make answers."""
     async with contextlib.AsyncExitStack() as stack:
         store = await stack.enter_async_context(Store())
-        session = await stack.enter_async_context(client_session())
+        session = await stack.enter_async_context(store_session())
         client = await stack.enter_async_context(HttpUpstreamClient())
         replicas = [engine(f"i-{n}", script) for n, script in enumerate(scripts)]
         for replica in replicas:
@@ -91,7 +91,7 @@
                 value = json.dumps(registration(replica)).encode()
                 fleet.put(KeyValue(f"servers/{replica.name}", value, 2))
             name, rng = f"entry-{number}", random.Random(number)
-            adapter = PlatformStore(session, store.address)
+            adapter = PlatformStore(session, store.address, 3.0)
             found.append(
                 RolePlanner(
                     name,
--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -99,6 +99,7 @@
         name="entry-1",
         zone="zone-a",
         store_address=store.address,
+        store_recovery_ms=3_000,
         listen_address=addresses[0],
         ready_address=addresses[1],
         peer_address=addresses[2],
