Reread a restored store and reject state from before the restore

The platform's store may be restored from a backup that is some seconds old; its Store-Era header increases by one each time. Revisions and leases are then reissued.

- An upstream that began to leave after the restore still got requests, since its new entry has a lower revision than the known one.
- A watch continued from a revision of a different history.
- Upstreams missing from the backup were dropped at once, and those that had left returned with it.
- An entry renewed, used or ended a lease whose number was another entry's.
- A former planner could write the plan, and a new one gave orders under fencing tokens that engines refuse.

Revisions and leases are now prefixed with the era, in the adapter alone (store_era.py): those of a former era fail their comparison, have lapsed or are older. A new era in any answer ends the waiting watch and causes a full read, in which missing upstreams are kept for two seconds and outdated entries are left out until they are rewritten. A planner's epoch starts at a million times the era, and a planner that finds the plan of a former era gives no order until the last holder's pause has passed. An answer from before a known restore is rejected.

Rejected alternative: a restore count in the port's interface, which all other adapters would have to make up.

--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections.abc as cabc
 import dataclasses
+import enum
 import ipaddress
 import logging
 
@@ -43,6 +44,21 @@
 
 MOST_PORT = 65_535
 
+DEPARTED_RETENTION_SECONDS = 60.0
+"""How long a departed upstream is remembered, to recognize its entry after a restore
+of the store from a backup that is a few seconds old."""
+
+
+class ReadReason(enum.Enum):
+    """Why all keys are read; determines how missing upstreams are handled.
+
+    ``RESYNC`` is a read on startup or after a watch that ended without an outage.
+    """
+
+    RESYNC = "resync"
+    OUTAGE = "outage"
+    RESTORE = "restore"
+
 
 @dataclasses.dataclass(slots=True)
 class Seen:
@@ -87,6 +103,10 @@
     :param first_ready: set once requests can be routed for the first time.
     :param on_removal: callbacks for the removal of an existing key, by key.
     :param existing_keys: keys of ``on_removal`` that the store is known to hold.
+    :param departed: when the record of a departed upstream expires, by key and boot;
+        points in time.
+    :param outdated_revisions: revisions of outdated upstreams' entries in a restored
+        store, by key.
     """
 
     def __init__(
@@ -100,6 +120,8 @@
         self.table: RouteTable | None = None
         self.settled = False
         self.seen: dict[str, Seen] = {}
+        self.departed: dict[tuple[str, str], float] = {}
+        self.outdated_revisions: dict[str, int] = {}
         self.unread: dict[str, int] = {}
         self.planned: dict[str, Planned] = {}
         self.entries: dict[str, tuple[str, int]] = {}
@@ -202,41 +224,47 @@
         seen = self.seen.get(key)
         if seen is not None and revision > seen.revision:
             del self.seen[key]
+            self._record_departed(key, seen.upstream)
             logger.info(
                 "upstream is gone",
                 extra={"upstream": seen.upstream.name, "revision": revision},
             )
 
     def replace_all(
-        self, items: tuple[KeyValue, ...], now: float, after_outage: bool
+        self, items: tuple[KeyValue, ...], now: float, reason: ReadReason
     ) -> None:
-        """Update upstreams, entries and configuration from a read of all keys.
-
-        :param after_outage: keep missing upstreams for :data:`RETURN_SECONDS`.
-        """
+        """Update upstreams, entries and configuration from a read of all keys."""
         present = {item.key for item in items}
         for key in self.existing_keys - present:
             self._notify_removal(key)
         upstream_prefix = self.directory.upstream_prefix
-        self.replace(_items_with_prefix(upstream_prefix, items), now, after_outage)
+        self.replace(_items_with_prefix(upstream_prefix, items), now, reason)
         self.replace_entries(_items_with_prefix(PRESENCE_PREFIX, items))
         for item in items:
             if item.key == self.directory.config_key or item.key in self.on_removal:
                 self.put(item)
 
     def replace(
-        self, items: tuple[KeyValue, ...], now: float, after_outage: bool
+        self, items: tuple[KeyValue, ...], now: float, reason: ReadReason
     ) -> None:
-        """Take a whole reading of the upstreams' entries.
+        """Update the upstreams from a read of all their entries.
 
-        :param after_outage: keep missing ones for :data:`RETURN_SECONDS`.
+        After an outage or a restore, missing upstreams are kept for
+        :data:`RETURN_SECONDS`.
         """
+        if reason is ReadReason.RESTORE:
+            outdated = filter(self._is_outdated, items)
+            self.outdated_revisions = {item.key: item.mod_revision for item in outdated}
+            logger.info(
+                "upstreams are read after a restore of the store",
+                extra={"outdated": sorted(self.outdated_revisions)},
+            )
         for item in items:
             self.put(item)
         present = {item.key for item in items}
         for key in [key for key in self.seen if key not in present]:
             seen = self.seen[key]
-            if not after_outage and seen.gone_at is None:
+            if reason is ReadReason.RESYNC and seen.gone_at is None:
                 self.remove(key, seen.revision + 1)
             elif seen.gone_at is None:
                 seen.gone_at = now + RETURN_SECONDS
@@ -245,6 +273,31 @@
         self.settled = True
         self._note_ready()
 
+    def _is_outdated(self, item: KeyValue) -> bool:
+        """Return whether a restored entry is older than the known upstream state.
+
+        The upstream has since begun to leave, left or restarted, and requests routed by
+        this entry would be lost. A live upstream rewrites its entry, and the watch
+        reports that change.
+        """
+        try:
+            upstream = self.directory.decode_upstream(item.key, item.value)
+        except ConfigError:
+            return False
+        if (item.key, upstream.boot) in self.departed:
+            return True
+        seen = self.seen.get(item.key)
+        if seen is None or seen.upstream.boot != upstream.boot:
+            return False
+        return seen.upstream.leaving and not upstream.leaving
+
+    def _record_departed(self, key: str, upstream: Upstream) -> None:
+        now = self.clock()
+        expired = [k for k, expires_at in self.departed.items() if now >= expires_at]
+        for expired_key in expired:
+            del self.departed[expired_key]
+        self.departed[key, upstream.boot] = now + DEPARTED_RETENTION_SECONDS
+
     def replace_entries(self, items: tuple[KeyValue, ...]) -> None:
         """Take a whole reading of the entries' registrations."""
         present = {item.key for item in items}
@@ -318,6 +371,8 @@
         if known is not None and known.revision >= item.mod_revision:
             known.gone_at = None
             return
+        if self.outdated_revisions.get(item.key) == item.mod_revision:
+            return
         try:
             upstream = self.directory.decode_upstream(item.key, item.value)
         except ConfigError as error:
@@ -330,6 +385,9 @@
             self.seen.pop(item.key, None)
             return
         self.seen[item.key] = Seen(upstream, item.mod_revision)
+        self.departed.pop((item.key, upstream.boot), None)
+        if known is not None and known.upstream.boot != upstream.boot:
+            self._record_departed(item.key, known.upstream)
         if known is None or known.upstream != upstream:
             logger.info(
                 "upstream is known",
--- a/src/bergamotmast/direct/following.py
+++ b/src/bergamotmast/direct/following.py
@@ -11,6 +11,7 @@
 from ..ports import KeyValue
 from ..ports import KeyValueService
 from .fleet import Fleet
+from .fleet import ReadReason
 
 logger = logging.getLogger(__name__)
 
@@ -38,6 +39,7 @@
         self.backoff = Backoff(rng, first=0.1, longest=LONGEST_RETRY_SECONDS)
         self.heard_at: float | None = None
         self.lost = True
+        self.restored = False
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -54,7 +56,9 @@
         # of a fleet read at the same time on startup or after a connection loss.
         result = await self.kv.range("")
         now = asyncio.get_running_loop().time()
-        self.fleet.replace_all(result.items, now, self._after_outage(now))
+        reason = self._read_reason(now)
+        self.restored = False
+        self.fleet.replace_all(result.items, now, reason)
         self._on_heard(now)
         return result.revision
 
@@ -70,8 +74,16 @@
             else:
                 self.fleet.put(KeyValue(event.key, event.value, event.mod_revision))
 
-    def _after_outage(self, now: float) -> bool:
-        return self.heard_at is not None and now - self.heard_at > OUTAGE_SECONDS
+    def on_restored(self) -> None:
+        """Treat the next read as the first after a restore of the store."""
+        self.restored = True
+
+    def _read_reason(self, now: float) -> ReadReason:
+        if self.restored:
+            return ReadReason.RESTORE
+        if self.heard_at is not None and now - self.heard_at > OUTAGE_SECONDS:
+            return ReadReason.OUTAGE
+        return ReadReason.RESYNC
 
     def _on_heard(self, now: float) -> None:
         self.heard_at = now
--- a/src/bergamotmast/direct/role_planner.py
+++ b/src/bergamotmast/direct/role_planner.py
@@ -121,6 +121,8 @@
     :param quiet_seconds: pause between the orders of two holders to one engine.
     :param quiet_until: when an engine that another holder may have ordered lately may
         get this one's first order; points in time.
+    :param all_quiet_until: when any engine may get its first order; set when a restore
+        of the store may have lost the last holder's orders; a point in time.
     """
 
     def __init__(
@@ -147,6 +149,7 @@
         self.controllers: dict[str, RoleController] = {}
         self.pending: dict[str, Pending] = {}
         self.quiet_until: dict[str, float] = {}
+        self.all_quiet_until = 0.0
 
     async def run(self) -> None:
         """Plan whenever this entry holds the lease, until cancelled."""
@@ -174,7 +177,11 @@
         self._leave_quiet(known)
         logger.info(
             "plan is open",
-            extra={"epoch": token.epoch, "quiet": sorted(self.quiet_until)},
+            extra={
+                "epoch": token.epoch,
+                "quiet": sorted(self.quiet_until),
+                "restored": self.store.restored,
+            },
         )
         while True:
             try:
@@ -195,6 +202,7 @@
         before tells how old that is; one that it did not know of counts as new.
         """
         now = asyncio.get_running_loop().time()
+        self.all_quiet_until = now + self.quiet_seconds if self.store.restored else 0.0
         self.quiet_until = {}
         for name, token in self.store.found.items():
             planned = known.get(name)
@@ -234,7 +242,10 @@
         assert upstream.role is not None
         book = self.placing.engine_book(upstream)
         load = book.answers(now) + len(book.reading)
-        may_change = now >= self.quiet_until.get(upstream.name, 0.0)
+        quiet_until = max(
+            self.quiet_until.get(upstream.name, 0.0), self.all_quiet_until
+        )
+        may_change = now >= quiet_until
         return EngineRole(upstream.name, upstream.role, load, may_change)
 
     def _settle(self, members: list[Upstream], now: float) -> None:
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -124,7 +124,9 @@
             await _listen(stack, _metrics(metrics), settings.metrics_address)
         presence = Presence(store, settings.name, settings.peer_address, rng)
         planner = _planner(settings, store, context, orders)
-        works = (Follower(store, fleet, rng).run(), presence.run(), planner.run())
+        follower = Follower(store, fleet, rng)
+        store.on_restored.append(follower.on_restored)
+        works = (follower.run(), presence.run(), planner.run())
         tasks = await stack.enter_async_context(running(works, ending))
         await ending.told.wait()
         core.stopping = True
@@ -158,6 +160,7 @@
         name,
         context.rng,
         NullHistory(),
+        epoch_hint=store.least_epoch,
         most_writes=MOST_PLAN_WRITES,
         carry_over=False,
     )
--- a/src/bergamotmast/planner/plan_store.py
+++ b/src/bergamotmast/planner/plan_store.py
@@ -59,10 +59,11 @@
     :param planner: name of this planner, for operators and the history.
     :param rng: source of nonces.
     :param history: where accepted writes are recorded.
-    :param epoch_hint: least epoch of a new hold. The composition root gives seconds of
-        the wall clock: after a restore of the service the lost epochs are not known to
-        a new process, and a hint that only rises passes them. It is no safeguard; a
-        clock that is wrong delays obedience after a restore and nothing else.
+    :param epoch_hint: least epoch of a new hold. The composition root gives one that
+        increases with each restore of the service, or else seconds of the wall clock:
+        after a restore a new process does not know the lost epochs, and a hint that
+        only increases exceeds them. It is no safeguard; a wrong clock only delays
+        obedience after a restore.
     :param most_writes: engines changed by one transaction.
     :param carry_over: whether a takeover writes all parts anew under its authority. Not
         needed where engines compare the tokens of orders themselves; the parts are then
@@ -70,6 +71,8 @@
     :param plans: the plan as last read or written, by engine.
     :param found: authority of each part as :meth:`open` found it.
     :param seen: highest authority this process has seen.
+    :param restored: whether :meth:`open` found a last epoch below ``epoch_hint``, as
+        after a restore of the service; the last holder's orders may be missing.
     """
 
     def __init__(
@@ -93,6 +96,7 @@
         self.plans: dict[str, EnginePlan] = {}
         self.found: dict[str, FencingToken] = {}
         self.seen = NO_TOKEN
+        self.restored = False
         self.head: PlanHead | None = None
         self.head_revision = 0
 
@@ -112,10 +116,12 @@
         stored = self._read(found)
         lost = self._lost_by_restore(stored)
         stored_epoch = self.head.epoch if self.head else 0
-        epoch = max(stored_epoch, self.seen.epoch) + 1
+        last_epoch = max(stored_epoch, self.seen.epoch)
+        least_epoch = self.epoch_hint()
+        self.restored = 0 < last_epoch < least_epoch
         stored_revision = self.head.revision if self.head else 0
         token = FencingToken(
-            max(epoch, self.epoch_hint()),
+            max(last_epoch + 1, least_epoch),
             max(stored_revision, self.seen.revision) + 1,
         )
         self.found = {name: part.token for name, part in stored.items()}
--- a/src/bergamotmast/platform/store.py
+++ b/src/bergamotmast/platform/store.py
@@ -5,6 +5,8 @@
 import asyncio
 import base64
 import collections.abc as cabc
+import dataclasses
+import logging
 import typing as t
 import urllib.parse
 
@@ -27,6 +29,12 @@
 from ..ports import RangeResult
 from ..ports import TxnResult
 from ..ports import WatchEvent
+from .store_era import era_of
+from .store_era import qualify
+from .store_era import read_era
+from .store_era import unqualify
+
+logger = logging.getLogger(__name__)
 
 CALL_SECONDS = 1.0
 """Time one call may take; it is answered within milliseconds, while slow in 0.3 s."""
@@ -45,6 +53,9 @@
 receives every change; the delay lets one call return several changes made in quick
 succession, as when a fleet starts."""
 
+EPOCHS_PER_ERA = 1_000_000
+"""Upper bound on the epochs used between two restores of the store."""
+
 
 def store_session() -> aiohttp.ClientSession:
     """Return a session that opens a new connection for each call to the store.
@@ -88,13 +99,32 @@
     lease: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    """The store's answer to one call.
+
+    :param era: number of restores of the store at the time of the answer.
+    """
+
+    status: int
+    body: bytes
+    era: int
+
+
 class PlatformStore:
     """A :class:`~bergamotmast.ports.KeyValueService`.
 
+    Revisions and leases are qualified with their era, see :mod:`.store_era`. After a
+    restore, revisions of a former era are older and fail comparisons, and leases of a
+    former era have lapsed.
+
     :param session: a session from :func:`store_session`.
     :param address: where the store listens, ``host:port``.
     :param recovery_seconds: maximum time to detect a silent connection and read all
         keys again.
+    :param era: number of restores reported by the store; ``None`` until an answer
+        reports it.
+    :param on_restored: callbacks for a restore that an answer reveals.
     """
 
     def __init__(
@@ -103,14 +133,29 @@
         self.session = session
         self.url = f"http://{address}"
         self.watch_seconds = recovery_seconds - WATCH_SLACK_SECONDS - RANGE_READ_SECONDS
+        self.era: int | None = None
+        self.on_restored: list[cabc.Callable[[], None]] = []
+        self._restored = asyncio.Event()
+
+    def least_epoch(self) -> int:
+        """Return an epoch above those of all planners before the last restore.
+
+        Engines remember fencing tokens that a restored store may have lost, and refuse
+        orders under lower ones.
+        """
+        return self._known_era * EPOCHS_PER_ERA
+
+    @property
+    def _known_era(self) -> int:
+        return self.era or 0
 
     async def get(self, key: str) -> KeyValue | None:
         """Read one key."""
         query = urllib.parse.urlencode({"key": key})
-        status, body = await self._read(f"/kv-key?{query}")
-        if status == 404:
+        answer = await self._read(f"/kv-key?{query}")
+        if answer.status == 404:
             return None
-        return _key_value(_decode(body, _Item))
+        return _key_value(_decode(answer.body, _Item), answer.era)
 
     async def range(self, prefix: str) -> RangeResult:
         """Read every key below a prefix, page by page.
@@ -123,11 +168,13 @@
         after = ""
         while True:
             query = {"prefix": prefix} | ({"after": after} if after else {})
-            _, body = await self._read(f"/kv-range?{urllib.parse.urlencode(query)}")
-            page = _decode(body, _Range)
+            answer = await self._read(f"/kv-range?{urllib.parse.urlencode(query)}")
+            page = _decode(answer.body, _Range)
             if first_revision is None:
-                first_revision = page.store_revision
-            items += map(_key_value, page.items)
+                first_revision = qualify(answer.era, page.store_revision)
+            if answer.era != era_of(first_revision):
+                raise KeyValueUnavailableError("the store was restored between pages")
+            items += (_key_value(item, answer.era) for item in page.items)
             if not page.has_more or not page.items:
                 return RangeResult(tuple(items), first_revision)
             after = page.items[-1].key
@@ -136,41 +183,57 @@
         self, compares: cabc.Sequence[Compare], writes: cabc.Sequence[Put | Delete]
     ) -> TxnResult:
         """Apply all writes if all conditions hold, else none."""
+        puts = [write for write in writes if isinstance(write, Put)]
+        era = self._known_era
+        if any(_is_of_other_era(put.lease, era) for put in puts):
+            raise LeaseLapsedError("the lease is from before a restore of the store")
+        if any(_is_of_other_era(compare.mod_revision, era) for compare in compares):
+            return TxnResult(False, 0)
         body = {
             "precondition": [
-                {"key": c.key, "revision": c.mod_revision} for c in compares
+                {"key": c.key, "revision": unqualify(c.mod_revision)} for c in compares
             ],
-            "puts": [_put(write) for write in writes if isinstance(write, Put)],
+            "puts": [_put(put) for put in puts],
             "remove": [write.key for write in writes if isinstance(write, Delete)],
         }
-        status, answer = await self._write("POST", "/kv-txn", body)
-        if status == 412:
+        answer = await self._write("POST", "/kv-txn", body)
+        era_dependent = any(put.lease for put in puts) or any(
+            c.mod_revision for c in compares
+        )
+        if era_dependent and answer.era != era:
+            # The store may have reissued the revisions and leases of this call.
+            raise KeyValueOutcomeUnknownError("the store was restored during the call")
+        if answer.status == 412:
             return TxnResult(False, 0)
-        if status == 404:
+        if answer.status == 404:
             raise LeaseLapsedError("the lease has lapsed")
-        return TxnResult(True, _decode_written(answer, _Written).revision)
+        written = _decode_written(answer.body, _Written)
+        return TxnResult(True, qualify(answer.era, written.revision))
 
     async def grant_lease(self, ttl_seconds: int) -> int:
         """Create a lease and return its id."""
-        _, answer = await self._write(
-            "POST", "/kv-lease", {"ttl-ms": ttl_seconds * 1000}
-        )
-        return _decode_written(answer, _Lease).lease
+        answer = await self._write("POST", "/kv-lease", {"ttl-ms": ttl_seconds * 1000})
+        return qualify(answer.era, _decode_written(answer.body, _Lease).lease)
 
     async def keep_alive(self, lease: int) -> bool:
         """Renew a lease; ``False`` if it has lapsed."""
-        status, _ = await self._write("POST", f"/kv-keep/{lease}", {})
-        return status != 404
+        if _is_of_other_era(lease, self._known_era):
+            return False
+        answer = await self._write("POST", f"/kv-keep/{unqualify(lease)}", {})
+        return answer.status != 404 and answer.era == era_of(lease)
 
     async def revoke_lease(self, lease: int) -> None:
         """End a lease and delete its keys."""
-        await self._write("DELETE", f"/kv-lease-end/{lease}", None)
+        if _is_of_other_era(lease, self._known_era):
+            # The store may have reissued the number to another entry.
+            return
+        await self._write("DELETE", f"/kv-lease-end/{unqualify(lease)}", None)
 
     async def watch(
         self, prefix: str, from_revision: int
     ) -> cabc.AsyncGenerator[WatchEvent | None, None]:
         """Yield changes below a prefix in order; ``None`` is a sign of life."""
-        after = from_revision - 1
+        era, after = era_of(from_revision - 1), unqualify(from_revision - 1)
         while True:
             query = urllib.parse.urlencode(
                 {
@@ -180,45 +243,63 @@
                 }
             )
             seconds = self.watch_seconds + WATCH_SLACK_SECONDS
-            _, body = await self._read(f"/kv-watch?{query}", seconds)
-            answer = _decode(body, _Events)
-            if not answer.events:
+            answer = await self._read_within_era(era, f"/kv-watch?{query}", seconds)
+            changes = _decode(answer.body, _Events)
+            if not changes.events:
                 yield None
-            for event in answer.events:
-                yield _watch_event(event)
-            after = max(after, answer.store_revision)
-            if answer.events:
+            for event in changes.events:
+                yield _watch_event(event, era)
+            after = max(after, changes.store_revision)
+            if changes.events:
                 await asyncio.sleep(WATCH_PAUSE_SECONDS)
 
-    async def _read(
-        self, path: str, seconds: float = CALL_SECONDS
-    ) -> tuple[int, bytes]:
+    async def _read_within_era(self, era: int, path: str, seconds: float) -> _Answer:
+        """Read within one era; fail as soon as any call reveals a restore.
+
+        The restored store may reissue the awaited revision for different changes.
+        """
+        if self._known_era != era:
+            raise KeyValueUnavailableError("the store was restored")
+        read = asyncio.ensure_future(self._read(path, seconds))
+        restored = asyncio.ensure_future(self._restored.wait())
+        try:
+            await asyncio.wait((read, restored), return_when=asyncio.FIRST_COMPLETED)
+            if self._known_era != era:
+                raise KeyValueUnavailableError("the store was restored")
+            return await read
+        finally:
+            read.cancel()
+            restored.cancel()
+            await asyncio.gather(read, restored, return_exceptions=True)
+
+    async def _read(self, path: str, seconds: float = CALL_SECONDS) -> _Answer:
         try:
-            status, body = await self._call("GET", path, None, seconds)
+            answer = await self._call("GET", path, None, seconds)
         except (NotReachedError, ReplyLostError) as error:
             raise KeyValueUnavailableError(error.message) from error
-        if status not in (200, 404):
-            raise KeyValueUnavailableError(f"the store answered {status}")
-        return status, body
+        if answer.status not in (200, 404):
+            raise KeyValueUnavailableError(f"the store answered {answer.status}")
+        return answer
 
     async def _write(
         self, method: str, path: str, body: dict[str, object] | None
-    ) -> tuple[int, bytes]:
+    ) -> _Answer:
         try:
-            status, answer = await self._call(method, path, body, CALL_SECONDS)
+            answer = await self._call(method, path, body, CALL_SECONDS)
         except NotReachedError as error:
             raise KeyValueUnavailableError(error.message) from error
         except ReplyLostError as error:
             raise KeyValueOutcomeUnknownError(error.message) from error
+        status = answer.status
         if status in (200, 404, 412):
-            return status, answer
+            return answer
         if status == 503 or 400 <= status < 500:
             raise KeyValueUnavailableError(f"the store answered {status}")
         raise KeyValueOutcomeUnknownError(f"the store answered {status}")
 
     async def _call(
         self, method: str, path: str, body: object, seconds: float
-    ) -> tuple[int, bytes]:
+    ) -> _Answer:
         async with exchange(
             self.session,
             method,
@@ -228,7 +309,27 @@
             data=None if body is None else msgspec.json.encode(body),
             headers=JSON_TYPE,
         ) as response:
-            return response.status, await response.read()
+            # Recorded before the body is read, since reading the body may fail.
+            era = self._record_era(read_era(response.headers))
+            return _Answer(response.status, await response.read(), era)
+
+    def _record_era(self, era: int | None) -> int:
+        """Record the era of an answer and return the current era.
+
+        :raises ReplyLostError: for an answer from before a known restore.
+        """
+        if era is None or era == self.era:
+            return self._known_era
+        if era < self._known_era:
+            raise ReplyLostError("the answer is from before a restore of the store")
+        former, self.era = self.era, era
+        if former is not None:
+            logger.warning("store was restored", extra={"era": era, "former": former})
+            self._restored.set()
+            self._restored = asyncio.Event()
+            for callback in self.on_restored:
+                callback()
+        return era
 
 
 _S = t.TypeVar("_S", bound=msgspec.Struct)
@@ -256,15 +357,21 @@
         return b""
 
 
-def _key_value(item: _Item) -> KeyValue:
-    return KeyValue(item.key, _bytes(item), item.revision, item.lease)
+def _is_of_other_era(qualified: int, era: int) -> bool:
+    """Return whether a revision or lease is of another era; 0 belongs to all eras."""
+    return qualified != 0 and era_of(qualified) != era
+
+
+def _key_value(item: _Item, era: int) -> KeyValue:
+    revision, lease = qualify(era, item.revision), qualify(era, item.lease)
+    return KeyValue(item.key, _bytes(item), revision, lease)
 
 
-def _watch_event(item: _Item) -> WatchEvent:
+def _watch_event(item: _Item, era: int) -> WatchEvent:
     value = None if item.tombstone else _bytes(item)
-    return WatchEvent(item.key, value, item.revision)
+    return WatchEvent(item.key, value, qualify(era, item.revision))
 
 
 def _put(put: Put) -> dict[str, object]:
     value = base64.b64encode(put.value).decode()
-    return {"key": put.key, "value": value, "lease": put.lease}
+    return {"key": put.key, "value": value, "lease": unqualify(put.lease)}
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -211,6 +211,17 @@
     return f"id: {number}\ndata: {text}-{number}\n\n".encode()
 
 
+@dataclasses.dataclass(frozen=True)
+class Backup:
+    """A snapshot of the store."""
+
+    items: dict[str, dict[str, t.Any]]
+    log: list[dict[str, t.Any]]
+    revision: int
+    leases: dict[int, float]
+    leases_granted: int
+
+
 @dataclasses.dataclass
 class EngineScript:
     """An engine: reads prompts, streams events, takes orders.
@@ -277,6 +288,8 @@
     :param compacted: revision below which watches get 410.
     :param silent: whether watches hear nothing and never end.
     :param lose_replies: how many of the next writes are done and not answered.
+    :param era: number of restores, sent in all answers; ``None`` to omit the header.
+    :param next_read_era: era sent once instead, with the next answer to a read.
     :param silent_connections: connections on which requests are no longer answered.
     :param page_size: maximum number of items in one range response.
     """
@@ -286,6 +299,9 @@
         self.log: list[dict[str, t.Any]] = []
         self.revision = 10
         self.leases: dict[int, float] = {}
+        self.leases_granted = 0
+        self.era: int | None = 0
+        self.next_read_era: int | None = None
         self.outage = 0
         self.compacted = 0
         self.silent = False
@@ -356,6 +372,26 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def backup(self) -> Backup:
+        """Return a snapshot of the store."""
+        return Backup(
+            dict(self.items),
+            list(self.log),
+            self.revision,
+            dict(self.leases),
+            self.leases_granted,
+        )
+
+    def restore(self, backup: Backup) -> None:
+        """Restore a snapshot, so that revisions and leases are reissued."""
+        self.items = dict(backup.items)
+        self.log = list(backup.log)
+        self.revision = backup.revision
+        self.leases = dict(backup.leases)
+        self.leases_granted = backup.leases_granted
+        assert self.era is not None
+        self.era += 1
+
     def silence_connections(self) -> None:
         """Stop answering on all connections that have carried a request so far."""
         self.silent_connections |= self.connections
@@ -365,6 +401,11 @@
         assert request.transport is not None
         self.connections.add(request.transport)
         response = await self._answer(request, handler)
+        era = self.era
+        if request.method == "GET" and self.next_read_era is not None:
+            era, self.next_read_era = self.next_read_era, None
+        if era is not None:
+            response.headers["Store-Era"] = str(era)
         while request.transport in self.silent_connections:
             await asyncio.sleep(0.05)
         return response
@@ -406,7 +447,7 @@
         after = int(request.query["after"])
         prefix = request.query["prefix"]
         wait = min(int(request.query["wait-ms"]) / 1e3, 0.2)
-        if after < self.compacted:
+        if after < self.compacted or after > self.revision:
             return web.Response(status=410)
         while self.silent:
             await asyncio.sleep(0.05)
@@ -442,7 +483,8 @@
 
     async def _lease(self, request: web.Request) -> web.Response:
         body = await request.json()
-        lease = 1000 + len(self.leases) + len(self.log)
+        self.leases_granted += 1
+        lease = 1000 + self.leases_granted
         self.leases[lease] = body["ttl-ms"]
         return self._json({"lease": lease, "ttl-ms": body["ttl-ms"]})
 
--- a/tests/test_direct_calls.py
+++ b/tests/test_direct_calls.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from bergamotmast.direct.fleet import ReadReason
 from direct_support import config
 from direct_support import read_answer
 from direct_support import request
@@ -392,7 +393,7 @@
         await asyncio.sleep(0.1)
         assert not asking.done()
         entry.put("op/config", config())
-        entry.fleet.replace((), 0.0, after_outage=False)
+        entry.fleet.replace((), 0.0, ReadReason.RESYNC)
         entry.register(replica)
         got = await asking
     assert got.status == 200
