Break ties between equal engines in a different order per entry

Each of 68 entries handles 1/68 of the load and learns of an engine's answers only through its own requests, so most engines look equally free to it. Equal engines were ordered by name, so all entries of a zone selected the same engine at the same moment while others were idle. Ties are now broken by a number that each entry draws for each engine. Ruled out: a CRC of the two names, whose orders are correlated between entries with names of one length.

Packing of long prompts still orders engines by name, because entries should agree there.

--- a/src/bergamotmast/direct/placing.py
+++ b/src/bergamotmast/direct/placing.py
@@ -89,7 +89,8 @@
             self._forget_gone()
             engine = self.fleet.group(upstream.group).engine
             reads = self.reads.setdefault(upstream.group, GroupReads())
-            book = EngineBook(engine.kv_capacity if engine else 1, reads)
+            kv_capacity = engine.kv_capacity if engine else 1
+            book = EngineBook(kv_capacity, reads, self.rng.getrandbits(32))
             self.engines[key] = book
             self.by_hash[upstream_hash(upstream)] = key
         book.role = upstream.role or Role.MIXED
@@ -229,6 +230,7 @@
                     book.answers(now),
                     book.reads.transfers.times.seconds(call.traits.prompt_tokens, 0),
                     book.occupied(reading.fetched, 0) if self.decisions.copies else 0.0,
+                    book.tie_break,
                 )
             )
         return views
--- a/src/bergamotmast/policy/direct_placement.py
+++ b/src/bergamotmast/policy/direct_placement.py
@@ -78,6 +78,9 @@
     :param transfer: seconds from there to the first token at another engine.
     :param slow: how many times slower than usual it is.
     :param answers: answers under way there, as far as known.
+    :param tie_break: sort key among engines of equal cost; the lowest value wins.
+        Differs per entry, so that entries without load data do not all select the
+        same engine.
     """
 
     name: str
@@ -89,6 +92,7 @@
     answers: float
     transfer: float = 0.0
     fetched: float = 0.0
+    tie_break: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -172,7 +176,7 @@
         if engine.role is not Role.PREFILL
         and (not ways or _may_read(engine, direct_seconds))
     ]
-    seconds, engine = min(ways, key=lambda way: (_cost(*way), way[1].name))
+    seconds, engine = min(ways, key=lambda way: (_cost(*way), *_tie_break_key(way[1])))
     if decisions.packing and engine.read >= LONG_SHARE * tightest:
         seconds, engine = _packed(ways, objective) or (seconds, engine)
     if engine.role is Role.PREFILL:
@@ -208,7 +212,12 @@
     return seconds if engine.same_zone else seconds + ZONE_SECONDS
 
 
-def _answer_load(engine: EngineView) -> tuple[float, str]:
+def _answer_load(engine: EngineView) -> tuple[float, int, str]:
     waits = engine.wait * WAITING_ANSWERS
     load = (engine.answers + waits) * engine.slow
-    return (load if engine.same_zone else load + ZONE_ANSWERS, engine.name)
+    load = load if engine.same_zone else load + ZONE_ANSWERS
+    return (load, *_tie_break_key(engine))
+
+
+def _tie_break_key(engine: EngineView) -> tuple[int, str]:
+    return engine.tie_break, engine.name
--- a/src/bergamotmast/policy/engine_book.py
+++ b/src/bergamotmast/policy/engine_book.py
@@ -133,9 +133,13 @@
     :param failed_until: until when it is left alone; a point in time.
     :param role: that it had when it was last looked at.
     :param reads: what the engines of its group take to read.
+    :param tie_break: see :class:`~.direct_placement.EngineView`.
     """
 
-    def __init__(self, kv_capacity: int, reads: GroupReads | None = None) -> None:
+    def __init__(
+        self, kv_capacity: int, reads: GroupReads | None = None, tie_break: int = 0
+    ) -> None:
+        self.tie_break = tie_break
         self.reads = reads or GroupReads()
         self.role = Role.PREFILL
         self.pace = Pace()
