Make the processor time of a placement linear in the number of engines

For each engine, a placement searched all other engines for the one that keeps most of the prompt's beginning: 3,481 comparisons per placement with 59 engines. The two engines that keep most are now found once per placement, and one of them is the best source for each engine.

Where several engines keep nearly as much, the one that keeps most is now chosen.

Test, failing before: test_placement_cost_is_linear_in_the_number_of_engines.

--- a/src/bergamotmast/direct/placing.py
+++ b/src/bergamotmast/direct/placing.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections.abc as cabc
 import dataclasses
+import heapq
 import random
 import zlib
 
@@ -139,7 +140,8 @@
         """Return what an engine would have to read of a prompt, as far as known."""
         now = asyncio.get_running_loop().time()
         members = self.fleet.members(call.group.name, now)
-        return self._reading(call, upstream, self._kept(call, members), members)
+        kept = self._kept(call, members)
+        return self._reading(call, upstream, kept, _best_sources(members, kept))
 
     def _kept(self, call: Call, members: list[Upstream]) -> dict[str, int]:
         """Return how much of a prompt's beginning could be fetched from each engine."""
@@ -211,9 +213,10 @@
         views = []
         everyone = self.fleet.members(call.group.name, now)
         kept = self._kept(call, everyone)
+        sources = _best_sources(everyone, kept)
         for member in self._sound(members, now):
             book = self.engine_book(member)
-            reading = self._reading(call, member, kept, everyone)
+            reading = self._reading(call, member, kept, sources)
             to_read = reading.tokens
             priority = priority_of(call.route.rank, to_read, self.decisions)
             wait = book.wait(priority, now)
@@ -255,11 +258,11 @@
         call: Call,
         upstream: Upstream,
         kept: dict[str, int],
-        members: list[Upstream],
+        sources: list[Upstream],
     ) -> Reading:
         own = self.engine_book(upstream).prefix.cached(call.parts)
         best, source = own, ""
-        others = members if self.decisions.fetching else []
+        others = sources if self.decisions.fetching else []
         for other in others:
             found = kept[other.name]
             if other.name != upstream.name and found >= best + LEAST_FETCHED:
@@ -283,6 +286,16 @@
         self.by_hash = {h: k for h, k in self.by_hash.items() if k in present}
 
 
+def _best_sources(members: list[Upstream], kept: dict[str, int]) -> list[Upstream]:
+    """Return the two engines that keep most of a prompt's beginning.
+
+    Two are enough: an engine does not fetch from itself, so its best source is the
+    first of them or, for the first one, the second. Comparing every pair of engines
+    would make the cost of a placement quadratic in their number.
+    """
+    return heapq.nlargest(2, members, key=lambda member: kept[member.name])
+
+
 def shared_parts(traits: CallTraits) -> tuple[tuple[int, int], ...]:
     """Return hash and length of the parts of a request's prompt, in order."""
     return tuple((_hash(part.key), part.tokens) for part in traits.parts)
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -60,3 +60,22 @@
     # With a uniform random choice among the 20 prefill engines, the probability that
     # any of them gets more than 12 of the 68 prompts is below 0.001.
     assert max(chosen.values()) <= 12
+
+
+async def test_placement_cost_is_linear_in_the_number_of_engines(monkeypatch):
+    """Guards against comparing every pair of engines for each request."""
+    lookups = collections.Counter()
+
+    class CountingDict(dict):
+        def __getitem__(self, key):
+            lookups["kept"] += 1
+            return super().__getitem__(key)
+
+    original_kept = Placing._kept
+    monkeypatch.setattr(
+        Placing, "_kept", lambda *arguments: CountingDict(original_kept(*arguments))
+    )
+    fleet = make_fleet(ENGINES)
+    placing = Placing(fleet, "entry-1", "zone-a", random.Random(1))
+    placing.place_stream(make_call(fleet, 3_000), ())
+    assert lookups["kept"] <= 4 * ENGINES
