Check the liveness of answering engines that do not reply

An engine that loses power accepts a stream and never replies. Only engines that read a prompt for another engine were checked; a stream whose prompt had been read waited for its answering engine until the caller disconnected two seconds later.

An answering engine is now checked once it has been silent for as long as an engine that reads a prompt may be. If it does not respond, the stream moves to another engine, where its route and the retry budget allow it, and the silent engine is left alone.

A shorter limit on the reply alone was ruled out, because an engine at capacity is silent too.

Tests, both failing before this change: test_stream_moves_from_unresponsive_answering_engine and test_stream_stays_at_slow_answering_engine (the engine is checked and keeps its stream).

Streams that must not run twice still wait, as before.

--- a/src/bergamotmast/direct/answering.py
+++ b/src/bergamotmast/direct/answering.py
@@ -50,6 +50,7 @@
     :param read: the prompt's booking, where this engine reads it too.
     :param heard_at: when the engine last said anything; a point in time.
     :param streaming: whether it has made an event.
+    :param began_at: when the send began; a point in time.
     :param sent_at: when it was told to take a prompt that was read elsewhere.
     """
 
@@ -63,6 +64,7 @@
         self.heard_at = math.inf
         self.streaming = False
         self.sent_at: float | None = None
+        self.began_at = asyncio.get_running_loop().time()
 
     async def run(self) -> int | None:
         """Return the status; ``None`` where the request may go on elsewhere.
@@ -118,7 +120,9 @@
             self.stream.reads.end(self.upstream, self.read, done=False)
 
     async def _exchange(self) -> int:
-        async with self._open() as reply:
+        async with contextlib.AsyncExitStack() as stack:
+            async with self._reply_limit():
+                reply = await stack.enter_async_context(self._open())
             traits = self._check(reply)
             self.stream.cache.taken()
             if not 200 <= reply.status < 300:
@@ -197,6 +201,25 @@
         if splitter.rest:
             raise BrokenStreamError("the stream ended within an event")
 
+    def _reply_limit(self) -> contextlib.AbstractAsyncContextManager[None]:
+        if self.call.route.repeatable and self.context.decisions.silence:
+            return silence_limit(self._reply_verdict)
+        return contextlib.nullcontext()
+
+    async def _reply_verdict(self) -> str:
+        """Return why to stop waiting for a reply; empty to keep waiting.
+
+        An engine that loses power accepts the request and never replies, and the caller
+        disconnects before the connection times out. An engine at capacity is also
+        silent but passes the engine check, so it keeps the request.
+        """
+        now = asyncio.get_running_loop().time()
+        silent = now >= self.book.silent_at(self.began_at, now)
+        if not silent or not self.stream.sends.may_move():
+            return ""
+        lives = await self.context.engine_checks.lives(self.upstream)
+        return "" if lives else SILENT
+
     def _stall_limit(self) -> contextlib.AbstractAsyncContextManager[None]:
         if self.call.route.resumable:
             return silence_limit(self._stall_verdict)
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 
 import pytest
@@ -97,6 +98,52 @@
     assert seconds < 2.0
 
 
+@contextlib.asynccontextmanager
+async def stream_sent_to_engine(script, check):
+    """Yield a stream pending at an engine that runs the script, and another engine."""
+    first = engine("i-2", script)
+    other = engine("i-3", EngineScript())
+    async with serving(
+        engine("i-1", EngineScript(), "prefill"),
+        first,
+        other,
+        document=config(routes=[route("/long/", "streaming", "llm", resumable=True)]),
+        engine_check=check,
+    ) as entry:
+        entry.register(other, state="draining")
+        asked = asyncio.create_task(entry.ask("/long/x", **LONG))
+        await until(lambda: bool(first.received))
+        entry.register(other)
+        yield asked, other
+
+
+async def test_stream_moves_from_unresponsive_answering_engine():
+    """Guards against waiting for a dead engine until the caller disconnects."""
+    began = time.monotonic()
+    async with stream_sent_to_engine(hang(), Check(lives=False)) as (asked, other):
+        got = await asked
+        seconds = time.monotonic() - began
+    assert got.complete
+    assert len(other.received) == 1
+    assert seconds < 2.0
+
+
+async def test_stream_stays_at_slow_answering_engine():
+    """Guards against moving a stream away from a live engine that replies late."""
+    stream = EngineScript()
+
+    async def delayed_reply(replica, received, writer):
+        await asyncio.sleep(1.5)
+        await stream(replica, received, writer)
+
+    check = Check(lives=True)
+    async with stream_sent_to_engine(delayed_reply, check) as (asked, other):
+        got = await asked
+    assert got.complete
+    assert check.asked
+    assert other.received == []
+
+
 async def test_one_question_serves_all_that_wait():
     """A dozen prompts wait at an engine without power; it is asked once at a time."""
     dead = engine("i-1", hang(), "prefill")
