Scale the pause between watch calls with the number of entries

The fixed pause of 0.4 s needlessly delayed changes in fleets of one or a few entries: test_no_value_in_the_store_ends_the_entry[/bergamotmast/plan/head] failed once in a full test run, because a planner that keeps failing writes to the store continuously, and the change that the test waits 0.3 s for arrived during a pause.

The pause is now the number of entries divided by 70 calls per second, up to 1 s: 0.07 s for 5 entries, 0.41 s for 29 and 0.97 s for 68. The upper bound respects the time allowed to stop using a leaving upstream, which is 2 s or more.

Test: test_watch_calls_of_a_fleet_are_bounded.

--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -41,6 +41,7 @@
 from .policy.decisions import Decisions
 from .policy.last_requests import End
 from .policy.retry_window import RetryLimits
+from .policy.watch_pause import watch_pause
 from .protocol.plan import HOLDER_KEY
 from .serving import FIRST_REQUEST_SECONDS
 from .serving import Listening
@@ -96,7 +97,10 @@
         with address_errors(settings.peer_address, "--peer-address"):
             peers = await stack.enter_async_context(datagram_port(host, int(port)))
         store = PlatformStore(
-            session, settings.store_address, settings.store_recovery_ms / 1e3
+            session,
+            settings.store_address,
+            settings.store_recovery_ms / 1e3,
+            lambda: watch_pause(len(fleet.entries)),
         )
         orders = PlatformOrders(client)
         limits = RetryLimits(settings.retry_share, settings.retry_free)
--- a/src/bergamotmast/platform/store.py
+++ b/src/bergamotmast/platform/store.py
@@ -48,15 +48,15 @@
 RANGE_READ_SECONDS = 0.3
 """Time reserved for reading all keys again after a watch has failed."""
 
-WATCH_PAUSE_SECONDS = 0.4
-"""Delay between a watch answer with changes and the next watch call. Every entry
-receives every change; the delay lets one call return several changes made in quick
-succession, as when a fleet starts."""
-
 EPOCHS_PER_ERA = 1_000_000
 """Upper bound on the epochs used between two restores of the store."""
 
 
+def no_pause() -> float:
+    """Return 0, so that the next watch call follows each answer immediately."""
+    return 0.0
+
+
 def store_session() -> aiohttp.ClientSession:
     """Return a session that opens a new connection for each call to the store.
 
@@ -122,16 +122,23 @@
     :param address: where the store listens, ``host:port``.
     :param recovery_seconds: maximum time to detect a silent connection and read all
         keys again.
+    :param watch_pause: returns the delay, in seconds, between a watch answer with
+        changes and the next watch call, so that one call can return several changes.
     :param era: number of restores reported by the store; ``None`` until an answer
         reports it.
     :param on_restored: callbacks for a restore that an answer reveals.
     """
 
     def __init__(
-        self, session: aiohttp.ClientSession, address: str, recovery_seconds: float
+        self,
+        session: aiohttp.ClientSession,
+        address: str,
+        recovery_seconds: float,
+        watch_pause: cabc.Callable[[], float] = no_pause,
     ) -> None:
         self.session = session
         self.url = f"http://{address}"
+        self.watch_pause = watch_pause
         self.watch_seconds = recovery_seconds - WATCH_SLACK_SECONDS - RANGE_READ_SECONDS
         self.era: int | None = None
         self.on_restored: list[cabc.Callable[[], None]] = []
@@ -251,7 +258,7 @@
                 yield _watch_event(event, era)
             after = max(after, changes.store_revision)
             if changes.events:
-                await asyncio.sleep(WATCH_PAUSE_SECONDS)
+                await asyncio.sleep(self.watch_pause())
 
     async def _read_within_era(self, era: int, path: str, seconds: float) -> _Answer:
         """Read within one era; fail as soon as any call reveals a restore.
--- a/tests/test_direct_fleet.py
+++ b/tests/test_direct_fleet.py
@@ -32,10 +32,13 @@
 from bergamotmast.model import Role
 from bergamotmast.platform import store as platform_store
 from bergamotmast.platform.directory import PlatformDirectory
-from bergamotmast.platform.store import WATCH_PAUSE_SECONDS
 from bergamotmast.platform.store import PlatformStore
+from bergamotmast.platform.store import no_pause
 from bergamotmast.platform.store import store_session
 from bergamotmast.policy.entry_share import LEAST_ENTRIES
+from bergamotmast.policy.watch_pause import MAX_PAUSE_SECONDS
+from bergamotmast.policy.watch_pause import MAX_WATCH_CALLS_PER_SECOND
+from bergamotmast.policy.watch_pause import watch_pause
 from bergamotmast.ports import Compare
 from bergamotmast.ports import Delete
 from bergamotmast.ports import KeyValue
@@ -61,11 +64,11 @@
 
 
 @contextlib.asynccontextmanager
-async def following():
+async def following(pause=no_pause):
     """Yield a store, a fleet that follows it, and the adapter between."""
     async with Store() as store, store_session() as session:
         fleet = Fleet(PlatformDirectory(), asyncio.get_running_loop().time)
-        adapter = PlatformStore(session, store.address, RECOVERY_SECONDS)
+        adapter = PlatformStore(session, store.address, RECOVERY_SECONDS, pause)
         task = asyncio.create_task(Follower(adapter, fleet, random.Random(1)).run())
         try:
             yield store, fleet, adapter
@@ -295,7 +298,8 @@
 
 async def test_changes_in_quick_succession_are_received_in_few_watch_calls():
     """Guards against one watch call per registration while a fleet starts."""
-    async with following() as (store, fleet, _):
+    pause = 0.4
+    async with following(lambda: pause) as (store, fleet, _):
         await until(lambda: fleet.settled)
         store.calls.clear()
         started_at = time.monotonic()
@@ -305,7 +309,18 @@
         await until(lambda: len(fleet.entries) == 40)
         seconds = time.monotonic() - started_at
     # One call per pause, plus the initial watch and one call of margin.
-    assert store.calls.count("GET /kv-watch") <= 2 + seconds / WATCH_PAUSE_SECONDS
+    assert store.calls.count("GET /kv-watch") <= 2 + seconds / pause
+
+
+@pytest.mark.parametrize("entries", [1, 5, 29, 68, 300, 1_000])
+def test_watch_calls_of_a_fleet_are_bounded(entries):
+    """Guards against excess watch calls in large fleets and delay in small ones."""
+    pause = watch_pause(entries)
+    assert entries / pause <= max(
+        MAX_WATCH_CALLS_PER_SECOND, entries / MAX_PAUSE_SECONDS
+    )
+    assert pause <= MAX_PAUSE_SECONDS
+    assert entries > 5 or pause < 0.1
 
 
 async def test_removal_missed_by_watch_is_notified_on_next_full_read():
