Restart the two-second return period at each store restore

An upstream that was missing from the first of two restores and rewrote its entry just before the second one, without that change being observed, was removed two seconds after the first restore. Callers then received 503 (no upstream) 0.5 s after the second restore, in a process running against the stand-in store. Found by the new process test, which previously failed with 503 instead of 200.

Test: test_entry_process_serves_requests_through_two_restores.

--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -266,7 +266,7 @@
             seen = self.seen[key]
             if reason is ReadReason.RESYNC and seen.gone_at is None:
                 self.remove(key, seen.revision + 1)
-            elif seen.gone_at is None:
+            elif seen.gone_at is None or reason is ReadReason.RESTORE:
                 seen.gone_at = now + RETURN_SECONDS
             elif now >= seen.gone_at:
                 self.remove(key, seen.revision + 1)
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -10,6 +10,9 @@
 import pytest
 
 import direct_support
+from answer_support import CALLER
+from answer_support import entry_before
+from answer_support import send
 from bergamotmast.direct.fleet import RETURN_SECONDS
 from bergamotmast.direct.fleet import Fleet
 from bergamotmast.direct.following import Follower
@@ -32,7 +35,9 @@
 from bergamotmast.ports import Compare
 from bergamotmast.ports import Put
 from direct_support import config
+from direct_support import read_answer
 from direct_support import registration
+from direct_support import request
 from platform_standin import Replica
 from platform_standin import Store
 from platform_standin import answer
@@ -308,3 +313,41 @@
         again = plan_store(second, "c")
         assert (await again.open()).epoch > new_token.epoch
         assert not again.restored
+
+
+async def request_from_entry(entry):
+    reader, writer = await send(entry, request("/order/x", **CALLER))
+    got = await asyncio.wait_for(read_answer(reader), 2)
+    writer.close()
+    return got
+
+
+async def test_entry_process_serves_requests_through_two_restores():
+    """Guards against failed requests and requests to a draining upstream."""
+    replica, late_replica = (
+        Replica("i-1", answer()),
+        Replica("i-2", answer(200, b"late")),
+    )
+    async with entry_before(replica) as (entry, store), late_replica:
+        await until(lambda: any(PRESENCE_PREFIX in key for key in store.items))
+        backup = store.backup()
+        presence_key = next(key for key in store.items if PRESENCE_PREFIX in key)
+        initial_lease = store.items[presence_key]["lease"]
+        store.put("servers/i-2", registration(late_replica))
+        store.put("servers/i-1", registration(replica) | {"state": "draining"})
+        await asyncio.sleep(0.5)
+        served_count = len(replica.received)
+        for _ in range(2):
+            store.restore(backup)
+            restored_at = asyncio.get_running_loop().time()
+            while asyncio.get_running_loop().time() < restored_at + 1.5:
+                got = await request_from_entry(entry)
+                assert (got.status, got.body) == (200, b"late")
+                await asyncio.sleep(0.1)
+            store.put("servers/i-2", registration(late_replica))
+        await until(
+            lambda: store.items[presence_key]["lease"] != initial_lease, seconds=6.0
+        )
+        assert (await request_from_entry(entry)).body == b"late"
+        assert len(replica.received) == served_count
+        assert entry.process.returncode is None
