--- a/bench/play_days.py
+++ b/bench/play_days.py
@@ -105,6 +105,8 @@
         command += ["--seed", str(seed)]
     if not options.cpu:
         command.append("--no-cpu")
+    if options.small:
+        command.append("--small")
     done = subprocess.run(
         command, cwd=copy, capture_output=True, text=True, check=False
     )
@@ -165,6 +167,7 @@
     parser.add_argument("--folder", type=pathlib.Path, default=ROOT.parent / "plays")
     parser.add_argument("--jobs", type=int, default=3, help="plays at a time")
     parser.add_argument("--cpu", action="store_true", help="count processor time")
+    parser.add_argument("--small", action="store_true", help="small twins of the days")
     parser.add_argument("--why", default="Variants side by side")
     options = parser.parse_args()
     options.folder.mkdir(parents=True, exist_ok=True)
