Count and log what becomes of prompts by size

What is served by size could not be seen: the metrics count ends by class and code, and the line of a refused request said neither how much it had to read nor how long it would have waited for other prompts, nor how long its caller had. An order by size and a refusal by the foreseen time could not be told apart.

- 'request ended' carries size, waiting_ms, priority and caller_ms; to_read is there for refused requests too.

No decision reads any of it.

--- a/src/bergamotmast/adapters/metrics.py
+++ b/src/bergamotmast/adapters/metrics.py
@@ -21,9 +21,12 @@
 from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation
 from opentelemetry.sdk.metrics.view import View
 
+from ..errors import CODE_INFO
+from ..errors import Outcome
 from ..errors import ResultCode
 from ..model import Readiness
 from ..model import SideReport
+from ..policy.size_bands import SizeBand
 
 MAX_TENANTS = 200
 """Tenants with series of their own in one process."""
@@ -122,6 +125,7 @@
             "between_tokens.seconds.sum", [self.between.read_sums]
         )
         self.ended = meter.create_counter("requests.ended")
+        self.ended_by_size = meter.create_counter("requests.by_size")
         self.unknown = meter.create_counter("messages.unknown")
         self.generation = meter.create_gauge("configuration.generation")
         self.running = meter.create_gauge("side.running")
@@ -164,6 +168,17 @@
         labels = {"class": self.classes(request_class), "code": code.name.lower()}
         self.ended.add(1, labels)
 
+    def on_sized_end(
+        self, request_class: str, band: SizeBand, code: ResultCode
+    ) -> None:
+        """Take the end of a request with a prompt of some size."""
+        labels = {
+            "class": self.classes(request_class),
+            "size": band.value,
+            "result": _result(code),
+        }
+        self.ended_by_size.add(1, labels)
+
     def on_queue_wait(self, tenant: str, request_class: str, seconds: float) -> None:
         """Take the time that a request waited at a side."""
         self._observe(self.queue_wait, tenant, request_class, seconds)
@@ -190,3 +205,12 @@
     def exposition(self) -> bytes:
         """Return all series in Prometheus' text format."""
         return prometheus_client.generate_latest(self.registry)
+
+
+def _result(code: ResultCode) -> str:
+    """Return in one word what became of a request."""
+    if code is ResultCode.OK:
+        return "served"
+    if code is ResultCode.CANCELLED_BY_CALLER:
+        return "left"
+    return "refused" if CODE_INFO[code].outcome is Outcome.NOT_RUN else "failed"
--- a/src/bergamotmast/direct/core.py
+++ b/src/bergamotmast/direct/core.py
@@ -9,6 +9,8 @@
 from ..errors import RequestError
 from ..errors import ResultCode
 from ..logs import request_context
+from ..policy.size_bands import ClassSizes
+from ..policy.size_bands import SizeBand
 from ..telemetry import Telemetry
 from .caller import CallerReply
 from .caller import CallerRequest
@@ -37,12 +39,14 @@
     """An entry that reaches upstreams directly.
 
     :param stopping: whether it is about to end; it serves on until it has.
+    :param sizes: of each route's prompts.
     """
 
     def __init__(self, context: Context, telemetry: Telemetry) -> None:
         self.context = context
         self.telemetry = telemetry
         self.stopping = False
+        self.sizes = ClassSizes()
 
     @property
     def is_ready(self) -> bool:
@@ -160,11 +164,14 @@
             now = asyncio.get_running_loop().time()
             outputs = call.traits.expected_tokens or call.traits.max_tokens
             self.context.mix.observe(call.traits.prompt_tokens, outputs, now)
+            story["prompt"] = call.traits.prompt_tokens
+            story["size"] = self.sizes.observe(
+                call.route.name, call.traits.prompt_tokens
+            )
             run = StreamRun(self.context, call, reply)
             try:
                 return await run.run()
             finally:
-                story["prompt"] = call.traits.prompt_tokens
                 story.update(run.stream.timeline.fields(call.arrived_at))
         return await PlainRun(self.context, call, reply).run()
 
@@ -193,6 +200,8 @@
     ) -> None:
         seconds = asyncio.get_running_loop().time() - arrived_at
         self.telemetry.on_ended("", route, code, seconds)
+        if (band := story.get("size")) is not None:
+            self.telemetry.on_sized_end(route, SizeBand(str(band)), code)
         logger.info(
             "request ended",
             extra={
--- a/src/bergamotmast/direct/placing.py
+++ b/src/bergamotmast/direct/placing.py
@@ -234,6 +234,8 @@
                     book.reads.transfers.times.seconds(call.traits.prompt_tokens, 0),
                     book.occupied(reading.fetched, 0) if self.decisions.copies else 0.0,
                     book.tie_break,
+                    to_read,
+                    priority,
                 )
             )
         return views
--- a/src/bergamotmast/direct/stream_placing.py
+++ b/src/bergamotmast/direct/stream_placing.py
@@ -49,8 +49,7 @@
         now = asyncio.get_running_loop().time()
         timeline = self.stream.timeline
         timeline.placed_at = now
-        timeline.reader = reader.name if reader else ""
-        timeline.predicted = placement.first_token
+        timeline.on_placed(placement, self.call.leaves_at - now)
         self._refuse_hopeless(placement, now)
         return reader, upstream
 
--- a/src/bergamotmast/direct/timeline.py
+++ b/src/bergamotmast/direct/timeline.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 
+from ..policy.direct_placement import Placement
+
 
 @dataclasses.dataclass(slots=True)
 class Timeline:
@@ -12,17 +14,32 @@
     :param reader: engine that read the prompt for the answering one.
     :param upstream: the answering engine.
     :param to_read: prompt tokens that were thought not to be cached.
+    :param predicted: seconds from the choice to the first token.
+    :param waiting: the part of it in which other prompts are read.
+    :param caller_seconds: until the caller leaves, at the choice.
     """
 
     reader: str = ""
     upstream: str = ""
     to_read: int = 0
     predicted: float = 0.0
+    waiting: float = 0.0
+    priority: int = 0
+    caller_seconds: float = 0.0
     placed_at: float | None = None
     prefilled_at: float | None = None
     replied_at: float | None = None
     first_event_at: float | None = None
 
+    def on_placed(self, placement: Placement, caller_seconds: float) -> None:
+        """Take a choice, and what it or a refusal went by."""
+        self.reader = placement.prefill or ""
+        self.predicted = placement.first_token
+        self.to_read = placement.read_by.to_read
+        self.waiting = placement.read_by.wait * placement.read_by.slow
+        self.priority = placement.read_by.priority
+        self.caller_seconds = caller_seconds
+
     def fields(self, arrived_at: float) -> dict[str, object]:
         """Return what a log line says of it, in milliseconds since the arrival."""
         points = {
@@ -43,5 +60,8 @@
                 "upstream": self.upstream,
                 "to_read": self.to_read,
                 "predicted_ms": round(self.predicted * 1e3, 1),
+                "waiting_ms": round(self.waiting * 1e3, 1),
+                "priority": self.priority,
+                "caller_ms": round(self.caller_seconds * 1e3, 1),
             }
         return found
--- a/src/bergamotmast/policy/direct_placement.py
+++ b/src/bergamotmast/policy/direct_placement.py
@@ -78,6 +78,8 @@
     :param transfer: seconds from there to the first token at another engine.
     :param slow: how many times slower than usual it is.
     :param answers: answers under way there, as far as known.
+    :param to_read: prompt tokens that it would have to read.
+    :param priority: with which it would read them.
     :param tie_break: sort key among engines of equal cost; the lowest value wins.
         Differs per entry, so that entries without load data do not all select the
         same engine.
@@ -93,6 +95,8 @@
     transfer: float = 0.0
     fetched: float = 0.0
     tie_break: int = 0
+    to_read: int = 0
+    priority: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -102,11 +106,13 @@
     :param prefill: engine that reads it; ``None`` where the answering one does.
     :param answer: engine that answers.
     :param first_token: predicted seconds to the first token.
+    :param read_by: the engine that reads it, as it was seen.
     """
 
     prefill: str | None
     answer: str
     first_token: float
+    read_by: EngineView
 
 
 def priority_of(rank: int, tokens: int, decisions: Decisions = ALL) -> int:
@@ -180,8 +186,8 @@
     if decisions.packing and engine.read >= LONG_SHARE * tightest:
         seconds, engine = _packed(ways, objective) or (seconds, engine)
     if engine.role is Role.PREFILL:
-        return Placement(engine.name, answering.name, seconds)
-    return Placement(None, engine.name, seconds)
+        return Placement(engine.name, answering.name, seconds, engine)
+    return Placement(None, engine.name, seconds, engine)
 
 
 def _may_read(engine: EngineView, most_seconds: float) -> bool:
--- a/src/bergamotmast/telemetry.py
+++ b/src/bergamotmast/telemetry.py
@@ -6,6 +6,7 @@
 
 from .errors import ResultCode
 from .model import SideReport
+from .policy.size_bands import SizeBand
 
 
 class Telemetry(t.Protocol):
@@ -27,6 +28,12 @@
         """Take a request's end and its whole time."""
         ...
 
+    def on_sized_end(
+        self, request_class: str, band: SizeBand, code: ResultCode
+    ) -> None:
+        """Take the end of a request with a prompt of some size."""
+        ...
+
     def on_queue_wait(self, tenant: str, request_class: str, seconds: float) -> None:
         """Take the time that a request waited at a side."""
         ...
@@ -64,6 +71,11 @@
     ) -> None:
         """Drop it."""
 
+    def on_sized_end(
+        self, request_class: str, band: SizeBand, code: ResultCode
+    ) -> None:
+        """Drop it."""
+
     def on_queue_wait(self, tenant: str, request_class: str, seconds: float) -> None:
         """Drop it."""
 
--- a/tests/test_direct_streams.py
+++ b/tests/test_direct_streams.py
@@ -359,6 +359,9 @@
     assert one.received == two.received == []
     (ended,) = [r for r in caplog.records if r.message == "request ended"]
     assert ended.predicted_ms > 5_000
+    assert ended.waiting_ms > 4_900
+    assert 1_000 < ended.caller_ms <= 2_000
+    assert ended.size == "rest"
 
 
 async def test_refused_callers_do_not_all_return_in_one_moment():
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -1,8 +1,11 @@
 from __future__ import annotations
 
+import pytest
+
 from bergamotmast.adapters.metrics import MAX_TENANTS
 from bergamotmast.adapters.metrics import OpenTelemetryMetrics
 from bergamotmast.errors import ResultCode
+from bergamotmast.policy.size_bands import SizeBand
 
 
 def test_series_stay_bounded_whatever_callers_send():
@@ -24,6 +27,27 @@
     assert 'code="queue_full"' in metrics.exposition().decode()
 
 
+@pytest.mark.parametrize(
+    ("code", "result"),
+    [
+        (ResultCode.OK, "served"),
+        (ResultCode.DEADLINE_UNREACHABLE, "refused"),
+        (ResultCode.CANCELLED_BY_CALLER, "left"),
+        (ResultCode.DEADLINE_EXCEEDED, "failed"),
+    ],
+)
+def test_ends_are_counted_by_size_of_the_prompt(code, result):
+    metrics = OpenTelemetryMetrics("entry-1")
+    metrics.on_sized_end("report", SizeBand.LARGEST, code)
+    (line,) = [
+        line
+        for line in metrics.exposition().decode().splitlines()
+        if line.startswith("requests_by_size_total{")
+    ]
+    for label in ('class="report"', 'size="largest"', f'result="{result}"'):
+        assert label in line
+
+
 def test_two_processes_in_one_keep_their_own_series():
     first = OpenTelemetryMetrics("entry-1")
     second = OpenTelemetryMetrics("entry-2")
