--- /dev/null
+++ b/tests/prompt_load.py
@@ -0,0 +1,379 @@
+"""Direct entries before simulated engines, under a load of prompts of all sizes.
+
+Everything but the engines and the callers is the code that serves; with the event loop's
+clock simulated, seconds of load take tenths of one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc as cabc
+import contextlib
+import dataclasses
+import heapq
+import itertools
+import json
+import math
+import random
+
+from bergamotmast.direct.caller import CallerRequest
+from bergamotmast.direct.context import Context
+from bergamotmast.direct.core import DirectCore
+from bergamotmast.direct.fleet import Fleet
+from bergamotmast.direct.notices import Notices
+from bergamotmast.direct.placing import Placing
+from bergamotmast.direct.second_sends import SecondSends
+from bergamotmast.platform.directory import PlatformDirectory
+from bergamotmast.platform.headers import PlatformDialect
+from bergamotmast.policy.decisions import ALL
+from bergamotmast.policy.decisions import Decisions
+from bergamotmast.policy.retry_window import RetryLimits
+from bergamotmast.ports import KeyValue
+from bergamotmast.telemetry import NullTelemetry
+from direct_support import HOST
+from direct_support import config
+from direct_support import engine
+from direct_support import registration
+from direct_support import route
+from platform_standin import SIGNATURE
+from platform_standin import event
+
+ROUTES = [
+    route("/check/", "streaming", "llm", **{"target-latency-ms": 300}),
+    route("/report/", "streaming", "llm", priority=2, **{"target-latency-ms": 800}),
+]
+
+TOKENS_PER_SECOND = 45_000
+PAIR_SECONDS = 0.4e-9
+"""Of each pair of a token and one before it."""
+
+CALL_SECONDS = 0.015
+TRANSFER_SECONDS = 0.03
+NOTICE_SECONDS = 0.003
+
+
+class SimulatedEngine:
+    """Reads one prompt at a time, the most urgent first, and answers at once."""
+
+    def __init__(self, name: str, stage: str, number: int) -> None:
+        self.entry = engine(name, None, stage)
+        self.entry.address = f"10.0.0.{number}:9000"
+        self.speed = 1.0 if stage == "prefill" else 0.5
+        self.waiting: list[tuple[int, int, asyncio.Future[None]]] = []
+        self.numbers = itertools.count()
+        self.busy = False
+
+    async def read(self, tokens: int, priority: int) -> None:
+        """Return once a prompt is read."""
+        seconds = tokens / TOKENS_PER_SECOND + tokens**2 / 2 * PAIR_SECONDS
+        if self.busy:
+            await self._turn(priority)
+        self.busy = True
+        try:
+            await asyncio.sleep(seconds / self.speed)
+        finally:
+            self._next()
+
+    async def _turn(self, priority: int) -> None:
+        turn = asyncio.get_running_loop().create_future()
+        heapq.heappush(self.waiting, (priority, next(self.numbers), turn))
+        try:
+            await turn
+        except asyncio.CancelledError:
+            if turn.done() and not turn.cancelled():
+                self._next()
+            raise
+
+    def _next(self) -> None:
+        while self.waiting:
+            *_, turn = heapq.heappop(self.waiting)
+            if not turn.done():
+                turn.set_result(None)
+                return
+        self.busy = False
+
+
+@dataclasses.dataclass(frozen=True)
+class SimulatedReply:
+    """A reply that has come whole."""
+
+    headers: dict[str, str]
+    body: bytes
+    status: int = 200
+
+    def header_items(self) -> tuple[tuple[str, str], ...]:
+        return tuple(self.headers.items())
+
+    async def read(self) -> bytes:
+        return self.body
+
+    async def chunks(self) -> cabc.AsyncIterator[bytes]:
+        yield self.body
+
+
+class SimulatedClient:
+    """Sends requests to simulated engines."""
+
+    def __init__(self, engines: cabc.Iterable[SimulatedEngine]) -> None:
+        self.engines = {each.entry.address: each for each in engines}
+
+    @contextlib.asynccontextmanager
+    async def send(self, address, method, target, headers, body, *, fresh):
+        sent = {name.lower(): value for name, value in headers}
+        reply = {
+            "X-Request-Id": sent.get("x-request-id", ""),
+            "X-Response-Signature": SIGNATURE,
+        }
+        if method == "DELETE":
+            yield SimulatedReply(reply, b"")
+            return
+        await asyncio.sleep(CALL_SECONDS)
+        if "x-kv-source" in sent:
+            await asyncio.sleep(TRANSFER_SECONDS)
+        else:
+            tokens = int(sent["x-token-count"].partition(",")[0])
+            priority = int(sent["x-request-priority"])
+            await self.engines[address].read(tokens, priority)
+        if sent.get("x-stage") == "prefill":
+            handle = {"transfer-handle": sent["x-request-id"], "version": 1}
+            yield SimulatedReply(reply, json.dumps(handle).encode())
+        else:
+            yield SimulatedReply(reply, event(1))
+
+
+class SoundEngines:
+    """Says of every engine that it lives."""
+
+    async def answers(self, engine) -> bool:
+        return True
+
+
+class SimulatedBody:
+    """A body that came with its head."""
+
+    async def read(self, most: int) -> bytes:
+        return b"hello"
+
+
+class SimulatedCaller:
+    """Takes the answer to one try.
+
+    :param status: 0 until something has come.
+    """
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.heard = asyncio.Event()
+        self.retry_after = 0.0
+
+    @property
+    def started(self) -> bool:
+        return self.status != 0
+
+    async def answer(self, status, headers, body) -> None:
+        self.retry_after = float(dict(headers).get("Retry-After", "0"))
+        await self.start(status, headers)
+
+    async def start(self, status, headers) -> None:
+        self.status = status
+        self.heard.set()
+
+    async def write(self, data) -> None:
+        pass
+
+    async def finish(self) -> None:
+        pass
+
+    def abort(self) -> None:
+        pass
+
+
+@dataclasses.dataclass(frozen=True)
+class Prompt:
+    """One request of a load.
+
+    :param at: when its caller first sends it; seconds from the beginning.
+    :param size: prompt tokens.
+    """
+
+    name: str
+    target: str
+    at: float
+    size: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Load:
+    """How many callers come, and for how long.
+
+    :param reports: long prompts a second.
+    :param checks: short prompts a second.
+    :param peak: from when to when there are more.
+    :param factor: how many times more.
+    """
+
+    seconds: float = 16.0
+    reports: float = 8.0
+    checks: float = 10.0
+    peak: tuple[float, float] = (3.0, 13.0)
+    factor: float = 4.0
+    median: int = 6_000
+    spread: float = 0.8
+
+    def draw(self, rng: random.Random) -> list[Prompt]:
+        """Return the requests of one play."""
+        reports = list(self._prompts("/report/x", self.reports, rng))
+        return reports + list(self._prompts("/check/x", self.checks, rng))
+
+    def _prompts(
+        self, target: str, rate: float, rng: random.Random
+    ) -> cabc.Iterator[Prompt]:
+        median = self.median if target == "/report/x" else 500
+        at = 0.0
+        for number in itertools.count():
+            begin, end = self.peak
+            more = self.factor if begin <= at < end else 1.0
+            at += rng.expovariate(rate * more)
+            if at > self.seconds:
+                return
+            size = rng.lognormvariate(math.log(median), self.spread)
+            yield Prompt(f"{target[1:-2]}-{number}", target, at, max(20, int(size)))
+
+
+class LoadedFleet:
+    """Entries and engines in one event loop.
+
+    :param served: names of the prompts whose callers have an answer.
+    """
+
+    def __init__(
+        self,
+        entries: int,
+        readers: int,
+        answering: int,
+        rng: random.Random,
+        decisions: Decisions = ALL,
+    ) -> None:
+        self.rng = rng
+        stages = ["prefill"] * readers + ["decode"] * answering
+        self.engines = [
+            SimulatedEngine(f"i-{number}", stage, number)
+            for number, stage in enumerate(stages, start=1)
+        ]
+        self.client = SimulatedClient(self.engines)
+        self.notices: dict[tuple[str, int], Notices] = {}
+        self.cores = [self._entry(number, decisions) for number in range(entries)]
+        self.served: set[str] = set()
+
+    async def play(self, prompts: cabc.Iterable[Prompt]) -> None:
+        """Send all prompts at their times and wait for their ends."""
+        async with asyncio.TaskGroup() as group:
+            for prompt in prompts:
+                group.create_task(self._call(prompt))
+
+    def _entry(self, number: int, decisions: Decisions) -> DirectCore:
+        loop = asyncio.get_running_loop()
+        name = f"entry-{number}"
+        fleet = Fleet(PlatformDirectory(), loop.time)
+        rng = random.Random(self.rng.random())
+        placing = Placing(fleet, name, "zone-a", rng, decisions)
+        telemetry = NullTelemetry()
+        second_sends = SecondSends(fleet, RetryLimits(), telemetry)
+        context = Context(
+            fleet,
+            self.client,
+            PlatformDialect(),
+            placing,
+            rng,
+            second_sends,
+            engine_check=SoundEngines(),
+        )
+        address = (name, 1)
+        context.notices = Notices(
+            name, placing, lambda: self.notices.keys() - {address}, self._deliver
+        )
+        self.notices[address] = context.notices
+        fleet.settled = True
+        values = {
+            f"servers/{e.entry.name}": registration(e.entry) for e in self.engines
+        }
+        for key, value in {"op/config": config(routes=ROUTES), **values}.items():
+            fleet.put(KeyValue(key, json.dumps(value).encode(), 1))
+        return DirectCore(context, telemetry)
+
+    def _deliver(self, data: bytes, address: tuple[str, int]) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(NOTICE_SECONDS, self.notices[address].receive, data)
+
+    async def _call(self, prompt: Prompt) -> None:
+        await asyncio.sleep(prompt.at)
+        for number in range(2):
+            caller = await self._try(prompt, f"{prompt.name}-{number}")
+            if caller.status == 200:
+                self.served.add(prompt.name)
+            if caller.status != 503:
+                return
+            await asyncio.sleep(caller.retry_after)
+
+    async def _try(self, prompt: Prompt, request_id: str) -> SimulatedCaller:
+        loop = asyncio.get_running_loop()
+        core = self.rng.choice(self.cores)
+        caller = SimulatedCaller()
+        headers = {
+            "X-Request-Id": request_id,
+            "X-Deadline-Ms": "8000",
+            "X-Token-Count": f"{prompt.size},30",
+            "X-Prompt-Prefix": f"{prompt.name}:{prompt.size}",
+        }
+        request = CallerRequest(
+            "POST",
+            prompt.target,
+            HOST,
+            headers,
+            tuple(headers.items()),
+            SimulatedBody(),
+            loop.time(),
+        )
+        found = core.context.fleet.table.find(HOST, prompt.target)
+        handling = asyncio.create_task(core.handle(request, caller))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(found.patience):
+                await caller.heard.wait()
+        if not caller.started:
+            handling.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await handling
+        return caller
+
+
+@dataclasses.dataclass(frozen=True)
+class ServedShares:
+    """Shares of some prompts that were served, by size.
+
+    :param largest: of the largest tenth.
+    :param large: of the fifth below it.
+    """
+
+    all: float
+    largest: float
+    large: float
+
+    @property
+    def least_ratio(self) -> float:
+        """The lesser of the two against all."""
+        return min(self.largest, self.large) / self.all
+
+
+def served_shares(
+    prompts: cabc.Iterable[Prompt], served: cabc.Container[str]
+) -> ServedShares:
+    """Return what was served of some prompts of one class."""
+    ordered = sorted(prompts, key=lambda prompt: prompt.size)
+    tenth = len(ordered) // 10
+
+    def share(part: list[Prompt]) -> float:
+        return sum(prompt.name in served for prompt in part) / len(part)
+
+    return ServedShares(
+        share(ordered), share(ordered[-tenth:]), share(ordered[-3 * tenth : -tenth])
+    )
