Let large prompts go first while too few of their size are served

Cause: load was shed by size. Each doubling of a prompt puts it a priority back, so a long prompt waits for every shorter one of its rank that still comes, and it is refused because that is foreseen. Nothing counted what was served by size.

Ruled out by trials with single decisions switched off: refusing less (the same prompts are left instead), where long prompts are put, the stretched waits, and the number of entries (one entry shows it).

Change: each class accounts for its largest tenth and the fifth below it against the whole, by tries. A prompt that would be refused goes before the others of its rank if its band is owed one and if it is then foreseen within 0.6 of its caller's time. It does not count as the start of a burst. Nothing is owed while all are served.

--- a/src/bergamotmast/direct/context.py
+++ b/src/bergamotmast/direct/context.py
@@ -11,6 +11,7 @@
 from ..policy.decisions import Decisions
 from ..policy.direct_roles import MixMeter
 from ..policy.prefix_memory import WorkKey
+from ..policy.size_shares import SizeShares
 from .fleet import Fleet
 from .model import Call
 from .model import Upstream
@@ -40,6 +41,7 @@
     """The parts that every run of a request uses.
 
     :param mix: what the streams of this entry ask of engines.
+    :param size_shares: what is served of each route's prompts, by their size.
     :param second_sends: what this entry may send a second time.
     :param engine_check: tells a dead engine from a busy one, if anything does.
     :param background: tasks that outlive their request, until they are done.
@@ -55,6 +57,7 @@
     notices: Notices | None = None
     engine_check: EngineCheck | None = None
     mix: MixMeter = dataclasses.field(default_factory=MixMeter)
+    size_shares: SizeShares = dataclasses.field(default_factory=SizeShares)
     background: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
     time_limits: TimeLimits = dataclasses.field(init=False)
     engine_checks: EngineChecks = dataclasses.field(init=False)
@@ -80,12 +83,20 @@
         tokens: int,
         cached: int,
         parts: tuple[tuple[int, int], ...],
+        *,
+        goes_first: bool,
     ) -> None:
         """Tell the other entries of a prompt that an engine is about to read."""
         if self.notices is not None and self._tells(tokens):
             # The last part belongs to this request or its session alone.
             notice = ReadNotice(
-                upstream_hash(engine), key[1], priority, tokens, cached, parts[:-1]
+                upstream_hash(engine),
+                key[1],
+                priority,
+                tokens,
+                cached,
+                parts[:-1],
+                goes_first=goes_first,
             )
             self.notices.tell(notice)
 
--- a/src/bergamotmast/direct/core.py
+++ b/src/bergamotmast/direct/core.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import logging
 
 from ..errors import RequestError
 from ..errors import ResultCode
 from ..logs import request_context
-from ..policy.size_bands import ClassSizes
 from ..policy.size_bands import SizeBand
 from ..telemetry import Telemetry
 from .caller import CallerReply
@@ -39,14 +39,12 @@
     """An entry that reaches upstreams directly.
 
     :param stopping: whether it is about to end; it serves on until it has.
-    :param sizes: of each route's prompts.
     """
 
     def __init__(self, context: Context, telemetry: Telemetry) -> None:
         self.context = context
         self.telemetry = telemetry
         self.stopping = False
-        self.sizes = ClassSizes()
 
     @property
     def is_ready(self) -> bool:
@@ -164,14 +162,21 @@
             now = asyncio.get_running_loop().time()
             outputs = call.traits.expected_tokens or call.traits.max_tokens
             self.context.mix.observe(call.traits.prompt_tokens, outputs, now)
-            story["prompt"] = call.traits.prompt_tokens
-            story["size"] = self.sizes.observe(
+            sized = self.context.size_shares.begin(
                 call.route.name, call.traits.prompt_tokens
             )
+            call = dataclasses.replace(call, sized=sized)
+            story["prompt"] = call.traits.prompt_tokens
+            story["size"] = sized.band
             run = StreamRun(self.context, call, reply)
+            served = False
             try:
-                return await run.run()
+                status = await run.run()
+                served = 200 <= status < 300
+                return status
             finally:
+                sized.end(served=served)
+                story["goes_first"] = sized.goes_first
                 story.update(run.stream.timeline.fields(call.arrived_at))
         return await PlainRun(self.context, call, reply).run()
 
--- a/src/bergamotmast/direct/model.py
+++ b/src/bergamotmast/direct/model.py
@@ -7,6 +7,7 @@
 import math
 
 from ..model import Role
+from ..policy.size_shares import SizedPrompt
 
 
 class CallKind(enum.Enum):
@@ -164,6 +165,7 @@
     :param headers: headers to pass on, without those of one connection.
     :param deadline: when the answer must be out.
     :param parts: hash and length of the parts of its prompt, in order.
+    :param sized: its prompt among those of its route; ``None`` without one.
     """
 
     traits: CallTraits
@@ -176,6 +178,12 @@
     arrived_at: float
     deadline: float
     parts: tuple[tuple[int, int], ...] = ()
+    sized: SizedPrompt | None = None
+
+    @property
+    def goes_first(self) -> bool:
+        """Whether its prompt is read before the others of its rank."""
+        return self.sized is not None and self.sized.goes_first
 
     @property
     def leaves_at(self) -> float:
--- a/src/bergamotmast/direct/placing.py
+++ b/src/bergamotmast/direct/placing.py
@@ -129,7 +129,7 @@
         key = (sender, notice.number)
         if notice.tokens:
             seconds = book.occupied(notice.tokens, notice.cached)
-            book.begin(key, seconds, notice.priority, now)
+            book.begin(key, seconds, notice.priority, now, goes_first=notice.goes_first)
             book.prefix.expect(key, notice.all_parts(key))
         else:
             book.end(key, now, done=notice.done)
@@ -143,6 +143,15 @@
         kept = self._kept(call, members)
         return self._reading(call, upstream, kept, _best_sources(members, kept))
 
+    def priority(self, call: Call, tokens: int) -> int:
+        """Return the priority with which engines read a prompt.
+
+        :param tokens: to read.
+        """
+        return priority_of(
+            call.route.rank, tokens, self.decisions, goes_first=call.goes_first
+        )
+
     def _kept(self, call: Call, members: list[Upstream]) -> dict[str, int]:
         """Return how much of a prompt's beginning could be fetched from each engine."""
         return {m.name: self.engine_book(m).prefix.kept(call.parts) for m in members}
@@ -218,7 +227,7 @@
             book = self.engine_book(member)
             reading = self._reading(call, member, kept, sources)
             to_read = reading.tokens
-            priority = priority_of(call.route.rank, to_read, self.decisions)
+            priority = self.priority(call, to_read)
             wait = book.wait(priority, now)
             if self.decisions.urgent_load:
                 wait = book.expected_wait(priority, now)
--- a/src/bergamotmast/direct/prompt_reads.py
+++ b/src/bergamotmast/direct/prompt_reads.py
@@ -5,7 +5,6 @@
 import asyncio
 import dataclasses
 
-from ..policy.direct_placement import priority_of
 from ..policy.engine_book import EngineBook
 from ..policy.prefix_memory import WorkKey
 from .context import Context
@@ -47,16 +46,20 @@
         now = asyncio.get_running_loop().time()
         reading = context.placing.reading(self.call, engine)
         tokens = reading.tokens
-        priority = priority_of(self.call.route.rank, tokens, context.decisions)
+        priority = context.placing.priority(self.call, tokens)
         cached = max(0, self.call.traits.prompt_tokens - tokens)
         wait = book.wait(priority, now)
         predicted = wait + book.read_seconds(tokens, cached)
         alone = not book.reading
         key = context.placing.new_key()
         parts = self.call.parts
-        book.begin(key, book.occupied(tokens, cached), priority, now)
+        goes_first = self.call.goes_first
+        seconds = book.occupied(tokens, cached)
+        book.begin(key, seconds, priority, now, goes_first=goes_first)
         book.prefix.expect(key, parts)
-        context.tell_begun(engine, key, priority, tokens, cached, parts)
+        context.tell_begun(
+            engine, key, priority, tokens, cached, parts, goes_first=goes_first
+        )
         return Read(
             key, tokens, cached, priority, now, predicted, alone, reading.fetch_from
         )
--- a/src/bergamotmast/direct/read_notice.py
+++ b/src/bergamotmast/direct/read_notice.py
@@ -18,6 +18,7 @@
     :param cached: tokens before those that the engine need not read.
     :param parts: hash and length of the prompt's shared parts.
     :param done: at its end, whether it was read.
+    :param goes_first: whether it is read before the others of its rank.
     """
 
     engine: int
@@ -27,6 +28,7 @@
     cached: t.Annotated[int, msgspec.Meta(ge=0, le=1 << 32)] = 0
     parts: tuple[tuple[int, int], ...] = ()
     done: bool = False
+    goes_first: bool = False
 
     def all_parts(self, key: WorkKey) -> tuple[tuple[int, int], ...]:
         """Return the prompt's parts, its own one under a name of its own.
--- a/src/bergamotmast/direct/stream_placing.py
+++ b/src/bergamotmast/direct/stream_placing.py
@@ -43,16 +43,36 @@
                 await asyncio.sleep(self._wait_for_role())
 
     def _place(self) -> tuple[Upstream | None, Upstream]:
-        reader, upstream, placement = self.context.placing.place_stream(
-            self.call, self.stream.excluded
-        )
         now = asyncio.get_running_loop().time()
+        reader, upstream, placement = self._choose()
+        if self._is_hopeless(placement, now) and self._goes_first():
+            reader, upstream, placement = self._choose()
         timeline = self.stream.timeline
         timeline.placed_at = now
         timeline.on_placed(placement, self.call.leaves_at - now)
         self._refuse_hopeless(placement, now)
         return reader, upstream
 
+    def _choose(self) -> tuple[Upstream | None, Upstream, Placement]:
+        placing = self.context.placing
+        return placing.place_stream(self.call, self.stream.excluded)
+
+    def _goes_first(self) -> bool:
+        """Return whether the prompt is read first, as others of its size were not."""
+        sized = self.call.sized
+        return (
+            self.context.decisions.size_shares and sized is not None and sized.claim()
+        )
+
+    def _is_hopeless(self, placement: Placement, now: float) -> bool:
+        """Return whether the caller would leave before its first event."""
+        if not self.context.decisions.refusal or self.stream.reply.started:
+            return False
+        seconds_left = self.call.leaves_at - now
+        return is_hopeless(
+            placement.first_token, seconds_left, goes_first=self.call.goes_first
+        )
+
     def _wait_for_role(self) -> float:
         """Return how long to wait until a placement may succeed.
 
@@ -73,9 +93,7 @@
 
     def _refuse_hopeless(self, placement: Placement, now: float) -> None:
         """Refuse at once what its caller would leave before its first event."""
-        if not self.context.decisions.refusal or self.stream.reply.started:
-            return
-        if is_hopeless(placement.first_token, self.call.leaves_at - now):
+        if self._is_hopeless(placement, now):
             late = placement.first_token - self.call.route.objective
             raise self._refusal(ResultCode.DEADLINE_UNREACHABLE, late)
 
--- a/src/bergamotmast/policy/decisions.py
+++ b/src/bergamotmast/policy/decisions.py
@@ -19,6 +19,7 @@
     :param copies: a second copy of a prompt's beginning is made where that is worth it.
     :param urgent_load: waits are stretched by the more urgent prompts that come.
     :param size_priority: of one rank, short prompts are read before long ones.
+    :param size_shares: large prompts go first while too few of them are served.
     :param short_answers_first: answers of a few tokens are begun before others.
     :param direct_reading: short prompts may be read by the engine that answers.
     :param zone_preference: engines in the entry's availability zone go first.
@@ -38,6 +39,7 @@
     copies: bool = True
     urgent_load: bool = True
     size_priority: bool = True
+    size_shares: bool = True
     short_answers_first: bool = True
     direct_reading: bool = True
     zone_preference: bool = True
--- a/src/bergamotmast/policy/direct_placement.py
+++ b/src/bergamotmast/policy/direct_placement.py
@@ -115,9 +115,17 @@
     read_by: EngineView
 
 
-def priority_of(rank: int, tokens: int, decisions: Decisions = ALL) -> int:
-    """Return the engines' priority of a prompt, 0 to 9."""
+def priority_of(
+    rank: int, tokens: int, decisions: Decisions = ALL, *, goes_first: bool = False
+) -> int:
+    """Return the engines' priority of a prompt, 0 to 9.
+
+    :param tokens: to read.
+    :param goes_first: whether it is read before the others of its rank.
+    """
     first, steps = PRIORITY_STEPS[min(rank, len(PRIORITY_STEPS) - 1)]
+    if goes_first:
+        return max(0, first - 1)
     if not decisions.size_priority:
         return first
     step = 0
--- a/src/bergamotmast/policy/direct_refusal.py
+++ b/src/bergamotmast/policy/direct_refusal.py
@@ -15,17 +15,25 @@
 LEAST_RETRY_AFTER = 0.3
 """Seconds after which a refused caller may come back at the earliest."""
 
+FIRST_SHARE = 0.6
+"""Part of its caller's time within which the first event of a prompt that goes first
+must be foreseen. It holds up all others of its rank, in vain if its caller leaves."""
+
 RETURN_SPREAD_SECONDS = 0.5
 """Callers that are refused for one cause return over so long."""
 
 
-def is_hopeless(first_token: float, seconds_left: float) -> bool:
+def is_hopeless(
+    first_token: float, seconds_left: float, *, goes_first: bool = False
+) -> bool:
     """Return whether a caller would leave before its first event.
 
     :param first_token: predicted seconds to it.
     :param seconds_left: until the caller leaves.
+    :param goes_first: whether the prompt is read before the others of its rank.
     """
-    return first_token > seconds_left
+    share = FIRST_SHARE if goes_first else 1.0
+    return first_token > share * seconds_left
 
 
 def retry_after(rng: random.Random, seconds: float) -> float:
--- a/src/bergamotmast/policy/engine_book.py
+++ b/src/bergamotmast/policy/engine_book.py
@@ -169,8 +169,20 @@
         times = self.reads.of(self.role).times
         return times.seconds(tokens, cached) * self.pace.factor
 
-    def begin(self, key: WorkKey, seconds: float, priority: int, now: float) -> None:
-        """Note a prompt that waits at the engine from now on."""
+    def begin(
+        self,
+        key: WorkKey,
+        seconds: float,
+        priority: int,
+        now: float,
+        *,
+        goes_first: bool = False,
+    ) -> None:
+        """Note a prompt that waits at the engine from now on.
+
+        :param goes_first: whether it is more urgent than others of its size. It tells
+            nothing of what comes next, and would pass for a burst of urgent prompts.
+        """
         slow = self.slow(now)
         due_at = now + (self.wait(priority, now) + seconds) * slow
         for work in self.reading.values():
@@ -178,7 +190,8 @@
                 work.overtaken = True
                 work.due_at += seconds * slow
         self.reading[key] = Work(seconds, priority, now, due_at)
-        self.urgent.add(priority, seconds, now)
+        if not goes_first:
+            self.urgent.add(priority, seconds, now)
         if self.current is None:
             self._take_next(now)
 
--- a/tests/prompt_load.py
+++ b/tests/prompt_load.py
@@ -1,7 +1,7 @@
 """Direct entries before simulated engines, under a load of prompts of all sizes.
 
-Everything but the engines and the callers is the code that serves; with the event loop's
-clock simulated, seconds of load take tenths of one.
+Everything but the engines and the callers is the code that serves; with the event
+loop's clock simulated, seconds of load take tenths of one.
 """
 
 from __future__ import annotations
--- a/tests/test_direct_policy.py
+++ b/tests/test_direct_policy.py
@@ -19,6 +19,8 @@
 from bergamotmast.policy.direct_placement import answer_priority
 from bergamotmast.policy.direct_placement import place
 from bergamotmast.policy.direct_placement import priority_of
+from bergamotmast.policy.direct_refusal import FIRST_SHARE
+from bergamotmast.policy.direct_refusal import is_hopeless
 from bergamotmast.policy.direct_roles import HOLD_SECONDS
 from bergamotmast.policy.direct_roles import SETTLE_SECONDS
 from bergamotmast.policy.direct_roles import EngineRole
@@ -124,6 +126,27 @@
         assert max(steps) <= 9
 
 
+def test_prompt_that_goes_first_passes_its_rank_and_no_more_urgent_one():
+    for rank in (1, 2, 7):
+        first = priority_of(rank, 50_000, goes_first=True)
+        assert first < min(priority_of(rank, tokens) for tokens in (100, 50_000))
+        assert first > priority_of(rank - 1 if rank < 3 else 1, 100)
+
+
+def test_prompt_that_goes_first_does_not_pass_for_a_burst():
+    """One long prompt would have all others refused for the second that it takes."""
+    book = EngineBook(470_000)
+    book.begin(("e", 1), 1.0, 4, 0.0, goes_first=True)
+    assert book.expected_wait(9, 0.0) == pytest.approx(book.wait(9, 0.0))
+
+
+def test_prompt_that_goes_first_is_refused_unless_it_is_foreseen_well_in_time():
+    left = 2.0
+    assert not is_hopeless(1.9, left)
+    assert is_hopeless(1.9, left, goes_first=True)
+    assert not is_hopeless(0.9 * FIRST_SHARE * left, left, goes_first=True)
+
+
 def test_book_waits_for_the_prompt_under_way_and_what_is_more_urgent():
     book = EngineBook(100_000)
     book.begin(("e", 1), 0.2, 7, 0.0)
--- a/tests/test_size_shares.py
+++ b/tests/test_size_shares.py
@@ -6,16 +6,21 @@
 
 import pytest
 
+from bergamotmast.policy.size_bands import SizeBand
+from bergamotmast.policy.size_shares import LEAST_SHARE
+from bergamotmast.policy.size_shares import MOST_AHEAD
+from bergamotmast.policy.size_shares import MOST_CLASSES
+from bergamotmast.policy.size_shares import MOST_OWED
+from bergamotmast.policy.size_shares import SizedPrompt
+from bergamotmast.policy.size_shares import SizeShares
 from prompt_load import Load
 from prompt_load import LoadedFleet
 from prompt_load import ServedShares
 from prompt_load import served_shares
 
 LEAST_RATIO = 0.5
-"""The users' bound: of the largest tenth of a class, and of the fifth below it, at least
-half as large a share is served as of the whole class."""
-
-pytestmark = pytest.mark.looptime
+"""The users' bound: of the largest tenth of a class, and of the fifth below it, at
+least half as large a share is served as of the whole class."""
 
 
 async def play(entries: int, readers: int, load: Load, seed: int) -> ServedShares:
@@ -27,6 +32,7 @@
     return served_shares(reports, fleet.served)
 
 
+@pytest.mark.looptime
 @pytest.mark.parametrize("seed", [1, 2, 3])
 @pytest.mark.parametrize("factor", [3.0, 6.0])
 @pytest.mark.parametrize(("entries", "readers"), [(1, 2), (4, 4)])
@@ -36,3 +42,74 @@
     shares = await play(entries, readers, load, seed)
     assert shares.all < 0.9
     assert shares.least_ratio >= LEAST_RATIO, shares
+
+
+def sized(classes: SizeShares, size: int) -> SizedPrompt:
+    return classes.begin("report", size)
+
+
+@pytest.fixture
+def classes() -> SizeShares:
+    """Return the account of a class whose prompts have all been served."""
+    classes = SizeShares()
+    for size in range(100, 300):
+        sized(classes, size).end(served=True)
+    return classes
+
+
+def test_no_prompt_goes_first_while_all_are_served(classes):
+    assert not any(sized(classes, 290).claim() for _ in range(20))
+
+
+@pytest.mark.parametrize("band", [SizeBand.LARGEST, SizeBand.LARGE])
+def test_a_refused_band_gets_half_of_what_its_class_gets(classes, band):
+    rng = random.Random(7)
+    claims = []
+    for _ in range(4_000):
+        prompt = sized(classes, rng.randrange(100, 300))
+        served = rng.random() < 0.6
+        if prompt.band is band:
+            served = prompt.claim()
+            claims.append(served)
+        prompt.end(served=served)
+    assert 0.5 * 0.5 <= sum(claims) / len(claims) <= 0.5 * 0.7
+
+
+def test_one_debt_lets_one_prompt_go_first(classes):
+    for _ in range(4):
+        sized(classes, 299).end(served=False)
+    prompts = [sized(classes, 299) for _ in range(20)]
+    assert 1 <= sum(prompt.claim() for prompt in prompts) <= MOST_OWED + 1
+
+
+def test_a_prompt_that_went_first_in_vain_is_owed_again(classes):
+    for _ in range(4):
+        sized(classes, 299).end(served=False)
+    owed = classes.classes["report"].owed[SizeBand.LARGEST]
+    prompt = sized(classes, 299)
+    assert prompt.claim()
+    prompt.end(served=False)
+    assert classes.classes["report"].owed[SizeBand.LARGEST] > owed
+
+
+def test_an_outage_leaves_no_lasting_debt(classes):
+    for _ in range(500):
+        sized(classes, 299).end(served=False)
+        sized(classes, 150).end(served=True)
+    assert classes.classes["report"].owed[SizeBand.LARGEST] == MOST_OWED
+
+
+def test_what_was_served_in_calm_times_excuses_no_more_than_a_few_refusals(classes):
+    shares = classes.classes["report"]
+    for _ in range(100):
+        shares.end(SizedPrompt(shares, SizeBand.LARGEST), served=True)
+    for _ in range(int(MOST_AHEAD / (LEAST_SHARE * shares.share)) + 1):
+        shares.end(SizedPrompt(shares, SizeBand.LARGEST), served=False)
+    assert SizedPrompt(shares, SizeBand.LARGEST).claim()
+
+
+def test_accounts_are_bounded_whatever_the_configuration_names():
+    classes = SizeShares()
+    for number in range(10 * MOST_CLASSES):
+        classes.begin(f"class-{number}", 1).end(served=True)
+    assert len(classes.classes) == MOST_CLASSES
