Let large prompts start first at a side that leaves them to the last

The same fault at the product's own sides, where the order is by deadline and not by size: a side admits what it can read in time, so its queue is as long as callers wait, the short still fit in and the long never do.

A prompt that the side would refuse starts before the others of its tenant and priority if its size is owed one, by the same account as at direct entries. The earlier presets keep what they did.

--- a/src/bergamotmast/policy/interfaces.py
+++ b/src/bergamotmast/policy/interfaces.py
@@ -120,6 +120,7 @@
     :param arrived_at: when it arrived at the side.
     :param resumed: whether it goes on from an earlier attempt.
     :param kv_tokens: KV memory it will hold; 0 for as much as it costs.
+    :param goes_first: whether it starts before others of its tenant and priority.
     """
 
     attempt: str
@@ -133,6 +134,7 @@
     arrived_at: float
     resumed: bool = False
     kv_tokens: int = 0
+    goes_first: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/bergamotmast/policy/presets.py
+++ b/src/bergamotmast/policy/presets.py
@@ -87,12 +87,15 @@
             measures=False,
             sees_memory=False,
             window_by_priority=False,
+            size_shares=False,
         )
     )
 
 
 def _side_2() -> SidePolicy:
-    return FairSidePolicy(SideTuning(kv_reserved=None, sees_memory=False))
+    return FairSidePolicy(
+        SideTuning(kv_reserved=None, sees_memory=False, size_shares=False)
+    )
 
 
 PRESETS: dict[str, PolicySet] = {
--- a/src/bergamotmast/policy/queueing.py
+++ b/src/bergamotmast/policy/queueing.py
@@ -21,7 +21,6 @@
 
 import collections.abc as cabc
 import dataclasses
-import operator
 
 from ..model import Cost
 from ..model import Priority
@@ -67,6 +66,14 @@
     decode: float
 
 
+def _urgency(item: QueueItem) -> tuple[bool, float]:
+    return not item.goes_first, item.deadline
+
+
+def _lane_order(item: QueueItem) -> tuple[bool, float, float, str]:
+    return *_urgency(item), item.arrived_at, item.attempt
+
+
 class Lane:
     """The waiting items of one tenant at one priority, earliest deadline first.
 
@@ -82,7 +89,7 @@
     def add(self, item: QueueItem, seconds: float) -> None:
         """Put an item in its place."""
         self.items.append(item)
-        self.items.sort(key=operator.attrgetter("deadline", "arrived_at", "attempt"))
+        self.items.sort(key=_lane_order)
         self.seconds += seconds
         self.prefill += item.cost.prefill
         self.decode += item.cost.decode
@@ -247,7 +254,8 @@
             return 1.0
         mine = self._tenant(item)
         if tenant == mine:
-            before = [i for i in lane.items if i.deadline <= item.deadline]
+            urgency = _urgency(item)
+            before = [i for i in lane.items if _urgency(i) <= urgency]
             return len(before) / len(lane.items)
         own = self.lanes[priority].get(mine)
         backlog = (own.seconds if own else 0.0) + self.rates.seconds(item.cost)
--- a/src/bergamotmast/policy/side_policy.py
+++ b/src/bergamotmast/policy/side_policy.py
@@ -39,6 +39,8 @@
 from .queueing import Ahead
 from .queueing import FairQueue
 from .queueing import Rates
+from .size_shares import SizedPrompt
+from .size_shares import SizeShares
 
 PREFILL_WINDOW = 0.25
 """Seconds of prefill that may be handed over and not finished."""
@@ -77,6 +79,7 @@
     :param sees_memory: whether waits are predicted by memory and measured steps too.
     :param window_by_priority: whether only prefills of the same or a higher priority
         count against the prefill window.
+    :param size_shares: whether large prompts go first while too few are served.
     """
 
     fair: bool = True
@@ -88,6 +91,7 @@
     measures: bool = True
     sees_memory: bool = True
     window_by_priority: bool = True
+    size_shares: bool = True
 
 
 @dataclasses.dataclass(slots=True)
@@ -139,6 +143,8 @@
         self.prefill_ahead = dict.fromkeys(Priority, 0)
         self.prefill_meter = PrefillMeter(DEFAULT_RATES.prefill)
         self.step_meter = StepMeter(1.0 / DEFAULT_RATES.decode)
+        self.size_shares = SizeShares()
+        self.sized: dict[str, SizedPrompt] = {}
 
     def configure(
         self,
@@ -171,6 +177,25 @@
 
     def offer(self, item: QueueItem, now: float) -> ResultCode:
         """Queue an item and return ``OK``, or refuse it at once with a code."""
+        if not self.tuning.size_shares or item.cost.prefill == 0:
+            return self._admit(item, now)
+        sized = self.size_shares.begin(item.request_class, item.cost.prefill)
+        code = self._admit(item, now)
+        if code is ResultCode.DEADLINE_UNREACHABLE and sized.claim():
+            code = self._admit(dataclasses.replace(item, goes_first=True), now)
+        if code is ResultCode.OK:
+            self.sized[item.attempt] = sized
+        else:
+            sized.end(served=False)
+        return code
+
+    def _end_sized(self, attempt: str, *, served: bool) -> None:
+        """Account for a prompt whose first token came, or that has ended without."""
+        sized = self.sized.pop(attempt, None)
+        if sized is not None:
+            sized.end(served=served)
+
+    def _admit(self, item: QueueItem, now: float) -> ResultCode:
         room = max(LEAST_QUEUE, QUEUE_BATCHES * self.max_streams)
         if self.queue.count(item.priority) >= room:
             return ResultCode.QUEUE_FULL
@@ -307,6 +332,7 @@
         if started.produced == 0:
             started.first_at = now
             started.first_tokens = tokens
+            self._end_sized(attempt, served=True)
             self._end_prefill(started, started.item.cost.prefill, now)
         predicted = started.item.cost.decode
         before = max(started.produced, predicted)
@@ -324,6 +350,7 @@
 
     def on_ended(self, attempt: str, now: float) -> None:
         """Learn that a started item ended."""
+        self._end_sized(attempt, served=False)
         started = self.started.pop(attempt, None)
         if started is None:
             return
@@ -336,13 +363,14 @@
 
     def withdraw(self, attempt: str) -> bool:
         """Take a waiting item out; ``False`` if it is not waiting."""
+        self._end_sized(attempt, served=False)
         return self.queue.remove(attempt) is not None
 
     def expire(self, now: float) -> list[tuple[QueueItem, ResultCode]]:
         """Take out the items that can no longer be answered in time."""
         gone = [i for i, _ in self.queue.items.values() if self._hopeless(i, now)]
         for item in gone:
-            self.queue.remove(item.attempt)
+            self.withdraw(item.attempt)
         return [(item, ResultCode.EXPIRED_IN_QUEUE) for item in gone]
 
     def _hopeless(self, item: QueueItem, now: float) -> bool:
