Play prompts of all sizes on real processes with faults

Entries and engines as processes; entries are killed and paused and reading engines end and return while callers send prompts whose sizes differ a hundredfold. Checks that large prompts are served at least half as often as all, and that each try gets an answer, the truth or a connection that ended with its process.

--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -55,7 +55,13 @@
         self.server: asyncio.Server | None = None
 
     async def __aenter__(self) -> Replica:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return await self.listen(0)
+
+    async def listen(self, port: int) -> Replica:
+        """Serve at a port; 0 for any."""
+        self.server = await asyncio.start_server(
+            self._serve, "127.0.0.1", port, backlog=512
+        )
         port = self.server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{port}"
         return self
--- a/tests/series_fleet.py
+++ b/tests/series_fleet.py
@@ -60,6 +60,9 @@
     :param current: the latest process of each entry.
     """
 
+    replica_script = "series_replica.py"
+    routes = ROUTES
+
     def __init__(self, plan: Plan, folder: pathlib.Path, rng: random.Random) -> None:
         self.plan = plan
         self.folder = folder
@@ -76,7 +79,7 @@
     async def __aenter__(self) -> SeriesFleet:
         """Start everything and wait until it serves."""
         await self.store.__aenter__()
-        self.store.put("op/config", config(routes=ROUTES))
+        self.store.put("op/config", config(routes=self.routes))
         async with asyncio.TaskGroup() as group:
             for number in range(self.plan.replicas):
                 group.create_task(self.start_replica(number))
@@ -126,20 +129,28 @@
         port = self.replica_ports[number]
         self.replicas[number] = await self._spawn(
             f"replica-{number}.log",
-            "series_replica.py",
+            self.replica_script,
             str(port),
             str(self.plan.replica_idle),
             str(self._record),
+            *self.arguments(number),
         )
         async with asyncio.timeout(START_SECONDS):
             while not await _listens(port):
                 await asyncio.sleep(0.02)
-        kind: dict[str, object] = {"service": "plain"}
-        if number >= self.plan.plain:
-            kind = {"service": "llm", "stage": "decode"}
         entry = {"address": f"127.0.0.1:{port}", "zone": "zone-a", "version": "v1"}
         state = {"state": "ready", "cold-remaining-ms": 0, "sequence": 4, "slots": 64}
-        self.store.put(f"servers/i-{number}", entry | kind | state)
+        self.store.put(f"servers/i-{number}", entry | self.kind(number) | state)
+
+    def arguments(self, number: int) -> tuple[str, ...]:
+        """Return what a replica's process is told beside the usual."""
+        return ()
+
+    def kind(self, number: int) -> dict[str, object]:
+        """Return what a replica registers as."""
+        if number < self.plan.plain:
+            return {"service": "plain"}
+        return {"service": "llm", "stage": "decode"}
 
     async def leave(self, number: int) -> None:
         """End a replica, known before or only after, and bring it back."""
--- /dev/null
+++ b/tests/size_series.py
@@ -0,0 +1,307 @@
+"""Plays more prompts of all sizes than can be read, on real processes with faults.
+
+    python tests/size_series.py --first 2000 --count 50
+
+Entries are killed and paused and reading engines end and return while callers send
+prompts whose sizes differ a hundredfold. Checks what is served by size, and that each
+try gets a whole answer, the truth or, at a process that ended, a closed connection.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import dataclasses
+import pathlib
+import random
+import shutil
+import signal
+import sys
+import tempfile
+import time
+
+from direct_support import Answer
+from direct_support import read_answer
+from direct_support import request
+from prompt_load import ROUTES
+from prompt_load import Load
+from prompt_load import Prompt
+from prompt_load import ServedShares
+from prompt_load import served_shares
+from series_checks import Life
+from series_fleet import SeriesFleet
+from series_fleet import send_signal
+from series_plan import Plan
+
+LEAST_RATIO = 0.5
+"""The users' bound on the served share of the largest prompts against all."""
+
+PATIENCE_SECONDS = {"/report/x": 3.2, "/check/x": 2.0}
+"""When callers leave without an answer."""
+
+ANSWER_SECONDS = 8.0
+ANSWERING = 2
+MOST_AT_ONCE = 5
+
+
+@dataclasses.dataclass(frozen=True)
+class SizePlan:
+    """A series, drawn from a seed; times are in seconds from the first caller.
+
+    :param kills: when which entry is killed; it starts again at once.
+    :param pauses: when which entry stands still, and for how long.
+    :param leaves: when which reading engine ends; it is back a second later.
+    """
+
+    entries: int
+    readers: int
+    load: Load
+    kills: tuple[tuple[float, int], ...]
+    pauses: tuple[tuple[float, int, float], ...]
+    leaves: tuple[tuple[float, int], ...]
+
+    @property
+    def engines(self) -> int:
+        """Number of engines in both roles."""
+        return self.readers + ANSWERING
+
+
+def draw_plan(seed: int, most_entries: int = 4) -> SizePlan:
+    """Return the series of a seed."""
+    rng = random.Random(seed)
+    entries = rng.randint(2, most_entries)
+    readers = rng.randint(3, 5)
+
+    def times(most: int) -> list[float]:
+        return sorted(rng.uniform(2.0, 12.0) for _ in range(rng.randint(0, most)))
+
+    return SizePlan(
+        entries,
+        readers,
+        Load(
+            seconds=14.0,
+            reports=3.0 * readers,
+            checks=4.0 * readers,
+            peak=(2.0, 12.0),
+            factor=rng.uniform(2.5, 5.0),
+            spread=rng.uniform(0.7, 0.9),
+        ),
+        tuple((at, rng.randrange(entries)) for at in times(1)),
+        tuple((at, rng.randrange(entries), rng.uniform(0.1, 0.8)) for at in times(2)),
+        tuple((at, rng.randrange(1, readers)) for at in times(1)),
+    )
+
+
+class SizeFleet(SeriesFleet):
+    """Entries before engines that read by size and priority."""
+
+    replica_script = "size_replica.py"
+    routes = ROUTES
+
+    def kind(self, number: int) -> dict[str, object]:
+        """Return what a replica registers as: the last ones answer."""
+        stage = "decode" if number >= self.plan.engines - ANSWERING else "prefill"
+        return {"service": "llm", "stage": stage}
+
+    def arguments(self, number: int) -> tuple[str, ...]:
+        """Return what the replica's process is told beside the usual."""
+        return (str(self.kind(number)["stage"]),)
+
+
+@dataclasses.dataclass
+class Try:
+    """One try of a prompt's caller.
+
+    :param status: 0 without a whole answer.
+    :param left: whether the caller went away without one.
+    """
+
+    prompt: Prompt
+    life: Life
+    status: int = 0
+    left: bool = False
+    retry_after: float = 0.0
+    began_at: float = dataclasses.field(default_factory=time.monotonic)
+
+    @property
+    def was_cut(self) -> bool:
+        """Whether its entry was killed before it ended."""
+        return bool(self.life.killed_at) and not self.status and not self.left
+
+    def fault(self) -> str:
+        """Return what must not be, if anything."""
+        if self.left or self.was_cut or self.status in (200, 502, 503, 504):
+            return ""
+        told = "no answer" if not self.status else f"status {self.status}"
+        return f"{self.prompt.name} of {self.prompt.size} tokens: {told}"
+
+
+@dataclasses.dataclass
+class SizeReport:
+    """What a series showed."""
+
+    shares: ServedShares
+    faults: list[str]
+
+
+class SizeSeries:
+    """Plays one series."""
+
+    def __init__(self, plan: SizePlan, folder: pathlib.Path, seed: int) -> None:
+        self.plan = plan
+        self.rng = random.Random(f"callers-{seed}")
+        processes = Plan(plan.entries, 0, plan.engines, 0, ())
+        self.fleet = SizeFleet(processes, folder, self.rng)
+        self.tries: list[Try] = []
+        self.begin = 0.0
+
+    async def run(self) -> SizeReport:
+        """Play the series and check what callers saw."""
+        prompts = self.plan.load.draw(self.rng)
+        async with self.fleet:
+            # Each entry has heard of all engines by then.
+            await asyncio.sleep(1.0)
+            self.begin = time.monotonic()
+            async with asyncio.TaskGroup() as group:
+                for prompt in prompts:
+                    group.create_task(self._call(prompt))
+                for at, entry in self.plan.kills:
+                    group.create_task(self._kill(at, entry))
+                for at, entry, seconds in self.plan.pauses:
+                    group.create_task(self._pause(at, entry, seconds))
+                for at, number in self.plan.leaves:
+                    group.create_task(self._leave(at, number))
+        return self._report(prompts)
+
+    def _report(self, prompts: list[Prompt]) -> SizeReport:
+        served = {each.prompt.name for each in self.tries if each.status == 200}
+        cut = {each.prompt.name for each in self.tries if each.was_cut} - served
+        reports = [p for p in prompts if p.target == "/report/x" and p.name not in cut]
+        shares = served_shares(reports, served)
+        faults = [fault for each in self.tries if (fault := each.fault())]
+        if shares.least_ratio < LEAST_RATIO:
+            faults.append(f"large prompts are served too seldom: {shares}")
+        return SizeReport(shares, faults)
+
+    async def _until(self, at: float) -> None:
+        await asyncio.sleep(self.begin + at - time.monotonic())
+
+    async def _kill(self, at: float, entry: int) -> None:
+        await self._until(at)
+        if entry in self.fleet.current:
+            await self.fleet.restart_entry(entry)
+
+    async def _pause(self, at: float, entry: int, seconds: float) -> None:
+        await self._until(at)
+        life = self.fleet.current.get(entry)
+        if life is not None:
+            await send_signal(life, signal.SIGSTOP, 0.0)
+            await send_signal(life, signal.SIGCONT, seconds)
+
+    async def _leave(self, at: float, number: int) -> None:
+        await self._until(at)
+        await self.fleet.leave(number)
+
+    async def _call(self, prompt: Prompt) -> None:
+        await self._until(prompt.at)
+        for number in range(2):
+            tried = await self._try(prompt, f"{prompt.name}-{number}")
+            if tried is None or tried.status != 503:
+                return
+            await asyncio.sleep(tried.retry_after)
+
+    async def _try(self, prompt: Prompt, request_id: str) -> Try | None:
+        ready = [life for life in self.fleet.current.values() if life.ready_at]
+        if not ready:
+            return None
+        tried = Try(prompt, self.rng.choice(ready))
+        try:
+            streams = await asyncio.open_connection(
+                "127.0.0.1", self.fleet.entry_ports[tried.life.entry]
+            )
+        except ConnectionError:
+            return None
+        self.tries.append(tried)
+        try:
+            await self._exchange(tried, request_id, *streams)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        except TimeoutError:
+            tried.left = True
+        finally:
+            streams[1].close()
+        return tried
+
+    async def _exchange(
+        self,
+        tried: Try,
+        request_id: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        prompt = tried.prompt
+        data = request(
+            prompt.target,
+            request_id=request_id,
+            X_Deadline_Ms=str(int(ANSWER_SECONDS * 1e3)),
+            X_Token_Count=f"{prompt.size},30",
+            X_Prompt_Prefix=f"{prompt.name}:{prompt.size}",
+        )
+        writer.write(data)
+        async with asyncio.timeout(PATIENCE_SECONDS[prompt.target]):
+            answer: Answer = await read_answer(reader)
+        if answer.complete:
+            tried.status = answer.status
+            tried.retry_after = float(answer.headers.get("retry-after", "0"))
+
+
+async def run_plan(plan: SizePlan, seed: int) -> SizeReport:
+    """Play a series; what was logged stays where something broke."""
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f"sizes-{seed}-"))
+    report = await SizeSeries(plan, folder, seed).run()
+    if report.faults:
+        (folder / "faults").write_text("\n".join(report.faults) + "\n")
+    else:
+        shutil.rmtree(folder)
+    return report
+
+
+async def _run_seeds(seeds: list[int], most_entries: int, at_once: int) -> int:
+    """Play series side by side; return how many broke."""
+    places = asyncio.Semaphore(at_once)
+
+    async def play(seed: int) -> bool:
+        async with places:
+            report = await run_plan(draw_plan(seed, most_entries), seed)
+        shares = report.shares
+        print(
+            f"seed {seed}: served {shares.all:.2f}, largest {shares.largest:.2f}, "
+            f"large {shares.large:.2f}, faults {len(report.faults)}",
+            *report.faults[:10],
+            sep="\n  ",
+            flush=True,
+        )
+        return bool(report.faults)
+
+    return sum(await asyncio.gather(*map(play, seeds)))
+
+
+def main() -> int:
+    """Play series of fresh seeds and say what each showed."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--first", type=int, default=2000)
+    parser.add_argument("--count", type=int, default=50)
+    parser.add_argument("--most", type=int, default=4, help="entries")
+    parser.add_argument("--at-once", type=int, default=MOST_AT_ONCE)
+    arguments = parser.parse_args()
+    seeds = list(range(arguments.first, arguments.first + arguments.count))
+    with contextlib.suppress(KeyboardInterrupt):
+        broken = asyncio.run(_run_seeds(seeds, arguments.most, arguments.at_once))
+        print(f"{broken} of {len(seeds)} broke")
+        return 1 if broken else 0
+    return 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
