Report what is served by size in load and in the tests

'bergamotmast load' prints, for each class, the share that was served of all prompts, of the largest tenth and of the fifth below it; tests and series use the same function and the same bound.

--- a/src/bergamotmast/commands/load.py
+++ b/src/bergamotmast/commands/load.py
@@ -5,6 +5,7 @@
 import argparse
 import asyncio
 import collections
+import dataclasses
 import json
 import pathlib
 import sys
@@ -18,6 +19,7 @@
 from ..load import LoadDriver
 from ..load import percentile
 from ..load import plan_model_call
+from ..served_shares import served_shares
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
@@ -77,6 +79,7 @@
         "sent": len(results),
         "codes": {str(code): count for code, count in sorted(codes.items())},
         "cut_off": sum(result.cut_off for result in results),
+        "served_by_size": _served_by_size(results),
         "whole_by_deadline": sum(result.whole_by_deadline for result in results),
         "first_token_p50": percentile(first, 0.5),
         "first_token_p95": percentile(first, 0.95),
@@ -85,5 +88,21 @@
     }
 
 
+def _served_by_size(results: list[CallResult]) -> dict[str, dict[str, float]]:
+    """Return shares that were served of each class's prompts, by size."""
+    by_class: dict[str, list[tuple[int, bool]]] = {}
+    for result in results:
+        prompts = by_class.setdefault(result.request_class, [])
+        prompts.append((result.prompt_tokens, result.whole_by_deadline))
+    found = {name: served_shares(prompts) for name, prompts in by_class.items()}
+    return {
+        name: {
+            band: round(share, 3) for band, share in dataclasses.asdict(shares).items()
+        }
+        for name, shares in found.items()
+        if shares is not None
+    }
+
+
 def _as_text(results: list[CallResult]) -> str:
     return "\n".join(f"{name}: {value}" for name, value in _figures(results).items())
--- a/src/bergamotmast/load.py
+++ b/src/bergamotmast/load.py
@@ -28,6 +28,7 @@
 class CallResult:
     """How one call ended, as its caller saw it.
 
+    :param prompt_tokens: length of its prompt.
     :param code: numbered result code; 0 for a whole answer.
     :param first_token: seconds to the first token, or ``None``.
     :param between: mean seconds between tokens, or ``None``.
@@ -35,6 +36,7 @@
     """
 
     request_class: str
+    prompt_tokens: int
     code: int
     outcome: str
     text: str
@@ -249,6 +251,7 @@
         whole = not self.code and not self.cut_off
         return CallResult(
             request_class=self.request.klass,
+            prompt_tokens=self.request.prompt_tokens,
             code=self.code,
             outcome=self.outcome,
             text="".join(self.parts),
--- a/tests/prompt_load.py
+++ b/tests/prompt_load.py
@@ -29,6 +29,8 @@
 from bergamotmast.policy.decisions import Decisions
 from bergamotmast.policy.retry_window import RetryLimits
 from bergamotmast.ports import KeyValue
+from bergamotmast.served_shares import ServedShares
+from bergamotmast.served_shares import served_shares
 from bergamotmast.telemetry import NullTelemetry
 from direct_support import HOST
 from direct_support import config
@@ -346,34 +348,13 @@
         return caller
 
 
-@dataclasses.dataclass(frozen=True)
-class ServedShares:
-    """Shares of some prompts that were served, by size.
-
-    :param largest: of the largest tenth.
-    :param large: of the fifth below it.
-    """
-
-    all: float
-    largest: float
-    large: float
-
-    @property
-    def least_ratio(self) -> float:
-        """The lesser of the two against all."""
-        return min(self.largest, self.large) / self.all
-
-
-def served_shares(
+def shares_of(
     prompts: cabc.Iterable[Prompt], served: cabc.Container[str]
 ) -> ServedShares:
-    """Return what was served of some prompts of one class."""
-    ordered = sorted(prompts, key=lambda prompt: prompt.size)
-    tenth = len(ordered) // 10
+    """Return what was served of some prompts of one class.
 
-    def share(part: list[Prompt]) -> float:
-        return sum(prompt.name in served for prompt in part) / len(part)
-
-    return ServedShares(
-        share(ordered), share(ordered[-tenth:]), share(ordered[-3 * tenth : -tenth])
-    )
+    :param served: names of those that were.
+    """
+    shares = served_shares((prompt.size, prompt.name in served) for prompt in prompts)
+    assert shares is not None
+    return shares
--- a/tests/size_series.py
+++ b/tests/size_series.py
@@ -21,22 +21,20 @@
 import tempfile
 import time
 
+from bergamotmast.served_shares import LEAST_RATIO
+from bergamotmast.served_shares import ServedShares
 from direct_support import Answer
 from direct_support import read_answer
 from direct_support import request
 from prompt_load import ROUTES
 from prompt_load import Load
 from prompt_load import Prompt
-from prompt_load import ServedShares
-from prompt_load import served_shares
+from prompt_load import shares_of
 from series_checks import Life
 from series_fleet import SeriesFleet
 from series_fleet import send_signal
 from series_plan import Plan
 
-LEAST_RATIO = 0.5
-"""The users' bound on the served share of the largest prompts against all."""
-
 PATIENCE_SECONDS = {"/report/x": 3.2, "/check/x": 2.0}
 """When callers leave without an answer."""
 
@@ -178,7 +176,7 @@
         served = {each.prompt.name for each in self.tries if each.status == 200}
         cut = {each.prompt.name for each in self.tries if each.was_cut} - served
         reports = [p for p in prompts if p.target == "/report/x" and p.name not in cut]
-        shares = served_shares(reports, served)
+        shares = shares_of(reports, served)
         faults = [fault for each in self.tries if (fault := each.fault())]
         if shares.least_ratio < LEAST_RATIO:
             faults.append(f"large prompts are served too seldom: {shares}")
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -42,6 +42,7 @@
     assert found["codes"] == {"0": 5, "103": 1}
     assert found["whole_by_deadline"] == 5
     assert found["first_token_p50"] > 0
+    assert found["served_by_size"] == {}
     assert len(read_history(history)) == 12
 
 
--- a/tests/test_side_size_shares.py
+++ b/tests/test_side_size_shares.py
@@ -14,8 +14,9 @@
 from bergamotmast.model import Role
 from bergamotmast.policy.interfaces import QueueItem
 from bergamotmast.policy.side_policy import FairSidePolicy
+from bergamotmast.served_shares import LEAST_RATIO
 from prompt_load import Prompt
-from prompt_load import served_shares
+from prompt_load import shares_of
 
 TOKENS_PER_SECOND = 45_000
 PATIENCE = 3.0
@@ -85,6 +86,6 @@
         size = int(rng.lognormvariate(math.log(MEDIAN), SPREAD))
         prompts.append(Prompt(f"report-{number}", "", at, size))
         side.offer(prompts[-1])
-    shares = served_shares(prompts, side.served)
+    shares = shares_of(prompts, side.served)
     assert shares.all < 0.95
-    assert shares.least_ratio >= 0.5, shares
+    assert shares.least_ratio >= LEAST_RATIO, shares
--- /dev/null
+++ b/tests/test_size_series.py
@@ -0,0 +1,39 @@
+"""Prompts of all sizes on real processes with faults.
+
+More seeds by hand: ``tests/size_series.py``.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from prompt_load import Prompt
+from series_checks import Life
+from size_series import Try
+from size_series import draw_plan
+from size_series import run_plan
+
+SEED = 2000
+
+
+async def test_series_serves_large_prompts_beside_faults():
+    """Shorter prompts that keep coming pass the largest until their callers leave."""
+    report = await run_plan(draw_plan(SEED), SEED)
+    assert report.faults == []
+
+
+@pytest.mark.parametrize(
+    ("status", "left", "killed_at", "fault"),
+    [
+        (200, False, 0.0, ""),
+        (503, False, 0.0, ""),
+        (0, True, 0.0, ""),
+        (0, False, 5.0, ""),
+        (0, False, 0.0, "report-1 of 900 tokens: no answer"),
+        (404, False, 0.0, "report-1 of 900 tokens: status 404"),
+    ],
+)
+def test_checks_name_tries_without_an_answer(status, left, killed_at, fault):
+    life = Life(entry=0, process=None, handle=0, killed_at=killed_at)
+    prompt = Prompt("report-1", "/report/x", 0.0, 900)
+    assert Try(prompt, life, status, left).fault() == fault
--- a/tests/test_size_shares.py
+++ b/tests/test_size_shares.py
@@ -13,14 +13,11 @@
 from bergamotmast.policy.size_shares import MOST_OWED
 from bergamotmast.policy.size_shares import SizedPrompt
 from bergamotmast.policy.size_shares import SizeShares
+from bergamotmast.served_shares import LEAST_RATIO
+from bergamotmast.served_shares import ServedShares
 from prompt_load import Load
 from prompt_load import LoadedFleet
-from prompt_load import ServedShares
-from prompt_load import served_shares
-
-LEAST_RATIO = 0.5
-"""The users' bound: of the largest tenth of a class, and of the fifth below it, at
-least half as large a share is served as of the whole class."""
+from prompt_load import shares_of
 
 
 async def play(entries: int, readers: int, load: Load, seed: int) -> ServedShares:
@@ -29,7 +26,7 @@
     prompts = load.draw(rng)
     await fleet.play(prompts)
     reports = [prompt for prompt in prompts if prompt.target == "/report/x"]
-    return served_shares(reports, fleet.served)
+    return shares_of(reports, fleet.served)
 
 
 @pytest.mark.looptime
