Let a stalled stream go on where its prompt was once not read

Not load: two conditions for one decision that disagree.

Once the prompt is read, the engines that did not read it count like any other. test_stalled_stream_goes_on_where_its_prompt_was_once_not_read failed in both cases (500, and an answer without its end).

--- a/src/bergamotmast/direct/answering.py
+++ b/src/bergamotmast/direct/answering.py
@@ -105,6 +105,7 @@
         if self.streaming:
             return
         self.streaming = True
+        self.stream.on_prompt_read()
         self.book.streams += 1
         if self.read is not None:
             self.stream.reads.end(self.upstream, self.read, done=True)
--- a/src/bergamotmast/direct/prefilling.py
+++ b/src/bergamotmast/direct/prefilling.py
@@ -60,6 +60,7 @@
             async with silence_limit(lambda: self._verdict(reader, read)):
                 stream.cache.source = await self._exchange(reader, read)
             done = self.done = True
+            stream.on_prompt_read()
             stream.timeline.prefilled_at = loop.time()
             stream.timeline.to_read = read.tokens
         except NotReachedError as error:
--- a/src/bergamotmast/direct/stream.py
+++ b/src/bergamotmast/direct/stream.py
@@ -43,6 +43,10 @@
         """Engines that need not be tried again."""
         return self.sends.excluded | self.unread_at
 
+    def on_prompt_read(self) -> None:
+        """Note that the prompt has been read: any engine may go on with the answer."""
+        self.unread_at.clear()
+
     def on_heard(self, engine: Upstream) -> None:
         """Note that an engine has said something."""
         book = self.context.placing.engine_book(engine)
--- a/tests/test_direct_streams.py
+++ b/tests/test_direct_streams.py
@@ -28,6 +28,7 @@
 from platform_standin import Received
 from platform_standin import Replica
 from platform_standin import answer
+from platform_standin import chunk
 from platform_standin import event
 from platform_standin import hang
 from platform_standin import head
@@ -337,6 +338,41 @@
     assert len(one.received) == 1
 
 
+@pytest.mark.parametrize("streamed", [0, 1])
+async def test_stalled_stream_goes_on_where_its_prompt_was_once_not_read(streamed):
+    """The stalled stream was ended for that engine, and then not sent to it."""
+    full = engine("i-1", answer(503, b""), "prefill")
+    reader = engine("i-2", EngineScript(prefill_seconds=0.1), "prefill")
+
+    async def stall(replica: Replica, received: Received, writer) -> None:
+        headers = ("Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+        writer.write(head(200, received.request_id, "X-Weight-Versions: 1", *headers))
+        for number in range(1, streamed + 1):
+            writer.write(chunk(event(number)))
+        await asyncio.sleep(STALL_SECONDS + 2.0)
+
+    stalled = engine("i-3", stall)
+    slow = route("/slow/", "streaming", "llm", resumable=True, **{"timeout-ms": 9000})
+    async with serving(
+        full, reader, stalled, document=config(routes=[slow | {"max-attempts": 3}])
+    ) as entry:
+        # Unknown to the entry, the other reader is the worse choice.
+        others = entry.fleet.members("llm", asyncio.get_running_loop().time())
+        busy = next(member for member in others if member.name == "i-2")
+        book = entry.core.context.placing.engine_book(busy)
+        book.begin(("peer", 1), 0.5, 0, asyncio.get_running_loop().time())
+        asking = asyncio.create_task(
+            entry.ask("/slow/x", X_Deadline_Ms="60000", **LONG)
+        )
+        await until(lambda: stalled.received)
+        full.script = EngineScript(last=2)
+        entry.register(full, stage="decode", sequence=5)
+        got = await asking
+    assert full.received[0].headers["x-stage"] == "prefill"
+    assert got.complete
+    assert got.body == events(1, 2)
+
+
 async def test_stream_that_nobody_would_wait_for_is_refused_at_once(caplog):
     """Every engine has prompts for five seconds; callers leave after two.
 
