Owe large prompts by what is served of their class, not by an average of it

Cause: what a band is owed was worked out from an average of its class over 32 ends, which at one entry is still near what it was before the burst when the burst is half over.

With each prompt that is served, a band is now owed its part of one, so that the two can't drift apart; its least share is 0.6 for 0.5.

test_no_prompt_goes_first_while_all_are_served asked that nothing is owed after calm times; a first refused prompt may now go first, and none after it (test_at_most_one_prompt_goes_first_after_all_were_served).

--- a/src/bergamotmast/policy/size_bands.py
+++ b/src/bergamotmast/policy/size_bands.py
@@ -31,11 +31,11 @@
     REST = "rest"
 
 
-LARGEST_SHARE = 0.1
-"""Share of a class's prompts that is its largest band."""
+BAND_SHARES = {SizeBand.LARGEST: 0.1, SizeBand.LARGE: 0.2}
+"""Shares of a class's prompts that are in the upper bands."""
 
-LARGE_SHARE = 0.3
-"""The same for the two upper bands together."""
+LARGEST_SHARE = BAND_SHARES[SizeBand.LARGEST]
+BOTH_SHARES = LARGEST_SHARE + BAND_SHARES[SizeBand.LARGE]
 
 
 class RecentSizes:
@@ -69,7 +69,7 @@
         at_least = count - bisect.bisect_left(self.ordered, size)
         if at_least <= LARGEST_SHARE * count:
             return SizeBand.LARGEST
-        return SizeBand.LARGE if at_least <= LARGE_SHARE * count else SizeBand.REST
+        return SizeBand.LARGE if at_least <= BOTH_SHARES * count else SizeBand.REST
 
 
 class ClassSizes:
--- a/src/bergamotmast/policy/size_shares.py
+++ b/src/bergamotmast/policy/size_shares.py
@@ -8,32 +8,31 @@
 lost while half of the class is served.
 
 Each class keeps account of what is served of its large prompts against the class as a
-whole. A band that falls behind is owed prompts; as many of the next ones that would be
-refused are then read before all others of their rank. Nothing is owed while all are
-served, so the order by size stays as it is until it costs one band too much.
+whole: with each prompt that is served, a band is owed a part of one, and each served
+prompt of the band settles one. As many prompts as are owed, of those that would be
+refused, are read before all others of their rank. Little is owed while all are served,
+so the order by size stays as it is until it costs one band too much.
 """
 
 from __future__ import annotations
 
 import collections
 
+from .size_bands import BAND_SHARES
 from .size_bands import RecentSizes
 from .size_bands import SizeBand
 
-LEAST_SHARE = 0.5
-"""Least served share of a band against its class, counted by tries. Refused callers
-come back, which brings the shares of their requests closer to each other."""
-
-ENDS_AVERAGED = 32.0
-"""Ends of requests over which the served share of a class is averaged."""
+LEAST_SHARE = 0.6
+"""Least served share of a band against its class, counted by tries. Operators expect
+half, of requests: a large one that comes back may be refused once more."""
 
 MOST_OWED = 2.0
 """Prompts that a band can be owed. After an outage, when not even prompts that go first
 were served, the debt would otherwise delay the other sizes long after it."""
 
-MOST_AHEAD = 1.0
-"""Prompts by which a band can be ahead, so that what is served while load is low does
-not count against a band when it rises."""
+MOST_AHEAD = 0.5
+"""Prompts by which a band is ahead at most for those that were served without going
+first, so that what is served while load is low hardly counts when it rises."""
 
 MOST_CLASSES = 100
 """Classes that are followed; the one used least lately is forgotten."""
@@ -64,19 +63,12 @@
 class ClassShares:
     """What one class has been served lately.
 
-    :param share: of its requests that were served.
     :param owed: prompts that each band should have been served beyond those it was.
     """
 
     def __init__(self) -> None:
         self.sizes = RecentSizes()
-        self.share = 1.0
-        self.owed = {SizeBand.LARGEST: 0.0, SizeBand.LARGE: 0.0}
-
-    @property
-    def wanted(self) -> float:
-        """Share of a band's prompts that is to be served."""
-        return LEAST_SHARE * self.share
+        self.owed = dict.fromkeys(BAND_SHARES, 0.0)
 
     def begin(self, size: int) -> SizedPrompt:
         """Take a prompt in.
@@ -93,21 +85,26 @@
         """
         if self.owed.get(band, 0.0) <= 0.0:
             return False
-        self._owe(band, self.wanted - 1.0)
+        self.owed[band] -= 1.0
         return True
 
     def end(self, prompt: SizedPrompt, *, served: bool) -> None:
         """Take what became of a prompt."""
-        if prompt.goes_first:
-            self._owe(prompt.band, 0.0 if served else 1.0)
-        else:
-            self._owe(prompt.band, self.wanted - served)
-        self.share += (served - self.share) / ENDS_AVERAGED
+        if served:
+            for band, share in BAND_SHARES.items():
+                self._owe(band, LEAST_SHARE * share)
+        if prompt.goes_first and not served:
+            self._owe(prompt.band, 1.0)
+        elif served and not prompt.goes_first:
+            self._settle(prompt.band)
 
     def _owe(self, band: SizeBand, prompts: float) -> None:
-        if band in self.owed:
-            owed = self.owed[band] + prompts
-            self.owed[band] = max(-MOST_AHEAD, min(MOST_OWED, owed))
+        self.owed[band] = min(MOST_OWED, self.owed[band] + prompts)
+
+    def _settle(self, band: SizeBand) -> None:
+        owed = self.owed.get(band)
+        if owed is not None and owed > -MOST_AHEAD:
+            self.owed[band] = max(-MOST_AHEAD, owed - 1.0)
 
 
 class SizeShares:
