Keep one bounded table of classes for sizes and shares

ClassSizes and SizeShares had the same table and the same bound twice. A method that lets a prompt go first was named like a question. No behaviour changes; formatter, linter, types and the tests of these modules pass.

--- a/src/bergamotmast/direct/stream_placing.py
+++ b/src/bergamotmast/direct/stream_placing.py
@@ -45,7 +45,7 @@
     def _place(self) -> tuple[Upstream | None, Upstream]:
         now = asyncio.get_running_loop().time()
         reader, upstream, placement = self._choose()
-        if self._is_hopeless(placement, now) and self._goes_first():
+        if self._is_hopeless(placement, now) and self._claim_first():
             reader, upstream, placement = self._choose()
         timeline = self.stream.timeline
         timeline.placed_at = now
@@ -57,8 +57,8 @@
         placing = self.context.placing
         return placing.place_stream(self.call, self.stream.excluded)
 
-    def _goes_first(self) -> bool:
-        """Return whether the prompt is read first, as others of its size were not."""
+    def _claim_first(self) -> bool:
+        """Let the prompt go first if its size is owed one; return whether it does."""
         sized = self.call.sized
         return (
             self.context.decisions.size_shares and sized is not None and sized.claim()
--- a/src/bergamotmast/policy/size_bands.py
+++ b/src/bergamotmast/policy/size_bands.py
@@ -11,7 +11,11 @@
 
 import bisect
 import collections
+import collections.abc as cabc
 import enum
+import typing as t
+
+_T = t.TypeVar("_T")
 
 WINDOW_SIZES = 256
 """Sizes that are remembered of each class."""
@@ -72,21 +76,35 @@
         return SizeBand.LARGE if at_least <= BOTH_SHARES * count else SizeBand.REST
 
 
-class ClassSizes:
+class LatestClasses(t.Generic[_T]):
+    """Something kept for each class, of a bounded number of classes.
+
+    :param make: makes it for a class that is new.
+    """
+
+    def __init__(self, make: cabc.Callable[[], _T]) -> None:
+        self.make = make
+        self.classes: collections.OrderedDict[str, _T] = collections.OrderedDict()
+
+    def of(self, name: str) -> _T:
+        """Return what is kept for a class."""
+        if name not in self.classes:
+            self.classes[name] = self.make()
+        self.classes.move_to_end(name)
+        if len(self.classes) > MOST_CLASSES:
+            self.classes.popitem(last=False)
+        return self.classes[name]
+
+
+class ClassSizes(LatestClasses[RecentSizes]):
     """The latest prompt sizes of each class."""
 
     def __init__(self) -> None:
-        self.classes: collections.OrderedDict[str, RecentSizes] = (
-            collections.OrderedDict()
-        )
+        super().__init__(RecentSizes)
 
     def observe(self, name: str, size: int) -> SizeBand:
         """Remember a prompt of a class and return its band.
 
         :param size: prompt tokens.
         """
-        sizes = self.classes.setdefault(name, RecentSizes())
-        self.classes.move_to_end(name)
-        if len(self.classes) > MOST_CLASSES:
-            self.classes.popitem(last=False)
-        return sizes.observe(size)
+        return self.of(name).observe(size)
--- a/src/bergamotmast/policy/size_shares.py
+++ b/src/bergamotmast/policy/size_shares.py
@@ -16,9 +16,8 @@
 
 from __future__ import annotations
 
-import collections
-
 from .size_bands import BAND_SHARES
+from .size_bands import LatestClasses
 from .size_bands import RecentSizes
 from .size_bands import SizeBand
 
@@ -34,9 +33,6 @@
 """Prompts by which a band is ahead at most for those that were served without going
 first, so that what is served while load is low hardly counts when it rises."""
 
-MOST_CLASSES = 100
-"""Classes that are followed; the one used least lately is forgotten."""
-
 
 class SizedPrompt:
     """A prompt at work, as its class accounts for it.
@@ -107,21 +103,15 @@
             self.owed[band] = max(-MOST_AHEAD, owed - 1.0)
 
 
-class SizeShares:
-    """The shares of all classes at one entry."""
+class SizeShares(LatestClasses[ClassShares]):
+    """The shares of all classes at one entry or side."""
 
     def __init__(self) -> None:
-        self.classes: collections.OrderedDict[str, ClassShares] = (
-            collections.OrderedDict()
-        )
+        super().__init__(ClassShares)
 
     def begin(self, name: str, size: int) -> SizedPrompt:
         """Take a prompt of a class in; its end must be told.
 
         :param size: prompt tokens.
         """
-        shares = self.classes.setdefault(name, ClassShares())
-        self.classes.move_to_end(name)
-        if len(self.classes) > MOST_CLASSES:
-            self.classes.popitem(last=False)
-        return shares.begin(size)
+        return self.of(name).begin(size)
--- a/tests/test_size_shares.py
+++ b/tests/test_size_shares.py
@@ -6,10 +6,10 @@
 
 import pytest
 
+from bergamotmast.policy.size_bands import MOST_CLASSES
 from bergamotmast.policy.size_bands import SizeBand
 from bergamotmast.policy.size_shares import LEAST_SHARE
 from bergamotmast.policy.size_shares import MOST_AHEAD
-from bergamotmast.policy.size_shares import MOST_CLASSES
 from bergamotmast.policy.size_shares import MOST_OWED
 from bergamotmast.policy.size_shares import SizedPrompt
 from bergamotmast.policy.size_shares import SizeShares
