Detect upstreams that crash while they run requests, and log which requests

The logs of the incident could not tell its hypotheses apart: no line said which request a send belonged to, none that an upstream had ended and what ran on it.

A detector collects the runs whose replies an entry loses. It assumes a crash where the upstream's address refuses connections right after the loss, or its registration is removed or replaced within eight seconds, and withdraws that once the same incarnation replies to a later request. Resets, planned shutdowns and silent networks are no crash. It decides nothing yet.

New: 'upstream has crashed', 'upstream has not crashed', 'request' (fingerprint) and 'caller' in 'send failed', upstream_crashes_total and runs_lost_total.

ConnectionLostError tells a connection that ended from other lost replies; a stream that ends within an event is one too.

--- a/src/bergamotmast/adapters/http_calls.py
+++ b/src/bergamotmast/adapters/http_calls.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from ..errors import ConnectionLostError
 from ..errors import NotReachedError
 from ..errors import ReplyLostError
 
@@ -66,6 +67,7 @@
     :param read_timeout: maximum time between two reads, in seconds.
     :param connect: timeout for opening a connection, in seconds.
     :raises NotReachedError: if no connection was made, so that nothing was sent.
+    :raises ConnectionLostError: if the connection ended before the response did.
     :raises ReplyLostError: for every other failure, including one while the body is
         read.
     """
@@ -79,6 +81,8 @@
             yield response
     except _NOT_SENT as error:
         raise NotReachedError(f"{url}: {error}") from error
+    except _DISCONNECTED as error:
+        raise ConnectionLostError(f"{url}: {error}") from error
     except (aiohttp.ClientError, TimeoutError) as error:
         raise ReplyLostError(f"{url}: {error or 'timed out'}") from error
 
@@ -104,6 +108,13 @@
 )
 """Errors that are raised before any part of a request is sent."""
 
+_DISCONNECTED = (
+    aiohttp.ClientOSError,
+    aiohttp.ServerDisconnectedError,
+    aiohttp.ClientPayloadError,
+)
+"""Errors that end a connection on which a request was sent."""
+
 
 async def _prevent_library_retry(
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
@@ -119,4 +130,4 @@
     except _NOT_SENT:
         raise
     except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise ReplyLostError(f"{request.url}: {error}") from error
+        raise ConnectionLostError(f"{request.url}: {error}") from error
--- a/src/bergamotmast/adapters/metrics.py
+++ b/src/bergamotmast/adapters/metrics.py
@@ -129,6 +129,8 @@
         self.classes = _LabelLimiter(MAX_CLASSES)
         meter = self.provider.get_meter("bergamotmast")
         self.retries = meter.create_counter("second.sends")
+        self.crashes = meter.create_counter("upstream.crashes")
+        self.lost_runs = meter.create_counter("runs.lost")
         self.first_token = self._create_histograms("first_token")
         self.total = self._create_histograms("total")
         self.queue_wait = self._create_histograms("queue_wait")
@@ -217,6 +219,12 @@
         labels = {"group": self.classes(group), "allowed": str(allowed).lower()}
         self.retries.add(1, labels)
 
+    def on_crash(self, group: str, lost_runs: int) -> None:
+        """Count an upstream's crash and the runs that were lost with it."""
+        labels = {"group": self.classes(group)}
+        self.crashes.add(1, labels)
+        self.lost_runs.add(lost_runs, labels)
+
     def exposition(self) -> bytes:
         """Return all series in Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
--- a/src/bergamotmast/adapters/upstream_http.py
+++ b/src/bergamotmast/adapters/upstream_http.py
@@ -15,6 +15,7 @@
 from aiohttp.tracing import Trace
 
 from ..direct.ports import Headers
+from ..errors import ConnectionLostError
 from ..errors import ReplyLostError
 from .http_calls import client_session
 from .http_calls import exchange
@@ -136,7 +137,9 @@
         if self.unframed and self.closed is not None and self.closed.done():
             error = self.closed.exception()
             if error is not None:
-                raise ReplyLostError(f"a reply without a length was reset: {error}")
+                raise ConnectionLostError(
+                    f"a reply without a length was reset: {error}"
+                )
 
 
 def _end_of_connection(
--- a/src/bergamotmast/direct/attempts.py
+++ b/src/bergamotmast/direct/attempts.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import logging
 
+from ..errors import ConnectionLostError
 from ..errors import RequestError
 from ..errors import ResultCode
 from ..model import Role
 from .context import Context
+from .crash_detector import LostRun
+from .fingerprint import fingerprint
 from .model import Call
 from .model import Upstream
 
@@ -34,6 +38,11 @@
         self.may_have_run = False
         self.may_have_run_before = False
 
+    @functools.cached_property
+    def fingerprint(self) -> str:
+        """Fingerprint of the request, the same for all tries of its caller."""
+        return fingerprint(self.call)
+
     @property
     def excluded(self) -> set[str]:
         """Upstreams that are not to be tried again."""
@@ -76,6 +85,13 @@
         self.tried.discard(upstream.name)
         self.unreachable.add(upstream.name)
 
+    def on_lost(self, upstream: Upstream, error: Exception) -> None:
+        """Record that the reply to a request, or to its prefill, was lost."""
+        run = LostRun(self.fingerprint, self.call.traits.request_id)
+        self.context.crash_detector.on_run_lost(
+            upstream, run, disconnected=isinstance(error, ConnectionLostError)
+        )
+
     def exhausted_error(
         self, code: ResultCode = ResultCode.NO_UPSTREAM
     ) -> RequestError:
@@ -115,6 +131,8 @@
             "outcome": outcome,
             "sends": self.count,
             "last_event": last_event,
+            "request": self.fingerprint,
+            "caller": self.call.caller,
         }
         logger.info("send failed", extra=fields)
 
--- a/src/bergamotmast/direct/caller.py
+++ b/src/bergamotmast/direct/caller.py
@@ -29,6 +29,7 @@
     :param items: all headers in order, including repeated names.
     :param body: reader of the body.
     :param arrived_at: arrival time on the event loop's clock.
+    :param caller: address that the connection comes from; empty if unknown.
     """
 
     method: str
@@ -38,6 +39,7 @@
     items: Headers
     body: CallerBody
     arrived_at: float
+    caller: str = ""
 
 
 class CallerReply(t.Protocol):
--- a/src/bergamotmast/direct/context.py
+++ b/src/bergamotmast/direct/context.py
@@ -12,6 +12,7 @@
 from ..policy.direct_roles import MixMeter
 from ..policy.prefix_cache import PrefillKey
 from ..policy.size_shares import SizeShares
+from .crash_detector import CrashDetector
 from .fleet import Fleet
 from .liveness import LivenessChecker
 from .model import Call
@@ -43,6 +44,7 @@
     :param mix: moving average of the prefill and decode load of this entry's streams.
     :param size_shares: share of prompts served, by route and size class.
     :param retry_budget: this entry's share of the retry budget.
+    :param crash_detector: detector of upstreams that crashed with a run.
     :param liveness_probe: probe of engines; ``None`` if there is none.
     :param background: running tasks that outlive the request that started them.
     :param time_limits: deadlines of all running requests.
@@ -54,6 +56,7 @@
     placer: RequestPlacer
     rng: random.Random
     retry_budget: SharedRetryBudget
+    crash_detector: CrashDetector
     notices: NoticeExchange | None = None
     liveness_probe: LivenessProbe | None = None
     mix: MixMeter = dataclasses.field(default_factory=MixMeter)
@@ -117,12 +120,17 @@
         self.background.add(task)
         task.add_done_callback(self.background.discard)
 
-    def read_reply(self, call: Call, upstream: Upstream, reply: Reply) -> ReplyTraits:
+    def read_reply(
+        self, call: Call, upstream: Upstream, reply: Reply, sent_at: float
+    ) -> ReplyTraits:
         """Read a reply's headers and update the load tracker of its upstream.
 
+        :param sent_at: when the request was sent; a point in time.
         :raises ReplyLostError: if the reply belongs to another request.
         """
         traits = self.dialect.read_reply(reply.status, reply.headers)
+        if not traits.wrong_upstream:
+            self.crash_detector.on_reply(upstream, sent_at)
         if traits.load is not None:
             self.placer.on_load(upstream, traits.load)
         if traits.request_id not in ("", call.traits.request_id):
--- a/src/bergamotmast/direct/core.py
+++ b/src/bergamotmast/direct/core.py
@@ -111,6 +111,7 @@
             body=body,
             arrived_at=request.arrived_at,
             deadline=deadline,
+            caller=request.caller,
             parts=shared_parts(traits),
         )
 
--- /dev/null
+++ b/src/bergamotmast/direct/crash_detector.py
@@ -0,0 +1,207 @@
+"""Detection of upstreams that crashed while they ran requests.
+
+A lost connection alone does not mean that an upstream has crashed: it may have been
+reset on the way, or closed by an upstream that is alive. A crash is assumed if the
+upstream's address refuses connections right after the loss, or if its registration is
+removed or replaced within seconds. The assumption is withdrawn as soon as the same
+incarnation replies to a later request.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc as cabc
+import dataclasses
+import logging
+import typing as t
+
+from ..telemetry import Telemetry
+from .fleet import Fleet
+from .model import Upstream
+from .ports import ConnectionProbe
+
+logger = logging.getLogger(__name__)
+
+GATHER_SECONDS = 0.02
+"""Time in which all runs that are lost with one upstream become known."""
+
+REGISTRATION_LAPSE_SECONDS = 8.0
+"""Maximum time between a crash and the removal of the registration, which takes three
+heartbeats, or longer if the store is slow."""
+
+POLL_SECONDS = 0.25
+"""Interval between two checks of a registration."""
+
+CRASH_RETENTION_SECONDS = 60.0
+"""How long a crash is remembered, for runs whose loss becomes known later."""
+
+MAX_LOGGED_RUNS = 32
+"""Maximum number of lost runs in one log line."""
+
+UpstreamKey = tuple[str, str]
+"""Name and boot of an upstream."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LostRun:
+    """A run that was lost with its upstream.
+
+    :param fingerprint: fingerprint of the request, see :mod:`.fingerprint`.
+    :param request_id: id of the caller's try.
+    """
+
+    fingerprint: str
+    request_id: str
+
+
+class CrashObserver(t.Protocol):
+    """Receiver of detected crashes."""
+
+    def on_crash(self, upstream: Upstream, runs: cabc.Sequence[LostRun]) -> None:
+        """Handle a crash; called again for runs whose loss becomes known later."""
+        ...
+
+    def on_survival(self, upstream: Upstream, runs: cabc.Sequence[LostRun]) -> None:
+        """Handle the end of the assumption that an upstream has crashed."""
+        ...
+
+
+@dataclasses.dataclass(slots=True)
+class Losses:
+    """Runs lost with one incarnation of an upstream; points in time.
+
+    :param last_at: when the last loss became known.
+    :param disconnected: whether one of the connections ended by itself.
+    :param crashed: whether a crash is assumed.
+    """
+
+    upstream: Upstream
+    last_at: float
+    runs: dict[str, LostRun] = dataclasses.field(default_factory=dict)
+    disconnected: bool = False
+    crashed: bool = False
+
+
+class CrashDetector:
+    """Detects crashes of upstreams from the runs that this entry has lost.
+
+    :param probe: probe of an upstream's address; without one, only registrations tell.
+    :param losses: lost runs by incarnation, until they are explained or forgotten.
+    :param tasks: running checks.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        telemetry: Telemetry,
+        probe: ConnectionProbe | None = None,
+        observer: CrashObserver | None = None,
+    ) -> None:
+        self.fleet = fleet
+        self.telemetry = telemetry
+        self.probe = probe
+        self.observer = observer
+        self.losses: dict[UpstreamKey, Losses] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def on_run_lost(
+        self, upstream: Upstream, run: LostRun, *, disconnected: bool
+    ) -> None:
+        """Record a run whose reply was lost.
+
+        :param disconnected: whether the connection ended by itself; otherwise the
+            upstream was silent.
+        """
+        now = asyncio.get_running_loop().time()
+        key = (upstream.name, upstream.boot)
+        losses = self.losses.get(key)
+        if losses is None:
+            if not self._is_in_service(upstream):
+                return
+            losses = self.losses[key] = Losses(upstream, now)
+            task = asyncio.create_task(self._check(key, losses))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        losses.last_at = now
+        losses.disconnected = losses.disconnected or disconnected
+        if run.fingerprint in losses.runs:
+            return
+        losses.runs[run.fingerprint] = run
+        if losses.crashed:
+            self._notify_crash(losses, [run])
+
+    def on_reply(self, upstream: Upstream, sent_at: float) -> None:
+        """Record an upstream's reply, which rules out an earlier crash.
+
+        :param sent_at: when the request was sent; a point in time.
+        """
+        key = (upstream.name, upstream.boot)
+        losses = self.losses.get(key)
+        if losses is None or sent_at <= losses.last_at:
+            return
+        del self.losses[key]
+        if losses.crashed:
+            logger.info(
+                "upstream has not crashed",
+                extra={"upstream": upstream.name, "boot": upstream.boot},
+            )
+            if self.observer is not None:
+                self.observer.on_survival(upstream, list(losses.runs.values()))
+
+    def _is_in_service(self, upstream: Upstream) -> bool:
+        """Return whether an incarnation is registered and not shutting down."""
+        registered = self.fleet.registered(upstream.name)
+        return (
+            registered is not None
+            and registered.boot == upstream.boot
+            and not registered.leaving
+        )
+
+    async def _check(self, key: UpstreamKey, losses: Losses) -> None:
+        """Find out whether an upstream has crashed."""
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(GATHER_SECONDS)
+        if losses.disconnected and self.probe is not None:
+            if await self.probe.is_refused(losses.upstream.address):
+                self._confirm(key, losses, "refused")
+        while loop.time() < losses.last_at + REGISTRATION_LAPSE_SECONDS:
+            registered = self.fleet.registered(losses.upstream.name)
+            if registered is not None and registered.leaving:
+                break
+            if registered is None or registered.boot != losses.upstream.boot:
+                self._confirm(key, losses, "registration")
+            if losses.crashed:
+                break
+            if self.losses.get(key) is not losses:
+                return
+            await asyncio.sleep(POLL_SECONDS)
+        if losses.crashed:
+            await asyncio.sleep(CRASH_RETENTION_SECONDS)
+        if self.losses.get(key) is losses:
+            del self.losses[key]
+
+    def _confirm(self, key: UpstreamKey, losses: Losses, reason: str) -> None:
+        """Assume that an upstream has crashed, unless it was shutting down."""
+        registered = self.fleet.registered(losses.upstream.name)
+        leaving = registered is not None and registered.leaving
+        if losses.crashed or leaving or self.losses.get(key) is not losses:
+            return
+        losses.crashed = True
+        runs = list(losses.runs.values())
+        self.telemetry.on_crash(losses.upstream.group, len(runs))
+        logger.info(
+            "upstream has crashed",
+            extra={
+                "upstream": losses.upstream.name,
+                "boot": losses.upstream.boot,
+                "address": losses.upstream.address,
+                "told_by": reason,
+                "runs": len(runs),
+                "requests": [run.fingerprint for run in runs[:MAX_LOGGED_RUNS]],
+            },
+        )
+        self._notify_crash(losses, runs)
+
+    def _notify_crash(self, losses: Losses, runs: cabc.Sequence[LostRun]) -> None:
+        if self.observer is not None:
+            self.observer.on_crash(losses.upstream, runs)
--- a/src/bergamotmast/direct/decode_attempt.py
+++ b/src/bergamotmast/direct/decode_attempt.py
@@ -7,6 +7,7 @@
 import contextlib
 import math
 
+from ..errors import ConnectionLostError
 from ..errors import NotReachedError
 from ..errors import ReplyLostError
 from ..errors import RequestError
@@ -81,19 +82,29 @@
             self.stream.start_cool_down(self.upstream)
             self.stream.attempts.on_not_sent(self.upstream)
             self._log_failure(error.message, "not reached")
-        except (ReplyLostError, BrokenStreamError) as error:
-            self._log_failure(str(error), "broken")
-            if self.last_reply_at == math.inf:
-                # Without a cool-down, the engine would look idle and attract the
-                # following requests.
-                self.stream.start_cool_down(self.upstream)
-            # The engine may have imported the KV cache, which can be imported once.
-            self.stream.cache.release()
-            self._raise_if_not_repeatable()
+        except ReplyLostError as error:
+            self.stream.attempts.on_lost(self.upstream, error)
+            self._on_broken(error)
+        except BrokenStreamError as error:
+            self._on_broken(error)
         finally:
             self._untrack()
         return None
 
+    def _on_broken(self, error: Exception) -> None:
+        """Handle a reply that broke off or can't be used.
+
+        :raises RequestError: if the request must not run again.
+        """
+        self._log_failure(str(error), "broken")
+        if self.last_reply_at == math.inf:
+            # Without a cool-down, the engine would look idle and attract the
+            # following requests.
+            self.stream.start_cool_down(self.upstream)
+        # The engine may have imported the KV cache, which can be imported once.
+        self.stream.cache.release()
+        self._raise_if_not_repeatable()
+
     def _track_prefill(self) -> None:
         """Track the prefill at this engine unless another engine has done it."""
         timeline = self.stream.timeline
@@ -180,7 +191,9 @@
         self.last_reply_at = asyncio.get_running_loop().time()
         self.stream.timeline.replied_at = self.last_reply_at
         self.stream.on_reply_received(self.upstream)
-        traits = self.context.read_reply(self.call, self.upstream, reply)
+        traits = self.context.read_reply(
+            self.call, self.upstream, reply, self.started_at
+        )
         if traits.not_run:
             self.stream.attempts.on_not_run()
             wrong = traits.wrong_upstream
@@ -195,8 +208,8 @@
     async def _events(self, reply: Reply) -> cabc.AsyncIterator[Event]:
         """Yield complete events.
 
-        :raises BrokenStreamError: if the stream ends within an event, or an event is
-            longer than :data:`MAX_EVENT_BYTES`.
+        :raises ConnectionLostError: if the stream ends within an event.
+        :raises BrokenStreamError: if an event is longer than :data:`MAX_EVENT_BYTES`.
         """
         splitter = EventSplitter()
         async for data in reply.chunks():
@@ -208,7 +221,7 @@
             if len(splitter.rest) > MAX_EVENT_BYTES:
                 raise BrokenStreamError("event is longer than the limit")
         if splitter.rest:
-            raise BrokenStreamError("the stream ended within an event")
+            raise ConnectionLostError("the stream ended within an event")
 
     def _abort_without_reply(self) -> contextlib.AbstractAsyncContextManager[None]:
         if self.call.route.repeatable and self.context.decisions.silence:
--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -172,6 +172,11 @@
             and (record.gone_at is None or now < record.gone_at)
         ]
 
+    def registered(self, name: str) -> Upstream | None:
+        """Return an upstream as it is registered, or ``None``."""
+        record = self.upstream_records.get(self.directory.upstream_prefix + name)
+        return None if record is None else record.upstream
+
     def members(self, group: str, now: float) -> list[Upstream]:
         """Return the upstreams of a group that are eligible for new requests."""
         return [u for u in self.present(group, now) if not self._changing(u, now)]
--- a/src/bergamotmast/direct/http_frontend.py
+++ b/src/bergamotmast/direct/http_frontend.py
@@ -188,6 +188,7 @@
             items=tuple(request.headers.items()),
             body=HttpCallerBody(request),
             arrived_at=asyncio.get_running_loop().time(),
+            caller=request.remote or "",
         )
         await self.core.handle(received, reply)
         assert reply.response is not None
--- a/src/bergamotmast/direct/model.py
+++ b/src/bergamotmast/direct/model.py
@@ -174,6 +174,7 @@
     :param target: path and query as received.
     :param headers: headers to forward, without hop-by-hop headers.
     :param deadline: when the response must be complete.
+    :param caller: address that the caller's connection comes from; empty if unknown.
     :param parts: hash and length of the parts of the prompt, in order.
     :param sized_prompt: the prompt in its size class; ``None`` for a request without
         one.
@@ -188,6 +189,7 @@
     body: bytes
     arrived_at: float
     deadline: float
+    caller: str = ""
     parts: tuple[tuple[int, int], ...] = ()
     sized_prompt: SizedPrompt | None = None
 
--- a/src/bergamotmast/direct/plain_run.py
+++ b/src/bergamotmast/direct/plain_run.py
@@ -90,6 +90,7 @@
             return None
         except (ReplyLostError, TimeoutError) as error:
             tracker.failed(loop.time())
+            self.attempts.on_lost(upstream, error)
             self.attempts.log_failure(
                 upstream, str(error) or "no reply within the timeout", "unknown"
             )
@@ -125,7 +126,7 @@
             call.body,
             fresh=not call.route.repeatable,
         ) as reply:
-            traits = self.context.read_reply(call, upstream, reply)
+            traits = self.context.read_reply(call, upstream, reply, now)
             if traits.not_run:
                 self.attempts.on_not_run()
                 self.attempts.log_failure(upstream, f"status {reply.status}", "not run")
--- a/src/bergamotmast/direct/ports.py
+++ b/src/bergamotmast/direct/ports.py
@@ -202,6 +202,19 @@
         ...
 
 
+class ConnectionProbe(t.Protocol):
+    """Probe that distinguishes a crashed process from a lost connection."""
+
+    async def is_refused(self, address: str) -> bool:
+        """Return whether an address refuses connections, as no process listens there.
+
+        ``False`` if a connection could be opened or the attempt was not answered.
+
+        :param address: ``host:port``.
+        """
+        ...
+
+
 class UpstreamClient(t.Protocol):
     """Sends requests to upstreams."""
 
@@ -220,6 +233,7 @@
         :param fresh: use a new connection, so that a reset can't come from the idle
             timeout of a reused one.
         :raises NotReachedError: if nothing was sent.
+        :raises ConnectionLostError: if the connection ended before the reply did.
         :raises ReplyLostError: for every other failure.
         """
         ...
--- a/src/bergamotmast/direct/remote_prefill.py
+++ b/src/bergamotmast/direct/remote_prefill.py
@@ -68,6 +68,7 @@
         except NotReachedError as error:
             self._on_failure(engine, error.message)
         except ReplyLostError as error:
+            stream.attempts.on_lost(engine, error)
             self._on_failure(engine, error.message)
             self._spend_or_raise()
         finally:
@@ -137,7 +138,7 @@
         async with self.context.client.send(
             engine.address, call.method, call.target, headers, call.body, fresh=False
         ) as reply:
-            self.context.read_reply(call, engine, reply)
+            self.context.read_reply(call, engine, reply, now)
             body = await reply.read()
             self.stream.on_reply_received(engine)
             if reply.status != 200:
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -10,11 +10,13 @@
 
 from aiohttp import web
 
+from .adapters.connection_probe import TcpConnectionProbe
 from .adapters.datagrams import datagram_port
 from .adapters.metrics import OpenTelemetryMetrics
 from .adapters.upstream_http import HttpUpstreamClient
 from .direct.context import Context
 from .direct.core import DirectCore
+from .direct.crash_detector import CrashDetector
 from .direct.fleet import Fleet
 from .direct.http_frontend import DirectHttpFrontend
 from .direct.notices import NoticeExchange
@@ -114,6 +116,7 @@
             placer,
             rng,
             retry_budget,
+            CrashDetector(fleet, metrics, TcpConnectionProbe()),
             liveness_probe=orders,
         )
         context.notices = NoticeExchange(
--- a/src/bergamotmast/errors.py
+++ b/src/bergamotmast/errors.py
@@ -331,6 +331,10 @@
     code = ResultCode.OUTCOME_UNKNOWN
 
 
+class ConnectionLostError(ReplyLostError):
+    """The connection ended before the upstream's reply was complete."""
+
+
 class OrderRefusedError(PortError):
     """The engine refused an order because of its fencing token or its own state."""
 
--- a/src/bergamotmast/telemetry.py
+++ b/src/bergamotmast/telemetry.py
@@ -57,6 +57,10 @@
         """
         ...
 
+    def on_crash(self, group: str, lost_runs: int) -> None:
+        """Count an upstream's crash and the runs that were lost with it."""
+        ...
+
 
 class NullTelemetry:
     """Telemetry that discards all measurements."""
@@ -93,3 +97,6 @@
 
     def on_retry(self, group: str, *, allowed: bool) -> None:
         """Discard the measurement."""
+
+    def on_crash(self, group: str, lost_runs: int) -> None:
+        """Discard the measurement."""
--- a/tests/direct_support.py
+++ b/tests/direct_support.py
@@ -10,9 +10,11 @@
 import random
 import typing as t
 
+from bergamotmast.adapters.connection_probe import TcpConnectionProbe
 from bergamotmast.adapters.upstream_http import HttpUpstreamClient
 from bergamotmast.direct.context import Context
 from bergamotmast.direct.core import DirectCore
+from bergamotmast.direct.crash_detector import CrashDetector
 from bergamotmast.direct.fleet import Fleet
 from bergamotmast.direct.http_frontend import DirectHttpFrontend
 from bergamotmast.direct.placer import RequestPlacer
@@ -194,6 +196,7 @@
             placer,
             rng,
             SharedRetryBudget(fleet, RetryLimits(), telemetry),
+            CrashDetector(fleet, telemetry, TcpConnectionProbe()),
             liveness_probe=liveness_probe,
         )
         core = DirectCore(context, telemetry)
--- a/tests/prompt_load.py
+++ b/tests/prompt_load.py
@@ -19,6 +19,7 @@
 from bergamotmast.direct.caller import CallerRequest
 from bergamotmast.direct.context import Context
 from bergamotmast.direct.core import DirectCore
+from bergamotmast.direct.crash_detector import CrashDetector
 from bergamotmast.direct.fleet import Fleet
 from bergamotmast.direct.notices import NoticeExchange
 from bergamotmast.direct.placer import RequestPlacer
@@ -295,6 +296,7 @@
             placer,
             rng,
             retry_budget,
+            CrashDetector(fleet, telemetry),
             liveness_probe=LiveEngines(),
         )
         address = (name, 1)
