Reproduce: a request that crashes replicas is sent to one after the other

Real processes: three entries on one store, three plain replicas and four engines that end when they run a harmful request and are back after a second under another name. Its caller comes again every 0.3 s on average at any entry, beside six harmless callers.

--- /dev/null
+++ b/tests/crash_series.py
@@ -0,0 +1,416 @@
+"""Plays requests that crash each replica that runs them, beside harmless ones.
+
+    PYTHONPATH=src:tests python tests/crash_series.py --first 100 --count 50
+
+Real processes: entries are killed, stopped and started again, replicas crash by
+themselves, and the store is slow, down, restored from a copy or loses replies, while
+callers send harmful requests again and again at any entry. Checks that each of these
+stops reaching replicas, and that harmless requests are not refused in its place.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import pathlib
+import random
+import shutil
+import signal
+import sys
+import tempfile
+import time
+
+from crash_checks import CULPRIT_PREFIX
+from crash_checks import Outage
+from crash_checks import find_crash_faults
+from crash_checks import judge_culprits
+from crash_checks import read_record
+from direct_support import read_answer
+from direct_support import request
+from series_checks import SentRequest
+from series_fleet import SeriesFleet
+from series_fleet import send_signal
+
+SERIES_TIMEOUT_SECONDS = 120.0
+ANSWER_TIMEOUT_SECONDS = 8.0
+REQUEST_DEADLINE_MS = "6000"
+CALM_SECONDS = 2.5
+"""How long harmless callers go on when all faults are over."""
+
+DISCOVERY_SECONDS = 4.0
+"""Time after the last fault in which the last harmful request is found."""
+
+PORTS_FOR_REPLICAS = 100
+
+
+@dataclasses.dataclass(frozen=True)
+class Culprit:
+    """A harmful request that comes again and again.
+
+    :param path: first part of its path, which selects the route.
+    :param begins_at: seconds from the start of the series.
+    :param pause: mean seconds between two tries.
+    :param runs_ms: how long it runs before the crash.
+    """
+
+    path: str
+    begins_at: float
+    pause: float
+    runs_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreFault:
+    """A fault of the store: ``down``, ``slow``, ``restored`` or ``lossy``."""
+
+    kind: str
+    at: float
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True)
+class CrashPlan:
+    """A series, drawn from a seed; times are in seconds from its start.
+
+    :param callers: number of callers that send harmless requests.
+    :param kills: time of each stop of an entry, the entry, and its signal; it is
+        started again at once.
+    :param replica_kills: time of each crash of a replica without a cause, and its
+        number.
+    :param restart_seconds: how long a crashed replica is away.
+    :param lapse_seconds: when a crashed replica's registration lapses.
+    """
+
+    entries: int
+    plain: int
+    engines: int
+    callers: int
+    culprits: tuple[Culprit, ...]
+    kills: tuple[tuple[float, int, signal.Signals], ...] = ()
+    replica_kills: tuple[tuple[float, int], ...] = ()
+    store_fault: StoreFault | None = None
+    restart_seconds: float = 1.0
+    lapse_seconds: float = 2.0
+    seconds: float = 9.0
+    replica_idle: float = 30.0
+
+    @property
+    def replicas(self) -> int:
+        """Number of replicas; the plain ones have the lower numbers."""
+        return self.plain + self.engines
+
+
+def draw_plan(seed: int, most: int = 4) -> CrashPlan:
+    """Return the plan of a seed.
+
+    :param most: maximum number of entries.
+    """
+    rng = random.Random(seed)
+    entries = rng.randint(2, most)
+    plain, engines = rng.randint(2, 4), rng.randint(3, 5)
+    culprits = tuple(
+        Culprit(
+            rng.choice(("/talk/", "/talk/", "/long/", "/read/", "/order/")),
+            rng.uniform(0.3, 3.0),
+            rng.choice((0.1, 0.4, 1.0)),
+            rng.choice((1, 20, 100)),
+        )
+        for _ in range(rng.choice((0, 1, 1, 2, 4)))
+    )
+    kind = rng.choice(("", "", "", "down", "slow", "restored", "lossy"))
+    stops = (signal.SIGKILL, signal.SIGTERM)
+    return CrashPlan(
+        entries=entries,
+        plain=plain,
+        engines=engines,
+        callers=rng.choice((4, 8, 16)),
+        culprits=culprits,
+        kills=tuple(
+            (rng.uniform(1.0, 7.0), rng.randrange(entries), rng.choice(stops))
+            for _ in range(rng.choice((0, 0, 1, 3)))
+        ),
+        replica_kills=tuple(
+            (rng.uniform(0.5, 6.0), rng.randrange(plain + engines))
+            for _ in range(rng.choice((0, 0, 1, 4)))
+        ),
+        store_fault=StoreFault(kind, rng.uniform(0.5, 4.0), rng.uniform(0.5, 3.0))
+        if kind
+        else None,
+        restart_seconds=rng.choice((0.5, 1.0, 2.0)),
+        lapse_seconds=rng.choice((1.0, 2.0, 3.0)),
+    )
+
+
+class CrashFleet(SeriesFleet):
+    """Entries and replicas; a crashed replica starts again under another name.
+
+    :param names: current name of each replica.
+    :param stopping: set when no replica is to be started again.
+    """
+
+    replica_script = "crash_replica.py"
+
+    def __init__(
+        self, plan: CrashPlan, folder: pathlib.Path, rng: random.Random
+    ) -> None:
+        super().__init__(plan, folder, rng)  # type: ignore[arg-type]
+        self.names: dict[int, str] = {}
+        self.starts = 0
+        self.stopping = False
+        self.guards: list[asyncio.Task[None]] = []
+
+    async def __aexit__(self, *error: object) -> None:
+        self.stopping = True
+        for guard in self.guards:
+            guard.cancel()
+        await asyncio.gather(*self.guards, return_exceptions=True)
+        await super().__aexit__(*error)
+
+    async def start_replica(self, number: int) -> None:
+        """Start a replica and register it under a new name."""
+        await super().start_replica(number)
+        self.guards.append(asyncio.create_task(self._start_again(number)))
+
+    def register(self, number: int, entry: dict[str, object]) -> None:
+        """Register a replica that has just started."""
+        self.starts += 1
+        name = self.names[number] = f"i-{number}-{self.starts}"
+        self.store.put(f"servers/{name}", entry | {"born": int(time.time() * 1e3)})
+
+    async def _start_again(self, number: int) -> None:
+        process, name = self.replicas[number], self.names[number]
+        await process.wait()
+        if self.stopping:
+            return
+        lapse = asyncio.create_task(self._lapse(name))
+        self.guards.append(lapse)
+        await asyncio.sleep(self.plan.restart_seconds)  # type: ignore[attr-defined]
+        await self.start_replica(number)
+
+    async def _lapse(self, name: str) -> None:
+        await asyncio.sleep(self.plan.lapse_seconds)  # type: ignore[attr-defined]
+        self.store.remove(f"servers/{name}")
+
+
+class CrashSeries:
+    """Plays one series of crashes.
+
+    :param sent: all requests so far.
+    :param outages: times in which the store did not work as usual.
+    """
+
+    def __init__(self, plan: CrashPlan, folder: pathlib.Path, seed: int) -> None:
+        self.plan = plan
+        self.rng = random.Random(f"callers-{seed}")
+        self.fleet = CrashFleet(plan, folder, self.rng)
+        self.sent: list[SentRequest] = []
+        self.outages: list[Outage] = []
+        self.started_at = 0.0
+        self.stopping = asyncio.Event()
+
+    async def run(self) -> CrashReport:
+        """Play the plan and check the results of callers and replicas."""
+        async with asyncio.timeout(SERIES_TIMEOUT_SECONDS), self.fleet:
+            self.started_at = time.monotonic()
+            async with asyncio.TaskGroup() as group:
+                for number in range(self.plan.callers):
+                    group.create_task(self._send_harmless(number))
+                for number, culprit in enumerate(self.plan.culprits):
+                    group.create_task(self._send_culprit(number, culprit))
+                await self._play()
+                calm_from = time.monotonic() + DISCOVERY_SECONDS
+                await asyncio.sleep(DISCOVERY_SECONDS + CALM_SECONDS)
+                self.stopping.set()
+        record = read_record(self.fleet.folder / "received")
+        return CrashReport(
+            find_crash_faults(
+                self.sent, record, self.outages, self.fleet.incarnations, calm_from
+            ),
+            dict(collections.Counter(each.status for each in self.sent)),
+            {
+                culprit: (len(result.crashes), len(result.late_tries))
+                for culprit, result in judge_culprits(record, self.outages).items()
+            },
+        )
+
+    async def _play(self) -> None:
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._until(self.plan.seconds))
+            group.create_task(self._fault_store())
+            for at, number in self.plan.replica_kills:
+                group.create_task(self._kill_replica(at, number))
+            for at, entry, how in self.plan.kills:
+                group.create_task(self._restart_entry(at, entry, how))
+
+    async def _until(self, at: float) -> None:
+        await asyncio.sleep(self.started_at + at - time.monotonic())
+
+    async def _fault_store(self) -> None:
+        fault = self.plan.store_fault
+        if fault is None:
+            return
+        store = self.fleet.store
+        backup = store.backup()
+        await self._until(fault.at)
+        begin = time.monotonic()
+        if fault.kind == "lossy":
+            store.lose_replies = 6
+        store.outage = 503 if fault.kind in ("down", "restored") else 0
+        store.delay = 0.4 if fault.kind == "slow" else 0.0
+        await asyncio.sleep(fault.seconds)
+        if fault.kind == "restored":
+            self._restore(backup)
+        store.outage, store.delay, store.lose_replies = 0, 0.0, 0
+        self.outages.append(Outage(begin, time.monotonic()))
+
+    def _restore(self, backup: object) -> None:
+        """Restore the store; replicas and operators write their keys again."""
+        store = self.fleet.store
+        live = {
+            key: item
+            for key, item in store.items.items()
+            if key.startswith(("servers/", "op/"))
+        }
+        store.restore(backup)  # type: ignore[arg-type]
+        for key in [k for k in store.items if k.startswith("servers/")]:
+            if key not in live:
+                store.remove(key)
+        for key, item in live.items():
+            store.put_encoded(key, item["value"])
+
+    async def _kill_replica(self, at: float, number: int) -> None:
+        await self._until(at)
+        process = self.fleet.replicas[number]
+        with contextlib.suppress(ProcessLookupError):
+            process.kill()
+
+    async def _restart_entry(self, at: float, entry: int, how: signal.Signals) -> None:
+        await self._until(at)
+        incarnation = self.fleet.current.get(entry)
+        if incarnation is None or incarnation.sigterm_at or incarnation.killed_at:
+            return
+        if how is signal.SIGKILL:
+            await self.fleet.restart_entry(entry)
+            return
+        incarnation.sigterm_at = time.monotonic()
+        await send_signal(incarnation, how, 0.0)
+        await incarnation.process.wait()
+        await self.fleet.start_entry(entry)
+
+    async def _send_culprit(self, number: int, culprit: Culprit) -> None:
+        await self._until(culprit.begins_at)
+        target = f"{culprit.path}{number}?ms={culprit.runs_ms}"
+        if culprit.path in ("/talk/", "/long/"):
+            target += "&events=3"
+        tries = 0
+        while not self.stopping.is_set():
+            name = f"{CULPRIT_PREFIX}{number}-{tries}"
+            tries += 1
+            await self._send_once(name, target, f"crash {number}".encode())
+            await asyncio.sleep(self.rng.uniform(0.0, 2 * culprit.pause))
+
+    async def _send_harmless(self, number: int) -> None:
+        pause = self.rng.choice((0.02, 0.05, 0.2))
+        sent = 0
+        while not self.stopping.is_set():
+            kind = self.rng.choice(("/order/", "/read/", "/talk/", "/long/"))
+            # Some callers ask for the same thing again and again.
+            path = f"{kind}{number}" if number % 2 else f"{kind}{number}-{sent}"
+            query = f"?ms={self.rng.choice((1, 20, 100))}"
+            if kind in ("/talk/", "/long/"):
+                query += f"&events={self.rng.choice((2, 5))}"
+            await self._send_once(f"q-{number}-{sent}", path + query, b"hello")
+            sent += 1
+            await asyncio.sleep(self.rng.uniform(0.0, 2 * pause))
+
+    async def _send_once(self, name: str, target: str, body: bytes) -> None:
+        """Send a request on a new connection to any entry and record its result."""
+        live = [i for i in self.fleet.current.values() if not i.killed_at]
+        incarnation = self.rng.choice(live) if live else None
+        if incarnation is None:
+            return
+        try:
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", self.fleet.entry_ports[incarnation.entry]
+            )
+        except ConnectionError:
+            return
+        incarnation = self.fleet.current.get(incarnation.entry, incarnation)
+        sent = SentRequest(name, target, incarnation)
+        self.sent.append(sent)
+        headers = {"X_Deadline_Ms": REQUEST_DEADLINE_MS}
+        try:
+            writer.write(request(target, "POST", body, name, **headers))
+            async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
+                got = await read_answer(reader)
+        except (ConnectionError, asyncio.IncompleteReadError, TimeoutError):
+            return
+        finally:
+            sent.ended_at = time.monotonic()
+            writer.close()
+        sent.status, sent.complete, sent.body = got.status, got.complete, got.body
+
+
+@dataclasses.dataclass
+class CrashReport:
+    """Result of a series.
+
+    :param faults: descriptions of everything that must not happen.
+    :param statuses: number of requests by status.
+    :param culprits: crashes, and late tries that reached replicas, by harmful request.
+    """
+
+    faults: list[str]
+    statuses: dict[int, int]
+    culprits: dict[str, tuple[int, int]]
+
+
+async def run_plan(plan: CrashPlan, seed: int) -> CrashReport:
+    """Play a plan; the logs are kept if there are faults."""
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f"crashes-{seed}-"))
+    report = await CrashSeries(plan, folder, seed).run()
+    if report.faults:
+        (folder / "faults").write_text("\n".join(report.faults) + "\n")
+    else:
+        shutil.rmtree(folder)
+    return report
+
+
+async def run_seeds(seeds: list[int], most: int, parallel: int) -> int:
+    """Play the series of seeds, some at a time; return how many have faults."""
+    slots = asyncio.Semaphore(parallel)
+
+    async def play(seed: int) -> bool:
+        async with slots:
+            report = await run_plan(draw_plan(seed, most), seed)
+        print(
+            f"seed {seed}: {report.statuses}, crashes and late tries "
+            f"{report.culprits}, faults {len(report.faults)}",
+            *report.faults[:20],
+            sep="\n  ",
+            flush=True,
+        )
+        return bool(report.faults)
+
+    return sum(await asyncio.gather(*map(play, seeds)))
+
+
+def main() -> int:
+    """Play the series of a range of seeds and print the result of each."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--first", type=int, default=1000)
+    parser.add_argument("--count", type=int, default=50)
+    parser.add_argument("--most", type=int, default=4, help="maximum of entries")
+    parser.add_argument("--parallel", type=int, default=2)
+    arguments = parser.parse_args()
+    seeds = list(range(arguments.first, arguments.first + arguments.count))
+    broken = asyncio.run(run_seeds(seeds, arguments.most, arguments.parallel))
+    print(f"{broken} of {len(seeds)} broke")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -349,6 +349,10 @@
         self.revision += 1
         self._put(key, value, lease)
 
+    def put_encoded(self, key: str, value: str) -> None:
+        """Write a key whose value is already encoded as base64."""
+        self.put(key, base64.b64decode(value))
+
     def _put(self, key: str, value: object, lease: int) -> None:
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
         item = {
--- a/tests/series_fleet.py
+++ b/tests/series_fleet.py
@@ -143,7 +143,11 @@
                 await asyncio.sleep(0.02)
         entry = {"address": f"127.0.0.1:{port}", "zone": "zone-a", "version": "v1"}
         state = {"state": "ready", "cold-remaining-ms": 0, "sequence": 4, "slots": 64}
-        self.store.put(f"servers/i-{number}", entry | self.registration(number) | state)
+        self.register(number, entry | self.registration(number) | state)
+
+    def register(self, number: int, entry: dict[str, object]) -> None:
+        """Register a replica that has just started."""
+        self.store.put(f"servers/i-{number}", entry)
 
     def arguments(self, number: int) -> tuple[str, ...]:
         """Return additional arguments of a replica's process."""
--- a/tests/series_replica.py
+++ b/tests/series_replica.py
@@ -57,12 +57,16 @@
         self.open.discard(writer)
         writer.close()
 
+    def record_received(self, request_id: str) -> None:
+        """Append a request's id to the record file."""
+        os.write(self.record, f"{request_id}\n".encode())
+
     async def _answer(self, received: Received, writer: asyncio.StreamWriter) -> None:
         request_id = received.request_id
         if not request_id:
             writer.write(b"HTTP/1.1 404 Word\r\nContent-Length: 0\r\n\r\n")
             return
-        os.write(self.record, f"{request_id}\n".encode())
+        self.record_received(request_id)
         query = urllib.parse.parse_qs(received.target.partition("?")[2])
         pause = int(query["ms"][0]) / 1e3
         if "events" not in query:
@@ -80,9 +84,8 @@
         writer.write(b"0\r\n\r\n")
 
 
-async def run(port: int, idle_seconds: float, record: int) -> None:
+async def serve_until_sigterm(replica: SeriesReplica, port: int) -> None:
     """Serve until SIGTERM, then until the last request is answered."""
-    replica = SeriesReplica(idle_seconds, record)
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, replica.shutting_down.set)
     server = await asyncio.start_server(replica.serve, "127.0.0.1", port, backlog=512)
@@ -96,4 +99,5 @@
 
 if __name__ == "__main__":
     record_file = os.open(sys.argv[3], os.O_WRONLY | os.O_CREAT | os.O_APPEND)
-    asyncio.run(run(int(sys.argv[1]), float(sys.argv[2]), record_file))
+    replica = SeriesReplica(float(sys.argv[2]), record_file)
+    asyncio.run(serve_until_sigterm(replica, int(sys.argv[1])))
--- /dev/null
+++ b/tests/test_crash_series.py
@@ -0,0 +1,53 @@
+"""Requests that crash each replica that runs them are sent again and again.
+
+``tests/crash_series.py`` plays more seeds.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+
+from crash_checks import Outage
+from crash_checks import Recorded
+from crash_checks import judge_culprits
+from crash_series import CrashPlan
+from crash_series import Culprit
+from crash_series import run_plan
+
+ONE_CULPRIT = CrashPlan(entries=3, plain=3, engines=4, callers=6, culprits=())
+
+
+@pytest.mark.parametrize("path", ["/talk/", "/long/", "/read/", "/order/"])
+async def test_request_that_crashes_replicas_stops_reaching_them(path):
+    """Guards against sending a harmful request to one replica after another.
+
+    Its caller comes again at any entry. After the third crash and three seconds, at
+    most three tries may reach replicas, and harmless requests are not refused for it.
+    """
+    culprit = Culprit(path, begins_at=0.5, pause=0.3, runs_ms=20)
+    report = await run_plan(dataclasses.replace(ONE_CULPRIT, culprits=(culprit,)), 1)
+    assert report.faults == []
+
+
+def lines(*crashes: float, tries: tuple[float, ...] = ()) -> list[Recorded]:
+    record = [Recorded("runs", f"crash-0-{at}", at) for at in (*crashes, *tries)]
+    return record + [Recorded("crash", f"crash-0-{at}", at) for at in crashes]
+
+
+@pytest.mark.parametrize(
+    ("record", "outages", "late"),
+    [
+        (lines(1.0, 2.0), [], 0),
+        (lines(1.0, 2.0, 3.0, tries=(5.9,)), [], 0),
+        (lines(1.0, 2.0, 3.0, tries=(6.1, 7.0)), [], 2),
+        (lines(1.0, 2.0, 3.0, 9.0, tries=(6.1, 7.0)), [], 3),
+        (lines(1.0, 2.0, 3.0, tries=(6.1, 8.1)), [Outage(2.5, 5.0)], 1),
+        (lines(1.0, 2.0, 3.0, tries=(6.1, 8.1)), [Outage(0.5, 0.9)], 2),
+        (lines(1.0, 2.0, 3.0, tries=(7.0, 8.1)), [Outage(6.5, 7.5)], 2),
+    ],
+)
+def test_late_tries_are_counted(record, outages, late):
+    results = judge_culprits(record, outages)
+    assert len(results["crash-0"].late_tries) == late
