Stop sending a request that crashes the upstreams that run it

Callers saw 502 and 503 for seconds on end: one request crashed engine after engine, and everything that ran beside it was lost with it each time.

Cause: nothing links the tries of one request. An entry counts the attempts of one try and forgets them at its end; a lost reply cools the upstream down and says nothing of the request. Class: state that belongs to a request is kept by the attempt.

Entries now share the crashes in which a request was lost: one key in the store for each request and crash, recognized by the fingerprint of host, method, path and body. Lost twice, a request runs apart from others that were. Lost three times, it is refused: 503, code 205. Any answer clears it, so that what merely ran beside it is not refused. A loss that is not explained yet counts at the entry that saw it, so that a retry is not faster than the detection. Prefills, resumed streams and plain calls are asked in the same place.

Why it works: a crash is known some 20 ms after it, and at all entries within the pause between two watch calls, at most a second, where three are allowed. The store outlives each entry.

--- a/src/bergamotmast/adapters/metrics.py
+++ b/src/bergamotmast/adapters/metrics.py
@@ -131,6 +131,7 @@
         self.retries = meter.create_counter("second.sends")
         self.crashes = meter.create_counter("upstream.crashes")
         self.lost_runs = meter.create_counter("runs.lost")
+        self.quarantined = meter.create_gauge("requests.quarantined")
         self.first_token = self._create_histograms("first_token")
         self.total = self._create_histograms("total")
         self.queue_wait = self._create_histograms("queue_wait")
@@ -225,6 +226,10 @@
         self.crashes.add(1, labels)
         self.lost_runs.add(lost_runs, labels)
 
+    def on_quarantine(self, requests: int) -> None:
+        """Record the number of requests in quarantine."""
+        self.quarantined.set(requests)
+
     def exposition(self) -> bytes:
         """Return all series in Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
--- a/src/bergamotmast/direct/attempts.py
+++ b/src/bergamotmast/direct/attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import functools
 import logging
 
@@ -12,7 +13,7 @@
 from ..model import Role
 from .context import Context
 from .crash_detector import LostRun
-from .fingerprint import fingerprint
+from .fingerprint import fingerprint_of
 from .model import Call
 from .model import Upstream
 
@@ -41,7 +42,7 @@
     @functools.cached_property
     def fingerprint(self) -> str:
         """Fingerprint of the request, the same for all tries of its caller."""
-        return fingerprint(self.call)
+        return fingerprint_of(self.call)
 
     @property
     def excluded(self) -> set[str]:
@@ -62,8 +63,10 @@
     def begin(self, upstream: Upstream) -> None:
         """Record the start of an attempt.
 
-        :raises RequestError: if the route or the budget allows no further attempt.
+        :raises RequestError: if the route, the budget or the quarantine allows no
+            further attempt.
         """
+        self.check_quarantine()
         new = upstream.name not in self.tried
         if new and len(self.tried) >= self.call.route.max_attempts:
             raise self.exhausted_error()
@@ -85,12 +88,54 @@
         self.tried.discard(upstream.name)
         self.unreachable.add(upstream.name)
 
-    def on_lost(self, upstream: Upstream, error: Exception) -> None:
-        """Record that the reply to a request, or to its prefill, was lost."""
-        run = LostRun(self.fingerprint, self.call.traits.request_id)
-        self.context.crash_detector.on_run_lost(
-            upstream, run, disconnected=isinstance(error, ConnectionLostError)
-        )
+    def check_quarantine(self) -> None:
+        """Check that the request may be sent to another upstream.
+
+        :raises RequestError: if it is in quarantine, or would be if its last run was
+            lost in a crash.
+        """
+        if not self.context.quarantine.is_watching:
+            return
+        try:
+            self.context.quarantine.check(self.fingerprint)
+        except RequestError:
+            if self.may_have_run:
+                raise RequestError(ResultCode.OUTCOME_UNKNOWN) from None
+            raise
+
+    def on_lost(
+        self, upstream: Upstream, error: Exception, *, replied: bool = False
+    ) -> None:
+        """Record that the reply to a request, or to its prefill, was lost.
+
+        An upstream that fell silent without a reply may have been dead before the
+        request was sent.
+
+        :param replied: whether part of the reply had arrived.
+        """
+        disconnected = isinstance(error, ConnectionLostError)
+        if disconnected or replied:
+            run = LostRun(self.fingerprint, self.call.traits.request_id)
+            self.context.quarantine.detector.on_run_lost(
+                upstream, run, disconnected=disconnected
+            )
+
+    def run_apart(
+        self, upstream: Upstream
+    ) -> contextlib.AbstractAsyncContextManager[bool]:
+        """Keep an attempt apart from others that may crash the same upstream.
+
+        The block receives whether the request may be sent to the upstream now.
+        """
+        quarantine = self.context.quarantine
+        if not quarantine.is_watching:
+            return contextlib.nullcontext(True)
+        return quarantine.run_apart(self.fingerprint, upstream)
+
+    def on_answered(self) -> None:
+        """Record that an upstream has run the request to its end."""
+        if self.context.quarantine.ledger:
+            self.context.quarantine.on_answered(self.fingerprint)
 
     def exhausted_error(
         self, code: ResultCode = ResultCode.NO_UPSTREAM
--- a/src/bergamotmast/direct/core.py
+++ b/src/bergamotmast/direct/core.py
@@ -170,6 +170,7 @@
         :param log_fields: receives the fields of the log line at the request's end.
         """
         self.context.retry_budget.on_request(call.group.name)
+        self.context.quarantine.admit(call)
         if call.route.kind is CallKind.STREAM:
             now = asyncio.get_running_loop().time()
             output_tokens = call.traits.expected_tokens or call.traits.max_tokens
--- a/src/bergamotmast/direct/crash_detector.py
+++ b/src/bergamotmast/direct/crash_detector.py
@@ -104,13 +104,21 @@
         self.losses: dict[UpstreamKey, Losses] = {}
         self.tasks: set[asyncio.Task[None]] = set()
 
+    def unexplained(self, fingerprint: str) -> int:
+        """Return how many lost runs of a request may turn out to be crashes."""
+        return sum(
+            fingerprint in losses.runs
+            for losses in self.losses.values()
+            if not losses.crashed
+        )
+
     def on_run_lost(
         self, upstream: Upstream, run: LostRun, *, disconnected: bool
     ) -> None:
         """Record a run whose reply was lost.
 
         :param disconnected: whether the connection ended by itself; otherwise the
-            upstream was silent.
+            upstream fell silent.
         """
         now = asyncio.get_running_loop().time()
         key = (upstream.name, upstream.boot)
--- /dev/null
+++ b/src/bergamotmast/direct/crash_records.py
@@ -0,0 +1,175 @@
+"""Records of crashes in the key-value store, shared by all entries.
+
+Each request that was lost in a crash has one key per crash. Entries that see crashes of
+the same request at the same time write different keys, so that none is overwritten.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import hashlib
+import logging
+import random
+
+import msgspec
+
+from ..backoff import Backoff
+from ..errors import ConfigError
+from ..errors import PortError
+from ..policy.crash_ledger import Verdict
+from ..policy.crash_ledger import verdict_of
+from ..ports import Delete
+from ..ports import KeyValueService
+from ..ports import Put
+from .model import Upstream
+
+logger = logging.getLogger(__name__)
+
+CRASHES_PREFIX = "/bergamotmast/crashes/"
+
+CRASH_ID_BYTES = 8
+
+MAX_WRITES_PER_TXN = 32
+"""Maximum number of writes that the store accepts in one transaction."""
+
+MIN_WRITE_INTERVAL_SECONDS = 0.1
+"""Minimum time between two transactions of an entry: the limit on the store's writes is
+shared by all entries, which lose runs at the same time."""
+
+MAX_RETRY_DELAY_SECONDS = 2.0
+"""Maximum delay between two attempts while the store is unavailable."""
+
+
+class CrashReport(msgspec.Struct, frozen=True):
+    """Value of a crash's key, for operators.
+
+    :param upstream: name of the upstream that crashed.
+    :param boot: id of its incarnation.
+    :param entry: name of the entry that had sent the request.
+    :param request_id: id of the caller's try.
+    """
+
+    upstream: str
+    boot: str
+    entry: str
+    request_id: str
+
+
+def crash_id(upstream: Upstream) -> str:
+    """Return the id of the crash of one incarnation of an upstream.
+
+    It is short and hexadecimal, whatever the name is, as keys are limited.
+    """
+    text = f"{upstream.name}\n{upstream.boot}".encode(errors="surrogateescape")
+    return hashlib.blake2b(text, digest_size=CRASH_ID_BYTES).hexdigest()
+
+
+def crash_key(fingerprint: str, crash: str) -> str:
+    """Return the key of a request's crash."""
+    return f"{CRASHES_PREFIX}{fingerprint}/{crash}"
+
+
+def parse_crash_key(key: str) -> tuple[str, str]:
+    """Return the fingerprint and the crash's id that a key stands for.
+
+    :raises ConfigError: if it is not a crash's key.
+    """
+    parts = key.removeprefix(CRASHES_PREFIX).split("/")
+    if not key.startswith(CRASHES_PREFIX) or len(parts) != 2 or not all(parts):
+        raise ConfigError(f"{key} is not the key of a crash")
+    return parts[0], parts[1]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LostRequest:
+    """A request and the crashes in which it was lost.
+
+    :param crashes: report of each crash; ``None`` for one that can't be decoded.
+    """
+
+    fingerprint: str
+    crashes: tuple[CrashReport | None, ...]
+
+    @property
+    def verdict(self) -> Verdict:
+        """The verdict on the request."""
+        return verdict_of(len(self.crashes))
+
+
+async def read_lost_requests(kv: KeyValueService) -> list[LostRequest]:
+    """Return all requests that were lost in crashes, most crashes first."""
+    result = await kv.range(CRASHES_PREFIX)
+    crashes: dict[str, list[CrashReport | None]] = {}
+    for item in result.items:
+        with contextlib.suppress(ConfigError):
+            fingerprint, _ = parse_crash_key(item.key)
+            crashes.setdefault(fingerprint, []).append(_decode_report(item.value))
+    found = [LostRequest(name, tuple(reports)) for name, reports in crashes.items()]
+    return sorted(found, key=lambda lost: -len(lost.crashes))
+
+
+async def delete_crashes(kv: KeyValueService, fingerprint: str) -> int:
+    """Delete all crashes of a request; return how many there were."""
+    result = await kv.range(f"{CRASHES_PREFIX}{fingerprint}/")
+    keys = [item.key for item in result.items]
+    for start in range(0, len(keys), MAX_WRITES_PER_TXN):
+        batch = keys[start : start + MAX_WRITES_PER_TXN]
+        await kv.txn([], [Delete(key) for key in batch])
+    return len(keys)
+
+
+def _decode_report(value: bytes) -> CrashReport | None:
+    try:
+        return msgspec.json.decode(value, type=CrashReport)
+    except msgspec.DecodeError:
+        # Shown as unreadable: the key alone tells that there was a crash.
+        return None
+
+
+class CrashRecordWriter:
+    """Writes crashes to the store in the background, in the order of the last change.
+
+    All writes are idempotent, so that one whose reply was lost is simply repeated.
+
+    :param pending: values to write by key; ``None`` for a key to delete.
+    """
+
+    def __init__(self, kv: KeyValueService, rng: random.Random) -> None:
+        self.kv = kv
+        self.pending: dict[str, bytes | None] = {}
+        self.changed = asyncio.Event()
+        self.backoff = Backoff(rng, initial=0.1, maximum=MAX_RETRY_DELAY_SECONDS)
+
+    def write(self, key: str, value: bytes | None) -> None:
+        """Schedule a write; ``None`` deletes the key."""
+        self.pending[key] = value
+        self.changed.set()
+
+    async def run(self) -> None:
+        """Write what is pending until cancelled."""
+        while True:
+            await self.changed.wait()
+            self.changed.clear()
+            while self.pending:
+                await self._write_some()
+
+    async def _write_some(self) -> None:
+        batch = dict(list(self.pending.items())[:MAX_WRITES_PER_TXN])
+        writes: list[Put | Delete] = [
+            Delete(key) if value is None else Put(key, value)
+            for key, value in batch.items()
+        ]
+        try:
+            await self.kv.txn([], writes)
+        except PortError as error:
+            logger.info("crashes are not written", extra={"error": error.message})
+            await asyncio.sleep(self.backoff.next_delay())
+            return
+        self.backoff.reset()
+        for key, value in batch.items():
+            # It may have been replaced while the call was under way.
+            if key in self.pending and self.pending[key] is value:
+                del self.pending[key]
+        await asyncio.sleep(MIN_WRITE_INTERVAL_SECONDS)
--- a/src/bergamotmast/direct/decode_attempt.py
+++ b/src/bergamotmast/direct/decode_attempt.py
@@ -74,7 +74,15 @@
 
         :raises RequestError: if it must not be retried, or no attempt is left.
         """
-        self.stream.attempts.begin(self.upstream)
+        attempts = self.stream.attempts
+        attempts.begin(self.upstream)
+        async with attempts.run_apart(self.upstream) as granted:
+            if not granted:
+                attempts.on_not_sent(self.upstream)
+                return None
+            return await self._run()
+
+    async def _run(self) -> int | None:
         self._track_prefill()
         try:
             return await self._exchange()
@@ -83,7 +91,8 @@
             self.stream.attempts.on_not_sent(self.upstream)
             self._log_failure(error.message, "not reached")
         except ReplyLostError as error:
-            self.stream.attempts.on_lost(self.upstream, error)
+            replied = self.last_reply_at < math.inf
+            self.stream.attempts.on_lost(self.upstream, error, replied=replied)
             self._on_broken(error)
         except BrokenStreamError as error:
             self._on_broken(error)
--- a/src/bergamotmast/direct/fingerprint.py
+++ b/src/bergamotmast/direct/fingerprint.py
@@ -14,7 +14,7 @@
 DIGEST_BYTES = 16
 
 
-def fingerprint(call: Call) -> str:
+def fingerprint_of(call: Call) -> str:
     """Return the digest of a call's host, method, target and body, in hexadecimal.
 
     The hash is cryptographic: with a weaker one, a caller could choose a request that
--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -8,6 +8,7 @@
 import enum
 import ipaddress
 import logging
+import typing as t
 
 import msgspec
 
@@ -51,6 +52,25 @@
 restore of the store from a backup that is a few seconds old."""
 
 
+class KeyListener(t.Protocol):
+    """Receiver of the keys below one prefix."""
+
+    def put(self, item: KeyValue) -> None:
+        """Apply one key's new value."""
+        ...
+
+    def remove(self, key: str) -> None:
+        """Apply a key's removal."""
+        ...
+
+    def replace_all(self, items: tuple[KeyValue, ...], *, restored: bool) -> None:
+        """Apply a snapshot of all keys below the prefix.
+
+        :param restored: whether the store was restored from a backup before.
+        """
+        ...
+
+
 class ReadReason(enum.Enum):
     """Why all keys are read; determines how missing upstreams are handled.
 
@@ -112,6 +132,7 @@
     :param entry_share: this entry's share of budgets common to all entries.
     :param on_removal: callbacks for the removal of an existing key, by key.
     :param existing_keys: keys of ``on_removal`` that the store is known to hold.
+    :param listeners: receivers of keys that are none of the fleet's, by prefix.
     :param first_ready: set once requests can be routed for the first time.
     """
 
@@ -134,6 +155,7 @@
         self.entry_share = EntryShare(own_entry)
         self.on_removal: dict[str, cabc.Callable[[], None]] = {}
         self.existing_keys: set[str] = set()
+        self.listeners: dict[str, KeyListener] = {}
         self.first_ready = asyncio.Event()
 
     @property
@@ -226,12 +248,19 @@
             self._put_planned_role(item)
         elif item.key.startswith(PRESENCE_PREFIX):
             self._put_entry(item)
+        else:
+            for prefix, listener in self.listeners.items():
+                if item.key.startswith(prefix):
+                    listener.put(item)
 
     def remove(self, key: str, revision: int) -> None:
         """Apply a key's removal; a removed configuration stays in force."""
         self._forget_entry(key)
         if key in self.existing_keys:
             self._notify_removal(key)
+        for prefix, listener in self.listeners.items():
+            if key.startswith(prefix):
+                listener.remove(key)
         record = self.upstream_records.get(key)
         if record is not None and revision > record.revision:
             del self.upstream_records[key]
@@ -251,6 +280,9 @@
         upstream_prefix = self.directory.upstream_prefix
         self.replace_upstreams(_items_with_prefix(upstream_prefix, items), now, reason)
         self.replace_entries(_items_with_prefix(PRESENCE_PREFIX, items))
+        restored = reason is ReadReason.RESTORE
+        for prefix, listener in self.listeners.items():
+            listener.replace_all(_items_with_prefix(prefix, items), restored=restored)
         for item in items:
             if item.key == self.directory.config_key or item.key in self.on_removal:
                 self.put(item)
--- a/src/bergamotmast/direct/plain_run.py
+++ b/src/bergamotmast/direct/plain_run.py
@@ -73,10 +73,18 @@
                 raise
             response = await self._send(upstream)
             if response is not None:
+                self.attempts.on_answered()
                 return response
 
     async def _send(self, upstream: Upstream) -> PlainResponse | None:
         """Make one attempt; return ``None`` if another upstream may be tried."""
+        async with self.attempts.run_apart(upstream) as granted:
+            if not granted:
+                self.attempts.on_not_sent(upstream)
+                return None
+            return await self._run(upstream)
+
+    async def _run(self, upstream: Upstream) -> PlainResponse | None:
         tracker = self.context.placer.plain_load(upstream)
         loop = asyncio.get_running_loop()
         tracker.running += 1
--- /dev/null
+++ b/src/bergamotmast/direct/quarantine.py
@@ -0,0 +1,289 @@
+"""Quarantine of requests that crash the upstreams that run them.
+
+All entries share the crashes that each of them sees, by the store that they watch. An
+entry that has lost the store goes by what it knows.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc as cabc
+import contextlib
+import logging
+import random
+
+import msgspec
+
+from ..errors import ConfigError
+from ..errors import RequestError
+from ..errors import ResultCode
+from ..policy.crash_ledger import HARMFUL_RETENTION_SECONDS
+from ..policy.crash_ledger import CrashLedger
+from ..policy.crash_ledger import Verdict
+from ..policy.crash_ledger import verdict_of
+from ..ports import KeyValue
+from ..telemetry import Telemetry
+from .crash_detector import REGISTRATION_LAPSE_SECONDS
+from .crash_detector import CrashDetector
+from .crash_detector import LostRun
+from .crash_records import CrashRecordWriter
+from .crash_records import CrashReport
+from .crash_records import crash_id
+from .crash_records import crash_key
+from .crash_records import parse_crash_key
+from .fingerprint import fingerprint_of
+from .model import Call
+from .model import Upstream
+from .trials import Trials
+
+logger = logging.getLogger(__name__)
+
+CLEANUP_SECONDS = 30.0
+"""Interval between two removals of expired records."""
+
+REFRESH_SECONDS = 120.0
+"""Interval at which the record of a request that keeps coming is written again, so that
+no entry lets it expire."""
+
+REMOVED_RETENTION_SECONDS = 60.0
+"""How long a removed key is remembered, to remove it again after a restore of the store
+from a backup that is a few seconds old."""
+
+
+class Quarantine:
+    """Decides which requests may run, by the crashes that all entries have seen.
+
+    Implements :class:`~.crash_detector.CrashObserver` and
+    :class:`~.fleet.KeyListener`.
+
+    :param name: name of this entry.
+    :param detector: detector of crashes; its observer is set.
+    :param writer: writer of the records; ``None`` to keep them to this entry.
+    :param values: value of each known crash's key.
+    :param removed: when a removed key is forgotten, by key; points in time.
+    :param refresh_at: when the record of a request that keeps coming is to be written
+        again, by fingerprint; points in time.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        detector: CrashDetector,
+        telemetry: Telemetry,
+        rng: random.Random,
+        trials: Trials,
+        writer: CrashRecordWriter | None = None,
+    ) -> None:
+        self.name = name
+        self.detector = detector
+        detector.observer = self
+        self.telemetry = telemetry
+        self.rng = rng
+        self.trials = trials
+        self.writer = writer
+        self.ledger = CrashLedger()
+        self.values: dict[str, bytes] = {}
+        self.removed: dict[str, float] = {}
+        self.refresh_at: dict[str, float] = {}
+
+    @property
+    def is_watching(self) -> bool:
+        """Whether any request was lost; if not, requests need no fingerprint."""
+        return bool(self.ledger) or bool(self.detector.losses)
+
+    def verdict(self, fingerprint: str) -> Verdict:
+        """Return the verdict on a request, with losses not yet explained as crashes.
+
+        Until it is known whether its last run was lost in a crash, a request must not
+        go on to the next upstream and crash that one too.
+        """
+        crashes = len(self.ledger.crashes(fingerprint))
+        return verdict_of(crashes + self.detector.unexplained(fingerprint))
+
+    def admit(self, call: Call) -> None:
+        """Check that a caller's request may be run.
+
+        :raises RequestError: if it is in quarantine.
+        """
+        if self.is_watching:
+            self.check(fingerprint_of(call))
+
+    def check(self, fingerprint: str) -> None:
+        """Check that a request may be sent to an upstream.
+
+        :raises RequestError: if it is in quarantine.
+        """
+        if self.verdict(fingerprint) is not Verdict.HARMFUL:
+            return
+        crashes = self.ledger.crashes(fingerprint)
+        proven = verdict_of(len(crashes)) is Verdict.HARMFUL
+        logger.info(
+            "request is in quarantine",
+            extra={"request": fingerprint, "crashes": len(crashes), "proven": proven},
+        )
+        if not proven:
+            raise RequestError(
+                ResultCode.QUARANTINED, retry_after=REGISTRATION_LAPSE_SECONDS
+            )
+        now = asyncio.get_running_loop().time()
+        self.ledger.touch(fingerprint, now)
+        self._refresh(fingerprint, now)
+        raise RequestError(
+            ResultCode.QUARANTINED, retry_after=HARMFUL_RETENTION_SECONDS
+        )
+
+    @contextlib.asynccontextmanager
+    async def run_apart(
+        self, fingerprint: str, upstream: Upstream
+    ) -> cabc.AsyncIterator[bool]:
+        """Keep a run of a request on trial apart from other trials, during a block.
+
+        The block receives ``False`` if the upstream is taken by another trial, and the
+        request must not be sent to it.
+        """
+        if self.verdict(fingerprint) is Verdict.HARMLESS:
+            yield True
+            return
+        async with self.trials.claim(fingerprint, upstream) as granted:
+            yield granted
+
+    def on_answered(self, fingerprint: str) -> None:
+        """Clear a request that an upstream has run to its end."""
+        crashes = self.ledger.crashes(fingerprint)
+        if not crashes:
+            return
+        logger.info(
+            "request is cleared",
+            extra={"request": fingerprint, "crashes": len(crashes)},
+        )
+        for crash in crashes:
+            self._delete(fingerprint, crash)
+        self.ledger.clear(fingerprint)
+
+    def on_crash(self, upstream: Upstream, runs: cabc.Sequence[LostRun]) -> None:
+        """Add a crash to the records of all requests that were lost in it."""
+        crash = crash_id(upstream)
+        for run in runs:
+            report = CrashReport(
+                upstream.name, upstream.boot, self.name, run.request_id
+            )
+            key = crash_key(run.fingerprint, crash)
+            value = msgspec.json.encode(report)
+            self._add(run.fingerprint, crash, value)
+            self._write(key, value)
+
+    def on_survival(self, upstream: Upstream, runs: cabc.Sequence[LostRun]) -> None:
+        """Withdraw a crash that has turned out to be none."""
+        crash = crash_id(upstream)
+        for run in runs:
+            self._delete(run.fingerprint, crash)
+            self.ledger.withdraw(run.fingerprint, crash)
+
+    def put(self, item: KeyValue) -> None:
+        """Apply a crash that an entry has written."""
+        try:
+            fingerprint, crash = parse_crash_key(item.key)
+        except ConfigError as error:
+            logger.warning(
+                "crash cannot be decoded",
+                extra={"key": item.key, "error": error.message},
+            )
+            return
+        self.removed.pop(item.key, None)
+        self._add(fingerprint, crash, item.value)
+
+    def remove(self, key: str) -> None:
+        """Apply the removal of a crash, by an entry or an operator."""
+        with contextlib.suppress(ConfigError):
+            fingerprint, crash = parse_crash_key(key)
+            self.values.pop(key, None)
+            self.ledger.withdraw(fingerprint, crash)
+            self._remember_removal(key)
+            self._report_size()
+
+    def replace_all(self, items: tuple[KeyValue, ...], *, restored: bool) -> None:
+        """Apply a snapshot of all crashes in the store.
+
+        After a restore from a backup, what the backup lacks is written again and what
+        had been removed since is removed again.
+        """
+        present = {item.key for item in items}
+        for key in self.values.keys() - present:
+            if restored:
+                self._write(key, self.values[key])
+            elif not self._is_pending(key):
+                self.remove(key)
+        now = asyncio.get_running_loop().time()
+        for item in items:
+            if restored and now < self.removed.get(item.key, now):
+                self._write(item.key, None)
+            elif item.key not in self.values:
+                self.put(item)
+
+    async def run(self) -> None:
+        """Remove expired records until cancelled."""
+        while True:
+            # Entries that started together would otherwise all remove the same ones.
+            await asyncio.sleep(CLEANUP_SECONDS * self.rng.uniform(0.5, 1.5))
+            self.clean_up(asyncio.get_running_loop().time())
+
+    def clean_up(self, now: float) -> None:
+        """Remove expired records."""
+        for fingerprint in self.ledger.expired(now):
+            for crash in self.ledger.crashes(fingerprint):
+                self._delete(fingerprint, crash)
+            self.ledger.clear(fingerprint)
+        self._report_size()
+        for times in (self.removed, self.refresh_at):
+            for key in [key for key, at in times.items() if now >= at]:
+                del times[key]
+
+    def _add(self, fingerprint: str, crash: str, value: bytes) -> None:
+        self.values[crash_key(fingerprint, crash)] = value
+        now = asyncio.get_running_loop().time()
+        if not self.ledger.add(fingerprint, crash, now):
+            return
+        crashes = len(self.ledger.crashes(fingerprint))
+        verdict = verdict_of(crashes)
+        if verdict is Verdict.HARMLESS:
+            return
+        logger.warning(
+            "request is put on trial"
+            if verdict is Verdict.ON_TRIAL
+            else "request is put into quarantine",
+            extra={
+                "request": fingerprint,
+                "crashes": crashes,
+                "last": value.decode(errors="replace"),
+            },
+        )
+        self._report_size()
+
+    def _report_size(self) -> None:
+        self.telemetry.on_quarantine(self.ledger.count(Verdict.HARMFUL))
+
+    def _refresh(self, fingerprint: str, now: float) -> None:
+        """Write one crash of a harmful request again, so that it does not expire."""
+        if now < self.refresh_at.get(fingerprint, now):
+            return
+        self.refresh_at[fingerprint] = now + REFRESH_SECONDS
+        crash = min(self.ledger.crashes(fingerprint))
+        key = crash_key(fingerprint, crash)
+        self._write(key, self.values[key])
+
+    def _delete(self, fingerprint: str, crash: str) -> None:
+        key = crash_key(fingerprint, crash)
+        self.values.pop(key, None)
+        self._remember_removal(key)
+        self._write(key, None)
+
+    def _remember_removal(self, key: str) -> None:
+        now = asyncio.get_running_loop().time()
+        self.removed[key] = now + REMOVED_RETENTION_SECONDS
+
+    def _write(self, key: str, value: bytes | None) -> None:
+        if self.writer is not None:
+            self.writer.write(key, value)
+
+    def _is_pending(self, key: str) -> bool:
+        return self.writer is not None and key in self.writer.pending
--- a/src/bergamotmast/direct/remote_prefill.py
+++ b/src/bergamotmast/direct/remote_prefill.py
@@ -49,8 +49,12 @@
         return self.count < MAX_PREFILL_ATTEMPTS
 
     async def run(self, engine: Upstream) -> None:
-        """Run a prefill; on success, the stream's KV cache handle is set."""
+        """Run a prefill; on success, the stream's KV cache handle is set.
+
+        :raises RequestError: if the retry budget or the quarantine allows none.
+        """
         stream = self.stream
+        stream.attempts.check_quarantine()
         if self.done and not stream.attempts.spend():
             self.count = MAX_PREFILL_ATTEMPTS
             return
--- a/src/bergamotmast/direct/stream_run.py
+++ b/src/bergamotmast/direct/stream_run.py
@@ -43,6 +43,7 @@
                     continue
                 status = await DecodeAttempt(self.stream, upstream).run()
                 if status is not None:
+                    attempts.on_answered()
                     return status
         except RequestError as error:
             if attempts.may_have_run:
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -17,15 +17,19 @@
 from .direct.context import Context
 from .direct.core import DirectCore
 from .direct.crash_detector import CrashDetector
+from .direct.crash_records import CRASHES_PREFIX
+from .direct.crash_records import CrashRecordWriter
 from .direct.fleet import Fleet
 from .direct.http_frontend import DirectHttpFrontend
 from .direct.notices import NoticeExchange
 from .direct.placer import RequestPlacer
 from .direct.presence import Presence
 from .direct.presence import presence_key
+from .direct.quarantine import Quarantine
 from .direct.retry_budget import SharedRetryBudget
 from .direct.role_planner import RolePlanner
 from .direct.store_watcher import StoreWatcher
+from .direct.trials import Trials
 from .history import NullHistory
 from .lifecycle import METRICS_PATH
 from .lifecycle import Shutdown
@@ -75,6 +79,9 @@
 """Maximum delay of the first poll of the lease: roles should be assigned before the
 first callers connect."""
 
+COMMAND_RECOVERY_SECONDS = 3.0
+"""Maximum time in which an operator's command detects a stalled connection."""
+
 MAX_PLAN_WRITES = 24
 """Maximum number of engines changed by one transaction. The store accepts 32 operations
 per transaction, of which the plan needs three for itself."""
@@ -107,6 +114,16 @@
             lambda: watch_pause(len(fleet.entries)),
         )
         orders = PlatformOrders(client)
+        crash_writer = CrashRecordWriter(store, rng)
+        quarantine = Quarantine(
+            settings.name,
+            CrashDetector(fleet, metrics, TcpConnectionProbe()),
+            metrics,
+            rng,
+            Trials(settings.name, store),
+            crash_writer,
+        )
+        fleet.listeners[CRASHES_PREFIX] = quarantine
         limits = RetryLimits(settings.retry_share, settings.retry_free)
         retry_budget = SharedRetryBudget(fleet, limits, metrics)
         context = Context(
@@ -116,7 +133,7 @@
             placer,
             rng,
             retry_budget,
-            CrashDetector(fleet, metrics, TcpConnectionProbe()),
+            quarantine,
             liveness_probe=orders,
         )
         context.notices = NoticeExchange(
@@ -135,7 +152,13 @@
         planner = _planner(settings, store, context, orders)
         store_watcher = StoreWatcher(store, fleet, rng)
         store.on_restored.append(store_watcher.on_restored)
-        coroutines = (store_watcher.run(), presence.run(), planner.run())
+        coroutines = (
+            store_watcher.run(),
+            presence.run(),
+            crash_writer.run(),
+            quarantine.run(),
+            planner.run(),
+        )
         tasks = await stack.enter_async_context(
             run_background_tasks(coroutines, shutdown)
         )
@@ -149,6 +172,16 @@
     shutdown.raise_failure()
 
 
+@contextlib.asynccontextmanager
+async def open_store(address: str) -> cabc.AsyncIterator[PlatformStore]:
+    """Yield a client of the platform's store for an operator's command.
+
+    :param address: where the store listens, ``host:port``.
+    """
+    async with store_session() as session:
+        yield PlatformStore(session, address, COMMAND_RECOVERY_SECONDS)
+
+
 def _planner(
     settings: DirectEntrySettings,
     store: PlatformStore,
--- a/src/bergamotmast/errors.py
+++ b/src/bergamotmast/errors.py
@@ -38,6 +38,7 @@
     DEADLINE_UNREACHABLE = 202
     EXPIRED_IN_QUEUE = 203
     RETRY_BUDGET_SPENT = 204
+    QUARANTINED = 205
 
     NO_UPSTREAM = 300
     UPSTREAM_LEAVING = 301
@@ -134,6 +135,9 @@
     ResultCode.RETRY_BUDGET_SPENT: CodeInfo(
         _NOT_RUN, 503, True, "The retry budget is spent; come back later."
     ),
+    ResultCode.QUARANTINED: CodeInfo(
+        _NOT_RUN, 503, False, "The request has crashed upstreams and is not run again."
+    ),
     ResultCode.NO_UPSTREAM: CodeInfo(
         _NOT_RUN, 503, True, "No upstream is ready for this request."
     ),
--- a/src/bergamotmast/telemetry.py
+++ b/src/bergamotmast/telemetry.py
@@ -61,6 +61,10 @@
         """Count an upstream's crash and the runs that were lost with it."""
         ...
 
+    def on_quarantine(self, requests: int) -> None:
+        """Record the number of requests in quarantine."""
+        ...
+
 
 class NullTelemetry:
     """Telemetry that discards all measurements."""
@@ -100,3 +104,6 @@
 
     def on_crash(self, group: str, lost_runs: int) -> None:
         """Discard the measurement."""
+
+    def on_quarantine(self, requests: int) -> None:
+        """Discard the measurement."""
--- a/tests/direct_support.py
+++ b/tests/direct_support.py
@@ -19,7 +19,9 @@
 from bergamotmast.direct.http_frontend import DirectHttpFrontend
 from bergamotmast.direct.placer import RequestPlacer
 from bergamotmast.direct.ports import LivenessProbe
+from bergamotmast.direct.quarantine import Quarantine
 from bergamotmast.direct.retry_budget import SharedRetryBudget
+from bergamotmast.direct.trials import Trials
 from bergamotmast.platform.directory import PlatformDirectory
 from bergamotmast.platform.headers import PlatformDialect
 from bergamotmast.policy.retry_window import RetryLimits
@@ -196,7 +198,13 @@
             placer,
             rng,
             SharedRetryBudget(fleet, RetryLimits(), telemetry),
-            CrashDetector(fleet, telemetry, TcpConnectionProbe()),
+            Quarantine(
+                "entry-1",
+                CrashDetector(fleet, telemetry, TcpConnectionProbe()),
+                telemetry,
+                rng,
+                Trials("entry-1"),
+            ),
             liveness_probe=liveness_probe,
         )
         core = DirectCore(context, telemetry)
--- a/tests/prompt_load.py
+++ b/tests/prompt_load.py
@@ -23,7 +23,9 @@
 from bergamotmast.direct.fleet import Fleet
 from bergamotmast.direct.notices import NoticeExchange
 from bergamotmast.direct.placer import RequestPlacer
+from bergamotmast.direct.quarantine import Quarantine
 from bergamotmast.direct.retry_budget import SharedRetryBudget
+from bergamotmast.direct.trials import Trials
 from bergamotmast.platform.directory import PlatformDirectory
 from bergamotmast.platform.headers import PlatformDialect
 from bergamotmast.policy.decisions import ALL_DECISIONS
@@ -296,7 +298,9 @@
             placer,
             rng,
             retry_budget,
-            CrashDetector(fleet, telemetry),
+            Quarantine(
+                name, CrashDetector(fleet, telemetry), telemetry, rng, Trials(name)
+            ),
             liveness_probe=LiveEngines(),
         )
         address = (name, 1)
