Add the quarantine command: list and lift requests that have crashed upstreams

Operators need to see what is refused and for which crashes, and to lift it once the upstreams can run it.

--- a/src/bergamotmast/cli.py
+++ b/src/bergamotmast/cli.py
@@ -56,6 +56,7 @@
     Command("direct", "run an entry that connects to upstreams without sides"),
     Command("side", "run the side process of one upstream"),
     Command("config", "check, show, compare, edit the configuration"),
+    Command("quarantine", "list and lift requests that have crashed upstreams"),
     Command("status", "show the fleet as an entry sees it"),
     Command("explain", "show what happened to a request, from logs"),
     Command("load", "replay a trace against an entry"),
--- a/src/bergamotmast/reference.py
+++ b/src/bergamotmast/reference.py
@@ -16,6 +16,7 @@
 from .settings import DirectEntrySettings
 from .settings import EntrySettings
 from .settings import KeyValueSettings
+from .settings import QuarantineSettings
 from .settings import SideSettings
 from .settings import declarations
 
@@ -63,6 +64,7 @@
         ("`bergamotmast side`", SideSettings),
         ("`bergamotmast direct`", DirectEntrySettings),
         ("`bergamotmast config`", KeyValueSettings),
+        ("`bergamotmast quarantine`", QuarantineSettings),
     )
     parts = [_SETTINGS_INTRO]
     for title, settings in sections:
--- a/src/bergamotmast/settings.py
+++ b/src/bergamotmast/settings.py
@@ -96,6 +96,13 @@
     key_value_url: str = _setting(URL, _PLATFORM, "base URL of the key-value service")
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class QuarantineSettings:
+    """Settings of the ``quarantine`` commands: where the crashes are kept."""
+
+    store_address: str = _setting(ADDRESS, _PLATFORM, "address of the platform's store")
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SharedSettings(KeyValueSettings):
     """Settings that entries and sides share."""
@@ -252,7 +259,7 @@
     )
 
 
-AnySettings: t.TypeAlias = KeyValueSettings | DirectEntrySettings
+AnySettings: t.TypeAlias = KeyValueSettings | DirectEntrySettings | QuarantineSettings
 
 _S = t.TypeVar("_S", bound=AnySettings)
 
