Move the quarantine and its records out of the direct entry

The product's own entries are to use the same records, verdicts and trials. The quarantine learns of upstreams by name and boot, and of losses that are not yet explained through a protocol. No change of behaviour: tests of the quarantine, the detector, streams, calls and the process pass (145 passed, 2 xpassed).

--- a/src/bergamotmast/commands/quarantine.py
+++ b/src/bergamotmast/commands/quarantine.py
@@ -7,9 +7,9 @@
 
 import msgspec
 
-from ..direct.crash_records import LostRequest
-from ..direct.crash_records import delete_crashes
-from ..direct.crash_records import read_lost_requests
+from ..crashes.records import LostRequest
+from ..crashes.records import delete_crashes
+from ..crashes.records import read_lost_requests
 from ..direct_daemon import open_store
 from ..errors import BergamotmastError
 from ..settings import QuarantineSettings
--- /dev/null
+++ b/src/bergamotmast/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash the upstreams that run them: records, trials, quarantine."""
--- /dev/null
+++ b/src/bergamotmast/crashes/model.py
@@ -0,0 +1,41 @@
+"""Data about crashes of upstreams."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+
+CRASH_ID_BYTES = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Incarnation:
+    """One run of an upstream's process.
+
+    :param name: name of the upstream.
+    :param boot: id that changes with each restart.
+    """
+
+    name: str
+    boot: str
+
+    @property
+    def crash_id(self) -> str:
+        """Id of the crash of this incarnation.
+
+        It is short and hexadecimal, whatever the name is, as keys are limited.
+        """
+        text = f"{self.name}\n{self.boot}".encode(errors="surrogateescape")
+        return hashlib.blake2b(text, digest_size=CRASH_ID_BYTES).hexdigest()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LostRun:
+    """A run that was lost with its upstream.
+
+    :param fingerprint: fingerprint of the request, the same for all of its tries.
+    :param request_id: id of the caller's try.
+    """
+
+    fingerprint: str
+    request_id: str
--- a/src/bergamotmast/direct/quarantine.py
+++ b/src/bergamotmast/crashes/quarantine.py
@@ -11,6 +11,7 @@
 import contextlib
 import logging
 import random
+import typing as t
 
 import msgspec
 
@@ -23,17 +24,12 @@
 from ..policy.crash_ledger import verdict_of
 from ..ports import KeyValue
 from ..telemetry import Telemetry
-from .crash_detector import REGISTRATION_LAPSE_SECONDS
-from .crash_detector import CrashDetector
-from .crash_detector import LostRun
-from .crash_records import CrashRecordWriter
-from .crash_records import CrashReport
-from .crash_records import crash_id
-from .crash_records import crash_key
-from .crash_records import parse_crash_key
-from .fingerprint import fingerprint_of
-from .model import Call
-from .model import Upstream
+from .model import Incarnation
+from .model import LostRun
+from .records import CrashRecordWriter
+from .records import CrashReport
+from .records import crash_key
+from .records import parse_crash_key
 from .trials import Trials
 
 logger = logging.getLogger(__name__)
@@ -45,19 +41,57 @@
 """Interval at which the record of a request that keeps coming is written again, so that
 no entry lets it expire."""
 
+EXPLANATION_SECONDS = 8.0
+"""Maximum time until a lost run has turned out to be a crash or not."""
+
 REMOVED_RETENTION_SECONDS = 60.0
 """How long a removed key is remembered, to remove it again after a restore of the store
 from a backup that is a few seconds old."""
 
 
+class CrashObserver(t.Protocol):
+    """Receiver of detected crashes."""
+
+    def on_crash(self, upstream: Incarnation, runs: cabc.Sequence[LostRun]) -> None:
+        """Handle a crash; called again for runs whose loss becomes known later."""
+        ...
+
+    def on_survival(self, upstream: Incarnation, runs: cabc.Sequence[LostRun]) -> None:
+        """Handle the end of the assumption that an upstream has crashed."""
+        ...
+
+
+class UnexplainedLosses(t.Protocol):
+    """Lost runs of which it is not known yet whether they were lost in a crash."""
+
+    def __bool__(self) -> bool:
+        """Return whether any run was lost lately."""
+        ...
+
+    def unexplained(self, fingerprint: str) -> int:
+        """Return how many lost runs of a request may turn out to be crashes."""
+        ...
+
+
+class NoLosses:
+    """Implements :class:`UnexplainedLosses` where each loss is explained at once."""
+
+    def __bool__(self) -> bool:
+        """Return ``False``."""
+        return False
+
+    def unexplained(self, fingerprint: str) -> int:
+        """Return 0."""
+        return 0
+
+
 class Quarantine:
     """Decides which requests may run, by the crashes that all entries have seen.
 
-    Implements :class:`~.crash_detector.CrashObserver` and
-    :class:`~.fleet.KeyListener`.
+    Implements :class:`CrashObserver` and :class:`KeyListener`.
 
     :param name: name of this entry.
-    :param detector: detector of crashes; its observer is set.
+    :param losses: lost runs that may turn out to be crashes.
     :param writer: writer of the records; ``None`` to keep them to this entry.
     :param values: value of each known crash's key.
     :param removed: when a removed key is forgotten, by key; points in time.
@@ -68,15 +102,13 @@
     def __init__(
         self,
         name: str,
-        detector: CrashDetector,
         telemetry: Telemetry,
         rng: random.Random,
         trials: Trials,
         writer: CrashRecordWriter | None = None,
     ) -> None:
         self.name = name
-        self.detector = detector
-        detector.observer = self
+        self.losses: UnexplainedLosses = NoLosses()
         self.telemetry = telemetry
         self.rng = rng
         self.trials = trials
@@ -89,7 +121,7 @@
     @property
     def is_watching(self) -> bool:
         """Whether any request was lost; if not, requests need no fingerprint."""
-        return bool(self.ledger) or bool(self.detector.losses)
+        return bool(self.ledger) or bool(self.losses)
 
     def verdict(self, fingerprint: str) -> Verdict:
         """Return the verdict on a request, with losses not yet explained as crashes.
@@ -98,15 +130,7 @@
         go on to the next upstream and crash that one too.
         """
         crashes = len(self.ledger.crashes(fingerprint))
-        return verdict_of(crashes + self.detector.unexplained(fingerprint))
-
-    def admit(self, call: Call) -> None:
-        """Check that a caller's request may be run.
-
-        :raises RequestError: if it is in quarantine.
-        """
-        if self.is_watching:
-            self.check(fingerprint_of(call))
+        return verdict_of(crashes + self.losses.unexplained(fingerprint))
 
     def check(self, fingerprint: str) -> None:
         """Check that a request may be sent to an upstream.
@@ -122,9 +146,7 @@
             extra={"request": fingerprint, "crashes": len(crashes), "proven": proven},
         )
         if not proven:
-            raise RequestError(
-                ResultCode.QUARANTINED, retry_after=REGISTRATION_LAPSE_SECONDS
-            )
+            raise RequestError(ResultCode.QUARANTINED, retry_after=EXPLANATION_SECONDS)
         now = asyncio.get_running_loop().time()
         self.ledger.touch(fingerprint, now)
         self._refresh(fingerprint, now)
@@ -134,7 +156,7 @@
 
     @contextlib.asynccontextmanager
     async def run_apart(
-        self, fingerprint: str, upstream: Upstream
+        self, fingerprint: str, upstream: Incarnation
     ) -> cabc.AsyncIterator[bool]:
         """Keep a run of a request on trial apart from other trials, during a block.
 
@@ -160,9 +182,9 @@
             self._delete(fingerprint, crash)
         self.ledger.clear(fingerprint)
 
-    def on_crash(self, upstream: Upstream, runs: cabc.Sequence[LostRun]) -> None:
+    def on_crash(self, upstream: Incarnation, runs: cabc.Sequence[LostRun]) -> None:
         """Add a crash to the records of all requests that were lost in it."""
-        crash = crash_id(upstream)
+        crash = upstream.crash_id
         for run in runs:
             report = CrashReport(
                 upstream.name, upstream.boot, self.name, run.request_id
@@ -172,9 +194,9 @@
             self._add(run.fingerprint, crash, value)
             self._write(key, value)
 
-    def on_survival(self, upstream: Upstream, runs: cabc.Sequence[LostRun]) -> None:
+    def on_survival(self, upstream: Incarnation, runs: cabc.Sequence[LostRun]) -> None:
         """Withdraw a crash that has turned out to be none."""
-        crash = crash_id(upstream)
+        crash = upstream.crash_id
         for run in runs:
             self._delete(run.fingerprint, crash)
             self.ledger.withdraw(run.fingerprint, crash)
--- a/src/bergamotmast/direct/crash_records.py
+++ b/src/bergamotmast/crashes/records.py
@@ -9,7 +9,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import hashlib
 import logging
 import random
 
@@ -23,14 +22,11 @@
 from ..ports import Delete
 from ..ports import KeyValueService
 from ..ports import Put
-from .model import Upstream
 
 logger = logging.getLogger(__name__)
 
 CRASHES_PREFIX = "/bergamotmast/crashes/"
 
-CRASH_ID_BYTES = 8
-
 MAX_WRITES_PER_TXN = 32
 """Maximum number of writes that the store accepts in one transaction."""
 
@@ -57,15 +53,6 @@
     request_id: str
 
 
-def crash_id(upstream: Upstream) -> str:
-    """Return the id of the crash of one incarnation of an upstream.
-
-    It is short and hexadecimal, whatever the name is, as keys are limited.
-    """
-    text = f"{upstream.name}\n{upstream.boot}".encode(errors="surrogateescape")
-    return hashlib.blake2b(text, digest_size=CRASH_ID_BYTES).hexdigest()
-
-
 def crash_key(fingerprint: str, crash: str) -> str:
     """Return the key of a request's crash."""
     return f"{CRASHES_PREFIX}{fingerprint}/{crash}"
--- a/src/bergamotmast/direct/trials.py
+++ b/src/bergamotmast/crashes/trials.py
@@ -16,8 +16,7 @@
 from ..ports import Compare
 from ..ports import KeyValueService
 from ..ports import Put
-from .crash_records import crash_id
-from .model import Upstream
+from .model import Incarnation
 
 logger = logging.getLogger(__name__)
 
@@ -48,7 +47,7 @@
 
     @contextlib.asynccontextmanager
     async def claim(
-        self, fingerprint: str, upstream: Upstream
+        self, fingerprint: str, upstream: Incarnation
     ) -> cabc.AsyncIterator[bool]:
         """Claim an upstream for a suspect's run during an ``async with`` block.
 
@@ -56,7 +55,7 @@
         the claim.
         """
         keys = (
-            f"{TRIALS_PREFIX}upstream/{crash_id(upstream)}",
+            f"{TRIALS_PREFIX}upstream/{upstream.crash_id}",
             f"{TRIALS_PREFIX}request/{fingerprint}",
         )
         if self.claimed.intersection(keys):
--- a/src/bergamotmast/direct/attempts.py
+++ b/src/bergamotmast/direct/attempts.py
@@ -7,12 +7,13 @@
 import functools
 import logging
 
+from ..crashes.model import Incarnation
+from ..crashes.model import LostRun
 from ..errors import ConnectionLostError
 from ..errors import RequestError
 from ..errors import ResultCode
 from ..model import Role
 from .context import Context
-from .crash_detector import LostRun
 from .fingerprint import fingerprint_of
 from .model import Call
 from .model import Upstream
@@ -116,7 +117,7 @@
         disconnected = isinstance(error, ConnectionLostError)
         if disconnected or replied:
             run = LostRun(self.fingerprint, self.call.traits.request_id)
-            self.context.quarantine.detector.on_run_lost(
+            self.context.crash_detector.on_run_lost(
                 upstream, run, disconnected=disconnected
             )
 
@@ -130,7 +131,8 @@
         quarantine = self.context.quarantine
         if not quarantine.is_watching:
             return contextlib.nullcontext(True)
-        return quarantine.run_apart(self.fingerprint, upstream)
+        incarnation = Incarnation(upstream.name, upstream.boot)
+        return quarantine.run_apart(self.fingerprint, incarnation)
 
     def on_answered(self) -> None:
         """Record that an upstream has run the request to its end."""
--- a/src/bergamotmast/direct/context.py
+++ b/src/bergamotmast/direct/context.py
@@ -7,11 +7,13 @@
 import dataclasses
 import random
 
+from ..crashes.quarantine import Quarantine
 from ..errors import ReplyLostError
 from ..policy.decisions import Decisions
 from ..policy.direct_roles import MixMeter
 from ..policy.prefix_cache import PrefillKey
 from ..policy.size_shares import SizeShares
+from .crash_detector import CrashDetector
 from .fleet import Fleet
 from .liveness import LivenessChecker
 from .model import Call
@@ -26,7 +28,6 @@
 from .ports import ReplyTraits
 from .ports import UpstreamClient
 from .prefill_notice import PrefillNotice
-from .quarantine import Quarantine
 from .retry_budget import SharedRetryBudget
 from .time_limits import TimeLimits
 
@@ -44,6 +45,7 @@
     :param mix: moving average of the prefill and decode load of this entry's streams.
     :param size_shares: share of prompts served, by route and size class.
     :param retry_budget: this entry's share of the retry budget.
+    :param crash_detector: detector of upstreams that crashed with a run.
     :param quarantine: quarantine of requests that crash upstreams.
     :param liveness_probe: probe of engines; ``None`` if there is none.
     :param background: running tasks that outlive the request that started them.
@@ -57,6 +59,7 @@
     rng: random.Random
     retry_budget: SharedRetryBudget
     quarantine: Quarantine
+    crash_detector: CrashDetector
     notices: NoticeExchange | None = None
     liveness_probe: LivenessProbe | None = None
     mix: MixMeter = dataclasses.field(default_factory=MixMeter)
@@ -66,6 +69,8 @@
     liveness_checker: LivenessChecker = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
+        self.quarantine.losses = self.crash_detector
+        self.crash_detector.observer = self.quarantine
         self.time_limits = TimeLimits(self.rng)
         self.liveness_checker = LivenessChecker(self.placer, self.liveness_probe)
 
@@ -130,7 +135,7 @@
         """
         traits = self.dialect.read_reply(reply.status, reply.headers)
         if not traits.wrong_upstream:
-            self.quarantine.detector.on_reply(upstream, sent_at)
+            self.crash_detector.on_reply(upstream, sent_at)
         if traits.load is not None:
             self.placer.on_load(upstream, traits.load)
         if traits.request_id not in ("", call.traits.request_id):
--- a/src/bergamotmast/direct/core.py
+++ b/src/bergamotmast/direct/core.py
@@ -15,6 +15,7 @@
 from .caller import CallerReply
 from .caller import CallerRequest
 from .context import Context
+from .fingerprint import fingerprint_of
 from .forwarding import end_to_end_headers
 from .forwarding import is_writable
 from .model import Call
@@ -170,7 +171,8 @@
         :param log_fields: receives the fields of the log line at the request's end.
         """
         self.context.retry_budget.on_request(call.group.name)
-        self.context.quarantine.admit(call)
+        if self.context.quarantine.is_watching:
+            self.context.quarantine.check(fingerprint_of(call))
         if call.route.kind is CallKind.STREAM:
             now = asyncio.get_running_loop().time()
             output_tokens = call.traits.expected_tokens or call.traits.max_tokens
--- a/src/bergamotmast/direct/crash_detector.py
+++ b/src/bergamotmast/direct/crash_detector.py
@@ -13,8 +13,11 @@
 import collections.abc as cabc
 import dataclasses
 import logging
-import typing as t
 
+from ..crashes.model import Incarnation
+from ..crashes.model import LostRun
+from ..crashes.quarantine import EXPLANATION_SECONDS
+from ..crashes.quarantine import CrashObserver
 from ..telemetry import Telemetry
 from .fleet import Fleet
 from .model import Upstream
@@ -25,10 +28,6 @@
 GATHER_SECONDS = 0.02
 """Time in which all runs that are lost with one upstream become known."""
 
-REGISTRATION_LAPSE_SECONDS = 8.0
-"""Maximum time between a crash and the removal of the registration, which takes three
-heartbeats, or longer if the store is slow."""
-
 POLL_SECONDS = 0.25
 """Interval between two checks of a registration."""
 
@@ -38,33 +37,6 @@
 MAX_LOGGED_RUNS = 32
 """Maximum number of lost runs in one log line."""
 
-UpstreamKey = tuple[str, str]
-"""Name and boot of an upstream."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class LostRun:
-    """A run that was lost with its upstream.
-
-    :param fingerprint: fingerprint of the request, see :mod:`.fingerprint`.
-    :param request_id: id of the caller's try.
-    """
-
-    fingerprint: str
-    request_id: str
-
-
-class CrashObserver(t.Protocol):
-    """Receiver of detected crashes."""
-
-    def on_crash(self, upstream: Upstream, runs: cabc.Sequence[LostRun]) -> None:
-        """Handle a crash; called again for runs whose loss becomes known later."""
-        ...
-
-    def on_survival(self, upstream: Upstream, runs: cabc.Sequence[LostRun]) -> None:
-        """Handle the end of the assumption that an upstream has crashed."""
-        ...
-
 
 @dataclasses.dataclass(slots=True)
 class Losses:
@@ -101,9 +73,13 @@
         self.telemetry = telemetry
         self.probe = probe
         self.observer = observer
-        self.losses: dict[UpstreamKey, Losses] = {}
+        self.losses: dict[Incarnation, Losses] = {}
         self.tasks: set[asyncio.Task[None]] = set()
 
+    def __bool__(self) -> bool:
+        """Return whether any run was lost lately."""
+        return bool(self.losses)
+
     def unexplained(self, fingerprint: str) -> int:
         """Return how many lost runs of a request may turn out to be crashes."""
         return sum(
@@ -121,7 +97,7 @@
             upstream fell silent.
         """
         now = asyncio.get_running_loop().time()
-        key = (upstream.name, upstream.boot)
+        key = Incarnation(upstream.name, upstream.boot)
         losses = self.losses.get(key)
         if losses is None:
             if not self._is_in_service(upstream):
@@ -136,14 +112,14 @@
             return
         losses.runs[run.fingerprint] = run
         if losses.crashed:
-            self._notify_crash(losses, [run])
+            self._notify_crash(key, [run])
 
     def on_reply(self, upstream: Upstream, sent_at: float) -> None:
         """Record an upstream's reply, which rules out an earlier crash.
 
         :param sent_at: when the request was sent; a point in time.
         """
-        key = (upstream.name, upstream.boot)
+        key = Incarnation(upstream.name, upstream.boot)
         losses = self.losses.get(key)
         if losses is None or sent_at <= losses.last_at:
             return
@@ -154,7 +130,7 @@
                 extra={"upstream": upstream.name, "boot": upstream.boot},
             )
             if self.observer is not None:
-                self.observer.on_survival(upstream, list(losses.runs.values()))
+                self.observer.on_survival(key, list(losses.runs.values()))
 
     def _is_in_service(self, upstream: Upstream) -> bool:
         """Return whether an incarnation is registered and not shutting down."""
@@ -165,14 +141,14 @@
             and not registered.leaving
         )
 
-    async def _check(self, key: UpstreamKey, losses: Losses) -> None:
+    async def _check(self, key: Incarnation, losses: Losses) -> None:
         """Find out whether an upstream has crashed."""
         loop = asyncio.get_running_loop()
         await asyncio.sleep(GATHER_SECONDS)
         if losses.disconnected and self.probe is not None:
             if await self.probe.is_refused(losses.upstream.address):
                 self._confirm(key, losses, "refused")
-        while loop.time() < losses.last_at + REGISTRATION_LAPSE_SECONDS:
+        while loop.time() < losses.last_at + EXPLANATION_SECONDS:
             registered = self.fleet.registered(losses.upstream.name)
             if registered is not None and registered.leaving:
                 break
@@ -188,7 +164,7 @@
         if self.losses.get(key) is losses:
             del self.losses[key]
 
-    def _confirm(self, key: UpstreamKey, losses: Losses, reason: str) -> None:
+    def _confirm(self, key: Incarnation, losses: Losses, reason: str) -> None:
         """Assume that an upstream has crashed, unless it was shutting down."""
         registered = self.fleet.registered(losses.upstream.name)
         leaving = registered is not None and registered.leaving
@@ -208,8 +184,8 @@
                 "requests": [run.fingerprint for run in runs[:MAX_LOGGED_RUNS]],
             },
         )
-        self._notify_crash(losses, runs)
+        self._notify_crash(key, runs)
 
-    def _notify_crash(self, losses: Losses, runs: cabc.Sequence[LostRun]) -> None:
+    def _notify_crash(self, key: Incarnation, runs: cabc.Sequence[LostRun]) -> None:
         if self.observer is not None:
-            self.observer.on_crash(losses.upstream, runs)
+            self.observer.on_crash(key, runs)
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -14,22 +14,22 @@
 from .adapters.datagrams import datagram_port
 from .adapters.metrics import OpenTelemetryMetrics
 from .adapters.upstream_http import HttpUpstreamClient
+from .crashes.quarantine import Quarantine
+from .crashes.records import CRASHES_PREFIX
+from .crashes.records import CrashRecordWriter
+from .crashes.trials import Trials
 from .direct.context import Context
 from .direct.core import DirectCore
 from .direct.crash_detector import CrashDetector
-from .direct.crash_records import CRASHES_PREFIX
-from .direct.crash_records import CrashRecordWriter
 from .direct.fleet import Fleet
 from .direct.http_frontend import DirectHttpFrontend
 from .direct.notices import NoticeExchange
 from .direct.placer import RequestPlacer
 from .direct.presence import Presence
 from .direct.presence import presence_key
-from .direct.quarantine import Quarantine
 from .direct.retry_budget import SharedRetryBudget
 from .direct.role_planner import RolePlanner
 from .direct.store_watcher import StoreWatcher
-from .direct.trials import Trials
 from .history import NullHistory
 from .lifecycle import METRICS_PATH
 from .lifecycle import Shutdown
@@ -117,7 +117,6 @@
         crash_writer = CrashRecordWriter(store, rng)
         quarantine = Quarantine(
             settings.name,
-            CrashDetector(fleet, metrics, TcpConnectionProbe()),
             metrics,
             rng,
             Trials(settings.name, store),
@@ -134,6 +133,7 @@
             rng,
             retry_budget,
             quarantine,
+            CrashDetector(fleet, metrics, TcpConnectionProbe()),
             liveness_probe=orders,
         )
         context.notices = NoticeExchange(
--- a/tests/direct_support.py
+++ b/tests/direct_support.py
@@ -12,6 +12,8 @@
 
 from bergamotmast.adapters.connection_probe import TcpConnectionProbe
 from bergamotmast.adapters.upstream_http import HttpUpstreamClient
+from bergamotmast.crashes.quarantine import Quarantine
+from bergamotmast.crashes.trials import Trials
 from bergamotmast.direct.context import Context
 from bergamotmast.direct.core import DirectCore
 from bergamotmast.direct.crash_detector import CrashDetector
@@ -19,9 +21,7 @@
 from bergamotmast.direct.http_frontend import DirectHttpFrontend
 from bergamotmast.direct.placer import RequestPlacer
 from bergamotmast.direct.ports import LivenessProbe
-from bergamotmast.direct.quarantine import Quarantine
 from bergamotmast.direct.retry_budget import SharedRetryBudget
-from bergamotmast.direct.trials import Trials
 from bergamotmast.platform.directory import PlatformDirectory
 from bergamotmast.platform.headers import PlatformDialect
 from bergamotmast.policy.retry_window import RetryLimits
@@ -198,13 +198,8 @@
             placer,
             rng,
             SharedRetryBudget(fleet, RetryLimits(), telemetry),
-            Quarantine(
-                "entry-1",
-                CrashDetector(fleet, telemetry, TcpConnectionProbe()),
-                telemetry,
-                rng,
-                Trials("entry-1"),
-            ),
+            Quarantine("entry-1", telemetry, rng, Trials("entry-1")),
+            CrashDetector(fleet, telemetry, TcpConnectionProbe()),
             liveness_probe=liveness_probe,
         )
         core = DirectCore(context, telemetry)
--- a/tests/prompt_load.py
+++ b/tests/prompt_load.py
@@ -16,6 +16,8 @@
 import math
 import random
 
+from bergamotmast.crashes.quarantine import Quarantine
+from bergamotmast.crashes.trials import Trials
 from bergamotmast.direct.caller import CallerRequest
 from bergamotmast.direct.context import Context
 from bergamotmast.direct.core import DirectCore
@@ -23,9 +25,7 @@
 from bergamotmast.direct.fleet import Fleet
 from bergamotmast.direct.notices import NoticeExchange
 from bergamotmast.direct.placer import RequestPlacer
-from bergamotmast.direct.quarantine import Quarantine
 from bergamotmast.direct.retry_budget import SharedRetryBudget
-from bergamotmast.direct.trials import Trials
 from bergamotmast.platform.directory import PlatformDirectory
 from bergamotmast.platform.headers import PlatformDialect
 from bergamotmast.policy.decisions import ALL_DECISIONS
@@ -298,9 +298,8 @@
             placer,
             rng,
             retry_budget,
-            Quarantine(
-                name, CrashDetector(fleet, telemetry), telemetry, rng, Trials(name)
-            ),
+            Quarantine(name, telemetry, rng, Trials(name)),
+            CrashDetector(fleet, telemetry),
             liveness_probe=LiveEngines(),
         )
         address = (name, 1)
--- a/tests/test_crash_detector.py
+++ b/tests/test_crash_detector.py
@@ -10,8 +10,8 @@
 
 from bergamotmast.adapters.connection_probe import TcpConnectionProbe
 from bergamotmast.adapters.metrics import OpenTelemetryMetrics
+from bergamotmast.crashes.model import LostRun
 from bergamotmast.direct import crash_detector
-from bergamotmast.direct.crash_detector import LostRun
 from bergamotmast.direct.model import Upstream
 from crash_support import CRASHES
 from crash_support import CrashingReplica
@@ -41,7 +41,7 @@
 
 def observe(entry: Entry) -> RecordedCrashes:
     recorded = RecordedCrashes()
-    entry.core.context.quarantine.detector.observer = recorded
+    entry.core.context.crash_detector.observer = recorded
     return recorded
 
 
@@ -61,7 +61,7 @@
     script = EngineScript(last=50, pause=0.05)
     replica = CrashingReplica("i-1", script, service="llm", slots=64, stage="decode")
     async with serving(replica) as entry:
-        entry.core.context.quarantine.detector.telemetry = metrics
+        entry.core.context.crash_detector.telemetry = metrics
         recorded = observe(entry)
         beside = asyncio.create_task(entry.ask("/talk/1", request_id="beside"))
         await asyncio.sleep(0.1)
@@ -98,7 +98,7 @@
     async with serving(Replica("r-1", lose_connection)) as entry:
         recorded = observe(entry)
         await entry.ask("/order/1")
-        detector = entry.core.context.quarantine.detector
+        detector = entry.core.context.crash_detector
         assert detector.losses
         await asyncio.sleep(0.2)
         assert recorded.crashed == []
@@ -146,7 +146,7 @@
     replica = crashing("i-1")
     async with serving(replica) as entry:
         recorded = observe(entry)
-        entry.core.context.quarantine.detector.probe = SilentProbe()
+        entry.core.context.crash_detector.probe = SilentProbe()
         await entry.ask("/talk/1", body=CRASHES)
         await asyncio.sleep(0.1)
         assert recorded.crashed == []
@@ -161,7 +161,7 @@
 async def assumed_crash():
     """Yield an entry that assumes the crash of an engine that is alive."""
     async with serving(engine("i-1", EngineScript())) as entry:
-        detector = entry.core.context.quarantine.detector
+        detector = entry.core.context.crash_detector
         recorded = observe(entry)
 
         class RefusingProbe:
@@ -187,14 +187,14 @@
 async def test_reply_to_an_earlier_request_withdraws_nothing():
     """Guards against replies that arrived just before the upstream crashed."""
     async with assumed_crash() as (entry, upstream, recorded):
-        detector = entry.core.context.quarantine.detector
+        detector = entry.core.context.crash_detector
         detector.on_reply(upstream, asyncio.get_running_loop().time() - 5.0)
         assert recorded.survived == []
 
 
 async def test_runs_whose_loss_is_noticed_later_are_told_too():
     async with assumed_crash() as (entry, upstream, recorded):
-        detector = entry.core.context.quarantine.detector
+        detector = entry.core.context.crash_detector
         detector.on_run_lost(upstream, LostRun("g", "late"), disconnected=True)
         assert recorded.crashed == [("i-1", ["id"]), ("i-1", ["late"])]
 
@@ -211,7 +211,7 @@
         Registered(), OpenTelemetryMetrics("p"), SilentProbe()
     )
     detector.on_run_lost(UPSTREAM, LostRun("f", "id"), disconnected=True)
-    await asyncio.sleep(crash_detector.REGISTRATION_LAPSE_SECONDS + 1.0)
+    await asyncio.sleep(crash_detector.EXPLANATION_SECONDS + 1.0)
     assert detector.losses == {}
     assert not detector.tasks
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -12,17 +12,16 @@
 import pytest
 
 from bergamotmast.adapters.metrics import OpenTelemetryMetrics
-from bergamotmast.direct.crash_detector import CrashDetector
-from bergamotmast.direct.crash_detector import LostRun
-from bergamotmast.direct.crash_records import CRASHES_PREFIX
-from bergamotmast.direct.crash_records import MAX_WRITES_PER_TXN
-from bergamotmast.direct.crash_records import CrashRecordWriter
+from bergamotmast.crashes.model import Incarnation
+from bergamotmast.crashes.model import LostRun
+from bergamotmast.crashes.quarantine import REFRESH_SECONDS
+from bergamotmast.crashes.quarantine import Quarantine
+from bergamotmast.crashes.records import CRASHES_PREFIX
+from bergamotmast.crashes.records import MAX_WRITES_PER_TXN
+from bergamotmast.crashes.records import CrashRecordWriter
+from bergamotmast.crashes.trials import Trials
 from bergamotmast.direct.fleet import Fleet
-from bergamotmast.direct.model import Upstream
-from bergamotmast.direct.quarantine import REFRESH_SECONDS
-from bergamotmast.direct.quarantine import Quarantine
 from bergamotmast.direct.store_watcher import StoreWatcher
-from bergamotmast.direct.trials import Trials
 from bergamotmast.errors import RequestError
 from bergamotmast.errors import ResultCode
 from bergamotmast.platform.directory import PlatformDirectory
@@ -49,8 +48,8 @@
 from platform_standin import reset
 
 
-def upstream(number: int) -> Upstream:
-    return Upstream(f"i-{number}", "1", "llm", "127.0.0.1:9", "zone-a", 64)
+def upstream(number: int) -> Incarnation:
+    return Incarnation(f"i-{number}", "1")
 
 
 def run_of(name: str) -> LostRun:
@@ -68,7 +67,6 @@
         self.writer = CrashRecordWriter(client, rng)
         self.quarantine = Quarantine(
             name,
-            CrashDetector(self.fleet, NullTelemetry()),
             NullTelemetry(),
             rng,
             Trials(name, client),
--- a/tests/test_quarantine_command.py
+++ b/tests/test_quarantine_command.py
@@ -8,7 +8,7 @@
 import pytest
 
 from bergamotmast.cli import main
-from bergamotmast.direct.crash_records import crash_key
+from bergamotmast.crashes.records import crash_key
 from platform_standin import Store
 
 CULPRIT, BYSTANDER = "c" * 32, "b" * 32
