--- a/src/bergamotmast/direct/fingerprint.py
+++ b/src/bergamotmast/direct/fingerprint.py
@@ -1,29 +1,16 @@
-"""Fingerprint by which the tries of one request are recognized.
-
-A caller that sends a request again gives it another id, and may use another connection,
-entry and headers such as the time it has left. What stays is where the request goes and
-what it contains.
-"""
+"""Fingerprint of a direct entry's calls."""
 
 from __future__ import annotations
 
-import hashlib
-
+from ..crashes.fingerprint import fingerprint
 from .model import Call
 
-DIGEST_BYTES = 16
-
 
 def fingerprint_of(call: Call) -> str:
-    """Return the digest of a call's host, method, target and body, in hexadecimal.
+    """Return the fingerprint of a call's host, method, target and body.
 
-    The hash is cryptographic: with a weaker one, a caller could choose a request that
-    shares the digest of another caller's, and have that one refused.
+    The headers are left out, as some of them change between the tries of one caller.
     """
-    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    for part in (call.route.host, call.method, call.target):
-        encoded = part.encode(errors="surrogateescape")
-        digest.update(len(encoded).to_bytes(8))
-        digest.update(encoded)
-    digest.update(call.body)
-    return digest.hexdigest()
+    head = (call.route.host, call.method, call.target)
+    encoded = (part.encode(errors="surrogateescape") for part in head)
+    return fingerprint(*encoded, call.body)
