Refuse prompts that crash engines at entries that work through sides, too

An entry gave a request up after four failed attempts, 'a prompt that crashes its engine would crash one engine after another', but only within one try: each further try of its caller crashed up to four engines more.

The side runs on the engine's instance and knows what ran: after a lost stream it reads the engine's state. Refused, or another incarnation: the engine crashed, and Failed says which one (a new field at the end, which older entries skip). The entry adds it to the same records as direct entries, shared by the key-value service, asks the quarantine before each attempt and runs requests that were lost in two crashes apart.

Calls of plain services are not covered yet.

--- a/src/bergamotmast/app.py
+++ b/src/bergamotmast/app.py
@@ -18,6 +18,10 @@
 from .config.holder import ConfigHolder
 from .config.store import ConfigStore
 from .config.watch import ConfigWatcher
+from .crashes.quarantine import Quarantine
+from .crashes.records import CrashRecordWriter
+from .crashes.trials import Trials
+from .crashes.watcher import CrashWatcher
 from .entry.admin import AdminHttp
 from .entry.core import EntryCore
 from .entry.fleet_status import read_fleet_status
@@ -136,6 +140,17 @@
         self.watcher = ConfigWatcher(dependencies.kv, self.holder, dependencies.rng)
         self.store = ConfigStore(dependencies.kv, dependencies.history)
         self.claims = ClaimStore(dependencies.kv, dependencies.name, dependencies.rng)
+        self.crash_writer = CrashRecordWriter(dependencies.kv, dependencies.rng)
+        self.quarantine = Quarantine(
+            dependencies.name,
+            dependencies.telemetry,
+            dependencies.rng,
+            Trials(dependencies.name, dependencies.kv),
+            self.crash_writer,
+        )
+        self.crash_watcher = CrashWatcher(
+            dependencies.kv, self.quarantine, dependencies.rng
+        )
         self.core = EntryCore(
             name=dependencies.name,
             zone=dependencies.zone,
@@ -149,6 +164,7 @@
             claims=self.claims,
             rng=dependencies.rng,
             telemetry=dependencies.telemetry,
+            quarantine=self.quarantine,
         )
         self.busy: set[asyncio.BaseProtocol] = set()
         self.planner: Planner | None = None
@@ -192,7 +208,14 @@
 
     def background_tasks(self) -> list[BackgroundTask]:
         """Return the coroutines to run until cancelled; each can fail independently."""
-        tasks = [self.watcher.run(), self.core.run(), self.claims.run()]
+        tasks = [
+            self.watcher.run(),
+            self.core.run(),
+            self.claims.run(),
+            self.crash_writer.run(),
+            self.crash_watcher.run(),
+            self.quarantine.run(),
+        ]
         if self.planner is not None:
             tasks.append(self.planner.run())
         return tasks
--- a/src/bergamotmast/entry/core.py
+++ b/src/bergamotmast/entry/core.py
@@ -11,6 +11,8 @@
 import typing as t
 
 from ..config.holder import ConfigHolder
+from ..crashes.quarantine import Quarantine
+from ..crashes.trials import Trials
 from ..errors import RequestError
 from ..errors import ResultCode
 from ..model import InstanceInfo
@@ -56,6 +58,8 @@
     :param claims: claims on idempotency keys, for calls that run at most once.
     :param rng: seeded source of jitter.
     :param telemetry: receives metrics; none are recorded without it.
+    :param quarantine: requests that crash upstreams; those that this entry sees alone
+        by default.
     :param membership: the connections to sides.
     :param closing: whether the shutdown has begun, so that the entry is not ready.
     :param refusing: whether new requests are refused.
@@ -75,6 +79,7 @@
         claims: Claims,
         rng: random.Random,
         telemetry: Telemetry | None = None,
+        quarantine: Quarantine | None = None,
     ) -> None:
         self.name = name
         self.incarnation = incarnation
@@ -84,6 +89,9 @@
         self.claims = claims
         self.rng = rng
         self.telemetry = telemetry or NullTelemetry()
+        self.quarantine = quarantine or Quarantine(
+            name, self.telemetry, rng, Trials(name)
+        )
         self.membership = Membership(
             name, zone, instance_list, self._open_peer, holder, rng
         )
--- a/src/bergamotmast/entry/interfaces.py
+++ b/src/bergamotmast/entry/interfaces.py
@@ -5,6 +5,7 @@
 import random
 import typing as t
 
+from ..crashes.quarantine import Quarantine
 from ..model import ModelCall
 from ..model import ServiceAnswer
 from ..model import ServiceCall
@@ -48,6 +49,7 @@
     claims: Claims
     rng: random.Random
     membership: Membership
+    quarantine: Quarantine
 
     def candidates(self, call: ModelCall | ServiceCall) -> list[Candidate]:
         """Return the upstreams that a call may be offered to now."""
--- a/src/bergamotmast/entry/model_run.py
+++ b/src/bergamotmast/entry/model_run.py
@@ -55,13 +55,19 @@
         self.entry.policy.on_admitted(self.call, self.placement.now())
         while not self.finished:
             choice = await self.placement.choose(self.tokens, self._wait_until())
-            attempt = await self._offer(choice)
-            if attempt is None:
-                continue
-            consumed = self._consume(attempt)
-            async with contextlib.aclosing(consumed):
-                async for chunk in consumed:
-                    yield chunk
+            assert choice.upstream is not None
+            async with self.placement.run_apart(choice.upstream) as granted:
+                if not granted:
+                    self.placement.on_busy(choice.upstream)
+                    continue
+                attempt = await self._offer(choice)
+                if attempt is None:
+                    continue
+                consumed = self._consume(attempt)
+                async with contextlib.aclosing(consumed):
+                    async for chunk in consumed:
+                        yield chunk
+        self.placement.on_answered()
 
     def _wait_until(self) -> float:
         """Return the local monotonic time until which the run waits for an upstream."""
@@ -125,6 +131,7 @@
                     case messages.Failed():
                         ended = True
                         self.placement.has_run = True
+                        self.placement.on_crash(attempt.upstream, event.crashed_boot)
                         self._on_attempt_failed(attempt, tokens_before)
                     case SessionLost() | SideReplaced():
                         ended = True
--- a/src/bergamotmast/entry/placement.py
+++ b/src/bergamotmast/entry/placement.py
@@ -3,7 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import functools
 
+from ..crashes.model import Incarnation
+from ..crashes.model import LostRun
 from ..errors import CODE_INFO
 from ..errors import NotReachedError
 from ..errors import Outcome
@@ -17,6 +21,7 @@
 from ..protocol import timing
 from .attempt import DeadlinePassed
 from .attempt import EntryAttempt
+from .fingerprint import fingerprint_of
 from .interfaces import EntryContext
 
 MAX_REFUSALS = 3
@@ -89,6 +94,48 @@
         """Return the time on the local monotonic clock."""
         return asyncio.get_running_loop().time()
 
+    @functools.cached_property
+    def fingerprint(self) -> str:
+        """Fingerprint of the request, the same for all tries of its caller."""
+        return fingerprint_of(self.call)
+
+    def check_quarantine(self) -> None:
+        """Check that the request may be offered to an upstream.
+
+        :raises RequestError: if it has crashed too many upstreams.
+        """
+        quarantine = self.entry.quarantine
+        if not quarantine.is_watching:
+            return
+        try:
+            quarantine.check(self.fingerprint)
+        except RequestError as error:
+            raise self.error(error.code, error.retry_after) from None
+
+    def run_apart(self, upstream: str) -> contextlib.AbstractAsyncContextManager[bool]:
+        """Keep an attempt apart from others that may crash the same upstream.
+
+        The block receives whether the request may be offered to the upstream now.
+        """
+        quarantine = self.entry.quarantine
+        if not quarantine.is_watching:
+            return contextlib.nullcontext(True)
+        return quarantine.run_apart(self.fingerprint, Incarnation(upstream, ""))
+
+    def on_crash(self, upstream: str, boot: str) -> None:
+        """Record that an upstream crashed while it ran the request.
+
+        :param boot: incarnation that crashed; empty if it did not crash.
+        """
+        if boot:
+            run = LostRun(self.fingerprint, self.call.request_id)
+            self.entry.quarantine.on_crash(Incarnation(upstream, boot), [run])
+
+    def on_answered(self) -> None:
+        """Record that the request has its complete answer."""
+        if self.entry.quarantine.is_watching:
+            self.entry.quarantine.on_answered(self.fingerprint)
+
     async def choose(self, resumed_tokens: int, wait_until: float) -> Choice:
         """Choose the upstream of the next attempt.
 
@@ -102,6 +149,7 @@
         while True:
             if self.aborting:
                 raise self.error(ResultCode.SHUTTING_DOWN, None)
+            self.check_quarantine()
             choice = self._choose_once(resumed_tokens)
             if choice.upstream is not None:
                 return choice
@@ -177,6 +225,13 @@
             work=work,
         )
 
+    def on_busy(self, upstream: str) -> None:
+        """Record that an upstream is taken by the trial of another request.
+
+        :raises RequestError: if no further attempt may be made.
+        """
+        self.on_refused(upstream, ResultCode.QUEUE_FULL, None)
+
     def on_refused(
         self, upstream: str, code: ResultCode, retry_after: float | None
     ) -> None:
--- a/src/bergamotmast/protocol/messages.py
+++ b/src/bergamotmast/protocol/messages.py
@@ -211,11 +211,16 @@
 
 
 class Failed(Message, frozen=True, tag=11):
-    """Side to entry: the work was started but ended without its complete answer."""
+    """Side to entry: the work was started but ended without its complete answer.
+
+    :param crashed_boot: id of the upstream's incarnation that crashed while it ran the
+        work; empty if it did not crash, or this is not known.
+    """
 
     attempt: str
     code: ResultCode
     detail: str
+    crashed_boot: str = ""
 
 
 class Credit(Message, frozen=True, tag=12):
--- a/src/bergamotmast/side/runners.py
+++ b/src/bergamotmast/side/runners.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import contextlib
+import logging
 import typing as t
 
 from ..errors import NotReachedError
 from ..errors import PortError
 from ..errors import ReplyLostError
 from ..errors import ResultCode
+from ..model import EngineState
 from ..model import GenerateRequest
 from ..model import ServiceCall
 from ..ports import Engine
@@ -18,9 +20,20 @@
 from .attempt import Attempt
 from .attempt import ChunkBuffer
 
+logger = logging.getLogger(__name__)
+
+CRASH_CHECK_SECONDS = 0.3
+"""Time limit for the check whether a lost stream was lost in a crash: the entry waits
+for it before it resumes the stream elsewhere."""
+
 
 class AttemptSink(t.Protocol):
-    """The receiver of an attempt's messages and progress: the side."""
+    """The receiver of an attempt's messages and progress: the side.
+
+    :param engine: last known state of the upstream.
+    """
+
+    engine: EngineState | None
 
     async def send(self, peer: bytes, message: messages.ToEntry) -> None:
         """Send a message to an entry in the next iteration of the event loop."""
@@ -67,18 +80,42 @@
     async def run(self, attempt: Attempt, side: AttemptSink) -> None:
         """Stream an answer, sending chunks only while the stream has credit."""
         self.credit_events[attempt.name] = asyncio.Event()
+        boot = side.engine.boot_id if side.engine is not None else ""
         try:
             await self._stream(attempt, side)
         except NotReachedError:
             await _refused(attempt, side)
         except PortError as error:
-            await _failed(attempt, side, ResultCode.UPSTREAM_FAILED, error.message)
+            crashed_boot = boot if await self._has_crashed(boot) else ""
+            await _failed(
+                attempt,
+                side,
+                ResultCode.UPSTREAM_FAILED,
+                error.message,
+                crashed_boot,
+            )
         except asyncio.CancelledError:
             # Cancelled on purpose; closing the generator has ended the engine's stream.
             pass
         finally:
             del self.credit_events[attempt.name]
 
+    async def _has_crashed(self, boot: str) -> bool:
+        """Return whether an incarnation of the engine has ended.
+
+        The side runs on the engine's instance: nothing but the end of its process
+        makes a connection from there be refused.
+        """
+        try:
+            async with asyncio.timeout(CRASH_CHECK_SECONDS):
+                state = await self.engine.state()
+        except NotReachedError:
+            return True
+        except (PortError, TimeoutError) as error:
+            logger.info("crash is not checked: %r", error)
+            return False
+        return state.boot_id != boot
+
     async def _stream(self, attempt: Attempt, side: AttemptSink) -> None:
         buffer = ChunkBuffer(attempt.name)
         work = attempt.offer.work
@@ -162,9 +199,13 @@
 
 
 async def _failed(
-    attempt: Attempt, side: AttemptSink, code: ResultCode, detail: str
+    attempt: Attempt,
+    side: AttemptSink,
+    code: ResultCode,
+    detail: str,
+    crashed_boot: str = "",
 ) -> None:
-    failed = messages.Failed(attempt.name, code, detail)
+    failed = messages.Failed(attempt.name, code, detail, crashed_boot)
     await side.send(attempt.session.peer, failed)
 
 
--- a/tests/support.py
+++ b/tests/support.py
@@ -175,6 +175,11 @@
         self.closed: list[str] = []
         self.chunks = None
 
+    async def state(self):
+        if not self.reachable:
+            raise NotReachedError("connection refused")
+        return STATE
+
     async def generate(self, request):
         if not self.reachable:
             raise NotReachedError("connection refused")
@@ -239,8 +244,8 @@
 
 
 def configuration(generation: int = 1, **changes) -> Configuration:
-    labels = {f"engine-{i}": {"pool": "main"} for i in range(1, 5)}
-    labels |= {f"service-{i}": {"pool": "orders"} for i in range(1, 5)}
+    labels = {f"engine-{i}": {"pool": "main"} for i in range(1, 9)}
+    labels |= {f"service-{i}": {"pool": "orders"} for i in range(1, 9)}
     fields = {
         "generation": generation,
         "labels": labels,
