Count crashes of plain services at sides

The same cause elsewhere: a call that crashes plain services was tried at up to four of them in each try of its caller. A service tells no incarnation, so its side numbers the crashes: after a lost reply it asks whether the service's address refuses connections. The entry does with the call as with prompts.

The test fails without the side's count on both kinds of route: the call is never refused.

--- a/src/bergamotmast/adapters/service_http.py
+++ b/src/bergamotmast/adapters/service_http.py
@@ -5,10 +5,12 @@
 import asyncio
 
 import aiohttp
+import yarl
 
 from ..errors import NotReachedError
 from ..model import ServiceAnswer
 from ..model import ServiceCall
+from .connection_probe import TcpConnectionProbe
 from .http_calls import exchange
 
 IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
@@ -46,6 +48,11 @@
         content_type = response.headers.get("Content-Type", DEFAULT_CONTENT_TYPE)
         return ServiceAnswer(response.status, body, content_type)
 
+    async def is_refused(self) -> bool:
+        """Return whether the service's address refuses connections."""
+        url = yarl.URL(self.url)
+        return await TcpConnectionProbe().is_refused(f"{url.host}:{url.port}")
+
 
 def _headers(call: ServiceCall) -> dict[str, str]:
     headers = {REQUEST_ID_HEADER: call.request_id}
--- a/src/bergamotmast/bench/environment.py
+++ b/src/bergamotmast/bench/environment.py
@@ -100,6 +100,10 @@
             await asyncio.sleep(self.seconds)
         return ServiceAnswer(200, b"", "text/plain")
 
+    async def is_refused(self) -> bool:
+        """Return ``False``: the service never crashes."""
+        return False
+
 
 class EntryView:
     """The planner's view of the fleet, from the sessions of the entry it runs in."""
--- a/src/bergamotmast/entry/service_run.py
+++ b/src/bergamotmast/entry/service_run.py
@@ -103,19 +103,26 @@
         while True:
             choice = await self.placement.choose(0, self.call.deadline)
             assert choice.upstream is not None
-            attempt = await self.placement.offer(
-                choice.upstream, Cost(1, 1), self._work()
-            )
-            if attempt is None:
-                continue
-            try:
-                answer = await self._consume(attempt)
-            finally:
-                self.placement.detach(attempt)
+            async with self.placement.run_apart(choice.upstream) as granted:
+                if not granted:
+                    self.placement.on_busy(choice.upstream)
+                    continue
+                answer = await self._attempt(choice.upstream)
             if answer is not None:
-                self.placement.on_done(attempt.upstream, 0)
+                self.placement.on_done(choice.upstream, 0)
+                self.placement.on_answered()
                 return answer
 
+    async def _attempt(self, upstream: str) -> ServiceAnswer | None:
+        """Make one attempt; return ``None`` if another one may be made."""
+        attempt = await self.placement.offer(upstream, Cost(1, 1), self._work())
+        if attempt is None:
+            return None
+        try:
+            return await self._consume(attempt)
+        finally:
+            self.placement.detach(attempt)
+
     def _work(self) -> messages.ServiceWork:
         call = self.call
         return messages.ServiceWork(
@@ -143,7 +150,11 @@
                         attempt.upstream, event.code, event.retry_after or None
                     )
                     return None
-                case messages.Failed() | SideReplaced():
+                case messages.Failed():
+                    self.placement.on_crash(attempt.upstream, event.crashed_boot)
+                    self._on_outcome_unknown(attempt)
+                    return None
+                case SideReplaced():
                     self._on_outcome_unknown(attempt)
                     return None
                 case SessionLost() if self.call.repeatable:
--- a/src/bergamotmast/ports.py
+++ b/src/bergamotmast/ports.py
@@ -174,6 +174,10 @@
         """Run a call and return its complete response."""
         ...
 
+    async def is_refused(self) -> bool:
+        """Return whether connections are refused, as no process listens."""
+        ...
+
 
 class InstanceList(t.Protocol):
     """Client of the platform's list of instances, which may lag behind."""
--- a/src/bergamotmast/side/runners.py
+++ b/src/bergamotmast/side/runners.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import secrets
 import typing as t
 
 from ..errors import NotReachedError
@@ -166,10 +167,14 @@
     """Runs calls of a plain service.
 
     :param service: the service beside this side.
+    :param name: random identifier of this runner.
+    :param crashes: number of crashes of the service that it has seen.
     """
 
     def __init__(self, service: PlainService) -> None:
         self.service = service
+        self.name = secrets.token_hex(8)
+        self.crashes = 0
 
     def on_credit(self, attempt: Attempt) -> None:
         """Ignore credit, as the answer of a plain service is one message."""
@@ -178,13 +183,17 @@
         """Run a call and send its answer."""
         work = attempt.offer.work
         assert isinstance(work, messages.ServiceWork)
+        earlier_crashes = self.crashes
         try:
             answer = await self.service.call(_service_call(attempt, work))
         except NotReachedError:
             await _refused(attempt, side)
             return
         except PortError as error:
-            await _failed(attempt, side, ResultCode.OUTCOME_UNKNOWN, error.message)
+            boot = await self._crashed_boot(earlier_crashes)
+            await _failed(
+                attempt, side, ResultCode.OUTCOME_UNKNOWN, error.message, boot
+            )
             return
         done = messages.ServiceDone(
             attempt.name, answer.status, answer.body, answer.content_type
@@ -192,6 +201,21 @@
         attempt.answer = done
         await side.send(attempt.session.peer, done)
 
+    async def _crashed_boot(self, earlier_crashes: int) -> str:
+        """Return the id of the service's incarnation that crashed with a call.
+
+        A service has no id of its own, so its crashes are counted: calls that were
+        started after the same number of crashes are lost with the same incarnation.
+
+        :param earlier_crashes: number of crashes before the call was started.
+        :returns: an empty string if the service did not crash.
+        """
+        if self.crashes == earlier_crashes:
+            if not await self.service.is_refused():
+                return ""
+            self.crashes = earlier_crashes + 1
+        return f"{self.name}-{earlier_crashes}"
+
 
 async def _refused(attempt: Attempt, side: AttemptSink) -> None:
     refused = messages.Refused(attempt.name, ResultCode.ENGINE_NOT_READY, 0.0)
--- a/src/bergamotmast/standins/service.py
+++ b/src/bergamotmast/standins/service.py
@@ -78,6 +78,10 @@
         body = expected_body(call.method, call.path, call.body)
         return ServiceAnswer(self.status, body, "application/json")
 
+    async def is_refused(self) -> bool:
+        """Return whether the service is down."""
+        return not self.up
+
     def crash(self) -> None:
         """Crash: the replies of running calls are lost, and new calls fail."""
         self.up = False
--- a/tests/support.py
+++ b/tests/support.py
@@ -209,6 +209,7 @@
         self.runs: list[str] = []
         self.paths: list[str] = []
         self.lose_replies = 0
+        self.listening = True
 
     async def call(self, call):
         self.runs.append(call.idempotency_key or call.request_id)
@@ -219,6 +220,9 @@
             raise ReplyLostError("the connection broke")
         return ServiceAnswer(200, b"ok " + call.body, "text/plain")
 
+    async def is_refused(self):
+        return not self.listening
+
 
 class NoClaims:
     """Claims that always succeed."""
--- a/tests/test_entry_crashes.py
+++ b/tests/test_entry_crashes.py
@@ -26,6 +26,7 @@
 from support import STATE
 from support import Fleet
 from support import ScriptedEngine
+from support import ScriptedService
 from support import answer_of
 from support import expected_text
 from support import fleet
@@ -193,6 +194,68 @@
         assert crashes_of(engines) == 2 * MAX_CRASHES
 
 
+class CrashingService(ScriptedService):
+    """A service that one body crashes; it is back some seconds later."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.crashes = 0
+
+    async def call(self, call):
+        boot = self.crashes
+        if not self.listening:
+            raise NotReachedError("connection refused")
+        if call.body == CRASHES.encode():
+            await asyncio.sleep(0.02)
+            self.crash()
+        answer = await super().call(call)
+        if self.crashes != boot:
+            raise ReplyLostError("the service crashed")
+        return answer
+
+    def crash(self) -> None:
+        self.crashes += 1
+        self.listening = False
+        loop = asyncio.get_running_loop()
+        loop.call_later(RESTART_SECONDS, setattr, self, "listening", True)
+
+
+@pytest.mark.parametrize("route", ["counter", "orders"])
+async def test_call_that_crashes_services_is_refused(route):
+    """Guards against calls that crash one service after another, try by try."""
+    built = Fleet()
+    services = [CrashingService() for _ in range(5)]
+    for number, service in enumerate(services, start=1):
+        built.add_upstream(f"service-{number}", service)
+    entry = built.add_entry("entry-1")
+    await built.ready()
+    harmful = dataclasses.replace(built.service_call(route), body=CRASHES.encode())
+    codes = []
+    for _ in range(5):
+        asked = dataclasses.replace(harmful, deadline=harmful.deadline + 60.0)
+        try:
+            await entry.submit_service(asked)
+        except RequestError as error:
+            codes.append(error.code)
+        answer = await entry.submit_service(built.service_call(route, body=b"1"))
+        assert answer.body == b"ok 1"
+        await asyncio.sleep(1.0)
+    await built.close()
+    assert codes[-1] is ResultCode.QUARANTINED
+    assert sum(service.crashes for service in services) == MAX_CRASHES
+
+
+async def test_reply_that_a_live_service_loses_counts_as_no_crash():
+    async with fleet(services=2) as f:
+        entry = f.entries["entry-1"]
+        for _ in range(4):
+            f.upstreams["service-1"].lose_replies = 1
+            f.upstreams["service-2"].lose_replies = 1
+            with contextlib.suppress(RequestError):
+                await entry.submit_service(f.service_call("orders"))
+        assert not entry.quarantine.is_watching
+
+
 async def test_fingerprints_tell_tenants_and_contents_apart():
     async with fleet() as f:
         call = f.model_call(5)
