Read what other entries know of a request after a crash, without a watch

Entries that work through sides now read a request's crashes after one of their own, before its next attempt, and again while they refuse it, so that they follow an operator's lift.

--- a/src/bergamotmast/app.py
+++ b/src/bergamotmast/app.py
@@ -19,9 +19,9 @@
 from .config.store import ConfigStore
 from .config.watch import ConfigWatcher
 from .crashes.quarantine import Quarantine
+from .crashes.reader import CrashReader
 from .crashes.records import CrashRecordWriter
 from .crashes.trials import Trials
-from .crashes.watcher import CrashWatcher
 from .entry.admin import AdminHttp
 from .entry.core import EntryCore
 from .entry.fleet_status import read_fleet_status
@@ -148,9 +148,7 @@
             Trials(dependencies.name, dependencies.kv),
             self.crash_writer,
         )
-        self.crash_watcher = CrashWatcher(
-            dependencies.kv, self.quarantine, dependencies.rng
-        )
+        self.crash_reader = CrashReader(dependencies.kv, self.quarantine)
         self.core = EntryCore(
             name=dependencies.name,
             zone=dependencies.zone,
@@ -213,7 +211,7 @@
             self.core.run(),
             self.claims.run(),
             self.crash_writer.run(),
-            self.crash_watcher.run(),
+            self.crash_reader.run(),
             self.quarantine.run(),
         ]
         if self.planner is not None:
--- a/src/bergamotmast/crashes/quarantine.py
+++ b/src/bergamotmast/crashes/quarantine.py
@@ -93,6 +93,8 @@
     :param name: name of this entry.
     :param losses: lost runs that may turn out to be crashes.
     :param writer: writer of the records; ``None`` to keep them to this entry.
+    :param on_refusal: called with each request that is refused.
+    :param consult: reads what other entries know of a request that was lost in a crash.
     :param values: value of each known crash's key.
     :param removed: when a removed key is forgotten, by key; points in time.
     :param refresh_at: when the record of a request that keeps coming is to be written
@@ -109,6 +111,8 @@
     ) -> None:
         self.name = name
         self.losses: UnexplainedLosses = NoLosses()
+        self.on_refusal: cabc.Callable[[str], None] = _ignore
+        self.consult: cabc.Callable[[str], cabc.Awaitable[None]] = _know
         self.telemetry = telemetry
         self.rng = rng
         self.trials = trials
@@ -150,6 +154,7 @@
         now = asyncio.get_running_loop().time()
         self.ledger.touch(fingerprint, now)
         self._refresh(fingerprint, now)
+        self.on_refusal(fingerprint)
         raise RequestError(
             ResultCode.QUARANTINED, retry_after=HARMFUL_RETENTION_SECONDS
         )
@@ -223,6 +228,17 @@
             self._remember_removal(key)
             self._report_size()
 
+    def replace_request(self, fingerprint: str, items: tuple[KeyValue, ...]) -> None:
+        """Apply a snapshot of one request's crashes in the store."""
+        present = {item.key for item in items}
+        for crash in self.ledger.crashes(fingerprint):
+            key = crash_key(fingerprint, crash)
+            if key not in present and not self._is_pending(key):
+                self.remove(key)
+        for item in items:
+            if item.key not in self.values and not self._is_pending(item.key):
+                self.put(item)
+
     def replace_all(self, items: tuple[KeyValue, ...], *, restored: bool) -> None:
         """Apply a snapshot of all crashes in the store.
 
@@ -309,3 +325,11 @@
 
     def _is_pending(self, key: str) -> bool:
         return self.writer is not None and key in self.writer.pending
+
+
+def _ignore(fingerprint: str) -> None:
+    """Do nothing: all crashes are known by a watch."""
+
+
+async def _know(fingerprint: str) -> None:
+    """Do nothing: all crashes are known by a watch."""
--- a/src/bergamotmast/crashes/records.py
+++ b/src/bergamotmast/crashes/records.py
@@ -53,9 +53,14 @@
     request_id: str
 
 
+def request_prefix(fingerprint: str) -> str:
+    """Return the prefix of the keys of all crashes of a request."""
+    return f"{CRASHES_PREFIX}{fingerprint}/"
+
+
 def crash_key(fingerprint: str, crash: str) -> str:
     """Return the key of a request's crash."""
-    return f"{CRASHES_PREFIX}{fingerprint}/{crash}"
+    return request_prefix(fingerprint) + crash
 
 
 def parse_crash_key(key: str) -> tuple[str, str]:
@@ -99,7 +104,7 @@
 
 async def delete_crashes(kv: KeyValueService, fingerprint: str) -> int:
     """Delete all crashes of a request; return how many there were."""
-    result = await kv.range(f"{CRASHES_PREFIX}{fingerprint}/")
+    result = await kv.range(request_prefix(fingerprint))
     keys = [item.key for item in result.items]
     for start in range(0, len(keys), MAX_WRITES_PER_TXN):
         batch = keys[start : start + MAX_WRITES_PER_TXN]
--- a/src/bergamotmast/entry/model_run.py
+++ b/src/bergamotmast/entry/model_run.py
@@ -131,7 +131,9 @@
                     case messages.Failed():
                         ended = True
                         self.placement.has_run = True
-                        self.placement.on_crash(attempt.upstream, event.crashed_boot)
+                        await self.placement.on_crash(
+                            attempt.upstream, event.crashed_boot
+                        )
                         self._on_attempt_failed(attempt, tokens_before)
                     case SessionLost() | SideReplaced():
                         ended = True
--- a/src/bergamotmast/entry/placement.py
+++ b/src/bergamotmast/entry/placement.py
@@ -122,14 +122,18 @@
             return contextlib.nullcontext(True)
         return quarantine.run_apart(self.fingerprint, Incarnation(upstream, ""))
 
-    def on_crash(self, upstream: str, boot: str) -> None:
+    async def on_crash(self, upstream: str, boot: str) -> None:
         """Record that an upstream crashed while it ran the request.
 
+        Waits, for a short time, for what other entries know of the request, as the next
+        attempt may be one too many.
+
         :param boot: incarnation that crashed; empty if it did not crash.
         """
         if boot:
             run = LostRun(self.fingerprint, self.call.request_id)
             self.entry.quarantine.on_crash(Incarnation(upstream, boot), [run])
+            await self.entry.quarantine.consult(self.fingerprint)
 
     def on_answered(self) -> None:
         """Record that the request has its complete answer."""
--- a/src/bergamotmast/entry/service_run.py
+++ b/src/bergamotmast/entry/service_run.py
@@ -151,7 +151,7 @@
                     )
                     return None
                 case messages.Failed():
-                    self.placement.on_crash(attempt.upstream, event.crashed_boot)
+                    await self.placement.on_crash(attempt.upstream, event.crashed_boot)
                     self._on_outcome_unknown(attempt)
                     return None
                 case SideReplaced():
--- a/src/bergamotmast/key_watch.py
+++ b/src/bergamotmast/key_watch.py
@@ -12,7 +12,6 @@
 from .errors import PortError
 from .ports import KeyValue
 from .ports import KeyValueService
-from .ports import RangeResult
 from .ports import WatchEvent
 
 WATCH_TIMEOUT_SECONDS = 6.0
@@ -40,29 +39,13 @@
 
     :param rng: source of the jitter between attempts.
     """
-    snapshots = watch_snapshots(kv, prefix, rng)
-    async with contextlib.aclosing(snapshots):
-        async for found in snapshots:
-            if isinstance(found, RangeResult):
-                for item in found.items:
-                    yield item
-            else:
-                yield found
-
-
-async def watch_snapshots(
-    kv: KeyValueService, prefix: str, rng: random.Random
-) -> cabc.AsyncGenerator[RangeResult | WatchEvent, None]:
-    """Yield all keys with a prefix at once, then their changes, indefinitely.
-
-    As :func:`watch_keys`, for consumers that need to know which keys are gone.
-    """
     backoff = Backoff(rng)
     while True:
         try:
             async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
                 found = await kv.range(prefix)
-            yield found
+            for item in found.items:
+                yield item
             async with contextlib.aclosing(
                 kv.watch(prefix, found.revision + 1)
             ) as stream:
