--- a/tests/test_crash_series.py
+++ b/tests/test_crash_series.py
@@ -14,8 +14,13 @@
 from crash_checks import judge_culprits
 from crash_series import CrashPlan
 from crash_series import Culprit
+from crash_series import draw_plan
 from crash_series import run_plan
 
+SEEDS = (100, 101, 102, 2009)
+"""The first three let one request reach replicas after the third crash, before requests
+were recognized; the last one has four harmful requests at once."""
+
 ONE_CULPRIT = CrashPlan(entries=3, plain=3, engines=4, callers=6, culprits=())
 
 
@@ -31,6 +36,13 @@
     assert report.faults == []
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_series_of_crashes_and_faults(seed):
+    """Harmful requests come beside restarts of entries and faults of the store."""
+    report = await run_plan(draw_plan(seed), seed)
+    assert report.faults == []
+
+
 def lines(*crashes: float, tries: tuple[float, ...] = ()) -> list[Recorded]:
     record = [Recorded("runs", f"crash-0-{at}", at) for at in (*crashes, *tries)]
     return record + [Recorded("crash", f"crash-0-{at}", at) for at in crashes]
