--- a/tests/crash_series.py
+++ b/tests/crash_series.py
@@ -379,13 +379,13 @@
     return report
 
 
-async def run_seeds(seeds: list[int], most: int, parallel: int) -> int:
+async def run_plans(plans: dict[int, CrashPlan], parallel: int) -> int:
     """Play the series of seeds, some at a time; return how many have faults."""
     slots = asyncio.Semaphore(parallel)
 
     async def play(seed: int) -> bool:
         async with slots:
-            report = await run_plan(draw_plan(seed, most), seed)
+            report = await run_plan(plans[seed], seed)
         print(
             f"seed {seed}: {report.statuses}, crashes and late tries "
             f"{report.culprits}, faults {len(report.faults)}",
@@ -395,7 +395,7 @@
         )
         return bool(report.faults)
 
-    return sum(await asyncio.gather(*map(play, seeds)))
+    return sum(await asyncio.gather(*map(play, plans)))
 
 
 def main() -> int:
@@ -405,9 +405,16 @@
     parser.add_argument("--count", type=int, default=50)
     parser.add_argument("--most", type=int, default=4, help="maximum of entries")
     parser.add_argument("--parallel", type=int, default=2)
+    parser.add_argument(
+        "--engines", type=int, default=0, help="engines, with as many entries as --most"
+    )
     arguments = parser.parse_args()
     seeds = list(range(arguments.first, arguments.first + arguments.count))
-    broken = asyncio.run(run_seeds(seeds, arguments.most, arguments.parallel))
+    plans = {seed: draw_plan(seed, arguments.most) for seed in seeds}
+    if arguments.engines:
+        size = {"entries": arguments.most, "engines": arguments.engines}
+        plans = {s: dataclasses.replace(plan, **size) for s, plan in plans.items()}
+    broken = asyncio.run(run_plans(plans, arguments.parallel))
     print(f"{broken} of {len(seeds)} broke")
     return 1 if broken else 0
 
