Withdraw a crash only once the upstream has kept its incarnation

A replica may start again under its name. Until its new registration is known, an entry still sends by the old one, and the reply of the new process withdrew the crash of the old one: a harmful request would have been counted once less. Found by reading; no run has shown it at callers.

test_reply_of_the_next_incarnation_withdraws_nothing failed before.

--- a/src/bergamotmast/crashes/quarantine.py
+++ b/src/bergamotmast/crashes/quarantine.py
@@ -19,6 +19,7 @@
 from ..errors import RequestError
 from ..errors import ResultCode
 from ..policy.crash_ledger import HARMFUL_RETENTION_SECONDS
+from ..policy.crash_ledger import MAX_CRASHES
 from ..policy.crash_ledger import CrashLedger
 from ..policy.crash_ledger import Verdict
 from ..policy.crash_ledger import verdict_of
@@ -88,7 +89,8 @@
 class Quarantine:
     """Decides which requests may run, by the crashes that all entries have seen.
 
-    Implements :class:`CrashObserver` and :class:`KeyListener`.
+    Implements :class:`CrashObserver` and, with :meth:`put`, :meth:`remove` and
+    :meth:`replace_all`, a receiver of the keys below one prefix.
 
     :param name: name of this entry.
     :param losses: lost runs that may turn out to be crashes.
@@ -223,10 +225,12 @@
         """Apply the removal of a crash, by an entry or an operator."""
         with contextlib.suppress(ConfigError):
             fingerprint, crash = parse_crash_key(key)
+            was_harmful = len(self.ledger.crashes(fingerprint)) == MAX_CRASHES
             self.values.pop(key, None)
             self.ledger.withdraw(fingerprint, crash)
             self._remember_removal(key)
-            self._report_size()
+            if was_harmful:
+                self._report_size()
 
     def replace_request(self, fingerprint: str, items: tuple[KeyValue, ...]) -> None:
         """Apply a snapshot of one request's crashes in the store."""
--- a/src/bergamotmast/direct/crash_detector.py
+++ b/src/bergamotmast/direct/crash_detector.py
@@ -3,8 +3,8 @@
 A lost connection alone does not mean that an upstream has crashed: it may have been
 reset on the way, or closed by an upstream that is alive. A crash is assumed if the
 upstream's address refuses connections right after the loss, or if its registration is
-removed or replaced within seconds. The assumption is withdrawn as soon as the same
-incarnation replies to a later request.
+removed or replaced within seconds. The assumption is withdrawn if the upstream replies
+to a later request and is still registered as the same incarnation seconds after that.
 """
 
 from __future__ import annotations
@@ -45,6 +45,7 @@
     :param last_at: when the last loss became known.
     :param disconnected: whether one of the connections ended by itself.
     :param crashed: whether a crash is assumed.
+    :param replied: whether the upstream has replied since.
     """
 
     upstream: Upstream
@@ -52,6 +53,7 @@
     runs: dict[str, LostRun] = dataclasses.field(default_factory=dict)
     disconnected: bool = False
     crashed: bool = False
+    replied: bool = False
 
 
 class CrashDetector:
@@ -103,9 +105,7 @@
             if not self._is_in_service(upstream):
                 return
             losses = self.losses[key] = Losses(upstream, now)
-            task = asyncio.create_task(self._check(key, losses))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+            self._spawn(self._check(key, losses))
         losses.last_at = now
         losses.disconnected = losses.disconnected or disconnected
         if run.fingerprint in losses.runs:
@@ -121,16 +121,13 @@
         """
         key = Incarnation(upstream.name, upstream.boot)
         losses = self.losses.get(key)
-        if losses is None or sent_at <= losses.last_at:
+        if losses is None or sent_at <= losses.last_at or losses.replied:
             return
-        del self.losses[key]
         if losses.crashed:
-            logger.info(
-                "upstream has not crashed",
-                extra={"upstream": upstream.name, "boot": upstream.boot},
-            )
-            if self.observer is not None:
-                self.observer.on_survival(key, list(losses.runs.values()))
+            losses.replied = True
+            self._spawn(self._reconsider(key, losses))
+        else:
+            del self.losses[key]
 
     def _is_in_service(self, upstream: Upstream) -> bool:
         """Return whether an incarnation is registered and not shutting down."""
@@ -164,6 +161,29 @@
         if self.losses.get(key) is losses:
             del self.losses[key]
 
+    async def _reconsider(self, key: Incarnation, losses: Losses) -> None:
+        """Withdraw the assumption of a crash, unless the upstream has started again.
+
+        It may be back under the same name before its new registration is known here.
+        """
+        await asyncio.sleep(EXPLANATION_SECONDS)
+        losses.replied = False
+        registered = self._is_in_service(losses.upstream)
+        if not registered or self.losses.get(key) is not losses:
+            return
+        del self.losses[key]
+        logger.info(
+            "upstream has not crashed",
+            extra={"upstream": key.name, "boot": key.boot},
+        )
+        if self.observer is not None:
+            self.observer.on_survival(key, list(losses.runs.values()))
+
+    def _spawn(self, work: cabc.Coroutine[object, object, None]) -> None:
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
     def _confirm(self, key: Incarnation, losses: Losses, reason: str) -> None:
         """Assume that an upstream has crashed, unless it was shutting down."""
         registered = self.fleet.registered(losses.upstream.name)
