--- a/tests/test_crash_series.py
+++ b/tests/test_crash_series.py
@@ -17,9 +17,10 @@
 from crash_series import draw_plan
 from crash_series import run_plan
 
-SEEDS = (100, 101, 102, 2009)
-"""The first three let one request reach replicas after the third crash, before requests
-were recognized; the last one has four harmful requests at once."""
+SEEDS = (100, 101, 102, 2009, 3003)
+"""In the first three, one request reached replicas after its third crash, before requests
+were recognized. 2009 has four harmful requests at once. In 3003, replies of replicas
+that were back withdrew their crashes."""
 
 ONE_CULPRIT = CrashPlan(entries=3, plain=3, engines=4, callers=6, culprits=())
 
