--- a/tests/test_crash_series.py
+++ b/tests/test_crash_series.py
@@ -18,9 +18,9 @@
 from crash_series import run_plan
 
 SEEDS = (100, 101, 102, 2009, 3003)
-"""In the first three, one request reached replicas after its third crash, before requests
-were recognized. 2009 has four harmful requests at once. In 3003, replies of replicas
-that were back withdrew their crashes."""
+"""In 100 to 102, a request reached replicas after its third crash: entries did not
+recognize it. 2009 has four harmful requests. In 3003, replies of replicas that were
+back withdrew their crashes."""
 
 ONE_CULPRIT = CrashPlan(entries=3, plain=3, engines=4, callers=6, culprits=())
 
