Log the fingerprint under a name that the log handler writes

Callers' failures could not be followed: 'request' in a log call is taken for a field of the logging library and left out, so no line of a process had the fingerprint, though the tests, which look at records in memory, saw it. A test now looks at all fields of log calls.

--- a/src/bergamotmast/crashes/quarantine.py
+++ b/src/bergamotmast/crashes/quarantine.py
@@ -149,7 +149,11 @@
         proven = verdict_of(len(crashes)) is Verdict.HARMFUL
         logger.info(
             "request is in quarantine",
-            extra={"request": fingerprint, "crashes": len(crashes), "proven": proven},
+            extra={
+                "fingerprint": fingerprint,
+                "crashes": len(crashes),
+                "proven": proven,
+            },
         )
         if not proven:
             raise RequestError(ResultCode.QUARANTINED, retry_after=EXPLANATION_SECONDS)
@@ -183,7 +187,7 @@
             return
         logger.info(
             "request is cleared",
-            extra={"request": fingerprint, "crashes": len(crashes)},
+            extra={"fingerprint": fingerprint, "crashes": len(crashes)},
         )
         for crash in crashes:
             self._delete(fingerprint, crash)
@@ -294,7 +298,7 @@
             if verdict is Verdict.ON_TRIAL
             else "request is put into quarantine",
             extra={
-                "request": fingerprint,
+                "fingerprint": fingerprint,
                 "crashes": crashes,
                 "last": value.decode(errors="replace"),
             },
--- a/src/bergamotmast/crashes/trials.py
+++ b/src/bergamotmast/crashes/trials.py
@@ -67,7 +67,7 @@
             lease, granted = await self._claim_in_store(keys)
             logger.info(
                 "trial begins" if granted else "trial has to wait",
-                extra={"request": fingerprint, "upstream": upstream.name},
+                extra={"fingerprint": fingerprint, "upstream": upstream.name},
             )
             yield granted
         finally:
--- a/src/bergamotmast/direct/attempts.py
+++ b/src/bergamotmast/direct/attempts.py
@@ -178,7 +178,7 @@
             "outcome": outcome,
             "sends": self.count,
             "last_event": last_event,
-            "request": self.fingerprint,
+            "fingerprint": self.fingerprint,
             "caller": self.call.caller,
         }
         logger.info("send failed", extra=fields)
--- a/tests/test_bounded_log.py
+++ b/tests/test_bounded_log.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import ast
 import json
 import logging
 import os
+import pathlib
 import time
 
 import pytest
 
+from bergamotmast import bounded_log
 from bergamotmast.bounded_log import MAX_BUFFERED_BYTES
 from bergamotmast.bounded_log import MAX_LINES_PER_SECOND
 from bergamotmast.bounded_log import BoundedJsonHandler
@@ -132,3 +135,17 @@
     logger.info("request ended")
     (line,) = lines(readable)
     assert line["dropped_before"] == 2
+
+
+def test_no_field_of_a_log_line_is_taken_for_a_standard_one():
+    """Guards against fields that are given to a log call and never written."""
+    package = pathlib.Path(bounded_log.__file__).parent
+    given = set()
+    for path in package.rglob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.keyword) and node.arg == "extra":
+                if isinstance(node.value, ast.Dict):
+                    keys = [k for k in node.value.keys if isinstance(k, ast.Constant)]
+                    given |= {key.value for key in keys}
+    assert given & bounded_log._STANDARD_FIELDS == set()
+    assert {"fingerprint", "upstream"} <= given
