End the processes of a series of crashes on SIGTERM

All 13 are series on real processes whose entries found their ports in use. Processes of a soak that I had ended by SIGTERM at 16:53 still ran: the entries among them held ports 5003 to 5012, which the failed entries name (working folder and settings read from /proc before they were ended by id).

--- a/tests/crash_series.py
+++ b/tests/crash_series.py
@@ -409,6 +409,8 @@
         "--engines", type=int, default=0, help="engines, with as many entries as --most"
     )
     arguments = parser.parse_args()
+    # Ends the processes of all series too: left behind, they would hold their ports.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     seeds = list(range(arguments.first, arguments.first + arguments.count))
     plans = {seed: draw_plan(seed, arguments.most) for seed in seeds}
     if arguments.engines:
