--- a/tests/crash_series.py
+++ b/tests/crash_series.py
@@ -43,8 +43,6 @@
 DISCOVERY_SECONDS = 4.0
 """Time after the last fault in which the last harmful request is found."""
 
-PORTS_FOR_REPLICAS = 100
-
 
 @dataclasses.dataclass(frozen=True)
 class Culprit:
