Move the eras of the store out of the platform's folder

What a restore means for revisions, leases and epochs is the product's own; the folder keeps the header that carries the number of restores.

--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -151,8 +151,8 @@
         presence = Presence(store, settings.name, settings.peer_address, rng)
         planner = _planner(settings, store, context, orders)
         store_watcher = StoreWatcher(store, fleet, rng)
-        store.on_restored.append(store_watcher.on_restored)
-        coroutines = (
+        store.restores.on_restored.append(store_watcher.on_restored)
+        coroutines = [
             store_watcher.run(),
             presence.run(),
             crash_writer.run(),
@@ -205,7 +205,7 @@
         name,
         context.rng,
         NullHistory(),
-        epoch_hint=store.min_epoch,
+        epoch_hint=store.restores.min_epoch,
         max_engines_per_txn=MAX_PLAN_WRITES,
         carry_over=False,
     )
--- a/src/bergamotmast/platform/store.py
+++ b/src/bergamotmast/platform/store.py
@@ -6,7 +6,7 @@
 import base64
 import collections.abc as cabc
 import dataclasses
-import logging
+import functools
 import typing as t
 import urllib.parse
 
@@ -16,6 +16,10 @@
 from ..adapters.http_calls import JSON_TYPE
 from ..adapters.http_calls import client_session
 from ..adapters.http_calls import exchange
+from ..adapters.restores import RestoreTracker
+from ..adapters.restores import era_of
+from ..adapters.restores import qualify
+from ..adapters.restores import unqualify
 from ..errors import KeyValueOutcomeUnknownError
 from ..errors import KeyValueUnavailableError
 from ..errors import LeaseLapsedError
@@ -29,12 +33,9 @@
 from ..ports import RangeResult
 from ..ports import TxnResult
 from ..ports import WatchEvent
-from .store_era import era_of
-from .store_era import qualify
-from .store_era import read_era
-from .store_era import unqualify
 
-logger = logging.getLogger(__name__)
+ERA_HEADER = "Store-Era"
+"""Number of restores of the store from a backup."""
 
 CALL_TIMEOUT_SECONDS = 1.0
 """Timeout of a call; the store answers within milliseconds, or 0.3 s when slow."""
@@ -48,9 +49,6 @@
 RANGE_READ_SECONDS = 0.3
 """Time reserved for reading all keys again after a watch has failed."""
 
-EPOCHS_PER_ERA = 1_000_000
-"""Upper bound on the epochs used between two restores of the store."""
-
 
 def no_pause() -> float:
     """Return 0, so that the next watch call follows each answer immediately."""
@@ -114,9 +112,9 @@
 class PlatformStore:
     """Implements :class:`~bergamotmast.ports.KeyValueService`.
 
-    Revisions and leases are qualified with their era, see :mod:`.store_era`. After a
-    restore, revisions of a former era are older and fail comparisons, and leases of a
-    former era have lapsed.
+    Revisions and leases are qualified with their era, see
+    :mod:`~bergamotmast.adapters.restores`. After a restore, revisions of a former era
+    are older and fail comparisons, and leases of a former era have lapsed.
 
     :param session: a session from :func:`store_session`.
     :param address: where the store listens, ``host:port``.
@@ -124,9 +122,7 @@
         keys again.
     :param watch_pause: returns the delay, in seconds, between a watch answer with
         changes and the next watch call, so that one call can return several changes.
-    :param era: number of restores reported by the store; ``None`` until an answer
-        reports it.
-    :param on_restored: callbacks for a restore that an answer reveals.
+    :param restores: the store's restores, as its answers report them.
     """
 
     def __init__(
@@ -140,21 +136,7 @@
         self.url = f"http://{address}"
         self.watch_pause = watch_pause
         self.watch_seconds = recovery_seconds - WATCH_SLACK_SECONDS - RANGE_READ_SECONDS
-        self.era: int | None = None
-        self.on_restored: list[cabc.Callable[[], None]] = []
-        self._restored = asyncio.Event()
-
-    def min_epoch(self) -> int:
-        """Return an epoch above those of all planners before the last restore.
-
-        Engines remember fencing tokens that a restored store may have lost, and refuse
-        orders under lower ones.
-        """
-        return self._known_era * EPOCHS_PER_ERA
-
-    @property
-    def _known_era(self) -> int:
-        return self.era or 0
+        self.restores = RestoreTracker()
 
     async def get(self, key: str) -> KeyValue | None:
         """Read one key."""
@@ -191,10 +173,11 @@
     ) -> TxnResult:
         """Apply all writes if all conditions hold, else none."""
         puts = [write for write in writes if isinstance(write, Put)]
-        era = self._known_era
-        if any(_is_of_other_era(put.lease, era) for put in puts):
+        restores = self.restores
+        era = restores.known_era
+        if any(restores.is_of_other_era(put.lease) for put in puts):
             raise LeaseLapsedError("the lease is from before a restore of the store")
-        if any(_is_of_other_era(compare.mod_revision, era) for compare in compares):
+        if any(restores.is_of_other_era(c.mod_revision) for c in compares):
             return TxnResult(False, 0)
         body = {
             "precondition": [
@@ -224,14 +207,14 @@
 
     async def keep_alive(self, lease: int) -> bool:
         """Renew a lease; ``False`` if it has lapsed."""
-        if _is_of_other_era(lease, self._known_era):
+        if self.restores.is_of_other_era(lease):
             return False
         answer = await self._write("POST", f"/kv-keep/{unqualify(lease)}", {})
         return answer.status != 404 and answer.era == era_of(lease)
 
     async def revoke_lease(self, lease: int) -> None:
         """End a lease and delete its keys."""
-        if _is_of_other_era(lease, self._known_era):
+        if self.restores.is_of_other_era(lease):
             # The store may have reissued the number to another entry.
             return
         await self._write("DELETE", f"/kv-lease-end/{unqualify(lease)}", None)
@@ -250,7 +233,8 @@
                 }
             )
             seconds = self.watch_seconds + WATCH_SLACK_SECONDS
-            answer = await self._read_within_era(era, f"/kv-watch?{query}", seconds)
+            read = functools.partial(self._read, f"/kv-watch?{query}", seconds)
+            answer = await self.restores.read_within(era, read)
             changes = _decode(answer.body, _Events)
             if not changes.events:
                 yield None
@@ -260,25 +244,6 @@
             if changes.events:
                 await asyncio.sleep(self.watch_pause())
 
-    async def _read_within_era(self, era: int, path: str, seconds: float) -> _Answer:
-        """Read within one era; fail as soon as any call reveals a restore.
-
-        The restored store may reissue the awaited revision for different changes.
-        """
-        if self._known_era != era:
-            raise KeyValueUnavailableError("the store was restored")
-        read = asyncio.ensure_future(self._read(path, seconds))
-        restored = asyncio.ensure_future(self._restored.wait())
-        try:
-            await asyncio.wait((read, restored), return_when=asyncio.FIRST_COMPLETED)
-            if self._known_era != era:
-                raise KeyValueUnavailableError("the store was restored")
-            return await read
-        finally:
-            read.cancel()
-            restored.cancel()
-            await asyncio.gather(read, restored, return_exceptions=True)
-
     async def _read(self, path: str, seconds: float = CALL_TIMEOUT_SECONDS) -> _Answer:
         try:
             answer = await self._call("GET", path, None, seconds)
@@ -317,27 +282,9 @@
             headers=JSON_TYPE,
         ) as response:
             # Recorded before the body is read, since reading the body may fail.
-            era = self._record_era(read_era(response.headers))
+            era = self.restores.record(_read_era(response.headers))
             return _Answer(response.status, await response.read(), era)
 
-    def _record_era(self, era: int | None) -> int:
-        """Record the era of an answer and return the current era.
-
-        :raises ReplyLostError: for an answer from before a known restore.
-        """
-        if era is None or era == self.era:
-            return self._known_era
-        if era < self._known_era:
-            raise ReplyLostError("the answer is from before a restore of the store")
-        former, self.era = self.era, era
-        if former is not None:
-            logger.warning("store was restored", extra={"era": era, "former": former})
-            self._restored.set()
-            self._restored = asyncio.Event()
-            for callback in self.on_restored:
-                callback()
-        return era
-
 
 _StructT = t.TypeVar("_StructT", bound=msgspec.Struct)
 
@@ -366,9 +313,10 @@
         return b""
 
 
-def _is_of_other_era(qualified: int, era: int) -> bool:
-    """Return whether a revision or lease is of another era; 0 belongs to all eras."""
-    return qualified != 0 and era_of(qualified) != era
+def _read_era(headers: cabc.Mapping[str, str]) -> int | None:
+    """Return the number of restores; ``None`` if the header is missing or invalid."""
+    text = headers.get(ERA_HEADER, "").strip()
+    return int(text) if text.isascii() and text.isdigit() and len(text) < 10 else None
 
 
 def _key_value(item: _Item, era: int) -> KeyValue:
--- a/tests/test_restore_machine.py
+++ b/tests/test_restore_machine.py
@@ -18,6 +18,8 @@
 import pytest
 from hypothesis import strategies as st
 
+from bergamotmast.adapters.restores import era_of
+from bergamotmast.adapters.restores import unqualify
 from bergamotmast.direct.fleet import Fleet
 from bergamotmast.direct.placer import RequestPlacer
 from bergamotmast.direct.role_planner import RolePlanner
@@ -28,8 +30,6 @@
 from bergamotmast.platform.directory import PlatformDirectory
 from bergamotmast.platform.store import PlatformStore
 from bergamotmast.platform.store import _Answer
-from bergamotmast.platform.store_era import era_of
-from bergamotmast.platform.store_era import unqualify
 from bergamotmast.policy.direct_roles import MixMeter
 from test_orders_machine import LEASE_SECONDS
 from test_orders_machine import SETTINGS
@@ -139,7 +139,7 @@
         if method != "GET" and self.store.loses_next_reply:
             self.store.loses_next_reply = False
             raise ReplyLostError("no reply")
-        era = self._record_era(self.reported_era())
+        era = self.restores.record(self.reported_era())
         return _Answer(status, msgspec.json.encode(answer), era)
 
     def reported_era(self) -> int | None:
@@ -170,7 +170,7 @@
                 name,
                 rng,
                 NullHistory(),
-                epoch_hint=client.min_epoch,
+                epoch_hint=client.restores.min_epoch,
                 carry_over=False,
             ),
             fleet,
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -13,6 +13,8 @@
 from answer_support import CALLER
 from answer_support import entry_before
 from answer_support import send
+from bergamotmast.adapters.restores import era_of
+from bergamotmast.adapters.restores import unqualify
 from bergamotmast.direct.fleet import MISSING_UPSTREAM_GRACE_SECONDS
 from bergamotmast.direct.fleet import Fleet
 from bergamotmast.direct.presence import PRESENCE_PREFIX
@@ -30,8 +32,6 @@
 from bergamotmast.platform.directory import PlatformDirectory
 from bergamotmast.platform.store import PlatformStore
 from bergamotmast.platform.store import store_session
-from bergamotmast.platform.store_era import era_of
-from bergamotmast.platform.store_era import unqualify
 from bergamotmast.ports import Compare
 from bergamotmast.ports import Put
 from direct_support import config
@@ -54,7 +54,7 @@
         fleet = Fleet(PlatformDirectory(), asyncio.get_running_loop().time)
         adapter = PlatformStore(session, store.address, RECOVERY_SECONDS)
         follower = StoreWatcher(adapter, fleet, random.Random(1))
-        adapter.on_restored.append(follower.on_restored)
+        adapter.restores.on_restored.append(follower.on_restored)
         task = asyncio.create_task(follower.run())
         try:
             yield store, fleet, adapter
@@ -91,7 +91,7 @@
         name,
         random.Random(name),
         NullHistory(),
-        epoch_hint=adapter.min_epoch,
+        epoch_hint=adapter.restores.min_epoch,
         carry_over=False,
     )
 
@@ -276,7 +276,7 @@
         made = await adapter.txn([Compare("k", 0)], [Put("k", b"v")])
         assert made.revision == store.revision
         assert (await adapter.get("k")).mod_revision == store.revision
-        assert adapter.min_epoch() == 0
+        assert adapter.restores.min_epoch() == 0
 
 
 async def test_former_plan_holder_loses_authority_after_a_restore():
