Admit requests by their tenant's key at direct entries

Each version of the configuration has an immutable index from key to tenant, swapped with it. A route that is not public needs exactly one header with a known key, else 401; an entry that has lost the store answers an unknown key with 503, as it may be new, and goes on accepting the keys that it knows. The key is never forwarded; the tenant's name is set on each send (prefill, run, resume, retry), whatever the caller sent, on public routes too. Streams that run when their key is removed go on: they were admitted under a version that allowed them. A tenant's priority goes before that of the route: engine priorities are divided into bands, one for each priority of tenants, and each band into the ranks of routes; with one band they are as before.

--- a/src/bergamotmast/direct/core.py
+++ b/src/bergamotmast/direct/core.py
@@ -20,11 +20,14 @@
 from .forwarding import is_writable
 from .model import Call
 from .model import CallKind
+from .model import Route
+from .model import Routing
 from .placer import shared_parts
 from .plain_run import PlainRun
 from .routing import RouteTable
 from .routing import pick_group
 from .stream_run import StreamRun
+from .tenants import Tenant
 
 logger = logging.getLogger(__name__)
 
@@ -32,6 +35,9 @@
 """How long a request waits for the entry's initial load from the store, which takes
 about 40 ms. If the store is unavailable, the caller should retry at another entry."""
 
+STALE_CONFIG_RETRY_SECONDS = 0.5
+"""Delay after which a caller whose key may be new should try another entry."""
+
 DEFAULT_BODY_TIMEOUT_SECONDS = 60.0
 """Time limit for reading the body of a request without a deadline header."""
 
@@ -69,6 +75,8 @@
             try:
                 call = await self._admit(request)
                 route_name = call.route.name
+                if call.tenant is not None:
+                    log_fields["tenant"] = call.tenant.name
                 status = await self._run(call, reply, log_fields)
             except RequestError as error:
                 code = error.code
@@ -101,6 +109,7 @@
             deadline, asyncio.get_running_loop().time()
         )
         group = self.context.fleet.group(pick_group(route, self.context.rng))
+        tenant = self._tenant(request, table.routing, route)
         connection = request.headers.get("Connection", "")
         return Call(
             traits=traits,
@@ -114,8 +123,34 @@
             deadline=deadline,
             caller=request.caller,
             parts=shared_parts(traits),
+            tenant=tenant,
         )
 
+    def _tenant(
+        self, request: CallerRequest, routing: Routing, route: Route
+    ) -> Tenant | None:
+        """Return the tenant that sent a request; ``None`` if it needs no API key.
+
+        An entry without a connection to the store may not know a new key yet: the
+        refusal is then a 503, as callers do not retry after a 401. A key that it knows
+        may have been removed, and is accepted until the store is reached again.
+
+        :raises RequestError: if the route needs a key and the caller's is not known.
+        """
+        if routing.tenants is None:
+            return None
+        key = self.context.dialect.api_key(request.items)
+        tenant = routing.tenants.find(key)
+        if tenant is not None or route.public:
+            return tenant
+        if key and not self.context.fleet.in_sync:
+            raise RequestError(
+                ResultCode.NO_UPSTREAM,
+                "The key is not known, and the configuration may be outdated.",
+                STALE_CONFIG_RETRY_SECONDS,
+            )
+        raise RequestError(ResultCode.UNAUTHENTICATED)
+
     async def _read_body(
         self, request: CallerRequest, time_left: float | None
     ) -> bytes:
--- a/src/bergamotmast/direct/decode_attempt.py
+++ b/src/bergamotmast/direct/decode_attempt.py
@@ -168,6 +168,7 @@
             self.upstream.name,
             call.deadline,
             priority=self._priority(),
+            call.tenant_name,
             kv_source=self.stream.cache.source,
             prefix_source=prefill.prefix_source if prefill is not None else "",
             last_event=self.stream.last_event,
@@ -184,7 +185,7 @@
         )
 
     def _priority(self) -> int:
-        traits, rank = self.call.traits, self.call.route.rank
+        traits, rank = self.call.traits, self.call.rank
         if self.prefill is not None:
             return self.prefill.priority
         return decode_priority(
--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -134,6 +134,7 @@
     :param existing_keys: keys of ``on_removal`` that the store is known to hold.
     :param listeners: receivers of keys that are none of the fleet's, by prefix.
     :param first_ready: set once requests can be routed for the first time.
+    :param in_sync: whether changes of the store are being received.
     """
 
     def __init__(
@@ -157,6 +158,7 @@
         self.existing_keys: set[str] = set()
         self.listeners: dict[str, KeyListener] = {}
         self.first_ready = asyncio.Event()
+        self.in_sync = False
 
     @property
     def ready(self) -> bool:
--- a/src/bergamotmast/direct/model.py
+++ b/src/bergamotmast/direct/model.py
@@ -7,7 +7,11 @@
 import math
 
 from ..model import Role
+from ..policy.priority import SINGLE_BAND
+from ..policy.priority import Rank
 from ..policy.size_shares import SizedPrompt
+from .tenants import Tenant
+from .tenants import TenantIndex
 
 
 class CallKind(enum.Enum):
@@ -46,6 +50,7 @@
     :param max_attempts: maximum number of upstreams that a request may be sent to.
     :param rank: priority rank; 0 is the most urgent.
     :param resumable: whether a stream may be resumed at another upstream.
+    :param public: whether callers need no API key.
     """
 
     name: str
@@ -60,6 +65,7 @@
     resumable: bool = False
     gap_objective: float = 0.0
     patience: float = math.inf
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -108,12 +114,14 @@
     """One version of the routing configuration.
 
     :param generation: version number, which increases with each version.
+    :param tenants: the tenants and their API keys; ``None`` if callers need no key.
     """
 
     generation: int
     routes: tuple[Route, ...]
     groups: dict[str, Group]
     limits: CallerLimits
+    tenants: TenantIndex | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -178,6 +186,7 @@
     :param parts: hash and length of the parts of the prompt, in order.
     :param sized_prompt: the prompt in its size class; ``None`` for a request without
         one.
+    :param tenant: the tenant that sent it; ``None`` if it needed no API key.
     """
 
     traits: CallTraits
@@ -192,6 +201,18 @@
     caller: str = ""
     parts: tuple[tuple[int, int], ...] = ()
     sized_prompt: SizedPrompt | None = None
+    tenant: Tenant | None = None
+
+    @property
+    def tenant_name(self) -> str:
+        """Name of the tenant; empty if there is none."""
+        return self.tenant.name if self.tenant is not None else ""
+
+    @property
+    def rank(self) -> Rank:
+        """Priority rank: the tenant's band first, then the route's rank."""
+        band = self.tenant.band if self.tenant is not None else SINGLE_BAND
+        return Rank(self.route.rank, band)
 
     @property
     def goes_first(self) -> bool:
--- a/src/bergamotmast/direct/placer.py
+++ b/src/bergamotmast/direct/placer.py
@@ -162,7 +162,7 @@
         :param tokens: tokens to prefill.
         """
         return prefill_priority(
-            call.route.rank, tokens, self.decisions, goes_first=call.goes_first
+            call.rank, tokens, self.decisions, goes_first=call.goes_first
         )
 
     def _prefix_replicas(self, call: Call, members: list[Upstream]) -> dict[str, int]:
--- a/src/bergamotmast/direct/plain_run.py
+++ b/src/bergamotmast/direct/plain_run.py
@@ -124,7 +124,7 @@
         call = self.call
         dialect = self.context.dialect
         now = asyncio.get_running_loop().time()
-        attempt = Attempt(upstream.name, call.deadline)
+        attempt = Attempt(upstream.name, call.deadline, call.tenant_name)
         headers = dialect.write_headers(call.headers, attempt, now)
         async with self.context.client.send(
             upstream.address,
--- a/src/bergamotmast/direct/ports.py
+++ b/src/bergamotmast/direct/ports.py
@@ -20,6 +20,7 @@
 
     :param upstream: name of the upstream that must handle the request, and no other.
     :param deadline: point on the local monotonic clock.
+    :param tenant: name of the tenant that sent the request; empty for none.
     :param priority: 0 is the most urgent; ``None`` for the upstream's default.
     :param prefill_only: only prefill the prompt and export its KV cache.
     :param kv_source: address of an exported KV cache to import, as returned by
@@ -32,6 +33,7 @@
 
     upstream: str
     deadline: float
+    tenant: str
     priority: int | None = None
     prefill_only: bool = False
     kv_source: str = ""
@@ -93,6 +95,10 @@
         """Return the id of a caller's request; empty if it has none."""
         ...
 
+    def api_key(self, headers: Headers) -> str:
+        """Return the API key in a caller's headers; empty without exactly one."""
+        ...
+
     def read_call(self, headers: cabc.Mapping[str, str]) -> CallTraits:
         """Parse the headers of a caller's request.
 
@@ -103,7 +109,8 @@
     def write_headers(self, headers: Headers, attempt: Attempt, now: float) -> Headers:
         """Return the headers of a request to an upstream.
 
-        Headers that only the system may set are removed from the caller's.
+        Headers that only the system may set, and the API key, are removed from the
+        caller's.
         """
         ...
 
--- a/src/bergamotmast/direct/remote_prefill.py
+++ b/src/bergamotmast/direct/remote_prefill.py
@@ -133,6 +133,7 @@
         attempt = Attempt(
             engine.name,
             call.deadline,
+            call.tenant_name,
             priority=prefill.priority,
             prefill_only=True,
             prefix_source=prefill.prefix_source,
--- a/src/bergamotmast/direct/store_watcher.py
+++ b/src/bergamotmast/direct/store_watcher.py
@@ -34,7 +34,6 @@
     delay.
 
     :param last_reply_at: when the store last replied; a point in time.
-    :param disconnected: whether the store is currently considered unreachable.
     :param restored: whether the store was restored from a backup since the last read.
     """
 
@@ -43,7 +42,6 @@
         self.fleet = fleet
         self.backoff = Backoff(rng, initial=0.1, maximum=MAX_RETRY_DELAY_SECONDS)
         self.last_reply_at: float | None = None
-        self.disconnected = True
         self.restored = False
 
     async def run(self) -> None:
@@ -96,13 +94,13 @@
     def _on_reply(self, now: float) -> None:
         self.last_reply_at = now
         self.fleet.entry_share.on_store_reply(now)
-        if self.disconnected:
-            self.disconnected = False
+        if not self.fleet.in_sync:
+            self.fleet.in_sync = True
             logger.info("store is reached", extra={"dependency": "store"})
 
     def _on_disconnected(self, error: PortError) -> None:
-        if not self.disconnected:
-            self.disconnected = True
+        if self.fleet.in_sync:
+            self.fleet.in_sync = False
             logger.warning(
                 "store is lost", extra={"dependency": "store", "error": error.message}
             )
--- a/src/bergamotmast/platform/directory.py
+++ b/src/bergamotmast/platform/directory.py
@@ -13,6 +13,8 @@
 from ..direct.model import Routing
 from ..direct.model import Target
 from ..direct.model import Upstream
+from ..direct.tenants import TenantIndex
+from ..direct.tenants import TenantSpec
 from ..errors import ConfigError
 from ..model import Role
 
@@ -54,6 +56,13 @@
     max_attempts: int = 1
     resumable: bool = False
     gap_aim_ms: float = 0.0
+    public: bool = False
+
+
+class _Tenant(_KebabStruct, frozen=True):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
 
 
 class _Engine(_KebabStruct, frozen=True):
@@ -78,6 +87,7 @@
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
     limits: _Limits = _Limits()
+    tenants: tuple[_Tenant, ...] | None = None
 
 
 class _Registration(_KebabStruct, frozen=True):
@@ -118,6 +128,7 @@
                     config.limits.max_body_bytes,
                     config.limits.idle_timeout_ms / 1e3,
                 ),
+                tenants=_to_tenants(config.tenants),
             )
         except (msgspec.DecodeError, KeyError) as error:
             raise ConfigError(f"the configuration can't be decoded: {error}") from error
@@ -166,9 +177,17 @@
         resumable=route.resumable,
         gap_objective=route.gap_aim_ms / 1e3,
         patience=_caller_timeout(route),
+        public=route.public,
     )
 
 
+def _to_tenants(tenants: tuple[_Tenant, ...] | None) -> TenantIndex | None:
+    if tenants is None:
+        return None
+    specs = (TenantSpec(t.name, t.api_keys, t.priority) for t in tenants)
+    return TenantIndex(specs)
+
+
 def _caller_timeout(route: _Route) -> float:
     """Return the seconds without an event after which a route's callers time out."""
     objective = CALLER_TIMEOUT_OBJECTIVES * route.target_latency_ms
--- a/src/bergamotmast/platform/headers.py
+++ b/src/bergamotmast/platform/headers.py
@@ -36,6 +36,8 @@
 NOT_RUN = "X-Not-Executed"
 WEIGHTS = "X-Weight-Versions"
 LOAD = "X-Server-Load"
+API_KEY = "X-Api-Key"
+TENANT = "X-Tenant"
 
 SET_BY_SYSTEM = frozenset(
     name.lower()
@@ -50,9 +52,16 @@
         "X-Kv-Backup",
         "X-Pin-Ms",
         PREFIX_SOURCE,
+        TENANT,
     )
 )
-"""A caller could use these to read another's KV cache or to raise its priority."""
+"""A caller could use these to read another's KV cache, to raise its priority, or to
+appear as another tenant."""
+
+NOT_FORWARDED = SET_BY_SYSTEM | {API_KEY.lower()}
+"""Headers of callers that no upstream receives."""
+
+_API_KEY_LOWER = API_KEY.lower()
 
 WRONG_UPSTREAM_STATUS = 421
 
@@ -77,6 +86,11 @@
         """Return the id of a caller's request; empty if it has none."""
         return headers.get(REQUEST_ID, "")
 
+    def api_key(self, headers: Headers) -> str:
+        """Return the API key in a caller's headers; empty without exactly one."""
+        keys = [value for name, value in headers if name.lower() == _API_KEY_LOWER]
+        return keys[0] if len(keys) == 1 else ""
+
     def read_call(self, headers: cabc.Mapping[str, str]) -> CallTraits:
         """Parse a caller's headers."""
         prompt_tokens, max_tokens = _parse_token_counts(headers.get(TOKENS, ""))
@@ -95,13 +109,15 @@
 
     def write_headers(self, headers: Headers, attempt: Attempt, now: float) -> Headers:
         """Return the headers of a request to an upstream."""
-        dropped = SET_BY_SYSTEM
+        dropped = NOT_FORWARDED
         if attempt.last_event:
             dropped |= {LAST_EVENT.lower()}
         written = [item for item in headers if item[0].lower() not in dropped]
         milliseconds = max(1, int((attempt.deadline - now) * 1e3))
         written.append((TIME_LEFT, str(milliseconds)))
         written.append((EXPECTED_UPSTREAM, attempt.upstream))
+        if attempt.tenant:
+            written.append((TENANT, attempt.tenant))
         if attempt.priority is not None:
             written.append((PRIORITY, str(attempt.priority)))
         if attempt.prefill_only:
--- a/src/bergamotmast/policy/direct_placement.py
+++ b/src/bergamotmast/policy/direct_placement.py
@@ -22,6 +22,8 @@
 from ..model import Role
 from .decisions import ALL_DECISIONS
 from .decisions import Decisions
+from .priority import ENGINE_PRIORITIES
+from .priority import Rank
 
 CROSS_ZONE_PENALTY_SECONDS = 0.015
 """Penalty of an engine in another zone: traffic between zones is expensive, and a
@@ -57,9 +59,6 @@
 """Running decodes that delay a new one as much as a second of queued prefill does: six
 for 20 ms."""
 
-PRIORITY_STEPS: t.Final = ((0, 1), (2, 2), (5, 4))
-"""First engine priority of each rank, and the number of size steps that follow it."""
-
 FIRST_SIZE_STEP_TOKENS = 2_000
 """Largest prompt with the first priority of its rank. Each doubling is one step lower,
 so that short prefills don't wait for long ones."""
@@ -120,7 +119,7 @@
 
 
 def prefill_priority(
-    rank: int,
+    rank: Rank,
     tokens: int,
     decisions: Decisions = ALL_DECISIONS,
     *,
@@ -128,25 +127,23 @@
 ) -> int:
     """Return the engine priority of a prefill, 0 (most urgent) to 9.
 
-    :param rank: priority rank of the route.
     :param tokens: prompt tokens that are not cached.
     :param goes_first: whether the prompt precedes the others of its rank.
     """
-    first, steps = PRIORITY_STEPS[min(rank, len(PRIORITY_STEPS) - 1)]
     if goes_first:
-        return max(0, first - 1)
+        return max(0, rank.engine_priority(0) - 1)
     if not decisions.size_priority:
-        return first
-    step = 0
+        return rank.engine_priority(0)
+    steps = 0
     size = FIRST_SIZE_STEP_TOKENS
-    while tokens > size and step < steps:
-        step += 1
+    while tokens > size and steps < ENGINE_PRIORITIES:
+        steps += 1
         size *= 2
-    return first + step
+    return rank.engine_priority(steps)
 
 
 def decode_priority(
-    rank: int,
+    rank: Rank,
     prompt_tokens: int,
     max_output_tokens: int,
     decisions: Decisions = ALL_DECISIONS,
--- a/tests/direct_support.py
+++ b/tests/direct_support.py
@@ -209,6 +209,7 @@
         port = listener.runner.addresses[0][1]
         entry = Entry(frontend, listener, port)
         fleet.upstreams_loaded = True
+        fleet.in_sync = True
         # As after a long uptime: its share of the retry budget is fully grown.
         fleet.entry_share.on_registered("", -math.inf)
         fleet.entry_share.on_store_reply(asyncio.get_running_loop().time())
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -12,6 +12,7 @@
 from bergamotmast.policy.decisions import Decisions
 from bergamotmast.policy.direct_placement import place_prompt
 from bergamotmast.policy.direct_placement import prefill_priority
+from bergamotmast.policy.priority import Rank
 from test_direct_policy import LONG
 from test_direct_policy import TIGHT
 from test_direct_policy import candidate
@@ -39,4 +40,4 @@
 
 def test_without_size_priority_prompts_of_a_rank_have_one_priority():
     off = Decisions.without(["size_priority"])
-    assert prefill_priority(1, 100, off) == prefill_priority(1, 90_000, off)
+    assert prefill_priority(Rank(1), 100, off) == prefill_priority(Rank(1), 90_000, off)
--- a/tests/test_direct_policy.py
+++ b/tests/test_direct_policy.py
@@ -41,6 +41,7 @@
 from bergamotmast.policy.plain_placement import choose_plain_upstream
 from bergamotmast.policy.prefill_model import PREFILL_ENGINE_PRIOR
 from bergamotmast.policy.prefix_cache import PrefixCacheModel
+from bergamotmast.policy.priority import Rank
 from bergamotmast.policy.retry_window import WINDOW_SECONDS
 from bergamotmast.policy.retry_window import RetryLimits
 from bergamotmast.policy.retry_window import RetryWindow
@@ -138,7 +139,10 @@
 
 def test_priorities_keep_the_order_of_ranks_and_sizes():
     ranks = [
-        [prefill_priority(rank, tokens) for tokens in (100, 3000, 6000, 12_000, 50_000)]
+        [
+            prefill_priority(Rank(rank), tokens)
+            for tokens in (100, 3000, 6000, 12_000, 50_000)
+        ]
         for rank in (0, 1, 2, 7)
     ]
     for lower, higher in itertools.pairwise(ranks[:3]):
@@ -151,9 +155,11 @@
 
 def test_prompt_that_goes_first_precedes_only_its_rank():
     for rank in (1, 2, 7):
-        first = prefill_priority(rank, 50_000, goes_first=True)
-        assert first < min(prefill_priority(rank, tokens) for tokens in (100, 50_000))
-        assert first > prefill_priority(rank - 1 if rank < 3 else 1, 100)
+        first = prefill_priority(Rank(rank), 50_000, goes_first=True)
+        assert first < min(
+            prefill_priority(Rank(rank), tokens) for tokens in (100, 50_000)
+        )
+        assert first > prefill_priority(Rank(rank - 1 if rank < 3 else 1), 100)
 
 
 def test_prompt_that_goes_first_is_not_counted_as_urgent_load():
@@ -429,7 +435,7 @@
         self.running[number] = (now + predicted_seconds(prompt.tokens), prompt, key)
 
     def send(self, number: int, prompt: Prompt, key) -> None:
-        priority = prefill_priority(prompt.rank, prompt.tokens)
+        priority = prefill_priority(Rank(prompt.rank), prompt.tokens)
         seconds = predicted_seconds(prompt.tokens)
         self.trackers[number].begin(key, seconds, priority, prompt.arrives)
         if self.running[number] is None:
@@ -464,7 +470,7 @@
 
 
 def by_policy(engines: SerialEngines, prompt: Prompt) -> int:
-    priority = prefill_priority(prompt.rank, prompt.tokens)
+    priority = prefill_priority(Rank(prompt.rank), prompt.tokens)
     candidates = [
         EngineCandidate(
             str(number),
@@ -490,7 +496,7 @@
 
 
 def shortest_wait(engines: SerialEngines, prompt: Prompt) -> int:
-    priority = prefill_priority(prompt.rank, prompt.tokens)
+    priority = prefill_priority(Rank(prompt.rank), prompt.tokens)
     return min(
         range(4),
         key=lambda n: engines.trackers[n].wait(priority, prompt.arrives),
@@ -604,7 +610,10 @@
     )
 
     def waits(priority) -> tuple[float, float]:
-        answers = [(at, priority(*traits), took) for at, *traits, took in arrivals]
+        answers = [
+            (at, priority(Rank(rank), *tokens), took)
+            for at, rank, *tokens, took in arrivals
+        ]
         found = answer_waits(answers, 64)
         checks = [w for w, a in zip(found, arrivals, strict=True) if a[1] == 1]
         others = [w for w, a in zip(found, arrivals, strict=True) if a[1] == 0]
@@ -620,5 +629,5 @@
 
 
 def test_answer_of_unknown_length_has_its_prompts_priority():
-    assert decode_priority(2, 12_000, 0) == prefill_priority(2, 12_000)
-    assert decode_priority(2, 12_000, 5_000) == prefill_priority(2, 12_000)
+    assert decode_priority(Rank(2), 12_000, 0) == prefill_priority(Rank(2), 12_000)
+    assert decode_priority(Rank(2), 12_000, 5_000) == prefill_priority(Rank(2), 12_000)
