Report each tenant's usage to the platform, once for each window

Each entry counts the requests of each tenant by window of true time (median of the system clock against the boot clock, so that steps don't count) when they begin to run, and copies its counts to one other entry each second. The holder of the planner's lease asks all entries by datagrams once a window is over, sets the counts in one record of the store by compare-and-swap, and only then sends them; whoever sends the window again sends exactly these counts, under its own fencing token. A new holder sends nothing for the time of the lease. No call to the store lies in the path of a request; a window costs one write and one report. Considered: a record of each entry in the store for each window, refused as every write wakes the watches of all entries (22 priced calls each).

A property over lost, unanswered and late calls and holders that stop at any moment, or go on beside the next one, holds: no window has two reports with different counts, no token two holders. Orders for a number of replicas (scaling) are not built: no configuration of the deployment asks for any.

--- a/src/bergamotmast/adapters/datagrams.py
+++ b/src/bergamotmast/adapters/datagrams.py
@@ -13,11 +13,12 @@
 class DatagramPort(asyncio.DatagramProtocol):
     """A bound UDP port; datagrams that can't be sent at once are dropped.
 
-    :param on_datagram: called with each datagram that arrives.
+    :param on_datagram: called with each datagram that arrives and its sender's
+        address.
     """
 
     def __init__(self) -> None:
-        self.on_datagram: cabc.Callable[[bytes], None] | None = None
+        self.on_datagram: cabc.Callable[[bytes, Address], None] | None = None
         self.transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -28,7 +29,7 @@
     def datagram_received(self, data: bytes, addr: Address) -> None:
         """Pass a datagram to the callback."""
         if self.on_datagram is not None:
-            self.on_datagram(data)
+            self.on_datagram(data, addr)
 
     def error_received(self, exc: Exception) -> None:
         """Ignore an unreachable peer, which is gone or has not started yet."""
--- a/src/bergamotmast/adapters/metrics.py
+++ b/src/bergamotmast/adapters/metrics.py
@@ -132,6 +132,7 @@
         self.crashes = meter.create_counter("upstream.crashes")
         self.lost_runs = meter.create_counter("runs.lost")
         self.quarantined = meter.create_gauge("requests.quarantined")
+        self.usage_windows = meter.create_counter("usage.windows")
         self.first_token = self._create_histograms("first_token")
         self.total = self._create_histograms("total")
         self.queue_wait = self._create_histograms("queue_wait")
@@ -230,6 +231,10 @@
         """Record the number of requests in quarantine."""
         self.quarantined.set(requests)
 
+    def on_usage_window(self, outcome: str) -> None:
+        """Count a window of usage."""
+        self.usage_windows.add(1, {"outcome": outcome})
+
     def exposition(self) -> bytes:
         """Return all series in Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
--- a/src/bergamotmast/direct/attempts.py
+++ b/src/bergamotmast/direct/attempts.py
@@ -29,6 +29,7 @@
     :param count: number of attempts.
     :param may_have_run: whether an upstream may have run the request.
     :param may_have_run_before: the same without the last attempt.
+    :param begun: whether an upstream is known to have begun to run the request.
     """
 
     def __init__(self, context: Context, call: Call) -> None:
@@ -39,6 +40,7 @@
         self.count = 0
         self.may_have_run = False
         self.may_have_run_before = False
+        self.begun = False
 
     @functools.cached_property
     def fingerprint(self) -> str:
@@ -134,6 +136,17 @@
         incarnation = Incarnation(upstream.name, upstream.boot)
         return quarantine.run_apart(self.fingerprint, incarnation)
 
+    def on_begun(self, at: float) -> None:
+        """Count the request in its tenant's usage when it begins to run.
+
+        :param at: when an upstream began to run it; a point in time.
+        """
+        usage, tenant = self.context.usage, self.call.tenant_name
+        if usage is None or not tenant or self.begun:
+            return
+        self.begun = True
+        usage.on_begun(tenant, at)
+
     def on_answered(self) -> None:
         """Record that an upstream has run the request to its end."""
         if self.context.quarantine.ledger:
--- a/src/bergamotmast/direct/context.py
+++ b/src/bergamotmast/direct/context.py
@@ -30,6 +30,7 @@
 from .prefill_notice import PrefillNotice
 from .retry_budget import SharedRetryBudget
 from .time_limits import TimeLimits
+from .usage_exchange import UsageExchange
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that tell a caller that its request did not run."""
@@ -48,6 +49,7 @@
     :param crash_detector: detector of upstreams that crashed with a run.
     :param quarantine: quarantine of requests that crash upstreams.
     :param liveness_probe: probe of engines; ``None`` if there is none.
+    :param usage: counter of the requests of each tenant; ``None`` without one.
     :param background: running tasks that outlive the request that started them.
     :param time_limits: deadlines of all running requests.
     """
@@ -62,6 +64,7 @@
     crash_detector: CrashDetector
     notices: NoticeExchange | None = None
     liveness_probe: LivenessProbe | None = None
+    usage: UsageExchange | None = None
     mix: MixMeter = dataclasses.field(default_factory=MixMeter)
     size_shares: SizeShares = dataclasses.field(default_factory=SizeShares)
     background: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
--- a/src/bergamotmast/direct/decode_attempt.py
+++ b/src/bergamotmast/direct/decode_attempt.py
@@ -128,6 +128,7 @@
         if self.streaming:
             return
         self.streaming = True
+        self.stream.attempts.on_begun(self.last_reply_at)
         self.stream.on_prefilled()
         self.tracker.streams += 1
         if self.prefill is not None:
@@ -167,8 +168,8 @@
         attempt = Attempt(
             self.upstream.name,
             call.deadline,
-            priority=self._priority(),
             call.tenant_name,
+            priority=self._priority(),
             kv_source=self.stream.cache.source,
             prefix_source=prefill.prefix_source if prefill is not None else "",
             last_event=self.stream.last_event,
--- a/src/bergamotmast/direct/notices.py
+++ b/src/bergamotmast/direct/notices.py
@@ -10,15 +10,16 @@
 
 import asyncio
 import collections.abc as cabc
-import logging
 
 import msgspec
 
+from .peer_messages import Address
+from .peer_messages import Datagram
+from .peer_messages import PeerInbox
+from .peer_messages import Send
 from .placer import RequestPlacer
 from .prefill_notice import PrefillNotice
 
-logger = logging.getLogger(__name__)
-
 BATCH_WINDOW_SECONDS = 0.005
 """How long notices are collected before they are sent in one datagram."""
 
@@ -30,16 +31,6 @@
 """Maximum number of notices in one datagram, which must fit into a packet."""
 
 
-class Datagram(msgspec.Struct, frozen=True, array_like=True):
-    """A batch of notices from one entry.
-
-    :param sender: name of the entry.
-    """
-
-    sender: str
-    notices: tuple[PrefillNotice, ...]
-
-
 class NoticeExchange:
     """Sends this entry's notices and applies those of others.
 
@@ -53,15 +44,14 @@
         self,
         name: str,
         placer: RequestPlacer,
-        peers: cabc.Callable[[], cabc.Iterable[tuple[str, int]]],
-        send: cabc.Callable[[bytes, tuple[str, int]], None],
+        peers: cabc.Callable[[], cabc.Iterable[Address]],
+        send: Send,
     ) -> None:
         self.name = name
         self.placer = placer
         self.peers = peers
         self.send = send
         self.pending: list[PrefillNotice] = []
-        self.decoder = msgspec.msgpack.Decoder(Datagram)
 
     def enqueue(self, notice: PrefillNotice) -> None:
         """Add a notice to the next batch, which is sent shortly."""
@@ -69,13 +59,11 @@
             asyncio.get_running_loop().call_later(BATCH_WINDOW_SECONDS, self._flush)
         self.pending.append(notice)
 
-    def receive(self, data: bytes) -> None:
-        """Apply another entry's datagram; invalid data is dropped."""
-        try:
-            datagram = self.decoder.decode(data)
-        except msgspec.DecodeError as error:
-            logger.warning("datagram cannot be decoded", extra={"error": str(error)})
-            return
+    def listen(self, inbox: PeerInbox) -> None:
+        """Receive the notices of other entries."""
+        inbox.receivers[Datagram] = self._on_datagram
+
+    def _on_datagram(self, datagram: Datagram, address: Address) -> None:
         if datagram.sender == self.name:
             return
         now = asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/bergamotmast/direct/peer_messages.py
@@ -0,0 +1,83 @@
+"""Messages between entries, and their dispatch."""
+
+from __future__ import annotations
+
+import collections.abc as cabc
+import logging
+import typing as t
+
+import msgspec
+
+from .prefill_notice import PrefillNotice
+
+logger = logging.getLogger(__name__)
+
+Address: t.TypeAlias = tuple[str, int]
+
+Send: t.TypeAlias = cabc.Callable[[bytes, Address], None]
+"""Sends a datagram without blocking."""
+
+
+class Datagram(msgspec.Struct, frozen=True, array_like=True, tag="notices"):
+    """A batch of notices from one entry.
+
+    :param sender: name of the entry.
+    """
+
+    sender: str
+    notices: tuple[PrefillNotice, ...]
+
+
+class UsageCounts(msgspec.Struct, frozen=True, array_like=True, tag="usage"):
+    """Part of the counts of one source in one window.
+
+    :param sender: name of the entry that sends it; the source's own or another one.
+    :param entry: name of the source.
+    :param boot: random number of the source's incarnation.
+    :param counts: requests by tenant.
+    :param total: requests of all tenants, to recognize that parts are missing.
+    :param final: whether the source's counts of the window will not grow any more.
+    """
+
+    sender: str
+    entry: str
+    boot: int
+    window: int
+    counts: dict[str, t.Annotated[int, msgspec.Meta(ge=0, le=1 << 40)]]
+    total: int
+    final: bool = False
+
+
+class UsageQuery(msgspec.Struct, frozen=True, array_like=True, tag="usage-query"):
+    """Asks an entry for all counts that it knows of one window.
+
+    :param sender: name of the entry that asks.
+    """
+
+    sender: str
+    window: int
+
+
+PeerMessage: t.TypeAlias = Datagram | UsageCounts | UsageQuery
+
+
+class PeerInbox:
+    """Decodes datagrams from other entries and passes each to its receiver.
+
+    :param receivers: receiver of each type of message.
+    """
+
+    def __init__(self) -> None:
+        self.receivers: dict[type, cabc.Callable[[t.Any, Address], None]] = {}
+        self.decoder = msgspec.msgpack.Decoder(PeerMessage)
+
+    def receive(self, data: bytes, address: Address) -> None:
+        """Handle a datagram; invalid data is dropped."""
+        try:
+            message = self.decoder.decode(data)
+        except msgspec.DecodeError as error:
+            logger.warning("datagram cannot be decoded", extra={"error": str(error)})
+            return
+        receiver = self.receivers.get(type(message))
+        if receiver is not None:
+            receiver(message, address)
--- a/src/bergamotmast/direct/plain_run.py
+++ b/src/bergamotmast/direct/plain_run.py
@@ -88,8 +88,9 @@
         tracker = self.context.placer.plain_load(upstream)
         loop = asyncio.get_running_loop()
         tracker.running += 1
+        sent_at = loop.time()
         try:
-            async with asyncio.timeout_at(self._attempt_deadline(loop.time())):
+            async with asyncio.timeout_at(self._attempt_deadline(sent_at)):
                 return await self._exchange(upstream)
         except NotReachedError as error:
             tracker.failed(loop.time())
@@ -98,6 +99,8 @@
             return None
         except (ReplyLostError, TimeoutError) as error:
             tracker.failed(loop.time())
+            # Only the reply is known to be lost: the upstream has most likely run it.
+            self.attempts.on_begun(sent_at)
             self.attempts.on_lost(upstream, error)
             self.attempts.log_failure(
                 upstream, str(error) or "no reply within the timeout", "unknown"
@@ -139,6 +142,7 @@
                 self.attempts.on_not_run()
                 self.attempts.log_failure(upstream, f"status {reply.status}", "not run")
                 return None
+            self.attempts.on_begun(now)
             self.context.check_reply(call, reply, traits)
             body = await reply.read()
             response = PlainResponse(reply.status, response_headers(reply), body)
--- a/src/bergamotmast/direct/role_planner.py
+++ b/src/bergamotmast/direct/role_planner.py
@@ -21,6 +21,7 @@
 from ..errors import PortError
 from ..model import Assignment
 from ..planner.election import PlannerElection
+from ..planner.election import run_until_first_ends
 from ..planner.plan_store import PlanStore
 from ..policy.direct_roles import EngineRole
 from ..policy.direct_roles import MixMeter
@@ -100,6 +101,18 @@
         ...
 
 
+class Duty(t.Protocol):
+    """Work that only one entry at a time does, beside the planning of roles."""
+
+    async def run(self, epoch: int) -> None:
+        """Work until cancelled.
+
+        :param epoch: fencing token of the term, higher than those of all earlier ones.
+        :raises LeadershipLostError: if another entry has taken over.
+        """
+        ...
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PendingOrder:
     """An order that is not known to have been carried out.
@@ -120,6 +133,7 @@
 
     :param name: name of this entry, sent with each order.
     :param hold_off_seconds: hold-off time between two holders' orders to one engine.
+    :param duties: other work of the lease's holder.
     :param controllers: role controllers, by group.
     :param pending: orders not known to have been carried out, by engine.
     :param hold_off_until: when the hold-off ends, by engine that another holder may
@@ -140,7 +154,9 @@
         mix: MixMeter,
         hold_off_seconds: float,
         rng: random.Random,
+        duties: cabc.Sequence[Duty] = (),
     ) -> None:
+        self.duties = duties
         self.name = name
         self.election = election
         self.store = store
@@ -161,7 +177,7 @@
             await self.election.acquire()
             logger.info("planner's lease is held", extra={"lease": self.election.lease})
             try:
-                await self.election.run_while_held(self._plan())
+                await self.election.run_while_held(self._serve_term())
             except (LeadershipLostError, OrderRefusedError, PortError) as error:
                 logger.warning("planner gives up", extra={"error": error.message})
             except Exception:
@@ -174,7 +190,8 @@
                 await self.election.release()
             await asyncio.sleep(self.rng.uniform(*TERM_PAUSE_SECONDS))
 
-    async def _plan(self) -> None:
+    async def _serve_term(self) -> None:
+        """Do all work of the lease's holder."""
         known = dict(self.fleet.planned_roles)
         token = await self.store.open()
         self._set_hold_offs(known)
@@ -186,6 +203,10 @@
                 "restored": self.store.restored,
             },
         )
+        duties = (duty.run(token.epoch) for duty in self.duties)
+        await run_until_first_ends(self._plan(), *duties)
+
+    async def _plan(self) -> None:
         while True:
             try:
                 await self._tick()
--- /dev/null
+++ b/src/bergamotmast/direct/usage_reporter.py
@@ -0,0 +1,230 @@
+"""Report of each tenant's usage to the platform, by the planner's holder.
+
+One window after the other is collected from all entries, set in the key-value service
+and only then reported. A holder that was suspended, or whose call is carried out late,
+can only repeat what is set.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import enum
+import logging
+import random
+import typing as t
+
+import msgspec
+
+from ..backoff import Backoff
+from ..errors import KeyValueUnavailableError
+from ..errors import LeadershipLostError
+from ..errors import OrderRefusedError
+from ..errors import PortError
+from ..policy.usage_ledger import Counts
+from ..telemetry import Telemetry
+from .usage_exchange import SETTLING_SECONDS
+from .usage_exchange import UsageExchange
+from .usage_record import UsageRecord
+from .usage_record import UsageRecordStore
+
+logger = logging.getLogger(__name__)
+
+COLLECTION_SHARE = 0.4
+"""Share of the time until a report is due in which silent entries are waited for."""
+
+MAX_RETRY_DELAY_SECONDS = 3.0
+"""Maximum delay between two reports of one window."""
+
+MAX_UNREPORTED_WINDOWS = 12
+"""Number of windows kept for a platform that does not answer; older ones are lost."""
+
+
+class ReportReply(enum.Enum):
+    """The platform's reply to a report."""
+
+    ACCEPTED = "accepted"
+    FENCED = "fenced"
+    RETRY = "retry"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UsageReport:
+    """The usage of one window.
+
+    :param holder: name of the entry that reports it.
+    :param token: fencing token; the platform refuses a lower one than it has seen.
+    """
+
+    window: int
+    counts: Counts
+    holder: str
+    token: int
+
+
+class UsageSink(t.Protocol):
+    """Receives usage reports."""
+
+    async def report(self, report: UsageReport) -> ReportReply:
+        """Send a report.
+
+        :raises PortError: if it is unknown whether the report was accepted, or not.
+        """
+        ...
+
+
+class Lease(t.Protocol):
+    """The lease of the planner's holder."""
+
+    @property
+    def lease_is_valid(self) -> bool:
+        """Whether the lease is held and can't have expired yet."""
+        ...
+
+
+class UsageReporter:
+    """Reports each window once, while this entry holds the planner's lease.
+
+    :param name: name of this entry.
+    :param hold_off_seconds: time from the start of a term to its first report, so that
+        two holders do not take turns.
+    :param due_seconds: time from the end of a window until its report is due.
+    :param retry_at: when the next report may be sent; a point in time.
+    :param skipped_window: last window that is not to be reported.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        lease: Lease,
+        records: UsageRecordStore,
+        exchange: UsageExchange,
+        sink: UsageSink,
+        hold_off_seconds: float,
+        due_seconds: float,
+        rng: random.Random,
+        telemetry: Telemetry,
+    ) -> None:
+        self.name = name
+        self.lease = lease
+        self.records = records
+        self.exchange = exchange
+        self.sink = sink
+        self.hold_off_seconds = hold_off_seconds
+        self.due_seconds = due_seconds
+        self.backoff = Backoff(rng, initial=0.5, maximum=MAX_RETRY_DELAY_SECONDS)
+        self.telemetry = telemetry
+        self.retry_at = 0.0
+        self.skipped_window = exchange.first_window - 1
+
+    async def run(self, epoch: int) -> None:
+        """Report the usage until cancelled.
+
+        :param epoch: fencing token of the term.
+        :raises LeadershipLostError: if another entry has taken over.
+        :raises OrderRefusedError: if the platform has seen a higher token.
+        """
+        self.retry_at = asyncio.get_running_loop().time() + self.hold_off_seconds
+        await self._read_record()
+        while True:
+            await self._step(epoch)
+
+    async def _read_record(self) -> None:
+        while True:
+            try:
+                await self.records.read()
+                return
+            except KeyValueUnavailableError as error:
+                logger.info("usage is not read", extra={"error": error.message})
+                await asyncio.sleep(self.backoff.next_delay())
+
+    async def _step(self, epoch: int) -> None:
+        """Set the next window, report the oldest one, or wait until either is due."""
+        now = asyncio.get_running_loop().time()
+        window = self._next_window()
+        settled_at = self._settled_at(window)
+        if now >= settled_at:
+            await self._set(window, epoch)
+        elif not self.records.record.windows:
+            await asyncio.sleep(settled_at - now)
+        elif now >= self.retry_at:
+            await self._report_oldest(epoch)
+        else:
+            await asyncio.sleep(min(settled_at, self.retry_at) - now)
+
+    def _next_window(self) -> int:
+        """Return the first window that is neither set nor skipped."""
+        last = max(self.records.last_window, self.skipped_window)
+        oldest = self.exchange.oldest_window()
+        if self.records.last_window and last + 1 < oldest:
+            logger.warning(
+                "usage is lost", extra={"first": last + 1, "last": oldest - 1}
+            )
+            self.skipped_window = oldest - 1
+        return max(last + 1, oldest)
+
+    def _settled_at(self, window: int) -> float:
+        """Return when a window's counts are final; a point on the loop's clock."""
+        end = self.exchange.ledger.end_of(window)
+        return self.exchange.clock.loop_time_of(end) + SETTLING_SECONDS
+
+    async def _set(self, window: int, epoch: int) -> None:
+        """Set the counts of a window, which is the next one."""
+        end = self.exchange.ledger.end_of(window)
+        end_at = self.exchange.clock.loop_time_of(end)
+        deadline = end_at + COLLECTION_SHARE * self.due_seconds
+        usage = await self.exchange.collect(window, deadline)
+        if not usage.counts and not self.records.last_window:
+            # Nothing is due before the first request of a new installation.
+            self.skipped_window = window
+            return
+        unreported = self.records.record.windows | {window: usage.counts}
+        kept = sorted(unreported)[-MAX_UNREPORTED_WINDOWS:]
+        for lost in sorted(set(unreported) - set(kept)):
+            logger.warning("usage is not reported", extra={"window": lost})
+            self.telemetry.on_usage_window("lost")
+        windows = {number: unreported[number] for number in kept}
+        await self.records.write(UsageRecord(self.name, epoch, window, windows))
+        logger.info(
+            "usage is set",
+            extra={
+                "window": window,
+                "tenants": len(usage.counts),
+                "requests": sum(usage.counts.values()),
+                "missing": usage.missing,
+            },
+        )
+
+    async def _report_oldest(self, epoch: int) -> None:
+        record = self.records.record
+        window = min(record.windows)
+        # If this process was suspended, another entry may have taken over.
+        if not self.lease.lease_is_valid:
+            raise LeadershipLostError("The lease may have lapsed before the report.")
+        report = UsageReport(window, record.windows[window], self.name, epoch)
+        try:
+            reply = await self.sink.report(report)
+        except PortError as error:
+            reply, outcome = ReportReply.RETRY, error.message
+        else:
+            outcome = reply.value
+        logger.info(
+            "usage report sent",
+            extra={"window": window, "token": epoch, "outcome": outcome},
+        )
+        if reply is ReportReply.FENCED:
+            raise OrderRefusedError("the platform has seen a higher fencing token")
+        if reply is ReportReply.RETRY:
+            now = asyncio.get_running_loop().time()
+            self.retry_at = now + self.backoff.next_delay()
+            return
+        self.backoff.reset()
+        self._on_reported(window)
+
+    def _on_reported(self, window: int) -> None:
+        record = self.records.record
+        rest = {number: c for number, c in record.windows.items() if number != window}
+        self.records.record = msgspec.structs.replace(record, windows=rest)
+        ledger, clock = self.exchange.ledger, self.exchange.clock
+        late = clock.now() > ledger.end_of(window) + self.due_seconds
+        self.telemetry.on_usage_window("late" if late else "reported")
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -7,6 +7,7 @@
 import contextlib
 import logging
 import random
+import time
 
 from aiohttp import web
 
@@ -24,12 +25,19 @@
 from .direct.fleet import Fleet
 from .direct.http_frontend import DirectHttpFrontend
 from .direct.notices import NoticeExchange
+from .direct.peer_messages import PeerInbox
+from .direct.peer_messages import Send
 from .direct.placer import RequestPlacer
 from .direct.presence import Presence
 from .direct.presence import presence_key
 from .direct.retry_budget import SharedRetryBudget
 from .direct.role_planner import RolePlanner
 from .direct.store_watcher import StoreWatcher
+from .direct.unix_clock import UnixClock
+from .direct.usage_exchange import UsageExchange
+from .direct.usage_record import USAGE_KEY
+from .direct.usage_record import UsageRecordStore
+from .direct.usage_reporter import UsageReporter
 from .history import NullHistory
 from .lifecycle import METRICS_PATH
 from .lifecycle import Shutdown
@@ -44,9 +52,12 @@
 from .platform.orders import PlatformOrders
 from .platform.store import PlatformStore
 from .platform.store import store_session
+from .platform.usage import PlatformUsage
 from .policy.decisions import Decisions
 from .policy.retry_window import RetryLimits
 from .policy.shutdown_admission import ShutdownWindow
+from .policy.usage_ledger import Source
+from .policy.usage_ledger import UsageLedger
 from .policy.watch_pause import watch_pause
 from .protocol.plan import HOLDER_KEY
 from .serving import FIRST_REQUEST_GRACE_SECONDS
@@ -136,10 +147,12 @@
             CrashDetector(fleet, metrics, TcpConnectionProbe()),
             liveness_probe=orders,
         )
+        inbox = PeerInbox()
+        peers.on_datagram = inbox.receive
         context.notices = NoticeExchange(
             settings.name, placer, fleet.entries.values, peers.send
         )
-        peers.on_datagram = context.notices.receive
+        context.notices.listen(inbox)
         core = DirectCore(context, metrics)
         frontend = DirectHttpFrontend(core)
         callers = await _listen(
@@ -150,6 +163,24 @@
             await _listen(stack, _metrics(metrics), settings.metrics_address)
         presence = Presence(store, settings.name, settings.peer_address, rng)
         planner = _planner(settings, store, context, orders)
+        if settings.usage_address:
+            context.usage = _usage_exchange(settings, fleet, rng, peers.send)
+            context.usage.listen(inbox)
+            records = UsageRecordStore(store, rng)
+            fleet.listeners[USAGE_KEY] = records
+            planner.duties = (
+                UsageReporter(
+                    settings.name,
+                    planner.election,
+                    records,
+                    context.usage,
+                    PlatformUsage(session, settings.usage_address),
+                    settings.order_pause_ms / 1e3,
+                    settings.usage_due_seconds,
+                    rng,
+                    metrics,
+                ),
+            )
         store_watcher = StoreWatcher(store, fleet, rng)
         store.restores.on_restored.append(store_watcher.on_restored)
         coroutines = [
@@ -158,7 +189,9 @@
             crash_writer.run(),
             quarantine.run(),
             planner.run(),
-        )
+        ]
+        if context.usage is not None:
+            coroutines.insert(0, context.usage.run())
         tasks = await stack.enter_async_context(
             run_background_tasks(coroutines, shutdown)
         )
@@ -168,6 +201,8 @@
         # store does not delay the shutdown.
         tasks[-1].cancel()
         await _drain(frontend, callers, settings.shutdown_seconds)
+        if context.usage is not None:
+            context.usage.copy()
     logger.info("stops")
     shutdown.raise_failure()
 
@@ -182,6 +217,19 @@
         yield PlatformStore(session, address, COMMAND_RECOVERY_SECONDS)
 
 
+def _usage_exchange(
+    settings: DirectEntrySettings, fleet: Fleet, rng: random.Random, send: Send
+) -> UsageExchange:
+    clock = UnixClock(asyncio.get_running_loop().time, time.time)
+    return UsageExchange(
+        Source(settings.name, rng.getrandbits(32)),
+        UsageLedger(settings.usage_window_seconds),
+        clock,
+        lambda: fleet.entries,
+        send,
+    )
+
+
 def _planner(
     settings: DirectEntrySettings,
     store: PlatformStore,
--- a/src/bergamotmast/planner/election.py
+++ b/src/bergamotmast/planner/election.py
@@ -41,6 +41,20 @@
     return False
 
 
+async def run_until_first_ends(*work: cabc.Coroutine[object, object, None]) -> None:
+    """Run coroutines until one of them ends or fails, and cancel the others."""
+    tasks = [asyncio.create_task(coro) for coro in work]
+    try:
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        for task in tasks:
+            if task.done():
+                task.result()
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
 class PlannerElection:
     """One candidate in the election of the planner.
 
@@ -143,16 +157,7 @@
 
     async def run_while_held(self, *work: cabc.Coroutine[object, object, None]) -> None:
         """Run coroutines until the lease is lost or one of them ends or fails."""
-        tasks = [asyncio.create_task(coro) for coro in (self.hold(), *work)]
-        try:
-            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-            for task in tasks:
-                if task.done():
-                    task.result()
-        finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+        await run_until_first_ends(self.hold(), *work)
 
     async def release(self) -> None:
         """Revoke the lease, so that others needn't wait until it expires."""
--- a/src/bergamotmast/settings.py
+++ b/src/bergamotmast/settings.py
@@ -219,6 +219,24 @@
         "milliseconds until an unresponsive connection to the store is replaced",
         3_000,
     )
+    usage_address: str = _setting(
+        optional(ADDRESS),
+        _PLATFORM,
+        "address that receives usage reports; none are sent if empty",
+        "",
+    )
+    usage_window_seconds: float = _setting(
+        number(0.5, 86_400, "seconds"),
+        _PLATFORM,
+        "length of the time windows that usage is reported for",
+        5.0,
+    )
+    usage_due_seconds: float = _setting(
+        number(1, 86_400, "seconds"),
+        _PLATFORM,
+        "time from the end of a window until its report is due",
+        10.0,
+    )
     listen_address: str = _setting(ADDRESS, _CALLERS, "address that callers connect to")
     ready_address: str = _setting(ADDRESS, _CALLERS, "address of the readiness probe")
     peer_address: str = _setting(
--- a/src/bergamotmast/telemetry.py
+++ b/src/bergamotmast/telemetry.py
@@ -65,6 +65,13 @@
         """Record the number of requests in quarantine."""
         ...
 
+    def on_usage_window(self, outcome: str) -> None:
+        """Count a window of usage.
+
+        :param outcome: ``reported``, ``late`` or ``lost``.
+        """
+        ...
+
 
 class NullTelemetry:
     """Telemetry that discards all measurements."""
@@ -107,3 +114,6 @@
 
     def on_quarantine(self, requests: int) -> None:
         """Discard the measurement."""
+
+    def on_usage_window(self, outcome: str) -> None:
+        """Discard the measurement."""
--- a/tests/prompt_load.py
+++ b/tests/prompt_load.py
@@ -24,6 +24,7 @@
 from bergamotmast.direct.crash_detector import CrashDetector
 from bergamotmast.direct.fleet import Fleet
 from bergamotmast.direct.notices import NoticeExchange
+from bergamotmast.direct.peer_messages import PeerInbox
 from bergamotmast.direct.placer import RequestPlacer
 from bergamotmast.direct.retry_budget import SharedRetryBudget
 from bergamotmast.platform.directory import PlatformDirectory
@@ -273,7 +274,7 @@
             for number, stage in enumerate(stages, start=1)
         ]
         self.client = SimulatedClient(self.engines)
-        self.notices: dict[tuple[str, int], NoticeExchange] = {}
+        self.notices: dict[tuple[str, int], PeerInbox] = {}
         self.cores = [self._entry(number, decisions) for number in range(entries)]
         self.served: set[str] = set()
 
@@ -306,7 +307,8 @@
         context.notices = NoticeExchange(
             name, placer, lambda: self.notices.keys() - {address}, self._deliver
         )
-        self.notices[address] = context.notices
+        self.notices[address] = inbox = PeerInbox()
+        context.notices.listen(inbox)
         fleet.upstreams_loaded = True
         values = {
             f"servers/{e.entry.name}": registration(e.entry) for e in self.engines
@@ -317,7 +319,7 @@
 
     def _deliver(self, data: bytes, address: tuple[str, int]) -> None:
         loop = asyncio.get_running_loop()
-        loop.call_later(NOTICE_SECONDS, self.notices[address].receive, data)
+        loop.call_later(NOTICE_SECONDS, self.notices[address].receive, data, address)
 
     async def _call(self, prompt: Prompt) -> None:
         await asyncio.sleep(prompt.at)
--- a/tests/test_direct_fuzz.py
+++ b/tests/test_direct_fuzz.py
@@ -18,13 +18,18 @@
 from bergamotmast.direct.events import EventSplitter
 from bergamotmast.direct.fleet import Fleet
 from bergamotmast.direct.notices import NoticeExchange
+from bergamotmast.direct.peer_messages import PeerInbox
 from bergamotmast.direct.placer import RequestPlacer
 from bergamotmast.direct.presence import PRESENCE_PREFIX
+from bergamotmast.direct.unix_clock import UnixClock
+from bergamotmast.direct.usage_exchange import UsageExchange
 from bergamotmast.errors import ReplyLostError
 from bergamotmast.errors import RequestError
 from bergamotmast.errors import SettingError
 from bergamotmast.platform.directory import PlatformDirectory
 from bergamotmast.platform.headers import PlatformDialect
+from bergamotmast.policy.usage_ledger import Source
+from bergamotmast.policy.usage_ledger import UsageLedger
 from bergamotmast.ports import KeyValue
 from bergamotmast.protocol.plan import ENGINES_PREFIX
 from bergamotmast.settings import DirectEntrySettings
@@ -175,7 +180,14 @@
     async def main() -> None:
         fleet = Fleet(PlatformDirectory(), lambda: 0.0)
         placer = RequestPlacer(fleet, "e", "z", random.Random(1))
-        NoticeExchange("e", placer, list, lambda data, address: None).receive(data)
+        clock = UnixClock(lambda: 0.0, lambda: 1e9)
+        ledger = UsageLedger(5.0)
+        inbox = PeerInbox()
+        NoticeExchange("e", placer, list, lambda data, address: None).listen(inbox)
+        UsageExchange(
+            Source("e", 1), ledger, clock, dict, lambda data, address: None
+        ).listen(inbox)
+        inbox.receive(data, ("127.0.0.1", 1))
 
     asyncio.run(main())
 
--- a/tests/test_direct_process.py
+++ b/tests/test_direct_process.py
@@ -15,7 +15,7 @@
 import msgspec
 import pytest
 
-from bergamotmast.direct.notices import Datagram
+from bergamotmast.direct.peer_messages import Datagram
 from bergamotmast.direct.prefill_notice import PrefillNotice
 from bergamotmast.direct.presence import PRESENCE_PREFIX
 from direct_support import config
--- /dev/null
+++ b/tests/test_usage.py
@@ -0,0 +1,494 @@
+"""Tests of the usage reports: counting, collecting and reporting, under faults."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import itertools
+import random
+import typing as t
+
+import looptime
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from bergamotmast.adapters.http_calls import client_session
+from bergamotmast.direct.peer_messages import PeerInbox
+from bergamotmast.direct.presence import presence_key
+from bergamotmast.direct.unix_clock import UnixClock
+from bergamotmast.direct.usage_exchange import UsageExchange
+from bergamotmast.direct.usage_record import USAGE_KEY
+from bergamotmast.direct.usage_record import UsageRecord
+from bergamotmast.direct.usage_record import UsageRecordStore
+from bergamotmast.direct.usage_reporter import ReportReply
+from bergamotmast.direct.usage_reporter import UsageReport
+from bergamotmast.direct.usage_reporter import UsageReporter
+from bergamotmast.errors import KeyValueOutcomeUnknownError
+from bergamotmast.errors import KeyValueUnavailableError
+from bergamotmast.errors import LeadershipLostError
+from bergamotmast.errors import PortError
+from bergamotmast.errors import ReplyLostError
+from bergamotmast.platform.usage import PlatformUsage
+from bergamotmast.policy.usage_ledger import Source
+from bergamotmast.policy.usage_ledger import UsageLedger
+from bergamotmast.ports import KeyValue
+from bergamotmast.ports import TxnResult
+from bergamotmast.telemetry import NullTelemetry
+from direct_support import ROUTES
+from direct_support import config
+from direct_support import engine
+from direct_support import serving
+from platform_standin import EngineScript
+from platform_standin import Received
+from platform_standin import Replica
+from platform_standin import answer
+from platform_standin import not_run
+from platform_standin import reset
+
+START = 1_779_541_400.0
+"""System time at the start of each test, the beginning of a window."""
+
+WINDOW = 5.0
+FIRST = int(START // WINDOW)
+
+
+class Network:
+    """Entries that exchange counts by datagrams, some of which are lost.
+
+    :param down: names of the entries that neither send nor receive.
+    :param loss: share of datagrams that is lost.
+    """
+
+    def __init__(self, names: t.Iterable[str], loss: float = 0.0) -> None:
+        self.entries = {presence_key(name): (name, 1) for name in names}
+        self.inboxes: dict[str, PeerInbox] = {}
+        self.exchanges: dict[str, UsageExchange] = {}
+        self.down: set[str] = set()
+        self.loss = loss
+        self.sent = 0
+        self.rng = random.Random(1)
+        for number, name in enumerate(names):
+            self.start(name, number)
+
+    def start(self, name: str, boot: int) -> UsageExchange:
+        loop = asyncio.get_running_loop()
+
+        def send(data: bytes, address: tuple[str, int]) -> None:
+            self.sent += 1
+            if {name, address[0]} & self.down or self.rng.random() < self.loss:
+                return
+            inbox = self.inboxes[address[0]]
+            loop.call_later(0.002, inbox.receive, data, (name, 1))
+
+        clock = UnixClock(loop.time, lambda: START + loop.time())
+        exchange = UsageExchange(
+            Source(name, boot), UsageLedger(WINDOW), clock, lambda: self.entries, send
+        )
+        self.inboxes[name] = PeerInbox()
+        exchange.listen(self.inboxes[name])
+        self.exchanges[name] = exchange
+        return exchange
+
+    def count(self, name: str, tenant: str, times: int = 1) -> None:
+        for _ in range(times):
+            now = asyncio.get_running_loop().time()
+            self.exchanges[name].on_begun(tenant, now)
+
+
+class Service:
+    """A key-value service and a platform whose calls follow a script of faults.
+
+    :param fates: fate of each call in turn: ``ok``; ``lost`` before it is executed;
+        ``unanswered``, executed without a reply; or ``late``, executed some seconds
+        later without a reply.
+    :param arrived: the reports that the platform has executed, in order.
+    """
+
+    def __init__(self, fates: t.Iterable[str] = ()) -> None:
+        self.fates = iter(fates)
+        self.value: bytes | None = None
+        self.revision = 0
+        self.highest_token = 0
+        self.arrived: list[UsageReport] = []
+        self.accepted: dict[int, dict[str, int]] = {}
+
+    async def _call(
+        self, execute: t.Callable[[], t.Any], error: type[PortError]
+    ) -> t.Any:
+        await asyncio.sleep(0.004)
+        fate = next(self.fates, "ok")
+        if fate == "ok":
+            return execute()
+        if fate == "unanswered":
+            execute()
+        if fate == "late":
+            asyncio.get_running_loop().call_later(4.0, execute)
+        await asyncio.sleep(1.0)
+        raise error("no reply")
+
+    async def get(self, key: str) -> KeyValue | None:
+        assert key == USAGE_KEY
+        item = await self._call(lambda: self.value, KeyValueUnavailableError)
+        return None if item is None else KeyValue(key, item, self.revision)
+
+    async def txn(self, compares: t.Any, writes: t.Any) -> TxnResult:
+        def execute() -> TxnResult:
+            if compares[0].mod_revision != self.revision:
+                return TxnResult(False, 0)
+            self.value = writes[0].value
+            self.revision += 1
+            return TxnResult(True, self.revision)
+
+        return t.cast(TxnResult, await self._call(execute, KeyValueOutcomeUnknownError))
+
+    async def report(self, report: UsageReport) -> ReportReply:
+        def execute() -> ReportReply:
+            if report.token < self.highest_token:
+                return ReportReply.FENCED
+            self.highest_token = report.token
+            self.arrived.append(report)
+            self.accepted.setdefault(report.window, report.counts)
+            return ReportReply.ACCEPTED
+
+        return t.cast(ReportReply, await self._call(execute, ReplyLostError))
+
+
+@dataclasses.dataclass
+class HeldLease:
+    lease_is_valid: bool = True
+
+
+def reporter(
+    service: Service, network: Network, name: str, hold_off: float = 3.0
+) -> UsageReporter:
+    rng = random.Random(7)
+    return UsageReporter(
+        name,
+        HeldLease(),
+        UsageRecordStore(t.cast(t.Any, service), rng),
+        network.exchanges[name],
+        service,
+        hold_off,
+        10.0,
+        rng,
+        NullTelemetry(),
+    )
+
+
+@pytest.mark.looptime
+async def test_each_window_is_reported_once_with_the_counts_of_all_entries():
+    network, service = Network("abc"), Service()
+    holder = asyncio.create_task(reporter(service, network, "b").run(7))
+    expected: dict[int, collections.Counter] = {}
+    for second in range(32):
+        for number, name in enumerate("abc"):
+            tenant = f"t{(second + number) % 4}"
+            network.count(name, tenant, number + 1)
+            window = FIRST + second // 5
+            expected.setdefault(window, collections.Counter())[tenant] += number + 1
+        await asyncio.sleep(1.0)
+    holder.cancel()
+    windows = [report.window for report in service.arrived]
+    assert windows == [FIRST + n for n in range(6)]
+    assert all(r.counts == expected[r.window] for r in service.arrived)
+    assert {(r.holder, r.token) for r in service.arrived} == {("b", 7)}
+
+
+@pytest.mark.looptime
+async def test_nothing_is_reported_before_the_first_request():
+    """Guards against paid calls while a new installation has no callers."""
+    network, service = Network("ab"), Service()
+    holder = asyncio.create_task(reporter(service, network, "a").run(1))
+    await asyncio.sleep(21.0)
+    network.count("b", "t")
+    await asyncio.sleep(6.0)
+    holder.cancel()
+    assert [(r.window, r.counts) for r in service.arrived] == [(FIRST + 4, {"t": 1})]
+
+
+@pytest.mark.looptime
+async def test_counts_of_a_killed_entry_survive():
+    """Guards against lost usage when an entry is killed within a window."""
+    network, service = Network("abcd"), Service()
+    tasks = [asyncio.create_task(e.run()) for e in network.exchanges.values()]
+    holder = asyncio.create_task(reporter(service, network, "a").run(1))
+    await asyncio.sleep(0.5)
+    network.count("c", "t", 30)
+    await asyncio.sleep(2.0)
+    network.start("c", 99)
+    network.count("c", "t", 5)
+    network.down.add("b")
+    await asyncio.sleep(10.0)
+    holder.cancel()
+    for task in tasks:
+        task.cancel()
+    assert service.accepted[FIRST] == {"t": 35}
+
+
+@pytest.mark.looptime
+async def test_silent_entry_does_not_delay_a_report_past_its_time():
+    network, service = Network("abc"), Service()
+    holder = asyncio.create_task(reporter(service, network, "a").run(1))
+    network.count("a", "t", 3)
+    network.down.add("c")
+    await asyncio.sleep(WINDOW + 9.9)
+    holder.cancel()
+    assert service.accepted[FIRST] == {"t": 3}
+
+
+@pytest.mark.looptime
+async def test_lost_datagrams_lose_no_counts():
+    names = [f"e{number}" for number in range(12)]
+    network, service = Network(names, loss=0.3), Service()
+    holder = asyncio.create_task(reporter(service, network, "e3").run(1))
+    tenants = {f"tenant-{number}": number + 1 for number in range(150)}
+    for name in names:
+        for tenant, times in tenants.items():
+            network.count(name, tenant, times)
+    await asyncio.sleep(WINDOW + 9.0)
+    holder.cancel()
+    assert service.accepted[FIRST] == {k: 12 * v for k, v in tenants.items()}
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("entries", [10, 40])
+async def test_messages_grow_with_the_number_of_entries(entries):
+    """Guards against messages from all entries to all others."""
+    names = [f"e{number}" for number in range(entries)]
+    network, service = Network(names), Service()
+    tasks = [asyncio.create_task(e.run()) for e in network.exchanges.values()]
+    holder = asyncio.create_task(reporter(service, network, "e0").run(1))
+    for _ in range(20):
+        for name in names:
+            network.count(name, "t")
+        await asyncio.sleep(1.0)
+    for task in (holder, *tasks):
+        task.cancel()
+    assert service.accepted[FIRST] == {"t": 5 * entries}
+    assert network.sent <= 20 * entries * 4
+
+
+@pytest.mark.looptime
+async def test_new_holder_waits_before_its_first_report():
+    """Guards against two holders that report in turns within the lease's time."""
+    network, service = Network("ab"), Service()
+    first = asyncio.create_task(reporter(service, network, "a").run(1))
+    network.count("a", "t")
+    await asyncio.sleep(6.5)
+    first.cancel()
+    began = asyncio.get_running_loop().time()
+    second = asyncio.create_task(reporter(service, network, "b").run(2))
+    network.count("b", "t")
+    while len(service.arrived) < 2:
+        await asyncio.sleep(0.05)
+    second.cancel()
+    assert asyncio.get_running_loop().time() - began >= 3.0
+    assert [r.token for r in service.arrived] == [1, 2]
+
+
+@pytest.mark.looptime
+async def test_holder_without_a_valid_lease_reports_nothing():
+    """Guards against a holder that was suspended and acts on what it believed."""
+    network, service = Network("a"), Service()
+    frozen = reporter(service, network, "a")
+    network.count("a", "t")
+    running = asyncio.create_task(frozen.run(1))
+    await asyncio.sleep(5.5)
+    frozen.lease.lease_is_valid = False
+    with pytest.raises(LeadershipLostError, match="may have lapsed"):
+        await running
+    assert service.arrived == []
+
+
+FATES = st.lists(
+    st.sampled_from(["ok", "ok", "lost", "unanswered", "late"]), max_size=40
+)
+
+TERMS = st.integers(0, 90).map(lambda tenths: tenths / 10)
+"""Seconds for which a holder lives."""
+
+
+@settings(deadline=None, max_examples=40)
+@given(FATES, st.lists(TERMS, min_size=1, max_size=6), st.booleans())
+def test_no_window_has_two_reports_with_different_counts(fates, terms, frozen):
+    """Holders stop at any point; calls are lost, unanswered or carried out late."""
+
+    async def play() -> None:
+        network, service = Network("ab"), Service(fates)
+        running: list[asyncio.Task[None]] = []
+        epochs = itertools.count(1)
+
+        async def hold(holder: UsageReporter) -> None:
+            while True:
+                with contextlib.suppress(LeadershipLostError, PortError):
+                    await holder.run(next(epochs))
+                await asyncio.sleep(1.0)
+
+        for number, seconds in enumerate([*terms, 25.0]):
+            holder = reporter(service, network, "ab"[number % 2])
+            running.append(asyncio.create_task(hold(holder)))
+            until = asyncio.get_running_loop().time() + seconds
+            while asyncio.get_running_loop().time() < until:
+                network.count("a", "t")
+                network.count("b", "t")
+                await asyncio.sleep(1.0)
+            if not frozen:
+                # Otherwise the former holder goes on beside the next one.
+                running[-1].cancel()
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+        await asyncio.sleep(5.0)
+        check(service)
+
+    def check(service: Service) -> None:
+        by_window: dict[int, set[str]] = {}
+        holders: dict[int, set[str]] = {}
+        for report in service.arrived:
+            counts = msgspec.json.encode(report.counts, order="sorted").decode()
+            by_window.setdefault(report.window, set()).add(counts)
+            holders.setdefault(report.token, set()).add(report.holder)
+        assert all(len(counts) == 1 for counts in by_window.values())
+        assert all(len(names) == 1 for names in holders.values())
+        assert service.arrived
+
+    loop = looptime.new_event_loop(start=0.0)
+    try:
+        loop.run_until_complete(play())
+    finally:
+        loop.close()
+
+
+@pytest.mark.looptime
+async def test_late_write_of_a_former_holder_is_adopted_or_void():
+    """Guards against a record that is overwritten after its window was reported."""
+    network, service = Network("ab"), Service(["ok", "late"])
+    network.count("a", "t")
+    first = asyncio.create_task(reporter(service, network, "a").run(1))
+    await asyncio.sleep(6.2)
+    first.cancel()
+    network.count("b", "t")
+    second = asyncio.create_task(reporter(service, network, "b").run(2))
+    await asyncio.sleep(8.0)
+    second.cancel()
+    record = msgspec.json.decode(service.value, type=UsageRecord)
+    assert record.holder == "b"
+    assert service.accepted[FIRST] == {"t": 1}
+    assert len({str(r.counts) for r in service.arrived if r.window == FIRST}) == 1
+
+
+@pytest.mark.looptime
+async def test_restored_record_does_not_allow_a_second_report():
+    """Guards against a window that is set again after a restore of the store."""
+    network, service = Network("a"), Service()
+    duty = reporter(service, network, "a")
+    network.count("a", "t")
+    running = asyncio.create_task(duty.run(1))
+    await asyncio.sleep(6.5)
+    running.cancel()
+    network.count("a", "t")
+    service.value, service.revision = None, 0
+    running = asyncio.create_task(duty.run(2))
+    await asyncio.sleep(10.0)
+    running.cancel()
+    assert [r.window for r in service.arrived].count(FIRST) == 1
+
+
+def test_steps_of_the_clock_do_not_shift_windows():
+    """Guards against counts in wrong windows while the system's clock is wrong."""
+    now, step = 100.0, 0.0
+    clock = UnixClock(lambda: now, lambda: START + now + step)
+    for _ in range(60):
+        now += 1.0
+        clock.sample()
+    step = 7.0
+    for _ in range(30):
+        now += 1.0
+        clock.sample()
+        assert clock.now() == pytest.approx(START + now)
+
+
+def test_clock_that_was_wrong_at_the_start_is_corrected():
+    now, step = 100.0, -4.0
+    clock = UnixClock(lambda: now, lambda: START + now + step)
+    assert clock.now() == pytest.approx(START + now - 4.0)
+    step = 0.0
+    for _ in range(3):
+        now += 1.0
+        clock.sample()
+    assert clock.now() == pytest.approx(START + now)
+
+
+DOCUMENT = config(1, ROUTES) | {"tenants": [{"name": "notaries", "api-keys": ["k"]}]}
+
+
+class Counter:
+    """Stands in for the exchange and keeps what is counted."""
+
+    def __init__(self) -> None:
+        self.begun: list[str] = []
+
+    def on_begun(self, tenant: str, at: float) -> None:
+        self.begun.append(tenant)
+
+
+async def resets(replica: Replica, received: Received, writer: t.Any) -> None:
+    reset(writer)
+
+
+@pytest.mark.parametrize(
+    ("replicas", "target", "requests"),
+    [
+        ([Replica("r", answer())], "/order/x", 1),
+        ([Replica("r", answer(500))], "/order/x", 1),
+        ([Replica("r", resets)], "/order/x", 1),
+        ([Replica("r", not_run())], "/order/x", 0),
+        ([Replica("r", not_run()), Replica("s", not_run())], "/read/x", 0),
+        ([Replica("r", answer(500)), Replica("s", answer(500))], "/read/x", 1),
+        ([engine("d", EngineScript())], "/talk/x", 1),
+        (
+            [engine("d", EngineScript()), engine("p", EngineScript(), "prefill")],
+            "/long/x",
+            1,
+        ),
+        ([engine(n, EngineScript(last=6, break_after=2)) for n in "de"], "/long/x", 1),
+        ([engine("d", not_run())], "/talk/x", 0),
+    ],
+)
+async def test_request_counts_once_it_has_begun_to_run(replicas, target, requests):
+    """Guards against usage of requests that did not run, or that counts twice."""
+    async with serving(*replicas, document=DOCUMENT) as entry:
+        counter = entry.core.context.usage = Counter()
+        await entry.ask(target, X_Api_Key="k", X_Token_Count="4000,20")
+        await entry.ask(target, X_Api_Key="unknown")
+    assert counter.begun == ["notaries"] * requests
+
+
+@pytest.mark.parametrize(
+    ("status", "reply"),
+    [
+        (200, ReportReply.ACCEPTED),
+        (409, ReportReply.FENCED),
+        (429, ReportReply.RETRY),
+        (500, ReportReply.RETRY),
+    ],
+)
+async def test_report_as_the_platform_receives_it(status, reply):
+    async with (
+        Replica("cloud", answer(status, b"")) as cloud,
+        client_session() as session,
+    ):
+        sink = PlatformUsage(session, cloud.address)
+        report = UsageReport(353445120, {"a": 412}, "entry-1", 12)
+        assert await sink.report(report) is reply
+    received = cloud.received[0]
+    assert (received.method, received.target) == ("POST", "/usage")
+    assert received.headers["x-lease-holder"] == "entry-1"
+    assert received.headers["x-fencing-token"] == "12"
+    body = {"window-id": 353445120, "counts": {"a": 412}}
+    assert msgspec.json.decode(received.body) == body
