Count a crash only for the request that explains it

Each crash counted for everything that was lost in it.

Now a request is harmful only if it has a crash that no other harmful request explains; the one with the most crashes explains first, the same at every entry that knows the same crashes. A request whose crashes are all explained stays on trial: it runs apart, and its next crash or answer decides. So a harmful request is found after one crash beyond the third at most for each that hides it.

--- a/src/bergamotmast/crashes/quarantine.py
+++ b/src/bergamotmast/crashes/quarantine.py
@@ -20,9 +20,9 @@
 from ..errors import ResultCode
 from ..policy.crash_ledger import HARMFUL_RETENTION_SECONDS
 from ..policy.crash_ledger import MAX_CRASHES
+from ..policy.crash_ledger import TRIAL_CRASHES
 from ..policy.crash_ledger import CrashLedger
 from ..policy.crash_ledger import Verdict
-from ..policy.crash_ledger import verdict_of
 from ..ports import KeyValue
 from ..telemetry import Telemetry
 from .model import Incarnation
@@ -135,8 +135,14 @@
         Until it is known whether its last run was lost in a crash, a request must not
         go on to the next upstream and crash that one too.
         """
-        crashes = len(self.ledger.crashes(fingerprint))
-        return verdict_of(crashes + self.losses.unexplained(fingerprint))
+        verdict = self.ledger.verdict(fingerprint)
+        pending = self.losses.unexplained(fingerprint)
+        if not pending or verdict is Verdict.HARMFUL:
+            return verdict
+        crashes = len(self.ledger.crashes(fingerprint)) + pending
+        if crashes >= MAX_CRASHES:
+            return Verdict.HARMFUL
+        return Verdict.ON_TRIAL if crashes >= TRIAL_CRASHES else verdict
 
     def check(self, fingerprint: str) -> None:
         """Check that a request may be sent to an upstream.
@@ -146,7 +152,7 @@
         if self.verdict(fingerprint) is not Verdict.HARMFUL:
             return
         crashes = self.ledger.crashes(fingerprint)
-        proven = verdict_of(len(crashes)) is Verdict.HARMFUL
+        proven = fingerprint in self.ledger.harmful
         logger.info(
             "request is in quarantine",
             extra={
@@ -229,7 +235,7 @@
         """Apply the removal of a crash, by an entry or an operator."""
         with contextlib.suppress(ConfigError):
             fingerprint, crash = parse_crash_key(key)
-            was_harmful = len(self.ledger.crashes(fingerprint)) == MAX_CRASHES
+            was_harmful = fingerprint in self.ledger.harmful
             self.values.pop(key, None)
             self.ledger.withdraw(fingerprint, crash)
             self._remember_removal(key)
@@ -290,7 +296,7 @@
         if not self.ledger.add(fingerprint, crash, now):
             return
         crashes = len(self.ledger.crashes(fingerprint))
-        verdict = verdict_of(crashes)
+        verdict = self.ledger.verdict(fingerprint)
         if verdict is Verdict.HARMLESS:
             return
         logger.warning(
@@ -306,7 +312,7 @@
         self._report_size()
 
     def _report_size(self) -> None:
-        self.telemetry.on_quarantine(self.ledger.count(Verdict.HARMFUL))
+        self.telemetry.on_quarantine(len(self.ledger.harmful))
 
     def _refresh(self, fingerprint: str, now: float) -> None:
         """Write one crash of a harmful request again, so that it does not expire."""
--- a/src/bergamotmast/crashes/records.py
+++ b/src/bergamotmast/crashes/records.py
@@ -17,8 +17,8 @@
 from ..backoff import Backoff
 from ..errors import ConfigError
 from ..errors import PortError
+from ..policy.crash_ledger import CrashLedger
 from ..policy.crash_ledger import Verdict
-from ..policy.crash_ledger import verdict_of
 from ..ports import Delete
 from ..ports import KeyValueService
 from ..ports import Put
@@ -79,26 +79,28 @@
     """A request and the crashes in which it was lost.
 
     :param crashes: report of each crash; ``None`` for one that can't be decoded.
+    :param verdict: the verdict on the request.
     """
 
     fingerprint: str
     crashes: tuple[CrashReport | None, ...]
-
-    @property
-    def verdict(self) -> Verdict:
-        """The verdict on the request."""
-        return verdict_of(len(self.crashes))
+    verdict: Verdict
 
 
 async def read_lost_requests(kv: KeyValueService) -> list[LostRequest]:
     """Return all requests that were lost in crashes, most crashes first."""
     result = await kv.range(CRASHES_PREFIX)
+    ledger = CrashLedger()
     crashes: dict[str, list[CrashReport | None]] = {}
     for item in result.items:
         with contextlib.suppress(ConfigError):
-            fingerprint, _ = parse_crash_key(item.key)
+            fingerprint, crash = parse_crash_key(item.key)
+            ledger.add(fingerprint, crash, 0.0)
             crashes.setdefault(fingerprint, []).append(_decode_report(item.value))
-    found = [LostRequest(name, tuple(reports)) for name, reports in crashes.items()]
+    found = [
+        LostRequest(name, tuple(reports), ledger.verdict(name))
+        for name, reports in crashes.items()
+    ]
     return sorted(found, key=lambda lost: -len(lost.crashes))
 
 
--- a/src/bergamotmast/policy/crash_ledger.py
+++ b/src/bergamotmast/policy/crash_ledger.py
@@ -12,10 +12,16 @@
 sent again at once and meet the harmful one again. So a request that was lost in
 :data:`TRIAL_CRASHES` crashes is on trial: it runs apart from all others that are, and
 the next crash or answer decides. An answer clears a request of all crashes.
+
+A harmless request that comes as often as a harmful one is lost beside it every time. So
+a crash counts for the request with the most crashes that was lost in it: a request is
+harmful only if it has a crash that no other harmful request explains, and stays on
+trial otherwise.
 """
 
 from __future__ import annotations
 
+import collections.abc as cabc
 import dataclasses
 import enum
 
@@ -46,11 +52,25 @@
     HARMFUL = "harmful"
 
 
-def verdict_of(crashes: int) -> Verdict:
-    """Return the verdict on a request that was lost in a number of crashes."""
-    if crashes >= MAX_CRASHES:
-        return Verdict.HARMFUL
-    return Verdict.ON_TRIAL if crashes >= TRIAL_CRASHES else Verdict.HARMLESS
+def harmful_requests(
+    crashes: cabc.Mapping[str, cabc.Collection[str]],
+) -> frozenset[str]:
+    """Return the requests that are harmful; the same for the same crashes.
+
+    If two requests were lost in the same crashes, one of them counts as harmful and the
+    other stays on trial. Its next crash or answer shows which of them is the harmful
+    one.
+
+    :param crashes: ids of the crashes in which each request was lost.
+    """
+    suspects = [f for f, ids in crashes.items() if len(ids) >= MAX_CRASHES]
+    found: set[str] = set()
+    explained: set[str] = set()
+    for suspect in sorted(suspects, key=lambda f: (-len(crashes[f]), f)):
+        if not explained.issuperset(crashes[suspect]):
+            found.add(suspect)
+            explained.update(crashes[suspect])
+    return frozenset(found)
 
 
 @dataclasses.dataclass(slots=True)
@@ -64,15 +84,10 @@
     seen_at: float
     crashes: set[str] = dataclasses.field(default_factory=set)
 
-    @property
-    def verdict(self) -> Verdict:
-        """The verdict on the request."""
-        return verdict_of(len(self.crashes))
-
     @property
     def expires_at(self) -> float:
         """When the record is forgotten if the request does not come again."""
-        harmful = self.verdict is Verdict.HARMFUL
+        harmful = len(self.crashes) >= MAX_CRASHES
         seconds = HARMFUL_RETENTION_SECONDS if harmful else SUSPECT_RETENTION_SECONDS
         return self.seen_at + seconds
 
@@ -81,10 +96,12 @@
     """Crashes by the fingerprint of the request; points in time are the caller's.
 
     :param records: records by fingerprint.
+    :param harmful: the harmful requests.
     """
 
     def __init__(self) -> None:
         self.records: dict[str, CrashRecord] = {}
+        self.harmful: frozenset[str] = frozenset()
 
     def __bool__(self) -> bool:
         """Return whether any request was lost in a crash."""
@@ -102,6 +119,8 @@
         if crash in record.crashes:
             return False
         record.crashes.add(crash)
+        if len(record.crashes) >= MAX_CRASHES:
+            self._judge()
         return True
 
     def withdraw(self, fingerprint: str, crash: str) -> None:
@@ -109,13 +128,34 @@
         record = self.records.get(fingerprint)
         if record is None:
             return
+        judged = len(record.crashes) >= MAX_CRASHES
         record.crashes.discard(crash)
         if not record.crashes:
             del self.records[fingerprint]
+        if judged:
+            self._judge()
 
     def clear(self, fingerprint: str) -> None:
         """Forget all crashes of a request."""
-        self.records.pop(fingerprint, None)
+        record = self.records.pop(fingerprint, None)
+        if record is not None and len(record.crashes) >= MAX_CRASHES:
+            self._judge()
+
+    def verdict(self, fingerprint: str) -> Verdict:
+        """Return the verdict on a request."""
+        if fingerprint in self.harmful:
+            return Verdict.HARMFUL
+        on_trial = len(self.crashes(fingerprint)) >= TRIAL_CRASHES
+        return Verdict.ON_TRIAL if on_trial else Verdict.HARMLESS
+
+    def _judge(self) -> None:
+        self.harmful = harmful_requests(
+            {
+                fingerprint: record.crashes
+                for fingerprint, record in self.records.items()
+                if len(record.crashes) >= MAX_CRASHES
+            }
+        )
 
     def touch(self, fingerprint: str, now: float) -> None:
         """Record that a request has come again."""
@@ -140,7 +180,3 @@
 
         excess = len(kept) - int(MAX_REQUESTS * (1 - EVICTED_SHARE))
         return found + sorted(kept, key=importance)[:excess]
-
-    def count(self, verdict: Verdict) -> int:
-        """Return the number of requests with a verdict."""
-        return sum(record.verdict is verdict for record in self.records.values())
--- a/tests/test_crash_ledger.py
+++ b/tests/test_crash_ledger.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from bergamotmast.policy.crash_ledger import HARMFUL_RETENTION_SECONDS
 from bergamotmast.policy.crash_ledger import MAX_CRASHES
@@ -10,7 +12,7 @@
 from bergamotmast.policy.crash_ledger import SUSPECT_RETENTION_SECONDS
 from bergamotmast.policy.crash_ledger import CrashLedger
 from bergamotmast.policy.crash_ledger import Verdict
-from bergamotmast.policy.crash_ledger import verdict_of
+from bergamotmast.policy.crash_ledger import harmful_requests
 
 
 @pytest.mark.parametrize(
@@ -24,7 +26,7 @@
     ],
 )
 def test_verdict_follows_the_number_of_crashes(crashes, verdict):
-    assert verdict_of(crashes) is verdict
+    assert ledger_with("f", crashes).verdict("f") is verdict
 
 
 def ledger_with(fingerprint: str, crashes: int, now: float = 0.0) -> CrashLedger:
@@ -85,4 +87,53 @@
 def test_count_of_harmful_requests():
     ledger = ledger_with("f", 3)
     ledger.add("g", "c0", 0.0)
-    assert ledger.count(Verdict.HARMFUL) == 1
+    assert ledger.harmful == {"f"}
+
+
+def test_request_lost_beside_a_harmful_one_stays_on_trial():
+    """Guards against refusing a harmless request that comes whenever a harmful does."""
+    ledger = ledger_with("harmful", 4)
+    for crash in ("c0", "c1", "c2"):
+        ledger.add("beside", crash, 0.0)
+    assert ledger.verdict("harmful") is Verdict.HARMFUL
+    assert ledger.verdict("beside") is Verdict.ON_TRIAL
+
+
+def test_request_with_a_crash_of_its_own_is_harmful():
+    """Guards against running one harmful request because of another."""
+    ledger = ledger_with("first", 3)
+    for crash in ("c0", "c1", "c2"):
+        ledger.add("second", crash, 0.0)
+    on_trial = {"first", "second"} - ledger.harmful
+    assert len(on_trial) == 1
+    ledger.add(on_trial.pop(), "own", 1.0)
+    assert ledger.harmful >= {"second"} or ledger.harmful >= {"first"}
+    for name in ("first", "second"):
+        ledger.add(name, f"own of {name}", 2.0)
+    assert ledger.harmful == {"first", "second"}
+
+
+def test_answer_of_a_harmful_request_is_followed_by_a_new_judgement():
+    ledger = ledger_with("a", 4)
+    for crash in ("c0", "c1", "c2"):
+        ledger.add("b", crash, 0.0)
+    ledger.clear("a")
+    assert ledger.harmful == {"b"}
+
+
+CRASHES = st.dictionaries(
+    st.sampled_from("abcdefgh"), st.frozensets(st.integers(0, 9).map(str)), max_size=8
+)
+
+
+@given(CRASHES)
+def test_every_third_crash_is_explained(crashes):
+    """A harmful request is refused after at most one crash beyond the third."""
+    harmful = harmful_requests(crashes)
+    assert harmful == harmful_requests(dict(reversed(crashes.items())))
+    explained = set().union(*(crashes[name] for name in harmful))
+    for name, ids in crashes.items():
+        assert name not in harmful or len(ids) >= MAX_CRASHES
+        if len(ids) >= MAX_CRASHES:
+            assert ids <= explained
+            assert name in harmful_requests(crashes | {name: ids | {"its own"}})
