Give entries time to answer a new holder about windows that ended long ago

The holder was killed; the next one took over after the time for collecting two windows had passed, sent its queries and set both windows at once, with its own counts only. It now waits for at least 1.5 s. The test fails without the change ({'t': 10} instead of {'t': 30}).

The soak itself: keys added and removed while entries are killed, suspended and restarted, lose the store or meet a restored one; checks from outside that no replica sees a key or a wrong tenant, that nobody gets in whose key went longer ago than the bound, that no window is reported twice with other counts, and that what is reported is what replicas began.

--- a/src/bergamotmast/direct/usage_reporter.py
+++ b/src/bergamotmast/direct/usage_reporter.py
@@ -33,6 +33,10 @@
 COLLECTION_SHARE = 0.4
 """Share of the time until a report is due in which silent entries are waited for."""
 
+MIN_COLLECTION_SECONDS = 1.5
+"""Minimum time in which silent entries are waited for. A new holder sets windows that
+ended long ago, and the other entries must have time to answer it."""
+
 MAX_RETRY_DELAY_SECONDS = 3.0
 """Maximum delay between two reports of one window."""
 
@@ -172,7 +176,10 @@
         """Set the counts of a window, which is the next one."""
         end = self.exchange.ledger.end_of(window)
         end_at = self.exchange.clock.loop_time_of(end)
-        deadline = end_at + COLLECTION_SHARE * self.due_seconds
+        now = asyncio.get_running_loop().time()
+        deadline = max(
+            end_at + COLLECTION_SHARE * self.due_seconds, now + MIN_COLLECTION_SECONDS
+        )
         usage = await self.exchange.collect(window, deadline)
         if not usage.counts and not self.records.last_window:
             # Nothing is due before the first request of a new installation.
--- a/tests/series_fleet.py
+++ b/tests/series_fleet.py
@@ -149,6 +149,10 @@
         """Register a replica that has just started."""
         self.store.put(f"servers/i-{number}", entry)
 
+    def settings(self) -> dict[str, str]:
+        """Return additional settings of all entries."""
+        return {}
+
     def arguments(self, number: int) -> tuple[str, ...]:
         """Return additional arguments of a replica's process."""
         return ()
@@ -191,6 +195,7 @@
             BERGAMOTMAST_READY_ADDRESS=ready,
             BERGAMOTMAST_PEER_ADDRESS=peer,
             BERGAMOTMAST_SHUTDOWN_SECONDS=str(KILL_TIMEOUT_SECONDS),
+            **self.settings(),
         )
         incarnation = EntryIncarnation(number, process, os.pidfd_open(process.pid))
         self.incarnations.append(incarnation)
--- a/tests/series_replica.py
+++ b/tests/series_replica.py
@@ -57,16 +57,20 @@
         self.open.discard(writer)
         writer.close()
 
-    def record_received(self, request_id: str) -> None:
-        """Append a request's id to the record file."""
-        os.write(self.record, f"{request_id}\n".encode())
+    def describe(self, received: Received) -> str:
+        """Return what is recorded of a request, without white space."""
+        return received.request_id
+
+    def record_received(self, description: str) -> None:
+        """Append a line to the record file."""
+        os.write(self.record, f"{description}\n".encode())
 
     async def _answer(self, received: Received, writer: asyncio.StreamWriter) -> None:
         request_id = received.request_id
         if not request_id:
             writer.write(b"HTTP/1.1 404 Word\r\nContent-Length: 0\r\n\r\n")
             return
-        self.record_received(request_id)
+        self.record_received(self.describe(received))
         query = urllib.parse.parse_qs(received.target.partition("?")[2])
         pause = int(query["ms"][0]) / 1e3
         if "events" not in query:
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -241,6 +241,22 @@
     assert service.accepted[FIRST] == {"t": 3}
 
 
+@pytest.mark.looptime
+async def test_new_holder_waits_for_the_counts_of_windows_that_ended_long_ago():
+    """Guards against windows that are set without the other entries' answers.
+
+    The former holder was killed, and its lease ran out after the time for collecting.
+    """
+    network, service = Network("abc"), Service()
+    for name in "abc":
+        network.count(name, "t", 10)
+    await asyncio.sleep(WINDOW + 8.0)
+    holder = asyncio.create_task(reporter(service, network, "b", 1.0).run(2))
+    await asyncio.sleep(3.0)
+    holder.cancel()
+    assert service.accepted[FIRST] == {"t": 30}
+
+
 @pytest.mark.looptime
 async def test_lost_datagrams_lose_no_counts():
     names = [f"e{number}" for number in range(12)]
