Keep usage that a restarted holder, or two restarts in turn, lost

The holder was killed and took over again after its restart, and began with the window in which its process had started: five windows that other entries knew were never set. The first window of a new installation now counts only where there is no record yet.

Beside it: an entry that ends sends all that it knows, the copies of others too, and copies go to two entries, as entries are restarted one after the other; only changed counts are copied, so that the number of messages stays within four a second and entry. Both tests fail without the change.

--- a/src/bergamotmast/direct/usage_exchange.py
+++ b/src/bergamotmast/direct/usage_exchange.py
@@ -1,6 +1,6 @@
 """Counting of the requests that each tenant begins, at all entries together.
 
-Every entry counts its own requests and sends a copy of the counts to one other entry,
+Every entry counts its own requests and sends copies of the counts to two other entries,
 so that those of a killed entry survive. The entry that reports the usage asks all
 others once a window is over. No call to the store is needed, and the number of messages
 grows with the number of entries, not with its square.
@@ -30,7 +30,11 @@
 from .unix_clock import UnixClock
 
 COPY_SECONDS = 1.0
-"""Interval between two copies to another entry: a killed entry loses as much."""
+"""Interval between two copies to other entries: a killed entry loses as much."""
+
+COPIES = 2
+"""Number of entries that keep a copy. One more than one, as entries are restarted one
+after the other."""
 
 SETTLING_SECONDS = 1.0
 """Time after the end of a window in which requests that began in it are still counted:
@@ -64,6 +68,7 @@
     :param entries: returns the addresses of the other entries, by their keys.
     :param send: sends a datagram without blocking.
     :param answered: keys of the entries whose counts of a window are complete.
+    :param copied: requests in the last copy of each window.
     :param first_window: window in which this process started.
     """
 
@@ -81,6 +86,7 @@
         self.entries = entries
         self.send = send
         self.answered: dict[int, set[str]] = {}
+        self.copied: dict[int, int] = {}
         self.first_window = ledger.window_at(clock.now())
         self._changed = asyncio.Event()
 
@@ -98,23 +104,37 @@
         self.ledger.add(self.source, window, tenant)
 
     async def run(self) -> None:
-        """Copy this entry's counts to another one until cancelled."""
+        """Copy this entry's counts to other ones until cancelled."""
         while True:
             await asyncio.sleep(COPY_SECONDS)
             self.clock.sample()
-            self.copy()
-
-    def copy(self) -> None:
-        """Copy the counts of the current and the last window to another entry."""
-        current = self.ledger.window_at(self.clock.now())
-        self.ledger.forget_before(current - RETAINED_WINDOWS)
-        for old in [w for w in self.answered if w < current - RETAINED_WINDOWS]:
-            del self.answered[old]
-        address = self._successor()
-        if address is not None:
-            for window in (current - 1, current):
+            self._forget_old_windows()
+            self._copy_changes()
+
+    def _copy_changes(self) -> None:
+        """Copy the counts that have changed since the last copy."""
+        totals = {
+            window: sum(self.ledger.counts(self.source, window).values())
+            for window in self.ledger.windows
+        }
+        changed = [w for w, total in totals.items() if total != self.copied.get(w, 0)]
+        self.copied = totals
+        for address in self._successors():
+            for window in changed:
                 self._send_counts(self.source, window, address)
 
+    def hand_over(self) -> None:
+        """Send all that this entry knows to other ones before it ends."""
+        for address in self._successors():
+            for window in self.ledger.windows:
+                for source in self.ledger.sources(window):
+                    self._send_counts(source, window, address)
+
+    def _forget_old_windows(self) -> None:
+        oldest = self.oldest_window()
+        self.ledger.forget_before(oldest)
+        self.answered = {w: keys for w, keys in self.answered.items() if w >= oldest}
+
     def oldest_window(self) -> int:
         """Return the oldest window whose counts are kept."""
         return self.ledger.window_at(self.clock.now()) - RETAINED_WINDOWS
@@ -149,14 +169,14 @@
         own = presence_key(self.source.entry)
         return [key for key in self.entries() if key not in answered and key != own]
 
-    def _successor(self) -> Address | None:
-        """Return the address of the next entry in the order of all keys."""
+    def _successors(self) -> list[Address]:
+        """Return the addresses of the next entries in the order of all keys."""
         own = presence_key(self.source.entry)
         entries = self.entries()
         others = sorted(key for key in entries if key != own)
-        if not others:
-            return None
-        return entries[others[bisect.bisect(others, own) % len(others)]]
+        next_index = bisect.bisect(others, own)
+        ordered = others[next_index:] + others[:next_index]
+        return [entries[key] for key in ordered[:COPIES]]
 
     def _on_query(self, query: UsageQuery, address: Address) -> None:
         sources = {self.source, *self.ledger.sources(query.window)}
--- a/src/bergamotmast/direct/usage_reporter.py
+++ b/src/bergamotmast/direct/usage_reporter.py
@@ -94,7 +94,7 @@
         two holders do not take turns.
     :param due_seconds: time from the end of a window until its report is due.
     :param retry_at: when the next report may be sent; a point in time.
-    :param skipped_window: last window that is not to be reported.
+    :param skipped_window: last window before the first one of a new installation.
     """
 
     def __init__(
@@ -157,15 +157,9 @@
             await asyncio.sleep(min(settled_at, self.retry_at) - now)
 
     def _next_window(self) -> int:
-        """Return the first window that is neither set nor skipped."""
-        last = max(self.records.last_window, self.skipped_window)
-        oldest = self.exchange.oldest_window()
-        if self.records.last_window and last + 1 < oldest:
-            logger.warning(
-                "usage is lost", extra={"first": last + 1, "last": oldest - 1}
-            )
-            self.skipped_window = oldest - 1
-        return max(last + 1, oldest)
+        """Return the next window to set: the oldest one that entries still know."""
+        last = self.records.last_window or self.skipped_window
+        return max(last + 1, self.exchange.oldest_window())
 
     def _settled_at(self, window: int) -> float:
         """Return when a window's counts are final; a point on the loop's clock."""
@@ -185,6 +179,10 @@
             # Nothing is due before the first request of a new installation.
             self.skipped_window = window
             return
+        last = self.records.last_window
+        if last and last + 1 < window:
+            span = {"first": last + 1, "last": window - 1}
+            logger.warning("usage is lost", extra=span)
         unreported = self.records.record.windows | {window: usage.counts}
         kept = sorted(unreported)[-MAX_UNREPORTED_WINDOWS:]
         for lost in sorted(set(unreported) - set(kept)):
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -202,7 +202,7 @@
         tasks[-1].cancel()
         await _drain(frontend, callers, settings.shutdown_seconds)
         if context.usage is not None:
-            context.usage.copy()
+            context.usage.hand_over()
     logger.info("stops")
     shutdown.raise_failure()
 
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -222,7 +222,7 @@
     await asyncio.sleep(2.0)
     network.start("c", 99)
     network.count("c", "t", 5)
-    network.down.add("b")
+    network.down.add("d")
     await asyncio.sleep(10.0)
     holder.cancel()
     for task in tasks:
@@ -257,6 +257,40 @@
     assert service.accepted[FIRST] == {"t": 30}
 
 
+@pytest.mark.looptime
+async def test_restarted_holder_reports_the_windows_before_its_start():
+    """Guards against windows that nobody reports, as the holder was killed."""
+    network, service = Network("ab"), Service()
+    first = asyncio.create_task(reporter(service, network, "a").run(1))
+    network.count("b", "t", 10)
+    await asyncio.sleep(WINDOW + 1.5)
+    first.cancel()
+    network.count("b", "t", 20)
+    await asyncio.sleep(WINDOW)
+    network.start("a", 99)
+    second = asyncio.create_task(reporter(service, network, "a", 1.0).run(2))
+    await asyncio.sleep(4.0)
+    second.cancel()
+    assert service.accepted == {FIRST: {"t": 10}, FIRST + 1: {"t": 20}}
+
+
+@pytest.mark.looptime
+async def test_ended_entry_hands_over_all_that_it_knows():
+    """Guards against lost counts when entries are restarted one after the other."""
+    network, service = Network("abcd"), Service()
+    network.count("a", "t", 10)
+    network.exchanges["a"].hand_over()
+    await asyncio.sleep(0.1)
+    network.down.add("a")
+    network.exchanges["b"].hand_over()
+    await asyncio.sleep(0.1)
+    network.down.add("b")
+    holder = asyncio.create_task(reporter(service, network, "d").run(1))
+    await asyncio.sleep(WINDOW + 9.0)
+    holder.cancel()
+    assert service.accepted[FIRST] == {"t": 10}
+
+
 @pytest.mark.looptime
 async def test_lost_datagrams_lose_no_counts():
     names = [f"e{number}" for number in range(12)]
