Set no window of usage that is not over by most entries' clocks

Found by reading: a holder whose clock is ahead would set windows before their requests come, and, minutes ahead, all windows until then, none of which could be reported again. It now goes by the answers of the others: if more of them say that the window is not over than that it is, nothing is set. The test (12 s and an hour ahead) fails without it.

--- a/src/bergamotmast/direct/usage_exchange.py
+++ b/src/bergamotmast/direct/usage_exchange.py
@@ -55,10 +55,12 @@
     """The usage of one window.
 
     :param missing: keys of the registered entries that have not answered.
+    :param is_over: whether the window is over by the clocks of most entries.
     """
 
     counts: Counts
     missing: tuple[str, ...]
+    is_over: bool = True
 
 
 class UsageExchange:
@@ -68,6 +70,7 @@
     :param entries: returns the addresses of the other entries, by their keys.
     :param send: sends a datagram without blocking.
     :param answered: keys of the entries whose counts of a window are complete.
+    :param unfinished: keys of the entries that last said that a window is not over.
     :param copied: requests in the last copy of each window.
     :param first_window: window in which this process started.
     """
@@ -86,6 +89,7 @@
         self.entries = entries
         self.send = send
         self.answered: dict[int, set[str]] = {}
+        self.unfinished: dict[int, set[str]] = {}
         self.copied: dict[int, int] = {}
         self.first_window = ledger.window_at(clock.now())
         self._changed = asyncio.Event()
@@ -133,7 +137,9 @@
     def _forget_old_windows(self) -> None:
         oldest = self.oldest_window()
         self.ledger.forget_before(oldest)
-        self.answered = {w: keys for w, keys in self.answered.items() if w >= oldest}
+        for states in (self.answered, self.unfinished):
+            for window in [window for window in states if window < oldest]:
+                del states[window]
 
     def oldest_window(self) -> int:
         """Return the oldest window whose counts are kept."""
@@ -154,7 +160,9 @@
             if loop.time() >= deadline:
                 break
             await self._wait_for_answers(answered, loop.time() + QUERY_SECONDS)
-        return WindowUsage(self.ledger.totals(window), tuple(missing))
+        unfinished = self.unfinished.get(window, set()) - answered
+        is_over = len(unfinished) <= len(answered)
+        return WindowUsage(self.ledger.totals(window), tuple(missing), is_over)
 
     async def _wait_for_answers(self, answered: set[str], until: float) -> None:
         try:
@@ -188,9 +196,13 @@
         if source == self.source or not self._is_retained(message.window):
             return
         self.ledger.merge(source, message.window, message.counts)
+        if message.sender != message.entry:
+            return
+        key = presence_key(message.sender)
         known = sum(self.ledger.counts(source, message.window).values())
-        if message.final and message.sender == message.entry and known >= message.total:
-            key = presence_key(message.sender)
+        if not message.final:
+            self.unfinished.setdefault(message.window, set()).add(key)
+        elif known >= message.total:
             self.answered.setdefault(message.window, set()).add(key)
             self._changed.set()
 
--- a/src/bergamotmast/direct/usage_reporter.py
+++ b/src/bergamotmast/direct/usage_reporter.py
@@ -175,6 +175,10 @@
             end_at + COLLECTION_SHARE * self.due_seconds, now + MIN_COLLECTION_SECONDS
         )
         usage = await self.exchange.collect(window, deadline)
+        if not usage.is_over:
+            # This process's clock is ahead. Windows set too early would miss requests.
+            logger.warning("clock is ahead of others", extra={"window": window})
+            return
         if not usage.counts and not self.records.last_window:
             # Nothing is due before the first request of a new installation.
             self.skipped_window = window
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -62,9 +62,16 @@
 
     :param down: names of the entries that neither send nor receive.
     :param loss: share of datagrams that is lost.
+    :param ahead: seconds by which the clocks of entries are ahead, by name.
     """
 
-    def __init__(self, names: t.Iterable[str], loss: float = 0.0) -> None:
+    def __init__(
+        self,
+        names: t.Iterable[str],
+        loss: float = 0.0,
+        ahead: t.Mapping[str, float] | None = None,
+    ) -> None:
+        self.ahead = ahead or {}
         self.entries = {presence_key(name): (name, 1) for name in names}
         self.inboxes: dict[str, PeerInbox] = {}
         self.exchanges: dict[str, UsageExchange] = {}
@@ -85,7 +92,8 @@
             inbox = self.inboxes[address[0]]
             loop.call_later(0.002, inbox.receive, data, (name, 1))
 
-        clock = UnixClock(loop.time, lambda: START + loop.time())
+        ahead = self.ahead.get(name, 0.0)
+        clock = UnixClock(loop.time, lambda: START + loop.time() + ahead)
         exchange = UsageExchange(
             Source(name, boot), UsageLedger(WINDOW), clock, lambda: self.entries, send
         )
@@ -449,6 +457,22 @@
     assert [r.window for r in service.arrived].count(FIRST) == 1
 
 
+@pytest.mark.looptime
+@pytest.mark.parametrize("ahead", [12.0, 3600.0])
+async def test_holder_whose_clock_is_ahead_sets_no_window_too_early(ahead):
+    """Guards against windows that are set before their requests have come."""
+    network, service = Network("abcd", ahead={"a": ahead}), Service()
+    wrong = asyncio.create_task(reporter(service, network, "a").run(1))
+    for name in "bcd":
+        network.count(name, "t", 10)
+    await asyncio.sleep(WINDOW + 2.0)
+    wrong.cancel()
+    right = asyncio.create_task(reporter(service, network, "b").run(2))
+    await asyncio.sleep(8.0)
+    right.cancel()
+    assert service.accepted[FIRST] == {"t": 30}
+
+
 def test_steps_of_the_clock_do_not_shift_windows():
     """Guards against counts in wrong windows while the system's clock is wrong."""
     now, step = 100.0, 0.0
