Name the batch of notices and a rank's level; build the duties before the planner

A datagram may carry three kinds of message now, so the batch of notices is named for what it is; Rank.rank was a rank in a rank. The daemon's parts are passed on construction instead of being set afterwards. No change of behaviour.

--- a/src/bergamotmast/direct/notices.py
+++ b/src/bergamotmast/direct/notices.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from .peer_messages import Address
-from .peer_messages import Datagram
+from .peer_messages import NoticeBatch
 from .peer_messages import PeerInbox
 from .peer_messages import Send
 from .placer import RequestPlacer
@@ -61,20 +61,20 @@
 
     def listen(self, inbox: PeerInbox) -> None:
         """Receive the notices of other entries."""
-        inbox.receivers[Datagram] = self._on_datagram
+        inbox.receivers[NoticeBatch] = self._on_batch
 
-    def _on_datagram(self, datagram: Datagram, address: Address) -> None:
-        if datagram.sender == self.name:
+    def _on_batch(self, batch: NoticeBatch, address: Address) -> None:
+        if batch.sender == self.name:
             return
         now = asyncio.get_running_loop().time()
-        for notice in datagram.notices:
-            self.placer.on_notice(datagram.sender, notice, now)
+        for notice in batch.notices:
+            self.placer.on_notice(batch.sender, notice, now)
 
     def _flush(self) -> None:
         pending, self.pending = self.pending, []
         addresses = list(self.peers())
         for start in range(0, len(pending), MAX_NOTICES_PER_DATAGRAM):
             batch = tuple(pending[start : start + MAX_NOTICES_PER_DATAGRAM])
-            data = msgspec.msgpack.encode(Datagram(self.name, batch))
+            data = msgspec.msgpack.encode(NoticeBatch(self.name, batch))
             for address in addresses:
                 self.send(data, address)
--- a/src/bergamotmast/direct/peer_messages.py
+++ b/src/bergamotmast/direct/peer_messages.py
@@ -18,7 +18,7 @@
 """Sends a datagram without blocking."""
 
 
-class Datagram(msgspec.Struct, frozen=True, array_like=True, tag="notices"):
+class NoticeBatch(msgspec.Struct, frozen=True, array_like=True, tag="notices"):
     """A batch of notices from one entry.
 
     :param sender: name of the entry.
@@ -58,7 +58,7 @@
     window: int
 
 
-PeerMessage: t.TypeAlias = Datagram | UsageCounts | UsageQuery
+PeerMessage: t.TypeAlias = NoticeBatch | UsageCounts | UsageQuery
 
 
 class PeerInbox:
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -31,6 +31,7 @@
 from .direct.presence import Presence
 from .direct.presence import presence_key
 from .direct.retry_budget import SharedRetryBudget
+from .direct.role_planner import Duty
 from .direct.role_planner import RolePlanner
 from .direct.store_watcher import StoreWatcher
 from .direct.unix_clock import UnixClock
@@ -162,25 +163,28 @@
         if settings.metrics_address:
             await _listen(stack, _metrics(metrics), settings.metrics_address)
         presence = Presence(store, settings.name, settings.peer_address, rng)
-        planner = _planner(settings, store, context, orders)
+        election = _election(settings, store, context)
+        duties: list[Duty] = []
         if settings.usage_address:
             context.usage = _usage_exchange(settings, fleet, rng, peers.send)
             context.usage.listen(inbox)
             records = UsageRecordStore(store, rng)
             fleet.listeners[USAGE_KEY] = records
-            planner.duties = (
+            sink = PlatformUsage(session, settings.usage_address)
+            duties.append(
                 UsageReporter(
                     settings.name,
-                    planner.election,
+                    election,
                     records,
                     context.usage,
-                    PlatformUsage(session, settings.usage_address),
+                    sink,
                     settings.order_pause_ms / 1e3,
                     settings.usage_due_seconds,
                     rng,
                     metrics,
-                ),
+                )
             )
+        planner = _planner(settings, store, context, orders, election, duties)
         store_watcher = StoreWatcher(store, fleet, rng)
         store.restores.on_restored.append(store_watcher.on_restored)
         coroutines = [
@@ -230,17 +234,13 @@
     )
 
 
-def _planner(
-    settings: DirectEntrySettings,
-    store: PlatformStore,
-    context: Context,
-    orders: PlatformOrders,
-) -> RolePlanner:
-    name = settings.name
+def _election(
+    settings: DirectEntrySettings, store: PlatformStore, context: Context
+) -> PlannerElection:
     fleet = context.fleet
     election = PlannerElection(
         store,
-        name,
+        settings.name,
         context.rng,
         PLANNER_LEASE_SECONDS,
         first_poll_spread_seconds=FIRST_POLL_SPREAD_SECONDS,
@@ -248,9 +248,20 @@
         holder_known=lambda: HOLDER_KEY in fleet.existing_keys,
     )
     fleet.on_removal[HOLDER_KEY] = election.on_vacant
+    return election
+
+
+def _planner(
+    settings: DirectEntrySettings,
+    store: PlatformStore,
+    context: Context,
+    orders: PlatformOrders,
+    election: PlannerElection,
+    duties: cabc.Sequence[Duty],
+) -> RolePlanner:
     plan = PlanStore(
         store,
-        name,
+        settings.name,
         context.rng,
         NullHistory(),
         epoch_hint=store.restores.min_epoch,
@@ -258,15 +269,16 @@
         carry_over=False,
     )
     return RolePlanner(
-        name,
+        settings.name,
         election,
         plan,
-        fleet,
+        context.fleet,
         context.placer,
         orders,
         context.mix,
         settings.order_pause_ms / 1e3,
         context.rng,
+        duties,
     )
 
 
--- a/src/bergamotmast/policy/priority.py
+++ b/src/bergamotmast/policy/priority.py
@@ -40,10 +40,10 @@
 class Rank:
     """Priority rank of a request.
 
-    :param rank: rank within the band; 0 is the most urgent.
+    :param level: rank within the band; 0 is the most urgent.
     """
 
-    rank: int
+    level: int
     band: PriorityBand = SINGLE_BAND
 
     def engine_priority(self, steps: int) -> int:
@@ -60,8 +60,8 @@
         start = self.band.index * ENGINE_PRIORITIES // self.band.count
         end = (self.band.index + 1) * ENGINE_PRIORITIES // self.band.count
         width = max(1, end - start)
-        rank = min(self.rank, len(RANK_SHARES) - 2)
-        first = start + int(width * RANK_SHARES[rank])
-        next_first = start + int(width * RANK_SHARES[rank + 1])
+        level = min(self.level, len(RANK_SHARES) - 2)
+        first = start + int(width * RANK_SHARES[level])
+        next_first = start + int(width * RANK_SHARES[level + 1])
         last = min(ENGINE_PRIORITIES - 1, max(first, next_first - 1))
         return min(first, last), last
--- a/tests/test_direct_process.py
+++ b/tests/test_direct_process.py
@@ -15,7 +15,7 @@
 import msgspec
 import pytest
 
-from bergamotmast.direct.peer_messages import Datagram
+from bergamotmast.direct.peer_messages import NoticeBatch
 from bergamotmast.direct.prefill_notice import PrefillNotice
 from bergamotmast.direct.presence import PRESENCE_PREFIX
 from direct_support import config
@@ -227,7 +227,7 @@
     notices = [
         notice
         for data in peer.found
-        for notice in msgspec.msgpack.decode(data, type=Datagram).notices
+        for notice in msgspec.msgpack.decode(data, type=NoticeBatch).notices
     ]
     assert [notice.tokens for notice in notices] == [6000, 0]
     assert notices[0].parts[0][1] == 2000
