--- a/src/bergamotmast/direct/core.py
+++ b/src/bergamotmast/direct/core.py
@@ -255,7 +255,8 @@
         log_fields: dict[str, object],
     ) -> None:
         seconds = asyncio.get_running_loop().time() - arrived_at
-        self.telemetry.on_ended("", route, code, seconds)
+        tenant = str(log_fields.get("tenant", ""))
+        self.telemetry.on_ended(tenant, route, code, seconds)
         if (size_class := log_fields.get("size")) is not None:
             self.telemetry.on_ended_by_size(route, SizeClass(str(size_class)), code)
         logger.info(
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -12,6 +12,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from bergamotmast.adapters.metrics import OpenTelemetryMetrics
 from bergamotmast.direct.fingerprint import fingerprint_of
 from bergamotmast.direct.tenants import TenantIndex
 from bergamotmast.direct.tenants import TenantSpec
@@ -283,6 +284,18 @@
     assert "secret-nobody" not in shown
 
 
+async def test_requests_are_counted_by_tenant():
+    """Operators see each tenant's requests; those without a tenant share one series."""
+    metrics = OpenTelemetryMetrics("p")
+    async with serving(Replica("i-1", answer()), document=DOCUMENT) as entry:
+        entry.core.telemetry = metrics
+        await entry.ask("/order/x", X_Api_Key=KEY)
+        await entry.ask("/order/x", X_Api_Key="nobody")
+    exposed = metrics.exposition().decode()
+    assert 'tenant_total_seconds_count{tenant="notaries"} 1.0' in exposed
+    assert 'tenant_total_seconds_count{tenant=""} 1.0' in exposed
+
+
 async def test_tenants_do_not_share_a_fingerprint():
     """Guards against a tenant whose harmful request puts another's into quarantine."""
     replica = Replica("i-1", answer())
