--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -109,6 +109,9 @@
         retry_free=10,
         log_level="info",
         switched_off="",
+        usage_address="",
+        usage_window_seconds=5.0,
+        usage_due_seconds=10.0,
     )
     task = asyncio.create_task(serve_direct(settings))
     try:
