--- a/src/bergamotmast/direct/usage_exchange.py
+++ b/src/bergamotmast/direct/usage_exchange.py
@@ -209,7 +209,7 @@
     def _is_retained(self, window: int) -> bool:
         """Return whether a window may be kept, so that no message fills the memory."""
         current = self.ledger.window_at(self.clock.now())
-        return current - RETAINED_WINDOWS <= window <= current + 1
+        return self.oldest_window() <= window <= current + 1
 
     def _send_counts(self, source: Source, window: int, address: Address) -> None:
         counts = self.ledger.counts(source, window)
--- a/src/bergamotmast/policy/crash_ledger.py
+++ b/src/bergamotmast/policy/crash_ledger.py
@@ -150,11 +150,7 @@
 
     def _judge(self) -> None:
         self.harmful = harmful_requests(
-            {
-                fingerprint: record.crashes
-                for fingerprint, record in self.records.items()
-                if len(record.crashes) >= MAX_CRASHES
-            }
+            {name: record.crashes for name, record in self.records.items()}
         )
 
     def touch(self, fingerprint: str, now: float) -> None:
