--- /dev/null
+++ b/tests/test_stream_moves.py
@@ -0,0 +1,108 @@
+"""A silent engine's stream is given up only for a replacement that goes on with it."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from bergamotmast.direct.decode_attempt import STALL_TIMEOUT_SECONDS
+from bergamotmast.policy.retry_window import RetryLimits
+from direct_support import Answer
+from direct_support import Entry
+from direct_support import config
+from direct_support import engine
+from direct_support import route
+from direct_support import serving
+from direct_support import until
+from platform_standin import EngineScript
+from platform_standin import Received
+from platform_standin import Replica
+from platform_standin import Script
+from platform_standin import answer
+from platform_standin import chunk
+from platform_standin import event
+from platform_standin import head
+from platform_standin import not_run
+
+LONG = {"X_Token_Count": "6000,80", "X_Prompt_Prefix": "aa:2000,bb:4000"}
+RESUMABLE = route(
+    "/slow/",
+    "streaming",
+    "llm",
+    resumable=True,
+    **{"timeout-ms": 9000, "max-attempts": 3},
+)
+EVENTS = b"".join(event(number) for number in range(1, 5))
+
+
+def falls_silent(seconds: float, events_before: int = 1) -> Script:
+    """Return the script of a decode engine that pauses within a stream and goes on."""
+    whole = EngineScript()
+
+    async def script(replica: Replica, received: Received, writer) -> None:
+        if received.headers.get("x-stage") == "prefill":
+            await whole(replica, received, writer)
+            return
+        lines = ("X-Weight-Versions: 1", "Transfer-Encoding: chunked")
+        writer.write(head(200, received.request_id, *lines))
+        for number in range(1, 5):
+            if number == events_before + 1:
+                await asyncio.sleep(seconds)
+            writer.write(chunk(event(number)))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+    return script
+
+
+def set_budget_room(entry: Entry, retries: int) -> None:
+    """Limit the entry to so many retries, whatever the number of requests."""
+    budget = entry.core.context.retry_budget
+    now = asyncio.get_running_loop().time()
+    part = entry.fleet.entry_share.share(entry.fleet.entries, now)
+    budget.limits = RetryLimits(0.0, (retries + 0.5) / (0.5 * part))
+
+
+async def ask_silent(entry: Entry, silent: Replica, *others: Replica) -> Answer:
+    """Send a request that the silent engine decodes, with others added afterwards."""
+    for other in others:
+        entry.register(other, state="draining")
+    asked = asyncio.create_task(entry.ask("/slow/x", X_Deadline_Ms="60000", **LONG))
+    await until(lambda: bool(silent.received))
+    for other in others:
+        entry.register(other)
+    return await asked
+
+
+@pytest.mark.parametrize("room", [0, 1, 2, 3])
+@pytest.mark.parametrize("events_before", [0, 1, 3])
+async def test_stream_of_a_silent_engine_survives_a_refused_retry(room, events_before):
+    """Guards against cutting a stream for a move of which the budget allows a part."""
+    reader = engine("i-1", EngineScript(), "prefill")
+    silent = engine("i-2", falls_silent(STALL_TIMEOUT_SECONDS + 0.5, events_before))
+    # Full engines refuse prompts, so that a move needs more retries than one.
+    full = engine("i-3", not_run())
+    async with serving(
+        reader, silent, full, document=config(routes=[RESUMABLE])
+    ) as entry:
+        set_budget_room(entry, room)
+        got = await ask_silent(entry, silent, full)
+    assert got.complete
+    assert got.body == EVENTS
+
+
+@pytest.mark.parametrize("failure", [not_run(), answer(500, b"broken"), not_run(421)])
+async def test_stream_of_a_silent_engine_survives_a_failed_move(failure):
+    """Guards against cutting a stream before another engine has gone on with it."""
+    reader = engine("i-1", EngineScript(), "prefill")
+    silent = engine("i-2", falls_silent(STALL_TIMEOUT_SECONDS + 0.5))
+    other = engine("i-3", failure)
+    async with serving(
+        reader, silent, other, document=config(routes=[RESUMABLE])
+    ) as entry:
+        got = await ask_silent(entry, silent, other)
+    assert len(other.received) >= 1
+    assert got.complete
+    assert got.body == EVENTS
