Give a silent engine's stream up only once another engine goes on with it

What callers saw: a stream that would have gone on ended in the middle, most often while entries were being stopped and started.

Cause: a stream without an event for 1.2 s was cut as soon as the retry budget had room for one retry. A move takes two (the prefill again, and the attempt), and may also be refused by the engine that it goes to. What ran was given up before what should replace it was secured.

Now an attempt is started beside the silent one, and whichever brings the next event goes on; the other is cancelled at once. A refusal, a failure or an exhausted budget leaves the first one as it was. After a real break a prefill is done again only if the budget has room for the attempt that follows, too; the decode engine prefills the prompt otherwise. The log says when an engine is silent, whether another attempt starts, and what stands in its way.

--- a/src/bergamotmast/direct/attempts.py
+++ b/src/bergamotmast/direct/attempts.py
@@ -25,10 +25,11 @@
     """One request's attempts, limited by its route and the retry budget.
 
     :param tried: upstreams that the request was sent to.
+    :param withdrawn: those of them whose attempt was cancelled for another one.
     :param unreachable: upstreams to which no connection could be made.
     :param count: number of attempts.
-    :param may_have_run: whether an upstream may have run the request.
-    :param may_have_run_before: the same without the last attempt.
+    :param unresolved: number of attempts that may have run the request.
+    :param prepaid: retries taken out of the budget for attempts not begun yet.
     :param begun: whether an upstream is known to have begun to run the request.
     """
 
@@ -36,10 +37,11 @@
         self.context = context
         self.call = call
         self.tried: set[str] = set()
+        self.withdrawn: set[str] = set()
         self.unreachable: set[str] = set()
         self.count = 0
-        self.may_have_run = False
-        self.may_have_run_before = False
+        self.unresolved = 0
+        self.prepaid = 0
         self.begun = False
 
     @functools.cached_property
@@ -50,18 +52,23 @@
     @property
     def excluded(self) -> set[str]:
         """Upstreams that are not to be tried again."""
-        return self.tried | self.unreachable
+        return (self.tried - self.withdrawn) | self.unreachable
 
-    def can_move(self) -> bool:
-        """Return whether the request may be moved to an upstream not tried yet."""
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an upstream may have run the request."""
+        return self.unresolved > 0
+
+    def obstacle(self) -> str:
+        """Return why the request can't be sent to another upstream, or ``""``."""
         if len(self.tried) >= self.call.route.max_attempts:
-            return False
+            return "no attempt is left"
         now = asyncio.get_running_loop().time()
         members = self.context.fleet.members(self.call.group.name, now)
         others = (m for m in members if m.role is not Role.PREFILL)
         if all(member.name in self.excluded for member in others):
-            return False
-        return self.has_room()
+            return "there is no other upstream"
+        return "" if self.has_room() else "the retry budget is spent"
 
     def begin(self, upstream: Upstream) -> None:
         """Record the start of an attempt.
@@ -77,12 +84,17 @@
             raise self.exhausted_error(ResultCode.RETRY_BUDGET_SPENT)
         self.count += 1
         self.tried.add(upstream.name)
-        self.may_have_run_before = self.may_have_run
-        self.may_have_run = True
+        self.withdrawn.discard(upstream.name)
+        self.unresolved += 1
+
+    def on_withdrawn(self, upstream: Upstream) -> None:
+        """Record that an attempt was cancelled, as another one goes on."""
+        if upstream.name in self.tried:
+            self.withdrawn.add(upstream.name)
 
     def on_not_run(self) -> None:
-        """Record that the last attempt was not run; an earlier one may have been."""
-        self.may_have_run = self.may_have_run_before
+        """Record that an attempt was not run; others may have been."""
+        self.unresolved -= 1
 
     def on_not_sent(self, upstream: Upstream) -> None:
         """Record that nothing was sent in the last attempt."""
@@ -198,8 +210,28 @@
 
     def has_room(self) -> bool:
         """Return whether the retry budget has room for another attempt."""
-        return self.context.retry_budget.has_room(self.call.group.name)
+        return self.prepaid > 0 or self.context.retry_budget.has_room(
+            self.call.group.name
+        )
 
     def spend(self) -> bool:
         """Take an attempt out of the retry budget; return whether it had room."""
-        return self.context.retry_budget.spend(self.call.group.name)
+        if not self.prepay(1):
+            return False
+        self.prepaid -= 1
+        return True
+
+    def prepay(self, count: int) -> bool:
+        """Take attempts that belong together out of the retry budget.
+
+        What has been running until then is given up only once all are paid for.
+
+        :returns: whether the budget had room for all of them.
+        """
+        missing = max(0, count - self.prepaid)
+        if missing and not self.context.retry_budget.spend(
+            self.call.group.name, missing
+        ):
+            return False
+        self.prepaid += missing
+        return True
--- a/src/bergamotmast/direct/decode_attempt.py
+++ b/src/bergamotmast/direct/decode_attempt.py
@@ -5,7 +5,9 @@
 import asyncio
 import collections.abc as cabc
 import contextlib
+import logging
 import math
+import typing as t
 
 from ..errors import ConnectionLostError
 from ..errors import NotReachedError
@@ -15,8 +17,8 @@
 from ..policy.direct_placement import decode_priority
 from .events import Event
 from .events import EventSplitter
+from .exported_cache import ExportedCache
 from .forwarding import response_headers
-from .liveness import abort_when
 from .model import Upstream
 from .ports import Attempt
 from .ports import Reply
@@ -26,8 +28,8 @@
 from .stream import Stream
 
 STALL_TIMEOUT_SECONDS = 1.2
-"""Maximum gap between two events before a resumable stream is moved to another engine.
-Callers disconnect after two seconds, and resuming elsewhere takes about 400 ms."""
+"""Maximum gap between two events before a resumable stream is also started at another
+engine. Callers disconnect after two seconds, and resuming takes about 400 ms."""
 
 REFUSED_COOL_DOWN_SECONDS = 0.3
 """Cool-down of an engine that refused a request: it is full or changing its role."""
@@ -41,10 +43,26 @@
 event that never ends would exhaust the process's memory."""
 
 
+logger = logging.getLogger(__name__)
+
+
 class BrokenStreamError(Exception):
     """A stream that ended prematurely, or a reply that can't be used."""
 
 
+class Race(t.Protocol):
+    """The attempts of one stream, of which one forwards its events."""
+
+    @property
+    def contested(self) -> bool:
+        """Whether several attempts are running."""
+        ...
+
+    def on_progress(self, decode: DecodeAttempt) -> None:
+        """Withdraw the other attempts, as this one goes on with the response."""
+        ...
+
+
 class DecodeAttempt:
     """One attempt to stream a response from one engine.
 
@@ -55,10 +73,17 @@
     :param streaming: whether the engine has sent an event.
     :param started_at: when the attempt started.
     :param sent_at: when the engine was asked to import a KV cache from another engine.
+    :param sent: whether the request has been sent.
+    :param finished: whether the attempt has ended.
+    :param obstacle: last logged reason for waiting for a silent engine.
     """
 
-    def __init__(self, stream: Stream, upstream: Upstream) -> None:
+    def __init__(
+        self, stream: Stream, upstream: Upstream, cache: ExportedCache, race: Race
+    ) -> None:
         self.stream = stream
+        self.cache = cache
+        self.race = race
         self.context = stream.context
         self.call = stream.call
         self.upstream = upstream
@@ -68,6 +93,9 @@
         self.streaming = False
         self.sent_at: float | None = None
         self.started_at = asyncio.get_running_loop().time()
+        self.sent = False
+        self.finished = False
+        self.obstacle = ""
 
     async def run(self) -> int | None:
         """Return the status, or ``None`` if the request may be retried elsewhere.
@@ -91,34 +119,44 @@
             self.stream.attempts.on_not_sent(self.upstream)
             self._log_failure(error.message, "not reached")
         except ReplyLostError as error:
-            replied = self.last_reply_at < math.inf
-            self.stream.attempts.on_lost(self.upstream, error, replied=replied)
+            self.stream.attempts.on_lost(self.upstream, error, replied=self.replied)
             self._on_broken(error)
         except BrokenStreamError as error:
             self._on_broken(error)
+        except TimeoutError:
+            # The operating system has timed the connection out.
+            timed_out = ReplyLostError("the connection timed out")
+            self.stream.attempts.on_lost(self.upstream, timed_out, replied=self.replied)
+            self._on_broken(timed_out)
         finally:
+            self.finished = True
             self._untrack()
         return None
 
+    @property
+    def replied(self) -> bool:
+        """Whether data has arrived from the engine."""
+        return self.last_reply_at < math.inf
+
     def _on_broken(self, error: Exception) -> None:
         """Handle a reply that broke off or can't be used.
 
         :raises RequestError: if the request must not run again.
         """
         self._log_failure(str(error), "broken")
-        if self.last_reply_at == math.inf:
+        if not self.replied:
             # Without a cool-down, the engine would look idle and attract the
             # following requests.
             self.stream.start_cool_down(self.upstream)
         # The engine may have imported the KV cache, which can be imported once.
-        self.stream.cache.release()
+        self.cache.release()
         self._raise_if_not_repeatable()
 
     def _track_prefill(self) -> None:
         """Track the prefill at this engine unless another engine has done it."""
         timeline = self.stream.timeline
         timeline.upstream = self.upstream.name
-        if not self.stream.cache:
+        if not self.cache:
             self.prefill = self.stream.prefills.begin(self.upstream)
             timeline.prefill_engine = ""
             timeline.uncached_tokens = self.prefill.tokens
@@ -145,32 +183,29 @@
             self.stream.prefills.end(self.upstream, self.prefill, done=False)
 
     async def _exchange(self) -> int:
-        async with contextlib.AsyncExitStack() as stack:
-            async with self._abort_without_reply():
-                reply = await stack.enter_async_context(self._open())
+        async with self._open() as reply:
             traits = self._check(reply)
-            self.stream.cache.on_imported()
+            self.cache.on_imported()
             if not 200 <= reply.status < 300:
                 return await self._on_failure_status(reply)
-            async with self._abort_if_stalled():
-                async for event in self._events(reply):
-                    self._on_event()
-                    await self._forward(event, reply, traits)
-        await self._start(reply, traits)
-        await self.stream.reply.finish()
+            async for event in self._events(reply):
+                self._on_event()
+                await self._forward(event, reply, traits)
+            await self._end(reply, traits)
         return reply.status
 
     def _open(self) -> contextlib.AbstractAsyncContextManager[Reply]:
         call, prefill = self.call, self.prefill
         now = asyncio.get_running_loop().time()
-        if self.stream.cache:
+        self.sent = True
+        if self.cache:
             self.sent_at = now
         attempt = Attempt(
             self.upstream.name,
             call.deadline,
             call.tenant_name,
             priority=self._priority(),
-            kv_source=self.stream.cache.source,
+            kv_source=self.cache.source,
             prefix_source=prefill.prefix_source if prefill is not None else "",
             last_event=self.stream.last_event,
             weights=self.stream.weights,
@@ -234,49 +269,79 @@
         if splitter.rest:
             raise ConnectionLostError("the stream ended within an event")
 
-    def _abort_without_reply(self) -> contextlib.AbstractAsyncContextManager[None]:
-        if self.call.route.repeatable and self.context.decisions.silence:
-            return abort_when(self._no_reply_reason)
-        return contextlib.nullcontext()
+    async def needs_replacement(self) -> bool:
+        """Return whether to start another attempt, as the engine is silent."""
+        if not self.call.route.repeatable or not await self._is_silent():
+            return False
+        obstacle = self.stream.attempts.obstacle()
+        if obstacle and obstacle != self.obstacle:
+            self._log_silence("silent engine is waited for", obstacle=obstacle)
+        self.obstacle = obstacle
+        return not obstacle
 
-    async def _no_reply_reason(self) -> str:
-        """Return why to stop waiting for a reply, or an empty string to keep waiting.
+    async def _is_silent(self) -> bool:
+        """Return whether a reply or the next event is overdue.
 
         After a power loss, an engine never replies and the caller disconnects before
         the connection times out. An engine at capacity does not reply in time either,
-        but it passes the liveness probe and keeps the request.
+        but it passes the liveness probe and keeps the request. One that preempts a
+        stream when it runs out of KV memory passes it too, but may take seconds.
         """
         now = asyncio.get_running_loop().time()
-        unresponsive = now >= self.tracker.unresponsive_at(self.started_at, now)
-        if not unresponsive or not self.stream.attempts.can_move():
-            return ""
-        is_alive = await self.context.liveness_checker.is_alive(self.upstream)
-        return "" if is_alive else UNRESPONSIVE
-
-    def _abort_if_stalled(self) -> contextlib.AbstractAsyncContextManager[None]:
-        if self.call.route.resumable:
-            return abort_when(self._stall_reason)
-        return contextlib.nullcontext()
-
-    async def _stall_reason(self) -> str:
-        """Return why to move a stalled stream, or an empty string to keep it.
-
-        An engine that preempts a request when it runs out of KV memory resumes it
-        after some seconds. Without another engine to resume on, the stream is kept:
-        cancelling it would lose a response that the caller still waits for.
-        """
+        if not self.sent:
+            return False
+        if self.replied:
+            return now >= self.last_reply_at + STALL_TIMEOUT_SECONDS
+        if not self.context.decisions.silence:
+            return False
+        if now < self.tracker.unresponsive_at(self.started_at, now):
+            return False
+        return not await self.context.liveness_checker.is_alive(self.upstream)
+
+    def on_replaced(self) -> None:
+        """Record that another attempt starts, as the engine is silent."""
+        error = ReplyLostError(UNRESPONSIVE)
+        self.stream.attempts.on_lost(self.upstream, error, replied=self.replied)
+        if not self.replied:
+            self.stream.start_cool_down(self.upstream)
+        self._log_silence("another attempt beside a silent engine")
+
+    def on_overtaken(self, other: DecodeAttempt) -> None:
+        """Record that another attempt goes on with the response."""
+        if self.started_at < other.started_at:
+            self._log_failure(UNRESPONSIVE, "broken")
+        else:
+            self.stream.attempts.on_withdrawn(self.upstream)
+            self._log_failure(f"{other.upstream.name} goes on", "withdrawn")
+
+    def _log_silence(self, message: str, **fields: str) -> None:
         now = asyncio.get_running_loop().time()
-        stalled = now >= self.last_reply_at + STALL_TIMEOUT_SECONDS
-        return UNRESPONSIVE if stalled and self.stream.attempts.can_move() else ""
+        since = self.last_reply_at if self.replied else self.started_at
+        logger.info(
+            message,
+            extra={
+                "upstream": self.upstream.name,
+                "last_event": self.stream.last_event,
+                "silent_ms": round((now - since) * 1e3, 1),
+                **fields,
+            },
+        )
 
     async def _forward(self, event: Event, reply: Reply, traits: ReplyTraits) -> None:
         if event.number is not None:
             if event.number <= self.stream.last_event:
                 return
             self.stream.last_event = event.number
+        self.race.on_progress(self)
         await self._start(reply, traits)
         await self.stream.reply.write(event.data)
 
+    async def _end(self, reply: Reply, traits: ReplyTraits) -> None:
+        """End the response normally."""
+        self.race.on_progress(self)
+        await self._start(reply, traits)
+        await self.stream.reply.finish()
+
     async def _start(self, reply: Reply, traits: ReplyTraits) -> None:
         if self.stream.reply.started:
             return
@@ -286,7 +351,7 @@
 
     async def _on_failure_status(self, reply: Reply) -> int:
         body = await reply.read()
-        if self.stream.reply.started:
+        if self.stream.reply.started or self.race.contested:
             raise BrokenStreamError(f"status {reply.status} in a stream")
         await self.stream.reply.respond(reply.status, response_headers(reply), body)
         return reply.status
--- a/src/bergamotmast/direct/remote_prefill.py
+++ b/src/bergamotmast/direct/remote_prefill.py
@@ -9,6 +9,7 @@
 from ..errors import RequestError
 from ..errors import ResultCode
 from ..policy.direct_refusal import retry_after
+from .exported_cache import ExportedCache
 from .liveness import abort_when
 from .model import Upstream
 from .ports import Attempt
@@ -48,23 +49,27 @@
         """Whether another engine may be tried."""
         return self.count < MAX_PREFILL_ATTEMPTS
 
-    async def run(self, engine: Upstream) -> None:
-        """Run a prefill; on success, the stream's KV cache handle is set.
+    async def run(self, engine: Upstream, cache: ExportedCache) -> None:
+        """Run a prefill; on success, the KV cache's source is set.
 
         :raises RequestError: if the retry budget or the quarantine allows none.
         """
         stream = self.stream
         stream.attempts.check_quarantine()
-        if self.done and not stream.attempts.spend():
-            self.count = MAX_PREFILL_ATTEMPTS
-            return
+        if self.done:
+            # The attempt that follows is another retry. With room for one only, the
+            # decode engine prefills the prompt.
+            if not stream.attempts.prepay(2):
+                self.count = MAX_PREFILL_ATTEMPTS
+                return
+            stream.attempts.spend()
         self.count += 1
         loop = asyncio.get_running_loop()
         prefill = stream.prefills.begin(engine)
         done = False
         try:
             async with abort_when(lambda: self._abort_reason(engine, prefill)):
-                stream.cache.source = await self._send_prompt(engine, prefill)
+                cache.source = await self._send_prompt(engine, prefill)
             done = self.done = True
             stream.on_prefilled()
             stream.timeline.prefilled_at = loop.time()
@@ -74,7 +79,8 @@
         except ReplyLostError as error:
             stream.attempts.on_lost(engine, error)
             self._on_failure(engine, error.message)
-            self._spend_or_raise()
+            if not self.done:
+                self._spend_or_raise()
         finally:
             stream.prefills.end(engine, prefill, done=done)
 
--- a/src/bergamotmast/direct/retry_budget.py
+++ b/src/bergamotmast/direct/retry_budget.py
@@ -40,18 +40,20 @@
         now = asyncio.get_running_loop().time()
         return self._window(group).has_room(self._share(now), now)
 
-    def spend(self, group: str) -> bool:
-        """Take a retry out of the budget; return whether it had room."""
+    def spend(self, group: str, count: int = 1) -> bool:
+        """Take retries out of the budget; return whether it had room for all."""
         now = asyncio.get_running_loop().time()
         share = self._share(now)
         window = self._window(group)
         state = window.account(share, now)
-        allowed = window.spend(share, now)
-        self.telemetry.on_retry(group, allowed=allowed)
+        allowed = window.spend(share, now, count)
+        for _ in range(count):
+            self.telemetry.on_retry(group, allowed=allowed)
         logger.info(
             "second send" if allowed else "second send is refused",
             extra={
                 "group": group,
+                "count": count,
                 "requests": state.requests,
                 "repeats": state.retries,
                 "room": round(state.available, 2),
--- a/src/bergamotmast/direct/stream.py
+++ b/src/bergamotmast/direct/stream.py
@@ -7,7 +7,6 @@
 from .attempts import AttemptTracker
 from .caller import CallerReply
 from .context import Context
-from .exported_cache import ExportedCache
 from .model import Call
 from .model import Upstream
 from .prefill_tracker import PrefillTracker
@@ -22,7 +21,6 @@
 
     :param attempts: attempts to decode the stream.
     :param prefills: tracker of its prefills.
-    :param cache: KV cache exported by a prefill engine.
     :param last_event: number of the last event that the caller received.
     :param weights: version of the weights that the response started with.
     :param failed_prefill_engines: names of engines at which the prefill failed.
@@ -34,7 +32,6 @@
         self.reply = reply
         self.attempts = AttemptTracker(context, call)
         self.prefills = PrefillTracker(context, call)
-        self.cache = ExportedCache(context)
         self.timeline = Timeline()
         self.last_event = call.traits.last_event
         self.weights = ""
--- a/src/bergamotmast/direct/stream_run.py
+++ b/src/bergamotmast/direct/stream_run.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from ..errors import RequestError
+from .attempt_race import AttemptRace
 from .caller import CallerReply
 from .context import Context
-from .decode_attempt import DecodeAttempt
+from .exported_cache import ExportedCache
 from .model import Call
 from .model import Upstream
 from .remote_prefill import RemotePrefill
@@ -37,34 +38,24 @@
     async def _run_attempts(self) -> int:
         attempts = self.stream.attempts
         try:
-            while True:
-                upstream = await self._engine()
-                if upstream is None:
-                    continue
-                status = await DecodeAttempt(self.stream, upstream).run()
-                if status is not None:
-                    attempts.on_answered()
-                    return status
+            status = await AttemptRace(self.stream, self).run()
         except RequestError as error:
             if attempts.may_have_run:
                 raise attempts.exhausted_error(error.code) from None
             raise
-        finally:
-            self.stream.cache.release()
-
-    async def _engine(self) -> Upstream | None:
-        """Return the decode engine of the next attempt, running a prefill if needed.
-
-        ``None`` if the prefill failed and the stream has to be placed again.
-        """
-        cache = self.stream.cache
-        prefill_upstream, upstream = await self.placer.place()
-        if prefill_upstream is not None and not cache:
-            await self.remote_prefill.run(prefill_upstream)
-            if not cache and self.remote_prefill.may_retry:
-                return None
-        if cache:
-            return self.context.placer.place_decode(
-                self.call, self.stream.attempts.excluded
-            )
-        return upstream
+        attempts.on_answered()
+        return status
+
+    async def choose(self, cache: ExportedCache) -> Upstream:
+        """Return the decode engine of the next attempt, running a prefill if needed."""
+        while True:
+            prefill_upstream, upstream = await self.placer.place()
+            if prefill_upstream is not None and not cache:
+                await self.remote_prefill.run(prefill_upstream, cache)
+                if not cache and self.remote_prefill.may_retry:
+                    continue
+            if cache:
+                return self.context.placer.place_decode(
+                    self.call, self.stream.attempts.excluded
+                )
+            return upstream
--- a/src/bergamotmast/policy/retry_window.py
+++ b/src/bergamotmast/policy/retry_window.py
@@ -77,10 +77,10 @@
         self.counts = collections.deque([0] * slots, maxlen=slots)
         self.last = 0
 
-    def add(self, now: float) -> None:
-        """Count one event."""
+    def add(self, now: float, count: int = 1) -> None:
+        """Count events."""
         self.advance(now)
-        self.counts[-1] += 1
+        self.counts[-1] += count
 
     def advance(self, now: float) -> None:
         """Shift the slots to the present time."""
@@ -107,14 +107,14 @@
         """Count a caller's request."""
         self.requests.add(now)
 
-    def spend(self, free_share: float, now: float) -> bool:
-        """Count a retry; ``False`` if it is not allowed.
+    def spend(self, free_share: float, now: float, count: int = 1) -> bool:
+        """Count retries; ``False``, and none counted, if not all are allowed.
 
         :param free_share: this entry's share of the free retries, from 0 to 1.
         """
-        if not self.has_room(free_share, now):
+        if self.account(free_share, now).available < count:
             return False
-        self.retries.add(now)
+        self.retries.add(now, count)
         return True
 
     def has_room(self, free_share: float, now: float) -> bool:
--- a/tests/test_stream_moves.py
+++ b/tests/test_stream_moves.py
@@ -106,3 +106,72 @@
     assert len(other.received) >= 1
     assert got.complete
     assert got.body == EVENTS
+
+
+async def test_engine_that_goes_on_keeps_its_stream():
+    """Guards against two engines that both go on with one stream."""
+    reader_script = EngineScript(prefill_seconds=0.6)
+    reader = engine("i-1", reader_script, "prefill")
+    silent = engine("i-2", falls_silent(STALL_TIMEOUT_SECONDS + 0.4))
+    other = engine("i-3", EngineScript())
+    async with serving(
+        reader, silent, other, document=config(routes=[RESUMABLE])
+    ) as entry:
+        got = await ask_silent(entry, silent, other)
+        await asyncio.sleep(0.1)
+    assert got.complete
+    assert got.body == EVENTS
+    assert len(reader.received) == 2
+    assert other.received == []
+    # The second prefill was cancelled, or its KV cache is released.
+    assert reader.closed or len(reader_script.freed) == 1
+
+
+async def test_silent_engine_is_cancelled_once_another_goes_on():
+    """Guards against an engine that still runs a stream which went on elsewhere."""
+    reader = engine("i-1", EngineScript(), "prefill")
+    silent = engine("i-2", falls_silent(30.0))
+    other = engine("i-3", EngineScript(pause=0.2))
+    async with serving(
+        reader, silent, other, document=config(routes=[RESUMABLE])
+    ) as entry:
+        asked = asyncio.create_task(ask_silent(entry, silent, other))
+        await until(lambda: bool(other.received), STALL_TIMEOUT_SECONDS + 1.0)
+        await asyncio.sleep(0.3)
+        assert silent.closed == ["id-1"]
+        got = await asked
+    assert got.complete
+    assert got.body == EVENTS
+    assert other.received[0].headers["last-event-id"] == "1"
+
+
+async def test_stream_moves_on_from_two_silent_engines():
+    """Guards against waiting for an engine that falls silent as a replacement."""
+    first = engine("i-1", falls_silent(30.0))
+    second = engine("i-2", falls_silent(30.0, 0))
+    third = engine("i-3", EngineScript())
+    async with serving(
+        first, second, third, document=config(routes=[RESUMABLE])
+    ) as entry:
+        entry.register(third, state="draining")
+        asked = asyncio.create_task(ask_silent(entry, first, second))
+        await until(lambda: bool(second.received), STALL_TIMEOUT_SECONDS + 1.0)
+        entry.register(third)
+        got = await asked
+    assert got.complete
+    assert got.body == EVENTS
+
+
+async def test_break_with_room_for_one_retry_is_survived():
+    """Guards against spending the last retry on a prefill before the next attempt."""
+    reader = engine("i-1", EngineScript(), "prefill")
+    broken = engine("i-2", EngineScript(break_after=1, pause=0.2))
+    other = engine("i-3", EngineScript())
+    async with serving(
+        reader, broken, other, document=config(routes=[RESUMABLE])
+    ) as entry:
+        set_budget_room(entry, 1)
+        got = await ask_silent(entry, broken, other)
+    assert got.complete
+    assert got.body == EVENTS
+    assert len(reader.received) == 1
