Don't take a caller that reads slowly for a silent engine

What callers saw: a caller that reads a large response slowly got it from another engine after 1.2 s, at the cost of a prompt read again.

Cause: the time since the engine's last data was counted also while the entry waited for the caller to take the previous event, and read nothing.

The time now counts only while the entry waits for the engine. tests/test_stream_moves.py::test_caller_that_reads_slowly_is_no_silent_engine failed on: the second engine received the stream.

--- a/src/bergamotmast/direct/decode_attempt.py
+++ b/src/bergamotmast/direct/decode_attempt.py
@@ -74,6 +74,7 @@
     :param started_at: when the attempt started.
     :param sent_at: when the engine was asked to import a KV cache from another engine.
     :param sent: whether the request has been sent.
+    :param forwarding: whether the caller's connection is being written to.
     :param finished: whether the attempt has ended.
     :param obstacle: last logged reason for waiting for a silent engine.
     """
@@ -94,6 +95,7 @@
         self.sent_at: float | None = None
         self.started_at = asyncio.get_running_loop().time()
         self.sent = False
+        self.forwarding = False
         self.finished = False
         self.obstacle = ""
 
@@ -288,7 +290,7 @@
         stream when it runs out of KV memory passes it too, but may take seconds.
         """
         now = asyncio.get_running_loop().time()
-        if not self.sent:
+        if not self.sent or self.forwarding:
             return False
         if self.replied:
             return now >= self.last_reply_at + STALL_TIMEOUT_SECONDS
@@ -333,12 +335,17 @@
                 return
             self.stream.last_event = event.number
         self.race.on_progress(self)
+        self.forwarding = True
         await self._start(reply, traits)
         await self.stream.reply.write(event.data)
+        self.forwarding = False
+        # A caller that reads slowly has kept the engine's next event waiting.
+        self.last_reply_at = asyncio.get_running_loop().time()
 
     async def _end(self, reply: Reply, traits: ReplyTraits) -> None:
         """End the response normally."""
         self.race.on_progress(self)
+        self.forwarding = True
         await self._start(reply, traits)
         await self.stream.reply.finish()
 
--- a/tests/test_stream_moves.py
+++ b/tests/test_stream_moves.py
@@ -12,6 +12,8 @@
 from direct_support import Entry
 from direct_support import config
 from direct_support import engine
+from direct_support import read_answer
+from direct_support import request
 from direct_support import route
 from direct_support import serving
 from direct_support import until
@@ -175,3 +177,31 @@
     assert got.complete
     assert got.body == EVENTS
     assert len(reader.received) == 1
+
+
+async def test_caller_that_reads_slowly_is_no_silent_engine():
+    """Guards against moving a stream whose caller, not its engine, is slow."""
+    # More than the sockets' buffers between the entry and the caller hold.
+    large = EngineScript(last=600, pause=0.0)
+
+    async def script(replica: Replica, received: Received, writer) -> None:
+        lines = ("X-Weight-Versions: 1", "Transfer-Encoding: chunked")
+        writer.write(head(200, received.request_id, *lines))
+        for number in range(1, large.last + 1):
+            writer.write(chunk(event(number, "x" * 40_000)))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+    first, second = engine("i-1", script), engine("i-2", script)
+    async with serving(first, second, document=config(routes=[RESUMABLE])) as entry:
+        entry.register(second, state="draining")
+        reader, writer = await entry.connect()
+        writer.write(request("/slow/x", X_Deadline_Ms="60000", **LONG))
+        await until(lambda: bool(first.received))
+        entry.register(second)
+        await asyncio.sleep(STALL_TIMEOUT_SECONDS + 0.6)
+        got = await read_answer(reader)
+        writer.close()
+    assert got.complete
+    assert second.received == []
