Keep a slow call that can't be sent to another upstream

What callers saw: a harmless call to a slow upstream failed with 502 after twice its objective, although its upstream was about to answer.

--- a/src/bergamotmast/direct/plain_run.py
+++ b/src/bergamotmast/direct/plain_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 
 from ..errors import NotReachedError
@@ -13,6 +14,7 @@
 from .caller import CallerReply
 from .context import Context
 from .forwarding import response_headers
+from .liveness import abort_when
 from .model import Call
 from .model import Upstream
 from .ports import Attempt
@@ -22,6 +24,9 @@
 """Multiple of the latency objective after which an idempotent request is retried at
 another upstream. Without a retry, a hanging upstream would delay it to its deadline."""
 
+OVERDUE = "no reply within the timeout"
+"""Error of an attempt without a reply, as operators see it in the log."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlainResponse:
@@ -90,8 +95,9 @@
         tracker.running += 1
         sent_at = loop.time()
         try:
-            async with asyncio.timeout_at(self._attempt_deadline(sent_at)):
-                return await self._exchange(upstream)
+            async with asyncio.timeout_at(self.call.deadline):
+                async with self._abort_for_retry(sent_at):
+                    return await self._exchange(upstream)
         except NotReachedError as error:
             tracker.failed(loop.time())
             self.attempts.on_not_sent(upstream)
@@ -102,9 +108,7 @@
             # Only the reply is known to be lost: the upstream has most likely run it.
             self.attempts.on_begun(sent_at)
             self.attempts.on_lost(upstream, error)
-            self.attempts.log_failure(
-                upstream, str(error) or "no reply within the timeout", "unknown"
-            )
+            self.attempts.log_failure(upstream, str(error) or OVERDUE, "unknown")
             if not self.call.route.repeatable:
                 raise RequestError(ResultCode.OUTCOME_UNKNOWN) from None
             if loop.time() >= self.call.deadline:
@@ -113,15 +117,25 @@
         finally:
             tracker.running -= 1
 
-    def _attempt_deadline(self, now: float) -> float:
-        """Return the point in time by which an attempt must have its response.
+    def _abort_for_retry(
+        self, sent_at: float
+    ) -> contextlib.AbstractAsyncContextManager[None]:
+        """Cancel an overdue attempt if the request may be sent to another upstream."""
+        route = self.call.route
+        if not route.repeatable:
+            return contextlib.nullcontext()
+        overdue_at = sent_at + RETRY_AFTER_OBJECTIVES * route.objective
+        return abort_when(lambda: self._overdue_reason(overdue_at))
+
+    async def _overdue_reason(self, overdue_at: float) -> str:
+        """Return why to cancel an attempt, or an empty string to keep waiting.
 
-        Unless it is the last one, it leaves time for a retry at another upstream.
+        A slow upstream's response is worth more than none.
         """
-        route = self.call.route
-        if not route.repeatable or len(self.attempts.tried) >= route.max_attempts:
-            return self.call.deadline
-        return min(self.call.deadline, now + RETRY_AFTER_OBJECTIVES * route.objective)
+        now = asyncio.get_running_loop().time()
+        await asyncio.sleep(max(0.0, overdue_at - now))
+        attempts = self.attempts
+        return "" if attempts.obstacle() or not attempts.prepay(1) else OVERDUE
 
     async def _exchange(self, upstream: Upstream) -> PlainResponse | None:
         call = self.call
--- a/tests/test_direct_calls.py
+++ b/tests/test_direct_calls.py
@@ -8,6 +8,7 @@
 import pytest
 
 from bergamotmast.direct.fleet import ReadReason
+from bergamotmast.policy.retry_window import RetryLimits
 from direct_support import config
 from direct_support import read_answer
 from direct_support import request
@@ -505,3 +506,20 @@
         got = await entry.ask("/read/x")
     assert len(lost.received) == 1
     assert got.status == 502
+
+
+@pytest.mark.parametrize("others", [0, 1])
+async def test_slow_call_without_a_retry_left_is_answered(others):
+    """Guards against cutting a slow call that can't be sent to another upstream."""
+    fast = answer()
+
+    async def slow(replica, received, writer) -> None:
+        await asyncio.sleep(0.8)
+        await fast(replica, received, writer)
+
+    replicas = [Replica(f"i-{n}", slow) for n in range(1 + others)]
+    async with serving(*replicas) as entry:
+        entry.core.context.retry_budget.limits = RetryLimits(0.0, 0.0)
+        got = await entry.ask("/read/x")
+    assert (got.status, got.body) == (200, b"fine")
+    assert sum(len(replica.received) for replica in replicas) == 1
