Pay for a prefill's restart before it is cancelled

An overdue prefill at a live engine was cancelled if the retry budget had room, and the retry was taken out of it afterwards: of several prompts that are overdue at one time each saw the same room. Those that came too late were refused with 503, and what the engine had done of them was lost. Found by looking for the cause of the streams cut for a move elsewhere.

tests/test_silent_engines.py::test_overdue_prompts_without_a_retry_left_keep_their_engine: one of four was answered on, three got 503; now all four are answered.

--- a/src/bergamotmast/direct/remote_prefill.py
+++ b/src/bergamotmast/direct/remote_prefill.py
@@ -111,7 +111,7 @@
             if not await self.context.liveness_checker.is_alive(engine):
                 return UNRESPONSIVE
         if now >= tracker.overdue_at(prefill.key) and self._can_serve_elsewhere(engine):
-            return PREFILL_OVERDUE
+            return PREFILL_OVERDUE if self.stream.attempts.prepay(1) else ""
         return ""
 
     def _can_serve_elsewhere(self, engine: Upstream) -> bool:
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -260,3 +260,27 @@
     with pytest.raises(ReplyLostError):
         async with abort_when(goes_on):
             raise TimeoutError
+
+
+async def test_overdue_prompts_without_a_retry_left_keep_their_engine():
+    """Guards against cancelling several prefills for the only retry that is left."""
+    late = engine("i-1", EngineScript(prefill_seconds=1.6), "prefill")
+    idle = engine("i-2", EngineScript(), "prefill")
+    async with serving(
+        late,
+        idle,
+        engine("i-3", EngineScript()),
+        document=config(routes=[PATIENT]),
+        liveness_probe=FixedProbe(lives=True),
+    ) as entry:
+        entry.core.context.retry_budget.limits = RetryLimits(0.0, 12.0)
+        entry.register(idle, state="draining")
+        asked = [
+            asyncio.create_task(entry.ask("/talk/x", request_id=f"id-{n}", **LONG))
+            for n in range(4)
+        ]
+        await until(lambda: len(late.received) == 4)
+        entry.register(idle)
+        answers = await asyncio.gather(*asked)
+    assert len(idle.received) == 1
+    assert [got.status for got in answers] == [200] * 4
