Let a stream go back to an engine whose attempt was withdrawn

What callers saw: a stream whose engine was silent once and went on was not moved when the engine fell silent for good, on a route of two attempts; one whose replacement broke was cut, though the first engine was sound.

Cause: an engine counted as used up although its attempt had been cancelled for another one, and at the limit of attempts a new engine was placed that the limit then refused.

Of test_stream_of_an_engine_that_was_silent_once_still_moves the case [hangs-2] failed on, and test_replacement_that_breaks_leads_back_to_the_first_engine. An engine that was overtaken cools down, so that others are taken first.

--- a/src/bergamotmast/direct/attempts.py
+++ b/src/bergamotmast/direct/attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 import functools
 import logging
@@ -24,8 +25,9 @@
 class AttemptTracker:
     """One request's attempts, limited by its route and the retry budget.
 
-    :param tried: upstreams that the request was sent to.
-    :param withdrawn: those of them whose attempt was cancelled for another one.
+    :param sends: how often the request was sent to each upstream.
+    :param withdrawn: upstreams that were tried and may be tried again, as the attempt
+        was cancelled for another one.
     :param unreachable: upstreams to which no connection could be made.
     :param count: number of attempts.
     :param unresolved: number of attempts that may have run the request.
@@ -36,7 +38,7 @@
     def __init__(self, context: Context, call: Call) -> None:
         self.context = context
         self.call = call
-        self.tried: set[str] = set()
+        self.sends: collections.Counter[str] = collections.Counter()
         self.withdrawn: set[str] = set()
         self.unreachable: set[str] = set()
         self.count = 0
@@ -49,10 +51,25 @@
         """Fingerprint of the request, the same for all tries of its caller."""
         return fingerprint_of(self.call)
 
+    @property
+    def tried(self) -> set[str]:
+        """Upstreams that the request was sent to."""
+        return {name for name, count in self.sends.items() if count}
+
     @property
     def excluded(self) -> set[str]:
-        """Upstreams that are not to be tried again."""
-        return (self.tried - self.withdrawn) | self.unreachable
+        """Upstreams that are not to be tried now."""
+        tried = self.tried
+        excluded = (tried - self.withdrawn) | self.unreachable
+        if len(tried) >= self.call.route.max_attempts:
+            excluded |= {name for name in self._candidates() if name not in tried}
+        return excluded
+
+    def _candidates(self) -> set[str]:
+        """Return the upstreams that can answer the request."""
+        now = asyncio.get_running_loop().time()
+        members = self.context.fleet.members(self.call.group.name, now)
+        return {m.name for m in members if m.role is not Role.PREFILL}
 
     @property
     def may_have_run(self) -> bool:
@@ -61,12 +78,9 @@
 
     def obstacle(self) -> str:
         """Return why the request can't be sent to another upstream, or ``""``."""
-        if len(self.tried) >= self.call.route.max_attempts:
-            return "no attempt is left"
-        now = asyncio.get_running_loop().time()
-        members = self.context.fleet.members(self.call.group.name, now)
-        others = (m for m in members if m.role is not Role.PREFILL)
-        if all(member.name in self.excluded for member in others):
+        if self._candidates() <= self.excluded:
+            if len(self.tried) >= self.call.route.max_attempts:
+                return "no attempt is left"
             return "there is no other upstream"
         return "" if self.has_room() else "the retry budget is spent"
 
@@ -83,7 +97,7 @@
         if self.count and not self.spend():
             raise self.exhausted_error(ResultCode.RETRY_BUDGET_SPENT)
         self.count += 1
-        self.tried.add(upstream.name)
+        self.sends[upstream.name] += 1
         self.withdrawn.discard(upstream.name)
         self.unresolved += 1
 
@@ -100,7 +114,7 @@
         """Record that nothing was sent in the last attempt."""
         self.on_not_run()
         self.count -= 1
-        self.tried.discard(upstream.name)
+        self.sends[upstream.name] -= 1
         self.unreachable.add(upstream.name)
 
     def check_quarantine(self) -> None:
--- a/src/bergamotmast/direct/decode_attempt.py
+++ b/src/bergamotmast/direct/decode_attempt.py
@@ -310,10 +310,11 @@
 
     def on_overtaken(self, other: DecodeAttempt) -> None:
         """Record that another attempt goes on with the response."""
+        self.stream.attempts.on_withdrawn(self.upstream)
         if self.started_at < other.started_at:
+            self.stream.start_cool_down(self.upstream)
             self._log_failure(UNRESPONSIVE, "broken")
         else:
-            self.stream.attempts.on_withdrawn(self.upstream)
             self._log_failure(f"{other.upstream.name} goes on", "withdrawn")
 
     def _log_silence(self, message: str, **fields: str) -> None:
--- a/tests/test_stream_moves.py
+++ b/tests/test_stream_moves.py
@@ -26,6 +26,7 @@
 from platform_standin import event
 from platform_standin import head
 from platform_standin import not_run
+from platform_standin import reset
 
 LONG = {"X_Token_Count": "6000,80", "X_Prompt_Prefix": "aa:2000,bb:4000"}
 RESUMABLE = route(
@@ -205,3 +206,60 @@
         writer.close()
     assert got.complete
     assert second.received == []
+
+
+def pauses(seconds: float, count: int, ending: str = "ends") -> Script:
+    """Return the script of an engine that pauses after each event but the last.
+
+    :param ending: ``ends``, ``hangs`` or ``breaks``, after the last event.
+    """
+
+    async def script(replica: Replica, received: Received, writer) -> None:
+        lines = ("X-Weight-Versions: 1", "Transfer-Encoding: chunked")
+        writer.write(head(200, received.request_id, *lines))
+        for number in range(1, count + 1):
+            await asyncio.sleep(seconds if number > 1 else 0.0)
+            writer.write(chunk(event(number)))
+            await writer.drain()
+        if ending == "hangs":
+            await asyncio.sleep(30)
+        elif ending == "breaks":
+            reset(writer)
+        else:
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+
+    return script
+
+
+def slowly(script: Script, seconds: float) -> Script:
+    """Return a script that begins later."""
+
+    async def delayed(replica: Replica, received: Received, writer) -> None:
+        await asyncio.sleep(seconds)
+        await script(replica, received, writer)
+
+    return delayed
+
+
+@pytest.mark.parametrize("limit", [2, 3])
+@pytest.mark.parametrize("ending", ["hangs", "breaks"])
+async def test_stream_of_an_engine_that_was_silent_once_still_moves(limit, ending):
+    """Guards against counting a withdrawn attempt's engine as used up."""
+    first = engine("i-1", pauses(1.7, 2, ending))
+    other = engine("i-2", slowly(EngineScript(), 0.8))
+    document = config(routes=[RESUMABLE | {"max-attempts": limit}])
+    async with serving(first, other, document=document) as entry:
+        got = await ask_silent(entry, first, other)
+    assert got.complete
+    assert got.body == EVENTS
+
+
+async def test_replacement_that_breaks_leads_back_to_the_first_engine():
+    """Guards against excluding a sound engine that was only silent for a while."""
+    silent = engine("i-1", falls_silent(2.4))
+    other = engine("i-2", pauses(0.0, 2, "breaks"))
+    async with serving(silent, other, document=config(routes=[RESUMABLE])) as entry:
+        got = await ask_silent(entry, silent, other)
+    assert got.complete
+    assert got.body == EVENTS
