--- a/src/bergamotmast/direct/attempt_race.py
+++ b/src/bergamotmast/direct/attempt_race.py
@@ -3,12 +3,16 @@
 An engine may be silent because it is dead, because it has no memory left for the
 request for a while, or for no lasting reason. Its attempt is only given up once another
 engine has gone on with the response: that one may refuse the request or be as slow.
+
+A stream begins with one contender, an attempt together with the choice of its engine.
+When the newest one falls silent, another one starts. As soon as one of them has the
+next event for the caller, it is the only one left: the others are withdrawn. If all
+have failed, another one starts.
 """
 
 from __future__ import annotations
 
 import asyncio
-import collections.abc as cabc
 import logging
 import math
 import typing as t
@@ -24,6 +28,11 @@
 logger = logging.getLogger(__name__)
 
 
+WITHDRAWAL_BACKOFF = 4.0
+"""Factor by which the time until the next attempt beside a silent engine grows with
+each one that was withdrawn."""
+
+
 class EngineChoice(t.Protocol):
     """Chooses the engine of a stream's next attempt."""
 
@@ -67,8 +76,9 @@
 
     :param contenders: running attempts, oldest first.
     :param withdrawn: attempts that were cancelled for another one.
-    :param paused_until: when the next attempt may start beside a silent one, after one
-        that was refused; a point in time.
+    :param withdrawals: how many of them were started beside one that then went on.
+    :param paused_until: when the next attempt may start beside a silent one, after
+        others were of no use; a point in time.
     """
 
     def __init__(self, stream: Stream, engine_choice: EngineChoice) -> None:
@@ -76,6 +86,7 @@
         self.engine_choice = engine_choice
         self.contenders: list[Contender] = []
         self.withdrawn: list[Contender] = []
+        self.withdrawals = 0
         self.paused_until = -math.inf
 
     async def run(self) -> int:
@@ -93,21 +104,27 @@
                 if watch.done():
                     self._replace(watch.result())
                     watch = asyncio.create_task(self._watch())
-                for status in self._results():
-                    if status is not None:
-                        return status
+                status = self._collect_results()
+                if status is not None:
+                    return status
         finally:
-            watch.cancel()
-            await self._end()
+            tasks = [c.task for c in (*self.contenders, *self.withdrawn)]
+            await _cancel(watch, *tasks)
 
     def on_progress(self, decode: DecodeAttempt) -> None:
         """Withdraw the other attempts, as this one goes on with the response.
 
         Two engines must not run the request for longer than it takes to cancel one.
         """
-        others = [c for c in self.contenders if c.decode is not decode]
-        if not others:
+        if not self.contested:
             return
+        others = [c for c in self.contenders if c.decode is not decode]
+        if self.leads(decode):
+            # An engine that falls silent again and again would use up the budget.
+            now = asyncio.get_running_loop().time()
+            pause = STALL_TIMEOUT_SECONDS * WITHDRAWAL_BACKOFF**self.withdrawals
+            self.paused_until = now + pause
+            self.withdrawals += 1
         for contender in others:
             contender.task.cancel()
             if contender.decode is not None and not contender.decode.finished:
@@ -121,28 +138,42 @@
         """Whether several attempts are running."""
         return len(self.contenders) > 1
 
-    def _results(self) -> cabc.Iterator[int | None]:
-        """Yield the results of attempts that have ended, without the failed ones.
+    def leads(self, decode: DecodeAttempt) -> bool:
+        """Return whether no other running attempt started before this one."""
+        return self.contenders[0].decode is decode
+
+    def _collect_results(self) -> int | None:
+        """Return the response's status, or ``None`` if attempts run or may be started.
 
-        :raises RequestError: if the last one failed.
+        :raises RequestError: if the last attempt failed and no other is allowed.
         """
-        ended = [c for c in self.contenders if c.task.done()]
+        ended = [c.task for c in self.contenders if c.task.done()]
         self.contenders = [c for c in self.contenders if not c.task.done()]
-        for contender in sorted(ended, key=lambda c: c.task.exception() is not None):
-            try:
-                yield contender.task.result()
-            except RequestError as error:
-                if not self.contenders:
-                    raise
-                now = asyncio.get_running_loop().time()
-                self.paused_until = now + STALL_TIMEOUT_SECONDS
-                logger.info(
-                    "silent engine is waited for", extra={"obstacle": error.message}
-                )
+        errors = [error for task in ended if (error := task.exception()) is not None]
+        results = [task.result() for task in ended if task.exception() is None]
+        for status in results:
+            if status is not None:
+                return status
+        if errors and not self.contenders and not results:
+            raise errors[0]
+        for error in errors:
+            self._log_refused(error)
+        return None
+
+    def _log_refused(self, error: BaseException) -> None:
+        """Log the error of an attempt beside another one, which is waited for."""
+        now = asyncio.get_running_loop().time()
+        self.paused_until = now + STALL_TIMEOUT_SECONDS
+        if isinstance(error, RequestError):
+            logger.info(
+                "silent engine is waited for", extra={"obstacle": error.message}
+            )
+        else:
+            logger.error("attempt failed", exc_info=error)
 
     @property
     def newest(self) -> DecodeAttempt | None:
-        """The attempt that was started last, unless it has ended."""
+        """The attempt started last; ``None`` before it is sent or after its end."""
         decode = self.contenders[-1].decode if self.contenders else None
         return None if decode is None or decode.finished else decode
 
@@ -153,8 +184,14 @@
             newest = self.newest
             if asyncio.get_running_loop().time() < self.paused_until:
                 continue
-            if newest is not None and await newest.needs_replacement():
-                return newest
+            if newest is None:
+                continue
+            try:
+                if await newest.needs_replacement():
+                    return newest
+            except Exception:
+                # The stream can still be answered by the engine that it waits for.
+                logger.exception("silent engine can't be checked")
 
     def _replace(self, silent: DecodeAttempt) -> None:
         """Start another attempt beside a silent one, unless it has ended meanwhile."""
@@ -162,9 +199,9 @@
             silent.on_replaced()
             self.contenders.append(Contender(self))
 
-    async def _end(self) -> None:
-        """Cancel all attempts and wait until they have closed their connections."""
-        tasks = [c.task for c in (*self.contenders, *self.withdrawn)]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+
+async def _cancel(*tasks: asyncio.Task[t.Any]) -> None:
+    """Cancel tasks and wait until they have closed their connections."""
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
--- a/src/bergamotmast/direct/decode_attempt.py
+++ b/src/bergamotmast/direct/decode_attempt.py
@@ -62,6 +62,10 @@
         """Withdraw the other attempts, as this one goes on with the response."""
         ...
 
+    def leads(self, decode: DecodeAttempt) -> bool:
+        """Return whether no other running attempt started before this one."""
+        ...
+
 
 class DecodeAttempt:
     """One attempt to stream a response from one engine.
@@ -74,6 +78,7 @@
     :param started_at: when the attempt started.
     :param sent_at: when the engine was asked to import a KV cache from another engine.
     :param sent: whether the request has been sent.
+    :param replaced: whether another attempt has started beside it.
     :param forwarding: whether the caller's connection is being written to.
     :param finished: whether the attempt has ended.
     :param obstacle: last logged reason for waiting for a silent engine.
@@ -95,6 +100,7 @@
         self.sent_at: float | None = None
         self.started_at = asyncio.get_running_loop().time()
         self.sent = False
+        self.replaced = False
         self.forwarding = False
         self.finished = False
         self.obstacle = ""
@@ -264,6 +270,7 @@
             self.tracker.last_reply_at = self.last_reply_at = (
                 asyncio.get_running_loop().time()
             )
+            self._on_data()
             for event in splitter.feed(data):
                 yield event
             if len(splitter.rest) > MAX_EVENT_BYTES:
@@ -271,6 +278,12 @@
         if splitter.rest:
             raise ConnectionLostError("the stream ended within an event")
 
+    def _on_data(self) -> None:
+        """Withdraw the report that the run is lost, as the engine is alive."""
+        if self.replaced:
+            self.replaced = False
+            self.context.crash_detector.on_reply(self.upstream, self.last_reply_at)
+
     async def needs_replacement(self) -> bool:
         """Return whether to start another attempt, as the engine is silent."""
         if not self.call.route.repeatable or not await self._is_silent():
@@ -302,6 +315,7 @@
 
     def on_replaced(self) -> None:
         """Record that another attempt starts, as the engine is silent."""
+        self.replaced = True
         error = ReplyLostError(UNRESPONSIVE)
         self.stream.attempts.on_lost(self.upstream, error, replied=self.replied)
         if not self.replied:
@@ -331,11 +345,14 @@
         )
 
     async def _forward(self, event: Event, reply: Reply, traits: ReplyTraits) -> None:
-        if event.number is not None:
-            if event.number <= self.stream.last_event:
+        if event.number is None:
+            if not self.race.leads(self):
                 return
+        elif event.number <= self.stream.last_event:
+            return
+        else:
             self.stream.last_event = event.number
-        self.race.on_progress(self)
+            self.race.on_progress(self)
         self.forwarding = True
         await self._start(reply, traits)
         await self.stream.reply.write(event.data)
@@ -345,6 +362,8 @@
 
     async def _end(self, reply: Reply, traits: ReplyTraits) -> None:
         """End the response normally."""
+        if not self.race.leads(self):
+            raise BrokenStreamError("ended without an event")
         self.race.on_progress(self)
         self.forwarding = True
         await self._start(reply, traits)
@@ -361,6 +380,7 @@
         body = await reply.read()
         if self.stream.reply.started or self.race.contested:
             raise BrokenStreamError(f"status {reply.status} in a stream")
+        self.forwarding = True
         await self.stream.reply.respond(reply.status, response_headers(reply), body)
         return reply.status
 
--- a/tests/test_stream_moves.py
+++ b/tests/test_stream_moves.py
@@ -7,6 +7,9 @@
 import pytest
 
 from bergamotmast.direct.decode_attempt import STALL_TIMEOUT_SECONDS
+from bergamotmast.direct.exported_cache import ExportedCache
+from bergamotmast.direct.model import Upstream
+from bergamotmast.direct.stream_run import StreamRun
 from bergamotmast.policy.retry_window import RetryLimits
 from direct_support import Answer
 from direct_support import Entry
@@ -255,6 +258,42 @@
     assert got.body == EVENTS
 
 
+async def test_engine_that_is_silent_again_and_again_leaves_retries_for_others():
+    """Guards against one stream that spends the retries of all others."""
+    silent = engine("i-1", pauses(1.75, 5))
+    other = engine("i-2", slowly(EngineScript(), 0.8))
+    async with serving(silent, other, document=config(routes=[RESUMABLE])) as entry:
+        set_budget_room(entry, 20)
+        got = await ask_silent(entry, silent, other)
+    assert got.complete
+    assert len(other.received) <= 2
+
+
+async def brings_nothing(replica: Replica, received: Received, writer) -> None:
+    writer.write(head(200, received.request_id, "Transfer-Encoding: chunked"))
+    writer.write(b"0\r\n\r\n")
+    await writer.drain()
+
+
+async def brings_a_comment(replica: Replica, received: Received, writer) -> None:
+    writer.write(head(200, received.request_id, "Transfer-Encoding: chunked"))
+    writer.write(chunk(b": alive\n\n"))
+    await writer.drain()
+    await asyncio.sleep(0.05)
+    reset(writer)
+
+
+@pytest.mark.parametrize("script", [brings_nothing, brings_a_comment])
+async def test_replacement_without_an_event_ends_no_stream(script):
+    """Guards against giving up a stream for an engine that brings nothing of it."""
+    silent = engine("i-1", falls_silent(STALL_TIMEOUT_SECONDS + 0.5))
+    other = engine("i-2", script)
+    async with serving(silent, other, document=config(routes=[RESUMABLE])) as entry:
+        got = await ask_silent(entry, silent, other)
+    assert got.complete
+    assert got.body == EVENTS
+
+
 async def test_replacement_that_breaks_leads_back_to_the_first_engine():
     """Guards against excluding a sound engine that was only silent for a while."""
     silent = engine("i-1", falls_silent(2.4))
@@ -263,3 +302,68 @@
         got = await ask_silent(entry, silent, other)
     assert got.complete
     assert got.body == EVENTS
+
+
+class FailingProbe:
+    """A liveness probe with an unexpected error."""
+
+    async def probe(self, engine: Upstream) -> bool:
+        raise ValueError("unexpected")
+
+
+@pytest.mark.parametrize("where", ["choice", "probe"])
+async def test_unexpected_error_beside_a_silent_engine_ends_no_stream(
+    where, monkeypatch
+):
+    """Guards against an error of a replacement that ends a running stream."""
+    choose = StreamRun.choose
+
+    async def failing(self: StreamRun, cache: ExportedCache) -> Upstream:
+        if self.stream.attempts.count:
+            raise ValueError("unexpected")
+        return await choose(self, cache)
+
+    silent = engine("i-1", falls_silent(STALL_TIMEOUT_SECONDS + 0.5))
+    probe = None
+    if where == "choice":
+        monkeypatch.setattr(StreamRun, "choose", failing)
+    else:
+        silent = engine("i-1", slowly(EngineScript(), 1.5))
+        probe = FailingProbe()
+    other = engine("i-2", EngineScript())
+    async with serving(
+        silent, other, document=config(routes=[RESUMABLE]), liveness_probe=probe
+    ) as entry:
+        got = await ask_silent(entry, silent, other)
+    assert got.complete
+    assert got.body == EVENTS
+
+
+async def test_engine_that_goes_on_has_lost_no_run():
+    """Guards against blaming an answered request for its engine's end later on."""
+    silent = engine("i-1", falls_silent(STALL_TIMEOUT_SECONDS + 0.5))
+    other = engine("i-2", slowly(EngineScript(), 5.0))
+    async with serving(silent, other, document=config(routes=[RESUMABLE])) as entry:
+        got = await ask_silent(entry, silent, other)
+        entry.revision += 1
+        entry.fleet.remove(f"servers/{silent.name}", entry.revision)
+        await asyncio.sleep(0.6)
+        assert not entry.core.context.quarantine.values
+    assert got.complete
+
+
+async def test_large_failure_to_a_slow_caller_starts_no_other_attempt():
+    """Guards against a second attempt while a failure is being forwarded."""
+    failing = engine("i-1", answer(500, b"b" * 9_000_000))
+    other = engine("i-2", EngineScript())
+    async with serving(failing, other, document=config(routes=[RESUMABLE])) as entry:
+        entry.register(other, state="draining")
+        reader, writer = await entry.connect()
+        writer.write(request("/slow/x", X_Deadline_Ms="60000", **LONG))
+        await until(lambda: bool(failing.received))
+        entry.register(other)
+        await asyncio.sleep(STALL_TIMEOUT_SECONDS + 0.8)
+        got = await read_answer(reader)
+        writer.close()
+    assert (got.status, len(got.body)) == (500, 9_000_000)
+    assert other.received == []
