--- a/tests/test_builds.py
+++ b/tests/test_builds.py
@@ -37,6 +37,7 @@
 from platform_standin import head
 from platform_standin import not_run
 from platform_standin import reset
+from test_direct_process import Process
 from test_direct_process import process
 from test_direct_roles import OrderedEngine
 from test_direct_roles import planners
@@ -498,67 +499,113 @@
     assert "id-2" in {received.request_id for received in two.received}
 
 
-@pytest.mark.parametrize("killed", [False, True])
-async def test_caller_resumes_at_another_entry(killed):
-    """Guards against a build that only the first entry knows, also once it is killed.
+@dataclasses.dataclass
+class Processes:
+    """Entries as processes, in front of an engine of each of two builds."""
 
-    Streams begin at one entry, some at each build, and are taken up at the others.
-    """
-    one = built("i-1", "v1", EngineScript(last=40, pause=0.02))
-    two = built("i-2", "v2", EngineScript(last=40, pause=0.02))
-    names = [f"entry-{number}" for number in range(4)]
+    store: Store
+    one: Replica
+    two: Replica
+    entries: list[Process]
+
+    async def set_states(self, one: str, two: str) -> None:
+        """Register both engines with a state, and wait until the entries know it."""
+        for replica, state in ((self.one, one), (self.two, two)):
+            value = registration(replica) | {"state": state}
+            self.store.put(f"servers/{replica.name}", value)
+        await asyncio.sleep(0.5)
+
+
+@contextlib.asynccontextmanager
+async def processes(count: int) -> t.AsyncIterator[Processes]:
+    """Run entries that know each other."""
+    script = EngineScript(last=400, pause=0.02)
+    one, two = built("i-1", "v1", script), built("i-2", "v2", script)
     async with contextlib.AsyncExitStack() as stack:
         store = await stack.enter_async_context(Store())
         for replica in (one, two):
             await stack.enter_async_context(replica)
-        talk = route("/long/", "streaming", "llm", resumable=True)
+        long = {"timeout-ms": 9000}
+        talk = route("/long/", "streaming", "llm", resumable=True, **long)
         store.put("op/config", config(routes=[talk]))
-        store.put("servers/i-1", registration(one))
-        entries = [
-            await stack.enter_async_context(process(store, name)) for name in names
-        ]
-        for entry in entries:
+        started = Processes(store, one, two, [])
+        await started.set_states("ready", "ready")
+        for number in range(count):
+            entry = await stack.enter_async_context(process(store, f"entry-{number}"))
+            started.entries.append(entry)
+        for entry in started.entries:
             await entry.until_ready()
-        await until(
-            lambda: sum(key.startswith(PRESENCE_PREFIX) for key in store.items) == 4, 9
-        )
+
+        def present() -> int:
+            return sum(key.startswith(PRESENCE_PREFIX) for key in store.items)
+
+        await until(lambda: present() == count, 9.0)
         await asyncio.sleep(0.5)
+        yield started
+
+
+@pytest.mark.parametrize("killed", [False, True])
+async def test_caller_resumes_at_another_entry(killed):
+    """Guards against a build that only the first entry knows, also once it is killed.
+
+    Streams begin at one entry, some at each build, and are taken up at the others.
+    """
+    async with processes(4) as fleet:
+        first, *others = fleet.entries
+        await fleet.set_states("ready", "draining")
         for number in range(3):
-            await begin_at(entries[0].port, f"a-{number}")
-        store.put("servers/i-1", registration(one) | {"state": "draining"})
-        store.put("servers/i-2", registration(two))
-        await asyncio.sleep(0.5)
+            (await begin_at(first.port, f"a-{number}")).close()
+        await fleet.set_states("draining", "ready")
         for number in range(3):
-            await begin_at(entries[0].port, f"b-{number}")
-        store.put("servers/i-1", registration(one))
-        await asyncio.sleep(0.5)
+            (await begin_at(first.port, f"b-{number}")).close()
+        await fleet.set_states("ready", "ready")
         if killed:
-            entries[0].process.kill()
-            await entries[0].process.wait()
+            first.process.kill()
+            await first.process.wait()
         resumed = []
         for begun in ("a-0", "b-0", "a-1", "b-1", "a-2", "b-2"):
-            for index, entry in enumerate(entries[1:], 1):
+            for index, entry in enumerate(others):
                 request_id = f"{begun}-{index}"
                 got = await resume_at(entry.port, request_id, begun)
                 resumed.append((request_id, got.status))
-    wrong = [r.request_id for r in streams(one) if r.request_id.startswith("b")]
-    wrong += [r.request_id for r in streams(two) if r.request_id.startswith("a")]
+    wrong = [r.request_id for r in streams(fleet.one) if r.request_id.startswith("b")]
+    wrong += [r.request_id for r in streams(fleet.two) if r.request_id.startswith("a")]
     assert wrong == []
     assert [each for each in resumed if each[1] != 200] == []
 
 
-async def begin_at(port: int, request_id: str) -> None:
-    """Begin a stream at an entry's port and disconnect after two events."""
+async def test_caller_resumes_at_another_entry_at_once():
+    """Guards against losing or misplacing streams that are taken up within the time
+    that entries need to tell each other of them."""
+    async with processes(4) as fleet:
+        first, *others = fleet.entries
+        statuses = []
+        for number in range(12):
+            (await begin_at(first.port, f"a-{number}")).close()
+            port = others[number % 3].port
+            got = await resume_at(port, f"b-{number}", f"a-{number}")
+            statuses.append(got.status)
+    build_of = {r.request_id: "v1" for r in streams(fleet.one)}
+    build_of |= {r.request_id: "v2" for r in streams(fleet.two)}
+    pairs = [(build_of[f"a-{n}"], build_of.get(f"b-{n}")) for n in range(12)]
+    assert [pair for pair in pairs if pair[1] not in (None, pair[0])] == []
+    assert set(statuses) <= {200, 503}
+    assert statuses.count(200) >= 6
+
+
+async def begin_at(port: int, request_id: str) -> asyncio.StreamWriter:
+    """Begin a stream at an entry's port and return its connection after two events."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    writer.write(request("/long/x", request_id=request_id, **SHORT))
+    headers = {"X_Deadline_Ms": "9000"} | SHORT
+    writer.write(request("/long/x", request_id=request_id, **headers))
     await reader.readuntil(event(2))
-    writer.close()
+    return writer
 
 
 async def resume_at(port: int, request_id: str, resumes: str) -> Answer:
     """Take a stream up again near its end, at an entry's port."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    headers = {"Resumes": resumes, "Last_Event_Id": "38"} | SHORT
+    headers = {"Resumes": resumes, "Last_Event_Id": "398"} | SHORT
     writer.write(request("/long/x", request_id=request_id, **headers))
     got = await read_answer(reader)
     writer.close()
