Keep a stream, its prefill and its KV caches at engines of one build

What callers saw: an answer whose first part came from one software version of a service and whose rest came from another one; the two don't fit together.

Cause: the registration's software version was dropped when it was decoded, so no decision could tell builds apart. After each crash in a fleet of several builds a stream went on at any engine.

An upstream now has its build. A stream's build is that of the engine whose first event is forwarded; further attempts, also beside a silent engine, are made at that build only, or not at all. A KV cache or a prefix is imported only by an engine of the build that wrote it, so a prompt is placed at engines of one build, and the planner keeps a decode engine of each build. Registrations without a version count as one unknown build.

--- a/src/bergamotmast/direct/attempts.py
+++ b/src/bergamotmast/direct/attempts.py
@@ -32,6 +32,7 @@
     :param count: number of attempts.
     :param unresolved: number of attempts that may have run the request.
     :param prepaid: retries taken out of the budget for attempts not begun yet.
+    :param build: build that the response has begun at; ``None`` before that.
     :param begun: whether an upstream is known to have begun to run the request.
     """
 
@@ -44,6 +45,7 @@
         self.count = 0
         self.unresolved = 0
         self.prepaid = 0
+        self.build: str | None = None
         self.begun = False
 
     @functools.cached_property
@@ -69,7 +71,11 @@
         """Return the upstreams that can answer the request."""
         now = asyncio.get_running_loop().time()
         members = self.context.fleet.members(self.call.group.name, now)
-        return {m.name for m in members if m.role is not Role.PREFILL}
+        return {
+            m.name
+            for m in members
+            if m.role is not Role.PREFILL and self.build in (None, m.build)
+        }
 
     @property
     def may_have_run(self) -> bool:
--- a/src/bergamotmast/direct/decode_attempt.py
+++ b/src/bergamotmast/direct/decode_attempt.py
@@ -374,6 +374,7 @@
             return
         self.stream.timeline.first_event_at = asyncio.get_running_loop().time()
         self.stream.weights = traits.weights
+        self.stream.on_begun(self.upstream)
         await self.stream.reply.start(reply.status, response_headers(reply))
 
     async def _on_failure_status(self, reply: Reply) -> int:
--- a/src/bergamotmast/direct/exported_cache.py
+++ b/src/bergamotmast/direct/exported_cache.py
@@ -19,11 +19,13 @@
     """Handle of one request's exported KV cache, if there is one.
 
     :param source: address that other engines import it from; empty if there is none.
+    :param build: build of the engine that has exported it.
     """
 
     def __init__(self, context: Context) -> None:
         self.context = context
         self.source = ""
+        self.build = ""
 
     def __bool__(self) -> bool:
         """Return whether there is a KV cache to import."""
--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -205,15 +205,20 @@
         """Return the upstreams of a group that are eligible for new requests."""
         return [u for u in self.present(group, now) if not self._changing(u, now)]
 
-    def decode_available_at(self, group: str, now: float) -> float | None:
+    def decode_available_at(
+        self, group: str, now: float, build: str | None = None
+    ) -> float | None:
         """Return when a group without a decode engine is expected to have one again.
 
         ``None`` if no engine is known to be changing to that role.
+
+        :param build: the build that it must have; ``None`` for any.
         """
         started = [
             planned_role.at
             for upstream in self.present(group, now)
-            if (planned_role := self.planned_roles.get(upstream.name)) is not None
+            if build in (None, upstream.build)
+            and (planned_role := self.planned_roles.get(upstream.name)) is not None
             and planned_role.role is not Role.PREFILL
             and self._changing(upstream, now)
         ]
@@ -443,6 +448,7 @@
                     "group": upstream.group,
                     "address": upstream.address,
                     "leaving": upstream.leaving,
+                    "build": upstream.build,
                     "role": upstream.role.value if upstream.role else "",
                     "revision": item.mod_revision,
                 },
--- a/src/bergamotmast/direct/model.py
+++ b/src/bergamotmast/direct/model.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import hashlib
 import math
 
 from ..model import Role
@@ -13,6 +14,13 @@
 from .tenants import Tenant
 from .tenants import TenantIndex
 
+UNKNOWN_BUILD = ""
+"""Build of the upstreams that register no software version. They are taken for equal:
+otherwise, no stream of a group without versions could go on at another upstream."""
+
+MAX_BUILD_CHARACTERS = 64
+"""Longest name of a build. Entries send it in datagrams; a longer one is hashed."""
+
 
 class CallKind(enum.Enum):
     """Whether a route's requests may be retried."""
@@ -133,6 +141,8 @@
     :param slots: maximum number of concurrent requests.
     :param leaving: whether it is draining and must get no new requests.
     :param role: role of an engine; ``None`` for a plain service.
+    :param build: version of its software. What two builds have written, events of a
+        stream or a KV cache, can't be combined.
     """
 
     name: str
@@ -143,6 +153,7 @@
     slots: int
     leaving: bool = False
     role: Role | None = None
+    build: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -223,3 +234,14 @@
     def caller_timeout_at(self) -> float:
         """Point in time at which the caller disconnects if it has received no event."""
         return min(self.deadline, self.arrived_at + self.route.patience)
+
+
+def build_name(version: object) -> str:
+    """Return the name of a build from a registration's software version.
+
+    :param version: should be a string; any other value is the unknown build.
+    """
+    name = version if isinstance(version, str) else UNKNOWN_BUILD
+    if len(name) <= MAX_BUILD_CHARACTERS:
+        return name
+    return hashlib.sha256(name.encode(errors="surrogatepass")).hexdigest()
--- a/src/bergamotmast/direct/placer.py
+++ b/src/bergamotmast/direct/placer.py
@@ -150,7 +150,7 @@
     def lookup_prefix(self, call: Call, upstream: Upstream) -> PrefixLookup:
         """Return how much of a prompt an engine would have to prefill, as estimated."""
         now = asyncio.get_running_loop().time()
-        members = self.fleet.members(call.group.name, now)
+        members = self._not_excluded(call, (), now, upstream.build)
         replicas = self._prefix_replicas(call, members)
         return self._lookup_prefix(
             call, upstream, replicas, _best_sources(members, replicas)
@@ -199,17 +199,18 @@
         return by_name[chosen]
 
     def place_stream(
-        self, call: Call, excluded: cabc.Collection[str]
+        self, call: Call, excluded: cabc.Collection[str], build: str | None = None
     ) -> tuple[Upstream | None, Upstream, Placement]:
         """Return the prefill engine, the decode engine and the placement of a stream.
 
         The prefill engine is ``None`` if the decode engine prefills the prompt itself.
 
         :param excluded: names of engines to exclude.
+        :param build: the build that both must have; ``None`` for any.
         :raises RequestError: if there is no decode engine.
         """
         now = asyncio.get_running_loop().time()
-        members = self._not_excluded(call, excluded, now)
+        members = self._not_excluded(call, excluded, now, build)
         by_name = {member.name: member for member in members}
         candidates = self._candidates(call, members, now)
         tightest = self.fleet.tightest_objective(call.group.name)
@@ -223,27 +224,36 @@
         )
         return prefill_upstream, by_name[placement.decode_engine], placement
 
-    def place_decode(self, call: Call, excluded: cabc.Collection[str]) -> Upstream:
-        """Return the decode engine for a request that was prefilled elsewhere.
+    def place_decode(
+        self, call: Call, excluded: cabc.Collection[str], build: str
+    ) -> Upstream | None:
+        """Return the decode engine for a request that was prefilled elsewhere, if any.
 
         :param excluded: names of engines to exclude.
-        :raises RequestError: if there is none.
+        :param build: build of the engine that has prefilled it.
         """
         now = asyncio.get_running_loop().time()
-        members = self._not_excluded(call, excluded, now)
+        members = self._not_excluded(call, excluded, now, build)
         decode_engines = [
             member for member in members if member.role is not Role.PREFILL
         ]
         chosen = choose_decode_engine(self._candidates(call, decode_engines, now))
         if chosen is None:
-            raise RequestError(ResultCode.NO_UPSTREAM)
+            return None
         return next(member for member in decode_engines if member.name == chosen.name)
 
     def _not_excluded(
-        self, call: Call, excluded: cabc.Collection[str], now: float
+        self,
+        call: Call,
+        excluded: cabc.Collection[str],
+        now: float,
+        build: str | None = None,
     ) -> list[Upstream]:
-        members = self.fleet.members(call.group.name, now)
-        return [member for member in members if member.name not in excluded]
+        return [
+            member
+            for member in self.fleet.members(call.group.name, now)
+            if member.name not in excluded and build in (None, member.build)
+        ]
 
     def _candidates(
         self, call: Call, members: list[Upstream], now: float
@@ -252,10 +262,14 @@
         candidates = []
         all_members = self.fleet.members(call.group.name, now)
         replicas = self._prefix_replicas(call, all_members)
-        sources = _best_sources(all_members, replicas)
+        # A KV cache can only be imported by an engine of the build that wrote it.
+        sources = {
+            build: _best_sources([m for m in all_members if m.build == build], replicas)
+            for build in {member.build for member in members}
+        }
         for member in self._not_cooling_down(members, now):
             tracker = self.engine_load(member)
-            lookup = self._lookup_prefix(call, member, replicas, sources)
+            lookup = self._lookup_prefix(call, member, replicas, sources[member.build])
             uncached = lookup.uncached_tokens
             priority = self.priority(call, uncached)
             wait = tracker.wait(priority, now)
@@ -281,6 +295,7 @@
                     tracker.tie_break,
                     uncached,
                     priority,
+                    member.build,
                 )
             )
         return candidates
--- a/src/bergamotmast/direct/remote_prefill.py
+++ b/src/bergamotmast/direct/remote_prefill.py
@@ -57,9 +57,9 @@
         stream = self.stream
         stream.attempts.check_quarantine()
         if self.done:
-            # The attempt that follows is another retry. With room for one only, the
+            # The attempt that follows may be another retry. Without room for both, the
             # decode engine prefills the prompt.
-            if not stream.attempts.prepay(2):
+            if not stream.attempts.prepay(2 if stream.attempts.count else 1):
                 self.count = MAX_PREFILL_ATTEMPTS
                 return
             stream.attempts.spend()
@@ -70,6 +70,7 @@
         try:
             async with abort_when(lambda: self._abort_reason(engine, prefill)):
                 cache.source = await self._send_prompt(engine, prefill)
+            cache.build = engine.build
             done = self.done = True
             stream.on_prefilled()
             stream.timeline.prefilled_at = loop.time()
@@ -125,7 +126,9 @@
             return False
         excluded = {*stream.excluded, engine.name}
         try:
-            *_, placement = self.context.placer.place_stream(stream.call, excluded)
+            *_, placement = self.context.placer.place_stream(
+                stream.call, excluded, stream.attempts.build
+            )
         except RequestError:
             return False
         now = asyncio.get_running_loop().time()
--- a/src/bergamotmast/direct/role_planner.py
+++ b/src/bergamotmast/direct/role_planner.py
@@ -269,7 +269,8 @@
         if pending is not None:
             if now >= pending.overdue_at:
                 return None
-            return EngineRole(upstream.name, pending.order.role, changing=True)
+            role = pending.order.role
+            return EngineRole(upstream.name, role, changing=True, build=upstream.build)
         assert upstream.role is not None
         tracker = self.placer.engine_load(upstream)
         load = tracker.running_decodes(now) + len(tracker.pending_prefills)
@@ -277,7 +278,9 @@
             self.hold_off_until.get(upstream.name, 0.0), self.global_hold_off_until
         )
         may_change = now >= hold_off_until
-        return EngineRole(upstream.name, upstream.role, load, may_change)
+        return EngineRole(
+            upstream.name, upstream.role, load, may_change, build=upstream.build
+        )
 
     def _drop_finished_orders(self, members: list[Upstream], now: float) -> None:
         """Drop orders that were carried out, voided by a restart, or have expired."""
--- a/src/bergamotmast/direct/stream.py
+++ b/src/bergamotmast/direct/stream.py
@@ -46,6 +46,10 @@
         """Record a completed prefill, after which any engine may decode the stream."""
         self.failed_prefill_engines.clear()
 
+    def on_begun(self, engine: Upstream) -> None:
+        """Record the engine whose events the caller has begun to receive."""
+        self.attempts.build = engine.build
+
     def on_reply_received(self, engine: Upstream) -> None:
         """Record that data has arrived from an engine."""
         tracker = self.context.placer.engine_load(engine)
--- a/src/bergamotmast/direct/stream_placer.py
+++ b/src/bergamotmast/direct/stream_placer.py
@@ -56,7 +56,8 @@
 
     def _choose(self) -> tuple[Upstream | None, Upstream, Placement]:
         placer = self.context.placer
-        return placer.place_stream(self.call, self.stream.excluded)
+        build = self.stream.attempts.build
+        return placer.place_stream(self.call, self.stream.excluded, build)
 
     def _claim_precedence(self) -> bool:
         """Claim precedence if the prompt's size class is entitled to it.
@@ -89,7 +90,9 @@
         :raises RequestError: if the caller should retry later.
         """
         now = asyncio.get_running_loop().time()
-        ready_at = self.context.fleet.decode_available_at(self.call.group.name, now)
+        ready_at = self.context.fleet.decode_available_at(
+            self.call.group.name, now, self.stream.attempts.build
+        )
         if ready_at is None:
             raise RequestError(ResultCode.NO_UPSTREAM)
         # An overdue role change may complete at any moment, or never.
--- a/src/bergamotmast/direct/stream_run.py
+++ b/src/bergamotmast/direct/stream_run.py
@@ -54,8 +54,12 @@
                 await self.remote_prefill.run(prefill_upstream, cache)
                 if not cache and self.remote_prefill.may_retry:
                     continue
-            if cache:
-                return self.context.placer.place_decode(
-                    self.call, self.stream.attempts.excluded
-                )
-            return upstream
+            if not cache:
+                return upstream
+            decode_upstream = self.context.placer.place_decode(
+                self.call, self.stream.attempts.excluded, cache.build
+            )
+            if decode_upstream is not None:
+                return decode_upstream
+            # No engine is left that can import the KV cache.
+            cache.release()
--- a/src/bergamotmast/platform/directory.py
+++ b/src/bergamotmast/platform/directory.py
@@ -13,6 +13,7 @@
 from ..direct.model import Routing
 from ..direct.model import Target
 from ..direct.model import Upstream
+from ..direct.model import build_name
 from ..direct.tenants import TenantIndex
 from ..direct.tenants import TenantSpec
 from ..errors import ConfigError
@@ -93,7 +94,7 @@
 class _Registration(_KebabStruct, frozen=True):
     """An upstream's registration.
 
-    ``sequence``, a counter of writes, and ``version``, of its software, are ignored.
+    ``sequence``, a counter of writes, is ignored. ``version`` is that of its software.
     ``born`` is its start time, in milliseconds of the wall clock.
     """
 
@@ -104,6 +105,7 @@
     state: str
     stage: str = ""
     born: int = 0
+    version: object = None
 
 
 class PlatformDirectory:
@@ -151,6 +153,7 @@
             slots=registration.slots,
             leaving=leaving,
             role=role,
+            build=build_name(registration.version),
         )
 
 
--- a/src/bergamotmast/policy/direct_placement.py
+++ b/src/bergamotmast/policy/direct_placement.py
@@ -82,6 +82,7 @@
     :param running_decodes: estimated number of running decodes.
     :param uncached_tokens: prompt tokens that are not cached.
     :param priority: engine priority of the prefill.
+    :param build: version of its software, within which KV caches are passed on.
     :param tie_break: sort key among engines of equal cost; the lowest value wins.
         Differs per entry, so that entries without load data do not all select the same
         engine.
@@ -99,6 +100,7 @@
     tie_break: int = 0
     uncached_tokens: int = 0
     priority: int = 0
+    build: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -183,9 +185,41 @@
 ) -> Placement | None:
     """Return the engines to use, or ``None`` if no decode engine is available.
 
+    Both engines have the same build. Of several builds, the one wins whose first token
+    comes earliest, counting the answers that its decode engine already runs.
+
     :param objective: time to first token objective, in seconds.
     :param min_objective: tightest objective among all routes of the group, in seconds.
     """
+    by_build: dict[str, list[EngineCandidate]] = {}
+    for engine in engines:
+        by_build.setdefault(engine.build, []).append(engine)
+    placements = [
+        placement
+        for same_build in by_build.values()
+        if (placement := _place(same_build, objective, min_objective, decisions))
+    ]
+    loads = {engine.name: engine.running_decodes for engine in engines}
+    return min(
+        placements,
+        key=lambda placement: (
+            placement.first_token
+            + loads[placement.decode_engine] / DECODES_PER_QUEUED_SECOND
+        ),
+        default=None,
+    )
+
+
+def _place(
+    engines: t.Sequence[EngineCandidate],
+    objective: float,
+    min_objective: float,
+    decisions: Decisions,
+) -> Placement | None:
+    """Return the placement at engines of one build, ``None`` without a decode engine.
+
+    The parameters are those of :func:`place_prompt`.
+    """
     max_direct_seconds = (
         DECODE_ENGINE_PREFILL_SHARE * min_objective if decisions.direct_reading else 0.0
     )
--- a/src/bergamotmast/policy/direct_roles.py
+++ b/src/bergamotmast/policy/direct_roles.py
@@ -13,11 +13,14 @@
 decode engines, so that one may fail, and more only if the mix requires it. A change
 starts once the mix has required it for :data:`HOLD_SECONDS`: each change takes an
 engine away for seconds, which doesn't pay for a swing that turns back sooner. A role
-without any engine is filled at once.
+without any engine is filled at once. Streams and KV caches stay at engines of one build
+of the software, so each build keeps a decode engine, without which its other engines
+could serve nothing.
 """
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import math
 import typing as t
@@ -90,6 +93,7 @@
     :param load: number of requests it holds, as far as known.
     :param may_change: whether it may be ordered to change its role now.
     :param changing: whether it is changing its role and serves nothing.
+    :param build: version of its software.
     """
 
     name: str
@@ -97,6 +101,7 @@
     load: float = 0.0
     may_change: bool = True
     changing: bool = False
+    build: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -128,11 +133,14 @@
 
     :param wanted_sign: 1 if a prefill engine is wanted, -1 for a decode engine.
     :param wanted_since: since when; a point in time, ``None`` if the roles are right.
+    :param lacking_since: since when a build has had no decode engine, by build; points
+        in time.
     """
 
     def __init__(self) -> None:
         self.wanted_sign = 0
         self.wanted_since: float | None = None
+        self.lacking_since: dict[str, float] = {}
 
     def decide(
         self, engines: t.Sequence[EngineRole], decode_share: float, now: float
@@ -143,7 +151,12 @@
         """
         decoding = [e for e in engines if e.role is not Role.PREFILL]
         prefilling = [e for e in engines if e.role is Role.PREFILL]
-        surplus = len(decoding) - wanted_decode_engines(len(engines), decode_share)
+        order = self._fill_build(decoding, prefilling, now)
+        if order is not None:
+            return order
+        builds = len({engine.build for engine in engines})
+        wanted = max(builds, wanted_decode_engines(len(engines), decode_share))
+        surplus = len(decoding) - wanted
         if surplus == 0:
             self.wanted_since = None
             return None
@@ -152,14 +165,17 @@
             self.wanted_sign = sign
             self.wanted_since = now
         # Whether lost or added engines require the change, whatever the mix:
-        by_count = sign * (len(decoding) - wanted_decode_engines(len(engines), 0.0)) > 0
+        by_count_alone = max(builds, wanted_decode_engines(len(engines), 0.0))
+        by_count = sign * (len(decoding) - by_count_alone) > 0
         lacking = prefilling if surplus > 0 else decoding
         urgent = all(engine.changing for engine in lacking)
         hold = SETTLE_SECONDS if by_count else HOLD_SECONDS
         if not urgent and now - self.wanted_since < hold:
             return None
         if surplus > 0:
-            role, candidates, reason = Role.PREFILL, decoding, "too few prefill engines"
+            role, reason = Role.PREFILL, "too few prefill engines"
+            counts = collections.Counter(e.build for e in decoding if not e.changing)
+            candidates = [e for e in decoding if counts[e.build] > 1]
         else:
             role, candidates, reason = Role.DECODE, prefilling, "too few decode engines"
         changeable = [e for e in candidates if e.may_change and not e.changing]
@@ -167,3 +183,31 @@
             return None
         chosen = min(changeable, key=lambda engine: (engine.load, engine.name))
         return RoleOrder(chosen.name, role, reason, urgent)
+
+    def _fill_build(
+        self,
+        decoding: t.Sequence[EngineRole],
+        prefilling: t.Sequence[EngineRole],
+        now: float,
+    ) -> RoleOrder | None:
+        """Return the role change that gives a build without a decode engine one."""
+        lacking = {e.build for e in prefilling} - {e.build for e in decoding}
+        if not decoding:
+            # Nothing is served at all: any engine will do, at once.
+            lacking.clear()
+        self.lacking_since = {
+            build: self.lacking_since.get(build, now) for build in lacking
+        }
+        changeable = [
+            e
+            for e in prefilling
+            if e.build in lacking
+            and e.may_change
+            and not e.changing
+            and now - self.lacking_since[e.build] >= SETTLE_SECONDS
+        ]
+        if not changeable:
+            return None
+        chosen = min(changeable, key=lambda engine: (engine.load, engine.name))
+        reason = "a build has no decode engine"
+        return RoleOrder(chosen.name, Role.DECODE, reason, urgent=True)
--- a/tests/test_builds.py
+++ b/tests/test_builds.py
@@ -478,7 +478,10 @@
         unknown = await entry.ask("/long/x", request_id="id-2", **headers)
         assert [r.request_id for r in one.received + two.received] == ["id-1"]
         entry.register(two, state="draining")
+        leaving = await entry.ask("/long/x", request_id="id-3", **headers)
+    async with serving(built("i-3", "v1", EngineScript(last=6))) as entry:
         single = await entry.ask("/long/x", request_id="id-3", **headers)
+    assert leaving.status == 503
     assert unknown.status == 503
     assert (single.status, single.complete) == (200, True)
     assert single.body == events(3, 6)
