Resume a caller's stream at the build that it began at

What callers saw: a caller that took a stream up again at another entry, or at the same one, got the rest from any build.

Cause: nothing recorded at which build a stream began, and the name of the first request in the caller's headers was not read.

Each entry records the build of the streams that begin there and, while a group has several builds, copies the records to the two entries that rendezvous hashing chooses. The entry that a stream is resumed at asks the first three, then all others, at most ten streams at a time. With one build no message is sent.

--- a/src/bergamotmast/direct/context.py
+++ b/src/bergamotmast/direct/context.py
@@ -29,6 +29,7 @@
 from .ports import UpstreamClient
 from .prefill_notice import PrefillNotice
 from .retry_budget import SharedRetryBudget
+from .stream_builds import StreamBuilds
 from .time_limits import TimeLimits
 from .usage_exchange import UsageExchange
 
@@ -52,6 +53,7 @@
     :param usage: counter of the requests of each tenant; ``None`` without one.
     :param background: running tasks that outlive the request that started them.
     :param time_limits: deadlines of all running requests.
+    :param stream_builds: builds at which streams began.
     """
 
     fleet: Fleet
@@ -70,12 +72,14 @@
     background: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
     time_limits: TimeLimits = dataclasses.field(init=False)
     liveness_checker: LivenessChecker = dataclasses.field(init=False)
+    stream_builds: StreamBuilds = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
         self.quarantine.losses = self.crash_detector
         self.crash_detector.observer = self.quarantine
         self.time_limits = TimeLimits(self.rng)
         self.liveness_checker = LivenessChecker(self.placer, self.liveness_probe)
+        self.stream_builds = StreamBuilds(self.fleet)
 
     @property
     def decisions(self) -> Decisions:
--- a/src/bergamotmast/direct/core.py
+++ b/src/bergamotmast/direct/core.py
@@ -20,6 +20,7 @@
 from .forwarding import is_writable
 from .model import Call
 from .model import CallKind
+from .model import CallTraits
 from .model import Route
 from .model import Routing
 from .placer import shared_parts
@@ -122,10 +123,16 @@
             arrived_at=request.arrived_at,
             deadline=deadline,
             caller=request.caller,
+            began_as=self._began_as(request, traits),
             parts=shared_parts(traits),
             tenant=tenant,
         )
 
+    def _began_as(self, request: CallerRequest, traits: CallTraits) -> str:
+        """Return the id under which a stream began."""
+        resumed = self.context.dialect.resumed_id(request.items)
+        return resumed if traits.last_event and resumed else traits.request_id
+
     def _tenant(
         self, request: CallerRequest, routing: Routing, route: Route
     ) -> Tenant | None:
--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -123,6 +123,8 @@
     :param upstream_records: registered upstreams, by key.
     :param departed: when the record of a departed upstream expires, by key and boot;
         points in time.
+    :param departed_builds: until when streams may go on that began at the build of a
+        departed upstream, by group and build; points in time.
     :param outdated_revisions: revisions of outdated registrations in a restored store,
         by key.
     :param undecodable_revisions: revisions of registrations that can't be decoded, by
@@ -149,6 +151,7 @@
         self.upstreams_loaded = False
         self.upstream_records: dict[str, UpstreamRecord] = {}
         self.departed: dict[tuple[str, str], float] = {}
+        self.departed_builds: dict[tuple[str, str], float] = {}
         self.outdated_revisions: dict[str, int] = {}
         self.undecodable_revisions: dict[str, int] = {}
         self.planned_roles: dict[str, PlannedRole] = {}
@@ -196,6 +199,17 @@
             and (record.gone_at is None or now < record.gone_at)
         ]
 
+    def builds(self, group: str) -> set[str]:
+        """Return the builds of a group that may still have streams."""
+        now = self.clock()
+        present = {
+            record.upstream.build
+            for record in self.upstream_records.values()
+            if record.upstream.group == group
+        }
+        recent = (seen for seen, until in self.departed_builds.items() if now < until)
+        return present.union(build for other, build in recent if other == group)
+
     def registered(self, name: str) -> Upstream | None:
         """Return an upstream as it is registered, or ``None``."""
         record = self.upstream_records.get(self.directory.upstream_prefix + name)
@@ -347,6 +361,11 @@
         for expired_key in expired:
             del self.departed[expired_key]
         self.departed[key, upstream.boot] = now + DEPARTED_RETENTION_SECONDS
+        for build in [b for b, until in self.departed_builds.items() if now >= until]:
+            del self.departed_builds[build]
+        self.departed_builds[upstream.group, upstream.build] = (
+            now + DEPARTED_RETENTION_SECONDS
+        )
 
     def replace_entries(self, items: tuple[KeyValue, ...]) -> None:
         """Replace the other entries by a snapshot of their registrations."""
--- a/src/bergamotmast/direct/forwarding.py
+++ b/src/bergamotmast/direct/forwarding.py
@@ -65,3 +65,10 @@
 def is_writable(value: str) -> bool:
     """Return whether the HTTP library writes a header's value as it was read."""
     return _UNWRITABLE.search(value) is None
+
+
+def only_value(headers: Headers, name: str) -> str:
+    """Return the value of a header; empty if it is missing or comes several times."""
+    lower = name.lower()
+    values = [value for other, value in headers if other.lower() == lower]
+    return values[0] if len(values) == 1 else ""
--- a/src/bergamotmast/direct/model.py
+++ b/src/bergamotmast/direct/model.py
@@ -194,6 +194,8 @@
     :param headers: headers to forward, without hop-by-hop headers.
     :param deadline: when the response must be complete.
     :param caller: address that the caller's connection comes from; empty if unknown.
+    :param began_as: id of the caller's request that brought the first event of the
+        stream; its own id unless it resumes a stream.
     :param parts: hash and length of the parts of the prompt, in order.
     :param sized_prompt: the prompt in its size class; ``None`` for a request without
         one.
@@ -210,6 +212,7 @@
     arrived_at: float
     deadline: float
     caller: str = ""
+    began_as: str = ""
     parts: tuple[tuple[int, int], ...] = ()
     sized_prompt: SizedPrompt | None = None
     tenant: Tenant | None = None
--- a/src/bergamotmast/direct/peer_messages.py
+++ b/src/bergamotmast/direct/peer_messages.py
@@ -58,7 +58,27 @@
     window: int
 
 
-PeerMessage: t.TypeAlias = NoticeBatch | UsageCounts | UsageQuery
+class StreamBuildCopies(msgspec.Struct, frozen=True, array_like=True, tag="builds"):
+    """Builds at which streams began.
+
+    :param copies: group and build, by the hash of the stream.
+    """
+
+    copies: dict[int, tuple[str, str]]
+
+
+class StreamBuildQuery(msgspec.Struct, frozen=True, array_like=True, tag="build-query"):
+    """Asks an entry for the build at which a stream began.
+
+    :param stream: hash of the stream.
+    """
+
+    stream: int
+
+
+PeerMessage: t.TypeAlias = (
+    NoticeBatch | UsageCounts | UsageQuery | StreamBuildCopies | StreamBuildQuery
+)
 
 
 class PeerInbox:
--- a/src/bergamotmast/direct/ports.py
+++ b/src/bergamotmast/direct/ports.py
@@ -99,6 +99,13 @@
         """Return the API key in a caller's headers; empty without exactly one."""
         ...
 
+    def resumed_id(self, headers: Headers) -> str:
+        """Return the id of the request that brought a resumed stream's first event.
+
+        Empty if a caller's headers don't name exactly one.
+        """
+        ...
+
     def read_call(self, headers: cabc.Mapping[str, str]) -> CallTraits:
         """Parse the headers of a caller's request.
 
--- a/src/bergamotmast/direct/stream.py
+++ b/src/bergamotmast/direct/stream.py
@@ -49,6 +49,9 @@
     def on_begun(self, engine: Upstream) -> None:
         """Record the engine whose events the caller has begun to receive."""
         self.attempts.build = engine.build
+        self.context.stream_builds.on_begun(
+            self.call.began_as, self.call.group.name, engine.build
+        )
 
     def on_reply_received(self, engine: Upstream) -> None:
         """Record that data has arrived from an engine."""
--- /dev/null
+++ b/src/bergamotmast/direct/stream_build_exchange.py
@@ -0,0 +1,167 @@
+"""Copies of the builds at which streams began, at other entries, over UDP.
+
+Each record is copied to the entries that rendezvous hashing chooses for the stream, so
+that any entry knows whom to ask. The number of messages grows with the number of
+streams, and no call to the store is needed. Only if the chosen entries don't know the
+stream, as they were restarted or the lists of entries differ, are all others asked.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc as cabc
+import heapq
+
+import msgspec
+
+from .peer_messages import Address
+from .peer_messages import PeerInbox
+from .peer_messages import Send
+from .peer_messages import StreamBuildCopies
+from .peer_messages import StreamBuildQuery
+from .stream_builds import RETENTION_SECONDS
+from .stream_builds import StreamBuild
+from .stream_builds import StreamBuilds
+from .stream_builds import stream_hash
+
+COPIES = 2
+"""Number of other entries that keep a copy. One more than one, as entries are restarted
+one after the other."""
+
+COPY_SECONDS = 0.25
+"""Interval between two checks for streams that began before there were two builds."""
+
+BATCH_WINDOW_SECONDS = 0.005
+"""How long records are collected before they are sent in one datagram."""
+
+MAX_COPIES_PER_DATAGRAM = 16
+"""Maximum number of records in one datagram, which should fit into a packet."""
+
+QUERY_SECONDS = 0.03
+"""Time for an answer, after which the query is repeated once: datagrams get lost."""
+
+MAX_WIDE_QUERIES = 10
+"""Maximum number of streams that all entries are being asked for at a time."""
+
+
+class StreamBuildExchange:
+    """Implements :class:`~bergamotmast.direct.stream_builds.StreamBuildPeers`.
+
+    :param own_entry: key under which this entry registers.
+    :param entries: returns the addresses of all entries, by their keys.
+    :param send: sends a datagram without blocking.
+    :param pending: records that have not been sent yet.
+    :param waiting: builds that other entries are being asked for, by stream.
+    :param wide_queries: number of streams that all entries are being asked for.
+    """
+
+    def __init__(
+        self,
+        own_entry: str,
+        stream_builds: StreamBuilds,
+        entries: cabc.Callable[[], cabc.Mapping[str, Address]],
+        send: Send,
+    ) -> None:
+        self.own_entry = own_entry
+        self.stream_builds = stream_builds
+        self.entries = entries
+        self.send = send
+        self.pending: list[StreamBuild] = []
+        self.waiting: dict[int, asyncio.Future[str]] = {}
+        self.wide_queries = 0
+
+    def listen(self, inbox: PeerInbox) -> None:
+        """Receive the messages of other entries."""
+        inbox.receivers[StreamBuildCopies] = self._on_copies
+        inbox.receivers[StreamBuildQuery] = self._on_query
+
+    async def run(self) -> None:
+        """Copy records as soon as a group has several builds, until cancelled."""
+        while True:
+            await asyncio.sleep(COPY_SECONDS)
+            self.stream_builds.copy_records()
+
+    def copy(self, records: cabc.Sequence[StreamBuild]) -> None:
+        """Send records to the entries that keep their copies, in the next batch."""
+        if not self.pending:
+            asyncio.get_running_loop().call_later(BATCH_WINDOW_SECONDS, self._flush)
+        self.pending += records
+
+    async def find(self, stream: int) -> str | None:
+        """Return the build of a stream that another entry knows, or ``None``."""
+        # Requests that resume one stream at a time wait for the same answer.
+        future = self.waiting.get(stream)
+        if future is None:
+            future = asyncio.get_running_loop().create_future()
+            self.waiting[stream] = future
+        try:
+            # One of the first may be the entry that began the stream and has ended.
+            holders = self._first(COPIES + 1, stream)
+            build = await self._ask(stream, future, holders)
+            if build is not None or self.wide_queries >= MAX_WIDE_QUERIES:
+                return build
+            self.wide_queries += 1
+            try:
+                return await self._ask(stream, future, self._others().values())
+            finally:
+                self.wide_queries -= 1
+        finally:
+            if self.waiting.get(stream) is future:
+                del self.waiting[stream]
+
+    async def _ask(
+        self,
+        stream: int,
+        future: asyncio.Future[str],
+        addresses: cabc.Collection[Address],
+    ) -> str | None:
+        data = msgspec.msgpack.encode(StreamBuildQuery(stream))
+        for _ in range(2):
+            for address in addresses:
+                self.send(data, address)
+            done, _pending = await asyncio.wait({future}, timeout=QUERY_SECONDS)
+            if done:
+                return future.result()
+        return None
+
+    def _others(self) -> dict[str, Address]:
+        """Return the addresses of the other entries, by their keys."""
+        entries = self.entries()
+        return {key: entries[key] for key in entries if key != self.own_entry}
+
+    def _first(self, count: int, stream: int) -> list[Address]:
+        """Return the addresses of the other entries that rank first for a stream."""
+        others = self._others()
+        chosen = heapq.nlargest(
+            count, others, key=lambda key: stream_hash(f"{key}\0{stream}")
+        )
+        return [others[key] for key in chosen]
+
+    def _flush(self) -> None:
+        pending, self.pending = self.pending, []
+        by_address: dict[Address, dict[int, tuple[str, str]]] = {}
+        for record in pending:
+            for address in self._first(COPIES, record.stream):
+                copies = by_address.setdefault(address, {})
+                copies[record.stream] = (record.group, record.build)
+        for address, copies in by_address.items():
+            items = list(copies.items())
+            for start in range(0, len(items), MAX_COPIES_PER_DATAGRAM):
+                part = dict(items[start : start + MAX_COPIES_PER_DATAGRAM])
+                self.send(msgspec.msgpack.encode(StreamBuildCopies(part)), address)
+
+    def _on_copies(self, message: StreamBuildCopies, address: Address) -> None:
+        now = asyncio.get_running_loop().time()
+        for stream, (group, build) in message.copies.items():
+            self.stream_builds.keep(
+                StreamBuild(stream, group, build, now + RETENTION_SECONDS)
+            )
+            future = self.waiting.get(stream)
+            if future is not None and not future.done():
+                future.set_result(build)
+
+    def _on_query(self, message: StreamBuildQuery, address: Address) -> None:
+        record = self.stream_builds.record(message.stream)
+        if record is not None:
+            copies = {record.stream: (record.group, record.build)}
+            self.send(msgspec.msgpack.encode(StreamBuildCopies(copies)), address)
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -34,6 +34,7 @@
 from .direct.role_planner import Duty
 from .direct.role_planner import RolePlanner
 from .direct.store_watcher import StoreWatcher
+from .direct.stream_build_exchange import StreamBuildExchange
 from .direct.unix_clock import UnixClock
 from .direct.usage_exchange import UsageExchange
 from .direct.usage_record import USAGE_KEY
@@ -154,6 +155,14 @@
             settings.name, placer, fleet.entries.values, peers.send
         )
         context.notices.listen(inbox)
+        builds = StreamBuildExchange(
+            presence_key(settings.name),
+            context.stream_builds,
+            lambda: fleet.entries,
+            peers.send,
+        )
+        builds.listen(inbox)
+        context.stream_builds.peers = builds
         core = DirectCore(context, metrics)
         frontend = DirectHttpFrontend(core)
         callers = await _listen(
@@ -192,6 +201,7 @@
             presence.run(),
             crash_writer.run(),
             quarantine.run(),
+            builds.run(),
             planner.run(),
         ]
         if context.usage is not None:
--- a/src/bergamotmast/platform/headers.py
+++ b/src/bergamotmast/platform/headers.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ..direct.forwarding import only_value
 from ..direct.model import CallTraits
 from ..direct.model import PromptPart
 from ..direct.ports import Attempt
@@ -28,6 +29,8 @@
 KV_SOURCE = "X-Kv-Source"
 PREFIX_SOURCE = "Kv-Fetch"
 LAST_EVENT = "Last-Event-Id"
+RESUMED = "Resumes"
+"""Id of the request that brought the first event of the stream to resume."""
 PROMPT_PARTS = "X-Prompt-Prefix"
 TOKENS = "X-Token-Count"
 """Prompt tokens and maximum output tokens, separated by a comma."""
@@ -61,7 +64,6 @@
 NOT_FORWARDED = SET_BY_SYSTEM | {API_KEY.lower()}
 """Headers of callers that no upstream receives."""
 
-_API_KEY_LOWER = API_KEY.lower()
 
 WRONG_UPSTREAM_STATUS = 421
 
@@ -88,8 +90,11 @@
 
     def api_key(self, headers: Headers) -> str:
         """Return the API key in a caller's headers; empty without exactly one."""
-        keys = [value for name, value in headers if name.lower() == _API_KEY_LOWER]
-        return keys[0] if len(keys) == 1 else ""
+        return only_value(headers, API_KEY)
+
+    def resumed_id(self, headers: Headers) -> str:
+        """Return the id of a resumed stream's first request; empty without just one."""
+        return only_value(headers, RESUMED)
 
     def read_call(self, headers: cabc.Mapping[str, str]) -> CallTraits:
         """Parse a caller's headers."""
