Keep a slow call's attempt until another upstream has answered

What callers saw: a harmless call at a slow upstream failed with 502 as the upstream that it was sent to next refused it or dropped the connection, though the first one was about to answer.

The next attempt now runs beside the overdue one, within the retry budget; the first answer wins and the others are cancelled.

--- a/src/bergamotmast/direct/plain_run.py
+++ b/src/bergamotmast/direct/plain_run.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
+import collections.abc as cabc
 import dataclasses
+import math
 
 from ..errors import NotReachedError
 from ..errors import ReplyLostError
@@ -14,15 +15,15 @@
 from .caller import CallerReply
 from .context import Context
 from .forwarding import response_headers
-from .liveness import abort_when
+from .liveness import WATCHDOG_INTERVAL_SECONDS
 from .model import Call
 from .model import Upstream
 from .ports import Attempt
 from .ports import Headers
 
 RETRY_AFTER_OBJECTIVES = 2.0
-"""Multiple of the latency objective after which an idempotent request is retried at
-another upstream. Without a retry, a hanging upstream would delay it to its deadline."""
+"""Multiple of the latency objective after which an idempotent request is also sent to
+another upstream. A hanging upstream would delay it to its deadline."""
 
 OVERDUE = "no reply within the timeout"
 """Error of an attempt without a reply, as operators see it in the log."""
@@ -41,6 +42,8 @@
     """Runs one request to a plain upstream.
 
     :param last_failure: last failed response, forwarded if no attempt is left.
+    :param newest: upstream of the attempt that was started last.
+    :param overdue_at: when another one may start beside it; a point in time.
     """
 
     def __init__(self, context: Context, call: Call, reply: CallerReply) -> None:
@@ -49,6 +52,8 @@
         self.reply = reply
         self.attempts = AttemptTracker(context, call)
         self.last_failure: PlainResponse | None = None
+        self.newest: Upstream | None = None
+        self.overdue_at = math.inf
 
     async def run(self) -> int:
         """Send the response to the caller and return its status.
@@ -64,25 +69,94 @@
         return response.status
 
     async def _run_attempts(self) -> PlainResponse:
-        while True:
-            try:
-                upstream = self.context.placer.choose_plain_upstream(
-                    self.call, self.attempts.excluded
+        """Return the first response; another attempt starts beside an overdue one."""
+        running: set[asyncio.Task[PlainResponse | None]] = set()
+        try:
+            while True:
+                if not running:
+                    running.add(self._start_attempt())
+                done, running = await asyncio.wait(
+                    running,
+                    timeout=self._seconds_to_overdue(),
+                    return_when=asyncio.FIRST_COMPLETED,
                 )
-                self.attempts.begin(upstream)
-            except RequestError:
-                if self.last_failure is not None:
-                    return self.last_failure
-                if self.attempts.may_have_run:
-                    raise self.attempts.exhausted_error() from None
-                raise
-            response = await self._send(upstream)
+                response = self._collect(done, others_run=bool(running))
+                if response is not None:
+                    return response
+                if not done and self._may_start_another():
+                    running.add(self._start_attempt())
+        finally:
+            for task in running:
+                task.cancel()
+            await asyncio.gather(*running, return_exceptions=True)
+
+    def _start_attempt(self) -> asyncio.Task[PlainResponse | None]:
+        now = asyncio.get_running_loop().time()
+        self.overdue_at = now + RETRY_AFTER_OBJECTIVES * self.call.route.objective
+        return asyncio.create_task(self._attempt())
+
+    def _collect(
+        self,
+        done: cabc.Iterable[asyncio.Task[PlainResponse | None]],
+        *,
+        others_run: bool,
+    ) -> PlainResponse | None:
+        """Return the response of an attempt that has ended, or ``None``.
+
+        :raises RequestError: if the last attempt failed and no other is allowed.
+        """
+        for task in done:
+            error = task.exception()
+            if error is None:
+                response = task.result()
+            elif others_run and isinstance(error, RequestError):
+                continue
+            elif self.last_failure is not None and isinstance(error, RequestError):
+                return self.last_failure
+            else:
+                raise error
             if response is not None:
                 self.attempts.on_answered()
                 return response
+        return None
+
+    def _seconds_to_overdue(self) -> float | None:
+        """Return the time until another attempt may start; ``None`` for never."""
+        if not self.call.route.repeatable:
+            return None
+        now = asyncio.get_running_loop().time()
+        seconds = self.overdue_at - now
+        return seconds if seconds > 0.0 else WATCHDOG_INTERVAL_SECONDS
 
-    async def _send(self, upstream: Upstream) -> PlainResponse | None:
+    def _may_start_another(self) -> bool:
+        """Return whether to start another attempt, and pay for it if so."""
+        now = asyncio.get_running_loop().time()
+        if now < self.overdue_at or self.attempts.obstacle():
+            return False
+        if not self.attempts.prepay(1):
+            return False
+        if self.newest is not None:
+            self._on_overdue(self.newest)
+        return True
+
+    def _on_overdue(self, upstream: Upstream) -> None:
+        """Record that an upstream has not answered in time."""
+        now = asyncio.get_running_loop().time()
+        self.context.placer.plain_load(upstream).failed(now)
+        self.attempts.log_failure(upstream, OVERDUE, "unknown")
+
+    async def _attempt(self) -> PlainResponse | None:
         """Make one attempt; return ``None`` if another upstream may be tried."""
+        try:
+            upstream = self.context.placer.choose_plain_upstream(
+                self.call, self.attempts.excluded
+            )
+            self.attempts.begin(upstream)
+        except RequestError:
+            if self.attempts.may_have_run:
+                raise self.attempts.exhausted_error() from None
+            raise
+        self.newest = upstream
         async with self.attempts.run_apart(upstream) as granted:
             if not granted:
                 self.attempts.on_not_sent(upstream)
@@ -96,8 +170,7 @@
         sent_at = loop.time()
         try:
             async with asyncio.timeout_at(self.call.deadline):
-                async with self._abort_for_retry(sent_at):
-                    return await self._exchange(upstream)
+                return await self._exchange(upstream)
         except NotReachedError as error:
             tracker.failed(loop.time())
             self.attempts.on_not_sent(upstream)
@@ -117,26 +190,6 @@
         finally:
             tracker.running -= 1
 
-    def _abort_for_retry(
-        self, sent_at: float
-    ) -> contextlib.AbstractAsyncContextManager[None]:
-        """Cancel an overdue attempt if the request may be sent to another upstream."""
-        route = self.call.route
-        if not route.repeatable:
-            return contextlib.nullcontext()
-        overdue_at = sent_at + RETRY_AFTER_OBJECTIVES * route.objective
-        return abort_when(lambda: self._overdue_reason(overdue_at))
-
-    async def _overdue_reason(self, overdue_at: float) -> str:
-        """Return why to cancel an attempt, or an empty string to keep waiting.
-
-        A slow upstream's response is worth more than none.
-        """
-        now = asyncio.get_running_loop().time()
-        await asyncio.sleep(max(0.0, overdue_at - now))
-        attempts = self.attempts
-        return "" if attempts.obstacle() or not attempts.prepay(1) else OVERDUE
-
     async def _exchange(self, upstream: Upstream) -> PlainResponse | None:
         call = self.call
         dialect = self.context.dialect
--- a/tests/test_direct_calls.py
+++ b/tests/test_direct_calls.py
@@ -523,3 +523,40 @@
         got = await entry.ask("/read/x")
     assert (got.status, got.body) == (200, b"fine")
     assert sum(len(replica.received) for replica in replicas) == 1
+
+
+async def reset_at_once(replica, received, writer) -> None:
+    reset(writer)
+
+
+@pytest.mark.parametrize("script", [not_run(), reset_at_once, answer(500, b"broken")])
+async def test_slow_call_survives_a_failed_retry(script):
+    """Guards against cutting a slow call for an upstream that does not answer it."""
+    fast = answer()
+
+    async def slow(replica, received, writer) -> None:
+        await asyncio.sleep(0.8)
+        await fast(replica, received, writer)
+
+    first, other = Replica("i-1", slow), Replica("i-2", script)
+    async with serving(first, other) as entry:
+        entry.register(other, state="draining")
+        asked = asyncio.create_task(entry.ask("/read/x"))
+        await until(lambda: bool(first.received))
+        entry.register(other)
+        got = await asked
+    assert len(other.received) == 1
+    assert (got.status, got.body) == (200, b"fine")
+
+
+async def test_slow_call_is_cancelled_once_another_upstream_has_answered():
+    """Guards against an upstream that still works on a call which was answered."""
+    first, other = Replica("i-1", hang()), Replica("i-2", answer())
+    async with serving(first, other) as entry:
+        entry.register(other, state="draining")
+        asked = asyncio.create_task(entry.ask("/read/x"))
+        await until(lambda: bool(first.received))
+        entry.register(other)
+        got = await asked
+        await until(lambda: first.closed == ["id-1"])
+    assert (got.status, got.body) == (200, b"fine")
