Release a trial's claim that is cancelled before its reply comes

A request on trial whose attempt was cancelled while its claim was being written left the claim in the store for ten seconds, in which no other suspect could run at that upstream. Attempts beside a silent engine make such cancellations more frequent. Found by a review of the fix; the test failed before.

--- a/src/bergamotmast/crashes/trials.py
+++ b/src/bergamotmast/crashes/trials.py
@@ -72,10 +72,7 @@
             yield granted
         finally:
             self.claimed.difference_update(keys)
-            if lease and self.kv is not None:
-                task = asyncio.create_task(self._release(self.kv, lease))
-                self.releasing.add(task)
-                task.add_done_callback(self.releasing.discard)
+            self._release_soon(lease)
 
     async def _claim_in_store(self, keys: tuple[str, ...]) -> tuple[int, bool]:
         """Return the lease, 0 for none, and whether the claim was granted."""
@@ -92,8 +89,18 @@
         except (PortError, TimeoutError) as error:
             logger.info("trial is not claimed", extra={"error": str(error)})
             return lease, True
+        except asyncio.CancelledError:
+            self._release_soon(lease)
+            raise
         return lease, result.succeeded
 
+    def _release_soon(self, lease: int) -> None:
+        """Release a claim in the background, as the request must not wait for it."""
+        if lease and self.kv is not None:
+            task = asyncio.create_task(self._release(self.kv, lease))
+            self.releasing.add(task)
+            task.add_done_callback(self.releasing.discard)
+
     async def _release(self, kv: KeyValueService, lease: int) -> None:
         try:
             await kv.revoke_lease(lease)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -580,3 +580,28 @@
         "entry": "e0",
         "request_id": "id-culprit",
     }
+
+
+async def test_cancelled_claim_keeps_no_upstream_from_other_trials():
+    """Guards against a claim that outlives the attempt that was cancelled for another.
+
+    Without its release, no suspect request could run at that upstream for ten seconds.
+    """
+    kv = KeyValueStandIn(0.2)
+    trials = Trials("entry-1", kv.client("entry-1"))
+
+    async def claim() -> None:
+        async with trials.claim("f", upstream(1)):
+            await asyncio.sleep(10)
+
+    task = asyncio.create_task(claim())
+    # The claim is written, but its reply is still on the way.
+    await asyncio.sleep(0.35)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    await asyncio.gather(*trials.releasing)
+    async with Trials("entry-2", kv.client("entry-2")).claim(
+        "g", upstream(1)
+    ) as granted:
+        assert granted
+    assert not trials.claimed
