Forward an engine's failure if its replacement fails, too

An engine that answered with a failure while another attempt ran beside it was taken for broken; if that attempt was refused, the caller got 502 with an unknown outcome in place of the engine's signed failure.

--- a/src/bergamotmast/direct/decode_attempt.py
+++ b/src/bergamotmast/direct/decode_attempt.py
@@ -23,6 +23,7 @@
 from .ports import Attempt
 from .ports import Reply
 from .ports import ReplyTraits
+from .ports import Response
 from .prefill_tracker import TrackedPrefill
 from .remote_prefill import UNRESPONSIVE
 from .stream import Stream
@@ -378,11 +379,16 @@
         await self.stream.reply.start(reply.status, response_headers(reply))
 
     async def _on_failure_status(self, reply: Reply) -> int:
-        body = await reply.read()
-        if self.stream.reply.started or self.race.contested:
+        response = Response(reply.status, response_headers(reply), await reply.read())
+        if self.stream.reply.started:
             raise BrokenStreamError(f"status {reply.status} in a stream")
+        if self.race.contested:
+            self.stream.last_failure = response
+            raise BrokenStreamError(f"status {reply.status}, another attempt runs")
         self.forwarding = True
-        await self.stream.reply.respond(reply.status, response_headers(reply), body)
+        await self.stream.reply.respond(
+            response.status, response.headers, response.body
+        )
         return reply.status
 
     def _log_failure(self, error: str, outcome: str) -> None:
--- a/src/bergamotmast/direct/plain_run.py
+++ b/src/bergamotmast/direct/plain_run.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import collections.abc as cabc
-import dataclasses
 import math
 
 from ..errors import NotReachedError
@@ -19,7 +18,7 @@
 from .model import Call
 from .model import Upstream
 from .ports import Attempt
-from .ports import Headers
+from .ports import Response
 
 RETRY_AFTER_OBJECTIVES = 2.0
 """Multiple of the latency objective after which an idempotent request is also sent to
@@ -29,15 +28,6 @@
 """Error of an attempt without a reply, as operators see it in the log."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PlainResponse:
-    """An upstream's complete response."""
-
-    status: int
-    headers: Headers
-    body: bytes
-
-
 class PlainRun:
     """Runs one request to a plain upstream.
 
@@ -51,7 +41,7 @@
         self.call = call
         self.reply = reply
         self.attempts = AttemptTracker(context, call)
-        self.last_failure: PlainResponse | None = None
+        self.last_failure: Response | None = None
         self.newest: Upstream | None = None
         self.overdue_at = math.inf
 
@@ -68,9 +58,9 @@
         await self.reply.respond(response.status, response.headers, response.body)
         return response.status
 
-    async def _run_attempts(self) -> PlainResponse:
+    async def _run_attempts(self) -> Response:
         """Return the first response; another attempt starts beside an overdue one."""
-        running: set[asyncio.Task[PlainResponse | None]] = set()
+        running: set[asyncio.Task[Response | None]] = set()
         try:
             while True:
                 if not running:
@@ -90,17 +80,17 @@
                 task.cancel()
             await asyncio.gather(*running, return_exceptions=True)
 
-    def _start_attempt(self) -> asyncio.Task[PlainResponse | None]:
+    def _start_attempt(self) -> asyncio.Task[Response | None]:
         now = asyncio.get_running_loop().time()
         self.overdue_at = now + RETRY_AFTER_OBJECTIVES * self.call.route.objective
         return asyncio.create_task(self._attempt())
 
     def _collect(
         self,
-        done: cabc.Iterable[asyncio.Task[PlainResponse | None]],
+        done: cabc.Iterable[asyncio.Task[Response | None]],
         *,
         others_run: bool,
-    ) -> PlainResponse | None:
+    ) -> Response | None:
         """Return the response of an attempt that has ended, or ``None``.
 
         :raises RequestError: if the last attempt failed and no other is allowed.
@@ -145,7 +135,7 @@
         self.context.placer.plain_load(upstream).failed(now)
         self.attempts.log_failure(upstream, OVERDUE, "unknown")
 
-    async def _attempt(self) -> PlainResponse | None:
+    async def _attempt(self) -> Response | None:
         """Make one attempt; return ``None`` if another upstream may be tried."""
         try:
             upstream = self.context.placer.choose_plain_upstream(
@@ -163,7 +153,7 @@
                 return None
             return await self._run(upstream)
 
-    async def _run(self, upstream: Upstream) -> PlainResponse | None:
+    async def _run(self, upstream: Upstream) -> Response | None:
         tracker = self.context.placer.plain_load(upstream)
         loop = asyncio.get_running_loop()
         tracker.running += 1
@@ -190,7 +180,7 @@
         finally:
             tracker.running -= 1
 
-    async def _exchange(self, upstream: Upstream) -> PlainResponse | None:
+    async def _exchange(self, upstream: Upstream) -> Response | None:
         call = self.call
         dialect = self.context.dialect
         now = asyncio.get_running_loop().time()
@@ -212,7 +202,7 @@
             self.attempts.on_begun(now)
             self.context.check_reply(call, reply, traits)
             body = await reply.read()
-            response = PlainResponse(reply.status, response_headers(reply), body)
+            response = Response(reply.status, response_headers(reply), body)
         tracker = self.context.placer.plain_load(upstream)
         if 200 <= response.status < 300:
             tracker.succeeded()
@@ -220,8 +210,8 @@
         return self._on_failure_status(upstream, response)
 
     def _on_failure_status(
-        self, upstream: Upstream, response: PlainResponse
-    ) -> PlainResponse | None:
+        self, upstream: Upstream, response: Response
+    ) -> Response | None:
         """Return a failed response to forward, or ``None`` to retry elsewhere first."""
         self.attempts.log_failure(upstream, f"status {response.status}", "ran")
         self.last_failure = response
--- a/src/bergamotmast/direct/ports.py
+++ b/src/bergamotmast/direct/ports.py
@@ -205,6 +205,15 @@
         ...
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Response:
+    """An upstream's complete response."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
 class LivenessProbe(t.Protocol):
     """Liveness probe that distinguishes a dead engine from a busy one."""
 
--- a/src/bergamotmast/direct/stream.py
+++ b/src/bergamotmast/direct/stream.py
@@ -9,6 +9,7 @@
 from .context import Context
 from .model import Call
 from .model import Upstream
+from .ports import Response
 from .prefill_tracker import PrefillTracker
 from .timeline import Timeline
 
@@ -23,6 +24,7 @@
     :param prefills: tracker of its prefills.
     :param last_event: number of the last event that the caller received.
     :param weights: version of the weights that the response started with.
+    :param last_failure: an engine's failure, forwarded if no attempt is left.
     :param failed_prefill_engines: names of engines at which the prefill failed.
     """
 
@@ -35,6 +37,7 @@
         self.timeline = Timeline()
         self.last_event = call.traits.last_event
         self.weights = ""
+        self.last_failure: Response | None = None
         self.failed_prefill_engines: set[str] = set()
 
     @property
--- a/src/bergamotmast/direct/stream_run.py
+++ b/src/bergamotmast/direct/stream_run.py
@@ -70,6 +70,12 @@
         try:
             status = await AttemptRace(self.stream, self).run()
         except RequestError as error:
+            failure = self.stream.last_failure
+            if failure is not None and not self.stream.reply.started:
+                await self.stream.reply.respond(
+                    failure.status, failure.headers, failure.body
+                )
+                return failure.status
             if attempts.may_have_run:
                 raise attempts.exhausted_error(error.code) from None
             raise
--- a/tests/test_stream_moves.py
+++ b/tests/test_stream_moves.py
@@ -30,6 +30,7 @@
 from platform_standin import head
 from platform_standin import not_run
 from platform_standin import reset
+from test_silent_engines import FixedProbe
 
 LONG = {"X_Token_Count": "6000,80", "X_Prompt_Prefix": "aa:2000,bb:4000"}
 RESUMABLE = route(
@@ -367,3 +368,18 @@
         writer.close()
     assert (got.status, len(got.body)) == (500, 9_000_000)
     assert other.received == []
+
+
+async def test_failure_of_a_silent_engine_is_forwarded_as_its_replacement_fails():
+    """Guards against an engine's own failure that is replaced by an unknown outcome."""
+    failing = engine("i-1", slowly(answer(500, b"broken"), 1.5))
+    other = engine("i-2", slowly(not_run(), 1.5))
+    async with serving(
+        failing,
+        other,
+        document=config(routes=[RESUMABLE]),
+        liveness_probe=FixedProbe(lives=False),
+    ) as entry:
+        got = await ask_silent(entry, failing, other)
+    assert len(other.received) == 1
+    assert (got.status, got.body) == (500, b"broken")
