Count an overdue call as begun; take an answer before another attempt's error

A call that no upstream answers was missing from its tenant's usage, which had counted it at its first overdue attempt. Of two attempts that end in one iteration of the event loop, the refusal of one went before the answer of the other.

--- a/src/bergamotmast/direct/plain_run.py
+++ b/src/bergamotmast/direct/plain_run.py
@@ -87,7 +87,7 @@
 
     def _collect(
         self,
-        done: cabc.Iterable[asyncio.Task[Response | None]],
+        done: cabc.Collection[asyncio.Task[Response | None]],
         *,
         others_run: bool,
     ) -> Response | None:
@@ -95,20 +95,17 @@
 
         :raises RequestError: if the last attempt failed and no other is allowed.
         """
-        for task in done:
-            error = task.exception()
-            if error is None:
-                response = task.result()
-            elif others_run and isinstance(error, RequestError):
-                continue
-            elif self.last_failure is not None and isinstance(error, RequestError):
-                return self.last_failure
-            else:
-                raise error
+        errors = [error for task in done if (error := task.exception()) is not None]
+        results = [task.result() for task in done if task.exception() is None]
+        for response in results:
             if response is not None:
                 self.attempts.on_answered()
                 return response
-        return None
+        if not errors or results or others_run:
+            return None
+        if self.last_failure is not None and isinstance(errors[0], RequestError):
+            return self.last_failure
+        raise errors[0]
 
     def _seconds_to_overdue(self) -> float | None:
         """Return the time until another attempt may start; ``None`` for never."""
@@ -133,6 +130,8 @@
         """Record that an upstream has not answered in time."""
         now = asyncio.get_running_loop().time()
         self.context.placer.plain_load(upstream).failed(now)
+        # Only the reply is missing: the upstream has most likely begun to run it.
+        self.attempts.on_begun(now)
         self.attempts.log_failure(upstream, OVERDUE, "unknown")
 
     async def _attempt(self) -> Response | None:
