--- a/src/bergamotmast/policy/direct_placement.py
+++ b/src/bergamotmast/policy/direct_placement.py
@@ -185,60 +185,39 @@
 ) -> Placement | None:
     """Return the engines to use, or ``None`` if no decode engine is available.
 
-    Both engines have the same build. Of several builds, the one wins whose first token
-    comes earliest, counting the answers that its decode engine already runs.
+    Both engines have the same build.
 
     :param objective: time to first token objective, in seconds.
     :param min_objective: tightest objective among all routes of the group, in seconds.
     """
-    by_build: dict[str, list[EngineCandidate]] = {}
-    for engine in engines:
-        by_build.setdefault(engine.build, []).append(engine)
-    placements = [
-        placement
-        for same_build in by_build.values()
-        if (placement := _place(same_build, objective, min_objective, decisions))
-    ]
-    loads = {engine.name: engine.running_decodes for engine in engines}
-    return min(
-        placements,
-        key=lambda placement: (
-            placement.first_token
-            + loads[placement.decode_engine] / DECODES_PER_QUEUED_SECOND
-        ),
-        default=None,
-    )
-
-
-def _place(
-    engines: t.Sequence[EngineCandidate],
-    objective: float,
-    min_objective: float,
-    decisions: Decisions,
-) -> Placement | None:
-    """Return the placement at engines of one build, ``None`` without a decode engine.
-
-    The parameters are those of :func:`place_prompt`.
-    """
     max_direct_seconds = (
         DECODE_ENGINE_PREFILL_SHARE * min_objective if decisions.direct_reading else 0.0
     )
-    decode_candidate = choose_decode_engine(engines)
-    if decode_candidate is None:
-        return None
+    decode_candidates = _decode_candidates(engines)
     options = [
         (_first_token(engine), engine)
         for engine in engines
-        if engine.role is Role.PREFILL
+        if engine.role is Role.PREFILL and engine.build in decode_candidates
     ]
+    with_prefill = {engine.build for _, engine in options}
     options += [
         (_first_token(engine), engine)
         for engine in engines
         if engine.role is not Role.PREFILL
-        and (not options or _may_prefill_at(engine, max_direct_seconds))
+        and (
+            engine.build not in with_prefill
+            or _may_prefill_at(engine, max_direct_seconds)
+        )
     ]
+    if not options:
+        return None
+    decode_costs = _decode_costs(decode_candidates)
     seconds, engine = min(
-        options, key=lambda option: (_cost(*option), *_tie_break_key(option[1]))
+        options,
+        key=lambda option: (
+            _cost(*option) + decode_costs[option[1].build],
+            *_tie_break_key(option[1]),
+        ),
     )
     if (
         decisions.packing
@@ -246,10 +225,34 @@
     ):
         seconds, engine = _choose_packed(options, objective) or (seconds, engine)
     if engine.role is Role.PREFILL:
-        return Placement(engine.name, decode_candidate.name, seconds, engine)
+        decode_engine = decode_candidates[engine.build].name
+        return Placement(engine.name, decode_engine, seconds, engine)
     return Placement(None, engine.name, seconds, engine)
 
 
+def _decode_candidates(
+    engines: t.Sequence[EngineCandidate],
+) -> dict[str, EngineCandidate]:
+    """Return the engine that would decode a prompt prefilled at each build."""
+    by_build: dict[str, list[EngineCandidate]] = {}
+    for engine in engines:
+        by_build.setdefault(engine.build, []).append(engine)
+    chosen = {build: choose_decode_engine(same) for build, same in by_build.items()}
+    return {build: engine for build, engine in chosen.items() if engine is not None}
+
+
+def _decode_costs(candidates: dict[str, EngineCandidate]) -> dict[str, float]:
+    """Return the cost in seconds of the decode load at each build's engine.
+
+    It is relative to the build with the lowest load, as it only decides between builds.
+    """
+    lowest = min(engine.running_decodes for engine in candidates.values())
+    return {
+        build: (engine.running_decodes - lowest) / DECODES_PER_QUEUED_SECOND
+        for build, engine in candidates.items()
+    }
+
+
 def _may_prefill_at(engine: EngineCandidate, max_seconds: float) -> bool:
     """Return whether a decode engine may prefill although there are prefill engines."""
     return (
--- a/src/bergamotmast/policy/direct_roles.py
+++ b/src/bergamotmast/policy/direct_roles.py
@@ -14,8 +14,7 @@
 starts once the mix has required it for :data:`HOLD_SECONDS`: each change takes an
 engine away for seconds, which doesn't pay for a swing that turns back sooner. A role
 without any engine is filled at once. Streams and KV caches stay at engines of one build
-of the software, so each build keeps a decode engine, without which its other engines
-could serve nothing.
+of the software, so each build keeps decode engines of its own.
 """
 
 from __future__ import annotations
@@ -108,8 +107,8 @@
 class RoleOrder:
     """A role change to order.
 
-    :param urgent: whether a role has no serving engine, so that the order does not
-        wait for another one to end.
+    :param urgent: whether a role has no serving engine, in the group or in a build, so
+        that the order does not wait for another one to end.
     """
 
     name: str
@@ -133,8 +132,8 @@
 
     :param wanted_sign: 1 if a prefill engine is wanted, -1 for a decode engine.
     :param wanted_since: since when; a point in time, ``None`` if the roles are right.
-    :param lacking_since: since when a build has had no decode engine, by build; points
-        in time.
+    :param lacking_since: since when a build has had too few decode engines, by build;
+        points in time.
     """
 
     def __init__(self) -> None:
@@ -151,11 +150,12 @@
         """
         decoding = [e for e in engines if e.role is not Role.PREFILL]
         prefilling = [e for e in engines if e.role is Role.PREFILL]
-        order = self._fill_build(decoding, prefilling, now)
+        needed = _needed_decode_engines(engines)
+        order = self._fill_build(decoding, prefilling, needed, now)
         if order is not None:
             return order
-        builds = len({engine.build for engine in engines})
-        wanted = max(builds, wanted_decode_engines(len(engines), decode_share))
+        by_count_alone = needed.total()
+        wanted = max(by_count_alone, wanted_decode_engines(len(engines), decode_share))
         surplus = len(decoding) - wanted
         if surplus == 0:
             self.wanted_since = None
@@ -165,7 +165,6 @@
             self.wanted_sign = sign
             self.wanted_since = now
         # Whether lost or added engines require the change, whatever the mix:
-        by_count_alone = max(builds, wanted_decode_engines(len(engines), 0.0))
         by_count = sign * (len(decoding) - by_count_alone) > 0
         lacking = prefilling if surplus > 0 else decoding
         urgent = all(engine.changing for engine in lacking)
@@ -175,7 +174,7 @@
         if surplus > 0:
             role, reason = Role.PREFILL, "too few prefill engines"
             counts = collections.Counter(e.build for e in decoding if not e.changing)
-            candidates = [e for e in decoding if counts[e.build] > 1]
+            candidates = [e for e in decoding if counts[e.build] > needed[e.build]]
         else:
             role, candidates, reason = Role.DECODE, prefilling, "too few decode engines"
         changeable = [e for e in candidates if e.may_change and not e.changing]
@@ -188,12 +187,14 @@
         self,
         decoding: t.Sequence[EngineRole],
         prefilling: t.Sequence[EngineRole],
+        needed: collections.Counter[str],
         now: float,
     ) -> RoleOrder | None:
-        """Return the role change that gives a build without a decode engine one."""
-        lacking = {e.build for e in prefilling} - {e.build for e in decoding}
-        if not decoding:
-            # Nothing is served at all: any engine will do, at once.
+        """Return the role change that gives a build the decode engines it needs."""
+        counts = collections.Counter(engine.build for engine in decoding)
+        lacking = {build for build, count in needed.items() if counts[build] < count}
+        if len(needed) == 1 or not decoding:
+            # With one build, or if nothing is served at all, any engine will do.
             lacking.clear()
         self.lacking_since = {
             build: self.lacking_since.get(build, now) for build in lacking
@@ -209,5 +210,16 @@
         if not changeable:
             return None
         chosen = min(changeable, key=lambda engine: (engine.load, engine.name))
-        reason = "a build has no decode engine"
-        return RoleOrder(chosen.name, Role.DECODE, reason, urgent=True)
+        urgent = not counts[chosen.build]
+        reason = "a build has too few decode engines"
+        return RoleOrder(chosen.name, Role.DECODE, reason, urgent)
+
+
+def _needed_decode_engines(
+    engines: t.Sequence[EngineRole],
+) -> collections.Counter[str]:
+    """Return how many decode engines each build needs, whatever the mix."""
+    sizes = collections.Counter(engine.build for engine in engines)
+    return collections.Counter(
+        {build: wanted_decode_engines(size, 0.0) for build, size in sizes.items()}
+    )
