Ask other entries for a stream's build unless all builds are surely known

An entry asks unless it is in touch with the store and has been for as long as a stream may last; a copy of a record tells it of the build, too. The first record of a stream stays. Builds whose registration can't be decoded any more, or changes under the same name, count for a while; those of engines that lapsed in an outage no longer count for ever. A stream goes on in the group that it began in, an event without a number fixes the build as well, and an event id that is no number is not passed on.

--- a/src/bergamotmast/direct/attempts.py
+++ b/src/bergamotmast/direct/attempts.py
@@ -45,7 +45,7 @@
         self.count = 0
         self.unresolved = 0
         self.prepaid = 0
-        self.build: str | None = None
+        self.build = call.build
         self.begun = False
 
     @functools.cached_property
--- a/src/bergamotmast/direct/core.py
+++ b/src/bergamotmast/direct/core.py
@@ -39,6 +39,13 @@
 STALE_CONFIG_RETRY_SECONDS = 0.5
 """Delay after which a caller whose key may be new should try another entry."""
 
+UNKNOWN_BUILD_RETRY_SECONDS = 0.2
+"""Delay after which a caller should resume its stream at another entry, which may know
+the build that it began at."""
+
+MAX_LOGGED_ID = 64
+"""Maximum length of an id from a caller's headers in the log."""
+
 DEFAULT_BODY_TIMEOUT_SECONDS = 60.0
 """Time limit for reading the body of a request without a deadline header."""
 
@@ -109,13 +116,16 @@
         self.context.time_limits.check_admission(
             deadline, asyncio.get_running_loop().time()
         )
-        group = self.context.fleet.group(pick_group(route, self.context.rng))
+        group = pick_group(route, self.context.rng)
+        began_as, build = self._began_as(request, traits), None
+        if traits.last_event and route.kind is CallKind.STREAM:
+            group, build = await self._find_build(route, group, began_as, traits)
         tenant = self._tenant(request, table.routing, route)
         connection = request.headers.get("Connection", "")
         return Call(
             traits=traits,
             route=route,
-            group=group,
+            group=self.context.fleet.group(group),
             method=request.method,
             target=request.target,
             headers=end_to_end_headers(request.items, connection),
@@ -123,7 +133,8 @@
             arrived_at=request.arrived_at,
             deadline=deadline,
             caller=request.caller,
-            began_as=self._began_as(request, traits),
+            began_as=began_as,
+            build=build,
             parts=shared_parts(traits),
             tenant=tenant,
         )
@@ -133,6 +144,32 @@
         resumed = self.context.dialect.resumed_id(request.items)
         return resumed if traits.last_event and resumed else traits.request_id
 
+    async def _find_build(
+        self, route: Route, group: str, began_as: str, traits: CallTraits
+    ) -> tuple[str, str]:
+        """Return the group and the build at which a resumed stream began.
+
+        :param group: the group to take if it is not known.
+        :raises RequestError: if it is not known and there are several builds.
+        """
+        groups = (group, *(target.group for target in route.targets))
+        record = await self.context.stream_builds.find(began_as, groups)
+        logger.info(
+            "stream is resumed",
+            extra={
+                "began_as": began_as[:MAX_LOGGED_ID],
+                "last_event": traits.last_event,
+                "build": None if record is None else record.build,
+            },
+        )
+        if record is None:
+            raise RequestError(
+                ResultCode.NO_UPSTREAM,
+                "The build at which the stream began is not known.",
+                UNKNOWN_BUILD_RETRY_SECONDS,
+            )
+        return record.group, record.build
+
     def _tenant(
         self, request: CallerRequest, routing: Routing, route: Route
     ) -> Tenant | None:
--- a/src/bergamotmast/direct/decode_attempt.py
+++ b/src/bergamotmast/direct/decode_attempt.py
@@ -346,6 +346,8 @@
         )
 
     async def _forward(self, event: Event, reply: Reply, traits: ReplyTraits) -> None:
+        if self.stream.attempts.build not in (None, self.upstream.build):
+            raise BrokenStreamError("the stream has begun at another build")
         if event.number is None:
             if not self.race.leads(self):
                 return
@@ -373,6 +375,7 @@
     async def _start(self, reply: Reply, traits: ReplyTraits) -> None:
         if self.stream.reply.started:
             return
+        self.race.on_progress(self)
         self.stream.timeline.first_event_at = asyncio.get_running_loop().time()
         self.stream.weights = traits.weights
         self.stream.on_begun(self.upstream)
--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -8,6 +8,7 @@
 import enum
 import ipaddress
 import logging
+import math
 import typing as t
 
 import msgspec
@@ -125,6 +126,8 @@
         points in time.
     :param departed_builds: until when streams may go on that began at the build of a
         departed upstream, by group and build; points in time.
+    :param all_builds_known_at: when builds that came and went before the last reading
+        of all upstreams have no more streams; a point in time.
     :param outdated_revisions: revisions of outdated registrations in a restored store,
         by key.
     :param undecodable_revisions: revisions of registrations that can't be decoded, by
@@ -152,6 +155,7 @@
         self.upstream_records: dict[str, UpstreamRecord] = {}
         self.departed: dict[tuple[str, str], float] = {}
         self.departed_builds: dict[tuple[str, str], float] = {}
+        self.all_builds_known_at = -math.inf
         self.outdated_revisions: dict[str, int] = {}
         self.undecodable_revisions: dict[str, int] = {}
         self.planned_roles: dict[str, PlannedRole] = {}
@@ -206,6 +210,10 @@
             record.upstream.build
             for record in self.upstream_records.values()
             if record.upstream.group == group
+            and (
+                record.gone_at is None
+                or now < record.gone_at + DEPARTED_RETENTION_SECONDS
+            )
         }
         recent = (seen for seen, until in self.departed_builds.items() if now < until)
         return present.union(build for other, build in recent if other == group)
@@ -335,6 +343,7 @@
             elif now >= record.gone_at:
                 self.remove(key, record.revision + 1)
         self.upstreams_loaded = True
+        self.all_builds_known_at = now + DEPARTED_RETENTION_SECONDS
         self._signal_ready()
 
     def _is_outdated(self, item: KeyValue) -> bool:
@@ -361,11 +370,19 @@
         for expired_key in expired:
             del self.departed[expired_key]
         self.departed[key, upstream.boot] = now + DEPARTED_RETENTION_SECONDS
-        for build in [b for b, until in self.departed_builds.items() if now >= until]:
-            del self.departed_builds[build]
-        self.departed_builds[upstream.group, upstream.build] = (
-            now + DEPARTED_RETENTION_SECONDS
-        )
+        self.note_build(upstream.group, upstream.build)
+
+    def note_build(self, group: str, build: str) -> None:
+        """Record that streams may have begun at a build that is not registered here."""
+        now = self.clock()
+        for key in [key for key, until in self.departed_builds.items() if now >= until]:
+            del self.departed_builds[key]
+        self.departed_builds[group, build] = now + DEPARTED_RETENTION_SECONDS
+
+    @property
+    def knows_all_builds(self) -> bool:
+        """Whether no build can have come and gone without this entry's notice."""
+        return self.in_sync and self.clock() >= self.all_builds_known_at
 
     def replace_entries(self, items: tuple[KeyValue, ...]) -> None:
         """Replace the other entries by a snapshot of their registrations."""
@@ -453,12 +470,16 @@
                     "upstream's registration cannot be decoded",
                     extra={"key": item.key, "error": error.message},
                 )
-            self.upstream_records.pop(item.key, None)
+            if known is not None:
+                del self.upstream_records[item.key]
+                self.note_build(known.upstream.group, known.upstream.build)
             return
         self.upstream_records[item.key] = UpstreamRecord(upstream, item.mod_revision)
         self.departed.pop((item.key, upstream.boot), None)
         if known is not None and known.upstream.boot != upstream.boot:
             self._record_departed(item.key, known.upstream)
+        elif known is not None and known.upstream.build != upstream.build:
+            self.note_build(known.upstream.group, known.upstream.build)
         if known is None or known.upstream != upstream:
             logger.info(
                 "upstream is known",
--- a/src/bergamotmast/direct/model.py
+++ b/src/bergamotmast/direct/model.py
@@ -196,6 +196,7 @@
     :param caller: address that the caller's connection comes from; empty if unknown.
     :param began_as: id of the caller's request that brought the first event of the
         stream; its own id unless it resumes a stream.
+    :param build: build at which a resumed stream must go on; ``None`` for any.
     :param parts: hash and length of the parts of the prompt, in order.
     :param sized_prompt: the prompt in its size class; ``None`` for a request without
         one.
@@ -213,6 +214,7 @@
     deadline: float
     caller: str = ""
     began_as: str = ""
+    build: str | None = None
     parts: tuple[tuple[int, int], ...] = ()
     sized_prompt: SizedPrompt | None = None
     tenant: Tenant | None = None
--- a/src/bergamotmast/direct/stream.py
+++ b/src/bergamotmast/direct/stream.py
@@ -46,7 +46,7 @@
         return self.attempts.excluded | self.failed_prefill_engines
 
     def on_prefilled(self) -> None:
-        """Record a completed prefill, after which any engine may decode the stream."""
+        """Record a completed prefill, after which its engine may decode the stream."""
         self.failed_prefill_engines.clear()
 
     def on_begun(self, engine: Upstream) -> None:
--- a/src/bergamotmast/direct/stream_build_exchange.py
+++ b/src/bergamotmast/direct/stream_build_exchange.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import collections.abc as cabc
+import contextlib
 import heapq
 
 import msgspec
@@ -25,8 +26,8 @@
 from .stream_builds import stream_hash
 
 COPIES = 2
-"""Number of other entries that keep a copy. One more than one, as entries are restarted
-one after the other."""
+"""Number of other entries that keep a copy: entries are restarted one after the other,
+so that a single one might be gone as well."""
 
 COPY_SECONDS = 0.25
 """Interval between two checks for streams that began before there were two builds."""
@@ -51,7 +52,7 @@
     :param entries: returns the addresses of all entries, by their keys.
     :param send: sends a datagram without blocking.
     :param pending: records that have not been sent yet.
-    :param waiting: builds that other entries are being asked for, by stream.
+    :param waiting: set once a record arrives that is being asked for, by stream.
     :param wide_queries: number of streams that all entries are being asked for.
     """
 
@@ -67,7 +68,7 @@
         self.entries = entries
         self.send = send
         self.pending: list[StreamBuild] = []
-        self.waiting: dict[int, asyncio.Future[str]] = {}
+        self.waiting: dict[int, set[asyncio.Event]] = {}
         self.wide_queries = 0
 
     def listen(self, inbox: PeerInbox) -> None:
@@ -87,42 +88,40 @@
             asyncio.get_running_loop().call_later(BATCH_WINDOW_SECONDS, self._flush)
         self.pending += records
 
-    async def find(self, stream: int) -> str | None:
-        """Return the build of a stream that another entry knows, or ``None``."""
-        # Requests that resume one stream at a time wait for the same answer.
-        future = self.waiting.get(stream)
-        if future is None:
-            future = asyncio.get_running_loop().create_future()
-            self.waiting[stream] = future
+    async def find(self, stream: int) -> None:
+        """Ask other entries for the record of a stream, which is then kept here."""
+        # One of the first may be the entry that began the stream and has ended.
+        if await self._ask(stream, self._first(COPIES + 1, stream)):
+            return
+        if self.wide_queries >= MAX_WIDE_QUERIES:
+            return
+        self.wide_queries += 1
         try:
-            # One of the first may be the entry that began the stream and has ended.
-            holders = self._first(COPIES + 1, stream)
-            build = await self._ask(stream, future, holders)
-            if build is not None or self.wide_queries >= MAX_WIDE_QUERIES:
-                return build
-            self.wide_queries += 1
-            try:
-                return await self._ask(stream, future, self._others().values())
-            finally:
-                self.wide_queries -= 1
+            await self._ask(stream, list(self._others().values()))
         finally:
-            if self.waiting.get(stream) is future:
-                del self.waiting[stream]
+            self.wide_queries -= 1
 
-    async def _ask(
-        self,
-        stream: int,
-        future: asyncio.Future[str],
-        addresses: cabc.Collection[Address],
-    ) -> str | None:
+    async def _ask(self, stream: int, addresses: cabc.Collection[Address]) -> bool:
+        """Send a query, twice if need be; return whether the record has come."""
+        if not addresses:
+            return False
         data = msgspec.msgpack.encode(StreamBuildQuery(stream))
-        for _ in range(2):
-            for address in addresses:
-                self.send(data, address)
-            done, _pending = await asyncio.wait({future}, timeout=QUERY_SECONDS)
-            if done:
-                return future.result()
-        return None
+        arrived = asyncio.Event()
+        waiting = self.waiting.setdefault(stream, set())
+        waiting.add(arrived)
+        try:
+            for _ in range(2):
+                for address in addresses:
+                    self.send(data, address)
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(QUERY_SECONDS):
+                        await arrived.wait()
+                        return True
+            return False
+        finally:
+            waiting.discard(arrived)
+            if not waiting:
+                self.waiting.pop(stream, None)
 
     def _others(self) -> dict[str, Address]:
         """Return the addresses of the other entries, by their keys."""
@@ -153,12 +152,11 @@
     def _on_copies(self, message: StreamBuildCopies, address: Address) -> None:
         now = asyncio.get_running_loop().time()
         for stream, (group, build) in message.copies.items():
-            self.stream_builds.keep(
+            self.stream_builds.on_copy(
                 StreamBuild(stream, group, build, now + RETENTION_SECONDS)
             )
-            future = self.waiting.get(stream)
-            if future is not None and not future.done():
-                future.set_result(build)
+            for arrived in self.waiting.get(stream, ()):
+                arrived.set()
 
     def _on_query(self, message: StreamBuildQuery, address: Address) -> None:
         record = self.stream_builds.record(message.stream)
--- a/src/bergamotmast/direct/stream_builds.py
+++ b/src/bergamotmast/direct/stream_builds.py
@@ -11,10 +11,14 @@
 import collections.abc as cabc
 import dataclasses
 import hashlib
+import logging
+import math
 import typing as t
 
 from .fleet import Fleet
 
+logger = logging.getLogger(__name__)
+
 RETENTION_SECONDS = 30.0
 """How long a record is kept; longer than callers go on with one stream."""
 
@@ -43,8 +47,8 @@
         """Send records to the entries that keep their copies."""
         ...
 
-    async def find(self, stream: int) -> str | None:
-        """Return the build of a stream that another entry knows, or ``None``."""
+    async def find(self, stream: int) -> None:
+        """Ask other entries for the record of a stream, which is then kept here."""
         ...
 
 
@@ -52,8 +56,6 @@
     """Records of the builds at which streams began.
 
     :param peers: other entries that keep copies; ``None`` for an entry on its own.
-    :param complete_at: when this entry knows all builds that streams may have begun at;
-        a point in time.
     :param records: records by hash, oldest first.
     :param uncopied: records that no other entry has a copy of, oldest first.
     """
@@ -61,7 +63,6 @@
     def __init__(self, fleet: Fleet) -> None:
         self.fleet = fleet
         self.peers: StreamBuildPeers | None = None
-        self.complete_at = fleet.clock() + RETENTION_SECONDS
         self.records: dict[int, StreamBuild] = {}
         self.uncopied: collections.deque[StreamBuild] = collections.deque(
             maxlen=MAX_RECORDS
@@ -74,16 +75,34 @@
         """
         expires_at = asyncio.get_running_loop().time() + RETENTION_SECONDS
         record = StreamBuild(stream_hash(request_id), group, build, expires_at)
-        self.keep(record)
-        self.uncopied.append(record)
-        if len(self.fleet.builds(group)) > 1:
-            self.copy_records()
-
-    def keep(self, record: StreamBuild) -> None:
-        """Keep a record, which replaces an older one of the same stream."""
-        self.records.pop(record.stream, None)
+        if not self._keep(record):
+            return
+        if len(self.fleet.builds(group)) > 1 and self.peers is not None:
+            self.peers.copy([record])
+        else:
+            self.uncopied.append(record)
+
+    def on_copy(self, record: StreamBuild) -> None:
+        """Keep a record that another entry has made or kept.
+
+        Its build may be registered without this entry's notice.
+        """
+        self.fleet.note_build(record.group, record.build)
+        self._keep(record)
+
+    def _keep(self, record: StreamBuild) -> bool:
+        """Keep a record; ``False`` if the stream is known to have begun elsewhere."""
+        known = self.records.pop(record.stream, record)
+        if (known.group, known.build) != (record.group, record.build):
+            self.records[record.stream] = known
+            logger.warning(
+                "stream has begun at two builds",
+                extra={"first": known.build, "second": record.build},
+            )
+            return False
         self.records[record.stream] = record
         self._drop_expired()
+        return True
 
     def copy_records(self) -> None:
         """Copy the records of groups with several builds to other entries.
@@ -106,23 +125,33 @@
         self._drop_expired()
         return self.records.get(stream)
 
-    async def find(self, request_id: str, group: str) -> str | None:
-        """Return the build at which a stream began; ``None`` if it is not known.
+    async def find(
+        self, request_id: str, groups: cabc.Sequence[str]
+    ) -> StreamBuild | None:
+        """Return where a stream began; ``None`` if it is not known.
 
         :param request_id: id of the request that brought its first event.
+        :param groups: groups in which it can go on; the first one is taken if it is
+            not known and there is only one build.
         """
         stream = stream_hash(request_id)
+        only = self._only_record(stream, groups[0])
         record = self.record(stream)
-        if record is not None:
-            return record.build
+        if record is None and (only is None or not self.fleet.knows_all_builds):
+            if self.peers is not None:
+                await self.peers.find(stream)
+            record = self.record(stream)
+        if record is not None and record.group in groups:
+            return record
+        # Another entry may have told of a build that was not known here.
+        return self._only_record(stream, groups[0]) and only
+
+    def _only_record(self, stream: int, group: str) -> StreamBuild | None:
+        """Return the record of any stream of a group with one build."""
         builds = self.fleet.builds(group)
-        only_build = next(iter(builds)) if len(builds) == 1 else None
-        # An entry that has just started doesn't know which builds have departed.
-        is_new = asyncio.get_running_loop().time() < self.complete_at
-        if self.peers is None or (only_build is not None and not is_new):
-            return only_build
-        build = await self.peers.find(stream)
-        return only_build if build is None else build
+        if len(builds) != 1:
+            return None
+        return StreamBuild(stream, group, next(iter(builds)), math.inf)
 
     def _drop_expired(self) -> None:
         now = asyncio.get_running_loop().time()
--- a/src/bergamotmast/direct/stream_run.py
+++ b/src/bergamotmast/direct/stream_run.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-import logging
-
 from ..errors import RequestError
-from ..errors import ResultCode
 from .attempt_race import AttemptRace
 from .caller import CallerReply
 from .context import Context
@@ -16,11 +13,6 @@
 from .stream import Stream
 from .stream_placer import StreamPlacer
 
-logger = logging.getLogger(__name__)
-
-UNKNOWN_BUILD = "The build at which the stream began is not known."
-"""Reason for refusing to resume a stream, as callers see it."""
-
 
 class StreamRun:
     """Runs one streamed request."""
@@ -39,32 +31,10 @@
         """
         try:
             async with self.context.time_limits.limit(self.call.deadline):
-                await self._find_build()
                 return await self._run_attempts()
         except TimeoutError:
             raise self.stream.attempts.timeout_error() from None
 
-    async def _find_build(self) -> None:
-        """Find out the build at which a resumed stream began.
-
-        :raises RequestError: if it is not known and there are several.
-        """
-        if not self.call.traits.last_event:
-            return
-        builds = self.context.stream_builds
-        build = await builds.find(self.call.began_as, self.call.group.name)
-        logger.info(
-            "stream is resumed",
-            extra={
-                "began_as": self.call.began_as,
-                "last_event": self.call.traits.last_event,
-                "build": build,
-            },
-        )
-        if build is None:
-            raise RequestError(ResultCode.NO_UPSTREAM, UNKNOWN_BUILD)
-        self.stream.attempts.build = build
-
     async def _run_attempts(self) -> int:
         attempts = self.stream.attempts
         try:
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -155,14 +155,14 @@
             settings.name, placer, fleet.entries.values, peers.send
         )
         context.notices.listen(inbox)
-        builds = StreamBuildExchange(
+        stream_build_exchange = StreamBuildExchange(
             presence_key(settings.name),
             context.stream_builds,
             lambda: fleet.entries,
             peers.send,
         )
-        builds.listen(inbox)
-        context.stream_builds.peers = builds
+        stream_build_exchange.listen(inbox)
+        context.stream_builds.peers = stream_build_exchange
         core = DirectCore(context, metrics)
         frontend = DirectHttpFrontend(core)
         callers = await _listen(
@@ -201,7 +201,7 @@
             presence.run(),
             crash_writer.run(),
             quarantine.run(),
-            builds.run(),
+            stream_build_exchange.run(),
             planner.run(),
         ]
         if context.usage is not None:
--- a/src/bergamotmast/platform/headers.py
+++ b/src/bergamotmast/platform/headers.py
@@ -114,9 +114,7 @@
 
     def write_headers(self, headers: Headers, attempt: Attempt, now: float) -> Headers:
         """Return the headers of a request to an upstream."""
-        dropped = NOT_FORWARDED
-        if attempt.last_event:
-            dropped |= {LAST_EVENT.lower()}
+        dropped = NOT_FORWARDED | {LAST_EVENT.lower()}
         written = [item for item in headers if item[0].lower() not in dropped]
         milliseconds = max(1, int((attempt.deadline - now) * 1e3))
         written.append((TIME_LEFT, str(milliseconds)))
--- a/tests/test_builds.py
+++ b/tests/test_builds.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 import itertools
@@ -15,6 +16,8 @@
 from bergamotmast.direct.presence import PRESENCE_PREFIX
 from bergamotmast.model import Role
 from bergamotmast.platform.directory import PlatformDirectory
+from bergamotmast.policy.direct_placement import EngineCandidate
+from bergamotmast.policy.direct_placement import place_prompt
 from bergamotmast.policy.direct_roles import EngineRole
 from bergamotmast.policy.direct_roles import RoleController
 from bergamotmast.ports import KeyValue
@@ -42,6 +45,7 @@
 from test_direct_roles import OrderedEngine
 from test_direct_roles import planners
 from test_direct_roles import run
+from test_silent_engines import FixedProbe
 
 LONG = {"X_Token_Count": "6000,80", "X_Prompt_Prefix": "aa:2000,bb:4000"}
 SHORT = {"X_Token_Count": "400,80", "X_Prompt_Prefix": "cc:100,dd:300"}
@@ -768,3 +772,88 @@
             await until(lambda: any(script.orders for script in scripts), 5.0)
             await asyncio.sleep(0.6)
     assert scripts[0].orders == []
+
+
+async def test_unnumbered_first_event_fixes_the_build():
+    """Guards against events of another build after an event without a number."""
+
+    async def comments(replica, received, writer) -> None:
+        await until(lambda: bool(two.received), 5.0)
+        await asyncio.sleep(0.1)
+        writer.write(head(200, received.request_id, "Transfer-Encoding: chunked"))
+        writer.write(chunk(b": waiting\n\n"))
+        await writer.drain()
+        await asyncio.sleep(1.0)
+        reset(writer)
+
+    async def later(replica, received, writer) -> None:
+        await asyncio.sleep(0.4)
+        await EngineScript()(replica, received, writer)
+
+    one, two = built("i-1", "v1", comments), built("i-2", "v2", later)
+    async with serving(one, two, liveness_probe=FixedProbe(lives=False)) as entry:
+        entry.register(two, state="draining")
+        asked = asyncio.create_task(entry.ask("/long/x", **SHORT))
+        await until(lambda: bool(one.received))
+        entry.register(two)
+        got = await asked
+    assert not (b"waiting" in got.body and b"word" in got.body)
+
+
+@pytest.mark.parametrize("odd", ["+2", "2.0", "0" * 16 + "2", "2, 2", "-1"])
+async def test_invalid_event_id_does_not_reach_an_engine(odd):
+    """Guards against an engine that resumes what the entry takes for a new stream."""
+    one = built("i-1", "v1", EngineScript())
+    async with serving(one) as entry:
+        await entry.ask("/long/x", Last_Event_Id=odd, **SHORT)
+    assert "last-event-id" not in one.received[0].headers
+
+
+async def test_stream_is_resumed_in_the_group_that_it_began_in():
+    """Guards against refusing a stream whose group another draw would not choose."""
+    split = [{"service": "llm", "weight": 0.5}, {"service": "other", "weight": 0.5}]
+    both = route(
+        "/long/", "streaming", "llm", resumable=True, **{"traffic-split": split}
+    )
+    document = config(routes=[both])
+    document["services"].append(document["services"][1] | {"name": "other"})
+    one = built("i-1", "v1", EngineScript(last=6, pause=0.02))
+    two = built("i-2", "v2", EngineScript(last=6, pause=0.02))
+    two.entry["service"] = "other"
+    async with serving(one, two, document=document) as entry:
+        for number in range(8):
+            name = f"id-{number}"
+            await entry.ask("/long/x", request_id=name, **SHORT)
+            began = one if any(r.request_id == name for r in one.received) else two
+            got = await resume(entry, f"again-{number}", name)
+            assert (got.status, got.complete) == (200, True)
+            assert began.received[-1].request_id == f"again-{number}"
+
+
+def test_builds_are_chosen_by_the_rules_for_engines():
+    """Guards against a build that gets all prompts, or one in another zone."""
+    near = EngineCandidate("near", Role.DECODE, True, 0.0, 0.01, 1.0, 1.0, build="b")
+    far = EngineCandidate("far", Role.DECODE, False, 0.0, 0.01, 1.0, 1.0, build="a")
+    placement = place_prompt([far, near], 0.5, 0.5)
+    assert placement is not None
+    assert placement.decode_engine == "near"
+    chosen = set()
+    for ties in ((1, 2), (2, 1)):
+        engines = [
+            dataclasses.replace(near, name=name, build=name, tie_break=tie)
+            for name, tie in zip("xy", ties, strict=True)
+        ]
+        placement = place_prompt(engines, 0.5, 0.5)
+        assert placement is not None
+        chosen.add(placement.decode_engine)
+    assert chosen == {"x", "y"}
+
+
+@pytest.mark.parametrize("builds", ["aaaabbbb", "aaaaaabbbbbb", "aaaaab"])
+def test_one_decode_engine_of_a_large_build_may_fail(builds):
+    """Guards against a crash that leaves a build's streams without a decode engine."""
+    roles = [Role.PREFILL] * (len(builds) - 1) + [Role.DECODE]
+    counts = collections.Counter(
+        e.build for e in settle(roles, builds, 0.0) if e.role is not Role.PREFILL
+    )
+    assert all(counts[b] >= 2 for b in set(builds) if builds.count(b) >= 4)
--- a/tests/test_stream_builds.py
+++ b/tests/test_stream_builds.py
@@ -30,7 +30,7 @@
     return fleet
 
 
-def register(fleet: Fleet, name: str, version: str) -> None:
+def registration_of(version: str) -> bytes:
     value = {
         "service": "llm",
         "address": "127.0.0.1:9",
@@ -40,7 +40,11 @@
         "state": "ready",
         "stage": "decode",
     }
-    fleet.put(KeyValue(f"servers/{name}", json.dumps(value).encode(), 1))
+    return json.dumps(value).encode()
+
+
+def register(fleet: Fleet, name: str, version: str) -> None:
+    fleet.put(KeyValue(f"servers/{name}", registration_of(version), 1))
 
 
 class Network:
@@ -57,6 +61,8 @@
         self.addresses = {f"entry-{n}": ("127.0.0.1", 1 + n) for n in range(count)}
         self.alive = set(self.addresses)
         self.fleets = {name: new_fleet(*versions) for name in self.addresses}
+        for fleet in self.fleets.values():
+            fleet.in_sync = True
         self.inboxes = {name: PeerInbox() for name in self.addresses}
         self.builds: dict[str, StreamBuilds] = {}
         self.exchanges: dict[str, StreamBuildExchange] = {}
@@ -72,6 +78,11 @@
         exchange.listen(self.inboxes[name])
         builds.peers = self.exchanges[name] = exchange
 
+    async def find(self, name: str, request_id: str) -> str | None:
+        """Return the build that an entry finds for a stream."""
+        record = await self.builds[name].find(request_id, ["llm"])
+        return None if record is None else record.build
+
     def sender(self, name: str) -> cabc.Callable[[bytes, Address], None]:
         def send(data: bytes, address: Address) -> None:
             self.sent += 1
@@ -95,7 +106,7 @@
     await asyncio.sleep(0.02)
     network.alive.remove("entry-3")
     found = await asyncio.gather(
-        *(network.builds["entry-7"].find(request_id, "llm") for request_id in began)
+        *(network.find("entry-7", request_id) for request_id in began)
     )
     wrong = [
         b for b, e in zip(found, began.values(), strict=True) if b not in (None, e)
@@ -113,7 +124,7 @@
         if name != "entry-3":
             network.start(name)
     for name in sorted(network.alive - {"entry-3"}):
-        assert await network.builds[name].find("id-1", "llm") == "v2"
+        assert await network.find(name, "id-1") == "v2"
 
 
 async def test_streams_of_one_build_cost_no_datagrams():
@@ -134,7 +145,7 @@
     network.builds["entry-0"].copy_records()
     await asyncio.sleep(0.02)
     network.alive.remove("entry-0")
-    assert await network.builds["entry-1"].find("id-1", "llm") == "v1"
+    assert await network.find("entry-1", "id-1") == "v1"
 
 
 async def test_records_are_bounded_and_expire(monkeypatch):
@@ -145,9 +156,9 @@
     for number in range(200):
         builds.on_begun(f"id-{number}", "llm", "v1")
     assert len(builds.records) <= 50
-    assert await builds.find("id-199", "llm") == "v1"
+    assert await builds.find("id-199", ["llm"]) is not None
     await asyncio.sleep(0.06)
-    assert await builds.find("id-199", "llm") is None
+    assert await builds.find("id-199", ["llm"]) is None
 
 
 async def test_spoilt_datagrams_are_dropped():
@@ -166,9 +177,57 @@
     """Guards against queries to all entries for each name that a caller makes up."""
     network = Network(30)
     names = [f"made-up-{number}" for number in range(100)]
-    found = await asyncio.gather(
-        *(network.builds["entry-0"].find(name, "llm") for name in names)
-    )
+    found = await asyncio.gather(*(network.find("entry-0", name) for name in names))
     assert set(found) == {None}
     narrow = 2 * (COPIES + 1) * len(names)
     assert network.sent <= narrow + 2 * 29 * 10
+
+
+@pytest.mark.parametrize("in_sync", [True, False])
+async def test_entry_that_has_not_heard_of_the_second_build_makes_no_guess(in_sync):
+    """Guards against the only build that an entry knows, while there is another one."""
+    network = Network(12, versions=("v1",))
+    register(network.fleets["entry-0"], "i-9", "v2")
+    network.fleets["entry-5"].in_sync = in_sync
+    began = [f"id-{number}" for number in range(40)]
+    for request_id in began:
+        network.builds["entry-0"].on_begun(request_id, "llm", "v2")
+    await asyncio.sleep(0.02)
+    found = [await network.find("entry-5", request_id) for request_id in began]
+    assert found == ["v2"] * 40
+
+
+async def test_first_record_of_a_stream_is_kept():
+    """Guards against one wrong record that spoils the right ones of all entries."""
+    network = Network(4)
+    network.builds["entry-0"].on_begun("id-1", "llm", "v2")
+    await asyncio.sleep(0.02)
+    network.builds["entry-1"].on_begun("id-1", "llm", "v1")
+    await asyncio.sleep(0.02)
+    assert await network.find("entry-0", "id-1") == "v2"
+    assert await network.find("entry-2", "id-1") == "v2"
+
+
+async def test_two_callers_of_one_stream_both_learn_its_build():
+    """Guards against a query that ends for all who wait as the first one gives up."""
+    network = Network(4)
+    network.builds["entry-0"].on_begun("id-1", "llm", "v2")
+    await asyncio.sleep(0.02)
+    for name in ("entry-1", "entry-2", "entry-3"):
+        network.start(name)
+    found = await asyncio.gather(*(network.find("entry-3", "id-1") for _ in range(5)))
+    assert found == ["v2"] * 5
+
+
+async def test_build_that_can_not_be_read_any_more_may_still_have_streams():
+    """Guards against a guess as the other build's registration can't be decoded."""
+    fleet = new_fleet("v1", "v2")
+    fleet.put(KeyValue("servers/i-1", b"{", 2))
+    assert fleet.builds("llm") == {"v1", "v2"}
+
+
+async def test_build_that_changes_under_one_name_may_still_have_streams():
+    """Guards against a guess after an engine came back with another build."""
+    fleet = new_fleet("v1")
+    fleet.put(KeyValue("servers/i-0", registration_of("v2"), 2))
+    assert fleet.builds("llm") == {"v1", "v2"}
