--- a/tests/series_callers.py
+++ b/tests/series_callers.py
@@ -146,8 +146,14 @@
     async def _ask(self, connection: Connection, target: str) -> bool:
         """Send one request; return whether the connection can carry another one."""
         sent = SentRequest(f"q-{len(self.sent)}", target, connection.incarnation)
+        return await self._send(connection, sent, X_Deadline_Ms="14000")
+
+    async def _send(
+        self, connection: Connection, sent: SentRequest, **headers: str
+    ) -> bool:
+        """Send a request with headers; return whether the connection remains."""
         self.sent.append(sent)
-        data = request(target, request_id=sent.request_id, X_Deadline_Ms="14000")
+        data = request(sent.target, request_id=sent.request_id, **headers)
         got = None
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             got = await self._exchange(connection, data)
--- a/tests/series_replica.py
+++ b/tests/series_replica.py
@@ -61,6 +61,16 @@
         """Return what is recorded of a request, without white space."""
         return received.request_id
 
+    async def wait_for_event(
+        self, received: Received, number: int, seconds: float
+    ) -> None:
+        """Wait until an event of a stream is due."""
+        await asyncio.sleep(seconds)
+
+    def event(self, number: int) -> bytes:
+        """Return an event of a stream."""
+        return event(number)
+
     def record_received(self, description: str) -> None:
         """Append a line to the record file."""
         os.write(self.record, f"{description}\n".encode())
@@ -82,8 +92,8 @@
         first = int(received.headers.get("last-event-id", "0")) + 1
         writer.write(head(200, request_id, "X-Weight-Versions: 1", *STREAM_HEADERS))
         for number in range(first, int(query["events"][0]) + 1):
-            await asyncio.sleep(pause)
-            writer.write(chunk(event(number)))
+            await self.wait_for_event(received, number, pause)
+            writer.write(chunk(self.event(number)))
             await writer.drain()
         writer.write(b"0\r\n\r\n")
 
--- a/tests/stop_series.py
+++ b/tests/stop_series.py
@@ -75,11 +75,14 @@
     :param seed: seed of the callers' random choices.
     """
 
+    fleet_class = SeriesFleet
+    callers_class = SeriesCallers
+
     def __init__(self, plan: Plan, folder: pathlib.Path, seed: int) -> None:
         self.plan = plan
         rng = random.Random(f"callers-{seed}")
-        self.fleet = SeriesFleet(plan, folder, rng)
-        self.callers = SeriesCallers(self.fleet, rng)
+        self.fleet = self.fleet_class(plan, folder, rng)
+        self.callers = self.callers_class(self.fleet, rng)
         self.none_ready_seconds = 0.0
         self.started_at = 0.0
 
@@ -93,15 +96,19 @@
                 group.create_task(self._watch_readiness())
                 await self._play()
                 self.callers.stopping.set()
-        sent, incarnations = self.callers.sent, self.fleet.incarnations
         return SeriesReport(
-            find_faults(self.plan, sent, incarnations, self.fleet.received()),
-            dict(collections.Counter(each.status for each in sent)),
+            self.find_faults(),
+            dict(collections.Counter(each.status for each in self.callers.sent)),
             len(self.callers.refused),
             self.callers.longest_refusal(),
             self.none_ready_seconds,
         )
 
+    def find_faults(self) -> list[str]:
+        """Return descriptions of everything that must not happen."""
+        sent, incarnations = self.callers.sent, self.fleet.incarnations
+        return find_faults(self.plan, sent, incarnations, self.fleet.received())
+
     async def _play(self) -> None:
         async with asyncio.TaskGroup() as group:
             group.create_task(self._store_fault())
@@ -191,10 +198,12 @@
             await send_signal(incarnation, signal.SIGCONT, stop.stall_seconds)
 
 
-async def run_plan(plan: Plan, seed: int) -> SeriesReport:
+async def run_plan(
+    plan: Plan, seed: int, series: type[Series] = Series
+) -> SeriesReport:
     """Play a plan; the logs are kept if there are faults."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"series-{seed}-"))
-    report = await Series(plan, folder, seed).run()
+    report = await series(plan, folder, seed).run()
     if report.faults:
         (folder / "faults").write_text("\n".join(report.faults) + "\n")
     else:
