--- a/tests/move_replica.py
+++ b/tests/move_replica.py
@@ -1,8 +1,9 @@
 """An engine as a process, which names itself in its events and may fall silent.
 
 Run as ``python move_replica.py PORT IDLE_SECONDS RECORD_FILE NAME BUILD SILENT_SHARE``.
-A line of the record is ``ID@NAME`` for a request that the engine decodes, and
-``ID@NAME@silent`` for one that it will not go on with.
+A line of the record is ``ID@NAME@MILLISECONDS`` for a request that the engine decodes,
+with the time that was left as it was sent, and ``ID@NAME@silent`` for one that it will
+not go on with.
 """
 
 from __future__ import annotations
@@ -39,8 +40,9 @@
         self.rng = random.Random(name)
 
     def describe(self, received: Received) -> str:
-        """Return the request's id and the engine."""
-        return f"{received.request_id}@{self.engine.name}"
+        """Return the request's id, the engine, and the time that was left."""
+        time_left = received.headers["x-deadline-ms"]
+        return f"{received.request_id}@{self.engine.name}@{time_left}"
 
     def event(self, number: int) -> bytes:
         """Return an event that names the engine and its build."""
@@ -53,7 +55,8 @@
         if self.rng.random() < self.silent_share:
             seconds = self.rng.uniform(0.8, 1.9)
             if self.rng.random() < FOREVER_SHARE:
-                self.record_received(f"{self.describe(received)}@silent")
+                name = self.engine.name
+                self.record_received(f"{received.request_id}@{name}@silent")
                 seconds = 60.0
         await asyncio.sleep(seconds)
 
--- a/tests/move_series.py
+++ b/tests/move_series.py
@@ -217,7 +217,7 @@
     def find_fault(self, ran: list[str], lost: set[str], steady: bool) -> str:
         """Return what is wrong with the result, or an empty string.
 
-        :param ran: names of the engines that decoded it, in order.
+        :param ran: names of the engines that decoded it, in the order of sending.
         :param lost: names of engines that did not go on with it.
         :param steady: whether no engine was lost or paused around that time.
         """
@@ -313,8 +313,12 @@
     def find_faults(self) -> list[str]:
         """Return descriptions of everything that must not happen."""
         ran, lost = collections.defaultdict(list), collections.defaultdict(set)
-        for name, engine, *silent in (r.split("@") for r in self.fleet.received()):
-            lost[name].add(engine) if silent else ran[name].append(engine)
+        for name, engine, mark in (r.split("@") for r in self.fleet.received()):
+            if mark == "silent":
+                lost[name].add(engine)
+            else:
+                # A paused engine records a request later than it was sent.
+                ran[name].append((-int(mark), engine))
         lost_at, paused_at = self.fleet.lost_at, self.fleet.paused_at
         disturbed = [*lost_at.values(), *(at for p in paused_at.values() for at in p)]
         faults = [each.fault() for each in self.fleet.incarnations]
@@ -322,10 +326,9 @@
             begin, end, name = one.began_at - 2.0, one.ended_at, one.request_id
             steady = not (lost[name] or any(begin < at < end for at in disturbed))
             lost[name] |= {engine for engine, at in lost_at.items() if at <= end}
-            fault = one.find_fault(ran[name], lost[name], steady)
-            faults.append(
-                fault and one.describe(fault, len(ran[name])) + f" {ran[name]}"
-            )
+            engines = [engine for _, engine in sorted(ran[name])]
+            fault = one.find_fault(engines, lost[name], steady)
+            faults.append(fault and one.describe(fault, len(engines)) + f" {engines}")
         for tries in self.callers.streams:
             if len({build for one in tries for _, build, _ in one.events}) > 1:
                 names = [(one.request_id, one.events) for one in tries if one.events]
