--- a/tests/move_replica.py
+++ b/tests/move_replica.py
@@ -2,8 +2,8 @@
 
 Run as ``python move_replica.py PORT IDLE_SECONDS RECORD_FILE NAME BUILD SILENT_SHARE``.
 A line of the record is ``ID@NAME@MILLISECONDS`` for a request that the engine decodes,
-with the time that was left as it was sent, and ``ID@NAME@silent`` for one that it will
-not go on with.
+with the time that was left as it was sent, ``ID@NAME@prefill`` for one that it only
+prefills, and ``ID@NAME@silent`` for one that it will not go on with.
 """
 
 from __future__ import annotations
@@ -62,6 +62,8 @@
 
     async def _answer(self, received: Received, writer: asyncio.StreamWriter) -> None:
         headers = received.headers
+        if headers.get("x-stage") == "prefill":
+            self.record_received(f"{received.request_id}@{self.engine.name}@prefill")
         if received.method == "DELETE" or headers.get("x-stage") == "prefill":
             await self.engine.script(self.engine, received, writer)
         else:
--- a/tests/move_series.py
+++ b/tests/move_series.py
@@ -203,10 +203,12 @@
 
     :param after: number of the last event of earlier tries.
     :param hung: whether its caller left, as it did not end by its deadline.
+    :param prefilled: whether an engine was asked to prefill its prompt.
     """
 
     after: int = 0
     hung: bool = False
+    prefilled: bool = False
 
     @property
     def events(self) -> list[tuple[int, str, str]]:
@@ -232,7 +234,8 @@
         if self.complete:
             whole = self.status == 200 and last == int(self.target.rpartition("=")[2])
             return "" if whole else f"whole after event {last}"
-        if self._may_be_lost() or not (ran or self.hung or self.status):
+        sent_on = self.prefilled or ran
+        if self._may_be_lost() or not (sent_on or self.hung or self.status):
             return ""
         if not self.status:
             return "hung" if self.hung else "neither an answer nor a refusal"
@@ -313,9 +316,12 @@
     def find_faults(self) -> list[str]:
         """Return descriptions of everything that must not happen."""
         ran, lost = collections.defaultdict(list), collections.defaultdict(set)
+        prefilled = set()
         for name, engine, mark in (r.split("@") for r in self.fleet.received()):
             if mark == "silent":
                 lost[name].add(engine)
+            elif mark == "prefill":
+                prefilled.add(name)
             else:
                 # A paused engine records a request later than it was sent.
                 ran[name].append((-int(mark), engine))
@@ -327,6 +333,7 @@
             steady = not (lost[name] or any(begin < at < end for at in disturbed))
             lost[name] |= {engine for engine, at in lost_at.items() if at <= end}
             engines = [engine for _, engine in sorted(ran[name])]
+            one.prefilled = name in prefilled
             fault = one.find_fault(engines, lost[name], steady)
             faults.append(fault and one.describe(fault, len(engines)) + f" {engines}")
         for tries in self.callers.streams:
--- a/tests/test_move_series.py
+++ b/tests/test_move_series.py
@@ -43,12 +43,14 @@
         (404, True, b"", "", "", "whole after event 0"),
         (0, False, b"", "", "", ""),
         (0, False, b"", "1", "1", "neither an answer nor a refusal"),
+        (0, False, b"", "prefilled", "", "neither an answer nor a refusal"),
     ],
 )
 def test_faults_of_tries_are_found(status, complete, body, ran, lost, fault):
     """Guards against a series that passes over a stream that was cut."""
     incarnation = EntryIncarnation(entry=0, process=None, handle=0)
     one = MoveTry("q-1", "/long/0?events=2", incarnation, status, complete, body, 1, 2)
-    names = [f"i-{number}" for number in ran.split()]
+    one.prefilled = ran == "prefilled"
+    names = [f"i-{number}" for number in ran.split() if number.isdigit()]
     gone = {f"i-{number}" for number in lost.split()}
     assert one.find_fault(names, gone, steady=not gone) == fault
