Take an engine whose attempt was withdrawn before the last event for no other choice

The check took each engine that a try was sent to after its last event's engine for one that still ran it. Events now carry their time: an engine that the try was sent to after the last event, or in the tenth of a second before it, still counts, as does the last event's own.

--- a/tests/move_replica.py
+++ b/tests/move_replica.py
@@ -12,6 +12,7 @@
 import os
 import random
 import sys
+import time
 
 from platform_standin import EngineScript
 from platform_standin import Received
@@ -45,8 +46,9 @@
         return f"{received.request_id}@{self.engine.name}@{time_left}"
 
     def event(self, number: int) -> bytes:
-        """Return an event that names the engine and its build."""
-        return event(number, f"{self.build}@{self.engine.name}")
+        """Return an event that names the engine, its build, and the present time."""
+        text = f"{self.build}@{self.engine.name}@{time.monotonic():.3f}"
+        return event(number, text)
 
     async def wait_for_event(
         self, received: Received, number: int, seconds: float
--- a/tests/move_series.py
+++ b/tests/move_series.py
@@ -45,7 +45,10 @@
 DRAINING = {"state": "draining"}
 MAX_ENGINE_PROCESSES = 100
 LOSSES = (signal.SIGKILL, signal.SIGKILL, signal.SIGSTOP)
-EVENT = re.compile(rb"id: (\d+)\ndata: ([^@\n]+)@(i-\d+)-\d+\n\n")
+EVENT = re.compile(rb"id: (\d+)\ndata: ([^@\n]+)@(i-\d+)@([0-9.]+)-\d+\n\n")
+
+TRANSIT_SECONDS = 0.1
+"""Time in which an entry receives a request, which its deadline leaves out."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -219,15 +222,17 @@
     prefilled: bool = False
 
     @property
-    def events(self) -> list[tuple[int, str, str]]:
-        """Number, build and engine of each event that arrived whole."""
+    def events(self) -> list[tuple[int, str, str, float]]:
+        """Number, build, engine and time of each event that arrived whole."""
         found = EVENT.findall(self.body)
-        return [(int(n), build.decode(), name.decode()) for n, build, name in found]
+        return [(int(n), b.decode(), e.decode(), float(at)) for n, b, e, at in found]
 
-    def find_fault(self, ran: list[str], lost: set[str], steady: bool) -> str:
+    def find_fault(
+        self, ran: list[tuple[float, str]], lost: set[str], steady: bool
+    ) -> str:
         """Return what is wrong with the result, or an empty string.
 
-        :param ran: names of the engines that decoded it, in the order of sending.
+        :param ran: when it was sent to the engines that decoded it, and their names.
         :param lost: names of engines that did not go on with it.
         :param steady: whether no engine was lost or paused around that time.
         """
@@ -248,8 +253,14 @@
         if not self.status:
             return "hung" if self.hung else "neither an answer nor a refusal"
         late = self.ended_at - self.began_at > DEADLINE_SECONDS - 0.2
-        serving = ran[ran.index(self.events[-1][2]) :] if numbers else ran
-        excused = lost.intersection(ran) if late else lost.issuperset(serving)
+        engines = {engine for _, engine in ran}
+        serving = engines
+        if self.events:
+            # Another engine that it was sent to before the last event was withdrawn.
+            *_, engine, at = self.events[-1]
+            serving = {e for sent_at, e in ran if sent_at > at - TRANSIT_SECONDS}
+            serving.add(engine)
+        excused = lost.intersection(engines) if late else lost.issuperset(serving)
         return "" if excused else f"cut after event {last}"
 
 
@@ -332,7 +343,7 @@
                 prefilled.add(name)
             else:
                 # A paused engine records a request later than it was sent.
-                ran[name].append((-int(mark), engine))
+                ran[name].append((DEADLINE_SECONDS - int(mark) / 1e3, engine))
         lost_at, disturbances = self.fleet.lost_at, self.fleet.disturbances
         faults = [each.fault() for each in self.fleet.incarnations]
         for one in self.callers.sent:
@@ -340,16 +351,16 @@
             disturbed = any(b < end and begin < e for b, e in disturbances)
             steady = not lost[name] and not disturbed
             lost[name] |= {engine for engine, at in lost_at.items() if at <= end}
-            engines = [engine for _, engine in sorted(ran[name])]
+            runs = sorted((begin + after, engine) for after, engine in ran[name])
             one.prefilled = name in prefilled
-            fault = one.find_fault(engines, lost[name], steady)
-            faults.append(fault and one.describe(fault, len(engines)) + f" {engines}")
+            fault = one.find_fault(runs, lost[name], steady)
+            faults.append(fault and one.describe(fault, len(runs)) + f" {runs}")
         for tries in self.callers.streams:
-            if len({build for one in tries for _, build, _ in one.events}) > 1:
+            if len({build for one in tries for _, build, *_ in one.events}) > 1:
                 names = [(one.request_id, one.events) for one in tries if one.events]
                 faults.append(f"two builds: {names}")
         resumed = sum(one.after > 0 for one in self.callers.sent)
-        moved = sum(len({e for *_, e in o.events}) > 1 for o in self.callers.sent)
+        moved = sum(len({e for *_, e, _ in o.events}) > 1 for o in self.callers.sent)
         print(f"{resumed} tries went on with a stream, {moved} were moved")
         return [fault for fault in faults if fault]
 
--- a/tests/test_move_series.py
+++ b/tests/test_move_series.py
@@ -13,8 +13,9 @@
 from series_checks import EntryIncarnation
 
 SEEDS = (100, 101, 102)
-ONE = b"id: 1\ndata: v1@i-1-1\n\n"
-TWO = b"id: 2\ndata: v1@i-2-2\n\n"
+ONE = b"id: 1\ndata: v1@i-1@1.5-1\n\n"
+TWO = b"id: 2\ndata: v1@i-2@2.5-2\n\n"
+TWO_OF_FIRST = b"id: 2\ndata: v1@i-1@2.5-2\n\n"
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -36,6 +37,8 @@
         (200, False, ONE, "1 2", "1", "cut after event 1"),
         (200, False, ONE, "1 2", "2", "cut after event 1"),
         (200, False, ONE + TWO, "1 2", "2", ""),
+        (200, False, ONE + TWO_OF_FIRST, "1 2", "1", ""),
+        (200, False, ONE + TWO_OF_FIRST, "1 2", "2", "cut after event 2"),
         (502, True, b"", "1", "", "failed without a cause"),
         (502, True, b"", "1", "1", ""),
         (503, True, b"", "", "", ""),
@@ -51,6 +54,6 @@
     incarnation = EntryIncarnation(entry=0, process=None, handle=0)
     one = MoveTry("q-1", "/long/0?events=2", incarnation, status, complete, body, 1, 2)
     one.prefilled = ran == "prefilled"
-    names = [f"i-{number}" for number in ran.split() if number.isdigit()]
+    runs = [(float(n), f"i-{n}") for n in ran.split() if n.isdigit()]
     gone = {f"i-{number}" for number in lost.split()}
-    assert one.find_fault(names, gone, steady=not gone) == fault
+    assert one.find_fault(runs, gone, steady=not gone) == fault
