Tell an entry that asks for an unknown stream which builds there are

Cause: the records were gone with the entries. An entry that started after the last engine of their build had left knew one build only, asked the others, got no answer, and took silence for consent; two of them knew both builds.

Evidence: entry-2's log has the build v1 for q-14, q-15, q-18 and q-23, which began at v1.1; entry-0 and entry-1 refuse the same four (build null).

An entry that doesn't know a stream answers with the builds of the group if there are several, each with the time for which it may still have streams, so that what is passed on does not live longer. The bound of test_unknown_stream_is_asked_for_a_bounded_number_of_times holds for what the asking entry sends as before; each query may now have an answer, which is bounded too.

--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -205,9 +205,13 @@
 
     def builds(self, group: str) -> set[str]:
         """Return the builds of a group that may still have streams."""
+        return set(self.build_seconds(group))
+
+    def build_seconds(self, group: str) -> dict[str, float]:
+        """Return for how many seconds each build of a group may still have streams."""
         now = self.clock()
         present = {
-            record.upstream.build
+            record.upstream.build: DEPARTED_RETENTION_SECONDS
             for record in self.upstream_records.values()
             if record.upstream.group == group
             and (
@@ -215,8 +219,12 @@
                 or now < record.gone_at + DEPARTED_RETENTION_SECONDS
             )
         }
-        recent = (seen for seen, until in self.departed_builds.items() if now < until)
-        return present.union(build for other, build in recent if other == group)
+        departed = {
+            build: until - now
+            for (other, build), until in self.departed_builds.items()
+            if other == group and now < until
+        }
+        return departed | present
 
     def registered(self, name: str) -> Upstream | None:
         """Return an upstream as it is registered, or ``None``."""
@@ -372,12 +380,18 @@
         self.departed[key, upstream.boot] = now + DEPARTED_RETENTION_SECONDS
         self.note_build(upstream.group, upstream.build)
 
-    def note_build(self, group: str, build: str) -> None:
-        """Record that streams may have begun at a build that is not registered here."""
+    def note_build(
+        self, group: str, build: str, seconds: float = DEPARTED_RETENTION_SECONDS
+    ) -> None:
+        """Record that streams may have begun at a build that is not registered here.
+
+        :param seconds: for how long such streams may go on.
+        """
         now = self.clock()
         for key in [key for key, until in self.departed_builds.items() if now >= until]:
             del self.departed_builds[key]
-        self.departed_builds[group, build] = now + DEPARTED_RETENTION_SECONDS
+        known_until = self.departed_builds.get((group, build), now)
+        self.departed_builds[group, build] = max(known_until, now + seconds)
 
     @property
     def knows_all_builds(self) -> bool:
--- a/src/bergamotmast/direct/peer_messages.py
+++ b/src/bergamotmast/direct/peer_messages.py
@@ -71,13 +71,30 @@
     """Asks an entry for the build at which a stream began.
 
     :param stream: hash of the stream.
+    :param group: group in which it is to go on.
     """
 
     stream: int
+    group: str
+
+
+class GroupBuilds(msgspec.Struct, frozen=True, array_like=True, tag="group-builds"):
+    """Builds of a group, from an entry that doesn't know a stream.
+
+    :param seconds: for how many seconds each build may still have streams.
+    """
+
+    group: str
+    seconds: dict[str, t.Annotated[float, msgspec.Meta(ge=0, le=60)]]
 
 
 PeerMessage: t.TypeAlias = (
-    NoticeBatch | UsageCounts | UsageQuery | StreamBuildCopies | StreamBuildQuery
+    NoticeBatch
+    | UsageCounts
+    | UsageQuery
+    | StreamBuildCopies
+    | StreamBuildQuery
+    | GroupBuilds
 )
 
 
--- a/src/bergamotmast/direct/stream_build_exchange.py
+++ b/src/bergamotmast/direct/stream_build_exchange.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from .peer_messages import Address
+from .peer_messages import GroupBuilds
 from .peer_messages import PeerInbox
 from .peer_messages import Send
 from .peer_messages import StreamBuildCopies
@@ -75,6 +76,7 @@
         """Receive the messages of other entries."""
         inbox.receivers[StreamBuildCopies] = self._on_copies
         inbox.receivers[StreamBuildQuery] = self._on_query
+        inbox.receivers[GroupBuilds] = self._on_builds
 
     async def run(self) -> None:
         """Copy records as soon as a group has several builds, until cancelled."""
@@ -88,26 +90,29 @@
             asyncio.get_running_loop().call_later(BATCH_WINDOW_SECONDS, self._flush)
         self.pending += records
 
-    async def find(self, stream: int) -> None:
+    async def find(self, stream: int, group: str) -> None:
         """Ask other entries for the record of a stream, which is then kept here."""
+        query = StreamBuildQuery(stream, group)
         # One of the first may be the entry that began the stream and has ended.
-        if await self._ask(stream, self._first(COPIES + 1, stream)):
+        if await self._ask(query, self._first(COPIES + 1, stream)):
             return
         if self.wide_queries >= MAX_WIDE_QUERIES:
             return
         self.wide_queries += 1
         try:
-            await self._ask(stream, list(self._others().values()))
+            await self._ask(query, list(self._others().values()))
         finally:
             self.wide_queries -= 1
 
-    async def _ask(self, stream: int, addresses: cabc.Collection[Address]) -> bool:
+    async def _ask(
+        self, query: StreamBuildQuery, addresses: cabc.Collection[Address]
+    ) -> bool:
         """Send a query, twice if need be; return whether the record has come."""
         if not addresses:
             return False
-        data = msgspec.msgpack.encode(StreamBuildQuery(stream))
+        data = msgspec.msgpack.encode(query)
         arrived = asyncio.Event()
-        waiting = self.waiting.setdefault(stream, set())
+        waiting = self.waiting.setdefault(query.stream, set())
         waiting.add(arrived)
         try:
             for _ in range(2):
@@ -121,7 +126,7 @@
         finally:
             waiting.discard(arrived)
             if not waiting:
-                self.waiting.pop(stream, None)
+                self.waiting.pop(query.stream, None)
 
     def _others(self) -> dict[str, Address]:
         """Return the addresses of the other entries, by their keys."""
@@ -163,3 +168,12 @@
         if record is not None:
             copies = {record.stream: (record.group, record.build)}
             self.send(msgspec.msgpack.encode(StreamBuildCopies(copies)), address)
+            return
+        seconds = self.stream_builds.fleet.build_seconds(message.group)
+        if len(seconds) > 1:
+            builds = GroupBuilds(message.group, seconds)
+            self.send(msgspec.msgpack.encode(builds), address)
+
+    def _on_builds(self, message: GroupBuilds, address: Address) -> None:
+        for build, seconds in message.seconds.items():
+            self.stream_builds.fleet.note_build(message.group, build, seconds)
--- a/src/bergamotmast/direct/stream_builds.py
+++ b/src/bergamotmast/direct/stream_builds.py
@@ -47,8 +47,11 @@
         """Send records to the entries that keep their copies."""
         ...
 
-    async def find(self, stream: int) -> None:
-        """Ask other entries for the record of a stream, which is then kept here."""
+    async def find(self, stream: int, group: str) -> None:
+        """Ask other entries for the record of a stream, which is then kept here.
+
+        Those that don't know it tell of the group's builds if there are several.
+        """
         ...
 
 
@@ -139,7 +142,7 @@
         record = self.record(stream)
         if record is None and (only is None or not self.fleet.knows_all_builds):
             if self.peers is not None:
-                await self.peers.find(stream)
+                await self.peers.find(stream, groups[0])
             record = self.record(stream)
         if record is not None and record.group in groups:
             return record
