Move parsing of addresses and counts out of the platform's folder

No change in behaviour; fleet.py loses them too.

make check passes; tests/test_direct_fleet.py, test_direct_fuzz.py and test_platform_boundary.py pass.

--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -6,7 +6,6 @@
 import collections.abc as cabc
 import dataclasses
 import enum
-import ipaddress
 import logging
 import math
 import typing as t
@@ -21,6 +20,7 @@
 from ..protocol.plan import ENGINES_PREFIX
 from ..protocol.plan import decode_engine_plan
 from ..protocol.plan import engine_of_key
+from .addresses import datagram_address
 from .model import Group
 from .model import Upstream
 from .ports import Directory
@@ -45,9 +45,6 @@
 TYPICAL_ROLE_CHANGE_SECONDS = 3.2
 """Typical time from an order to the first request under the new role."""
 
-MAX_PORT = 65_535
-"""Highest UDP port number."""
-
 DEPARTED_RETENTION_SECONDS = 60.0
 """How long a departed upstream is remembered, to recognize its registration after a
 restore of the store from a backup that is a few seconds old."""
@@ -415,7 +412,7 @@
             self.first_ready.set()
 
     def _put_entry(self, item: KeyValue) -> None:
-        address = _datagram_address(item.value)
+        address = datagram_address(item.value)
         if address is None:
             logger.warning("entry's address is invalid", extra={"key": item.key})
             self._forget_entry(item.key)
@@ -513,18 +510,3 @@
     prefix: str, items: tuple[KeyValue, ...]
 ) -> tuple[KeyValue, ...]:
     return tuple(item for item in items if item.key.startswith(prefix))
-
-
-def _datagram_address(value: bytes) -> tuple[str, int] | None:
-    """Return an entry's address, or ``None`` if it is not an IP address and a port.
-
-    A host name would be resolved for every datagram, blocking the event loop. A port
-    out of range would close the socket that sends the datagrams.
-    """
-    host, _, port = value.decode(errors="replace").rpartition(":")
-    try:
-        ipaddress.ip_address(host)
-        number = int(port)
-    except ValueError:
-        return None
-    return (host, number) if 0 < number <= MAX_PORT else None
--- a/src/bergamotmast/platform/directory.py
+++ b/src/bergamotmast/platform/directory.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import msgspec
-import yarl
 
+from ..direct.addresses import check_http_address
 from ..direct.model import CallerLimits
 from ..direct.model import CallKind
 from ..direct.model import EngineTraits
@@ -141,7 +141,7 @@
             registration = msgspec.json.decode(value, type=_Registration)
             leaving = _LEAVING_BY_STATE[registration.state]
             role = Role(registration.stage) if registration.stage else None
-            _check_address(registration.address)
+            check_http_address(registration.address)
         except (msgspec.DecodeError, KeyError, ValueError) as error:
             raise ConfigError(f"{key} can't be decoded: {error}") from error
         return Upstream(
@@ -157,14 +157,6 @@
         )
 
 
-def _check_address(address: str) -> None:
-    """Raise :exc:`ValueError` unless an address is ``host:port``."""
-    host, _, port = address.rpartition(":")
-    parsed = yarl.URL.build(scheme="http", host=host, port=int(port))
-    if not parsed.port or parsed.host != host:
-        raise ValueError(f"address {address!r} is not host:port")
-
-
 def _to_route(route: _Route) -> Route:
     split = route.traffic_split or (_Split(route.service),)
     return Route(
--- a/src/bergamotmast/platform/headers.py
+++ b/src/bergamotmast/platform/headers.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ..direct.forwarding import only_value
+from ..direct.header_values import count
 from ..direct.model import CallTraits
 from ..direct.model import PromptPart
 from ..direct.ports import Attempt
@@ -107,10 +108,10 @@
             time_left=None
             if time_left is None
             else _parse_milliseconds(TIME_LEFT, time_left) / 1e3,
-            last_event=_parse_count(headers.get(LAST_EVENT, "")),
+            last_event=count(headers.get(LAST_EVENT, "")),
             prompt_tokens=prompt_tokens,
             max_tokens=max_tokens,
-            expected_tokens=_parse_count(headers.get(LENGTH_ESTIMATE, "")),
+            expected_tokens=count(headers.get(LENGTH_ESTIMATE, "")),
             parts=_parse_parts(headers.get(PROMPT_PARTS, "")),
         )
 
@@ -190,15 +191,9 @@
     return value
 
 
-def _parse_count(text: str) -> int:
-    """Return a count, which is only a hint; 0 if it is missing or invalid."""
-    text = text.strip()
-    return int(text) if text.isascii() and text.isdigit() and len(text) < 16 else 0
-
-
 def _parse_token_counts(text: str) -> tuple[int, int]:
     first, _, second = text.partition(",")
-    return _parse_count(first), _parse_count(second)
+    return count(first), count(second)
 
 
 def _parse_parts(text: str) -> tuple[PromptPart, ...]:
@@ -208,10 +203,10 @@
         if _HEXADECIMAL.fullmatch(key):
             key = key.lower().lstrip("0") or "0"
         if key:
-            parts.append(PromptPart(key, _parse_count(tokens)))
+            parts.append(PromptPart(key, count(tokens)))
     return tuple(parts)
 
 
 def _parse_load(text: str) -> LoadHint | None:
-    numbers = [_parse_count(part) for part in text.split(",")]
+    numbers = [count(part) for part in text.split(",")]
     return LoadHint(*numbers) if len(numbers) == 3 else None
