Log the limits that upstreams name for their requests

Every reply of a request now passes its limit to RateLimits, which logs when one begins, changes or ends; the gauge upstreams_limited counts them. Nothing is decided by it yet. A limit that is no decimal number is neither named nor withdrawn; of several, the lowest counts; a reply that may have been written before the limit doesn't withdraw it.

--- a/src/bergamotmast/direct/context.py
+++ b/src/bergamotmast/direct/context.py
@@ -28,6 +28,7 @@
 from .ports import ReplyTraits
 from .ports import UpstreamClient
 from .prefill_notice import PrefillNotice
+from .rate_limits import RateLimits
 from .retry_budget import SharedRetryBudget
 from .stream_builds import StreamBuilds
 from .time_limits import TimeLimits
@@ -47,6 +48,7 @@
     :param mix: moving average of the prefill and decode load of this entry's streams.
     :param size_shares: share of prompts served, by route and size class.
     :param retry_budget: this entry's share of the retry budget.
+    :param rate_limits: limits that upstreams name for their requests.
     :param crash_detector: detector of upstreams that crashed with a run.
     :param quarantine: quarantine of requests that crash upstreams.
     :param liveness_probe: probe of engines; ``None`` if there is none.
@@ -62,6 +64,7 @@
     placer: RequestPlacer
     rng: random.Random
     retry_budget: SharedRetryBudget
+    rate_limits: RateLimits
     quarantine: Quarantine
     crash_detector: CrashDetector
     notices: NoticeExchange | None = None
@@ -147,6 +150,8 @@
             self.placer.on_load(upstream, traits.load)
         if traits.request_id not in ("", call.traits.request_id):
             raise ReplyLostError("the reply belongs to another request")
+        if not traits.wrong_upstream and traits.rate_limit is not None:
+            self.rate_limits.on_reply(upstream, traits.rate_limit, sent_at)
         return traits
 
     def check_reply(self, call: Call, reply: Reply, traits: ReplyTraits) -> None:
--- a/src/bergamotmast/direct/header_values.py
+++ b/src/bergamotmast/direct/header_values.py
@@ -2,12 +2,37 @@
 
 from __future__ import annotations
 
+import collections.abc as cabc
+import re
+
 MAX_COUNT_DIGITS = 15
 """Maximum length of a count; longer ones are invalid."""
 
+_DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12}")
+
 
 def count(text: str) -> int:
     """Return a count, which is only a hint; 0 if it is missing or invalid."""
     text = text.strip()
     is_valid = text.isascii() and text.isdigit() and len(text) <= MAX_COUNT_DIGITS
     return int(text) if is_valid else 0
+
+
+def lowest_number(
+    headers: cabc.Mapping[str, str], name: str, missing: float
+) -> float | None:
+    """Return the lowest of the decimal numbers that the headers of a name hold.
+
+    Signs, exponents and anything else than digits and a point are invalid.
+
+    :param headers: lookups ignore case, and all repeated headers are items.
+    :param missing: returned if there is no such header.
+    :returns: ``None`` if no value is valid.
+    """
+    if name not in headers:
+        return missing
+    lower = name.lower()
+    texts = (text.strip() for other, text in headers.items() if other.lower() == lower)
+    return min(
+        (float(text) for text in texts if _DECIMAL.fullmatch(text)), default=None
+    )
--- a/src/bergamotmast/direct/ports.py
+++ b/src/bergamotmast/direct/ports.py
@@ -5,6 +5,7 @@
 import collections.abc as cabc
 import contextlib
 import dataclasses
+import math
 import typing as t
 
 from .model import CallTraits
@@ -61,6 +62,8 @@
     :param wrong_upstream: whether another upstream than the expected one replied.
     :param weights: version of the weights in use; empty if unknown.
     :param load: reported load; ``None`` if missing.
+    :param rate_limit: requests a second that the upstream takes from all entries
+        together; infinity if it names no limit, ``None`` if its limit is invalid.
     """
 
     request_id: str
@@ -69,6 +72,7 @@
     wrong_upstream: bool
     weights: str
     load: LoadHint | None = None
+    rate_limit: float | None = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -33,6 +33,7 @@
 from .direct.placer import RequestPlacer
 from .direct.presence import Presence
 from .direct.presence import presence_key
+from .direct.rate_limits import RateLimits
 from .direct.retry_budget import SharedRetryBudget
 from .direct.role_planner import Duty
 from .direct.role_planner import RolePlanner
@@ -149,6 +150,7 @@
             placer,
             rng,
             retry_budget,
+            RateLimits(fleet, metrics),
             quarantine,
             CrashDetector(fleet, metrics, TcpConnectionProbe()),
             liveness_probe=orders,
--- a/src/bergamotmast/platform/headers.py
+++ b/src/bergamotmast/platform/headers.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import collections.abc as cabc
+import math
 import re
 
 import msgspec
 
 from ..direct.forwarding import only_value
 from ..direct.header_values import count
+from ..direct.header_values import lowest_number
 from ..direct.model import CallTraits
 from ..direct.model import PromptPart
 from ..direct.ports import Attempt
@@ -40,6 +42,8 @@
 NOT_RUN = "X-Not-Executed"
 WEIGHTS = "X-Weight-Versions"
 LOAD = "X-Server-Load"
+RATE_LIMIT = "Server-Limit"
+"""Requests a second that a replica takes from all machines together."""
 API_KEY = "X-Api-Key"
 TENANT = "X-Tenant"
 
@@ -148,6 +152,7 @@
             wrong_upstream=wrong_upstream,
             weights=headers.get(WEIGHTS, ""),
             load=_parse_load(headers.get(LOAD, "")),
+            rate_limit=lowest_number(headers, RATE_LIMIT, missing=math.inf),
         )
 
     def read_prefilled(self, body: bytes) -> Prefilled:
--- a/src/bergamotmast/telemetry.py
+++ b/src/bergamotmast/telemetry.py
@@ -73,6 +73,10 @@
         """Count connections that were closed unread."""
         ...
 
+    def on_limited_upstreams(self, upstreams: int) -> None:
+        """Record the number of upstreams that limit their requests."""
+        ...
+
     def on_usage_window(self, outcome: str) -> None:
         """Count a window of usage.
 
@@ -129,5 +133,8 @@
     def on_refused_connections(self, connections: int) -> None:
         """Discard the measurement."""
 
+    def on_limited_upstreams(self, upstreams: int) -> None:
+        """Discard the measurement."""
+
     def on_usage_window(self, outcome: str) -> None:
         """Discard the measurement."""
--- a/tests/direct_support.py
+++ b/tests/direct_support.py
@@ -21,6 +21,7 @@
 from bergamotmast.direct.http_frontend import DirectHttpFrontend
 from bergamotmast.direct.placer import RequestPlacer
 from bergamotmast.direct.ports import LivenessProbe
+from bergamotmast.direct.rate_limits import RateLimits
 from bergamotmast.direct.retry_budget import SharedRetryBudget
 from bergamotmast.platform.directory import PlatformDirectory
 from bergamotmast.platform.headers import PlatformDialect
@@ -198,6 +199,7 @@
             placer,
             rng,
             SharedRetryBudget(fleet, RetryLimits(), telemetry),
+            RateLimits(fleet, telemetry),
             Quarantine("entry-1", telemetry, rng, Trials("entry-1")),
             CrashDetector(fleet, telemetry, TcpConnectionProbe()),
             liveness_probe=liveness_probe,
--- a/tests/prompt_load.py
+++ b/tests/prompt_load.py
@@ -26,6 +26,7 @@
 from bergamotmast.direct.notices import NoticeExchange
 from bergamotmast.direct.peer_messages import PeerInbox
 from bergamotmast.direct.placer import RequestPlacer
+from bergamotmast.direct.rate_limits import RateLimits
 from bergamotmast.direct.retry_budget import SharedRetryBudget
 from bergamotmast.platform.directory import PlatformDirectory
 from bergamotmast.platform.headers import PlatformDialect
@@ -299,6 +300,7 @@
             placer,
             rng,
             retry_budget,
+            RateLimits(fleet, telemetry),
             Quarantine(name, telemetry, rng, Trials(name)),
             CrashDetector(fleet, telemetry),
             liveness_probe=LiveEngines(),
