Choose the entries responsible for a stream in a module of its own

The assignment of sends to limited upstreams needs the same choice. No change in behaviour; tests/test_stream_builds.py and test_builds.py pass.

--- a/src/bergamotmast/direct/stream_build_exchange.py
+++ b/src/bergamotmast/direct/stream_build_exchange.py
@@ -11,10 +11,10 @@
 import asyncio
 import collections.abc as cabc
 import contextlib
-import heapq
 
 import msgspec
 
+from ..policy.entry_ranking import first_entries
 from .peer_messages import Address
 from .peer_messages import GroupBuilds
 from .peer_messages import PeerInbox
@@ -24,7 +24,6 @@
 from .stream_builds import RETENTION_SECONDS
 from .stream_builds import StreamBuild
 from .stream_builds import StreamBuilds
-from .stream_builds import stream_hash
 
 COPIES = 2
 """Number of other entries that keep a copy: entries are restarted one after the other,
@@ -136,10 +135,7 @@
     def _first(self, count: int, stream: int) -> list[Address]:
         """Return the addresses of the other entries that rank first for a stream."""
         others = self._others()
-        chosen = heapq.nlargest(
-            count, others, key=lambda key: stream_hash(f"{key}\0{stream}")
-        )
-        return [others[key] for key in chosen]
+        return [others[key] for key in first_entries(count, others, stream)]
 
     def _flush(self) -> None:
         pending, self.pending = self.pending, []
--- a/src/bergamotmast/direct/stream_builds.py
+++ b/src/bergamotmast/direct/stream_builds.py
@@ -10,11 +10,11 @@
 import collections
 import collections.abc as cabc
 import dataclasses
-import hashlib
 import logging
 import math
 import typing as t
 
+from ..policy.entry_ranking import stable_hash
 from .fleet import Fleet
 
 logger = logging.getLogger(__name__)
@@ -77,7 +77,7 @@
         :param request_id: id of the request that brought its first event.
         """
         expires_at = asyncio.get_running_loop().time() + RETENTION_SECONDS
-        record = StreamBuild(stream_hash(request_id), group, build, expires_at)
+        record = StreamBuild(stable_hash(request_id), group, build, expires_at)
         if not self._keep(record):
             return
         if len(self.fleet.builds(group)) > 1 and self.peers is not None:
@@ -137,7 +137,7 @@
         :param groups: groups in which it can go on; the first one is taken if it is
             not known and there is only one build.
         """
-        stream = stream_hash(request_id)
+        stream = stable_hash(request_id)
         only = self._only_record(stream, groups[0])
         record = self.record(stream)
         if record is None and (only is None or not self.fleet.knows_all_builds):
@@ -163,9 +163,3 @@
             if now < oldest.expires_at and len(self.records) <= MAX_RECORDS:
                 return
             del self.records[oldest.stream]
-
-
-def stream_hash(request_id: str) -> int:
-    """Return the hash that identifies a stream among the entries."""
-    encoded = request_id.encode(errors="surrogatepass")
-    return int.from_bytes(hashlib.blake2b(encoded, digest_size=8).digest())
