Plan roles without engines that take far less than their part

An engine whose limit is below half of its even part of its role's requests for 1.5 s is left out of the planner's count, like one that is lost; it goes on serving what it takes. In test_limited_engines.py the planner of that fleet orders a prefill engine to decode.

--- a/src/bergamotmast/direct/retry_budget.py
+++ b/src/bergamotmast/direct/retry_budget.py
@@ -10,6 +10,7 @@
 import asyncio
 import logging
 
+from ..policy.retry_window import WINDOW_SECONDS
 from ..policy.retry_window import RetryLimits
 from ..policy.retry_window import RetryWindow
 from ..telemetry import Telemetry
@@ -35,6 +36,12 @@
         """Count a caller's request for a group."""
         self._window(group).on_request(asyncio.get_running_loop().time())
 
+    def request_rate(self, group: str) -> float:
+        """Return the requests a second that come for a group, at this entry."""
+        now = asyncio.get_running_loop().time()
+        state = self._window(group).account(self._share(now), now)
+        return state.requests / WINDOW_SECONDS
+
     def has_room(self, group: str) -> bool:
         """Return whether the budget has room for a retry in a group."""
         now = asyncio.get_running_loop().time()
--- a/src/bergamotmast/direct/role_planner.py
+++ b/src/bergamotmast/direct/role_planner.py
@@ -101,6 +101,16 @@
         ...
 
 
+class EngineLimits(t.Protocol):
+    """Tells which engines take too few requests to count for their role."""
+
+    def lost(
+        self, group: str, engines: cabc.Collection[Upstream], now: float
+    ) -> set[str]:
+        """Return the names of such engines of a group."""
+        ...
+
+
 class Duty(t.Protocol):
     """Work that only one entry at a time does, beside the planning of roles."""
 
@@ -134,6 +144,7 @@
     :param name: name of this entry, sent with each order.
     :param hold_off_seconds: hold-off time between two holders' orders to one engine.
     :param duties: other work of the lease's holder.
+    :param limits: engines that limit their requests; ``None`` to count them as whole.
     :param controllers: role controllers, by group.
     :param pending: orders not known to have been carried out, by engine.
     :param hold_off_until: when the hold-off ends, by engine that another holder may
@@ -155,7 +166,9 @@
         hold_off_seconds: float,
         rng: random.Random,
         duties: cabc.Sequence[Duty] = (),
+        limits: EngineLimits | None = None,
     ) -> None:
+        self.limits = limits
         self.duties = duties
         self.name = name
         self.election = election
@@ -248,7 +261,9 @@
         for group in self.fleet.engine_groups():
             members = self.fleet.present(group, now)
             self._drop_finished_orders(members, now)
-            roles = [self._engine_role(member, now) for member in members]
+            lost = self.limits.lost(group, members, now) if self.limits else set()
+            serving = [member for member in members if member.name not in lost]
+            roles = [self._engine_role(member, now) for member in serving]
             engines = [role for role in roles if role is not None]
             controller = self.controllers.setdefault(group, RoleController())
             order = controller.decide(engines, self.mix.decode_share, now)
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -26,6 +26,7 @@
 from .direct.crash_detector import CrashDetector
 from .direct.fleet import Fleet
 from .direct.http_frontend import DirectHttpFrontend
+from .direct.limited_engines import LimitedEngineWatch
 from .direct.named_limits import NamedLimits
 from .direct.notices import NoticeExchange
 from .direct.overload_watch import OverloadWatch
@@ -307,6 +308,7 @@
         settings.order_pause_ms / 1e3,
         context.rng,
         duties,
+        LimitedEngineWatch(context.fleet, context.rate_limits, context.retry_budget),
     )
 
 
