Log when an upstream says in a reply that it leaves

Needed to tell the hypotheses on DRAIN apart: the record says that the answers of an engine told an entry so at 7.555 s, and the entry's log holds nothing about it before the store's word at 20.5 s. No line tells whether the reply was not read, or was overruled by the store's registration, which says ready all the while. Nothing is decided by it yet.

--- a/src/bergamotmast/direct/context.py
+++ b/src/bergamotmast/direct/context.py
@@ -150,10 +150,17 @@
             self.placer.on_load(upstream, traits.load)
         if traits.request_id not in ("", call.traits.request_id):
             raise ReplyLostError("the reply belongs to another request")
-        if not traits.wrong_upstream and traits.rate_limit is not None:
+        if not traits.wrong_upstream:
+            self._apply(upstream, traits, sent_at)
+        return traits
+
+    def _apply(self, upstream: Upstream, traits: ReplyTraits, sent_at: float) -> None:
+        """Apply what an upstream says of itself in a reply."""
+        if traits.rate_limit is not None:
             limits = self.rate_limits.limits
             limits.on_reply(upstream, traits.rate_limit, sent_at)
-        return traits
+        if traits.leaving:
+            self.fleet.on_leaving(upstream)
 
     def check_reply(self, call: Call, reply: Reply, traits: ReplyTraits) -> None:
         """Check that a reply may be forwarded as the response to this request.
--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -26,6 +26,7 @@
 from .ports import Directory
 from .presence import PRESENCE_PREFIX
 from .routing import RouteTable
+from .said_leaving import SaidLeaving
 
 logger = logging.getLogger(__name__)
 
@@ -126,6 +127,7 @@
     :param upstream_records: registered upstreams, by key.
     :param departed: when the record of a departed upstream expires, by key and boot;
         points in time.
+    :param said_leaving: upstreams that have said in a reply that they leave.
     :param departed_builds: until when streams may go on that began at the build of a
         departed upstream, by group and build; points in time.
     :param all_builds_known_at: when builds that came and went before the last reading
@@ -158,6 +160,7 @@
         self.upstreams_loaded = False
         self.upstream_records: dict[str, UpstreamRecord] = {}
         self.departed: dict[tuple[str, str], float] = {}
+        self.said_leaving = SaidLeaving()
         self.departed_builds: dict[tuple[str, str], float] = {}
         self.all_builds_known_at = -math.inf
         self.outdated_revisions: dict[str, int] = {}
@@ -385,6 +388,24 @@
         self.departed[key, upstream.boot] = now + DEPARTED_RETENTION_SECONDS
         self.note_build(upstream.group, upstream.build)
 
+    def on_leaving(self, upstream: Upstream) -> None:
+        """Record that an upstream says in a reply that it leaves."""
+        if upstream in self.said_leaving:
+            return
+        now = self.clock()
+        upstreams = [record.upstream for record in self.upstream_records.values()]
+        registered = {(known.name, known.boot) for known in upstreams}
+        self.said_leaving.forget(registered, now - DEPARTED_RETENTION_SECONDS)
+        self.said_leaving.add(upstream, now)
+        logger.info(
+            "upstream says that it leaves",
+            extra={
+                "upstream": upstream.name,
+                "group": upstream.group,
+                "in_sync": self.in_sync,
+            },
+        )
+
     def note_build(
         self, group: str, build: str, seconds: float = DEPARTED_RETENTION_SECONDS
     ) -> None:
--- a/src/bergamotmast/direct/header_values.py
+++ b/src/bergamotmast/direct/header_values.py
@@ -18,6 +18,17 @@
     return int(text) if is_valid else 0
 
 
+def all_values(headers: cabc.Mapping[str, str], name: str) -> list[str]:
+    """Return the values of all headers of a name, without white space around them.
+
+    :param headers: lookups ignore case, and all repeated headers are items.
+    """
+    if name not in headers:
+        return []
+    lower = name.lower()
+    return [text.strip() for other, text in headers.items() if other.lower() == lower]
+
+
 def lowest_number(
     headers: cabc.Mapping[str, str], name: str, missing: float
 ) -> float | None:
@@ -25,14 +36,12 @@
 
     Signs, exponents and anything else than digits and a point are invalid.
 
-    :param headers: lookups ignore case, and all repeated headers are items.
     :param missing: returned if there is no such header.
     :returns: ``None`` if no value is valid.
     """
     if name not in headers:
         return missing
-    lower = name.lower()
-    texts = (text.strip() for other, text in headers.items() if other.lower() == lower)
+    texts = all_values(headers, name)
     return min(
         (float(text) for text in texts if _DECIMAL.fullmatch(text)), default=None
     )
--- a/src/bergamotmast/direct/ports.py
+++ b/src/bergamotmast/direct/ports.py
@@ -64,6 +64,7 @@
     :param load: reported load; ``None`` if missing.
     :param rate_limit: requests a second that the upstream takes from all entries
         together; infinity if it names no limit, ``None`` if its limit is invalid.
+    :param leaving: whether the upstream says that it leaves.
     """
 
     request_id: str
@@ -73,6 +74,7 @@
     weights: str
     load: LoadHint | None = None
     rate_limit: float | None = math.inf
+    leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/bergamotmast/platform/headers.py
+++ b/src/bergamotmast/platform/headers.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from ..direct.forwarding import only_value
+from ..direct.header_values import all_values
 from ..direct.header_values import count
 from ..direct.header_values import lowest_number
 from ..direct.model import CallTraits
@@ -44,6 +45,7 @@
 LOAD = "X-Server-Load"
 RATE_LIMIT = "Server-Limit"
 """Requests a second that a replica takes from all machines together."""
+LEAVING = "Server-Leaving"
 API_KEY = "X-Api-Key"
 TENANT = "X-Tenant"
 
@@ -153,6 +155,7 @@
             weights=headers.get(WEIGHTS, ""),
             load=_parse_load(headers.get(LOAD, "")),
             rate_limit=lowest_number(headers, RATE_LIMIT, missing=math.inf),
+            leaving="1" in all_values(headers, LEAVING),
         )
 
     def read_prefilled(self, body: bytes) -> Prefilled:
--- a/tests/limit_support.py
+++ b/tests/limit_support.py
@@ -74,14 +74,31 @@
         return getattr(self.writer, name)
 
 
-class LimitedScript:
-    """Script of a replica that names a limit while it has one.
+class HeaderScript:
+    """Script of a replica that adds a header to its answers.
+
+    :param line: the header; empty for none.
+    """
+
+    def __init__(self, script: Script, line: str = "") -> None:
+        self.script = script
+        self.line = line
+
+    async def __call__(
+        self, replica: Replica, received: Received, writer: asyncio.StreamWriter
+    ) -> None:
+        with_line: t.Any = _HeaderWriter(writer, self.line) if self.line else writer
+        await self.script(replica, received, with_line)
+
+
+class LimitedScript(HeaderScript):
+    """Script of a replica that names a limit while it has one, and records requests.
 
     :param limit: value of the header; empty for none.
     """
 
     def __init__(self, script: Script, limit: str = "") -> None:
-        self.script = script
+        super().__init__(script)
         self.limit = limit
         self.record = LimitRecord()
 
@@ -91,10 +108,8 @@
         entry = received.request_id.partition("/")[0]
         if entry:
             self.record.arrivals.append((time.monotonic(), entry))
-        named: t.Any = writer
-        if self.limit:
-            named = _HeaderWriter(writer, f"Server-Limit: {self.limit}")
-        await self.script(replica, received, named)
+        self.line = f"Server-Limit: {self.limit}" if self.limit else ""
+        await super().__call__(replica, received, writer)
         if self.limit and entry:
             self.record.told.setdefault(entry, time.monotonic())
 
