Send no new request to an upstream that has said that it leaves

What callers saw: in the record nothing, as the engine still answered; a request sent there a moment later would have been cut off.

An entry knew only the store's word, which came 13 s later, as the store was down from 7.0 to 20.2 s. Class: what an upstream says of itself in its replies is not heard.

Change: a reply that says so has the effect of a registration that does, for as long as the incarnation lasts, and overrules later registrations of it. A request that has waited for a permit or a trial is looked at once more before it is sent.

Why it works: every reply to a request passes read_reply, and every choice of an upstream takes Fleet.members.

--- a/src/bergamotmast/direct/attempts.py
+++ b/src/bergamotmast/direct/attempts.py
@@ -189,6 +189,11 @@
         self.tried_parts = tuple(quarantine.parts.parts_on_trial(self.parts))
         return quarantine.run_apart(self.fingerprint, incarnation, self.tried_parts)
 
+    def is_still_open(self, upstream: Upstream) -> bool:
+        """Return whether an upstream still takes requests, as `run_apart` may wait."""
+        now = asyncio.get_running_loop().time()
+        return self.context.fleet.takes_requests(upstream, now)
+
     def on_begun(self, at: float) -> None:
         """Count the request in its tenant's usage when it begins to run.
 
--- a/src/bergamotmast/direct/decode_attempt.py
+++ b/src/bergamotmast/direct/decode_attempt.py
@@ -114,7 +114,7 @@
         attempts = self.stream.attempts
         attempts.begin(self.upstream)
         async with attempts.run_apart(self.upstream) as granted:
-            if not granted:
+            if not granted or not attempts.is_still_open(self.upstream):
                 attempts.on_not_sent(self.upstream)
                 return None
             return await self._run()
--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -211,6 +211,20 @@
             and (record.gone_at is None or now < record.gone_at)
         ]
 
+    def takes_requests(self, upstream: Upstream, now: float) -> bool:
+        """Return whether an upstream that was chosen earlier may still be sent to."""
+        record = self.upstream_records.get(self._key(upstream))
+        return (
+            record is not None
+            and record.upstream.boot == upstream.boot
+            and not record.upstream.leaving
+            and (record.gone_at is None or now < record.gone_at)
+        )
+
+    def _key(self, upstream: Upstream) -> str:
+        """Return the key under which an upstream registers."""
+        return self.directory.upstream_prefix + upstream.name
+
     def builds(self, group: str) -> set[str]:
         """Return the builds of a group that may still have streams."""
         return set(self.build_seconds(group))
@@ -397,6 +411,9 @@
         registered = {(known.name, known.boot) for known in upstreams}
         self.said_leaving.forget(registered, now - DEPARTED_RETENTION_SECONDS)
         self.said_leaving.add(upstream, now)
+        record = self.upstream_records.get(self._key(upstream))
+        if record is not None and record.upstream.boot == upstream.boot:
+            record.upstream = dataclasses.replace(record.upstream, leaving=True)
         logger.info(
             "upstream says that it leaves",
             extra={
@@ -526,6 +543,8 @@
                 del self.upstream_records[item.key]
                 self.note_build(known.upstream.group, known.upstream.build)
             return
+        if upstream in self.said_leaving:
+            upstream = dataclasses.replace(upstream, leaving=True)
         self.upstream_records[item.key] = UpstreamRecord(upstream, item.mod_revision)
         self.departed.pop((item.key, upstream.boot), None)
         if known is not None and known.upstream.boot != upstream.boot:
--- a/src/bergamotmast/direct/plain_run.py
+++ b/src/bergamotmast/direct/plain_run.py
@@ -147,7 +147,7 @@
             raise
         self.newest = upstream
         async with self.attempts.run_apart(upstream) as granted:
-            if not granted:
+            if not granted or not self.attempts.is_still_open(upstream):
                 self.attempts.on_not_sent(upstream)
                 return None
             return await self._run(upstream)
--- a/src/bergamotmast/direct/send_permits.py
+++ b/src/bergamotmast/direct/send_permits.py
@@ -72,14 +72,19 @@
         return True
 
     async def take(self, upstream: Upstream) -> bool:
-        """Wait until a permit is due; return whether there is one in time."""
+        """Wait until a permit is due; return whether the request may be sent then.
+
+        It may not if there is no permit in time, or if the upstream has meanwhile begun
+        to leave.
+        """
         if not await self.reserve(upstream):
             return False
         at = self.held.pop((upstream.name, upstream.boot), -math.inf)
         delay = at - asyncio.get_running_loop().time()
         if delay > 0.0:
             await asyncio.sleep(delay)
-        return True
+        now = asyncio.get_running_loop().time()
+        return self.limits.fleet.takes_requests(upstream, now)
 
     def holds(self, upstream: Upstream, now: float) -> bool:
         """Return whether a permit is held that may still be used."""
