Log when an upstream asks for rest

The entry's log shows each refusal (send failed, not run), but not that it asked for rest; so it can't be told whether the request was not read, or was read and overruled, as decode engines are all kept where all of them cool down. The counter upstream_rests_total counts them. Nothing is decided by it yet.

Rest is a decimal number of seconds in a reply with status 503, or 429, which means the same. A 500 ran the request and asks for nothing.

--- a/src/bergamotmast/adapters/metrics.py
+++ b/src/bergamotmast/adapters/metrics.py
@@ -134,6 +134,7 @@
         self.quarantined = meter.create_gauge("requests.quarantined")
         self.quarantined_parts = meter.create_gauge("prompt.parts.quarantined")
         self.refused_connections = meter.create_counter("connections.refused")
+        self.rests = meter.create_counter("upstream.rests")
         self.limited_upstreams = meter.create_gauge("upstreams.limited")
         self.usage_windows = meter.create_counter("usage.windows")
         self.first_token = self._create_histograms("first_token")
@@ -242,6 +243,10 @@
         """Count connections that were closed unread."""
         self.refused_connections.add(connections)
 
+    def on_rest(self, group: str) -> None:
+        """Count a reply by which an upstream asks this entry for rest."""
+        self.rests.add(1, {"group": self.classes(group)})
+
     def on_limited_upstreams(self, upstreams: int) -> None:
         """Record the number of upstreams that limit their requests."""
         self.limited_upstreams.set(upstreams)
--- a/src/bergamotmast/direct/context.py
+++ b/src/bergamotmast/direct/context.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections.abc as cabc
 import dataclasses
+import logging
 import random
 
 from ..crashes.quarantine import Quarantine
@@ -13,6 +14,7 @@
 from ..policy.direct_roles import MixMeter
 from ..policy.prefix_cache import PrefillKey
 from ..policy.size_shares import SizeShares
+from ..telemetry import Telemetry
 from .crash_detector import CrashDetector
 from .fleet import Fleet
 from .liveness import LivenessChecker
@@ -34,6 +36,8 @@
 from .time_limits import TimeLimits
 from .usage_exchange import UsageExchange
 
+logger = logging.getLogger(__name__)
+
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that tell a caller that its request did not run."""
 
@@ -51,6 +55,7 @@
     :param rate_limits: sends to upstreams that limit their requests.
     :param crash_detector: detector of upstreams that crashed with a run.
     :param quarantine: quarantine of requests that crash upstreams.
+    :param telemetry: receiver of measurements.
     :param liveness_probe: probe of engines; ``None`` if there is none.
     :param usage: counter of the requests of each tenant; ``None`` without one.
     :param background: running tasks that outlive the request that started them.
@@ -67,6 +72,7 @@
     rate_limits: RateLimits
     quarantine: Quarantine
     crash_detector: CrashDetector
+    telemetry: Telemetry
     notices: NoticeExchange | None = None
     liveness_probe: LivenessProbe | None = None
     usage: UsageExchange | None = None
@@ -161,6 +167,16 @@
             limits.on_reply(upstream, traits.rate_limit, sent_at)
         if traits.leaving:
             self.fleet.on_leaving(upstream)
+        if traits.rest_seconds:
+            self.telemetry.on_rest(upstream.group)
+            logger.info(
+                "upstream asks for rest",
+                extra={
+                    "upstream": upstream.name,
+                    "group": upstream.group,
+                    "seconds": traits.rest_seconds,
+                },
+            )
 
     def check_reply(self, call: Call, reply: Reply, traits: ReplyTraits) -> None:
         """Check that a reply may be forwarded as the response to this request.
--- a/src/bergamotmast/direct/header_values.py
+++ b/src/bergamotmast/direct/header_values.py
@@ -34,14 +34,26 @@
 ) -> float | None:
     """Return the lowest of the decimal numbers that the headers of a name hold.
 
-    Signs, exponents and anything else than digits and a point are invalid.
-
     :param missing: returned if there is no such header.
     :returns: ``None`` if no value is valid.
     """
     if name not in headers:
         return missing
+    return min(_decimals(headers, name), default=None)
+
+
+def highest_number(headers: cabc.Mapping[str, str], name: str) -> float:
+    """Return the highest of the decimal numbers that the headers of a name hold.
+
+    :returns: 0 if no value is valid.
+    """
+    return max(_decimals(headers, name), default=0.0)
+
+
+def _decimals(headers: cabc.Mapping[str, str], name: str) -> list[float]:
+    """Return the decimal numbers that the headers of a name hold.
+
+    Signs, exponents and anything else than digits and a point are invalid.
+    """
     texts = all_values(headers, name)
-    return min(
-        (float(text) for text in texts if _DECIMAL.fullmatch(text)), default=None
-    )
+    return [float(text) for text in texts if _DECIMAL.fullmatch(text)]
--- a/src/bergamotmast/direct/ports.py
+++ b/src/bergamotmast/direct/ports.py
@@ -65,6 +65,8 @@
     :param rate_limit: requests a second that the upstream takes from all entries
         together; infinity if it names no limit, ``None`` if its limit is invalid.
     :param leaving: whether the upstream says that it leaves.
+    :param rest_seconds: for how many seconds the upstream wants no request from this
+        entry; 0 if it doesn't say so.
     """
 
     request_id: str
@@ -75,6 +77,7 @@
     load: LoadHint | None = None
     rate_limit: float | None = math.inf
     leaving: bool = False
+    rest_seconds: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -160,6 +160,7 @@
             RateLimits(fleet, named_limits, slot_exchange),
             quarantine,
             CrashDetector(fleet, metrics, TcpConnectionProbe()),
+            metrics,
             liveness_probe=orders,
         )
         inbox = PeerInbox()
--- a/src/bergamotmast/platform/headers.py
+++ b/src/bergamotmast/platform/headers.py
@@ -11,6 +11,7 @@
 from ..direct.forwarding import only_value
 from ..direct.header_values import all_values
 from ..direct.header_values import count
+from ..direct.header_values import highest_number
 from ..direct.header_values import lowest_number
 from ..direct.model import CallTraits
 from ..direct.model import PromptPart
@@ -46,6 +47,7 @@
 RATE_LIMIT = "Server-Limit"
 """Requests a second that a replica takes from all machines together."""
 LEAVING = "Server-Leaving"
+REST = "Retry-After"
 API_KEY = "X-Api-Key"
 TENANT = "X-Tenant"
 
@@ -73,6 +75,7 @@
 
 
 WRONG_UPSTREAM_STATUS = 421
+_BUSY = (429, 503)
 
 _ENCODING = "Content-Encoding"
 """Never requested, so that a body with an encoding is not the upstream's own."""
@@ -156,6 +159,7 @@
             load=_parse_load(headers.get(LOAD, "")),
             rate_limit=lowest_number(headers, RATE_LIMIT, missing=math.inf),
             leaving="1" in all_values(headers, LEAVING),
+            rest_seconds=highest_number(headers, REST) if status in _BUSY else 0.0,
         )
 
     def read_prefilled(self, body: bytes) -> Prefilled:
--- a/src/bergamotmast/telemetry.py
+++ b/src/bergamotmast/telemetry.py
@@ -73,6 +73,10 @@
         """Count connections that were closed unread."""
         ...
 
+    def on_rest(self, group: str) -> None:
+        """Count a reply by which an upstream asks this entry for rest."""
+        ...
+
     def on_limited_upstreams(self, upstreams: int) -> None:
         """Record the number of upstreams that limit their requests."""
         ...
@@ -133,6 +137,9 @@
     def on_refused_connections(self, connections: int) -> None:
         """Discard the measurement."""
 
+    def on_rest(self, group: str) -> None:
+        """Discard the measurement."""
+
     def on_limited_upstreams(self, upstreams: int) -> None:
         """Discard the measurement."""
 
--- a/tests/direct_support.py
+++ b/tests/direct_support.py
@@ -213,6 +213,7 @@
             rate_limits(fleet, telemetry),
             Quarantine("entry-1", telemetry, rng, Trials("entry-1")),
             CrashDetector(fleet, telemetry, TcpConnectionProbe()),
+            telemetry,
             liveness_probe=liveness_probe,
         )
         core = DirectCore(context, telemetry)
--- a/tests/prompt_load.py
+++ b/tests/prompt_load.py
@@ -303,6 +303,7 @@
             rate_limits(fleet, telemetry),
             Quarantine(name, telemetry, rng, Trials(name)),
             CrashDetector(fleet, telemetry),
+            telemetry,
             liveness_probe=LiveEngines(),
         )
         address = (name, 1)
--- /dev/null
+++ b/tests/test_resting_upstreams.py
@@ -0,0 +1,82 @@
+"""Tests of upstreams that turn requests away and ask for rest."""
+
+from __future__ import annotations
+
+import logging
+import time
+
+import pytest
+
+from bergamotmast.platform.headers import PlatformDialect
+from direct_support import serving
+from platform_standin import Replica
+from platform_standin import answer
+
+SETTLING_SECONDS = 0.5
+"""Time after a reply from which the rest that it asks for must be kept to."""
+
+ALLOWED = 2
+"""Requests that may arrive in a rest after that."""
+
+
+class RestingScript:
+    """Script of a replica that turns requests away for a while.
+
+    :param status: status of these replies.
+    :param rest: their header; empty for none.
+    :param until: until when it turns requests away; a point in time.
+    :param arrivals: when requests arrived; points in time.
+    """
+
+    def __init__(self, script, rest, status=503):
+        self.script = script
+        self.rest = rest
+        self.status = status
+        self.until = float("inf")
+        self.arrivals = []
+
+    async def __call__(self, replica, received, writer):
+        self.arrivals.append(time.monotonic())
+        if time.monotonic() >= self.until:
+            await self.script(replica, received, writer)
+            return
+        lines = [f"HTTP/1.1 {self.status} Word", "X-Not-Executed: 1"]
+        lines += [f"Retry-After: {self.rest}"] if self.rest else []
+        lines += ["Content-Length: 0", "", ""]
+        writer.write("\r\n".join(lines).encode())
+
+    def in_rest(self, seconds):
+        """Return how many requests arrived in the first rest."""
+        began = self.arrivals[0]
+        span = began + SETTLING_SECONDS, began + seconds
+        return sum(span[0] < at < span[1] for at in self.arrivals)
+
+
+@pytest.mark.parametrize(
+    ("status", "text", "seconds"),
+    [
+        (503, "3", 3.0),
+        (503, " 0.25 ", 0.25),
+        (429, "2", 2.0),
+        (500, "3", 0.0),
+        (200, "3", 0.0),
+        (503, "0", 0.0),
+        (503, "-3", 0.0),
+        (503, "nan", 0.0),
+        (503, "1e9", 0.0),
+        (503, "9" * 5_000, 0.0),
+        (503, "Fri, 04 Dec 2026 10:00:00 GMT", 0.0),
+    ],
+)
+def test_rest_is_a_decimal_number_in_a_refusal(status, text, seconds):
+    traits = PlatformDialect().read_reply(status, {"Retry-After": text})
+    assert traits.rest_seconds == seconds
+
+
+async def test_rest_is_logged(caplog):
+    caplog.set_level(logging.INFO)
+    script = RestingScript(answer(), "1.5")
+    async with serving(Replica("i-1", script)) as entry:
+        await entry.ask("/read/0")
+    (line,) = [line for line in caplog.records if "asks for rest" in line.message]
+    assert (line.upstream, line.seconds) == ("i-1", 1.5)
