--- a/tests/test_resting_upstreams.py
+++ b/tests/test_resting_upstreams.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import time
 
 import pytest
 
 from bergamotmast.platform.headers import PlatformDialect
+from direct_support import engine
 from direct_support import serving
+from platform_standin import EngineScript
 from platform_standin import Replica
 from platform_standin import answer
 
+LONG_PROMPT = {"X_Token_Count": "12000,9", "X_Prompt_Prefix": "aa:2000,bb:10000"}
+
 SETTLING_SECONDS = 0.5
 """Time after a reply from which the rest that it asks for must be kept to."""
 
@@ -80,3 +85,39 @@
         await entry.ask("/read/0")
     (line,) = [line for line in caplog.records if "asks for rest" in line.message]
     assert (line.upstream, line.seconds) == ("i-1", 1.5)
+
+
+def plain(rest):
+    script = RestingScript(answer(), rest)
+    return script, [Replica("i-1", script), Replica("i-2", answer())], "/read/x", {}
+
+
+def decode_engine(rest):
+    script = RestingScript(EngineScript(), rest)
+    other = engine("i-2", EngineScript(pause=0.05))
+    return script, [engine("i-1", script), other], "/long/x", {}
+
+
+def only_decode_engine(rest):
+    script = RestingScript(EngineScript(), rest)
+    return script, [engine("i-1", script)], "/long/x", {}
+
+
+def prefill_engine(rest):
+    script = RestingScript(EngineScript(), rest)
+    other = engine("i-2", EngineScript(pause=0.2))
+    return script, [engine("i-1", script, "prefill"), other], "/long/x", LONG_PROMPT
+
+
+@pytest.mark.parametrize(
+    "fleet", [plain, decode_engine, only_decode_engine, prefill_engine]
+)
+async def test_upstream_that_asks_for_rest_gets_none_of_the_requests(fleet):
+    """Guards against sending an upstream requests that it has asked to be spared."""
+    script, replicas, target, headers = fleet("4.5")
+    async with serving(*replicas) as entry, asyncio.TaskGroup() as group:
+        for number in range(250):
+            asked = entry.ask(target, request_id=f"id-{number}", **headers)
+            group.create_task(asked)
+            await asyncio.sleep(0.02)
+    assert script.in_rest(4.5) <= ALLOWED
