Leave upstreams alone for as long as they ask for rest

Cause: the header was not read. A refused engine cooled down for 0.3 s, and decode engines were all kept where all of them cooled down; a plain upstream didn't cool down. Class: what an upstream says of itself in its replies is not heard.

Change: an upstream at rest is no candidate for anything that this entry sends as a request, and what had been chosen before is looked at once more. After the rest one request goes there as a trial. If all rest, requests are refused at once and come back after the earliest end, spread.

Why it works: as for leaving, every reply passes read_reply and every choice takes Fleet.members. The kept decode engines of _not_cooling_down are chosen among these.

--- a/src/bergamotmast/direct/context.py
+++ b/src/bergamotmast/direct/context.py
@@ -5,7 +5,6 @@
 import asyncio
 import collections.abc as cabc
 import dataclasses
-import logging
 import random
 
 from ..crashes.quarantine import Quarantine
@@ -36,8 +35,6 @@
 from .time_limits import TimeLimits
 from .usage_exchange import UsageExchange
 
-logger = logging.getLogger(__name__)
-
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that tell a caller that its request did not run."""
 
@@ -169,14 +166,9 @@
             self.fleet.on_leaving(upstream)
         if traits.rest_seconds:
             self.telemetry.on_rest(upstream.group)
-            logger.info(
-                "upstream asks for rest",
-                extra={
-                    "upstream": upstream.name,
-                    "group": upstream.group,
-                    "seconds": traits.rest_seconds,
-                },
-            )
+            self.fleet.resting.on_asked(upstream, traits.rest_seconds)
+        else:
+            self.fleet.resting.on_reply(upstream, sent_at)
 
     def check_reply(self, call: Call, reply: Reply, traits: ReplyTraits) -> None:
         """Check that a reply may be forwarded as the response to this request.
--- a/src/bergamotmast/direct/decode_attempt.py
+++ b/src/bergamotmast/direct/decode_attempt.py
@@ -225,6 +225,7 @@
             weights=self.stream.weights,
         )
         headers = self.context.dialect.write_headers(call.headers, attempt, now)
+        self.context.fleet.resting.on_sending(self.upstream)
         return self.context.client.send(
             self.upstream.address,
             call.method,
--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -25,6 +25,7 @@
 from .model import Upstream
 from .ports import Directory
 from .presence import PRESENCE_PREFIX
+from .resting_upstreams import RestingUpstreams
 from .routing import RouteTable
 from .said_leaving import SaidLeaving
 
@@ -128,6 +129,7 @@
     :param departed: when the record of a departed upstream expires, by key and boot;
         points in time.
     :param said_leaving: upstreams that have said in a reply that they leave.
+    :param resting: upstreams that have asked this entry for rest.
     :param departed_builds: until when streams may go on that began at the build of a
         departed upstream, by group and build; points in time.
     :param all_builds_known_at: when builds that came and went before the last reading
@@ -161,6 +163,7 @@
         self.upstream_records: dict[str, UpstreamRecord] = {}
         self.departed: dict[tuple[str, str], float] = {}
         self.said_leaving = SaidLeaving()
+        self.resting = RestingUpstreams(clock)
         self.departed_builds: dict[tuple[str, str], float] = {}
         self.all_builds_known_at = -math.inf
         self.outdated_revisions: dict[str, int] = {}
@@ -219,6 +222,7 @@
             and record.upstream.boot == upstream.boot
             and not record.upstream.leaving
             and (record.gone_at is None or now < record.gone_at)
+            and self.resting.ends_at(upstream) is None
         )
 
     def _key(self, upstream: Upstream) -> str:
@@ -255,7 +259,19 @@
 
     def members(self, group: str, now: float) -> list[Upstream]:
         """Return the upstreams of a group that are eligible for new requests."""
-        return [u for u in self.present(group, now) if not self._changing(u, now)]
+        return [
+            u
+            for u in self.present(group, now)
+            if not self._changing(u, now) and self.resting.ends_at(u) is None
+        ]
+
+    def resting_members(self, group: str, now: float) -> list[Upstream]:
+        """Return the upstreams that would be eligible if they didn't rest."""
+        return [
+            u
+            for u in self.present(group, now)
+            if not self._changing(u, now) and self.resting.ends_at(u) is not None
+        ]
 
     def decode_available_at(
         self, group: str, now: float, build: str | None = None
--- a/src/bergamotmast/direct/placer.py
+++ b/src/bergamotmast/direct/placer.py
@@ -53,6 +53,10 @@
         self.upstreams = upstreams
 
 
+class UpstreamsRestingError(UpstreamsLimitedError):
+    """All suitable upstreams have asked this entry for rest."""
+
+
 class Permits(t.Protocol):
     """The permits of one request to be sent to upstreams that limit their requests."""
 
@@ -248,7 +252,7 @@
         ]
         chosen = choose_plain_upstream(candidates, self.rng)
         if chosen is None:
-            raise _no_upstream_error(suitable)
+            raise self._no_upstream_error(call, suitable)
         return by_name[chosen]
 
     def place_stream(
@@ -277,8 +281,8 @@
             candidates, call.route.objective, tightest, self.decisions
         )
         if placement is None:
-            raise _no_upstream_error(
-                [m for m in suitable if m.role is not Role.PREFILL]
+            raise self._no_upstream_error(
+                call, [m for m in suitable if m.role is not Role.PREFILL]
             )
         prefill_upstream = (
             by_name[placement.prefill_engine] if placement.prefill_engine else None
@@ -314,6 +318,26 @@
             return None
         return next(member for member in decode_engines if member.name == chosen.name)
 
+    def _no_upstream_error(
+        self, call: Call, suitable: cabc.Collection[Upstream]
+    ) -> RequestError:
+        """Return the error of a request that no upstream can be chosen for.
+
+        :param suitable: upstreams that would be chosen if they didn't limit their
+            requests.
+        """
+        if suitable:
+            return UpstreamsLimitedError(suitable)
+        now = asyncio.get_running_loop().time()
+        resting = [
+            member
+            for member in self.fleet.resting_members(call.group.name, now)
+            if member.role is not Role.PREFILL
+        ]
+        if resting:
+            return UpstreamsRestingError(resting)
+        return RequestError(ResultCode.NO_UPSTREAM)
+
     def _not_excluded(
         self,
         call: Call,
@@ -437,16 +461,6 @@
         self.by_hash = {h: k for h, k in self.by_hash.items() if k in present}
 
 
-def _no_upstream_error(suitable: cabc.Collection[Upstream]) -> RequestError:
-    """Return the error of a request that no upstream can be chosen for.
-
-    :param suitable: upstreams that could be chosen if they didn't limit their requests.
-    """
-    if suitable:
-        return UpstreamsLimitedError(suitable)
-    return RequestError(ResultCode.NO_UPSTREAM)
-
-
 def _best_sources(members: list[Upstream], replicas: dict[str, int]) -> list[Upstream]:
     """Return the two engines with the longest replicas of a prompt's prefix.
 
--- a/src/bergamotmast/direct/plain_run.py
+++ b/src/bergamotmast/direct/plain_run.py
@@ -45,7 +45,7 @@
         self.call = call
         self.reply = reply
         self.attempts = AttemptTracker(context, call)
-        self.permits = SendPermits(context.rate_limits, call)
+        self.permits = SendPermits(context, call)
         self.last_failure: Response | None = None
         self.newest: Upstream | None = None
         self.overdue_at = math.inf
@@ -201,6 +201,7 @@
         now = asyncio.get_running_loop().time()
         attempt = Attempt(upstream.name, call.deadline, call.tenant_name)
         headers = dialect.write_headers(call.headers, attempt, now)
+        self.context.fleet.resting.on_sending(upstream)
         async with self.context.client.send(
             upstream.address,
             call.method,
--- a/src/bergamotmast/direct/remote_prefill.py
+++ b/src/bergamotmast/direct/remote_prefill.py
@@ -149,6 +149,7 @@
             last_event=self.stream.last_event,
         )
         headers = dialect.write_headers(call.headers, attempt, now)
+        self.context.fleet.resting.on_sending(engine)
         async with self.context.client.send(
             engine.address, call.method, call.target, headers, call.body, fresh=False
         ) as reply:
--- a/src/bergamotmast/direct/send_permits.py
+++ b/src/bergamotmast/direct/send_permits.py
@@ -7,11 +7,12 @@
 
 from ..errors import RequestError
 from ..policy.named_limit import NO_LIMIT
+from .context import Context
 from .model import Call
 from .model import Upstream
 from .placer import UpstreamKey
 from .placer import UpstreamsLimitedError
-from .rate_limits import RateLimits
+from .placer import UpstreamsRestingError
 
 MAX_WAIT_SHARE = 0.5
 """Share of the latency objective for which a request waits for a permit. A longer queue
@@ -36,8 +37,9 @@
         points in time.
     """
 
-    def __init__(self, limits: RateLimits, call: Call) -> None:
-        self.limits = limits
+    def __init__(self, context: Context, call: Call) -> None:
+        self.context = context
+        self.limits = context.rate_limits
         self.call = call
         self.invested = False
         self.held: dict[UpstreamKey, float] = {}
@@ -84,7 +86,7 @@
         if delay > 0.0:
             await asyncio.sleep(delay)
         now = asyncio.get_running_loop().time()
-        return self.limits.fleet.takes_requests(upstream, now)
+        return self.context.fleet.takes_requests(upstream, now)
 
     def holds(self, upstream: Upstream, now: float) -> bool:
         """Return whether a permit is held that may still be used."""
@@ -92,6 +94,11 @@
 
     def refusal(self, error: UpstreamsLimitedError) -> RequestError:
         """Return the error of the request, with the time at which to come back."""
+        if isinstance(error, UpstreamsRestingError):
+            resting = self.context.fleet.resting
+            return resting.refusal(
+                self.call.group.name, error.upstreams, self.context.rng
+            )
         return self.limits.refusal(self.call.group.name, error.upstreams)
 
     def _held_at(self, upstream: Upstream, now: float) -> float | None:
--- a/src/bergamotmast/direct/stream.py
+++ b/src/bergamotmast/direct/stream.py
@@ -35,7 +35,7 @@
         self.call = call
         self.reply = reply
         self.attempts = AttemptTracker(context, call)
-        self.permits = SendPermits(context.rate_limits, call)
+        self.permits = SendPermits(context, call)
         self.prefills = PrefillTracker(context, call)
         self.timeline = Timeline()
         self.last_event = call.traits.last_event
--- a/src/bergamotmast/policy/direct_refusal.py
+++ b/src/bergamotmast/policy/direct_refusal.py
@@ -56,6 +56,16 @@
     )
 
 
+def rest_retry_after(rng: random.Random, seconds: float) -> float:
+    """Return the seconds after which a caller returns that met upstreams at rest.
+
+    The callers of a whole rest would otherwise return at its end.
+
+    :param seconds: time until the earliest end of a rest.
+    """
+    return seconds + rng.uniform(0.0, max(RETRY_JITTER_SECONDS, seconds))
+
+
 class ReturnSchedule:
     """Times at which callers return that were refused for the limits of upstreams.
 
--- a/tests/test_resting_upstreams.py
+++ b/tests/test_resting_upstreams.py
@@ -9,6 +9,7 @@
 import pytest
 
 from bergamotmast.platform.headers import PlatformDialect
+from bergamotmast.policy.upstream_rest import TRIAL_SECONDS
 from direct_support import engine
 from direct_support import serving
 from platform_standin import EngineScript
@@ -121,3 +122,102 @@
             group.create_task(asked)
             await asyncio.sleep(0.02)
     assert script.in_rest(4.5) <= ALLOWED
+
+
+async def test_group_of_which_all_rest_tells_callers_the_earliest_end():
+    scripts = [RestingScript(answer(), rest) for rest in ("3", "1.25")]
+    replicas = [Replica(f"i-{n}", script) for n, script in enumerate(scripts)]
+    async with serving(*replicas) as entry:
+        began = time.monotonic()
+        first = await entry.ask("/read/0")
+        got = await entry.ask("/read/1")
+        took = time.monotonic() - began
+    for answered in (first, got):
+        assert answered.status == 503
+        assert answered.body.startswith(b"206 ")
+        assert 1.25 - took <= float(answered.headers["retry-after"]) <= 2.5
+    assert took < 0.2
+    assert sum(len(script.arrivals) for script in scripts) == 2
+
+
+async def test_one_request_is_sent_as_a_trial_after_a_rest():
+    """Guards against a burst at the end of a rest, which asks for the next one."""
+    script = RestingScript(answer(), "0.3")
+    async with serving(Replica("i-1", script)) as entry:
+        await entry.ask("/read/0")
+        for _ in range(3):
+            await asyncio.sleep(0.32)
+            arrived = len(script.arrivals)
+            await asyncio.gather(*(entry.ask(f"/read/{n}") for n in range(20)))
+            assert len(script.arrivals) == arrived + 1
+        script.until = 0.0
+        await asyncio.sleep(0.32)
+        await entry.ask("/read/1")
+        got = await asyncio.gather(*(entry.ask(f"/read/{n}") for n in range(20)))
+    assert {one.status for one in got} == {200}
+
+
+async def test_trial_without_a_reply_is_not_waited_for_long():
+    async def silent(replica, received, writer):
+        await asyncio.sleep(60)
+
+    script = RestingScript(silent, "0.2")
+    async with serving(Replica("i-1", script)) as entry:
+        await entry.ask("/read/0")
+        script.until = 0.0
+        await asyncio.sleep(0.25)
+        trial = asyncio.create_task(entry.ask("/read/1"))
+        await asyncio.sleep(0.1)
+        assert (await entry.ask("/read/2")).status == 503
+        script.script = answer()
+        await asyncio.sleep(TRIAL_SECONDS)
+        assert (await entry.ask("/read/3")).status == 200
+        trial.cancel()
+
+
+@pytest.mark.parametrize("rest", ["", "0", "soon", "-1"])
+async def test_refusal_without_a_rest_is_tried_again(rest):
+    script = RestingScript(answer(), rest)
+    async with serving(Replica("i-1", script)) as entry:
+        await entry.ask("/read/0")
+        script.until = 0.0
+        assert (await entry.ask("/read/1")).status == 200
+
+
+async def test_rest_ends_with_the_incarnation_that_asked_for_it():
+    script = RestingScript(answer(), "30")
+    replica = Replica("i-1", script)
+    async with serving(replica) as entry:
+        await entry.ask("/read/0")
+        script.until = 0.0
+        assert (await entry.ask("/read/1")).status == 503
+        entry.register(replica, born=77)
+        assert (await entry.ask("/read/2")).status == 200
+
+
+async def test_answer_that_runs_at_an_upstream_at_rest_goes_on():
+    script = RestingScript(EngineScript(pause=0.05), "1")
+    script.until = 0.0
+    async with serving(engine("i-1", script)) as entry:
+        running = asyncio.create_task(entry.ask("/long/x"))
+        await asyncio.sleep(0.1)
+        script.until = float("inf")
+        assert (await entry.ask("/long/x")).status == 503
+        got = await running
+    assert (got.status, got.complete) == (200, True)
+
+
+async def test_prompt_that_has_been_read_is_not_sent_to_an_engine_at_rest():
+    """Guards against sending what was decided before an engine asked for rest."""
+    one, two = engine("i-1", EngineScript()), engine("i-2", EngineScript())
+    reader = engine("i-3", EngineScript(prefill_seconds=0.3), "prefill")
+    async with serving(one, two, reader) as entry:
+        asked = [entry.ask("/long/x", **LONG_PROMPT) for _ in range(6)]
+        running = asyncio.gather(*asked)
+        await asyncio.sleep(0.1)
+        for upstream in entry.fleet.members("llm", 0.0):
+            if upstream.name == "i-1":
+                entry.fleet.resting.on_asked(upstream, 5.0)
+        got = await running
+    assert one.received == []
+    assert {answer.status for answer in got} == {200}
