Test that replies without end end their request and no other

Fifteen kinds of bytes without end (in the status line, the headers, interim responses, chunks, trailers, bodies of every framing, refusals, errors, an event, comments, noise) on four routes: the connection is closed by the deadline, the entry grows by less than 100 MB, other requests take less than 0.5 s.

--- /dev/null
+++ b/tests/test_endless_replies.py
@@ -0,0 +1,203 @@
+"""Tests of upstreams that send bytes without end, until the entry closes."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import pathlib
+import resource
+import time
+
+import pytest
+
+from direct_support import engine
+from direct_support import serving
+from direct_support import until
+from platform_standin import Received
+from platform_standin import Replica
+from platform_standin import answer
+from platform_standin import chunk
+from platform_standin import head
+
+MAX_GROWTH_BYTES = 100 << 20
+"""Memory that the entry may take for one endless reply; it has 300 MB on the platform,
+and the callers' requests need some of it."""
+
+CHUNKED = "Transfer-Encoding: chunked"
+STREAM = "Content-Type: text/event-stream"
+
+
+def endless_header_lines(request_id):
+    yield head(200, request_id)[:-2]
+    for number in itertools.count():
+        yield f"X-Line-{number}: {'a' * 60_000}\r\n".encode()
+
+
+def endless_header_line(request_id):
+    yield head(200, request_id)[:-2] + b"X-Long: "
+    while True:
+        yield b"a" * 60_000
+
+
+def endless_status_line(request_id):
+    yield b"HTTP/1.1 200 "
+    while True:
+        yield b"W" * 60_000
+
+
+def endless_interim_heads(request_id):
+    while True:
+        yield b"HTTP/1.1 100 Continue\r\nX-A: b\r\n\r\n" * 1_000
+
+
+def endless_chunk_extension(request_id):
+    yield head(200, request_id, CHUNKED) + b"5;a="
+    while True:
+        yield b"a" * 60_000
+
+
+def endless_chunk_size(request_id):
+    yield head(200, request_id, CHUNKED)
+    while True:
+        yield b"0" * 60_000
+
+
+def endless_trailers(request_id):
+    yield head(200, request_id, CHUNKED) + chunk(b"fine") + b"0\r\n"
+    while True:
+        yield b"X-Trailer: " + b"a" * 60_000 + b"\r\n"
+
+
+def endless_body(request_id):
+    yield head(200, request_id, CHUNKED)
+    while True:
+        yield chunk(b"a" * 60_000)
+
+
+def endless_unframed_body(request_id):
+    yield head(200, request_id)
+    while True:
+        yield b"a" * 60_000
+
+
+def endless_long_body(request_id):
+    yield head(200, request_id, f"Content-Length: {1 << 50}")
+    while True:
+        yield b"a" * 60_000
+
+
+def endless_error(request_id):
+    yield head(500, request_id, CHUNKED)
+    while True:
+        yield chunk(b"a" * 60_000)
+
+
+def endless_refusal(request_id):
+    yield f"HTTP/1.1 503 Word\r\nX-Not-Executed: 1\r\n{CHUNKED}\r\n\r\n".encode()
+    while True:
+        yield chunk(b"a" * 60_000)
+
+
+def endless_event(request_id):
+    yield head(200, request_id, STREAM, CHUNKED) + chunk(b"id: 1\ndata: ")
+    while True:
+        yield chunk(b"a" * 60_000)
+
+
+def endless_comments(request_id):
+    yield head(200, request_id, STREAM, CHUNKED)
+    while True:
+        yield chunk(b": a\n\n" * 10_000)
+
+
+def endless_noise(request_id):
+    while True:
+        yield b"\x00\xff" * 30_000
+
+
+ENDLESS = [
+    endless_header_lines,
+    endless_header_line,
+    endless_status_line,
+    endless_interim_heads,
+    endless_chunk_extension,
+    endless_chunk_size,
+    endless_trailers,
+    endless_body,
+    endless_unframed_body,
+    endless_long_body,
+    endless_error,
+    endless_refusal,
+    endless_event,
+    endless_comments,
+    endless_noise,
+]
+
+
+class EndlessScript:
+    """Script of a replica that sends bytes until the entry closes the connection.
+
+    :param sent: bytes sent so far.
+    :param closed: number of connections that the entry has closed.
+    """
+
+    def __init__(self, parts):
+        self.parts = parts
+        self.sent = 0
+        self.closed = 0
+
+    async def __call__(self, replica: Replica, received: Received, writer) -> None:
+        try:
+            for part in self.parts(received.request_id):
+                writer.write(part)
+                self.sent += len(part)
+                await writer.drain()
+                await asyncio.sleep(0)
+        finally:
+            self.closed += 1
+
+
+def memory():
+    """Return the memory of this process in bytes."""
+    pages = pathlib.Path("/proc/self/statm").read_text().split()[1]
+    return int(pages) * resource.getpagesize()
+
+
+PATHS = {
+    "/read/x": "plain",
+    "/order/x": "plain",
+    "/talk/x": "decode",
+    "/long/x": "decode",
+}
+
+
+@pytest.mark.parametrize("path", PATHS)
+@pytest.mark.parametrize("parts", ENDLESS, ids=lambda parts: parts.__name__)
+async def test_endless_reply_ends_its_request_and_no_other(parts, path):
+    """Guards against a reply without end that takes all memory or all time."""
+    script = EndlessScript(parts)
+    if PATHS[path] == "plain":
+        endless, sound = Replica("i-1", script), engine("i-2", answer())
+        other = "/talk/y"
+    else:
+        endless, sound = engine("i-1", script), Replica("i-2", answer())
+        other = "/read/y"
+    before = memory()
+    async with serving(endless, sound) as entry:
+        began = time.monotonic()
+        asked = asyncio.create_task(
+            entry.ask(path, X_Deadline_Ms="1500", X_Token_Count="40,9")
+        )
+        slowest, largest = 0.0, 0
+        while not asked.done():
+            sent_at = time.monotonic()
+            await asyncio.wait_for(entry.ask(other, X_Token_Count="40,9"), 5)
+            slowest = max(slowest, time.monotonic() - sent_at)
+            largest = max(largest, memory())
+            await asyncio.sleep(0.02)
+        await asyncio.gather(asked, return_exceptions=True)
+        took = time.monotonic() - began
+        await until(lambda: script.closed >= 1, 2.0)
+    assert took < 2.5
+    assert slowest < 0.5
+    assert largest - before < MAX_GROWTH_BYTES
