--- a/src/bergamotmast/adapters/upstream_http.py
+++ b/src/bergamotmast/adapters/upstream_http.py
@@ -5,13 +5,18 @@
 import asyncio
 import collections.abc as cabc
 import contextlib
+import functools
 import socket
 import types
 import typing as t
 
 import aiohttp
 import yarl
+from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
+from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.http_parser import RawResponseMessage
+from aiohttp.streams import StreamReader
 from aiohttp.tracing import Trace
 
 from ..direct.ports import Headers
@@ -40,13 +45,53 @@
 MAX_REPLY_BODY_BYTES = 1 << 26
 """Maximum body of a reply that is read whole; upstreams send much shorter ones."""
 
+MAX_INTERIM_RESPONSES = 100
+"""Maximum number of interim responses to one request; upstreams send one or none."""
+
+MIN_FINAL_STATUS = 200
+"""Lower statuses are those of interim responses."""
+
 MAX_REPLY_HEADER_BYTES = 65_536
 """Maximum header line of a reply; upstreams send much shorter ones."""
 
 
+class _UpstreamProtocol(ResponseHandler):
+    """Closes a connection that brings interim responses without end.
+
+    The library drops each of them and waits for the next: at the speed of the network,
+    they would take all of the event loop's time until the deadline.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self.interim_responses = 0
+
+    def feed_data(
+        self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
+    ) -> None:
+        """Add a response to those that are waited for."""
+        is_interim = data[0].code < MIN_FINAL_STATUS
+        self.interim_responses = self.interim_responses + 1 if is_interim else 0
+        if self.interim_responses <= MAX_INTERIM_RESPONSES:
+            super().feed_data(data, size)
+        elif self.exception() is None:
+            self.set_exception(
+                HttpProcessingError(message="too many interim responses")
+            )
+            if self.transport is not None:
+                self.transport.close()
+
+
 class _UpstreamConnector(aiohttp.TCPConnector):
     """Reuses only connections without unread data, and closes the others."""
 
+    def __init__(self, **options: t.Any) -> None:
+        super().__init__(**options)
+        factory: t.Any = functools.partial(
+            _UpstreamProtocol, asyncio.get_running_loop()
+        )
+        self._factory = factory
+
     async def connect(
         self,
         req: aiohttp.ClientRequest,
--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -201,3 +201,19 @@
     assert took < 2.5
     assert slowest < 0.5
     assert largest - before < MAX_GROWTH_BYTES
+
+
+@pytest.mark.parametrize("path", PATHS)
+async def test_interim_responses_without_end_end_their_request_at_once(path):
+    """Guards against parsing interim responses until the deadline."""
+    script = EndlessScript(endless_interim_heads)
+    if PATHS[path] == "plain":
+        endless = Replica("i-1", script)
+    else:
+        endless = engine("i-1", script)
+    async with serving(endless) as entry:
+        began = time.monotonic()
+        got = await entry.ask(path, X_Token_Count="40,9")
+        took = time.monotonic() - began
+    assert got.status in (502, 503)
+    assert took < 0.5
