Limit the memory of all replies' bodies together

Twelve upstreams that send bodies without end to 24 requests made the entry grow by 1,628 MB; an entry has 300 MB. The bodies of prefills, reports, orders and releases, which hold a few fields, had the same limit.

All bodies that are being read whole take 64 MB together; beyond it the larger ones are given up, so that a short answer beside them comes whole. Replies that no caller receives are read up to 64 KB. A body that is given up is cleared at once: the frames of its error kept it until the garbage collector ran, which alone left a growth of 267 MB.

test_endless_bodies_together_are_limited_in_size (growth under 100 MB) and test_endless_answer_to_a_report_or_an_order_is_limited failed before.

--- a/src/bergamotmast/adapters/upstream_http.py
+++ b/src/bergamotmast/adapters/upstream_http.py
@@ -45,6 +45,9 @@
 MAX_REPLY_BODY_BYTES = 1 << 26
 """Maximum body of a reply that is read whole; upstreams send much shorter ones."""
 
+MAX_BUFFERED_BYTES = 1 << 26
+"""Maximum size of all bodies together that are being read whole."""
+
 MAX_INTERIM_RESPONSES = 100
 """Maximum number of interim responses to one request; upstreams send one or none."""
 
@@ -126,11 +129,39 @@
             connection.close()
 
 
+class BodyBuffers:
+    """Bodies of one client that are being read whole.
+
+    :param bodies: what has been received of each, by its identity.
+    """
+
+    def __init__(self) -> None:
+        self.bodies: dict[int, bytearray] = {}
+
+    @contextlib.contextmanager
+    def add(self) -> cabc.Iterator[bytearray]:
+        """Return a context manager that yields the buffer of one more body."""
+        body = bytearray()
+        self.bodies[id(body)] = body
+        try:
+            yield body
+        finally:
+            del self.bodies[id(body)]
+            # The frames of an error's traceback keep it until the error is forgotten.
+            body.clear()
+
+    def is_full_of(self, body: bytearray) -> bool:
+        """Return whether there is too much, and a body is among the larger ones."""
+        total = sum(map(len, self.bodies.values()))
+        return total > MAX_BUFFERED_BYTES and len(body) * len(self.bodies) >= total
+
+
 class HttpReply:
     """Implements :class:`~bergamotmast.direct.ports.Reply`."""
 
-    def __init__(self, response: aiohttp.ClientResponse) -> None:
+    def __init__(self, response: aiohttp.ClientResponse, buffers: BodyBuffers) -> None:
         self.response = response
+        self.buffers = buffers
         self.closed = _end_of_connection(response)
         self.unframed = _is_unframed(response)
         if self.closed is not None:
@@ -156,18 +187,21 @@
         """Return all headers in order, including repeated ones."""
         return tuple(self.response.headers.items())
 
-    async def read(self) -> bytes:
-        """Return the whole body."""
-        body = bytearray()
-        async for part in self.chunks():
-            body += part
-            if len(body) > MAX_REPLY_BODY_BYTES:
-                # An endless body would exhaust memory, and the kernel would kill the
-                # process with all of its running requests.
-                raise ReplyLostError(
-                    f"the reply's body exceeds {MAX_REPLY_BODY_BYTES} bytes"
-                )
-        return bytes(body)
+    async def read(self, max_bytes: int | None = None) -> bytes:
+        """Return the whole body.
+
+        Endless bodies would exhaust memory, and the kernel would kill the process with
+        all of its running requests.
+        """
+        limit = MAX_REPLY_BODY_BYTES if max_bytes is None else max_bytes
+        with self.buffers.add() as body:
+            async for part in self.chunks():
+                body += part
+                if len(body) > limit:
+                    raise ReplyLostError(f"the reply's body exceeds {limit} bytes")
+                if self.buffers.is_full_of(body):
+                    raise ReplyLostError("the replies' bodies exceed the memory")
+            return bytes(body)
 
     async def chunks(self) -> cabc.AsyncIterator[bytes]:
         """Yield the body as it arrives."""
@@ -235,6 +269,7 @@
     def __init__(self) -> None:
         self.pooled = self._session(force_close=False)
         self.fresh = self._session(force_close=True)
+        self.buffers = BodyBuffers()
 
     async def __aenter__(self) -> HttpUpstreamClient:
         """Return itself."""
@@ -274,7 +309,7 @@
             max_line_size=MAX_REPLY_HEADER_BYTES,
             max_field_size=MAX_REPLY_HEADER_BYTES,
         ) as response:
-            reply = HttpReply(response)
+            reply = HttpReply(response, self.buffers)
             try:
                 yield reply
             finally:
--- a/src/bergamotmast/direct/exported_cache.py
+++ b/src/bergamotmast/direct/exported_cache.py
@@ -8,6 +8,7 @@
 from ..errors import NotReachedError
 from ..errors import ReplyLostError
 from .context import Context
+from .ports import MAX_CONTROL_BODY_BYTES
 
 logger = logging.getLogger(__name__)
 
@@ -49,6 +50,6 @@
                 async with self.context.client.send(
                     address, method, target, (), b"", fresh=False
                 ) as reply:
-                    await reply.read()
+                    await reply.read(MAX_CONTROL_BODY_BYTES)
         except (NotReachedError, ReplyLostError, TimeoutError) as error:
             logger.info("KV cache not released", extra={"error": str(error)})
--- a/src/bergamotmast/direct/ports.py
+++ b/src/bergamotmast/direct/ports.py
@@ -12,6 +12,9 @@
 from .model import Routing
 from .model import Upstream
 
+MAX_CONTROL_BODY_BYTES = 65_536
+"""Maximum body of a reply that no caller receives; they hold a few fields."""
+
 Headers: t.TypeAlias = tuple[tuple[str, str], ...]
 
 
@@ -199,10 +202,11 @@
         """Return all headers in order, including repeated names."""
         ...
 
-    async def read(self) -> bytes:
+    async def read(self, max_bytes: int | None = None) -> bytes:
         """Return the whole body.
 
-        :raises ReplyLostError: if the body is incomplete.
+        :param max_bytes: maximum size; ``None`` for that of an answer to a caller.
+        :raises ReplyLostError: if the body is incomplete or too large.
         """
         ...
 
--- a/src/bergamotmast/direct/remote_prefill.py
+++ b/src/bergamotmast/direct/remote_prefill.py
@@ -12,6 +12,7 @@
 from .exported_cache import ExportedCache
 from .liveness import abort_when
 from .model import Upstream
+from .ports import MAX_CONTROL_BODY_BYTES
 from .ports import Attempt
 from .prefill_tracker import TrackedPrefill
 from .stream import Stream
@@ -154,7 +155,7 @@
             engine.address, call.method, call.target, headers, call.body, fresh=False
         ) as reply:
             self.context.read_reply(call, engine, reply, now)
-            body = await reply.read()
+            body = await reply.read(MAX_CONTROL_BODY_BYTES)
             self.stream.on_reply_received(engine)
             if reply.status != 200:
                 raise ReplyLostError(f"prefill failed with status {reply.status}")
--- a/src/bergamotmast/platform/orders.py
+++ b/src/bergamotmast/platform/orders.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ..direct.model import Upstream
+from ..direct.ports import MAX_CONTROL_BODY_BYTES
 from ..direct.ports import UpstreamClient
 from ..direct.role_planner import OrderReply
 from ..direct.role_planner import RoleOrderCommand
@@ -91,6 +92,6 @@
                 async with self.client.send(
                     upstream.address, method, target, tuple(headers), body, fresh=True
                 ) as reply:
-                    return reply.status, await reply.read()
+                    return reply.status, await reply.read(MAX_CONTROL_BODY_BYTES)
         except TimeoutError as error:
             raise ReplyLostError(f"{target}: timed out") from error
--- a/tests/prompt_load.py
+++ b/tests/prompt_load.py
@@ -114,7 +114,7 @@
     def header_items(self) -> tuple[tuple[str, str], ...]:
         return tuple(self.headers.items())
 
-    async def read(self) -> bytes:
+    async def read(self, max_bytes: int | None = None) -> bytes:
         return self.body
 
     async def chunks(self) -> cabc.AsyncIterator[bytes]:
--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -10,9 +10,17 @@
 
 import pytest
 
+from bergamotmast.direct.role_planner import RoleOrderCommand
+from bergamotmast.errors import ReplyLostError
+from bergamotmast.model import Role
+from bergamotmast.platform.orders import PlatformOrders
+from bergamotmast.policy.direct_roles import RoleOrder
+from direct_support import config
 from direct_support import engine
+from direct_support import route
 from direct_support import serving
 from direct_support import until
+from limit_support import LimitedScript
 from platform_standin import Received
 from platform_standin import Replica
 from platform_standin import answer
@@ -217,3 +225,51 @@
         took = time.monotonic() - began
     assert got.status in (502, 503)
     assert took < 0.5
+
+
+async def test_endless_bodies_together_are_limited_in_size():
+    """Guards against many endless bodies, each of which is within its limit."""
+    scripts = [EndlessScript(endless_long_body) for _ in range(12)]
+    sound = LimitedScript(answer(200, b"a" * 200_000))
+    replicas = [Replica(f"i-{n}", script) for n, script in enumerate(scripts)]
+    routes = [
+        route("/order/", "unsafe", **{"max-attempts": 1}),
+        route("/other/", "unsafe", "b"),
+    ]
+    other = Replica("i-x", sound, service="b")
+    before = memory()
+    largest = 0
+    async with serving(*replicas, other, document=config(routes=routes)) as entry:
+        asked = [asyncio.create_task(entry.ask("/order/x")) for _ in range(24)]
+        while not all(task.done() for task in asked):
+            got = await entry.ask("/other/x")
+            assert (got.status, len(got.body)) == (200, 200_000)
+            largest = max(largest, memory())
+        assert {(await task).status for task in asked} == {502}
+    assert largest - before < MAX_GROWTH_BYTES
+    assert sum(script.sent for script in scripts) > MAX_GROWTH_BYTES
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+async def test_endless_answer_to_a_report_or_an_order_is_limited(method):
+    """Guards against control calls that read whatever an engine sends."""
+
+    def parts(request_id):
+        yield head(200, request_id, CHUNKED)
+        while True:
+            yield chunk(b"a" * 60_000)
+
+    script = EndlessScript(parts)
+    async with serving(engine("i-1", script)) as entry:
+        orders = PlatformOrders(entry.core.context.client)
+        (upstream,) = entry.fleet.members("llm", 0.0)
+        began = time.monotonic()
+        if method == "GET":
+            with pytest.raises(ReplyLostError):
+                await orders.sequence(upstream)
+        else:
+            order = RoleOrder("i-1", Role.DECODE, "")
+            with pytest.raises(ReplyLostError):
+                await orders.order(RoleOrderCommand(upstream, order, 0, "e", 1))
+        assert time.monotonic() - began < 0.3
+    assert script.sent < 8 << 20
