Decide outside the platform's folder which replies ask for rest

The folder holds names, formats and calls; that only a 503 or a 429 asks for rest is a decision. The cases of the statuses are now tested through an entry, those of the texts as before.

--- a/src/bergamotmast/direct/context.py
+++ b/src/bergamotmast/direct/context.py
@@ -38,6 +38,9 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that tell a caller that its request did not run."""
 
+REST_STATUSES = frozenset({429, 503})
+"""Statuses of replies that may ask for rest; others are of requests that ran."""
+
 MIN_FINAL_STATUS = 200
 """Lower statuses are interim responses: a caller waits for another one."""
 
@@ -154,17 +157,19 @@
         if traits.request_id not in ("", call.traits.request_id):
             raise ReplyLostError("the reply belongs to another request")
         if not traits.wrong_upstream:
-            self._apply(upstream, traits, sent_at)
+            self._apply(upstream, reply.status, traits, sent_at)
         return traits
 
-    def _apply(self, upstream: Upstream, traits: ReplyTraits, sent_at: float) -> None:
+    def _apply(
+        self, upstream: Upstream, status: int, traits: ReplyTraits, sent_at: float
+    ) -> None:
         """Apply what an upstream says of itself in a reply."""
         if traits.rate_limit is not None:
             limits = self.rate_limits.limits
             limits.on_reply(upstream, traits.rate_limit, sent_at)
         if traits.leaving:
             self.fleet.on_leaving(upstream)
-        if traits.rest_seconds:
+        if traits.rest_seconds and status in REST_STATUSES:
             self.telemetry.on_rest(upstream.group)
             self.fleet.resting.on_asked(upstream, traits.rest_seconds)
         else:
--- a/src/bergamotmast/direct/header_values.py
+++ b/src/bergamotmast/direct/header_values.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections.abc as cabc
+import math
 import re
 
 MAX_COUNT_DIGITS = 15
@@ -29,16 +30,13 @@
     return [text.strip() for other, text in headers.items() if other.lower() == lower]
 
 
-def lowest_number(
-    headers: cabc.Mapping[str, str], name: str, missing: float
-) -> float | None:
+def lowest_number(headers: cabc.Mapping[str, str], name: str) -> float | None:
     """Return the lowest of the decimal numbers that the headers of a name hold.
 
-    :param missing: returned if there is no such header.
-    :returns: ``None`` if no value is valid.
+    :returns: infinity if there is no such header, ``None`` if no value is valid.
     """
     if name not in headers:
-        return missing
+        return math.inf
     return min(_decimals(headers, name), default=None)
 
 
--- a/src/bergamotmast/direct/ports.py
+++ b/src/bergamotmast/direct/ports.py
@@ -69,7 +69,7 @@
         together; infinity if it names no limit, ``None`` if its limit is invalid.
     :param leaving: whether the upstream says that it leaves.
     :param rest_seconds: for how many seconds the upstream wants no request from this
-        entry; 0 if it doesn't say so.
+        entry, if it turns the request away; 0 if it doesn't say so.
     """
 
     request_id: str
--- a/src/bergamotmast/platform/headers.py
+++ b/src/bergamotmast/platform/headers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import collections.abc as cabc
-import math
 import re
 
 import msgspec
@@ -75,7 +74,6 @@
 
 
 WRONG_UPSTREAM_STATUS = 421
-_BUSY = (429, 503)
 
 _ENCODING = "Content-Encoding"
 """Never requested, so that a body with an encoding is not the upstream's own."""
@@ -157,9 +155,9 @@
             wrong_upstream=wrong_upstream,
             weights=headers.get(WEIGHTS, ""),
             load=_parse_load(headers.get(LOAD, "")),
-            rate_limit=lowest_number(headers, RATE_LIMIT, missing=math.inf),
+            rate_limit=lowest_number(headers, RATE_LIMIT),
             leaving="1" in all_values(headers, LEAVING),
-            rest_seconds=highest_number(headers, REST) if status in _BUSY else 0.0,
+            rest_seconds=highest_number(headers, REST),
         )
 
     def read_prefilled(self, body: bytes) -> Prefilled:
--- a/tests/test_resting_upstreams.py
+++ b/tests/test_resting_upstreams.py
@@ -59,26 +59,36 @@
 
 
 @pytest.mark.parametrize(
-    ("status", "text", "seconds"),
+    ("text", "seconds"),
     [
-        (503, "3", 3.0),
-        (503, " 0.25 ", 0.25),
-        (429, "2", 2.0),
-        (500, "3", 0.0),
-        (200, "3", 0.0),
-        (503, "0", 0.0),
-        (503, "-3", 0.0),
-        (503, "nan", 0.0),
-        (503, "1e9", 0.0),
-        (503, "9" * 5_000, 0.0),
-        (503, "Fri, 04 Dec 2026 10:00:00 GMT", 0.0),
+        ("3", 3.0),
+        (" 0.25 ", 0.25),
+        ("0", 0.0),
+        ("-3", 0.0),
+        ("nan", 0.0),
+        ("1e9", 0.0),
+        ("9" * 5_000, 0.0),
+        ("Fri, 04 Dec 2026 10:00:00 GMT", 0.0),
     ],
 )
-def test_rest_is_a_decimal_number_in_a_refusal(status, text, seconds):
-    traits = PlatformDialect().read_reply(status, {"Retry-After": text})
+def test_rest_is_a_decimal_number(text, seconds):
+    traits = PlatformDialect().read_reply(503, {"Retry-After": text})
     assert traits.rest_seconds == seconds
 
 
+@pytest.mark.parametrize(
+    ("status", "rests"), [(503, True), (429, True), (500, False), (200, False)]
+)
+async def test_only_a_refusal_asks_for_rest(status, rests):
+    """Guards against leaving an upstream alone for an answer of its application."""
+    script = answer(status, b"fine", "Retry-After: 3", "X-Not-Executed: 1")
+    if not rests:
+        script = answer(status, b"fine", "Retry-After: 3")
+    async with serving(Replica("i-1", script)) as entry:
+        await entry.ask("/order/0")
+        assert (entry.fleet.members("plain", 0.0) == []) is rests
+
+
 async def test_rest_is_logged(caplog):
     caplog.set_level(logging.INFO)
     script = RestingScript(answer(), "1.5")
