Limit the size of the store's answers

Eight calls beside each other to a store that sends without end made the entry grow by 1.2 to 1.5 GB.

An answer is read up to 16 MB; a page of the store has 1 MB. A write whose answer is too long is of unknown outcome, like any other that is lost.

--- a/src/bergamotmast/adapters/http_calls.py
+++ b/src/bergamotmast/adapters/http_calls.py
@@ -26,6 +26,9 @@
 MAX_CONNECTIONS = 1024
 """Maximum number of connections of one session."""
 
+MAX_BODY_BYTES = 1 << 24
+"""Maximum body of a response of the platform; a page of the store has 1 MB."""
+
 JSON_TYPE = {"Content-Type": "application/json"}
 
 
@@ -87,6 +90,19 @@
         raise ReplyLostError(f"{url}: {error or 'timed out'}") from error
 
 
+async def read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Return the whole body of a response.
+
+    :raises ReplyLostError: if it is longer than a limit, as an endless one would be.
+    """
+    body = bytearray()
+    async for part in response.content.iter_any():
+        body += part
+        if len(body) > MAX_BODY_BYTES:
+            raise ReplyLostError(f"the response's body exceeds {MAX_BODY_BYTES} bytes")
+    return bytes(body)
+
+
 async def split_stream(
     response: aiohttp.ClientResponse, separator: bytes
 ) -> cabc.AsyncIterator[bytes]:
--- a/src/bergamotmast/platform/store.py
+++ b/src/bergamotmast/platform/store.py
@@ -16,6 +16,7 @@
 from ..adapters.http_calls import JSON_TYPE
 from ..adapters.http_calls import client_session
 from ..adapters.http_calls import exchange
+from ..adapters.http_calls import read_body
 from ..adapters.restores import RestoreTracker
 from ..adapters.restores import era_of
 from ..adapters.restores import qualify
@@ -283,7 +284,7 @@
         ) as response:
             # Recorded before the body is read, since reading the body may fail.
             era = self.restores.record(_read_era(response.headers))
-            return _Answer(response.status, await response.read(), era)
+            return _Answer(response.status, await read_body(response), era)
 
 
 _StructT = t.TypeVar("_StructT", bound=msgspec.Struct)
--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -11,9 +11,13 @@
 import pytest
 
 from bergamotmast.direct.role_planner import RoleOrderCommand
+from bergamotmast.errors import KeyValueUnavailableError
 from bergamotmast.errors import ReplyLostError
 from bergamotmast.model import Role
 from bergamotmast.platform.orders import PlatformOrders
+from bergamotmast.platform.store import CALL_TIMEOUT_SECONDS
+from bergamotmast.platform.store import PlatformStore
+from bergamotmast.platform.store import store_session
 from bergamotmast.policy.direct_roles import RoleOrder
 from direct_support import config
 from direct_support import engine
@@ -273,3 +277,23 @@
                 await orders.order(RoleOrderCommand(upstream, order, 0, "e", 1))
         assert time.monotonic() - began < 0.3
     assert script.sent < 8 << 20
+
+
+@pytest.mark.parametrize("parts", ENDLESS, ids=lambda parts: parts.__name__)
+async def test_endless_answer_of_the_store_is_limited(parts):
+    """Guards against a store that takes all memory before a call times out."""
+    script = EndlessScript(parts)
+    before = memory()
+    largest = 0
+    async with Replica("store", script) as replica, store_session() as session:
+        store = PlatformStore(session, replica.address, 3.0)
+        asked = [asyncio.create_task(store.range("servers/")) for _ in range(8)]
+        began = time.monotonic()
+        while not all(task.done() for task in asked):
+            largest = max(largest, memory())
+            await asyncio.sleep(0.01)
+        for task in asked:
+            with pytest.raises(KeyValueUnavailableError):
+                await task
+        assert time.monotonic() - began < CALL_TIMEOUT_SECONDS + 1.0
+    assert largest - before < 2 * MAX_GROWTH_BYTES
