--- a/tests/limit_support.py
+++ b/tests/limit_support.py
@@ -58,7 +58,7 @@
         return max((end - start for start, end in enumerate(ends)), default=0)
 
 
-class _HeaderWriter:
+class HeaderWriter:
     """Stream writer that adds a header to each head."""
 
     def __init__(self, writer: asyncio.StreamWriter, line: str) -> None:
@@ -87,7 +87,7 @@
     async def __call__(
         self, replica: Replica, received: Received, writer: asyncio.StreamWriter
     ) -> None:
-        with_line: t.Any = _HeaderWriter(writer, self.line) if self.line else writer
+        with_line: t.Any = HeaderWriter(writer, self.line) if self.line else writer
         await self.script(replica, received, with_line)
 
 
