Compare the time of a permit itself to the latest time

Worked out as the present plus a wait, it may differ by a rounding from the time that a reservation compares, and a choice that is repeated at once would be the same. Found in reading; not seen.

--- a/src/bergamotmast/direct/send_permits.py
+++ b/src/bergamotmast/direct/send_permits.py
@@ -54,13 +54,11 @@
 
     def wait(self, upstream: Upstream, now: float) -> float:
         """Return for how many seconds the request would wait at least for a permit."""
-        held = self._held_at(upstream, now)
-        at = self.limits.next_at(upstream) if held is None else held
-        return max(0.0, at - now)
+        return max(0.0, self._earliest(upstream, now) - now)
 
     def is_obtainable(self, upstream: Upstream, now: float) -> bool:
         """Return whether the request may get a permit in time."""
-        return now + self.wait(upstream, now) <= self.latest(now)
+        return self._earliest(upstream, now) <= self.latest(now)
 
     async def reserve(self, upstream: Upstream) -> bool:
         """Reserve a permit that is used later; return whether there is one in time."""
@@ -101,6 +99,11 @@
             )
         return self.limits.refusal(self.call.group.name, error.upstreams)
 
+    def _earliest(self, upstream: Upstream, now: float) -> float:
+        """Return when the request may be sent at the earliest, as far as known."""
+        held_at = self._held_at(upstream, now)
+        return self.limits.next_at(upstream) if held_at is None else held_at
+
     def _held_at(self, upstream: Upstream, now: float) -> float | None:
         """Return when a permit that is held is due; ``None`` if there is none."""
         at = self.held.get((upstream.name, upstream.boot))
