Assign a send that is free to a request that can wait no longer

Cause: a request whose patience is over may be sent only now; the entry that assigns the sends looks at the clock a moment later, so that now was late already. The reservation failed, told that the upstream has room now, the choice was repeated at once, and nothing let the event loop go on. Any retry later than half of its objective, at an upstream whose sends its own entry assigns, would do.

--- a/src/bergamotmast/direct/send_permits.py
+++ b/src/bergamotmast/direct/send_permits.py
@@ -78,6 +78,8 @@
         to leave.
         """
         if not await self.reserve(upstream):
+            # The choice of an upstream is made anew, and must not keep the event loop.
+            await asyncio.sleep(0)
             return False
         at = self.held.pop((upstream.name, upstream.boot), -math.inf)
         delay = at - asyncio.get_running_loop().time()
--- a/src/bergamotmast/policy/send_pacing.py
+++ b/src/bergamotmast/policy/send_pacing.py
@@ -60,15 +60,17 @@
     def reserve(self, rate: float, now: float, latest: float) -> SendSlot:
         """Assign the next send, unless it would be later than the request can wait.
 
+        A send that may be now is assigned to a request that can't wait at all.
+
         :param rate: sends a second; more than zero.
-        :param latest: a point in time.
+        :param latest: a point in time, which may have passed.
         """
         if rate > self.rate > 0.0:
             # Otherwise, a higher limit would take effect only after the next send.
             self.next_at = self.last_at + 1.0 / rate
             self.rate = rate
         at = max(now, self.next_at)
-        if at > latest:
+        if at > max(now, latest):
             return SendSlot(None, at)
         self.last_at = max(self.next_at, now - BURST_SECONDS)
         self.next_at = self.last_at + 1.0 / rate
--- a/tests/test_feedback_series.py
+++ b/tests/test_feedback_series.py
@@ -14,7 +14,9 @@
 from feedback_series import draw_plan
 from feedback_series import run_plan
 
-SEEDS = (100, 101, 102, 103)
+SEEDS = (100, 101, 102, 103, 1008)
+"""In 1008, the only entry stood still after a freeze: retries whose patience was over
+reserved a send that was late as soon as the clock had moved on, again and again."""
 
 
 @pytest.mark.parametrize("seed", SEEDS)
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -223,6 +223,26 @@
     assert len(served) >= 0.8 * 40
 
 
+async def test_retry_after_its_patience_is_sent_if_an_upstream_has_room():
+    """Guards against a reservation that is late as soon as the clock has moved on.
+
+    The choice of an upstream was repeated at once, and the process stood still.
+    """
+
+    async def slow_refusal(replica, received, writer):
+        await asyncio.sleep(0.2)
+        await not_run()(replica, received, writer)
+
+    script = limited("5")
+    async with serving(Replica("i-1", script)) as entry:
+        await entry.ask("/read/0")
+        async with Replica("i-2", slow_refusal) as other:
+            entry.register(other)
+            got = [await entry.ask(f"/read/{n}") for n in range(6)]
+    assert {one.status for one in got} <= {200, 503}
+    assert sum(one.status == 200 for one in got) >= 3
+
+
 async def test_registration_is_kept_while_an_upstream_limits_its_requests():
     """Guards against forgetting a limit when a registration is only updated."""
     script = limited("1")
--- a/tests/test_send_pacing.py
+++ b/tests/test_send_pacing.py
@@ -61,6 +61,13 @@
     assert most_in_a_span(sent) <= (SPAN_SECONDS + BURST_SECONDS) * rate + 1
 
 
+def test_send_that_is_free_is_assigned_to_a_request_that_can_wait_no_longer():
+    pacer = SendPacer(0.0)
+    assert pacer.reserve(5.0, 1.0, 0.9).at == 1.0
+    assert pacer.reserve(5.0, 1.0, 0.9).at == 1.0
+    assert pacer.reserve(5.0, 1.0, 0.9).at is None
+
+
 def test_pacer_gives_out_its_whole_rate():
     pacer = SendPacer(0.0)
     sent = [pacer.reserve(5.0, n / 100, n / 100 + 0.1).at for n in range(1000)]
