Spare upstreams at rest reports, orders and releases too

An upstream that asks for rest wants nothing from the entry, and the users count requests, not their kind.

An engine at rest is asked once whether it lives, and counts as alive until its rest ends; it gets no order, and its KV caches are left to expire. Two new tests, which failed before.

--- a/src/bergamotmast/direct/exported_cache.py
+++ b/src/bergamotmast/direct/exported_cache.py
@@ -8,6 +8,7 @@
 from ..errors import NotReachedError
 from ..errors import ReplyLostError
 from .context import Context
+from .model import Upstream
 from .ports import MAX_CONTROL_BODY_BYTES
 
 logger = logging.getLogger(__name__)
@@ -20,26 +21,36 @@
     """Handle of one request's exported KV cache, if there is one.
 
     :param source: address that other engines import it from; empty if there is none.
-    :param build: build of the engine that has exported it.
+    :param engine: the engine that has exported it.
     """
 
     def __init__(self, context: Context) -> None:
         self.context = context
         self.source = ""
-        self.build = ""
+        self.engine: Upstream | None = None
 
     def __bool__(self) -> bool:
         """Return whether there is a KV cache to import."""
         return bool(self.source)
 
+    @property
+    def build(self) -> str:
+        """Build of the engine that has exported it."""
+        return self.engine.build if self.engine is not None else ""
+
     def on_imported(self) -> None:
         """Record that an engine has imported it, which releases it at its source."""
         self.source = ""
 
     def release(self) -> None:
-        """Release it in the background if no engine has imported it."""
+        """Release it in the background if no engine has imported it.
+
+        At an engine that has asked for rest, it is left to expire.
+        """
         source, self.source = self.source, ""
-        if source:
+        resting = self.context.fleet.resting
+        at_rest = self.engine is not None and resting.ends_at(self.engine) is not None
+        if source and not at_rest:
             self.context.spawn(self._free(source))
 
     async def _free(self, source: str) -> None:
--- a/src/bergamotmast/direct/liveness.py
+++ b/src/bergamotmast/direct/liveness.py
@@ -6,6 +6,7 @@
 import collections.abc as cabc
 import contextlib
 import logging
+import math
 
 from ..errors import ReplyLostError
 from .model import Upstream
@@ -63,6 +64,8 @@
 
     :param liveness_probe: if missing, an unresponsive engine is considered dead.
     :param running_probes: running probes, by engine.
+    :param alive_until: until when engines that have asked for rest count as alive, once
+        they have replied to a probe; points in time.
     """
 
     def __init__(
@@ -71,12 +74,16 @@
         self.placer = placer
         self.liveness_probe = liveness_probe
         self.running_probes: dict[UpstreamKey, asyncio.Task[bool]] = {}
+        self.alive_until: dict[UpstreamKey, float] = {}
 
     async def is_alive(self, engine: Upstream) -> bool:
         """Return whether an engine replies to the liveness probe."""
         if self.liveness_probe is None:
             return False
         key = (engine.name, engine.boot)
+        now = asyncio.get_running_loop().time()
+        if now < self.alive_until.get(key, -math.inf):
+            return True
         task = self.running_probes.get(key)
         if task is None:
             task = asyncio.create_task(self._run_probe(self.liveness_probe, engine))
@@ -86,12 +93,21 @@
         # probe must go on.
         return await asyncio.shield(task)
 
+    def _spare(self, engine: Upstream) -> None:
+        """Don't probe an engine again until the rest ends that it has asked for."""
+        now = asyncio.get_running_loop().time()
+        rest_ends_at = self.placer.fleet.resting.ends_at(engine)
+        self.alive_until = {k: at for k, at in self.alive_until.items() if now < at}
+        if rest_ends_at is not None:
+            self.alive_until[engine.name, engine.boot] = rest_ends_at
+
     async def _run_probe(self, liveness_probe: LivenessProbe, engine: Upstream) -> bool:
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         is_alive = await liveness_probe.probe(engine)
         if is_alive:
             self.placer.engine_load(engine).last_reply_at = loop.time()
+            self._spare(engine)
         ms = round((loop.time() - started_at) * 1e3, 1)
         logger.info(
             "silent engine is asked",
--- a/src/bergamotmast/direct/remote_prefill.py
+++ b/src/bergamotmast/direct/remote_prefill.py
@@ -71,7 +71,7 @@
         try:
             async with abort_when(lambda: self._abort_reason(engine, prefill)):
                 cache.source = await self._send_prompt(engine, prefill)
-            cache.build = engine.build
+            cache.engine = engine
             done = self.done = True
             stream.on_prefilled()
             stream.timeline.prefilled_at = loop.time()
--- a/src/bergamotmast/direct/role_planner.py
+++ b/src/bergamotmast/direct/role_planner.py
@@ -292,7 +292,8 @@
         hold_off_until = max(
             self.hold_off_until.get(upstream.name, 0.0), self.global_hold_off_until
         )
-        may_change = now >= hold_off_until
+        at_rest = self.fleet.resting.ends_at(upstream) is not None
+        may_change = now >= hold_off_until and not at_rest
         return EngineRole(
             upstream.name, upstream.role, load, may_change, build=upstream.build
         )
--- a/tests/feedback_series.py
+++ b/tests/feedback_series.py
@@ -332,7 +332,10 @@
 async def run_plan(plan: FeedbackPlan, seed: int) -> FeedbackReport:
     """Play a plan; the processes' logs are kept if it breaks."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"feedback-{seed}-"))
-    report = await FeedbackSeries(plan, folder, seed).run()
+    try:
+        report = await FeedbackSeries(plan, folder, seed).run()
+    except TimeoutError:
+        report = FeedbackReport(["the series did not end"], {})
     if report.faults:
         print(f"logs of seed {seed}: {folder}", flush=True)
     else:
--- a/tests/test_resting_upstreams.py
+++ b/tests/test_resting_upstreams.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from bergamotmast.direct.exported_cache import ExportedCache
 from bergamotmast.platform.headers import PlatformDialect
 from bergamotmast.policy.upstream_rest import TRIAL_SECONDS
 from direct_support import engine
@@ -231,3 +232,45 @@
         got = await running
     assert one.received == []
     assert {answer.status for answer in got} == {200}
+
+
+class CountingProbe:
+    """Liveness probe that finds all engines alive, and counts."""
+
+    def __init__(self):
+        self.count = 0
+
+    async def probe(self, engine):
+        self.count += 1
+        return True
+
+
+async def test_engine_at_rest_is_asked_once_whether_it_lives():
+    """Guards against reports to an engine that wants nothing."""
+    probe = CountingProbe()
+    async with serving(engine("i-1", EngineScript()), liveness_probe=probe) as entry:
+        (upstream,) = entry.fleet.members("llm", 0.0)
+        checker = entry.core.context.liveness_checker
+        assert [await checker.is_alive(upstream) for _ in range(3)] == [True] * 3
+        assert probe.count == 3
+        entry.fleet.resting.on_asked(upstream, 0.2)
+        assert [await checker.is_alive(upstream) for _ in range(5)] == [True] * 5
+        assert probe.count == 4
+        await asyncio.sleep(0.25)
+        assert await checker.is_alive(upstream)
+        assert probe.count == 5
+
+
+@pytest.mark.parametrize("at_rest", [True, False])
+async def test_kv_cache_at_an_engine_at_rest_is_left_to_expire(at_rest):
+    script = EngineScript()
+    replicas = [engine("i-1", script, "prefill"), engine("i-2", EngineScript())]
+    async with serving(*replicas) as entry:
+        upstream = entry.fleet.registered("i-1")
+        cache = ExportedCache(entry.core.context)
+        cache.engine, cache.source = upstream, f"{upstream.address}/h1"
+        if at_rest:
+            entry.fleet.resting.on_asked(upstream, 1.0)
+        cache.release()
+        await asyncio.sleep(0.1)
+    assert script.freed == ([] if at_rest else ["h1"])
