--- a/tests/test_direct_roles.py
+++ b/tests/test_direct_roles.py
@@ -153,6 +153,19 @@
     assert any(key.startswith("/bergamotmast/plan/engines/") for key in store.items)
 
 
+async def test_engine_at_rest_gets_no_order():
+    """Guards against orders to an engine that wants nothing from this entry."""
+    scripts = [OrderedEngine(), OrderedEngine()]
+    async with planners(*scripts) as (_, (planner,)):
+        members = planner.fleet.present("llm", 0.0)
+        for member in members:
+            planner.fleet.resting.on_asked(member, 1.5)
+        async with run(planner):
+            await asyncio.sleep(1.2)
+            assert not any(script.orders for script in scripts)
+            await until(lambda: any(script.orders for script in scripts))
+
+
 async def test_order_with_a_lost_reply_is_not_repeated():
     """The engine may carry it out seconds later; a second order would interrupt it."""
     scripts = [OrderedEngine("lose"), OrderedEngine("lose")]
