--- a/src/bergamotmast/direct/named_limits.py
+++ b/src/bergamotmast/direct/named_limits.py
@@ -41,8 +41,10 @@
         :param rate: infinity if it names none.
         :param sent_at: when the request was sent; a point in time.
         """
+        if rate == NO_LIMIT and not self.limits:
+            return
         key = upstream_hash(upstream)
-        if key not in self.limits and rate == NO_LIMIT:
+        if rate == NO_LIMIT and key not in self.limits:
             return
         now = asyncio.get_running_loop().time()
         self._set(key, self.of(key).after_reply(rate, sent_at, now), "reply")
--- a/src/bergamotmast/direct/rate_limits.py
+++ b/src/bergamotmast/direct/rate_limits.py
@@ -40,6 +40,8 @@
 
     def rate(self, upstream: Upstream) -> float:
         """Return the requests a second that an upstream takes; infinity if any."""
+        if not self.limits.limits:
+            return NO_LIMIT
         return self.limits.of(upstream_hash(upstream)).rate
 
     def next_at(self, upstream: Upstream) -> float:
