One key for an incarnation, one place where a send is recorded

- Name and boot of an upstream stood as a tuple in five modules, under two aliases: Upstream.key.
- The headers of a request and the record that it is sent stood side by side in plain calls, answers and prefills: Context.write_headers.
- Permits for nobody were production code that only tests used: moved to tests/test_placing.py.
- The lowest final status was named twice; two lists of the fleet differed in one condition; a method returned what no one read; a docstring said nothing.

--- a/src/bergamotmast/adapters/upstream_http.py
+++ b/src/bergamotmast/adapters/upstream_http.py
@@ -19,6 +19,7 @@
 from aiohttp.streams import StreamReader
 from aiohttp.tracing import Trace
 
+from ..direct.ports import MIN_FINAL_STATUS
 from ..direct.ports import Headers
 from ..errors import ConnectionLostError
 from ..errors import ReplyLostError
@@ -51,9 +52,6 @@
 MAX_INTERIM_RESPONSES = 100
 """Maximum number of interim responses to one request; upstreams send one or none."""
 
-MIN_FINAL_STATUS = 200
-"""Lower statuses are those of interim responses."""
-
 MAX_REPLY_HEADER_BYTES = 65_536
 """Maximum header line of a reply; upstreams send much shorter ones."""
 
--- a/src/bergamotmast/direct/context.py
+++ b/src/bergamotmast/direct/context.py
@@ -23,7 +23,10 @@
 from .notices import NoticeExchange
 from .placer import RequestPlacer
 from .placer import upstream_hash
+from .ports import MIN_FINAL_STATUS
+from .ports import Attempt
 from .ports import Dialect
+from .ports import Headers
 from .ports import LivenessProbe
 from .ports import Reply
 from .ports import ReplyTraits
@@ -41,9 +44,6 @@
 REST_STATUSES = frozenset({429, 503})
 """Statuses of replies that may ask for rest; others are of requests that ran."""
 
-MIN_FINAL_STATUS = 200
-"""Lower statuses are interim responses: a caller waits for another one."""
-
 
 @dataclasses.dataclass(slots=True)
 class Context:
@@ -141,6 +141,13 @@
         self.background.add(task)
         task.add_done_callback(self.background.discard)
 
+    def write_headers(
+        self, call: Call, upstream: Upstream, attempt: Attempt, now: float
+    ) -> Headers:
+        """Return the headers of a request that is about to be sent to an upstream."""
+        self.fleet.resting.on_sending(upstream)
+        return self.dialect.write_headers(call.headers, attempt, now)
+
     def read_reply(
         self, call: Call, upstream: Upstream, reply: Reply, sent_at: float
     ) -> ReplyTraits:
--- a/src/bergamotmast/direct/decode_attempt.py
+++ b/src/bergamotmast/direct/decode_attempt.py
@@ -227,8 +227,7 @@
             last_event=self.stream.last_event,
             weights=self.stream.weights,
         )
-        headers = self.context.dialect.write_headers(call.headers, attempt, now)
-        self.context.fleet.resting.on_sending(self.upstream)
+        headers = self.context.write_headers(call, self.upstream, attempt, now)
         return self.context.client.send(
             self.upstream.address,
             call.method,
--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -259,19 +259,17 @@
 
     def members(self, group: str, now: float) -> list[Upstream]:
         """Return the upstreams of a group that are eligible for new requests."""
-        return [
-            u
-            for u in self.present(group, now)
-            if not self._changing(u, now) and self.resting.ends_at(u) is None
-        ]
+        unchanging = self._unchanging(group, now)
+        return [u for u in unchanging if self.resting.ends_at(u) is None]
 
     def resting_members(self, group: str, now: float) -> list[Upstream]:
         """Return the upstreams that would be eligible if they didn't rest."""
-        return [
-            u
-            for u in self.present(group, now)
-            if not self._changing(u, now) and self.resting.ends_at(u) is not None
-        ]
+        unchanging = self._unchanging(group, now)
+        return [u for u in unchanging if self.resting.ends_at(u) is not None]
+
+    def _unchanging(self, group: str, now: float) -> list[Upstream]:
+        """Return the present upstreams that are not changing their role."""
+        return [u for u in self.present(group, now) if not self._changing(u, now)]
 
     def decode_available_at(
         self, group: str, now: float, build: str | None = None
@@ -423,8 +421,7 @@
         if upstream in self.said_leaving:
             return
         now = self.clock()
-        upstreams = [record.upstream for record in self.upstream_records.values()]
-        registered = {(known.name, known.boot) for known in upstreams}
+        registered = {r.upstream.key for r in self.upstream_records.values()}
         self.said_leaving.forget(registered, now - DEPARTED_RETENTION_SECONDS)
         self.said_leaving.add(upstream, now)
         record = self.upstream_records.get(self._key(upstream))
--- a/src/bergamotmast/direct/liveness.py
+++ b/src/bergamotmast/direct/liveness.py
@@ -10,8 +10,8 @@
 
 from ..errors import ReplyLostError
 from .model import Upstream
+from .model import UpstreamKey
 from .placer import RequestPlacer
-from .placer import UpstreamKey
 from .ports import LivenessProbe
 
 logger = logging.getLogger(__name__)
@@ -80,7 +80,7 @@
         """Return whether an engine replies to the liveness probe."""
         if self.liveness_probe is None:
             return False
-        key = (engine.name, engine.boot)
+        key = engine.key
         now = asyncio.get_running_loop().time()
         if now < self.alive_until.get(key, -math.inf):
             return True
@@ -99,7 +99,7 @@
         rest_ends_at = self.placer.fleet.resting.ends_at(engine)
         self.alive_until = {k: at for k, at in self.alive_until.items() if now < at}
         if rest_ends_at is not None:
-            self.alive_until[engine.name, engine.boot] = rest_ends_at
+            self.alive_until[engine.key] = rest_ends_at
 
     async def _run_probe(self, liveness_probe: LivenessProbe, engine: Upstream) -> bool:
         loop = asyncio.get_running_loop()
--- a/src/bergamotmast/direct/model.py
+++ b/src/bergamotmast/direct/model.py
@@ -6,6 +6,7 @@
 import enum
 import hashlib
 import math
+import typing as t
 
 from ..crashes.fingerprint import part_name
 from ..model import Role
@@ -133,6 +134,10 @@
     tenants: TenantIndex | None = None
 
 
+UpstreamKey: t.TypeAlias = tuple[str, str]
+"""Name and boot of an upstream, as its load and caches are lost in a restart."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Upstream:
     """The registration of one upstream.
@@ -156,6 +161,11 @@
     role: Role | None = None
     build: str = ""
 
+    @property
+    def key(self) -> UpstreamKey:
+        """Key of its incarnation."""
+        return self.name, self.boot
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PromptPart:
--- a/src/bergamotmast/direct/named_limits.py
+++ b/src/bergamotmast/direct/named_limits.py
@@ -49,13 +49,12 @@
         now = asyncio.get_running_loop().time()
         self._set(key, self.of(key).after_reply(rate, sent_at, now), "reply")
 
-    def learn(self, key: int, limit: NamedLimit) -> NamedLimit:
-        """Apply what another entry knows; return the limit in force."""
+    def learn(self, key: int, limit: NamedLimit) -> None:
+        """Apply what another entry knows."""
         known = self.of(key)
         newest = known.merged(limit)
         if newest is not known:
             self._set(key, newest, "another entry")
-        return newest
 
     def _set(self, key: int, limit: NamedLimit, told_by: str) -> None:
         """Replace the limit of an upstream and log a change of it."""
--- a/src/bergamotmast/direct/placer.py
+++ b/src/bergamotmast/direct/placer.py
@@ -30,13 +30,10 @@
 from .model import Call
 from .model import CallTraits
 from .model import Upstream
+from .model import UpstreamKey
 from .ports import LoadHint
 from .prefill_notice import PrefillNotice
 
-UpstreamKey = tuple[str, str]
-"""Name and boot of an upstream, as its load and caches are lost in a restart."""
-
-
 MIN_TRANSFER_TOKENS = 400
 """Shortest prefix, in tokens, that is transferred from another engine instead of being
 prefilled: it takes 8 ms to prefill and less than 3 ms to transfer."""
@@ -73,25 +70,6 @@
         ...
 
 
-class NoPermitsNeeded:
-    """Implements :class:`Permits` for a request to upstreams without limits."""
-
-    def is_obtainable(self, upstream: Upstream, now: float) -> bool:
-        """Return that it may be sent."""
-        return True
-
-    def wait(self, upstream: Upstream, now: float) -> float:
-        """Return no waiting time."""
-        return 0.0
-
-    def holds(self, upstream: Upstream, now: float) -> bool:
-        """Return that no permit is held."""
-        return False
-
-
-NO_PERMITS_NEEDED = NoPermitsNeeded()
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class PrefixLookup:
     """Result of a prefix-cache lookup for a prompt at one engine.
@@ -140,7 +118,7 @@
 
     def engine_load(self, upstream: Upstream) -> EngineLoadTracker:
         """Return the load tracker of an engine."""
-        key = (upstream.name, upstream.boot)
+        key = upstream.key
         tracker = self.engine_loads.get(key)
         if tracker is None:
             self._forget_departed()
@@ -159,7 +137,7 @@
 
     def plain_load(self, upstream: Upstream) -> PlainUpstreamLoad:
         """Return the load tracker of a plain upstream."""
-        key = (upstream.name, upstream.boot)
+        key = upstream.key
         tracker = self.plain_loads.get(key)
         if tracker is None:
             self._forget_departed()
@@ -227,7 +205,7 @@
         self,
         call: Call,
         excluded: cabc.Collection[str],
-        permits: Permits = NO_PERMITS_NEEDED,
+        permits: Permits,
     ) -> Upstream:
         """Return the plain upstream for a request's next attempt.
 
@@ -259,8 +237,8 @@
         self,
         call: Call,
         excluded: cabc.Collection[str],
-        build: str | None = None,
-        permits: Permits = NO_PERMITS_NEEDED,
+        build: str | None,
+        permits: Permits,
     ) -> tuple[Upstream | None, Upstream, Placement]:
         """Return the prefill engine, the decode engine and the placement of a stream.
 
@@ -294,7 +272,7 @@
         call: Call,
         excluded: cabc.Collection[str],
         build: str,
-        permits: Permits = NO_PERMITS_NEEDED,
+        permits: Permits,
     ) -> Upstream | None:
         """Return the decode engine for a request that was prefilled elsewhere, if any.
 
@@ -449,8 +427,7 @@
 
     def _forget_departed(self) -> None:
         present = {
-            (record.upstream.name, record.upstream.boot)
-            for record in self.fleet.upstream_records.values()
+            record.upstream.key for record in self.fleet.upstream_records.values()
         }
         self.engine_loads = {
             key: load for key, load in self.engine_loads.items() if key in present
--- a/src/bergamotmast/direct/plain_run.py
+++ b/src/bergamotmast/direct/plain_run.py
@@ -197,11 +197,9 @@
 
     async def _exchange(self, upstream: Upstream) -> Response | None:
         call = self.call
-        dialect = self.context.dialect
         now = asyncio.get_running_loop().time()
         attempt = Attempt(upstream.name, call.deadline, call.tenant_name)
-        headers = dialect.write_headers(call.headers, attempt, now)
-        self.context.fleet.resting.on_sending(upstream)
+        headers = self.context.write_headers(call, upstream, attempt, now)
         async with self.context.client.send(
             upstream.address,
             call.method,
--- a/src/bergamotmast/direct/ports.py
+++ b/src/bergamotmast/direct/ports.py
@@ -12,6 +12,9 @@
 from .model import Routing
 from .model import Upstream
 
+MIN_FINAL_STATUS = 200
+"""Lower statuses are interim responses: a caller waits for another one."""
+
 MAX_CONTROL_BODY_BYTES = 65_536
 """Maximum body of a reply that no caller receives; they hold a few fields."""
 
--- a/src/bergamotmast/direct/rate_limits.py
+++ b/src/bergamotmast/direct/rate_limits.py
@@ -39,7 +39,7 @@
         self.returns: dict[str, ReturnSchedule] = {}
 
     def rate(self, upstream: Upstream) -> float:
-        """Return the requests a second that an upstream takes; infinity if any."""
+        """Return the limit of an upstream in requests a second; infinity for none."""
         if not self.limits.limits:
             return NO_LIMIT
         return self.limits.of(upstream_hash(upstream)).rate
--- a/src/bergamotmast/direct/remote_prefill.py
+++ b/src/bergamotmast/direct/remote_prefill.py
@@ -149,8 +149,7 @@
             prefix_source=prefill.prefix_source,
             last_event=self.stream.last_event,
         )
-        headers = dialect.write_headers(call.headers, attempt, now)
-        self.context.fleet.resting.on_sending(engine)
+        headers = self.context.write_headers(call, engine, attempt, now)
         async with self.context.client.send(
             engine.address, call.method, call.target, headers, call.body, fresh=False
         ) as reply:
--- a/src/bergamotmast/direct/resting_upstreams.py
+++ b/src/bergamotmast/direct/resting_upstreams.py
@@ -11,6 +11,7 @@
 from ..policy.direct_refusal import rest_retry_after
 from ..policy.upstream_rest import UpstreamRest
 from .model import Upstream
+from .model import UpstreamKey
 
 logger = logging.getLogger(__name__)
 
@@ -26,11 +27,11 @@
 
     def __init__(self, clock: cabc.Callable[[], float]) -> None:
         self.clock = clock
-        self.rests: dict[tuple[str, str], UpstreamRest] = {}
+        self.rests: dict[UpstreamKey, UpstreamRest] = {}
 
     def ends_at(self, upstream: Upstream) -> float | None:
         """Return until when an upstream rests; ``None`` if it doesn't."""
-        rest = self.rests.get((upstream.name, upstream.boot))
+        rest = self.rests.get(upstream.key)
         if rest is None or self.clock() >= rest.ends_at():
             return None
         return rest.ends_at()
@@ -38,7 +39,7 @@
     def on_asked(self, upstream: Upstream, seconds: float) -> None:
         """Record that a reply asks for rest."""
         now = self.clock()
-        key = upstream.name, upstream.boot
+        key = upstream.key
         if key not in self.rests:
             self._forget_unused(now)
         rest = self.rests.get(key, UpstreamRest(now))
@@ -54,7 +55,7 @@
 
     def on_sending(self, upstream: Upstream) -> None:
         """Record that a request is being sent, which may be a trial."""
-        key = upstream.name, upstream.boot
+        key = upstream.key
         rest = self.rests.get(key)
         if rest is not None:
             self.rests[key] = rest.after_send(self.clock())
@@ -64,7 +65,7 @@
 
         :param sent_at: when its request was sent; a point in time.
         """
-        key = upstream.name, upstream.boot
+        key = upstream.key
         rest = self.rests.get(key)
         if rest is not None and sent_at >= rest.until:
             del self.rests[key]
--- a/src/bergamotmast/direct/said_leaving.py
+++ b/src/bergamotmast/direct/said_leaving.py
@@ -5,9 +5,7 @@
 import collections.abc as cabc
 
 from .model import Upstream
-
-Incarnation = tuple[str, str]
-"""Name and boot of an upstream."""
+from .model import UpstreamKey
 
 
 class SaidLeaving:
@@ -17,17 +15,17 @@
     """
 
     def __init__(self) -> None:
-        self.since: dict[Incarnation, float] = {}
+        self.since: dict[UpstreamKey, float] = {}
 
     def __contains__(self, upstream: Upstream) -> bool:
         """Return whether an upstream has said that it leaves."""
-        return (upstream.name, upstream.boot) in self.since
+        return upstream.key in self.since
 
     def add(self, upstream: Upstream, now: float) -> None:
         """Record that an upstream leaves."""
-        self.since[upstream.name, upstream.boot] = now
+        self.since[upstream.key] = now
 
-    def forget(self, registered: cabc.Container[Incarnation], before: float) -> None:
+    def forget(self, registered: cabc.Container[UpstreamKey], before: float) -> None:
         """Drop the upstreams that are gone.
 
         :param registered: incarnations that are kept.
--- a/src/bergamotmast/direct/send_permits.py
+++ b/src/bergamotmast/direct/send_permits.py
@@ -10,7 +10,7 @@
 from .context import Context
 from .model import Call
 from .model import Upstream
-from .placer import UpstreamKey
+from .model import UpstreamKey
 from .placer import UpstreamsLimitedError
 from .placer import UpstreamsRestingError
 
@@ -68,20 +68,20 @@
         at = await self.limits.reserve(upstream, self.latest(now))
         if at is None:
             return False
-        self.held[upstream.name, upstream.boot] = at
+        self.held[upstream.key] = at
         return True
 
     async def take(self, upstream: Upstream) -> bool:
         """Wait until a permit is due; return whether the request may be sent then.
 
         It may not if there is no permit in time, or if the upstream has meanwhile begun
-        to leave.
+        to leave or asked for rest.
         """
         if not await self.reserve(upstream):
             # The choice of an upstream is made anew, and must not keep the event loop.
             await asyncio.sleep(0)
             return False
-        at = self.held.pop((upstream.name, upstream.boot), -math.inf)
+        at = self.held.pop(upstream.key, -math.inf)
         delay = at - asyncio.get_running_loop().time()
         if delay > 0.0:
             await asyncio.sleep(delay)
@@ -108,7 +108,7 @@
 
     def _held_at(self, upstream: Upstream, now: float) -> float | None:
         """Return when a permit that is held is due; ``None`` if there is none."""
-        at = self.held.get((upstream.name, upstream.boot))
+        at = self.held.get(upstream.key)
         if at is None or now > at + MAX_HELD_SECONDS:
             return None
         return at
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -13,6 +13,7 @@
 from bergamotmast.direct.model import Call
 from bergamotmast.direct.model import CallTraits
 from bergamotmast.direct.model import PromptPart
+from bergamotmast.direct.model import Upstream
 from bergamotmast.direct.placer import RequestPlacer
 from bergamotmast.direct.placer import shared_parts
 from bergamotmast.platform.directory import PlatformDirectory
@@ -39,6 +40,22 @@
     return fleet
 
 
+class NoPermitsNeeded:
+    """Permits of a request to upstreams without limits."""
+
+    def is_obtainable(self, upstream: Upstream, now: float) -> bool:
+        """Return that it may be sent."""
+        return True
+
+    def wait(self, upstream: Upstream, now: float) -> float:
+        """Return no waiting time."""
+        return 0.0
+
+    def holds(self, upstream: Upstream, now: float) -> bool:
+        """Return that no permit is held."""
+        return False
+
+
 def make_call(fleet: Fleet, tokens: int) -> Call:
     traits = CallTraits("id", 3.0, 0, tokens, 30, 0, (PromptPart("part", tokens // 2),))
     route = fleet.table.find(HOST, "/long/x")
@@ -57,7 +74,9 @@
         placer = RequestPlacer(
             fleet, f"entry-{number}", "zone-a", random.Random(number)
         )
-        reader, answering, _ = placer.place_stream(make_call(fleet, tokens), ())
+        reader, answering, _ = placer.place_stream(
+            make_call(fleet, tokens), (), None, NoPermitsNeeded()
+        )
         chosen[reader.name if reader else answering.name] += 1
     # With a uniform random choice among the 20 prefill engines, the probability that
     # any of them gets more than 12 of the 68 prompts is below 0.001.
@@ -81,5 +100,5 @@
     )
     fleet = make_fleet(ENGINES)
     placer = RequestPlacer(fleet, "entry-1", "zone-a", random.Random(1))
-    placer.place_stream(make_call(fleet, 3_000), ())
+    placer.place_stream(make_call(fleet, 3_000), (), None, NoPermitsNeeded())
     assert lookups["kept"] <= 4 * ENGINES
