--- a/src/bergamotmast/adapters/upstream_http.py
+++ b/src/bergamotmast/adapters/upstream_http.py
@@ -49,6 +49,9 @@
 MAX_BUFFERED_BYTES = 1 << 26
 """Maximum size of all bodies together that are being read whole."""
 
+MIN_BLOCK_BYTES = 65_536
+"""Size from which no further part of a body is added to a block."""
+
 MAX_INTERIM_RESPONSES = 100
 """Maximum number of interim responses to one request; upstreams send one or none."""
 
@@ -127,31 +130,48 @@
             connection.close()
 
 
-class BodyBuffers:
-    """Bodies of one client that are being read whole.
+class BufferedBody:
+    """A body that is being read whole.
+
+    One block that grows would leave holes in the memory at each of its sizes.
 
-    :param bodies: what has been received of each, by its identity.
+    :param size: in bytes.
     """
 
     def __init__(self) -> None:
-        self.bodies: dict[int, bytearray] = {}
+        self.blocks: list[bytearray] = []
+        self.size = 0
+
+    def add(self, part: bytes) -> None:
+        """Add a part that has been received."""
+        if not self.blocks or len(self.blocks[-1]) >= MIN_BLOCK_BYTES:
+            self.blocks.append(bytearray())
+        self.blocks[-1] += part
+        self.size += len(part)
+
+
+class BodyBuffers:
+    """Bodies of one client that are being read whole."""
+
+    def __init__(self) -> None:
+        self.bodies: set[BufferedBody] = set()
 
     @contextlib.contextmanager
-    def add(self) -> cabc.Iterator[bytearray]:
+    def new_body(self) -> cabc.Iterator[BufferedBody]:
         """Return a context manager that yields the buffer of one more body."""
-        body = bytearray()
-        self.bodies[id(body)] = body
+        body = BufferedBody()
+        self.bodies.add(body)
         try:
             yield body
         finally:
-            del self.bodies[id(body)]
+            self.bodies.discard(body)
             # The frames of an error's traceback keep it until the error is forgotten.
-            body.clear()
+            body.blocks.clear()
 
-    def is_full_of(self, body: bytearray) -> bool:
+    def is_full_of(self, body: BufferedBody) -> bool:
         """Return whether there is too much, and a body is among the larger ones."""
-        total = sum(map(len, self.bodies.values()))
-        return total > MAX_BUFFERED_BYTES and len(body) * len(self.bodies) >= total
+        total = sum(other.size for other in self.bodies)
+        return total > MAX_BUFFERED_BYTES and body.size * len(self.bodies) >= total
 
 
 class HttpReply:
@@ -192,14 +212,14 @@
         all of its running requests.
         """
         limit = MAX_REPLY_BODY_BYTES if max_bytes is None else max_bytes
-        with self.buffers.add() as body:
+        with self.buffers.new_body() as body:
             async for part in self.chunks():
-                body += part
-                if len(body) > limit:
+                body.add(part)
+                if body.size > limit:
                     raise ReplyLostError(f"the reply's body exceeds {limit} bytes")
                 if self.buffers.is_full_of(body):
                     raise ReplyLostError("the replies' bodies exceed the memory")
-            return bytes(body)
+            return b"".join(body.blocks)
 
     async def chunks(self) -> cabc.AsyncIterator[bytes]:
         """Yield the body as it arrives."""
