--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -74,6 +74,7 @@
         self.late_write: int | None = None
         self.late_seconds = 4.0
         self.late: set[asyncio.Task] = set()
+        self.writes: list[float] = []
         self.record = lambda text: None
         self.changed = asyncio.Event()
         self.runners: list[web.AppRunner] = []
@@ -157,6 +158,8 @@
     def _middleware(self, index: int):
         @web.middleware
         async def middleware(request, handler):
+            if request.method != "GET":
+                self.writes.append(now())
             if index in self.down:
                 response = web.Response(status=503)
             elif index == self.late_write and request.path == "/kv-txn":
@@ -633,18 +636,26 @@
     answer.headers = {name.strip().lower(): v.strip() for name, _, v in pairs}
     answer.how = "broken off"
     if answer.headers.get("transfer-encoding") == "chunked":
-        while size := int((await reader.readline()).strip() or b"0", 16):
+        while size := int(await _read_line(reader), 16):
             data = (await reader.readexactly(size + 2))[:-2]
             answer.body += data
             if on_data:
                 on_data(data)
-        await reader.readline()
+        await _read_line(reader)
     else:
         length = int(answer.headers.get("content-length", "0"))
         answer.body = await reader.readexactly(length)
     answer.how = "complete"
 
 
+async def _read_line(reader) -> bytes:
+    """Return a line of a chunked body; a channel that has ended broke it off."""
+    line = await reader.readline()
+    if not line.endswith(b"\n"):
+        raise asyncio.IncompleteReadError(line, None)
+    return line.strip()
+
+
 def main(case, seconds: float = 110.0) -> None:
     """Run a case: ``await case(folder, record, temporary, trouble)`` returns its code.
 
