--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -12,6 +12,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -33,11 +34,21 @@
     return time.monotonic()
 
 
-def free_port(kind: int = socket.SOCK_STREAM) -> int:
-    """Return a free port of the loopback address."""
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+_given: set[int] = set()
+
+
+def free_port() -> int:
+    """Return a free port of the loopback address, below the ephemeral ports."""
+    while True:
+        port = random.randrange(12_000, 30_000)
+        if port in _given:
+            continue
+        _given.add(port)
+        with contextlib.suppress(OSError):
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, kind) as probe:
+                    probe.bind(("127.0.0.1", port))
+            return port
 
 
 class Record:
@@ -93,7 +104,7 @@
             app.router.add_delete("/kv-lease-end/{lease}", self._end)
             runner = web.AppRunner(app, shutdown_timeout=0.1, access_log=None)
             await runner.setup()
-            await web.TCPSite(runner, "127.0.0.1", 0).start()
+            await web.TCPSite(runner, "127.0.0.1", free_port()).start()
             self.runners.append(runner)
             host, port = runner.addresses[0][:2]
             self.addresses.append(f"{host}:{port}")
@@ -519,7 +530,7 @@
             "BERGAMOTMAST_READY_ADDRESS": f"127.0.0.1:{ready}",
             "BERGAMOTMAST_SHUTDOWN_SECONDS": "8",
             "BERGAMOTMAST_ORDER_PAUSE_MS": "3000",
-            "BERGAMOTMAST_PEER_ADDRESS": f"127.0.0.1:{free_port(socket.SOCK_DGRAM)}",
+            "BERGAMOTMAST_PEER_ADDRESS": f"127.0.0.1:{free_port()}",
             "BERGAMOTMAST_METRICS_ADDRESS": f"127.0.0.1:{metrics}",
             "BERGAMOTMAST_RETRY_SHARE": "0.2",
             "BERGAMOTMAST_RETRY_FREE": "58",
@@ -656,6 +667,14 @@
     return line.strip()
 
 
+async def _run(work, seconds: float) -> int:
+    """Run a case; a signal ends it, with all processes that it started."""
+    task = asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    return await asyncio.wait_for(work, seconds)
+
+
 def main(case, seconds: float = 110.0) -> None:
     """Run a case: ``await case(folder, record, temporary, trouble)`` returns its code.
 
@@ -668,7 +687,7 @@
     temporary = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
     code = 2
     try:
-        code = asyncio.run(asyncio.wait_for(case(record, temporary, trouble), seconds))
+        code = asyncio.run(_run(case(record, temporary, trouble), seconds))
     except BaseException as error:
         record(f"the case could not run: {type(error).__name__}: {error}")
     finally:
