--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -414,6 +414,10 @@
         )
 
     async def _serve(self, reader, writer) -> None:
+        if not self.server.is_serving():
+            # It was accepted just before the crash.
+            writer.transport.abort()
+            return
         self.writers.add(writer)
         self.spawn(self._answer_all(reader, writer))
 
