--- a/src/bergamotmast/adapters/metrics.py
+++ b/src/bergamotmast/adapters/metrics.py
@@ -135,6 +135,7 @@
         self.quarantined_parts = meter.create_gauge("prompt.parts.quarantined")
         self.refused_connections = meter.create_counter("connections.refused")
         self.rests = meter.create_counter("upstream.rests")
+        self.resumed = meter.create_counter("streams.resumed")
         self.limited_upstreams = meter.create_gauge("upstreams.limited")
         self.full_engines = meter.create_gauge("engines.full")
         self.held_bytes = meter.create_gauge("response.bytes.held")
@@ -255,6 +256,10 @@
         """Count a reply by which an upstream asks this entry for rest."""
         self.rests.add(1, {"group": self.classes(group)})
 
+    def on_resumed(self, group: str, known_by: str) -> None:
+        """Count a stream that a caller resumes, by how its build is known."""
+        self.resumed.add(1, {"group": self.classes(group), "known_by": known_by})
+
     def on_full_engines(self, group: str, count: int) -> None:
         """Record the number of a group's engines without memory for a request."""
         self.full_engines.set(count, {"group": self.classes(group)})
--- a/src/bergamotmast/direct/core.py
+++ b/src/bergamotmast/direct/core.py
@@ -153,13 +153,16 @@
         :raises RequestError: if it is not known and there are several builds.
         """
         groups = (group, *(target.group for target in route.targets))
-        record = await self.context.stream_builds.find(began_as, groups)
+        found = await self.context.stream_builds.find(began_as, groups)
+        record = found.record
+        self.telemetry.on_resumed(group, found.known_by.value)
         logger.info(
             "stream is resumed",
             extra={
                 "began_as": began_as[:MAX_LOGGED_ID],
                 "last_event": traits.last_event,
                 "build": None if record is None else record.build,
+                "known_by": found.known_by.value,
             },
         )
         if record is None:
--- a/src/bergamotmast/direct/stream_builds.py
+++ b/src/bergamotmast/direct/stream_builds.py
@@ -10,6 +10,7 @@
 import collections
 import collections.abc as cabc
 import dataclasses
+import enum
 import logging
 import math
 import typing as t
@@ -40,6 +41,27 @@
     expires_at: float
 
 
+class KnownBy(enum.Enum):
+    """How the build at which a stream began is known."""
+
+    MEMORY = "memory"
+    PEERS = "peers"
+    ONLY_BUILD = "only build"
+    GUESS = "guess"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FoundBuild:
+    """Where a stream can go on.
+
+    :param record: ``None`` if it is not known.
+    """
+
+    record: StreamBuild | None
+    known_by: KnownBy
+
+
 class StreamBuildPeers(t.Protocol):
     """Other entries that keep copies of the records."""
 
@@ -128,10 +150,8 @@
         self._drop_expired()
         return self.records.get(stream)
 
-    async def find(
-        self, request_id: str, groups: cabc.Sequence[str]
-    ) -> StreamBuild | None:
-        """Return where a stream began; ``None`` if it is not known.
+    async def find(self, request_id: str, groups: cabc.Sequence[str]) -> FoundBuild:
+        """Find out where a stream began.
 
         :param request_id: id of the request that brought its first event.
         :param groups: groups in which it can go on; the first one is taken if it is
@@ -140,14 +160,18 @@
         stream = stable_hash(request_id)
         only = self._only_record(stream, groups[0])
         record = self.record(stream)
-        if record is None and (only is None or not self.fleet.knows_all_builds):
+        known_by = KnownBy.MEMORY
+        is_certain = only is not None and self.fleet.knows_all_builds
+        if record is None and not is_certain:
             if self.peers is not None:
                 await self.peers.find(stream, groups[0])
-            record = self.record(stream)
+            record, known_by = self.record(stream), KnownBy.PEERS
         if record is not None and record.group in groups:
-            return record
+            return FoundBuild(record, known_by)
         # Another entry may have told of a build that was not known here.
-        return self._only_record(stream, groups[0]) and only
+        if only is None or self._only_record(stream, groups[0]) is None:
+            return FoundBuild(None, KnownBy.UNKNOWN)
+        return FoundBuild(only, KnownBy.ONLY_BUILD if is_certain else KnownBy.GUESS)
 
     def _only_record(self, stream: int, group: str) -> StreamBuild | None:
         """Return the record of any stream of a group with one build."""
--- a/src/bergamotmast/telemetry.py
+++ b/src/bergamotmast/telemetry.py
@@ -77,6 +77,10 @@
         """Count a reply by which an upstream asks this entry for rest."""
         ...
 
+    def on_resumed(self, group: str, known_by: str) -> None:
+        """Count a stream that a caller resumes, by how its build is known."""
+        ...
+
     def on_full_engines(self, group: str, count: int) -> None:
         """Record the number of a group's engines without memory for a request."""
         ...
@@ -178,6 +182,9 @@
     def on_rest(self, group: str) -> None:
         """Discard the measurement."""
 
+    def on_resumed(self, group: str, known_by: str) -> None:
+        """Discard the measurement."""
+
     def on_full_engines(self, group: str, count: int) -> None:
         """Discard the measurement."""
 
--- a/tests/test_stream_builds.py
+++ b/tests/test_stream_builds.py
@@ -84,7 +84,7 @@
 
     async def find(self, name: str, request_id: str) -> str | None:
         """Return the build that an entry finds for a stream."""
-        record = await self.builds[name].find(request_id, ["llm"])
+        record = (await self.builds[name].find(request_id, ["llm"])).record
         return None if record is None else record.build
 
     def sender(self, name: str) -> cabc.Callable[[bytes, Address], None]:
@@ -161,9 +161,9 @@
     for number in range(200):
         builds.on_begun(f"id-{number}", "llm", "v1")
     assert len(builds.records) <= 50
-    assert await builds.find("id-199", ["llm"]) is not None
+    assert (await builds.find("id-199", ["llm"])).record is not None
     await asyncio.sleep(0.06)
-    assert await builds.find("id-199", ["llm"]) is None
+    assert (await builds.find("id-199", ["llm"])).record is None
 
 
 async def test_spoilt_datagrams_are_dropped():
