--- a/tests/crash_series.py
+++ b/tests/crash_series.py
@@ -299,25 +299,10 @@
         store.delay = 0.4 if fault.kind == "slow" else 0.0
         await asyncio.sleep(fault.seconds)
         if fault.kind == "restored":
-            self._restore(backup)
+            store.restore_live(backup)
         store.outage, store.delay, store.lose_replies = 0, 0.0, 0
         self.outages.append(Outage(begin, time.monotonic()))
 
-    def _restore(self, backup: object) -> None:
-        """Restore the store; replicas and operators write their keys again."""
-        store = self.fleet.store
-        live = {
-            key: item
-            for key, item in store.items.items()
-            if key.startswith(("servers/", "op/"))
-        }
-        store.restore(backup)  # type: ignore[arg-type]
-        for key in [k for k in store.items if k.startswith("servers/")]:
-            if key not in live:
-                store.remove(key)
-        for key, item in live.items():
-            store.put_encoded(key, item["value"])
-
     async def _kill_replica(self, at: float, number: int) -> None:
         await self._until(at)
         process = self.fleet.replicas[number]
--- a/tests/move_series.py
+++ b/tests/move_series.py
@@ -13,6 +13,7 @@
 import argparse
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import os
 import pathlib
@@ -164,7 +165,9 @@
 
     async def replace(self) -> None:
         """Start another engine, then drain one and end it."""
-        number = await self._take()
+        await self._retire(await self._take())
+
+    async def _retire(self, number: int) -> None:
         await self._start_another(number)
         self.store.put(f"servers/i-{number}", self.entries[number] | DRAINING)
         await asyncio.sleep(self.rng.uniform(0.5, 2.0))
@@ -193,7 +196,8 @@
                 await asyncio.sleep(seconds)
                 self.disturbances.append((began_at, time.monotonic()))
                 if f"i-{number}" not in self.lost_at:
-                    os.kill(self.replicas[number].pid, signal.SIGCONT)
+                    with contextlib.suppress(ProcessLookupError):
+                        os.kill(self.replicas[number].pid, signal.SIGCONT)
                 return
 
     async def _take(self) -> int:
--- a/tests/series_fleet.py
+++ b/tests/series_fleet.py
@@ -18,6 +18,7 @@
 from direct_support import HOST
 from direct_support import config
 from direct_support import route
+from platform_standin import Backup
 from platform_standin import Store
 from series_checks import KILL_TIMEOUT_SECONDS
 from series_checks import EntryIncarnation
@@ -52,6 +53,20 @@
         await asyncio.sleep(self.delay)
         return await super()._faults(request, handler)
 
+    def restore_live(self, backup: Backup) -> None:
+        """Restore a snapshot; replicas and operators write their keys again."""
+        live = {
+            key: item
+            for key, item in self.items.items()
+            if key.startswith(("servers/", "op/"))
+        }
+        self.restore(backup)
+        for key in [k for k in self.items if k.startswith("servers/")]:
+            if key not in live:
+                self.remove(key)
+        for key, item in live.items():
+            self.put_encoded(key, item["value"])
+
 
 class SeriesFleet:
     """Starts and stops the processes of a series.
