--- /dev/null
+++ b/tests/test_build_series.py
@@ -0,0 +1,60 @@
+"""Streams of several builds are read while entries are killed and engines replaced.
+
+``tests/build_series.py`` plays more seeds.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from build_series import BuildTry
+from build_series import draw_calm_plan
+from build_series import draw_plan
+from build_series import run_series
+from series_checks import EntryIncarnation
+
+SEEDS = (105, 107, 118)
+"""In 107 and 118, all entries are killed at once; in 118, the last engine of a build
+has crashed before. 105 has a store that is restored, and engines that come back."""
+
+ONE = b"id: 1\ndata: v1@i-1@1.5-1\n\n"
+TWO = b"id: 2\ndata: v1@i-2@2.5-2\n\n"
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_series_keeps_streams_at_their_builds(seed):
+    """Guards against streams of two builds, and ones that no entry goes on with."""
+    report = await run_series(draw_plan(seed), seed)
+    assert report.faults == []
+
+
+async def test_series_without_faults_is_clean():
+    """Guards against a series that reports what the entries are not to blame for."""
+    report = await run_series(draw_calm_plan(100), 100)
+    counts = report.counts
+    assert (report.faults, set(report.statuses), counts["mixed"]) == ([], {200}, 0)
+    assert counts["go on"] == counts["resumed"] >= 12
+    assert counts["begin"] == counts["new"] >= 12
+
+
+@pytest.mark.parametrize(
+    ("status", "complete", "body", "after", "runs", "fault"),
+    [
+        (200, True, ONE + TWO, 0, 1, ""),
+        (200, True, TWO, 1, 1, ""),
+        (200, True, ONE, 0, 1, "whole after event 1"),
+        (200, False, ONE + TWO[:-1], 0, 1, ""),
+        (200, False, TWO, 0, 1, "events [2] after 0"),
+        (200, False, ONE + ONE, 0, 1, "events [1, 1] after 0"),
+        (200, False, ONE, 1, 1, "events [1] after 1"),
+        (503, True, b"", 1, 0, ""),
+        (503, True, b"", 1, 1, "not run, it was told"),
+        (404, True, b"", 1, 0, "no answer to this request"),
+    ],
+)
+def test_wrong_results_of_tries_are_found(status, complete, body, after, runs, fault):
+    """Guards against a series that passes over an event that is missing or repeated."""
+    incarnation = EntryIncarnation(entry=0, process=None, handle=0)
+    one = BuildTry("q-1", "/long/0?events=2", incarnation, status, complete, body)
+    one.after = after
+    assert one.find_wrong_result(runs) == fault
