Tests of streams at engines whose registration is older than their process

Callers get one answer with the text of two builds: an engine that crashed is back under its name with another build, and the entry knows the registration of the incarnation before, as the store turns it away or as the new one has not arrived.

--- a/tests/direct_support.py
+++ b/tests/direct_support.py
@@ -27,6 +27,7 @@
 from bergamotmast.direct.slot_exchange import SlotExchange
 from bergamotmast.platform.directory import PlatformDirectory
 from bergamotmast.platform.headers import PlatformDialect
+from bergamotmast.platform.orders import PlatformOrders
 from bergamotmast.policy.retry_window import RetryLimits
 from bergamotmast.ports import KeyValue
 from bergamotmast.serving import HttpListener
@@ -196,13 +197,18 @@
     *replicas: Replica,
     document: dict | None = None,
     liveness_probe: LivenessProbe | None = None,
+    asks_engines: bool = False,
 ) -> t.AsyncIterator[Entry]:
-    """Run a direct entry in front of replicas that are already running."""
+    """Run a direct entry in front of replicas that are already running.
+
+    :param asks_engines: whether the engines are asked for their reports.
+    """
     fleet = Fleet(PlatformDirectory(), asyncio.get_running_loop().time)
     rng = random.Random(7)
     placer = RequestPlacer(fleet, "entry-1", "zone-a", rng)
     async with HttpUpstreamClient() as client:
         telemetry = NullTelemetry()
+        orders = PlatformOrders(client) if asks_engines else None
         context = Context(
             fleet,
             client,
@@ -214,7 +220,7 @@
             Quarantine("entry-1", telemetry, rng, Trials("entry-1")),
             CrashDetector(fleet, telemetry, TcpConnectionProbe()),
             telemetry,
-            liveness_probe=liveness_probe,
+            liveness_probe=liveness_probe or orders,
         )
         core = DirectCore(context, telemetry)
         frontend = DirectHttpFrontend(core)
@@ -242,13 +248,19 @@
     *replicas: Replica,
     document: dict | None = None,
     liveness_probe: LivenessProbe | None = None,
+    asks_engines: bool = False,
 ) -> t.AsyncIterator[Entry]:
     """Start replicas and a direct entry in front of them."""
     async with contextlib.AsyncExitStack() as stack:
         for replica in replicas:
             await stack.enter_async_context(replica)
         yield await stack.enter_async_context(
-            direct_entry(*replicas, document=document, liveness_probe=liveness_probe)
+            direct_entry(
+                *replicas,
+                document=document,
+                liveness_probe=liveness_probe,
+                asks_engines=asks_engines,
+            )
         )
 
 
