--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -7,7 +7,6 @@
 import dataclasses
 import enum
 import logging
-import math
 import typing as t
 
 import msgspec
@@ -21,6 +20,9 @@
 from ..protocol.plan import decode_engine_plan
 from ..protocol.plan import engine_of_key
 from .addresses import datagram_address
+from .build_history import BUILDS_KEY
+from .build_history import BuildHistory
+from .model import CallKind
 from .model import Group
 from .model import Upstream
 from .model import UpstreamKey
@@ -134,10 +136,7 @@
         points in time.
     :param said_leaving: upstreams that have said in a reply that they leave.
     :param resting: upstreams that have asked this entry for rest.
-    :param departed_builds: until when streams may go on that began at the build of a
-        departed upstream, by group and build; points in time.
-    :param all_builds_known_at: when builds that came and went before the last reading
-        of all upstreams have no more streams; a point in time.
+    :param build_history: builds at which streams may have begun.
     :param outdated_revisions: revisions of outdated registrations in a restored store,
         by key.
     :param undecodable: the errors of registrations that can't be decoded, by key.
@@ -168,8 +167,7 @@
         self.departed: dict[tuple[str, str], float] = {}
         self.said_leaving = SaidLeaving()
         self.resting = RestingUpstreams(clock)
-        self.departed_builds: dict[tuple[str, str], float] = {}
-        self.all_builds_known_at = -math.inf
+        self.build_history = BuildHistory(clock, self.registered_builds)
         self.outdated_revisions: dict[str, int] = {}
         self.undecodable: dict[str, str] = {}
         self.planned_roles: dict[str, PlannedRole] = {}
@@ -179,7 +177,7 @@
         self.on_removal: dict[str, cabc.Callable[[], None]] = {}
         self.on_departed: list[cabc.Callable[[Upstream], None]] = []
         self.existing_keys: set[str] = set()
-        self.listeners: dict[str, KeyListener] = {}
+        self.listeners: dict[str, KeyListener] = {BUILDS_KEY: self.build_history}
         self.first_ready = asyncio.Event()
         self.in_sync = False
 
@@ -234,15 +232,14 @@
         """Return the key under which an upstream registers."""
         return self.directory.upstream_prefix + upstream.name
 
-    def builds(self, group: str) -> set[str]:
-        """Return the builds of a group that may still have streams."""
-        return set(self.build_seconds(group))
+    def registered_builds(self, group: str) -> set[str]:
+        """Return the builds of a group whose upstreams are registered.
 
-    def build_seconds(self, group: str) -> dict[str, float]:
-        """Return for how many seconds each build of a group may still have streams."""
+        One whose registration lapsed in an outage counts while its streams may go on.
+        """
         now = self.clock()
-        present = {
-            record.upstream.build: DEPARTED_RETENTION_SECONDS
+        return {
+            record.upstream.build
             for record in self.upstream_records.values()
             if record.upstream.group == group
             and (
@@ -250,12 +247,21 @@
                 or now < record.gone_at + DEPARTED_RETENTION_SECONDS
             )
         }
-        departed = {
-            build: until - now
-            for (other, build), until in self.departed_builds.items()
-            if other == group and now < until
+
+    def knows_all_builds(self, group: str) -> bool:
+        """Return whether no build of a group can have streams without being known."""
+        return self.in_sync and self.build_history.is_complete(group)
+
+    def stream_groups(self) -> set[str]:
+        """Return the names of the groups that stream responses."""
+        if self.table is None:
+            return set()
+        return {
+            target.group
+            for route in self.table.routing.routes
+            if route.kind is CallKind.STREAM
+            for target in route.targets
         }
-        return departed | present
 
     def registered(self, name: str) -> Upstream | None:
         """Return an upstream as it is registered, or ``None``."""
@@ -403,7 +409,7 @@
             elif now >= record.gone_at:
                 self.remove(key, record.revision + 1)
         self.upstreams_loaded = True
-        self.all_builds_known_at = now + DEPARTED_RETENTION_SECONDS
+        self.build_history.on_read()
         self._signal_ready()
 
     def _is_outdated(self, item: KeyValue) -> bool:
@@ -430,7 +436,7 @@
         for expired_key in expired:
             del self.departed[expired_key]
         self.departed[key, upstream.boot] = now + DEPARTED_RETENTION_SECONDS
-        self.note_build(upstream.group, upstream.build)
+        self.build_history.note(upstream.group, upstream.build)
         for notify in self.on_departed:
             notify(upstream)
 
@@ -454,24 +460,6 @@
             },
         )
 
-    def note_build(
-        self, group: str, build: str, seconds: float = DEPARTED_RETENTION_SECONDS
-    ) -> None:
-        """Record that streams may have begun at a build that is not registered here.
-
-        :param seconds: for how long such streams may go on.
-        """
-        now = self.clock()
-        for key in [key for key, until in self.departed_builds.items() if now >= until]:
-            del self.departed_builds[key]
-        known_until = self.departed_builds.get((group, build), now)
-        self.departed_builds[group, build] = max(known_until, now + seconds)
-
-    @property
-    def knows_all_builds(self) -> bool:
-        """Whether no build can have come and gone without this entry's notice."""
-        return self.in_sync and self.clock() >= self.all_builds_known_at
-
     def replace_entries(self, items: tuple[KeyValue, ...]) -> None:
         """Replace the other entries by a snapshot of their registrations."""
         present = {item.key for item in items}
@@ -581,17 +569,18 @@
                 )
             if known is not None:
                 del self.upstream_records[item.key]
-                self.note_build(known.upstream.group, known.upstream.build)
+                self.build_history.note(known.upstream.group, known.upstream.build)
             return
         self.undecodable.pop(item.key, None)
         if upstream in self.said_leaving:
             upstream = dataclasses.replace(upstream, leaving=True)
         self.upstream_records[item.key] = UpstreamRecord(upstream, item.mod_revision)
+        self.build_history.on_registered(upstream.group, upstream.build)
         self.departed.pop((item.key, upstream.boot), None)
         if known is not None and known.upstream.boot != upstream.boot:
             self._record_departed(item.key, known.upstream)
         elif known is not None and known.upstream.build != upstream.build:
-            self.note_build(known.upstream.group, known.upstream.build)
+            self.build_history.note(known.upstream.group, known.upstream.build)
         if known is None or known.upstream != upstream:
             logger.info(
                 "upstream is known",
--- a/src/bergamotmast/direct/stream_build_exchange.py
+++ b/src/bergamotmast/direct/stream_build_exchange.py
@@ -165,11 +165,11 @@
             copies = {record.stream: (record.group, record.build)}
             self.send(msgspec.msgpack.encode(StreamBuildCopies(copies)), address)
             return
-        seconds = self.stream_builds.fleet.build_seconds(message.group)
+        seconds = self.stream_builds.fleet.build_history.seconds(message.group)
         if len(seconds) > 1:
             builds = GroupBuilds(message.group, seconds)
             self.send(msgspec.msgpack.encode(builds), address)
 
     def _on_builds(self, message: GroupBuilds, address: Address) -> None:
         for build, seconds in message.seconds.items():
-            self.stream_builds.fleet.note_build(message.group, build, seconds)
+            self.stream_builds.fleet.build_history.note(message.group, build, seconds)
--- a/src/bergamotmast/direct/stream_builds.py
+++ b/src/bergamotmast/direct/stream_builds.py
@@ -45,6 +45,7 @@
     """How the build at which a stream began is known."""
 
     MEMORY = "memory"
+    STORE = "store"
     PEERS = "peers"
     ONLY_BUILD = "only build"
     GUESS = "guess"
@@ -77,18 +78,34 @@
         ...
 
 
+class StoredStreamBuilds(t.Protocol):
+    """Streams in progress of all entries, as recorded in the store."""
+
+    def find(self, stream: int) -> tuple[str, str] | None:
+        """Return the group and the build of a stream, or ``None``."""
+        ...
+
+
 class StreamBuilds:
     """Records of the builds at which streams began.
 
     :param peers: other entries that keep copies; ``None`` for an entry on its own.
+    :param stored: records that outlast the entries; ``None`` without a store.
     :param records: records by hash, oldest first.
+    :param unfinished: records of this entry's streams that callers may yet resume, by
+        hash, oldest first.
+    :param broken: streams of these that have ended incomplete, with the point in time
+        until when they may be resumed, oldest first.
     :param uncopied: records that no other entry has a copy of, oldest first.
     """
 
     def __init__(self, fleet: Fleet) -> None:
         self.fleet = fleet
         self.peers: StreamBuildPeers | None = None
+        self.stored: StoredStreamBuilds | None = None
         self.records: dict[int, StreamBuild] = {}
+        self.unfinished: dict[int, StreamBuild] = {}
+        self.broken: dict[int, float] = {}
         self.uncopied: collections.deque[StreamBuild] = collections.deque(
             maxlen=MAX_RECORDS
         )
@@ -102,17 +119,39 @@
         record = StreamBuild(stable_hash(request_id), group, build, expires_at)
         if not self._keep(record):
             return
-        if len(self.fleet.builds(group)) > 1 and self.peers is not None:
+        self.broken.pop(record.stream, None)
+        self.unfinished[record.stream] = record
+        if len(self.fleet.build_history.builds(group)) > 1 and self.peers is not None:
             self.peers.copy([record])
         else:
             self.uncopied.append(record)
 
+    def on_ended(self, request_id: str, *, complete: bool) -> None:
+        """Record that a stream has ended at this entry.
+
+        :param request_id: id of the request that brought its first event.
+        :param complete: whether its caller has no reason to resume it.
+        """
+        stream = stable_hash(request_id)
+        if stream not in self.unfinished:
+            return
+        if complete:
+            del self.unfinished[stream]
+            return
+        now = asyncio.get_running_loop().time()
+        self.broken[stream] = now + RETENTION_SECONDS
+        for ended, until in list(self.broken.items()):
+            if now < until:
+                break
+            del self.broken[ended]
+            self.unfinished.pop(ended, None)
+
     def on_copy(self, record: StreamBuild) -> None:
         """Keep a record that another entry has made or kept.
 
         Its build may be registered without this entry's notice.
         """
-        self.fleet.note_build(record.group, record.build)
+        self.fleet.build_history.note(record.group, record.build)
         self._keep(record)
 
     def _keep(self, record: StreamBuild) -> bool:
@@ -138,7 +177,8 @@
         now = asyncio.get_running_loop().time()
         pending = [record for record in self.uncopied if now < record.expires_at]
         groups = {record.group for record in pending}
-        mixed = {group for group in groups if len(self.fleet.builds(group)) > 1}
+        history = self.fleet.build_history
+        mixed = {group for group in groups if len(history.builds(group)) > 1}
         copied = [record for record in pending if record.group in mixed]
         self.uncopied.clear()
         self.uncopied.extend(r for r in pending if r.group not in mixed)
@@ -148,7 +188,18 @@
     def record(self, stream: int) -> StreamBuild | None:
         """Return the record of a stream that this entry knows, or ``None``."""
         self._drop_expired()
-        return self.records.get(stream)
+        known = self.records.get(stream)
+        return self._stored_record(stream) if known is None else known
+
+    def _stored_record(self, stream: int) -> StreamBuild | None:
+        """Return the record of a stream in the store, which is then kept here."""
+        found = None if self.stored is None else self.stored.find(stream)
+        if found is None:
+            return None
+        expires_at = asyncio.get_running_loop().time() + RETENTION_SECONDS
+        record = StreamBuild(stream, *found, expires_at)
+        self.on_copy(record)
+        return record
 
     async def find(self, request_id: str, groups: cabc.Sequence[str]) -> FoundBuild:
         """Find out where a stream began.
@@ -157,28 +208,25 @@
         :param groups: groups in which it can go on; the first one is taken if it is
             not known and there is only one build.
         """
-        stream = stable_hash(request_id)
-        only = self._only_record(stream, groups[0])
+        stream, group = stable_hash(request_id), groups[0]
+        known_by = KnownBy.MEMORY if stream in self.records else KnownBy.STORE
         record = self.record(stream)
-        known_by = KnownBy.MEMORY
-        is_certain = only is not None and self.fleet.knows_all_builds
+        is_certain = self._has_one_build(group) and self.fleet.knows_all_builds(group)
         if record is None and not is_certain:
             if self.peers is not None:
-                await self.peers.find(stream, groups[0])
+                await self.peers.find(stream, group)
             record, known_by = self.record(stream), KnownBy.PEERS
         if record is not None and record.group in groups:
             return FoundBuild(record, known_by)
         # Another entry may have told of a build that was not known here.
-        if only is None or self._only_record(stream, groups[0]) is None:
+        if not self._has_one_build(group) or not self.fleet.build_history.is_readable:
             return FoundBuild(None, KnownBy.UNKNOWN)
+        (build,) = self.fleet.build_history.builds(group)
+        only = StreamBuild(stream, group, build, math.inf)
         return FoundBuild(only, KnownBy.ONLY_BUILD if is_certain else KnownBy.GUESS)
 
-    def _only_record(self, stream: int, group: str) -> StreamBuild | None:
-        """Return the record of any stream of a group with one build."""
-        builds = self.fleet.builds(group)
-        if len(builds) != 1:
-            return None
-        return StreamBuild(stream, group, next(iter(builds)), math.inf)
+    def _has_one_build(self, group: str) -> bool:
+        return len(self.fleet.build_history.builds(group)) == 1
 
     def _drop_expired(self) -> None:
         now = asyncio.get_running_loop().time()
--- a/src/bergamotmast/direct/stream_run.py
+++ b/src/bergamotmast/direct/stream_run.py
@@ -29,11 +29,16 @@
 
         :raises RequestError: if the request failed; the stream may have started.
         """
+        complete = False
         try:
             async with self.context.time_limits.limit(self.call.deadline):
-                return await self._run_attempts()
+                status = await self._run_attempts()
+            complete = True
+            return status
         except TimeoutError:
             raise self.stream.attempts.timeout_error() from None
+        finally:
+            self.context.stream_builds.on_ended(self.call.began_as, complete=complete)
 
     async def _run_attempts(self) -> int:
         attempts = self.stream.attempts
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -23,6 +23,7 @@
 from .crashes.records import CrashRecordWriter
 from .crashes.trials import Trials
 from .direct import liveness_exchange
+from .direct.build_recorder import BuildRecorder
 from .direct.capacity_exchange import CapacityExchange
 from .direct.context import Context
 from .direct.core import DirectCore
@@ -56,6 +57,8 @@
 from .direct.slot_exchange import SlotExchange
 from .direct.store_watcher import StoreWatcher
 from .direct.stream_build_exchange import StreamBuildExchange
+from .direct.stream_build_log import STREAMS_PREFIX
+from .direct.stream_build_log import StreamBuildLog
 from .direct.unix_clock import UnixClock
 from .direct.usage_exchange import UsageExchange
 from .direct.usage_record import USAGE_KEY
@@ -206,6 +209,23 @@
         )
         stream_build_exchange.listen(inbox)
         context.stream_builds.peers = stream_build_exchange
+        stream_build_log = StreamBuildLog(
+            store,
+            context.stream_builds,
+            f"{STREAMS_PREFIX}{settings.name}/{rng.getrandbits(32):08x}",
+            settings.store_writes_per_second,
+            lambda: fleet.entries,
+        )
+        fleet.listeners[STREAMS_PREFIX] = stream_build_log
+        context.stream_builds.stored = stream_build_log
+        build_recorder = BuildRecorder(
+            store,
+            fleet.build_history,
+            presence_key(settings.name),
+            fleet.stream_groups,
+            lambda: fleet.entries_with(presence_key(settings.name), clock()),
+            rng,
+        )
         if tenant_shares.is_on(settings.tenant_shares, features):
             context.shares = _tenant_shares(settings, context, peers.send)
             context.shares.exchange.listen(inbox)
@@ -267,6 +287,8 @@
             crash_writer.run(),
             quarantine.run(),
             stream_build_exchange.run(),
+            stream_build_log.run(),
+            build_recorder.run(),
             capacity_exchange.run(),
             OverloadWatch(frontend.admission, metrics).run(),
             planner.run(),
--- a/src/bergamotmast/settings.py
+++ b/src/bergamotmast/settings.py
@@ -246,6 +246,12 @@
         "milliseconds until an unresponsive connection to the store is replaced",
         3_000,
     )
+    store_writes_per_second: int = _setting(
+        integer(1, 1_000_000),
+        _PLATFORM,
+        "writes per second that the store accepts from all entries together",
+        400,
+    )
     usage_address: str = _setting(
         optional(ADDRESS),
         _PLATFORM,
--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -100,6 +100,7 @@
         zone="zone-a",
         store_address=store.address,
         store_recovery_ms=3_000,
+        store_writes_per_second=400,
         listen_address=addresses[0],
         ready_address=addresses[1],
         peer_address=addresses[2],
--- a/tests/test_stream_builds.py
+++ b/tests/test_stream_builds.py
@@ -230,14 +230,14 @@
     """Guards against a guess as the other build's registration can't be decoded."""
     fleet = new_fleet("v1", "v2")
     fleet.put(KeyValue("servers/i-1", b"{", 2))
-    assert fleet.builds("llm") == {"v1", "v2"}
+    assert fleet.build_history.builds("llm") == {"v1", "v2"}
 
 
 async def test_build_that_changes_under_one_name_may_still_have_streams():
     """Guards against a guess after an engine came back with another build."""
     fleet = new_fleet("v1")
     fleet.put(KeyValue("servers/i-0", registration_of("v2"), 2))
-    assert fleet.builds("llm") == {"v1", "v2"}
+    assert fleet.build_history.builds("llm") == {"v1", "v2"}
 
 
 async def test_entry_that_started_after_a_build_had_gone_makes_no_guess():
@@ -246,10 +246,10 @@
     for name in network.addresses:
         network.start(name)
     network.fleets["entry-2"].upstream_records.pop("servers/i-1")
-    network.fleets["entry-2"].all_builds_known_at = math.inf
-    assert network.fleets["entry-2"].builds("llm") == {"v1"}
+    network.fleets["entry-2"].build_history.watched_since = math.inf
+    assert network.fleets["entry-2"].build_history.builds("llm") == {"v1"}
     assert await network.find("entry-2", "id-1") is None
     for name in ("entry-0", "entry-1"):
         network.fleets[name].upstream_records.pop("servers/i-1")
     # What is passed on does not last longer than what the first entry knew.
-    assert network.fleets["entry-2"].build_seconds("llm")["v2"] <= 60.0
+    assert network.fleets["entry-2"].build_history.seconds("llm")["v2"] <= 60.0
