Take no reply for whole whose head doesn't say where its body ends

Callers saw a 200 framed as whole with chunk sizes, a part of the body or another request's body in it, where a replica's head came with a Transfer-Encoding other than one "chunked", with two lengths (parser without C), or was cut off inside a line and joined to another head (MIXED). Cause: the HTTP library takes the body of an unknown coding for one that ends with its connection, and the first of several values for the right one; _is_unframed looked for the letters "chunked" anywhere, so that even a reset looked whole.

--- a/src/bergamotmast/adapters/upstream_http.py
+++ b/src/bergamotmast/adapters/upstream_http.py
@@ -222,7 +222,13 @@
             return b"".join(body.blocks)
 
     async def chunks(self) -> cabc.AsyncIterator[bytes]:
-        """Yield the body as it arrives."""
+        """Yield the body as it arrives.
+
+        :raises ReplyLostError: if the head does not say where the body ends.
+        """
+        if not _is_framing_clear(self.response):
+            self.response.close()
+            raise ReplyLostError("the reply's head does not say where its body ends")
         async for part in self.response.content.iter_any():
             yield part
         self._raise_if_reset()
@@ -278,7 +284,24 @@
     """Return whether a body ends only with its connection."""
     if "Content-Length" in response.headers:
         return False
-    return "chunked" not in response.headers.get("Transfer-Encoding", "").lower()
+    return _transfer_codings(response) != ["chunked"]
+
+
+def _transfer_codings(response: aiohttp.ClientResponse) -> list[str]:
+    """Return the codings of all ``Transfer-Encoding`` lines, in lower case."""
+    lines = response.headers.getall("Transfer-Encoding", [])
+    return [coding.strip().lower() for line in lines for coding in line.split(",")]
+
+
+def _is_framing_clear(response: aiohttp.ClientResponse) -> bool:
+    """Return whether a head says where its body ends, or that its connection ends it.
+
+    The library decodes no other coding than a single ``chunked``. It takes the body of
+    an unknown one for whole, and the first of several lengths for the right one.
+    """
+    if len(response.headers.getall("Content-Length", [])) > 1:
+        return False
+    return _transfer_codings(response) in ([], ["chunked"], ["identity"])
 
 
 class HttpUpstreamClient:
