--- a/tests/test_builds_outlast_entries.py
+++ b/tests/test_builds_outlast_entries.py
@@ -153,6 +153,8 @@
             self.entries.append(await self.stack.enter_async_context(started))
         ready = [e for n, e in enumerate(self.entries) if n not in unready]
         await asyncio.gather(*(entry.until_ready() for entry in ready))
+        # Another process that has taken a port would answer in an entry's place.
+        assert all(entry.process.returncode is None for entry in self.entries)
 
     async def kill(self) -> None:
         """Kill all entries at once."""
@@ -337,3 +339,129 @@
         assert found.misplaced() == []
         shares = [found.share(outcome, build) for build in ("v1", "v2")]
         assert min(shares) >= 0.5, found.summary(outcome)
+
+
+@pytest.mark.parametrize("since", ["the streams begin", "it starts", "it is ready"])
+async def test_entry_that_the_store_turns_away_makes_no_guess(since):
+    """Guards against an entry that takes the only build that it reads, or that its
+    peers know, for the build of a stream which it knows nothing of."""
+    async with site("v1", "v2") as found:
+        port = {found.ports[0]}
+        if since == "the streams begin":
+            found.store.turned_away = port
+        await begin_at_both(found)
+        await found.kill()
+        found.leave("v1")
+        await asyncio.sleep(0.3)
+        found.store.turned_away = port if since == "it starts" else set()
+        await found.start(unready={0} if since == "it starts" else ())
+        if since == "it is ready":
+            found.store.turned_away = port
+        outcome = await found.resume(only=0)
+        assert found.misplaced() == [], found.summary(outcome)
+        old = [o for s, o in outcome.items() if found.begun[s] == "v1"]
+        assert 200 not in set(itertools.chain(*old))
+        await assert_new_streams_begin(found, first=1)
+
+
+@pytest.mark.parametrize("fault", ["refused", "lost", "late"])
+@pytest.mark.parametrize("leaves", ["v1", "v2"])
+async def test_faults_of_writes_before_the_kill_misplace_no_stream(fault, leaves):
+    """Guards against a guess by what the store was told before its writes failed.
+
+    The first build leaves while no entry runs; or the second one does, which came as
+    writes failed already.
+    """
+    early = ("v1", "v2") if leaves == "v1" else ("v1",)
+    async with site(*early, entries=2) as found:
+        found.store.write_fault = fault
+        found.register("v2")
+        await asyncio.sleep(0.5)
+        await found.begin("a")
+        await asyncio.sleep(1.0)
+        await found.kill()
+        found.leave(leaves)
+        await asyncio.sleep(0.3)
+        found.store.write_fault = ""
+        await found.start()
+        outcome = await found.resume()
+        assert found.misplaced() == [], found.summary(outcome)
+        await assert_new_streams_begin(found)
+
+
+@pytest.mark.parametrize("when", ["before", "while down", "after"])
+async def test_restore_around_the_kill_misplaces_no_stream(when):
+    """Guards against a guess by a copy of the store that is older than a build.
+
+    The second build's engines live on, and are registered again two seconds later.
+    """
+    async with site("v1", entries=2) as found:
+        copy = found.store.backup()
+        found.register("v2")
+        await asyncio.sleep(0.5)
+        await begin_at_both(found)
+
+        def restore() -> None:
+            found.store.restore(copy)
+            loop = asyncio.get_running_loop()
+            loop.call_later(RETURN_SECONDS, found.register, "v1", "v2")
+
+        if when == "before":
+            restore()
+            await asyncio.sleep(0.3)
+        await found.kill()
+        if when == "while down":
+            restore()
+        await asyncio.sleep(0.2)
+        await found.start()
+        if when == "after":
+            await asyncio.sleep(0.3)
+            restore()
+        outcome = await found.resume()
+        assert found.misplaced() == [], found.summary(outcome)
+        await assert_new_streams_begin(found)
+
+
+async def test_streams_of_one_build_outlast_all_entries():
+    """Guards against refusing streams where there has been one build throughout."""
+    async with site("v1") as found:
+        await found.begin("a")
+        assert len(found.begun) == STREAMS
+        await asyncio.sleep(1.0)
+        await found.kill()
+        await asyncio.sleep(0.3)
+        await found.start()
+        outcome = await found.resume()
+        assert found.share(outcome, "v1") == 1.0, found.summary(outcome)
+
+
+async def test_streams_of_one_build_cost_no_writes():
+    """Guards against writes to the store for each stream of a group of one build."""
+    async with site("v1", entries=2) as found:
+        for engine in found.engines["v1"]:
+            engine.script = EngineScript(last=6, pause=0.05)
+        await asyncio.sleep(2.0)
+        counts = []
+        for streams_at_once in (0, 50):
+            before = found.store.writes()
+            until = asyncio.create_task(asyncio.sleep(2.0))
+            answers = await asyncio.gather(
+                *(
+                    ask_whole(found.entries[n % 2].port, f"w-{n}")
+                    for n in range(streams_at_once)
+                )
+            )
+            await until
+            assert answers == [200] * streams_at_once
+            counts.append(found.store.writes() - before)
+        idle, busy = counts
+        assert busy <= idle + len(found.entries), counts
+
+
+async def ask_whole(port: int, request_id: str) -> int:
+    """Ask for a stream, and return its status if it comes to its end."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(request("/long/x", request_id=request_id, **SHORT))
+    got = await read_answer(reader)
+    writer.close()
+    return got.status if got.complete else 0
