--- a/tests/build_outage_support.py
+++ b/tests/build_outage_support.py
@@ -10,6 +10,7 @@
 import time
 import types
 import typing as t
+import zlib
 
 from aiohttp import web
 
@@ -25,7 +26,6 @@
 from platform_standin import Store
 from platform_standin import event
 from test_builds import SHORT
-from test_builds import begin_at
 from test_builds import resume_at
 from test_builds import streams
 from test_direct_process import Process
@@ -300,3 +300,16 @@
     got = await read_answer(reader)
     writer.close()
     return got.status if got.complete else 0
+
+
+async def begin_at(port: int, request_id: str) -> asyncio.StreamWriter:
+    """Begin a stream and return its connection after two events.
+
+    No two streams share a part of their prompts, which would draw them to one engine.
+    """
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    own_part = f"{zlib.crc32(request_id.encode()):x}:400"
+    headers = SHORT | {"X_Deadline_Ms": "9000", "X_Prompt_Prefix": own_part}
+    writer.write(request("/long/x", request_id=request_id, **headers))
+    await reader.readuntil(event(2))
+    return writer
