--- a/tests/test_stream_builds.py
+++ b/tests/test_stream_builds.py
@@ -84,7 +84,7 @@
 
     async def find(self, name: str, request_id: str) -> str | None:
         """Return the build that an entry finds for a stream."""
-        record = await self.builds[name].find(request_id, ["llm"])
+        record = (await self.builds[name].find(request_id, ["llm"])).record
         return None if record is None else record.build
 
     def sender(self, name: str) -> cabc.Callable[[bytes, Address], None]:
@@ -161,9 +161,9 @@
     for number in range(200):
         builds.on_begun(f"id-{number}", "llm", "v1")
     assert len(builds.records) <= 50
-    assert await builds.find("id-199", ["llm"]) is not None
+    assert (await builds.find("id-199", ["llm"])).record is not None
     await asyncio.sleep(0.06)
-    assert await builds.find("id-199", ["llm"]) is None
+    assert (await builds.find("id-199", ["llm"])).record is None
 
 
 async def test_spoilt_datagrams_are_dropped():
@@ -230,14 +230,14 @@
     """Guards against a guess as the other build's registration can't be decoded."""
     fleet = new_fleet("v1", "v2")
     fleet.put(KeyValue("servers/i-1", b"{", 2))
-    assert fleet.builds("llm") == {"v1", "v2"}
+    assert fleet.build_history.builds("llm") == {"v1", "v2"}
 
 
 async def test_build_that_changes_under_one_name_may_still_have_streams():
     """Guards against a guess after an engine came back with another build."""
     fleet = new_fleet("v1")
     fleet.put(KeyValue("servers/i-0", registration_of("v2"), 2))
-    assert fleet.builds("llm") == {"v1", "v2"}
+    assert fleet.build_history.builds("llm") == {"v1", "v2"}
 
 
 async def test_entry_that_started_after_a_build_had_gone_makes_no_guess():
@@ -246,10 +246,10 @@
     for name in network.addresses:
         network.start(name)
     network.fleets["entry-2"].upstream_records.pop("servers/i-1")
-    network.fleets["entry-2"].all_builds_known_at = math.inf
-    assert network.fleets["entry-2"].builds("llm") == {"v1"}
+    network.fleets["entry-2"].build_history.watched_since = math.inf
+    assert network.fleets["entry-2"].build_history.builds("llm") == {"v1"}
     assert await network.find("entry-2", "id-1") is None
     for name in ("entry-0", "entry-1"):
         network.fleets[name].upstream_records.pop("servers/i-1")
     # What is passed on does not last longer than what the first entry knew.
-    assert network.fleets["entry-2"].build_seconds("llm")["v2"] <= 60.0
+    assert network.fleets["entry-2"].build_history.seconds("llm")["v2"] <= 60.0
