--- a/src/bergamotmast/direct/header_values.py
+++ b/src/bergamotmast/direct/header_values.py
@@ -73,6 +73,15 @@
     return [text.strip() for other, text in headers.items() if other.lower() == lower]
 
 
+def agreed_value(headers: cabc.Mapping[str, str], name: str) -> str:
+    """Return the value of a header; empty if it is missing or its lines differ.
+
+    Lines differ where the head of a reply was cut off and another one follows.
+    """
+    values = set(all_values(headers, name))
+    return values.pop() if len(values) == 1 else ""
+
+
 def lowest_number(headers: cabc.Mapping[str, str], name: str) -> float | None:
     """Return the lowest of the decimal numbers that the headers of a name hold.
 
--- a/src/bergamotmast/platform/headers.py
+++ b/src/bergamotmast/platform/headers.py
@@ -9,6 +9,7 @@
 
 from ..adapters.json_bodies import decode_body
 from ..direct.forwarding import only_value
+from ..direct.header_values import agreed_value
 from ..direct.header_values import all_values
 from ..direct.header_values import count
 from ..direct.header_values import count_pair
@@ -148,7 +149,7 @@
         """Parse an upstream's status and headers."""
         wrong_upstream = status == WRONG_UPSTREAM_STATUS
         return ReplyTraits(
-            request_id=_agreed_value(headers, REQUEST_ID),
+            request_id=agreed_value(headers, REQUEST_ID),
             signed=_is_signed(headers),
             not_run=wrong_upstream or NOT_RUN in headers,
             wrong_upstream=wrong_upstream,
@@ -179,16 +180,7 @@
         return ((REQUEST_ID, request_id),) if request_id else ()
 
 
-def _agreed_value(headers: cabc.Mapping[str, str], name: str) -> str:
-    """Return the value of a header; empty if it is missing or its lines differ.
-
-    Lines differ where the head of a reply was cut off and another one follows.
-    """
-    values = set(all_values(headers, name))
-    return values.pop() if len(values) == 1 else ""
-
-
 def _is_signed(headers: cabc.Mapping[str, str]) -> bool:
-    signature = _agreed_value(headers, SIGNATURE)
+    signature = agreed_value(headers, SIGNATURE)
     # A signature that is not ASCII was corrupted on the way and can't be forwarded.
     return signature.isascii() and signature != "" and _ENCODING not in headers
