Keep the record of a stream whose resumption failed, or that lasted long

Callers saw 503 for a stream that its engine broke off: an entry took a resumed stream for complete once an engine had answered it with a failure, and dropped it from those that it keeps in the store; and it dropped the record of a stream 30 seconds after its first event, however late the stream broke off.

--- a/src/bergamotmast/direct/stream_builds.py
+++ b/src/bergamotmast/direct/stream_builds.py
@@ -140,6 +140,8 @@
             return
         now = asyncio.get_running_loop().time()
         self.broken[stream] = now + RETENTION_SECONDS
+        record = self.unfinished[stream]
+        self._keep(dataclasses.replace(record, expires_at=self.broken[stream]))
         for ended, until in list(self.broken.items()):
             if now < until:
                 break
--- a/tests/test_builds.py
+++ b/tests/test_builds.py
@@ -35,6 +35,7 @@
 from platform_standin import Replica
 from platform_standin import Script
 from platform_standin import Store
+from platform_standin import answer
 from platform_standin import chunk
 from platform_standin import event
 from platform_standin import head
@@ -501,8 +502,8 @@
         load(entry, "i-1")
         named = await entry.ask("/long/x", request_id="id-2", Resumes="id-1", **SHORT)
         got = await entry.ask("/long/x", request_id="id-3", **SHORT, **ODD_NAMES[odd])
-    for answer in (named, got):
-        assert (answer.complete, answer.body) == (True, events(1, 6))
+    for reply in (named, got):
+        assert (reply.complete, reply.body) == (True, events(1, 6))
     assert "id-2" in {received.request_id for received in two.received}
 
 
@@ -619,6 +620,18 @@
     return got
 
 
+async def test_stream_whose_resumption_failed_can_still_be_resumed():
+    """Guards against forgetting a stream as an engine fails to go on with it."""
+    engine = built("i-1", "v1", EngineScript(last=20, pause=0.02))
+    async with serving(engine) as entry:
+        await begin(entry, "id-1")
+        engine.script = answer(500)
+        assert (await resume(entry, "id-2", "id-1")).status == 500
+        await asyncio.sleep(0.1)
+        (record,) = entry.core.context.stream_builds.unfinished.values()
+    assert record.build == "v1"
+
+
 # Registrations
 
 
--- a/tests/test_stream_builds.py
+++ b/tests/test_stream_builds.py
@@ -166,6 +166,18 @@
     assert (await builds.find("id-199", ["llm"])).record is None
 
 
+async def test_build_of_a_stream_is_known_after_a_long_time_and_its_break(monkeypatch):
+    """Guards against refusing a stream that lasted longer than records are kept."""
+    monkeypatch.setattr(stream_builds, "RETENTION_SECONDS", 0.05)
+    builds = StreamBuilds(new_fleet("v1", "v2"))
+    builds.on_begun("id-1", "llm", "v2")
+    await asyncio.sleep(0.06)
+    builds.on_ended("id-1", complete=False)
+    found = await builds.find("id-1", ["llm"])
+    assert found.record is not None
+    assert found.record.build == "v2"
+
+
 async def test_spoilt_datagrams_are_dropped():
     """Guards against an entry that fails by what another one sends."""
     network = Network(2)
