Series of builds: leave out answers that its own callers did not wait for

Cause: the series itself. At its end, and once before, it closes the connections of all tries that are under way, also of those that still wait for the head of their answer.

A try now records when its caller gave it up. Only tries without a status that were given up within 2.5 s (the time within which the series expects a stream to go on) are left out of the statuses; one that waited longer is counted as before, also if its caller gave it up. Self-tests play callers against an entry that answers nothing, half a head, or a head only.

--- a/tests/test_build_series.py
+++ b/tests/test_build_series.py
@@ -5,12 +5,21 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
+import random
+import types
+
 import pytest
 
+from build_series import GO_ON_SECONDS
+from build_series import BuildCallers
 from build_series import BuildTry
+from build_series import count_statuses
 from build_series import draw_calm_plan
 from build_series import draw_plan
 from build_series import run_series
+from direct_support import until
 from series_checks import EntryIncarnation
 
 SEEDS = (105, 107, 118)
@@ -58,3 +67,67 @@
     one = BuildTry("q-1", "/long/0?events=2", incarnation, status, complete, body)
     one.after = after
     assert one.find_wrong_result(runs) == fault
+
+
+@contextlib.asynccontextmanager
+async def reading(answer):
+    """Yield a caller that reads a stream of an entry with this answer."""
+    ended = asyncio.Event()
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+        if not answer:
+            await ended.wait()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    ports = [server.sockets[0].getsockname()[1]]
+    incarnation = EntryIncarnation(entry=0, process=None, handle=0)
+    fleet = types.SimpleNamespace(entry_ports=ports, current={0: incarnation})
+    callers = BuildCallers(fleet, random.Random(1))
+    async with server, asyncio.TaskGroup() as group:
+        group.create_task(callers.begin_stream())
+        await until(lambda: callers.sent)
+        yield callers
+        callers.end()
+        ended.set()
+
+
+LEFT_AT_ONCE, LEFT_LATE = 0.0, GO_ON_SECONDS + 0.1
+
+
+@pytest.mark.parametrize(
+    ("waited", "statuses"), [(LEFT_AT_ONCE, {}), (LEFT_LATE, {0: 1})]
+)
+@pytest.mark.parametrize("how", ["break off", "end"])
+async def test_try_whose_caller_leaves_before_an_answer_is_due(how, waited, statuses):
+    """Guards against blaming entries for answers that callers did not wait for."""
+    async with reading(b"") as callers:
+        (one,) = callers.sent
+        one.began_at -= waited
+        callers.stopping.set()
+        callers.end() if how == "end" else await callers.break_off()
+    assert count_statuses(callers.sent) == statuses
+
+
+async def test_unanswered_try_whose_caller_waited_is_found():
+    """Guards against passing over answers that never came."""
+    async with reading(b"HTTP/1.1 20") as callers:
+        (one,) = callers.sent
+        await until(lambda: one.ended_at)
+        callers.stopping.set()
+        await callers.break_off()
+    assert callers.sent == [one]
+    assert not one.given_up_at
+    assert count_statuses(callers.sent) == {0: 1}
+
+
+async def test_try_that_ends_incomplete_as_its_caller_leaves_is_counted():
+    """Guards against passing over an answer that came before its caller left."""
+    head = b"HTTP/1.1 503 Word\r\nContent-Length: 9\r\n\r\n"
+    async with reading(head) as callers:
+        (one,) = callers.sent
+        await until(lambda: one.status)
+        callers.end()
+    assert count_statuses(callers.sent) == {503: 1}
