Spread refused callers of a tenant also where the clock's sums are rounded

Callers over their tenant's share were told to come back after exactly 5 s, a quarter of them at once, where the delays are to be spread over 2.5 to 5 s.

Cause: a return beyond the longest delay is recognized by (now + 5.0) - now < 5.0 being false. In the last 5 s before the clock (the seconds since the host started, mostly) reaches a power of two, the sum has a bit less than the clock and is rounded, one time in four down (0.2552 and 0.2447 of 10,000 draws before 512 and 1,024; none before 704 and 3,004). Such a caller then gets 4.999... s as if it were a predicted return.

Not chance: the test's generator is seeded, and its draws alone give 11 within 0.25 s.

The returns are now compared as points in time: the schedule's bound is the same sum, so that they are equal if the bound was applied.

--- a/src/bergamotmast/direct/shares/tenant_shares.py
+++ b/src/bergamotmast/direct/shares/tenant_shares.py
@@ -142,9 +142,10 @@
         admitted = view.fraction(tenant, now) * view.demands.rates[tenant].rate(now)
         schedule = view.returns.setdefault(tenant, ReturnSchedule())
         earliest = now + MIN_RETRY_AFTER_SECONDS
-        delay = schedule.next_return(admitted / work, earliest, now) - now
-        if delay < MAX_RETURN_SECONDS:
-            return delay
+        returns_at = schedule.next_return(admitted / work, earliest, now)
+        # The difference of a rounded sum may be less than the delay that was added.
+        if returns_at < now + MAX_RETURN_SECONDS:
+            return returns_at - now
         return self.rng.uniform(0.5, 1.0) * MAX_RETURN_SECONDS
 
     def _on_error(self, call: Call, ticket: ShareTicket, code: ResultCode) -> None:
--- a/tests/test_share_admission.py
+++ b/tests/test_share_admission.py
@@ -6,6 +6,7 @@
 import contextlib
 import random
 import signal
+import time
 
 import msgspec
 import pytest
@@ -206,8 +207,18 @@
     assert view.evidence.turned_away.total == 0.0
 
 
-async def test_retry_after_spreads_returns():
-    """Guards against refused callers that come back at the same moment."""
+@pytest.mark.parametrize("clock", [100.0, 2.0**9 - 3, 2.0**10 - 3, 2.0**20 - 3])
+async def test_retry_after_spreads_returns(clock, monkeypatch):
+    """Guards against refused callers that come back at the same moment.
+
+    The sum of a point in time and a delay may be rounded down, below a power of two.
+    """
+    began_at = time.monotonic_ns()
+    monkeypatch.setattr(
+        asyncio.get_running_loop(),
+        "time",
+        lambda: clock + (time.monotonic_ns() - began_at) / 1e9,
+    )
     async with sharing(Replica("i-1", answer())) as (entry, shares):
         refuse(shares, 0.02)
         got = await asyncio.gather(
