--- /dev/null
+++ b/tests/test_resumed_precedence.py
@@ -0,0 +1,184 @@
+"""Tests of streams that callers resume while new prompts fill the engines' queues."""
+
+from __future__ import annotations
+
+import asyncio
+import typing as t
+
+import pytest
+
+from bergamotmast.direct.stream_builds import RETENTION_SECONDS
+from bergamotmast.direct.stream_builds import StreamBuild
+from bergamotmast.direct.stream_builds import StreamBuilds
+from bergamotmast.policy.entry_ranking import stable_hash
+from direct_support import Answer
+from direct_support import Entry
+from direct_support import request
+from direct_support import serving
+from platform_standin import EngineScript
+from platform_standin import Replica
+from platform_standin import event
+from test_builds import built
+
+PROMPT = {"X_Token_Count": "6000,800", "X_Prompt_Prefix": "aa:2000,bb:4000"}
+NEW_PROMPT = {"X_Token_Count": "6000,800", "X_Prompt_Prefix": "cc:2000,dd:4000"}
+QUEUED_PROMPTS = 8
+QUEUED_SECONDS = 0.3
+QUEUED_PRIORITY = 5
+"""First priority of the prompts' rank, so that they all wait for what is queued."""
+
+BEGAN_AS = "id-began"
+
+
+class StoredRecords:
+    """Records of streams in the store."""
+
+    def __init__(self, records: dict[int, tuple[str, str]]) -> None:
+        self.records = records
+
+    def find(self, stream: int) -> tuple[str, str] | None:
+        return self.records.get(stream)
+
+
+class RecordingPeers:
+    """Other entries that know streams."""
+
+    def __init__(
+        self, builds: StreamBuilds, records: dict[int, tuple[str, str]]
+    ) -> None:
+        self.builds = builds
+        self.records = records
+
+    def copy(self, records: t.Sequence[StreamBuild]) -> None:
+        pass
+
+    async def find(self, stream: int, group: str) -> None:
+        if stream in self.records:
+            until = asyncio.get_running_loop().time() + RETENTION_SECONDS
+            self.builds.on_copy(StreamBuild(stream, *self.records[stream], until))
+
+
+def engines(*builds: str) -> list[Replica]:
+    """Return a prefill engine and a decode engine of each build."""
+    return [
+        built(f"i-{stage}-{build}", build, EngineScript(last=5), stage)
+        for build in builds
+        for stage in ("prefill", "decode")
+    ]
+
+
+def queue_new_prompts(entry: Entry, count: int = QUEUED_PROMPTS) -> None:
+    """Let other entries have queued prompts of new streams at all engines."""
+    now = asyncio.get_running_loop().time()
+    for upstream in entry.fleet.members("llm", now):
+        tracker = entry.core.context.placer.engine_load(upstream)
+        for number in range(count):
+            key = ("peer", number)
+            tracker.begin(key, QUEUED_SECONDS, QUEUED_PRIORITY, now)
+
+
+async def begin_and_leave(entry: Entry) -> None:
+    """Begin a stream whose caller loses its connection within it."""
+    reader, writer = await entry.connect()
+    writer.write(request("/long/x", request_id=BEGAN_AS, **PROMPT))
+    await reader.readuntil(b"id: 2")
+    writer.close()
+    await asyncio.sleep(0.05)
+
+
+async def let_it_be_known(entry: Entry, known_by: str) -> None:
+    """Let a stream have begun at build v1, as known from memory, store or peers."""
+    builds = entry.core.context.stream_builds
+    records = {stable_hash(BEGAN_AS): ("llm", "v1")}
+    if known_by == "memory":
+        await begin_and_leave(entry)
+    elif known_by == "store":
+        builds.stored = StoredRecords(records)
+    elif known_by == "peers":
+        builds.peers = RecordingPeers(builds, records)
+
+
+async def resume(entry: Entry, request_id: str = "id-2") -> Answer:
+    resumed = {"Resumes": BEGAN_AS, "Last_Event_Id": "2"}
+    return await entry.ask("/long/x", request_id=request_id, **resumed, **PROMPT)
+
+
+def sent_priorities(replicas: t.Sequence[Replica], request_id: str) -> list[int]:
+    """Return the priorities of a caller's request at all engines."""
+    return [
+        int(received.headers["x-request-priority"])
+        for replica in replicas
+        for received in replica.received
+        if received.method == "POST" and received.request_id.startswith(request_id)
+    ]
+
+
+def urgent_seconds(entry: Entry) -> dict[str, float]:
+    """Return the recent load of each engine that counts as urgent, in seconds."""
+    placer = entry.core.context.placer
+    members = entry.fleet.members("llm", asyncio.get_running_loop().time())
+    return {m.name: sum(placer.engine_load(m).urgent.seconds.values()) for m in members}
+
+
+@pytest.mark.parametrize("known_by", ["memory", "store", "peers"])
+async def test_resumed_stream_is_not_refused_behind_new_prompts(known_by):
+    """Guards against refusing resumed streams while engines prefill new prompts.
+
+    The queues of all engines would take longer than the caller waits.
+    """
+    only_one = known_by == "memory"
+    replicas = engines("v1") if only_one else engines("v1", "v2")
+    async with serving(*replicas) as entry:
+        for replica in replicas:
+            replica.script.pause = 0.02
+        await let_it_be_known(entry, known_by)
+        queue_new_prompts(entry)
+        fresh = await entry.ask("/long/x", request_id="id-new", **NEW_PROMPT)
+        resumed = await resume(entry)
+    assert fresh.status == 503
+    assert resumed.status == 200
+    assert resumed.complete
+    assert resumed.body == b"".join(event(number) for number in (3, 4, 5))
+
+
+async def test_resumed_stream_overtakes_new_ones_of_its_rank_at_engines():
+    """Guards against resumed streams that wait behind new ones for a decode slot."""
+    replicas = engines("v1", "v2")
+    async with serving(*replicas) as entry:
+        await let_it_be_known(entry, "store")
+        assert (await resume(entry)).status == 200
+        fresh = await entry.ask("/long/x", request_id="id-new", **NEW_PROMPT)
+        assert fresh.status == 200
+    resumed_priorities = sent_priorities(replicas, "id-2")
+    assert len(resumed_priorities) == 2
+    assert max(resumed_priorities) < min(sent_priorities(replicas, "id-new"))
+
+
+@pytest.mark.parametrize("resumes", ["id-unheard-of", ""])
+async def test_stream_that_nobody_knows_overtakes_nothing(resumes):
+    """Guards against callers that name an event to overtake others.
+
+    The only build is known, so that the request could go on there.
+    """
+    replicas = engines("v1")
+    async with serving(*replicas) as entry:
+        queue_new_prompts(entry)
+        named = {"Resumes": resumes, "Last_Event_Id": "2"}
+        got = await entry.ask("/long/x", request_id="id-2", **named, **PROMPT)
+    assert got.status == 503
+    assert not any(replica.received for replica in replicas)
+
+
+async def test_resumed_streams_do_not_look_like_a_burst_to_new_ones():
+    """Guards against refusing new streams for those that were resumed before them.
+
+    Resumed streams are as many as were in progress. Counted as urgent load, they would
+    raise the predicted waits of all others for a second.
+    """
+    replicas = engines("v1")
+    async with serving(*replicas) as entry:
+        await let_it_be_known(entry, "store")
+        before = urgent_seconds(entry)
+        assert (await resume(entry)).status == 200
+        after = urgent_seconds(entry)
+    assert all(after[name] <= before[name] for name in before)
