Resumed streams precede new prompts of their rank

Cause: a resumed stream was placed like a new one. Its prompt stood behind shorter new prompts of its rank, of which a burst brings more than engines prefill; admission predicted waits of 0.7 to 9 s and refused 57 of 121 resumptions with 202. Of those that were admitted, fourteen waited at the prefill or the decode engine until their callers left.

A stream that an entry, its peers or the store know to have begun now goes first within its rank: in the prefill, in the predicted wait, in notices to other entries, and for a slot of the decode engine. It needs no margin before its caller leaves, claims no precedence of its size class, and does not count as urgent load, as no more follow than were in progress. Where only the builds of its group are known (`only build`, `guess`), the stream itself may never have begun, and it overtakes nothing.

--- a/src/bergamotmast/direct/core.py
+++ b/src/bergamotmast/direct/core.py
@@ -117,9 +117,11 @@
             deadline, asyncio.get_running_loop().time()
         )
         group = pick_group(route, self.context.rng)
-        began_as, build = self._began_as(request, traits), None
+        began_as = self._began_as(request, traits)
+        build, has_begun = None, False
         if traits.last_event and route.kind is CallKind.STREAM:
-            group, build = await self._find_build(route, group, began_as, traits)
+            found = await self._find_build(route, group, began_as, traits)
+            group, build, has_begun = found
         tenant = self._tenant(request, table.routing, route)
         connection = request.headers.get("Connection", "")
         return Call(
@@ -135,6 +137,7 @@
             caller=request.caller,
             began_as=began_as,
             build=build,
+            has_begun=has_begun,
             parts=shared_parts(traits),
             tenant=tenant,
         )
@@ -146,10 +149,11 @@
 
     async def _find_build(
         self, route: Route, group: str, began_as: str, traits: CallTraits
-    ) -> tuple[str, str]:
-        """Return the group and the build at which a resumed stream began.
+    ) -> tuple[str, str, bool]:
+        """Return where a resumed stream can go on.
 
         :param group: the group to take if it is not known.
+        :returns: the group, the build, and whether the stream is known to have begun.
         :raises RequestError: if it is not known and there are several builds.
         """
         groups = (group, *(target.group for target in route.targets))
@@ -171,7 +175,7 @@
                 "The build at which the stream began is not known.",
                 UNKNOWN_BUILD_RETRY_SECONDS,
             )
-        return record.group, record.build
+        return record.group, record.build, found.has_begun
 
     def _tenant(
         self, request: CallerRequest, routing: Routing, route: Route
@@ -285,7 +289,7 @@
                 return status
             finally:
                 sized_prompt.end(served=served)
-                log_fields["goes_first"] = sized_prompt.goes_first
+                log_fields["goes_first"] = call.goes_first
                 log_fields.update(run.stream.timeline.fields(call.arrived_at))
         return await PlainRun(self.context, call, reply).run()
 
--- a/src/bergamotmast/direct/decode_attempt.py
+++ b/src/bergamotmast/direct/decode_attempt.py
@@ -296,7 +296,11 @@
         if self.prefill is not None:
             return self.prefill.priority
         return decode_priority(
-            rank, traits.prompt_tokens, traits.max_tokens, self.context.decisions
+            rank,
+            traits.prompt_tokens,
+            traits.max_tokens,
+            self.context.decisions,
+            goes_first=self.call.has_begun,
         )
 
     def _check(self, reply: Reply) -> ReplyTraits:
--- a/src/bergamotmast/direct/model.py
+++ b/src/bergamotmast/direct/model.py
@@ -212,6 +212,7 @@
     :param began_as: id of the caller's request that brought the first event of the
         stream; its own id unless it resumes a stream.
     :param build: build at which a resumed stream must go on; ``None`` for any.
+    :param has_begun: whether an entry has recorded that the stream began.
     :param parts: hash and length of the parts of the prompt, in order.
     :param sized_prompt: the prompt in its size class; ``None`` for a request without
         one.
@@ -231,6 +232,7 @@
     caller: str = ""
     began_as: str = ""
     build: str | None = None
+    has_begun: bool = False
     parts: tuple[tuple[int, int], ...] = ()
     sized_prompt: SizedPrompt | None = None
     tenant: Tenant | None = None
@@ -259,6 +261,11 @@
     @property
     def goes_first(self) -> bool:
         """Whether the prompt is prefilled before all others of its priority rank."""
+        return self.has_begun or self.has_size_precedence
+
+    @property
+    def has_size_precedence(self) -> bool:
+        """Whether the prompt goes first as its size class has a deficit."""
         return self.sized_prompt is not None and self.sized_prompt.goes_first
 
     @property
--- a/src/bergamotmast/direct/stream_builds.py
+++ b/src/bergamotmast/direct/stream_builds.py
@@ -52,6 +52,10 @@
     UNKNOWN = "unknown"
 
 
+RECORDED = frozenset({KnownBy.MEMORY, KnownBy.STORE, KnownBy.PEERS})
+"""Ways by which a stream itself is known, and not only the builds of its group."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FoundBuild:
     """Where a stream can go on.
@@ -62,6 +66,11 @@
     record: StreamBuild | None
     known_by: KnownBy
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether an entry has recorded that the stream began."""
+        return self.known_by in RECORDED
+
 
 class StreamBuildPeers(t.Protocol):
     """Other entries that keep copies of the records."""
--- a/src/bergamotmast/direct/stream_placer.py
+++ b/src/bergamotmast/direct/stream_placer.py
@@ -89,6 +89,7 @@
         sized_prompt = self.call.sized_prompt
         return (
             self.context.decisions.size_shares
+            and not self.call.has_begun
             and sized_prompt is not None
             and sized_prompt.claim()
         )
@@ -97,9 +98,14 @@
         """Return whether the caller would disconnect before the first event."""
         if not self.context.decisions.refusal or self.stream.reply.started:
             return False
-        seconds_left = self.call.caller_timeout_at - now
+        return self._is_unreachable(placement, self.call.caller_timeout_at - now)
+
+    def _is_unreachable(self, placement: Placement, seconds_left: float) -> bool:
+        # Callers of streams that have begun lose events that are paid for, so that
+        # these streams need no margin.
+        goes_first = self.call.has_size_precedence and not self.call.has_begun
         return is_unreachable(
-            placement.first_token, seconds_left, goes_first=self.call.goes_first
+            placement.first_token, seconds_left, goes_first=goes_first
         )
 
     def _wait_for_role(self) -> float:
@@ -145,9 +151,7 @@
         if (
             upstream is not None
             and reachability.is_reachable(upstream.key)
-            and is_unreachable(
-                placement.first_token, seconds_left, goes_first=self.call.goes_first
-            )
+            and self._is_unreachable(placement, seconds_left)
         ):
             share.on_full()
 
--- a/src/bergamotmast/policy/direct_placement.py
+++ b/src/bergamotmast/policy/direct_placement.py
@@ -174,6 +174,8 @@
     prompt_tokens: int,
     max_output_tokens: int,
     decisions: Decisions = ALL_DECISIONS,
+    *,
+    goes_first: bool = False,
 ) -> int:
     """Return the engine priority of an answer whose prompt is prefilled, 0 to 9.
 
@@ -182,11 +184,12 @@
     seconds. Short answers go first: they hold a place for a twentieth of the time.
 
     :param max_output_tokens: upper bound of the output tokens; 0 if unknown.
+    :param goes_first: whether the answer precedes the others of its rank.
     """
     is_short = 0 < max_output_tokens <= MAX_SHORT_ANSWER_TOKENS
     if is_short and decisions.short_answers_first:
         return 0
-    return prefill_priority(rank, prompt_tokens, decisions)
+    return prefill_priority(rank, prompt_tokens, decisions, goes_first=goes_first)
 
 
 def predict_prefill(engine: EngineCandidate) -> float:
