--- a/tests/test_resumed_precedence.py
+++ b/tests/test_resumed_precedence.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from bergamotmast.direct.prefill_notice import PrefillNotice
 from bergamotmast.direct.stream_builds import RETENTION_SECONDS
 from bergamotmast.direct.stream_builds import StreamBuild
 from bergamotmast.direct.stream_builds import StreamBuilds
@@ -58,6 +59,16 @@
             self.builds.on_copy(StreamBuild(stream, *self.records[stream], until))
 
 
+class CollectedNotices:
+    """Notices to other entries, which are kept instead of being sent."""
+
+    def __init__(self) -> None:
+        self.notices: list[PrefillNotice] = []
+
+    def enqueue(self, notice: PrefillNotice) -> None:
+        self.notices.append(notice)
+
+
 def engines(*builds: str) -> list[Replica]:
     """Return a prefill engine and a decode engine of each build."""
     return [
@@ -67,14 +78,16 @@
     ]
 
 
-def queue_new_prompts(entry: Entry, count: int = QUEUED_PROMPTS) -> None:
+def queue_new_prompts(
+    entry: Entry, count: int = QUEUED_PROMPTS, seconds: float = QUEUED_SECONDS
+) -> None:
     """Let other entries have queued prompts of new streams at all engines."""
     now = asyncio.get_running_loop().time()
     for upstream in entry.fleet.members("llm", now):
         tracker = entry.core.context.placer.engine_load(upstream)
         for number in range(count):
             key = ("peer", number)
-            tracker.begin(key, QUEUED_SECONDS, QUEUED_PRIORITY, now)
+            tracker.begin(key, seconds, QUEUED_PRIORITY, now)
 
 
 async def begin_and_leave(entry: Entry) -> None:
@@ -182,3 +195,29 @@
         assert (await resume(entry)).status == 200
         after = urgent_seconds(entry)
     assert all(after[name] <= before[name] for name in before)
+
+
+async def test_resumed_stream_needs_no_margin():
+    """Guards against refusing a resumed stream that is predicted just in time.
+
+    A prompt that goes first for its size needs a margin, as it delays others in vain if
+    its caller leaves. A caller that leaves a stream also loses what it has received.
+    """
+    replicas = engines("v1")
+    async with serving(*replicas) as entry:
+        await let_it_be_known(entry, "store")
+        queue_new_prompts(entry, 1, seconds=1.5)
+        assert (await resume(entry)).status == 200
+
+
+async def test_other_entries_learn_that_a_resumed_prompt_goes_first():
+    """Guards against other entries that take a resumed prompt for one of a burst."""
+    replicas = engines("v1")
+    notices = CollectedNotices()
+    async with serving(*replicas) as entry:
+        await let_it_be_known(entry, "store")
+        entry.core.context.notices = notices
+        assert (await resume(entry)).status == 200
+    begun = [notice for notice in notices.notices if notice.tokens]
+    assert [notice.goes_first for notice in begun] == [True]
+    assert begun[0].priority < QUEUED_PRIORITY
