Tests: streams that are joined at a wrong event, and builds that become known late (listed)

Callers got a whole 200 without the events that an engine skipped as it went on with another's stream, or without the event within which the first engine broke off. A resumed stream went on at a guessed build though its build was known by its first event. A stream was no longer recorded after its resumption got a failure, and the answer to a write of the builds' record hid a later record.

--- /dev/null
+++ b/tests/test_build_knowledge.py
@@ -0,0 +1,129 @@
+"""Tests of what an entry learns of builds while a request or a write is under way."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+
+import pytest
+
+from bergamotmast.direct.build_history import BUILDS_KEY
+from bergamotmast.direct.build_history import BuildHistory
+from bergamotmast.direct.build_history import encode
+from bergamotmast.direct.build_recorder import BuildRecorder
+from bergamotmast.direct.stream_builds import StreamBuild
+from bergamotmast.policy.entry_ranking import stable_hash
+from bergamotmast.ports import KeyValue
+from bergamotmast.ports import Put
+from bergamotmast.ports import TxnResult
+from direct_support import serving
+from direct_support import until
+from platform_standin import EngineScript
+from platform_standin import answer
+from test_builds import begin
+from test_builds import built
+from test_builds import events
+from test_builds import resume
+from test_builds import streams
+
+
+def later(script, seconds: float = 0.2):
+    """Return a script that begins to answer later."""
+
+    async def delayed(replica, received, writer) -> None:
+        await asyncio.sleep(seconds)
+        await script(replica, received, writer)
+
+    return delayed
+
+
+@pytest.mark.parametrize("known_by", ["peer", "store"])
+async def test_build_that_becomes_known_before_the_first_event_counts(known_by):
+    """Guards against a guess that is kept although the build is known by then."""
+    one = built("i-1", "v1", later(EngineScript(last=6)))
+    two = built("i-2", "v2", EngineScript(last=6))
+
+    class Stored:
+        def find(self, stream):
+            return ("llm", "v2") if stream == stable_hash("id-1") and told else None
+
+    told = False
+    async with serving(one, two) as entry:
+        entry.fleet.remove("servers/i-2", entry.revision + 1)
+        entry.fleet.build_history.departed.clear()
+        stream_builds = entry.core.context.stream_builds
+        if known_by == "store":
+            stream_builds.stored = Stored()
+        asked = asyncio.create_task(resume(entry, "id-2", "id-1"))
+        await until(lambda: bool(one.received))
+        told = True
+        if known_by == "peer":
+            record = StreamBuild(stable_hash("id-1"), "llm", "v2", math.inf)
+            stream_builds.on_copy(record)
+        entry.register(two)
+        got = await asked
+    assert len(streams(one)) == 1
+    assert b"id: " not in got.body or streams(two)
+    assert got.status != 200 or (got.complete, got.body) == (True, events(3, 6))
+
+
+async def test_stream_whose_resumption_fails_may_still_be_resumed():
+    """Guards against forgetting a stream as its engine answers with a failure."""
+    one = built("i-1", "v1", EngineScript(last=6, pause=0.02))
+    two = built("i-2", "v2", EngineScript(last=6))
+    async with serving(one, two) as entry:
+        await begin(entry, "id-1", [two])
+        one.script = answer(500, b"broken")
+        got = await resume(entry, "id-2", "id-1")
+        assert got.status == 500
+        await asyncio.sleep(0.1)
+        assert stable_hash("id-1") in entry.core.context.stream_builds.unfinished
+
+
+class Writes:
+    """A store whose answer to a write comes after a later record was received."""
+
+    def __init__(self, history: BuildHistory) -> None:
+        self.history = history
+        self.revision = 10
+        self.value = b""
+        self.later: bytes | None = None
+        self.refused = 0
+
+    async def txn(self, compares, writes) -> TxnResult:
+        (put,) = writes
+        assert isinstance(put, Put)
+        if self.value and compares[0].mod_revision != self.revision:
+            self.refused += 1
+            return TxnResult(False, 0)
+        self.revision += 1
+        self.value, own = put.value, self.revision
+        if self.later is not None:
+            self.history.put(KeyValue(BUILDS_KEY, put.value, own))
+            self.revision += 1
+            self.value, self.later = self.later, None
+            self.history.put(KeyValue(BUILDS_KEY, self.value, self.revision))
+        return TxnResult(True, own)
+
+
+async def test_late_answer_to_a_write_hides_no_later_record():
+    """Guards against writes that fail for ever, as they expect an old revision."""
+    builds = {"v1"}
+    loop = asyncio.get_running_loop()
+    history = BuildHistory(loop.time, lambda group: builds)
+    kv = Writes(history)
+    kv.later = encode({"llm": frozenset({"v1", "v2"})})
+    recorder = BuildRecorder(
+        kv, history, "entry-1", lambda: ["llm"], lambda: ["entry-1"], random.Random(7)
+    )
+    history.on_read()
+    running = asyncio.create_task(recorder.run())
+    await until(lambda: history.revision > 0)
+    await asyncio.sleep(0.05)
+    assert history.recorded == {"llm": {"v1", "v2"}}
+    builds.add("v3")
+    history.on_registered("llm", "v3")
+    await until(lambda: b"v3" in kv.value, 1.0)
+    running.cancel()
+    assert kv.refused == 0
