Go on with a stream only at the event after the last one

A caller got a whole 200 with a piece missing where the engine that went on with a stream, after another's crash or as the caller resumed it, began at a later event than the one after Last-Event-Id; and where one engine broke off within an event and the next one had none. The entry dropped what came twice, but took any higher number for the next event and any clean end for the end of the stream.

A run that goes on with a stream is now checked at its first new event, and gives way to another engine if events between are missing. A stream does not end before an event that a run has begun. What a run skips in its own events is forwarded as before: the platform promises ids that rise, and only a joint shows that a piece is missing.

--- a/src/bergamotmast/direct/decode_attempt.py
+++ b/src/bergamotmast/direct/decode_attempt.py
@@ -15,8 +15,10 @@
 from ..errors import RequestError
 from ..errors import ResultCode
 from ..policy.direct_placement import decode_priority
+from .events import BrokenStreamError
 from .events import Event
 from .events import EventSplitter
+from .events import RunOrder
 from .exported_cache import ExportedCache
 from .forwarding import response_headers
 from .model import Upstream
@@ -55,10 +57,6 @@
 logger = logging.getLogger(__name__)
 
 
-class BrokenStreamError(Exception):
-    """A stream that ended prematurely, or a reply that can't be used."""
-
-
 class Race(t.Protocol):
     """The attempts of one stream, of which one forwards its events."""
 
@@ -84,6 +82,8 @@
     :param prefill: the tracked prefill if this engine also prefills the prompt.
     :param last_reply_at: when data last arrived from the engine; infinity before that.
     :param reader: reader of the engine's response; ``None`` before it has begun.
+    :param splitter: splits the response into events.
+    :param order: order of the events of this run.
     :param streaming: whether the engine has sent an event.
     :param decoding: whether it is counted as decoding the stream.
     :param reserved: tokens of its memory that are counted for this attempt.
@@ -110,6 +110,8 @@
         self.prefill: TrackedPrefill | None = None
         self.last_reply_at = math.inf
         self.reader: ResponseReader | None = None
+        self.splitter = EventSplitter()
+        self.order = RunOrder(stream.order)
         self.streaming = False
         self.decoding = False
         self.reserved = 0
@@ -259,6 +261,7 @@
                     self._on_event()
                     await self._forward(event, reply, traits, reader)
             finally:
+                self.order.on_ended(self.splitter.rest)
                 await reader.close()
             await self._end(reply, traits)
         return reply.status
@@ -328,7 +331,7 @@
         :raises ConnectionLostError: if the stream ends within an event.
         :raises BrokenStreamError: if an event is longer than :data:`MAX_EVENT_BYTES`.
         """
-        splitter = EventSplitter()
+        splitter = self.splitter
         # Counted across the data: the next part may already have arrived.
         count = 0
         async for data in reader.chunks():
@@ -431,11 +434,10 @@
         if event.number is None:
             if not self.race.leads(self):
                 return
-        elif event.number <= self.stream.last_event:
-            return
-        else:
-            self.stream.last_event = event.number
+        elif self.order.is_new(event.number):
             self.race.on_progress(self)
+        else:
+            return
         self.forwarding = True
         reader.on_write()
         await self._start(reply, traits)
@@ -450,6 +452,8 @@
         """End the response normally."""
         if not self.race.leads(self):
             raise BrokenStreamError("ended without an event")
+        if self.stream.order.lacks_event:
+            raise BrokenStreamError("ended without an event that had begun")
         self.race.on_progress(self)
         self.stream.attempts.on_complete(self.upstream, self.started_at)
         self.forwarding = True
--- a/src/bergamotmast/direct/events.py
+++ b/src/bergamotmast/direct/events.py
@@ -15,6 +15,10 @@
 _SEPARATOR = re.compile(rb"\n\n|\r\n\r\n")
 
 
+class BrokenStreamError(Exception):
+    """A stream that ended prematurely, or a reply that can't be used."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Event:
     """One event of a stream.
@@ -55,6 +59,62 @@
         return events
 
 
+class EventOrder:
+    """Order of a stream's events over the runs that bring them.
+
+    :param last: number of the last event that the caller received.
+    :param known: highest number of an event that a run is known to have begun.
+    """
+
+    def __init__(self, last: int) -> None:
+        self.last = last
+        self.known = last
+
+    @property
+    def lacks_event(self) -> bool:
+        """Whether an event that has begun has not reached the caller."""
+        return self.last < self.known
+
+
+class RunOrder:
+    """Order of the events of one run of a stream.
+
+    A run that goes on with a stream begins with the event after the last one. It may
+    repeat what the caller has received, but what it skips would be missing.
+
+    :param joins: whether the run has yet to go on with events of another run.
+    :param last: number of the run's last event, or of the one that it goes on after.
+    """
+
+    def __init__(self, order: EventOrder) -> None:
+        self.order = order
+        self.joins = order.last > 0
+        self.last = order.last
+
+    def is_new(self, number: int) -> bool:
+        """Return whether the caller has not received an event, which it then has.
+
+        :raises BrokenStreamError: if the event before it is missing.
+        """
+        self.last = number
+        expected = self.order.last + 1
+        if number < expected:
+            return False
+        if self.joins and number > expected:
+            raise BrokenStreamError(f"went on at event {number}, not {expected}")
+        self.joins = False
+        self.order.last = number
+        return True
+
+    def on_ended(self, rest: bytes | bytearray) -> None:
+        """Record the end of the run.
+
+        :param rest: what has arrived of an incomplete event.
+        """
+        if rest.strip() and not rest.startswith(b":"):
+            self.order.known = max(self.order.known, self.last + 1)
+
+
 def _event_number(event: bytes) -> int | None:
     for line in event.splitlines():
         name, _, value = line.partition(b":")
--- a/src/bergamotmast/direct/stream.py
+++ b/src/bergamotmast/direct/stream.py
@@ -7,6 +7,7 @@
 from .attempts import AttemptTracker
 from .caller import CallerReply
 from .context import Context
+from .events import EventOrder
 from .model import Call
 from .model import Upstream
 from .model import UpstreamKey
@@ -25,7 +26,7 @@
     :param attempts: attempts to decode the stream.
     :param permits: permits for upstreams that limit their requests.
     :param prefills: tracker of its prefills.
-    :param last_event: number of the last event that the caller received.
+    :param order: order of the events that the caller receives.
     :param weights: version of the weights that the response started with.
     :param last_failure: an engine's failure, forwarded if no attempt is left.
     :param failed_prefill_engines: engines at which the prefill failed.
@@ -39,11 +40,16 @@
         self.permits = SendPermits(context, call)
         self.prefills = PrefillTracker(context, call)
         self.timeline = Timeline()
-        self.last_event = call.traits.last_event
+        self.order = EventOrder(call.traits.last_event)
         self.weights = ""
         self.last_failure: Response | None = None
         self.failed_prefill_engines: set[UpstreamKey] = set()
 
+    @property
+    def last_event(self) -> int:
+        """Number of the last event that the caller received; 0 for none."""
+        return self.order.last
+
     @property
     def excluded(self) -> set[str]:
         """Names of the engines that are not to be tried again."""
