Look up where a resumed stream began once more before its first event

A caller that resumed a stream got events of another build where the entry knew of one build as it admitted the request, and learned of the other one while the prompt was read: the guess was kept, and the record that had arrived by then only gave a warning.

The build is now looked up again before the first event, in memory and in the store's values, and at the other entries if the group has several builds by then. An attempt at another build gives way to one at the right build. What nobody knows by then goes on where it was to: it most likely began before there were several builds.

The listed test's case peer is now peers, and cases are added of entries that are asked, and of streams that began at the only build.

--- a/src/bergamotmast/direct/decode_attempt.py
+++ b/src/bergamotmast/direct/decode_attempt.py
@@ -429,7 +429,7 @@
     async def _forward(
         self, event: Event, reply: Reply, traits: ReplyTraits, reader: ResponseReader
     ) -> None:
-        if self.stream.attempts.build not in (None, self.upstream.build):
+        if not await self.stream.may_go_on_at(self.upstream):
             raise BrokenStreamError("the stream has begun at another build")
         if event.number is None:
             if not self.race.leads(self):
--- a/src/bergamotmast/direct/stream.py
+++ b/src/bergamotmast/direct/stream.py
@@ -61,6 +61,17 @@
         self.failed_prefill_engines.clear()
         self.permits.invested = True
 
+    async def may_go_on_at(self, engine: Upstream) -> bool:
+        """Return whether an engine's events fit to those that the caller has received.
+
+        Where a resumed stream began may have become known since it was admitted.
+        """
+        if self.call.traits.last_event and not self.reply.started:
+            self.attempts.build = await self.context.stream_builds.confirm(
+                self.call.began_as, self.call.group.name, self.attempts.build
+            )
+        return self.attempts.build in (None, engine.build)
+
     def on_begun(self, engine: Upstream) -> None:
         """Record the engine whose events the caller has begun to receive."""
         self.attempts.build = engine.build
--- a/src/bergamotmast/direct/stream_builds.py
+++ b/src/bergamotmast/direct/stream_builds.py
@@ -225,6 +225,23 @@
         only = StreamBuild(stream, group, build, math.inf)
         return FoundBuild(only, KnownBy.ONLY_BUILD if is_certain else KnownBy.GUESS)
 
+    async def confirm(
+        self, request_id: str, group: str, build: str | None
+    ) -> str | None:
+        """Return where a stream goes on, as known by now.
+
+        The build may have been guessed while the other one was not known of. What
+        nobody knows by now began before there were several builds.
+
+        :param request_id: id of the request that brought its first event.
+        :param group: the group in which it goes on.
+        :param build: the build at which it was to go on.
+        """
+        record = self.record(stable_hash(request_id))
+        if record is None and not self._has_one_build(group):
+            record = (await self.find(request_id, [group])).record
+        return build if record is None or record.group != group else record.build
+
     def _has_one_build(self, group: str) -> bool:
         return len(self.fleet.build_history.builds(group)) == 1
 
--- a/tests/test_build_knowledge.py
+++ b/tests/test_build_knowledge.py
@@ -13,13 +13,16 @@
 from bergamotmast.direct.build_history import encode
 from bergamotmast.direct.build_recorder import BuildRecorder
 from bergamotmast.direct.stream_builds import StreamBuild
+from bergamotmast.direct.stream_builds import StreamBuilds
 from bergamotmast.policy.entry_ranking import stable_hash
 from bergamotmast.ports import KeyValue
 from bergamotmast.ports import Put
 from bergamotmast.ports import TxnResult
+from direct_support import Answer
 from direct_support import serving
 from direct_support import until
 from platform_standin import EngineScript
+from platform_standin import Replica
 from platform_standin import answer
 from test_builds import begin
 from test_builds import built
@@ -38,34 +41,72 @@
     return delayed
 
 
-@pytest.mark.parametrize("known_by", ["peer", "store"])
-async def test_build_that_becomes_known_before_the_first_event_counts(known_by):
-    """Guards against a guess that is kept although the build is known by then."""
-    one = built("i-1", "v1", later(EngineScript(last=6)))
-    two = built("i-2", "v2", EngineScript(last=6))
+class Asked:
+    """Peers that know a stream, or a store that holds its record, from some time on.
+
+    :param stream_builds: receives the record once peers are asked.
+    """
+
+    def __init__(self, stream_builds: StreamBuilds, build: str) -> None:
+        self.stream_builds = stream_builds
+        self.record = StreamBuild(stable_hash("id-1"), "llm", build, math.inf)
+        self.told = False
+
+    def copy(self, records) -> None:
+        pass
+
+    async def find(self, stream, group) -> None:
+        if self.told and stream == self.record.stream:
+            self.stream_builds.on_copy(self.record)
+
+
+class Stored(Asked):
+    def find(self, stream) -> tuple[str, str] | None:
+        return ("llm", self.record.build) if self.told else None
 
-    class Stored:
-        def find(self, stream):
-            return ("llm", "v2") if stream == stable_hash("id-1") and told else None
 
-    told = False
+async def resume_as_second_build_comes(
+    known_by: str, build: str
+) -> tuple[Answer, Replica, Replica]:
+    """Resume a stream at an entry that learns of a second build before its next event.
+
+    :param known_by: who knows by then that the stream began at a build.
+    """
+    one = built("i-1", "v1", later(EngineScript(last=6)))
+    two = built("i-2", "v2", EngineScript(last=6))
     async with serving(one, two) as entry:
         entry.fleet.remove("servers/i-2", entry.revision + 1)
         entry.fleet.build_history.departed.clear()
         stream_builds = entry.core.context.stream_builds
-        if known_by == "store":
-            stream_builds.stored = Stored()
-        asked = asyncio.create_task(resume(entry, "id-2", "id-1"))
+        asked = Asked(stream_builds, build)
+        if known_by == "asked peers":
+            stream_builds.peers = asked
+        elif known_by == "store":
+            stream_builds.stored = asked = Stored(stream_builds, build)
+        answering = asyncio.create_task(resume(entry, "id-2", "id-1"))
         await until(lambda: bool(one.received))
-        told = True
-        if known_by == "peer":
-            record = StreamBuild(stable_hash("id-1"), "llm", "v2", math.inf)
-            stream_builds.on_copy(record)
+        asked.told = True
+        if known_by == "peers":
+            stream_builds.on_copy(asked.record)
         entry.register(two)
-        got = await asked
-    assert len(streams(one)) == 1
-    assert b"id: " not in got.body or streams(two)
-    assert got.status != 200 or (got.complete, got.body) == (True, events(3, 6))
+        got = await answering
+    return got, one, two
+
+
+@pytest.mark.parametrize("known_by", ["peers", "asked peers", "store"])
+async def test_build_that_becomes_known_before_the_first_event_counts(known_by):
+    """Guards against a guess that is kept although the build is known by then."""
+    got, one, two = await resume_as_second_build_comes(known_by, "v2")
+    assert len(streams(one)) == len(streams(two)) == 1
+    assert (got.status, got.complete, got.body) == (200, True, events(3, 6))
+
+
+@pytest.mark.parametrize("known_by", ["peers", "asked peers", "store", "nobody"])
+async def test_stream_of_the_only_build_goes_on_as_another_comes(known_by):
+    """Guards against giving up a stream at the right build as it is about to go on."""
+    got, one, two = await resume_as_second_build_comes(known_by, "v1")
+    assert (len(streams(one)), streams(two)) == (1, [])
+    assert (got.status, got.complete, got.body) == (200, True, events(3, 6))
 
 
 async def test_stream_whose_resumption_fails_may_still_be_resumed():
