Keep a stream's record as its resumption gets a failure

A stream whose engine answered the resumed request with a failure status counted as complete, and left the store's record of streams in progress. Its caller may resume it again, at an entry that then doesn't know its build. Only a success now completes it.

test_stream_whose_resumption_fails_may_still_be_resumed failed before and passes now.

--- a/src/bergamotmast/direct/stream_run.py
+++ b/src/bergamotmast/direct/stream_run.py
@@ -33,7 +33,7 @@
         try:
             async with self.context.time_limits.limit(self.call.deadline):
                 status = await self._run_attempts()
-            complete = True
+            complete = 200 <= status < 300
             return status
         except TimeoutError:
             raise self.stream.attempts.timeout_error() from None
