Keep a later record of builds as the answer to a write comes late

The watch may deliver another entry's later record before the answer to this entry's own write. The answer then set the record and its revision back, nothing newer followed, and all later writes failed their comparison, repeated for as long as the entry ran.

test_late_answer_to_a_write_hides_no_later_record failed before and passes now.

--- a/src/bergamotmast/direct/build_history.py
+++ b/src/bergamotmast/direct/build_history.py
@@ -125,7 +125,12 @@
                 self.note(group, build)
 
     def on_written(self, builds: Builds, revision: int) -> None:
-        """Apply the record that this entry has written."""
+        """Apply the record that this entry has written.
+
+        The watch may have delivered a later one before the answer to the write.
+        """
+        if revision < self.revision:
+            return
         self.recorded, self.revision = builds, revision
         self.is_restored = False
 
