Tests: what a slow caller has yet to read is of the build that sent it

A crashed engine's events wait in buffers while its caller reads slowly, and are read after its successor has registered under its name with another build. Holds: such a stream is cut.

--- a/tests/test_build_knowledge.py
+++ b/tests/test_build_knowledge.py
@@ -19,11 +19,20 @@
 from bergamotmast.ports import Put
 from bergamotmast.ports import TxnResult
 from direct_support import Answer
+from direct_support import config
+from direct_support import read_answer
+from direct_support import request
+from direct_support import route
 from direct_support import serving
 from direct_support import until
 from platform_standin import EngineScript
 from platform_standin import Replica
 from platform_standin import answer
+from platform_standin import chunk
+from platform_standin import event
+from platform_standin import head
+from platform_standin import reset
+from test_builds import SHORT
 from test_builds import begin
 from test_builds import built
 from test_builds import events
@@ -109,6 +118,49 @@
     assert (got.status, got.complete, got.body) == (200, True, events(3, 6))
 
 
+@pytest.mark.parametrize("ending", ["close", "reset"])
+async def test_rest_of_a_run_that_is_read_late_is_of_the_build_that_sent_it(ending):
+    """Guards against a build that is told by when a slow caller's data is read."""
+    size, count = 40_000, 300
+
+    async def old(replica, received, writer) -> None:
+        lines = ("X-Weight-Versions: 1", "Transfer-Encoding: chunked")
+        writer.write(head(200, received.request_id, *lines))
+        for number in range(1, count + 1):
+            writer.write(chunk(event(number, "x" * size)))
+        # What the sockets' buffers do not hold is sent once the caller reads.
+        await writer.drain()
+        writer.close() if ending == "close" else reset(writer)
+
+    one, two = built("i-1", "v1", old), built("i-2", "v2", EngineScript(last=count + 9))
+    document = config(
+        routes=[
+            route(
+                "/long/",
+                "streaming",
+                "llm",
+                resumable=True,
+                **{"timeout-ms": 20_000, "max-attempts": 3},
+            )
+        ]
+    )
+    async with serving(one, two, document=document) as entry:
+        entry.register(two, state="draining")
+        reader, writer = await entry.connect()
+        writer.write(request("/long/x", X_Deadline_Ms="15000", **SHORT))
+        await until(lambda: bool(one.received))
+        await asyncio.sleep(0.3)
+        one.script = two.script
+        entry.register(one, version="v2", born=2)
+        entry.register(two)
+        await asyncio.sleep(0.3)
+        got = await read_answer(reader)
+        writer.close()
+    assert got.body.startswith(event(1, "x" * size))
+    assert b"word" not in got.body
+    assert not got.complete
+
+
 async def test_stream_whose_resumption_fails_may_still_be_resumed():
     """Guards against forgetting a stream as its engine answers with a failure."""
     one = built("i-1", "v1", EngineScript(last=6, pause=0.02))
