Keep and add groups of the builds' record as routes change

The record named the groups of the routes in force, and an entry without a configuration wanted it to be empty. A route that was removed for a moment, or an entry that was behind, dropped builds whose streams may go on; after all entries were killed, such a group's only registered build was guessed. A group that a new configuration brought was added up to 5 s late, as only a new registration started a write.

A group without a route now keeps its builds for as long as streams of them may go on, and a configuration starts a comparison.

test_record_keeps_groups_of_routes_that_are_gone and test_group_of_a_new_route_is_recorded_at_once failed before and pass now.

--- a/src/bergamotmast/direct/build_history.py
+++ b/src/bergamotmast/direct/build_history.py
@@ -152,22 +152,24 @@
         """Return what the record should be; ``None`` if it can't be told yet.
 
         A build is added once it is registered, and dropped once this entry has watched
-        for as long as streams of it may go on.
+        for as long as streams of it may go on: a group without a route may get one
+        again, and entries may know different configurations.
 
         :param groups: groups whose streams can be resumed.
         """
         if self.recorded is None and not self.has_watched:
             return None
         recorded = self.recorded or {}
+        routed = set(groups)
         wanted = {}
-        for group in groups:
+        for group in routed | recorded.keys():
             known = self.builds(group)
             kept = recorded.get(group, frozenset())
             if self.has_watched:
                 kept &= known
             if self.is_restored or self.recorded is None:
                 kept |= known
-            builds = kept | frozenset(self.registered(group))
+            builds = kept | frozenset(self.registered(group) if group in routed else ())
             if builds:
                 wanted[group] = builds
         return wanted
--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -540,6 +540,7 @@
         if routing.generation <= self.generation:
             return
         self.table = RouteTable(routing)
+        self.build_history.changed.set()
         self._signal_ready()
         logger.info(
             "configuration is in force",
--- a/tests/test_build_knowledge.py
+++ b/tests/test_build_knowledge.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import math
 import random
 
@@ -12,8 +13,10 @@
 from bergamotmast.direct.build_history import BuildHistory
 from bergamotmast.direct.build_history import encode
 from bergamotmast.direct.build_recorder import BuildRecorder
+from bergamotmast.direct.fleet import Fleet
 from bergamotmast.direct.stream_builds import StreamBuild
 from bergamotmast.direct.stream_builds import StreamBuilds
+from bergamotmast.platform.directory import PlatformDirectory
 from bergamotmast.policy.entry_ranking import stable_hash
 from bergamotmast.ports import KeyValue
 from bergamotmast.ports import Put
@@ -21,6 +24,7 @@
 from direct_support import Answer
 from direct_support import config
 from direct_support import read_answer
+from direct_support import registration
 from direct_support import request
 from direct_support import route
 from direct_support import serving
@@ -220,3 +224,61 @@
     await until(lambda: b"v3" in kv.value, 1.0)
     running.cancel()
     assert kv.refused == 0
+
+
+class Clock:
+    """A clock that is set by hand."""
+
+    def __init__(self) -> None:
+        self.now = 1_000.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+@pytest.mark.parametrize("groups", [[], ["llm"]])
+async def test_record_keeps_groups_of_routes_that_are_gone(groups):
+    """Guards against builds that are forgotten with a route that soon comes back, or by
+    an entry that has no configuration yet."""
+    clock, registered = Clock(), {"llm": {"v1"}, "other": {"v3"}}
+    history = BuildHistory(clock, lambda group: registered.get(group, set()))
+    recorded = {"llm": frozenset({"v1"}), "other": frozenset({"v2", "v3"})}
+    history.on_read()
+    history.put(KeyValue(BUILDS_KEY, encode(recorded), 7))
+    assert history.wanted(groups) == recorded
+    del registered["other"]
+    clock.now += 61.0
+    assert history.wanted(groups) == {"llm": {"v1"}}
+
+
+async def test_group_of_a_new_route_is_recorded_at_once():
+    """Guards against streams at a group that the store knows nothing of for seconds."""
+    loop = asyncio.get_running_loop()
+    fleet = Fleet(PlatformDirectory(), loop.time)
+    kv = Writes(fleet.build_history)
+    recorder = BuildRecorder(
+        kv,
+        fleet.build_history,
+        "entry-1",
+        fleet.stream_groups,
+        lambda: ["entry-1"],
+        random.Random(7),
+    )
+    one = built("i-1", "v1", EngineScript())
+    one.address = "127.0.0.1:9"
+    other = built("i-2", "v7", EngineScript())
+    other.address, other.entry["service"] = "127.0.0.1:8", "other"
+    document = config()
+    document["services"].append(document["services"][1] | {"name": "other"})
+    for revision, replica in enumerate((one, other), 2):
+        value = json.dumps(registration(replica)).encode()
+        fleet.put(KeyValue(f"servers/{replica.name}", value, revision))
+    fleet.put(KeyValue("op/config", json.dumps(document).encode(), 4))
+    fleet.build_history.on_read()
+    running = asyncio.create_task(recorder.run())
+    await until(lambda: b"v1" in kv.value)
+    moved = route("/long/", "streaming", "other", resumable=True)
+    document |= {"version": 2, "routes": [*document["routes"], moved]}
+    fleet.put(KeyValue("op/config", json.dumps(document).encode(), 5))
+    await until(lambda: b"v7" in kv.value, 1.0)
+    running.cancel()
