--- a/src/bergamotmast/direct/stream.py
+++ b/src/bergamotmast/direct/stream.py
@@ -7,6 +7,7 @@
 from .attempts import AttemptTracker
 from .caller import CallerReply
 from .context import Context
+from .events import EventOrder
 from .model import Call
 from .model import Upstream
 from .model import UpstreamKey
@@ -25,7 +26,7 @@
     :param attempts: attempts to decode the stream.
     :param permits: permits for upstreams that limit their requests.
     :param prefills: tracker of its prefills.
-    :param last_event: number of the last event that the caller received.
+    :param order: order of the events that the caller receives.
     :param weights: version of the weights that the response started with.
     :param last_failure: an engine's failure, forwarded if no attempt is left.
     :param failed_prefill_engines: engines at which the prefill failed.
@@ -39,11 +40,16 @@
         self.permits = SendPermits(context, call)
         self.prefills = PrefillTracker(context, call)
         self.timeline = Timeline()
-        self.last_event = call.traits.last_event
+        self.order = EventOrder(call.traits.last_event)
         self.weights = ""
         self.last_failure: Response | None = None
         self.failed_prefill_engines: set[UpstreamKey] = set()
 
+    @property
+    def last_event(self) -> int:
+        """Number of the last event that the caller received; 0 for none."""
+        return self.order.last
+
     @property
     def excluded(self) -> set[str]:
         """Names of the engines that are not to be tried again."""
@@ -55,6 +61,17 @@
         self.failed_prefill_engines.clear()
         self.permits.invested = True
 
+    async def may_go_on_at(self, engine: Upstream) -> bool:
+        """Return whether an engine's events fit to those that the caller has received.
+
+        Where a resumed stream began may have become known since it was admitted.
+        """
+        if self.call.traits.last_event and not self.reply.started:
+            self.attempts.build = await self.context.stream_builds.confirm(
+                self.call.began_as, self.call.group.name, self.attempts.build
+            )
+        return self.attempts.build in (None, engine.build)
+
     def on_begun(self, engine: Upstream) -> None:
         """Record the engine whose events the caller has begun to receive."""
         self.attempts.build = engine.build
