Begin streams only at builds that the store names

Callers got streams joined from two builds: the store refused all writes from before the second build came until it had left again, all entries were killed in between, and the record that was left named the first build only (6 of 12 streams at the other build, test_faults_of_writes_before_the_kill_misplace_no_stream [v2-refused], seen again before this change).

Cause: a stream could begin at a build before the store named it. What the record lacks was then taken for what never was.

A new stream now begins only at an engine of a build that the record names, as the entry last knows it, if a decode engine of such a build may take it. Serving goes first: without one, or without a record of the group, it begins anywhere. A group of one build is not affected: no call, no delay.

--- a/src/bergamotmast/direct/build_history.py
+++ b/src/bergamotmast/direct/build_history.py
@@ -95,6 +95,10 @@
         """
         return self.has_watched or group in (self.recorded or {})
 
+    def recorded_builds(self, group: str) -> frozenset[str]:
+        """Return the builds of a group that the record in the store names."""
+        return (self.recorded or {}).get(group, frozenset())
+
     @property
     def is_readable(self) -> bool:
         """Whether the record could be decoded, or there is none."""
@@ -107,7 +111,7 @@
 
     def on_registered(self, group: str, build: str) -> None:
         """Record that an upstream of a build has registered."""
-        if build not in (self.recorded or {}).get(group, ()):
+        if build not in self.recorded_builds(group):
             self.changed.set()
 
     def put(self, item: KeyValue) -> None:
--- a/src/bergamotmast/direct/placer.py
+++ b/src/bergamotmast/direct/placer.py
@@ -261,6 +261,8 @@
         now = asyncio.get_running_loop().time()
         suitable = self.not_excluded(call, excluded, now, build)
         members = [m for m in suitable if permits.is_obtainable(m, now)]
+        if build is None:
+            members = self._at_recorded_builds(call.group.name, members)
         by_name = {member.name: member for member in members}
         candidates = self._candidates(call, members, now, permits)
         tightest = self.fleet.tightest_objective(call.group.name)
@@ -310,6 +312,21 @@
             return None
         return next(member for member in decode_engines if member.name == chosen.name)
 
+    def _at_recorded_builds(
+        self, group: str, members: list[Upstream]
+    ) -> list[Upstream]:
+        """Return the engines of the builds at which a new stream may begin.
+
+        A stream at a build that the store doesn't name would be unknown after the end
+        of all entries. Without a decode engine of a recorded build it begins all the
+        same, as it would not be served otherwise.
+        """
+        recorded = self.fleet.build_history.recorded_builds(group)
+        allowed = [member for member in members if member.build in recorded]
+        if any(member.role is not Role.PREFILL for member in allowed):
+            return allowed
+        return members
+
     def no_upstream_error(
         self, call: Call, suitable: cabc.Collection[Upstream]
     ) -> RequestError:
