Keep the era of the store in the record of builds

Cause: the record says which builds it knows, and not of which store. A restored record looks like the present one.

The record now holds the number of restores up to which it is complete, which a range read returns through the port. An entry that reads a record of another era, or none after a restore, takes nothing for certain and guesses nothing until it has watched for the retention time or another entry has written the record anew. An entry may do that which knew all builds before the restore and did not miss more than 2 s; it waits 2 s for what others add. is_restored stays the mark for adding what is known; the era alone says whether the record is complete. The form without an era is still read, as of the first era: without a restore, there is no other.

Two smaller things of the same lines: the record to write is worked out once a write, and a reply to a write that comes after a later record no longer replaces it.

--- a/src/bergamotmast/direct/build_history.py
+++ b/src/bergamotmast/direct/build_history.py
@@ -4,6 +4,9 @@
 sees the builds that are registered now, but not those whose upstreams left while it was
 down. All entries therefore share a record in the store of the builds of each group,
 which names a build for as long as streams that began there may be resumed.
+
+A restored store has an older record, which may lack builds. The record therefore names
+the era in which it is known to be complete, by the number of restores before it.
 """
 
 from __future__ import annotations
@@ -12,6 +15,7 @@
 import collections.abc as cabc
 import logging
 import math
+import typing as t
 
 import msgspec
 
@@ -20,14 +24,29 @@
 logger = logging.getLogger(__name__)
 
 BUILDS_KEY = "/bergamotmast/builds"
-"""Key of the record: a JSON object with a list of builds for each group."""
+"""Key of the record: a JSON object with lists of builds by group, and its era."""
 
 RETENTION_SECONDS = 60.0
 """How long after the departure of a build's last upstream streams of it may go on."""
 
+MAX_GAP_SECONDS = 2.0
+"""Longest gap in the watch before a restore after which an entry still knows more than
+the restored record."""
+
+SETTLING_SECONDS = 2.0
+"""How long the record waits after a restore for what other entries know, and for the
+registrations of upstreams that came in the gap, before it counts as complete."""
+
 Builds = dict[str, frozenset[str]]
 
 
+class _Record(msgspec.Struct, frozen=True):
+    """The record; without an era, it is the first one."""
+
+    groups: dict[str, list[str]]
+    era: t.Annotated[int, msgspec.Meta(ge=0)] = 0
+
+
 class BuildHistory:
     """What this entry knows of the builds of each group.
 
@@ -40,6 +59,11 @@
         point in time, infinity before that.
     :param recorded: the record in the store; ``None`` if it can't be decoded.
     :param revision: its revision; 0 if there is none.
+    :param recorded_era: era in which the record is complete.
+    :param store_era: era of the store, as of the last read.
+    :param is_sure: whether this entry knew all builds as of the last read, by the
+        record or by its own watch.
+    :param heard_at: when the store last replied; a point in time.
     :param is_restored: whether the record may lack builds after a restore of the store.
     :param changed: set when the record may have to be written.
     """
@@ -55,6 +79,10 @@
         self.watched_since = math.inf
         self.recorded: Builds | None = {}
         self.revision = 0
+        self.recorded_era = 0
+        self.store_era = 0
+        self.is_sure = False
+        self.heard_at = -math.inf
         self.is_restored = False
         self.changed = asyncio.Event()
 
@@ -93,22 +121,39 @@
 
         This holds as of the last change in the store that was received.
         """
-        return self.has_watched or group in (self.recorded or {})
+        if self.has_watched:
+            return True
+        return self.is_trusted and bool(self.recorded_builds(group))
 
     def recorded_builds(self, group: str) -> frozenset[str]:
         """Return the builds of a group that the record in the store names."""
         return (self.recorded or {}).get(group, frozenset())
 
     @property
-    def is_readable(self) -> bool:
-        """Whether the record could be decoded, or there is none."""
-        return self.recorded is not None
+    def is_trusted(self) -> bool:
+        """Whether the record, or its absence, is not that of a store before a restore.
+
+        This does not hold if it can't be decoded.
+        """
+        return self.recorded is not None and self.recorded_era == self.store_era
+
+    @property
+    def settles_at(self) -> float:
+        """When the record may be complete again after a restore; a point in time."""
+        return self.watched_since + SETTLING_SECONDS
 
     def on_read(self) -> None:
         """Record that all registrations were read, after a gap in the watch."""
-        self.watched_since = self.clock()
+        now = self.clock()
+        has_gap = now > self.heard_at + MAX_GAP_SECONDS
+        self.is_sure = (self.is_sure or self.has_watched) and not has_gap
+        self.watched_since = now
         self.changed.set()
 
+    def on_store_reply(self, now: float) -> None:
+        """Record that the store has replied, and all changes before are known."""
+        self.heard_at = now
+
     def on_registered(self, group: str, build: str) -> None:
         """Record that an upstream of a build has registered."""
         if build not in self.recorded_builds(group):
@@ -120,7 +165,8 @@
             return
         self.revision = item.mod_revision
         before = self.recorded or {}
-        self.recorded = _decode(item)
+        self.recorded, self.recorded_era = _decode(item)
+        self.is_sure = self.is_sure or self.is_trusted
         self.changed.set()
         for group, builds in (self.recorded or {}).items():
             # A build that was known before keeps its time.
@@ -128,15 +174,20 @@
             for build in unknown:
                 self.note(group, build)
 
-    def on_written(self, builds: Builds, revision: int) -> None:
+    def on_written(self, builds: Builds, revision: int, era: int = 0) -> None:
         """Apply the record that this entry has written."""
-        self.recorded, self.revision = builds, revision
+        if revision < self.revision:
+            # The watch has been faster than the reply, and brought a later record.
+            return
+        self.recorded, self.revision, self.recorded_era = builds, revision, era
         self.is_restored = False
 
     def remove(self, key: str) -> None:
         """Apply the removal of the record."""
         self.recorded = {}
         self.revision = 0
+        self.recorded_era = 0
+        self.is_sure = self.is_sure or self.is_trusted
         self.changed.set()
 
     def replace_all(self, items: tuple[KeyValue, ...], *, restored: bool) -> None:
@@ -164,25 +215,51 @@
             kept = recorded.get(group, frozenset())
             if self.has_watched:
                 kept &= known
-            if self.is_restored or self.recorded is None:
+            if self.is_restored or not self.is_trusted:
                 kept |= known
             builds = kept | frozenset(self.registered(group))
             if builds:
                 wanted[group] = builds
         return wanted
 
+    @property
+    def wanted_era(self) -> int:
+        """The era in which the record is complete once it is what it should be."""
+        settled = self.is_sure and self.clock() >= self.settles_at
+        if settled or self.has_watched:
+            return self.store_era
+        return self.recorded_era
+
+    def pending(self, groups: cabc.Iterable[str]) -> tuple[Builds, int] | None:
+        """Return the record to write, with its era; ``None`` if there is none."""
+        wanted, era = self.wanted(groups), self.wanted_era
+        if wanted is None or (wanted, era) == (self.recorded, self.recorded_era):
+            return None
+        return wanted, era
 
-def encode(builds: Builds) -> bytes:
+
+def encode(builds: Builds, era: int = 0) -> bytes:
     """Return the value of the record."""
-    return msgspec.json.encode({g: sorted(b) for g, b in sorted(builds.items())})
+    groups = {group: sorted(names) for group, names in sorted(builds.items())}
+    return msgspec.json.encode(_Record(groups, era))
 
 
-def _decode(item: KeyValue) -> Builds | None:
+def _decode(item: KeyValue) -> tuple[Builds | None, int]:
+    """Return the builds and the era; ``None`` and 0 if they can't be decoded."""
     try:
-        groups = msgspec.json.decode(item.value, type=dict[str, list[str]])
+        record = _decode_record(item.value)
     except msgspec.DecodeError as error:
         logger.warning(
             "record of builds cannot be decoded", extra={"error": str(error)}
         )
-        return None
-    return {group: frozenset(builds) for group, builds in groups.items()}
+        return None, 0
+    builds = {group: frozenset(names) for group, names in record.groups.items()}
+    return builds, record.era
+
+
+def _decode_record(value: bytes) -> _Record:
+    try:
+        return msgspec.json.decode(value, type=_Record)
+    except msgspec.ValidationError:
+        # Entries of an earlier version write the groups alone.
+        return _Record(msgspec.json.decode(value, type=dict[str, list[str]]))
--- a/src/bergamotmast/direct/build_recorder.py
+++ b/src/bergamotmast/direct/build_recorder.py
@@ -21,6 +21,7 @@
 from ..ports import Put
 from .build_history import BUILDS_KEY
 from .build_history import BuildHistory
+from .build_history import Builds
 from .build_history import encode
 
 logger = logging.getLogger(__name__)
@@ -62,13 +63,21 @@
         """Write the record whenever it has to change, until cancelled."""
         while True:
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(CHECK_SECONDS):
+                async with asyncio.timeout(self._seconds_to_check()):
                     await self.history.changed.wait()
             self.history.changed.clear()
-            if self._is_due() and not self._is_first():
+            record = self.history.pending(self.groups())
+            if record is not None and not self._is_first():
                 await asyncio.sleep(STANDBY_SECONDS)
-            while self._is_due():
-                await self._write()
+                record = self.history.pending(self.groups())
+            while record is not None:
+                await self._write(*record)
+                record = self.history.pending(self.groups())
+
+    def _seconds_to_check(self) -> float:
+        """Return after how long the record is compared without a change."""
+        settling = self.history.settles_at - self.history.clock()
+        return min(CHECK_SECONDS, settling) if settling > 0 else CHECK_SECONDS
 
     def _is_first(self) -> bool:
         """Return whether this entry writes before the others."""
@@ -76,17 +85,11 @@
             self.own_entry
         ]
 
-    def _is_due(self) -> bool:
-        wanted = self.history.wanted(self.groups())
-        return wanted is not None and wanted != self.history.recorded
-
-    async def _write(self) -> None:
-        wanted = self.history.wanted(self.groups())
-        if wanted is None:
-            return
+    async def _write(self, builds: Builds, era: int) -> None:
         compares = [Compare(BUILDS_KEY, self.history.revision)]
+        put = Put(BUILDS_KEY, encode(builds, era))
         try:
-            result = await self.kv.txn(compares, [Put(BUILDS_KEY, encode(wanted))])
+            result = await self.kv.txn(compares, [put])
         except PortError as error:
             logger.info("builds are not recorded", extra={"error": error.message})
             await asyncio.sleep(self.backoff.next_delay())
@@ -96,11 +99,12 @@
             await asyncio.sleep(self.backoff.next_delay())
             return
         self.backoff.reset()
-        self.history.on_written(wanted, result.revision)
+        self.history.on_written(builds, result.revision, era)
         logger.info(
             "builds are recorded",
             extra={
-                "groups": {group: sorted(builds) for group, builds in wanted.items()},
+                "groups": {group: sorted(names) for group, names in builds.items()},
+                "era": era,
                 "revision": result.revision,
             },
         )
--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -365,9 +365,17 @@
             )
 
     def replace_all(
-        self, items: tuple[KeyValue, ...], now: float, reason: ReadReason
+        self,
+        items: tuple[KeyValue, ...],
+        now: float,
+        reason: ReadReason,
+        era: int = 0,
     ) -> None:
-        """Replace upstreams, entries and configuration by a snapshot of all keys."""
+        """Replace upstreams, entries and configuration by a snapshot of all keys.
+
+        :param era: number of restores of the store before the read.
+        """
+        self.build_history.store_era = era
         present = {item.key for item in items}
         for key in self.existing_keys - present:
             self._notify_removal(key)
--- a/src/bergamotmast/direct/store_watcher.py
+++ b/src/bergamotmast/direct/store_watcher.py
@@ -61,7 +61,7 @@
         now = asyncio.get_running_loop().time()
         reason = self._read_reason(now)
         self.restored = False
-        self.fleet.replace_all(result.items, now, reason)
+        self.fleet.replace_all(result.items, now, reason, result.era)
         self._on_reply(now)
         return result.revision
 
@@ -94,6 +94,7 @@
     def _on_reply(self, now: float) -> None:
         self.last_reply_at = now
         self.fleet.entry_share.on_store_reply(now)
+        self.fleet.build_history.on_store_reply(now)
         if not self.fleet.in_sync:
             self.fleet.in_sync = True
             logger.info("store is reached", extra={"dependency": "store"})
--- a/src/bergamotmast/direct/stream_builds.py
+++ b/src/bergamotmast/direct/stream_builds.py
@@ -218,8 +218,9 @@
             record, known_by = self.record(stream), KnownBy.PEERS
         if record is not None and record.group in groups:
             return FoundBuild(record, known_by)
+        may_guess = is_certain or self.fleet.build_history.is_trusted
         # Another entry may have told of a build that was not known here.
-        if not self._has_one_build(group) or not self.fleet.build_history.is_readable:
+        if not self._has_one_build(group) or not may_guess:
             return FoundBuild(None, KnownBy.UNKNOWN)
         (build,) = self.fleet.build_history.builds(group)
         only = StreamBuild(stream, group, build, math.inf)
--- a/src/bergamotmast/platform/store.py
+++ b/src/bergamotmast/platform/store.py
@@ -151,7 +151,7 @@
                 raise KeyValueUnavailableError("the store was restored between pages")
             items += (_key_value(item, answer.era) for item in page.items)
             if not page.has_more or not page.items:
-                return RangeResult(tuple(items), first_revision)
+                return RangeResult(tuple(items), first_revision, answer.era)
             after = page.items[-1].key
 
     async def txn(
--- a/src/bergamotmast/ports.py
+++ b/src/bergamotmast/ports.py
@@ -57,10 +57,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RangeResult:
-    """Result of a range read: the keys and the store revision of the read."""
+    """Result of a range read: the keys and the store revision of the read.
+
+    :param era: number of restores of the service before the read; 0 if it counts none.
+    """
 
     items: tuple[KeyValue, ...]
     revision: int
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
