Know the groups that stream with the routes

Fleet.stream_groups gathered the groups from all routes at each comparison of the record of builds; RouteTable now knows them, as it knows their objectives. Whether a build without registrations may have streams goes by RETENTION_SECONDS, which says so. DEPARTED_RETENTION_SECONDS stays a constant of its own: it is how long a departed upstream is recognized after a restore, whatever the streams.

--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -21,8 +21,8 @@
 from ..protocol.plan import engine_of_key
 from .addresses import datagram_address
 from .build_history import BUILDS_KEY
+from .build_history import RETENTION_SECONDS
 from .build_history import BuildHistory
-from .model import CallKind
 from .model import Group
 from .model import Upstream
 from .model import UpstreamKey
@@ -53,7 +53,8 @@
 
 DEPARTED_RETENTION_SECONDS = 60.0
 """How long a departed upstream is remembered, to recognize its registration after a
-restore of the store from a backup that is a few seconds old."""
+restore of the store from a backup that is a few seconds old. This does not depend on
+how long streams of its build may go on."""
 
 
 LAPSED_ADDRESS_SECONDS = 10.0
@@ -242,26 +243,16 @@
             record.upstream.build
             for record in self.upstream_records.values()
             if record.upstream.group == group
-            and (
-                record.gone_at is None
-                or now < record.gone_at + DEPARTED_RETENTION_SECONDS
-            )
+            and (record.gone_at is None or now < record.gone_at + RETENTION_SECONDS)
         }
 
     def knows_all_builds(self, group: str) -> bool:
         """Return whether no build of a group can have streams without being known."""
         return self.in_sync and self.build_history.is_complete(group)
 
-    def stream_groups(self) -> set[str]:
+    def stream_groups(self) -> frozenset[str]:
         """Return the names of the groups that stream responses."""
-        if self.table is None:
-            return set()
-        return {
-            target.group
-            for route in self.table.routing.routes
-            if route.kind is CallKind.STREAM
-            for target in route.targets
-        }
+        return frozenset() if self.table is None else self.table.stream_groups
 
     def registered(self, name: str) -> Upstream | None:
         """Return an upstream as it is registered, or ``None``."""
--- a/src/bergamotmast/direct/routing.py
+++ b/src/bergamotmast/direct/routing.py
@@ -11,7 +11,11 @@
 
 
 class RouteTable:
-    """The routes of one configuration, indexed for lookup."""
+    """The routes of one configuration, indexed for lookup.
+
+    :param tightest: lowest latency objective of each group's streams, in seconds.
+    :param stream_groups: names of the groups that stream responses.
+    """
 
     def __init__(self, routing: Routing) -> None:
         self.routing = routing
@@ -19,6 +23,7 @@
         for route in routing.routes:
             self.by_host.setdefault(route.host, {})[route.prefix] = route
         self.tightest = _tightest_objectives(routing)
+        self.stream_groups = frozenset(self.tightest)
 
     def tightest_objective(self, group: str) -> float:
         """Return the lowest latency objective of a group's streams, in seconds."""
