--- a/tests/test_build_knowledge.py
+++ b/tests/test_build_knowledge.py
@@ -42,6 +42,8 @@
 from test_builds import events
 from test_builds import resume
 from test_builds import streams
+from test_stream_builds import Network
+from test_stream_builds import register
 
 
 def later(script, seconds: float = 0.2):
@@ -282,3 +284,22 @@
     fleet.put(KeyValue("op/config", json.dumps(document).encode(), 5))
     await until(lambda: b"v7" in kv.value, 1.0)
     running.cancel()
+
+
+async def test_entry_that_hears_nothing_of_the_store_makes_no_guess():
+    """Guards against the only build of an entry that is cut off and has not noticed.
+
+    Copies of the first streams at another build tell entries of it, but not all.
+    """
+    network = Network(12, versions=("v1",))
+    register(network.fleets["entry-0"], "i-9", "v2")
+    cut_off = network.fleets["entry-5"].build_history
+    cut_off.on_read()
+    cut_off.put(KeyValue(BUILDS_KEY, encode({"llm": frozenset({"v1"})}), 7))
+    began = [f"id-{number}" for number in range(10)]
+    for request_id in began:
+        network.builds["entry-0"].on_begun(request_id, "llm", "v2")
+    await asyncio.sleep(0.02)
+    network.alive.remove("entry-0")
+    found = [await network.find("entry-5", request_id) for request_id in began]
+    assert set(found) <= {"v2", None}
