--- a/src/bergamotmast/adapters/metrics.py
+++ b/src/bergamotmast/adapters/metrics.py
@@ -136,6 +136,7 @@
         self.refused_connections = meter.create_counter("connections.refused")
         self.rests = meter.create_counter("upstream.rests")
         self.resumed = meter.create_counter("streams.resumed")
+        self.identified = meter.create_counter("engines.identified")
         self.limited_upstreams = meter.create_gauge("upstreams.limited")
         self.full_engines = meter.create_gauge("engines.full")
         self.held_bytes = meter.create_gauge("response.bytes.held")
@@ -260,6 +261,11 @@
         """Count a stream that a caller resumes, by how its build is known."""
         self.resumed.add(1, {"group": self.classes(group), "known_by": known_by})
 
+    def on_identified(self, group: str, identity: str) -> None:
+        """Count an engine in doubt that was asked, by what it has told."""
+        labels = {"group": self.classes(group), "identity": identity}
+        self.identified.add(1, labels)
+
     def on_full_engines(self, group: str, count: int) -> None:
         """Record the number of a group's engines without memory for a request."""
         self.full_engines.set(count, {"group": self.classes(group)})
--- a/src/bergamotmast/direct/attempts.py
+++ b/src/bergamotmast/direct/attempts.py
@@ -37,7 +37,6 @@
     :param count: number of attempts.
     :param unresolved: number of attempts that may have run the request.
     :param prepaid: retries taken out of the budget for attempts not begun yet.
-    :param build: build that the response has begun at; ``None`` before that.
     :param begun: whether an upstream is known to have begun to run the request.
     :param tried_parts: parts of its prompt that the last attempt is a trial of.
     """
@@ -51,10 +50,24 @@
         self.count = 0
         self.unresolved = 0
         self.prepaid = 0
-        self.build = call.build
+        self._build = call.build
         self.begun = False
         self.tried_parts: tuple[str, ...] = ()
 
+    @property
+    def build(self) -> str | None:
+        """Build that the response has begun at; ``None`` before that.
+
+        An incarnation may have registered since the response began there.
+        """
+        if self._build is None:
+            return None
+        return self.context.fleet.incarnations.build(self._build)
+
+    @build.setter
+    def build(self, build: str) -> None:
+        self._build = build
+
     @functools.cached_property
     def fingerprint(self) -> str:
         """Fingerprint of the request, the same for all tries of its caller."""
@@ -176,6 +189,7 @@
         :param sent_at: when it was sent; a point in time.
         :param replied: whether part of the reply had arrived.
         """
+        self.context.incarnations.on_sign(upstream, str(error))
         disconnected = isinstance(error, ConnectionLostError)
         if disconnected or replied:
             run = LostRun(
--- a/src/bergamotmast/direct/build_history.py
+++ b/src/bergamotmast/direct/build_history.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from ..ports import KeyValue
+from .unregistered_builds import is_unregistered
 
 logger = logging.getLogger(__name__)
 
@@ -163,6 +164,7 @@
             if self.is_restored or self.recorded is None:
                 kept |= known
             builds = kept | frozenset(self.registered(group))
+            builds = frozenset(b for b in builds if not is_unregistered(b))
             if builds:
                 wanted[group] = builds
         return wanted
--- a/src/bergamotmast/direct/context.py
+++ b/src/bergamotmast/direct/context.py
@@ -17,6 +17,7 @@
 from .crash_detector import CrashDetector
 from .engine_times import EngineTimes
 from .fleet import Fleet
+from .incarnations import Incarnations
 from .liveness import LivenessChecker
 from .model import Call
 from .model import Upstream
@@ -28,6 +29,7 @@
 from .ports import Attempt
 from .ports import Dialect
 from .ports import Headers
+from .ports import IncarnationProbe
 from .ports import LivenessProbe
 from .ports import Reply
 from .ports import ReplyTraits
@@ -63,6 +65,8 @@
     :param engine_times: engine time that this entry's streams take.
     :param telemetry: receiver of measurements.
     :param liveness_probe: probe of engines; ``None`` if there is none.
+    :param incarnation_probe: asks engines for their start; ``None`` if they can't tell.
+    :param incarnations: which incarnations of engines answer.
     :param usage: counter of the requests of each tenant; ``None`` without one.
     :param reported_loads: loads in replies; ``None`` if no replicas are ordered.
     :param shares: admission by the shares of tenants; ``None`` without it.
@@ -85,6 +89,7 @@
     telemetry: Telemetry
     notices: NoticeExchange | None = None
     liveness_probe: LivenessProbe | None = None
+    incarnation_probe: IncarnationProbe | None = None
     usage: UsageExchange | None = None
     reported_loads: ReportedLoads | None = None
     held_responses: HeldResponses | None = None
@@ -96,6 +101,7 @@
     time_limits: TimeLimits = dataclasses.field(init=False)
     liveness_checker: LivenessChecker = dataclasses.field(init=False)
     stream_builds: StreamBuilds = dataclasses.field(init=False)
+    incarnations: Incarnations = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
         self.quarantine.losses = self.crash_detector
@@ -105,6 +111,10 @@
         self.time_limits = TimeLimits(self.rng)
         self.liveness_checker = LivenessChecker(self.placer, self.liveness_probe)
         self.stream_builds = StreamBuilds(self.fleet)
+        self.incarnations = Incarnations(
+            self.fleet, self.telemetry, self.incarnation_probe
+        )
+        self.placer.incarnations = self.incarnations
 
     @property
     def decisions(self) -> Decisions:
@@ -188,7 +198,9 @@
         :raises ReplyLostError: if the reply belongs to another request.
         """
         traits = self.dialect.read_reply(reply.status, reply.headers)
-        if not traits.wrong_upstream:
+        if traits.wrong_upstream:
+            self.incarnations.on_sign(upstream, f"status {reply.status}")
+        else:
             self.crash_detector.on_reply(upstream, sent_at)
             now = asyncio.get_running_loop().time()
             self.placer.reachability.on_reply(upstream.key, now)
@@ -212,6 +224,7 @@
         """
         reachability = self.placer.reachability
         reachability.on_lost(upstream.key, sent_at)
+        self.incarnations.on_sign(upstream, "no reply")
         if call.share is not None and not reachability.is_reachable(upstream.key):
             call.share.on_lost(sent_at, asyncio.get_running_loop().time())
 
--- a/src/bergamotmast/direct/decode_attempt.py
+++ b/src/bergamotmast/direct/decode_attempt.py
@@ -15,6 +15,7 @@
 from ..errors import RequestError
 from ..errors import ResultCode
 from ..policy.direct_placement import decode_priority
+from .attempt_identity import AttemptIdentity
 from .events import Event
 from .events import EventSplitter
 from .exported_cache import ExportedCache
@@ -28,6 +29,7 @@
 from .remote_prefill import UNRESPONSIVE
 from .response_buffer import ResponseReader
 from .stream import Stream
+from .unregistered_builds import UNIDENTIFIED_BUILD
 
 STALL_TIMEOUT_SECONDS = 1.2
 """Maximum gap between two events before a resumable stream is also started at another
@@ -81,6 +83,8 @@
 
     Points in time are on the event loop's clock.
 
+    :param identity: the incarnation that it runs at.
+    :param cache_build: build of the KV cache to import; ``None`` without one.
     :param prefill: the tracked prefill if this engine also prefills the prompt.
     :param last_reply_at: when data last arrived from the engine; infinity before that.
     :param reader: reader of the engine's response; ``None`` before it has begun.
@@ -93,6 +97,7 @@
     :param measured: whether it counts as a decode in the measured engine time.
     :param replaced: whether another attempt has started beside it.
     :param forwarding: whether the caller's connection is being written to.
+    :param began: whether it has begun the response.
     :param finished: whether the attempt has ended.
     :param obstacle: last logged reason for waiting for a silent engine.
     """
@@ -107,6 +112,8 @@
         self.call = stream.call
         self.upstream = upstream
         self.tracker = stream.context.placer.engine_load(upstream)
+        self.identity = AttemptIdentity(stream.context.incarnations, upstream)
+        self.cache_build = cache.build if cache else None
         self.prefill: TrackedPrefill | None = None
         self.last_reply_at = math.inf
         self.reader: ResponseReader | None = None
@@ -119,6 +126,7 @@
         self.measured = False
         self.replaced = False
         self.forwarding = False
+        self.began = False
         self.finished = False
         self.obstacle = ""
 
@@ -247,6 +255,7 @@
             self.cache.on_imported()
             if not 200 <= reply.status < 300:
                 return await self._on_failure_status(reply)
+            await self._identify()
             reader = ResponseReader(
                 reply.chunks(),
                 self.context.held_responses,
@@ -263,6 +272,19 @@
             await self._end(reply, traits)
         return reply.status
 
+    async def _identify(self) -> None:
+        """Find out at which incarnation of the engine the request runs.
+
+        :raises BrokenStreamError: if the response can't go on there.
+        """
+        await self.identity.settle(self.started_at)
+        build = self.identity.build
+        allowed = {self.cache_build or build, UNIDENTIFIED_BUILD}
+        if self.stream.goes_on:
+            allowed = {self.stream.attempts.build or ""}
+        if build not in allowed:
+            raise BrokenStreamError(f"the engine runs build {build!r}")
+
     def _open(self) -> contextlib.AbstractAsyncContextManager[Reply]:
         call, prefill = self.call, self.prefill
         now = asyncio.get_running_loop().time()
@@ -352,6 +374,8 @@
         self.tracker.last_reply_at = self.last_reply_at = (
             asyncio.get_running_loop().time()
         )
+        if self.identity.on_data(self.last_reply_at) and self.began:
+            self.stream.on_begun(self.identity.build)
         if self.replaced:
             self.replaced = False
             self.context.crash_detector.on_reply(self.upstream, self.last_reply_at)
@@ -426,7 +450,7 @@
     async def _forward(
         self, event: Event, reply: Reply, traits: ReplyTraits, reader: ResponseReader
     ) -> None:
-        if self.stream.attempts.build not in (None, self.upstream.build):
+        if self.stream.attempts.build not in (None, self.identity.build):
             raise BrokenStreamError("the stream has begun at another build")
         if event.number is None:
             if not self.race.leads(self):
@@ -462,7 +486,8 @@
         self.race.on_progress(self)
         self.stream.timeline.first_event_at = asyncio.get_running_loop().time()
         self.stream.weights = traits.weights
-        self.stream.on_begun(self.upstream)
+        self.began = True
+        self.stream.on_begun(self.identity.build)
         await self.stream.reply.start(reply.status, response_headers(reply))
 
     async def _on_failure_status(self, reply: Reply) -> int:
--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -12,7 +12,6 @@
 import msgspec
 
 from ..errors import ConfigError
-from ..model import FencingToken
 from ..model import Role
 from ..policy.entry_share import EntryShare
 from ..ports import KeyValue
@@ -32,6 +31,9 @@
 from .resting_upstreams import RestingUpstreams
 from .routing import RouteTable
 from .said_leaving import SaidLeaving
+from .unregistered_builds import RegisteredIncarnations
+from .upstream_records import PlannedRole
+from .upstream_records import UpstreamRecord
 
 logger = logging.getLogger(__name__)
 
@@ -43,11 +45,6 @@
 """
 
 
-ROLE_CHANGE_TIMEOUT_SECONDS = 6.0
-"""Maximum time for which an engine gets no work after the plan has changed its role. A
-change takes about three seconds; an order that is never carried out must not keep the
-engine from work any longer."""
-
 TYPICAL_ROLE_CHANGE_SECONDS = 3.2
 """Typical time from an order to the first request under the new role."""
 
@@ -91,40 +88,6 @@
     RESTORE = "restore"
 
 
-@dataclasses.dataclass(slots=True)
-class UpstreamRecord:
-    """An upstream and the state of its registration.
-
-    :param revision: store revision of its registration.
-    :param gone_at: when an upstream whose registration lapsed during an outage is
-        considered gone; a point on the monotonic clock, ``None`` while registered.
-    """
-
-    upstream: Upstream
-    revision: int
-    gone_at: float | None = None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PlannedRole:
-    """The role that the plan assigns to an engine.
-
-    :param at: when this entry received the assignment; a point in time.
-    :param token: fencing token of the order.
-    :param boot: incarnation of the engine that was registered then; empty if none was.
-    """
-
-    role: Role
-    at: float
-    token: FencingToken
-    boot: str = ""
-
-    @property
-    def until(self) -> float:
-        """When the role change is no longer waited for; a point in time."""
-        return self.at + ROLE_CHANGE_TIMEOUT_SECONDS
-
-
 class Fleet:
     """The state of the store as of the last read or watch event.
 
@@ -134,6 +97,7 @@
     :param upstream_records: registered upstreams, by key.
     :param departed: when the record of a departed upstream expires, by key and boot;
         points in time.
+    :param incarnations: builds of the incarnations that have registered.
     :param said_leaving: upstreams that have said in a reply that they leave.
     :param resting: upstreams that have asked this entry for rest.
     :param build_history: builds at which streams may have begun.
@@ -165,6 +129,7 @@
         self.upstreams_loaded = False
         self.upstream_records: dict[str, UpstreamRecord] = {}
         self.departed: dict[tuple[str, str], float] = {}
+        self.incarnations = RegisteredIncarnations(clock)
         self.said_leaving = SaidLeaving()
         self.resting = RestingUpstreams(clock)
         self.build_history = BuildHistory(clock, self.registered_builds)
@@ -436,10 +401,26 @@
         for expired_key in expired:
             del self.departed[expired_key]
         self.departed[key, upstream.boot] = now + DEPARTED_RETENTION_SECONDS
+        self.incarnations.on_departed(upstream)
         self.build_history.note(upstream.group, upstream.build)
         for notify in self.on_departed:
             notify(upstream)
 
+    def on_answered_as(self, upstream: Upstream, boot: str) -> None:
+        """Record which incarnation has answered under an upstream's name.
+
+        What is known of the registered one doesn't hold for another one. An answer that
+        is older than the registration, or than the last answer, doesn't count.
+        """
+        key = self._key(upstream)
+        record = self.upstream_records.get(key)
+        if record is None or record.upstream.boot != upstream.boot:
+            return
+        if boot == upstream.boot or (key, boot) in self.departed:
+            return
+        self.upstream_records[key] = record.superseded(boot)
+        self._record_departed(key, record.upstream)
+
     def on_leaving(self, upstream: Upstream) -> None:
         """Record that an upstream says in a reply that it leaves."""
         if upstream in self.said_leaving:
@@ -572,14 +553,22 @@
                 self.build_history.note(known.upstream.group, known.upstream.build)
             return
         self.undecodable.pop(item.key, None)
+        if known is not None and known.superseded_boot == upstream.boot != "":
+            earlier = UpstreamRecord(upstream, item.mod_revision)
+            self.upstream_records[item.key] = earlier.superseded(known.upstream.boot)
+            return
         if upstream in self.said_leaving:
             upstream = dataclasses.replace(upstream, leaving=True)
         self.upstream_records[item.key] = UpstreamRecord(upstream, item.mod_revision)
+        self.incarnations.on_registered(upstream)
         self.build_history.on_registered(upstream.group, upstream.build)
         self.departed.pop((item.key, upstream.boot), None)
         if known is not None and known.upstream.boot != upstream.boot:
             self._record_departed(item.key, known.upstream)
-        elif known is not None and known.upstream.build != upstream.build:
+        elif (
+            known is not None
+            and self.incarnations.build(known.upstream.build) != upstream.build
+        ):
             self.build_history.note(known.upstream.group, known.upstream.build)
         if known is None or known.upstream != upstream:
             logger.info(
--- a/src/bergamotmast/direct/model.py
+++ b/src/bergamotmast/direct/model.py
@@ -22,6 +22,10 @@
 """Build of the upstreams that register no software version. They are taken for equal:
 otherwise, no stream of a group without versions could go on at another upstream."""
 
+UNREGISTERED_PREFIX = "?"
+"""First character of the names of builds that no registration has told. A software
+version that begins with it is hashed."""
+
 MAX_BUILD_CHARACTERS = 64
 """Longest name of a build. Entries send it in datagrams; a longer one is hashed."""
 
@@ -273,6 +277,7 @@
     :param version: should be a string; any other value is the unknown build.
     """
     name = version if isinstance(version, str) else UNKNOWN_BUILD
-    if len(name) <= MAX_BUILD_CHARACTERS:
+    is_taken = name.startswith(UNREGISTERED_PREFIX)
+    if len(name) <= MAX_BUILD_CHARACTERS and not is_taken:
         return name
     return hashlib.sha256(name.encode(errors="surrogatepass")).hexdigest()
--- a/src/bergamotmast/direct/placer.py
+++ b/src/bergamotmast/direct/placer.py
@@ -32,6 +32,7 @@
 from .engine_speed_log import EngineSpeedLog
 from .features import Features
 from .fleet import Fleet
+from .incarnations import Incarnations
 from .learned_capacity import LearnedCapacity
 from .model import Call
 from .model import CallTraits
@@ -107,6 +108,7 @@
     :param learned: what is known of the load that upstreams handle well.
     :param capacity: groups in which entries learn the engines' speeds together.
     :param reachability: which upstreams respond.
+    :param incarnations: which incarnations of engines answer, if that is asked for.
     """
 
     def __init__(
@@ -134,6 +136,7 @@
         )
         self.capacity: CapacitySwitch = self.learned
         self.reachability = Reachability()
+        self.incarnations: Incarnations | None = None
         self.speed_log = EngineSpeedLog()
 
     def engine_load(self, upstream: Upstream) -> EngineLoadTracker:
@@ -236,9 +239,14 @@
         )
 
     def _prefix_replicas(self, call: Call, members: list[Upstream]) -> dict[str, int]:
-        """Return the tokens of a prompt's prefix that each engine could transfer."""
+        """Return the tokens of a prompt's prefix that each engine could transfer.
+
+        One that may have started anew has lost its prefixes.
+        """
         return {
             m.name: self.engine_load(m).prefix.transferable_tokens(call.parts)
+            if self.incarnations is None or not self.incarnations.is_doubted(m)
+            else 0
             for m in members
         }
 
--- a/src/bergamotmast/direct/ports.py
+++ b/src/bergamotmast/direct/ports.py
@@ -246,6 +246,19 @@
         ...
 
 
+class IncarnationProbe(t.Protocol):
+    """Asks an engine which of its incarnations runs."""
+
+    async def boot(self, engine: Upstream) -> str | None:
+        """Return the boot of the process that answers for an engine.
+
+        ``None`` if it doesn't answer within some tenths of a second, or doesn't tell.
+        The engine is asked on a new connection; it answers as fast as to a liveness
+        probe.
+        """
+        ...
+
+
 class ConnectionProbe(t.Protocol):
     """Probe that distinguishes a crashed process from a lost connection."""
 
--- a/src/bergamotmast/direct/role_planner.py
+++ b/src/bergamotmast/direct/role_planner.py
@@ -31,9 +31,9 @@
 from ..policy.direct_roles import RoleOrder
 from .engine_times import EngineTimes
 from .fleet import Fleet
-from .fleet import PlannedRole
 from .model import Upstream
 from .placer import RequestPlacer
+from .upstream_records import PlannedRole
 
 logger = logging.getLogger(__name__)
 
--- a/src/bergamotmast/direct/stream.py
+++ b/src/bergamotmast/direct/stream.py
@@ -29,6 +29,7 @@
     :param weights: version of the weights that the response started with.
     :param last_failure: an engine's failure, forwarded if no attempt is left.
     :param failed_prefill_engines: engines at which the prefill failed.
+    :param unidentified: engines that don't tell whether they have started anew.
     """
 
     def __init__(self, context: Context, call: Call, reply: CallerReply) -> None:
@@ -43,23 +44,40 @@
         self.weights = ""
         self.last_failure: Response | None = None
         self.failed_prefill_engines: set[UpstreamKey] = set()
+        self.unidentified: set[UpstreamKey] = set()
 
     @property
     def excluded(self) -> set[str]:
         """Names of the engines that are not to be tried again."""
         failed = self.attempts.current_names(self.failed_prefill_engines)
+        if self.goes_on:
+            failed |= self.attempts.current_names(self.unidentified)
         return self.attempts.excluded | failed
 
+    @property
+    def excluded_importers(self) -> set[str]:
+        """Names of the engines that are not to import its KV cache."""
+        unidentified = self.attempts.current_names(self.unidentified)
+        return self.attempts.excluded | unidentified
+
+    @property
+    def goes_on(self) -> bool:
+        """Whether an engine has begun it, so that it can't go on at any build."""
+        return self.attempts.build is not None
+
     def on_prefilled(self) -> None:
         """Record a completed prefill, after which its engine may decode the stream."""
         self.failed_prefill_engines.clear()
         self.permits.invested = True
 
-    def on_begun(self, engine: Upstream) -> None:
-        """Record the engine whose events the caller has begun to receive."""
-        self.attempts.build = engine.build
+    def on_begun(self, build: str) -> None:
+        """Record the build whose events the caller has begun to receive.
+
+        It is recorded again if it turns out to be another one.
+        """
+        self.attempts.build = build
         self.context.stream_builds.on_begun(
-            self.call.began_as, self.call.group.name, engine.build
+            self.call.began_as, self.call.group.name, build
         )
 
     def on_reply_received(self, engine: Upstream) -> None:
--- a/src/bergamotmast/direct/stream_builds.py
+++ b/src/bergamotmast/direct/stream_builds.py
@@ -17,6 +17,8 @@
 
 from ..policy.entry_ranking import stable_hash
 from .fleet import Fleet
+from .unregistered_builds import UNIDENTIFIED_BUILD
+from .unregistered_builds import is_unregistered
 
 logger = logging.getLogger(__name__)
 
@@ -117,6 +119,10 @@
         """
         expires_at = asyncio.get_running_loop().time() + RETENTION_SECONDS
         record = StreamBuild(stable_hash(request_id), group, build, expires_at)
+        known = self.unfinished.get(record.stream)
+        if known is not None and is_unregistered(known.build):
+            # Its incarnation is known now.
+            self.records.pop(record.stream, None)
         if not self._keep(record):
             return
         self.broken.pop(record.stream, None)
@@ -151,13 +157,15 @@
 
         Its build may be registered without this entry's notice.
         """
-        self.fleet.build_history.note(record.group, record.build)
+        self.fleet.build_history.note(record.group, self._told(record))
         self._keep(record)
 
     def _keep(self, record: StreamBuild) -> bool:
         """Keep a record; ``False`` if the stream is known to have begun elsewhere."""
         known = self.records.pop(record.stream, record)
-        if (known.group, known.build) != (record.group, record.build):
+        if self._is_less_certain(record, known):
+            known = record
+        if (known.group, self._told(known)) != (record.group, self._told(record)):
             self.records[record.stream] = known
             logger.warning(
                 "stream has begun at two builds",
@@ -168,6 +176,19 @@
         self._drop_expired()
         return True
 
+    def _told(self, record: StreamBuild) -> str:
+        """Return the build of a record, as an incarnation may have registered since."""
+        return self.fleet.incarnations.build(record.build)
+
+    def _is_less_certain(self, record: StreamBuild, known: StreamBuild) -> bool:
+        """Return whether a record withdraws the build that another one names.
+
+        It does if its incarnation turned out to be another one than was registered.
+        """
+        if record.group != known.group or not is_unregistered(record.build):
+            return False
+        return not is_unregistered(known.build) or known.build == UNIDENTIFIED_BUILD
+
     def copy_records(self) -> None:
         """Copy the records of groups with several builds to other entries.
 
@@ -189,7 +210,9 @@
         """Return the record of a stream that this entry knows, or ``None``."""
         self._drop_expired()
         known = self.records.get(stream)
-        return self._stored_record(stream) if known is None else known
+        if known is None:
+            return self._stored_record(stream)
+        return dataclasses.replace(known, build=self._told(known))
 
     def _stored_record(self, stream: int) -> StreamBuild | None:
         """Return the record of a stream in the store, which is then kept here."""
@@ -199,7 +222,7 @@
         expires_at = asyncio.get_running_loop().time() + RETENTION_SECONDS
         record = StreamBuild(stream, *found, expires_at)
         self.on_copy(record)
-        return record
+        return dataclasses.replace(record, build=self._told(record))
 
     async def find(self, request_id: str, groups: cabc.Sequence[str]) -> FoundBuild:
         """Find out where a stream began.
--- a/src/bergamotmast/direct/stream_run.py
+++ b/src/bergamotmast/direct/stream_run.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from ..errors import RequestError
 from .attempt_race import AttemptRace
 from .caller import CallerReply
@@ -65,6 +67,15 @@
         permits = self.stream.permits
         while True:
             prefill_upstream, upstream = await self.placer.place()
+            if self.stream.goes_on and not await self._is_identified(upstream):
+                continue
+            if prefill_upstream is not None and not cache:
+                pair = prefill_upstream, upstream
+                if not all([await self._is_identified(engine) for engine in pair]):
+                    if not all(self.context.fleet.is_registered(e.key) for e in pair):
+                        continue
+                    # An engine of an unknown build neither exports nor imports.
+                    prefill_upstream = None
             if prefill_upstream is not None and not cache:
                 # Without a permit of both engines, the prompt would be read in vain.
                 if not await permits.reserve(upstream):
@@ -72,6 +83,8 @@
                 if not await permits.take(prefill_upstream):
                     continue
                 await self.remote_prefill.run(prefill_upstream, cache)
+                if cache and not await self._is_identified(prefill_upstream):
+                    cache.release()
                 if not cache and self.remote_prefill.may_retry:
                     continue
             if cache:
@@ -88,7 +101,22 @@
         permits = self.stream.permits
         while True:
             upstream = self.context.placer.place_decode(
-                self.call, self.stream.attempts.excluded, cache.build, permits
+                self.call, self.stream.excluded_importers, cache.build, permits
             )
-            if upstream is None or await permits.take(upstream):
+            if upstream is None:
+                return None
+            if not await self._is_identified(upstream):
+                continue
+            if await permits.take(upstream):
                 return upstream
+
+    async def _is_identified(self, engine: Upstream) -> bool:
+        """Return whether an engine still is the incarnation that was chosen.
+
+        One that doesn't tell is not chosen again for this stream.
+        """
+        now = asyncio.get_running_loop().time()
+        found = await self.context.incarnations.identify(engine, now)
+        if found is None:
+            self.stream.unidentified.add(engine.key)
+        return found is not None and found.boot == engine.boot
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -182,6 +182,7 @@
             CrashDetector(fleet, metrics, TcpConnectionProbe()),
             metrics,
             liveness_probe=orders,
+            incarnation_probe=orders,
         )
         if features.scarcity:
             context.held_responses = HeldResponses(metrics)
--- a/src/bergamotmast/platform/orders.py
+++ b/src/bergamotmast/platform/orders.py
@@ -15,10 +15,11 @@
 from ..errors import OrderRefusedError
 from ..errors import PortError
 from ..errors import ReplyLostError
+from .directory import UNTOLD_BOOT
 from .headers import EXPECTED_UPSTREAM
 
 PROBE_TIMEOUT_SECONDS = 0.3
-"""Timeout of a report that is requested as a liveness probe."""
+"""Timeout of a report that is requested as a liveness probe, or for its start time."""
 
 CALL_TIMEOUT_SECONDS = 1.0
 """Timeout of a report or an order; both are answered within milliseconds."""
@@ -34,10 +35,17 @@
     busy: bool
 
 
+class _Start(msgspec.Struct, frozen=True):
+    """The part of a report that tells when the engine started, in Unix milliseconds."""
+
+    born: int
+
+
 class PlatformOrders:
     """Implements :class:`~bergamotmast.direct.role_planner.EngineOrders`.
 
-    Its reports also implement :class:`~bergamotmast.direct.ports.LivenessProbe`.
+    Its reports also implement :class:`~bergamotmast.direct.ports.LivenessProbe` and
+    :class:`~bergamotmast.direct.ports.IncarnationProbe`.
     """
 
     def __init__(self, client: UpstreamClient) -> None:
@@ -61,6 +69,20 @@
             return False
         return status == 200
 
+    async def boot(self, engine: Upstream) -> str | None:
+        """Return an engine's start time as it is registered with, or ``None``."""
+        if engine.boot == UNTOLD_BOOT:
+            return engine.boot
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
+                status, body = await self._call(engine, "GET", "/report", b"")
+            if status != 200:
+                return None
+            start = decode_body(body, _Start, ReplyLostError, "the report")
+        except (PortError, TimeoutError):
+            return None
+        return str(start.born)
+
     async def order(self, command: RoleOrderCommand) -> OrderReply:
         """Send a role change order."""
         body = msgspec.json.encode(
--- a/src/bergamotmast/telemetry.py
+++ b/src/bergamotmast/telemetry.py
@@ -81,6 +81,10 @@
         """Count a stream that a caller resumes, by how its build is known."""
         ...
 
+    def on_identified(self, group: str, identity: str) -> None:
+        """Count an engine in doubt that was asked, by what it has told."""
+        ...
+
     def on_full_engines(self, group: str, count: int) -> None:
         """Record the number of a group's engines without memory for a request."""
         ...
@@ -185,6 +189,9 @@
     def on_resumed(self, group: str, known_by: str) -> None:
         """Discard the measurement."""
 
+    def on_identified(self, group: str, identity: str) -> None:
+        """Discard the measurement."""
+
     def on_full_engines(self, group: str, count: int) -> None:
         """Discard the measurement."""
 
--- a/tests/direct_support.py
+++ b/tests/direct_support.py
@@ -221,6 +221,7 @@
             CrashDetector(fleet, telemetry, TcpConnectionProbe()),
             telemetry,
             liveness_probe=liveness_probe or orders,
+            incarnation_probe=orders,
         )
         core = DirectCore(context, telemetry)
         frontend = DirectHttpFrontend(core)
--- a/tests/test_direct_fleet.py
+++ b/tests/test_direct_fleet.py
@@ -15,7 +15,6 @@
 from bergamotmast.adapters.http_calls import no_pause
 from bergamotmast.adapters.http_calls import single_call_session
 from bergamotmast.direct.fleet import MISSING_UPSTREAM_GRACE_SECONDS
-from bergamotmast.direct.fleet import ROLE_CHANGE_TIMEOUT_SECONDS
 from bergamotmast.direct.fleet import Fleet
 from bergamotmast.direct.model import CallKind
 from bergamotmast.direct.placer import RequestPlacer
@@ -26,6 +25,7 @@
 from bergamotmast.direct.store_watcher import MAX_RETRY_DELAY_SECONDS
 from bergamotmast.direct.store_watcher import OUTAGE_THRESHOLD_SECONDS
 from bergamotmast.direct.store_watcher import StoreWatcher
+from bergamotmast.direct.upstream_records import ROLE_CHANGE_TIMEOUT_SECONDS
 from bergamotmast.errors import ConfigError
 from bergamotmast.errors import KeyValueOutcomeUnknownError
 from bergamotmast.errors import KeyValueUnavailableError
