Book streams at the incarnation that answers, not at the registered build

Callers got one answer, or a resumed stream, with text of two software versions: an entry that the store turns away, or that a registration reaches late, went by the build that an engine had before it came back under its name. X-Expect-Instance matches after such a restart, and nothing compared the start of the process with the registered one.

An engine is in doubt while the entry is not in sync, or after a sign of a restart. One in doubt is asked for its start time before the first event of a stream is forwarded; one question serves all that wait, and streams of a known incarnation vouch for later ones. Streams that run as their engine registers anew are booked anew, or broken off if they had begun elsewhere.

An entry in sync without a sign asks nothing (test_engine_without_a_doubt_is_not_asked).

--- a/src/bergamotmast/direct/attempt_identity.py
+++ b/src/bergamotmast/direct/attempt_identity.py
@@ -14,6 +14,9 @@
 process sent before its end, and the end of its connections, have been received by then,
 also where this process stood still meanwhile."""
 
+VOUCHING_SECONDS = 0.5
+"""Time in which an engine with other streams sends an event of one of them."""
+
 
 class AttemptIdentity:
     """Which incarnation an attempt runs at, as far as it is known.
@@ -28,6 +31,8 @@
     :param asked: whether it is known from more than the registration.
     :param candidate: the incarnation if the connection brings data later on.
     :param data_counts_from: from when on such data counts; a point in time.
+    :param settled: whether the first event need not wait.
+    :param question: runs before the first event has come; ``None`` without one.
     """
 
     def __init__(self, incarnations: Incarnations, placed: Upstream) -> None:
@@ -38,6 +43,8 @@
         self.asked = False
         self.candidate: Upstream | None = None
         self.data_counts_from = math.inf
+        self.settled = False
+        self.question: asyncio.Task[Upstream | None] | None = None
 
     @property
     def build(self) -> str:
@@ -51,24 +58,47 @@
         builds = {known.build(e.build) for e in (self.placed, self.candidate)}
         return builds.pop() if len(builds) == 1 else UNIDENTIFIED_BUILD
 
+    def ask_early(self, sent_at: float) -> None:
+        """Ask the engine before the first event has come, which then need not wait.
+
+        Where other streams bring data of the engine, they may vouch for it until then.
+
+        :param sent_at: when the request was sent; a point in time.
+        """
+        now = asyncio.get_running_loop().time()
+        if self.incarnations.is_certain(self.placed, now - VOUCHING_SECONDS):
+            return
+        identify = self.incarnations.identify(self.placed, sent_at)
+        self.question = asyncio.create_task(identify)
+
+    def close(self) -> None:
+        """End the question if nothing waits for it."""
+        if self.question is not None:
+            self.question.cancel()
+
     async def settle(self, sent_at: float) -> None:
         """Find out who has answered, before the first event is forwarded.
 
         :param sent_at: when the request was sent; a point in time.
         """
         self.sent_at = sent_at
-        found = await self.incarnations.identify(self.placed, sent_at)
+        if self.question is not None:
+            found = await self.question
+        else:
+            found = await self.incarnations.identify(self.placed, sent_at)
+        self.settled = True
         if found is not None and found.boot == self.placed.boot:
             self._set(found)
         elif found is not None:
             self._change_to(found)
 
-    def on_data(self, received_at: float) -> bool:
-        """Record data on the connection; return whether the build is another one now.
+    def on_data(self, received_at: float) -> None:
+        """Record data on the connection, which may tell the incarnation.
 
         :param received_at: a point in time.
         """
-        before = self.build
+        if not self.settled:
+            return
         registered = self.incarnations.fleet.registered(self.placed.name)
         expected = self.engine or self.candidate or self.placed
         if registered is not None and registered.boot != expected.boot:
@@ -83,7 +113,6 @@
                 self.incarnations.check(self.placed)
         elif received_at >= self.data_counts_from:
             self._set(self.candidate)
-        return self.build != before
 
     def _verify(self, engine: Upstream) -> None:
         """Let the data vouch for an engine that was asked, or ask it."""
--- a/src/bergamotmast/direct/decode_attempt.py
+++ b/src/bergamotmast/direct/decode_attempt.py
@@ -97,7 +97,7 @@
     :param measured: whether it counts as a decode in the measured engine time.
     :param replaced: whether another attempt has started beside it.
     :param forwarding: whether the caller's connection is being written to.
-    :param began: whether it has begun the response.
+    :param began: whether the stream began with it, so that it is booked there.
     :param finished: whether the attempt has ended.
     :param obstacle: last logged reason for waiting for a silent engine.
     """
@@ -255,7 +255,7 @@
             self.cache.on_imported()
             if not 200 <= reply.status < 300:
                 return await self._on_failure_status(reply)
-            await self._identify()
+            self.identity.ask_early(self.started_at)
             reader = ResponseReader(
                 reply.chunks(),
                 self.context.held_responses,
@@ -268,6 +268,7 @@
                     self._on_event()
                     await self._forward(event, reply, traits, reader)
             finally:
+                self.identity.close()
                 await reader.close()
             await self._end(reply, traits)
         return reply.status
@@ -277,6 +278,8 @@
 
         :raises BrokenStreamError: if the response can't go on there.
         """
+        if self.identity.settled:
+            return
         await self.identity.settle(self.started_at)
         build = self.identity.build
         allowed = {self.cache_build or build, UNIDENTIFIED_BUILD}
@@ -374,8 +377,7 @@
         self.tracker.last_reply_at = self.last_reply_at = (
             asyncio.get_running_loop().time()
         )
-        if self.identity.on_data(self.last_reply_at) and self.began:
-            self.stream.on_begun(self.identity.build)
+        self.identity.on_data(self.last_reply_at)
         if self.replaced:
             self.replaced = False
             self.context.crash_detector.on_reply(self.upstream, self.last_reply_at)
@@ -450,8 +452,13 @@
     async def _forward(
         self, event: Event, reply: Reply, traits: ReplyTraits, reader: ResponseReader
     ) -> None:
-        if self.stream.attempts.build not in (None, self.identity.build):
-            raise BrokenStreamError("the stream has begun at another build")
+        await self._identify()
+        build = self.identity.build
+        if self.stream.attempts.build not in (None, build):
+            if not self.began:
+                raise BrokenStreamError("the stream has begun at another build")
+            # The engine has turned out to be another incarnation than was registered.
+            self.stream.on_begun(build)
         if event.number is None:
             if not self.race.leads(self):
                 return
@@ -474,6 +481,7 @@
         """End the response normally."""
         if not self.race.leads(self):
             raise BrokenStreamError("ended without an event")
+        await self._identify()
         self.race.on_progress(self)
         self.stream.attempts.on_complete(self.upstream, self.started_at)
         self.forwarding = True
@@ -486,7 +494,7 @@
         self.race.on_progress(self)
         self.stream.timeline.first_event_at = asyncio.get_running_loop().time()
         self.stream.weights = traits.weights
-        self.began = True
+        self.began = self.call.build is None
         self.stream.on_begun(self.identity.build)
         await self.stream.reply.start(reply.status, response_headers(reply))
 
