--- a/src/bergamotmast/direct/build_history.py
+++ b/src/bergamotmast/direct/build_history.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from ..ports import KeyValue
+from .unregistered_builds import is_unregistered
 
 logger = logging.getLogger(__name__)
 
@@ -222,6 +223,7 @@
             if self.is_restored or not self.is_trusted:
                 kept |= known
             builds = kept | frozenset(self.registered(group) if group in routed else ())
+            builds = frozenset(b for b in builds if not is_unregistered(b))
             if builds:
                 wanted[group] = builds
         return wanted
