--- a/src/bergamotmast/direct/decode_attempt.py
+++ b/src/bergamotmast/direct/decode_attempt.py
@@ -3,21 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-import collections.abc as cabc
 import contextlib
 import logging
 import math
 import typing as t
 
-from ..errors import ConnectionLostError
 from ..errors import NotReachedError
 from ..errors import ReplyLostError
 from ..errors import RequestError
 from ..errors import ResultCode
 from ..policy.direct_placement import decode_priority
 from .attempt_identity import AttemptIdentity
+from .event_reader import BrokenStreamError
+from .event_reader import read_events
 from .events import Event
-from .events import EventSplitter
 from .exported_cache import ExportedCache
 from .forwarding import response_headers
 from .model import Upstream
@@ -42,25 +41,9 @@
 """Cool-down of an engine whose registration is outdated: it refuses requests until it
 has updated the registration, which takes one heartbeat."""
 
-MAX_EVENT_BYTES = 1 << 20
-"""Maximum size of one event, which usually carries a few words. Without a limit, an
-event that never ends would exhaust the process's memory."""
-
-MAX_FEED_BYTES = 4_096
-"""Maximum number of bytes that are parsed before other requests get their turn: they
-may hold a thousand tiny events."""
-
-MAX_EVENTS_PER_TURN = 64
-"""Maximum number of events that are forwarded before other requests get their turn.
-Forwarding one takes some 10 microseconds, and a request needs some 20 turns."""
-
 logger = logging.getLogger(__name__)
 
 
-class BrokenStreamError(Exception):
-    """A stream that ended prematurely, or a reply that can't be used."""
-
-
 class Race(t.Protocol):
     """The attempts of one stream, of which one forwards its events."""
 
@@ -264,7 +247,7 @@
             )
             self.reader = reader
             try:
-                async for event in self._events(reader):
+                async for event in read_events(reader):
                     self._on_event()
                     await self._forward(event, reply, traits, reader)
             finally:
@@ -347,31 +330,6 @@
         self.context.check_reply(self.call, reply, traits)
         return traits
 
-    async def _events(self, reader: ResponseReader) -> cabc.AsyncIterator[Event]:
-        """Yield complete events.
-
-        :raises ConnectionLostError: if the stream ends within an event.
-        :raises BrokenStreamError: if an event is longer than :data:`MAX_EVENT_BYTES`.
-        """
-        splitter = EventSplitter()
-        # Counted across the data: the next part may already have arrived.
-        count = 0
-        async for data in reader.chunks():
-            for start in range(0, len(data), MAX_FEED_BYTES):
-                if start:
-                    count = 0
-                    await asyncio.sleep(0)
-                for event in splitter.feed(data[start : start + MAX_FEED_BYTES]):
-                    if count >= MAX_EVENTS_PER_TURN:
-                        count = 0
-                        await asyncio.sleep(0)
-                    count += 1
-                    yield event
-            if len(splitter.rest) > MAX_EVENT_BYTES:
-                raise BrokenStreamError("event is longer than the limit")
-        if splitter.rest:
-            raise ConnectionLostError("the stream ended within an event")
-
     def _on_data(self) -> None:
         """Record that data has arrived, as the engine is alive."""
         self.tracker.last_reply_at = self.last_reply_at = (
--- a/src/bergamotmast/direct/incarnations.py
+++ b/src/bergamotmast/direct/incarnations.py
@@ -17,6 +17,7 @@
 
 from ..telemetry import Telemetry
 from .fleet import Fleet
+from .model import UNTOLD_BOOT
 from .model import Upstream
 from .model import UpstreamKey
 from .ports import IncarnationProbe
@@ -105,7 +106,9 @@
             self.seen_at[engine.key] = asyncio.get_running_loop().time()
 
     def _can_ask(self, upstream: Upstream) -> bool:
-        return self.probe is not None and upstream.role is not None
+        """Return whether there is an answer that can be compared."""
+        is_told = upstream.boot != UNTOLD_BOOT
+        return self.probe is not None and upstream.role is not None and is_told
 
     def is_doubted(self, engine: Upstream) -> bool:
         """Return whether a sign of a restart has come since it was known to run."""
--- a/src/bergamotmast/direct/model.py
+++ b/src/bergamotmast/direct/model.py
@@ -26,6 +26,10 @@
 """First character of the names of builds that no registration has told. A software
 version that begins with it is hashed."""
 
+UNTOLD_BOOT = "0"
+"""Boot of an upstream whose registration doesn't tell its start. There is nothing to
+compare with what the upstream itself tells."""
+
 MAX_BUILD_CHARACTERS = 64
 """Longest name of a build. Entries send it in datagrams; a longer one is hashed."""
 
--- a/src/bergamotmast/platform/directory.py
+++ b/src/bergamotmast/platform/directory.py
@@ -31,10 +31,6 @@
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
 """Whether an upstream in each state is leaving."""
 
-UNTOLD_BOOT = "0"
-"""Boot of an upstream whose registration doesn't tell its start time. There is nothing
-to compare with what the upstream says."""
-
 MIN_CALLER_TIMEOUT_MS = 2_000.0
 CALLER_TIMEOUT_OBJECTIVES = 4.0
 CALLER_TIMEOUT_GAPS = 8.0
--- a/src/bergamotmast/platform/orders.py
+++ b/src/bergamotmast/platform/orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 import msgspec
 
@@ -15,11 +16,10 @@
 from ..errors import OrderRefusedError
 from ..errors import PortError
 from ..errors import ReplyLostError
-from .directory import UNTOLD_BOOT
 from .headers import EXPECTED_UPSTREAM
 
 PROBE_TIMEOUT_SECONDS = 0.3
-"""Timeout of a report that is requested as a liveness probe, or for its start time."""
+"""Timeout of a report that is requested as a probe."""
 
 CALL_TIMEOUT_SECONDS = 1.0
 """Timeout of a report or an order; both are answered within milliseconds."""
@@ -33,20 +33,11 @@
 
     sequence: int
     busy: bool
-
-
-class _Start(msgspec.Struct, frozen=True):
-    """The part of a report that tells when the engine started, in Unix milliseconds."""
-
-    born: int
+    born: object = None
 
 
 class PlatformOrders:
-    """Implements :class:`~bergamotmast.direct.role_planner.EngineOrders`.
-
-    Its reports also implement :class:`~bergamotmast.direct.ports.LivenessProbe` and
-    :class:`~bergamotmast.direct.ports.IncarnationProbe`.
-    """
+    """Implements the orders and the probes of the direct entry's engines."""
 
     def __init__(self, client: UpstreamClient) -> None:
         self.client = client
@@ -61,27 +52,20 @@
 
     async def probe(self, engine: Upstream) -> bool:
         """Return whether an engine responds; reports don't queue behind other work."""
-        try:
+        with contextlib.suppress(PortError, TimeoutError):
             async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
                 status, _ = await self._call(engine, "GET", "/report", b"")
-        except (PortError, TimeoutError):
-            # Unreachable and timed out both mean that the engine does not respond.
-            return False
-        return status == 200
+            return status == 200
+        return False
 
     async def boot(self, engine: Upstream) -> str | None:
-        """Return an engine's start time as it is registered with, or ``None``."""
-        if engine.boot == UNTOLD_BOOT:
-            return engine.boot
-        try:
+        """Return when an engine started, as registrations tell it, or ``None``."""
+        with contextlib.suppress(PortError, TimeoutError):
             async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
-                status, body = await self._call(engine, "GET", "/report", b"")
-            if status != 200:
-                return None
-            start = decode_body(body, _Start, ReplyLostError, "the report")
-        except (PortError, TimeoutError):
-            return None
-        return str(start.born)
+                _, body = await self._call(engine, "GET", "/report", b"")
+            born = decode_body(body, _Report, ReplyLostError, "the report").born
+            return str(born) if isinstance(born, int) else None
+        return None
 
     async def order(self, command: RoleOrderCommand) -> OrderReply:
         """Send a role change order."""
