--- /dev/null
+++ b/tests/memory_site.py
@@ -0,0 +1,457 @@
+"""Entries that share a store and exchange datagrams, in memory and in virtual time.
+
+Each entry has the parts that know at which build a stream began, put together as in the
+composition root, and the platform's adapter of the store.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import collections
+import collections.abc as cabc
+import dataclasses
+import json
+import random
+import typing as t
+import urllib.parse
+
+import msgspec
+
+from bergamotmast.direct.build_recorder import BuildRecorder
+from bergamotmast.direct.fleet import Fleet
+from bergamotmast.direct.model import Call
+from bergamotmast.direct.model import CallTraits
+from bergamotmast.direct.model import PromptPart
+from bergamotmast.direct.model import Upstream
+from bergamotmast.direct.peer_messages import Address
+from bergamotmast.direct.peer_messages import PeerInbox
+from bergamotmast.direct.placer import RequestPlacer
+from bergamotmast.direct.placer import shared_parts
+from bergamotmast.direct.presence import presence_key
+from bergamotmast.direct.store_watcher import StoreWatcher
+from bergamotmast.direct.stream_build_exchange import StreamBuildExchange
+from bergamotmast.direct.stream_build_log import STREAMS_PREFIX
+from bergamotmast.direct.stream_build_log import StreamBuildLog
+from bergamotmast.direct.stream_builds import FoundBuild
+from bergamotmast.direct.stream_builds import StreamBuilds
+from bergamotmast.errors import ReplyLostError
+from bergamotmast.errors import RequestError
+from bergamotmast.platform.directory import PlatformDirectory
+from bergamotmast.platform.store import PlatformStore
+from bergamotmast.platform.store import _Answer
+from direct_support import HOST
+from direct_support import config
+from direct_support import engine
+from direct_support import registration
+from test_placing import NoPermitsNeeded
+
+GROUP = "llm"
+CALL_SECONDS = 0.002
+"""Time from a call of the store to its effect, and from there to its reply."""
+
+DATAGRAM_SECONDS = 0.001
+LATE_SECONDS = 2.5
+"""Time after which a late write takes effect; longer than a call may take."""
+
+REWRITE_SECONDS = 1.0
+"""Time after which replicas have written their registrations again after a restore."""
+
+RECOVERY_SECONDS = 2.0
+WRITES_PER_SECOND = 400.0
+
+
+class VirtualTimeLoop(asyncio.SelectorEventLoop):
+    """An event loop whose clock jumps to the next timer when nothing is ready."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 1000.0
+        poll = self._selector.select
+
+        def select(timeout: float | None) -> list[t.Any]:
+            assert timeout is not None, "all tasks wait without a timer"
+            self.now += timeout
+            return poll(0)
+
+        self._selector.select = select
+
+    def time(self) -> float:
+        return self.now
+
+
+@dataclasses.dataclass
+class Contents:
+    """Content of the store; a backup is a copy of it."""
+
+    items: dict[str, dict[str, t.Any]] = dataclasses.field(default_factory=dict)
+    log: list[dict[str, t.Any]] = dataclasses.field(default_factory=list)
+    revision: int = 10
+    leases: dict[int, float] = dataclasses.field(default_factory=dict)
+
+    def copy(self) -> Contents:
+        return Contents(
+            dict(self.items), list(self.log), self.revision, dict(self.leases)
+        )
+
+
+class Store:
+    """The platform's store, in memory.
+
+    :param faults: what befalls the writes of a client: ``refused``, ``late``, ``lost``
+        before they take effect, or ``unanswered`` after that.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.contents = Contents()
+        self.era = 0
+        self.faults: dict[str, str] = {}
+        self.waiting: set[asyncio.Future[bool]] = set()
+
+    def put(self, key: str, value: object) -> None:
+        """Write a key, as an operator or a replica does."""
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        put = {"key": key, "value": base64.b64encode(data).decode(), "lease": 0}
+        self.write({"precondition": [], "puts": [put], "remove": []})
+
+    def remove(self, key: str) -> None:
+        self.write({"precondition": [], "puts": [], "remove": [key]})
+
+    def restore(self, backup: Contents) -> None:
+        """Restore a backup; open watches end."""
+        self.contents = backup.copy()
+        self.era += 1
+        self._wake(False)
+        for lease, seconds in self.contents.leases.items():
+            self.loop.call_later(seconds, self._end_lease, self.era, lease)
+
+    def _wake(self, changed: bool) -> None:
+        for waiter in self.waiting:
+            if not waiter.done():
+                waiter.set_result(changed)
+        self.waiting.clear()
+
+    def write(self, body: dict[str, t.Any]) -> tuple[int, t.Any]:
+        contents = self.contents
+        for row in body["precondition"]:
+            item = contents.items.get(row["key"], {"revision": 0})
+            if item["revision"] != row["revision"]:
+                return 412, {}
+        if any(p["lease"] and p["lease"] not in contents.leases for p in body["puts"]):
+            return 404, {}
+        contents.revision += 1
+        for put in body["puts"]:
+            contents.items[put["key"]] = put | {"revision": contents.revision}
+            contents.log.append(contents.items[put["key"]])
+        for key in body["remove"]:
+            contents.items.pop(key, None)
+            gone = {"key": key, "revision": contents.revision, "tombstone": True}
+            contents.log.append(gone)
+        self._wake(True)
+        return 200, {"revision": contents.revision}
+
+    def _end_lease(self, era: int, lease: int) -> None:
+        if era == self.era and self.contents.leases.pop(lease, None):
+            for key, item in list(self.contents.items.items()):
+                if item["lease"] == lease:
+                    self.remove(key)
+
+    def _grant(self, seconds: float) -> tuple[int, t.Any]:
+        lease = 1 + max(self.contents.leases, default=0)
+        self.contents.leases[lease] = seconds
+        self.loop.call_later(seconds, self._end_lease, self.era, lease)
+        return 200, {"lease": lease}
+
+    def handle(self, path: str, body: t.Any) -> tuple[int, t.Any]:
+        """Carry out a call that doesn't wait."""
+        url = urllib.parse.urlsplit(path)
+        call, _, lease = url.path.strip("/").partition("/")
+        if call == "kv-range":
+            prefix = urllib.parse.parse_qs(url.query, keep_blank_values=True)["prefix"]
+            items = [i for k, i in self.contents.items.items() if k.startswith(*prefix)]
+            return 200, {"items": items, "store-revision": self.contents.revision}
+        if call == "kv-lease":
+            return self._grant(body["ttl-ms"] / 1e3)
+        if call == "kv-keep":
+            return (200 if int(lease) in self.contents.leases else 404), {}
+        assert call == "kv-txn", path
+        return self.write(body)
+
+    async def watch(self, path: str) -> tuple[int, t.Any]:
+        """Return the changes of all keys; wait until there are some."""
+        query = urllib.parse.parse_qs(urllib.parse.urlsplit(path).query)
+        after = int(query["after"][0])
+        if after > self.contents.revision:
+            return 410, {}
+        if after == self.contents.revision:
+            waiter = self.loop.create_future()
+            self.waiting.add(waiter)
+            seconds = int(query["wait-ms"][0]) / 1e3
+            done, _ = await asyncio.wait({waiter}, timeout=seconds)
+            if done and not waiter.result():
+                raise ReplyLostError("the store was restored")
+        contents = self.contents
+        events = [entry for entry in contents.log if entry["revision"] > after]
+        return 200, {"events": events, "store-revision": contents.revision}
+
+
+class StoreClient(PlatformStore):
+    """The platform's adapter, with its calls carried out by a :class:`Store`."""
+
+    def __init__(self, store: Store, name: str) -> None:
+        super().__init__(t.cast(t.Any, None), "store", RECOVERY_SECONDS)
+        self.store = store
+        self.name = name
+
+    async def _call(
+        self, method: str, path: str, body: object, seconds: float
+    ) -> _Answer:
+        fault = self.store.faults.get(self.name, "") if method == "POST" else ""
+        if fault in ("late", "lost"):
+            if fault == "late":
+                era = self.store.era
+                self.store.loop.call_later(LATE_SECONDS, self._late, era, path, body)
+            await asyncio.sleep(seconds)
+            raise ReplyLostError("no reply")
+        await asyncio.sleep(CALL_SECONDS)
+        if fault == "refused":
+            status, answer = 503, {}
+        elif path.startswith("/kv-watch"):
+            status, answer = await self.store.watch(path)
+        else:
+            status, answer = self.store.handle(path, body)
+        # A restore before the reply arrives is not known from it.
+        era = self.store.era
+        await asyncio.sleep(CALL_SECONDS)
+        if fault == "unanswered":
+            raise ReplyLostError("no reply")
+        era = self.restores.record(era)
+        return _Answer(status, msgspec.json.encode(answer), era)
+
+    def _late(self, era: int, path: str, body: object) -> None:
+        # A restart of the store ends the calls that it has received.
+        if era == self.store.era:
+            self.store.handle(path, body)
+
+
+class Entry:
+    """One process of an entry."""
+
+    def __init__(self, site: Site, name: str) -> None:
+        self.site = site
+        self.name = name
+        self.alive = True
+        self.rng = random.Random(f"{name} {len(site.processes)}")
+        key = presence_key(name)
+        clock = site.loop.time
+        self.client = StoreClient(site.store, name)
+        self.fleet = fleet = Fleet(PlatformDirectory(), clock, key)
+        self.stream_builds = StreamBuilds(fleet)
+        self.inbox = PeerInbox()
+        exchange = StreamBuildExchange(
+            key, self.stream_builds, lambda: fleet.entries, self._send
+        )
+        exchange.listen(self.inbox)
+        self.stream_builds.peers = exchange
+        log = StreamBuildLog(
+            self.client,
+            self.stream_builds,
+            f"{STREAMS_PREFIX}{name}/{self.rng.getrandbits(32):08x}",
+            WRITES_PER_SECOND,
+            lambda: fleet.entries,
+        )
+        fleet.listeners[STREAMS_PREFIX] = log
+        self.stream_builds.stored = log
+        recorder = BuildRecorder(
+            self.client,
+            fleet.build_history,
+            key,
+            fleet.stream_groups,
+            lambda: fleet.entries_with(key, clock()),
+            self.rng,
+        )
+        watcher = StoreWatcher(self.client, fleet, self.rng)
+        self.client.restores.on_restored.append(watcher.on_restored)
+        runs = (watcher.run(), exchange.run(), log.run(), recorder.run())
+        self.tasks = [site.loop.create_task(run) for run in runs]
+
+    def _send(self, data: bytes, address: Address) -> None:
+        if self.alive:
+            self.site.deliver(self.name, data, address)
+
+    def kill(self) -> list[asyncio.Task[None]]:
+        """End the process without notice; return its tasks, which are ending."""
+        self.alive = False
+        for task in self.tasks:
+            task.cancel()
+        return self.tasks
+
+    def place(self, request_id: str, build: str | None = None) -> Upstream | None:
+        """Return the engine to which a stream is sent, if there is one."""
+        fleet = self.fleet
+        if not fleet.ready:
+            return None
+        # Without loads, a placer prefers the same engine each time.
+        placer = RequestPlacer(fleet, request_id, "zone-a", self.rng)
+        parts = (PromptPart("part", 300),)
+        traits = CallTraits(request_id, 3.0, 0, 700, 30, 0, parts)
+        route = fleet.table.find(HOST, "/long/x")
+        shared = shared_parts(traits)
+        group = fleet.group(GROUP)
+        call = Call(traits, route, group, "POST", "/long/x", (), b"", 0.0, 3.0, shared)
+        try:
+            _, chosen, _ = placer.place_stream(call, (), build, NoPermitsNeeded())
+        except RequestError:
+            return None
+        return chosen
+
+
+@dataclasses.dataclass
+class Stream:
+    """A stream that a caller reads.
+
+    :param build: the build of the engine that sent its first event.
+    :param entry: the process that it was last read at.
+    """
+
+    request_id: str
+    build: str
+    began_at: float
+    entry: Entry
+
+
+class Site:
+    """The store, entries and engines.
+
+    :param processes: all processes of entries, ended ones included.
+    :param entries: the process of each entry; ``None`` while there is none.
+    :param engines: builds of the running engines, by name.
+    :param loses_datagrams: whether datagrams get lost.
+    :param outcomes: number of resumptions by how the build was known.
+    """
+
+    def __init__(self, entries: int, *builds: str) -> None:
+        self.loop = VirtualTimeLoop()
+        self.store = Store(self.loop)
+        self.processes: list[Entry] = []
+        self.names = [f"entry-{number}" for number in range(entries)]
+        self.entries: dict[str, Entry | None] = dict.fromkeys(self.names)
+        self.engines: dict[str, str] = {}
+        self.begun = 0
+        self.registered = 0
+        self.loses_datagrams = False
+        self.outcomes: collections.Counter[str] = collections.Counter()
+        self.store.put("op/config", config())
+        for number, name in enumerate(self.names):
+            self.store.put(presence_key(name), f"10.1.0.{number}:9".encode())
+        for build in builds:
+            self.add_build(build)
+        for name in self.names:
+            self.start(name)
+        self.run(1.0)
+
+    def run(self, seconds: float) -> None:
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+    def close(self) -> None:
+        self.kill(self.names)
+        self.loop.close()
+
+    def deliver(self, sender: str, data: bytes, address: Address) -> None:
+        target = self.entries[self.names[int(address[0].rpartition(".")[2])]]
+        if target is not None and not self.loses_datagrams:
+            number = self.names.index(sender)
+            arguments = data, (f"10.1.0.{number}", 9)
+            self.loop.call_later(DATAGRAM_SECONDS, self._receive, target, *arguments)
+
+    def _receive(self, target: Entry, data: bytes, address: Address) -> None:
+        if target.alive:
+            target.inbox.receive(data, address)
+
+    def start(self, name: str) -> None:
+        if self.entries[name] is None:
+            entry = self.entries[name] = Entry(self, name)
+            self.processes.append(entry)
+
+    def kill(self, names: cabc.Iterable[str]) -> None:
+        ending: list[asyncio.Task[None]] = []
+        for name in names:
+            entry, self.entries[name] = self.entries[name], None
+            ending += [] if entry is None else entry.kill()
+        if ending:
+            self.loop.run_until_complete(asyncio.wait(ending))
+
+    def add_build(self, build: str, engines: int = 2) -> None:
+        for _ in range(engines):
+            self.registered += 1
+            name = f"i-{self.registered}"
+            self.engines[name] = build
+            self._register(name)
+
+    def _register(self, name: str) -> None:
+        replica = engine(name, None)
+        replica.address = f"10.0.0.{name.rpartition('-')[2]}:80"
+        value = registration(replica) | {"version": self.engines[name]}
+        self.store.put(f"servers/{name}", value)
+
+    def remove_build(self, build: str) -> None:
+        for name in [name for name, b in self.engines.items() if b == build]:
+            del self.engines[name]
+            self.store.remove(f"servers/{name}")
+
+    def restore(self, backup: Contents) -> None:
+        """Restore the store; replicas then write what they are."""
+        self.store.restore(backup)
+        self.loop.call_later(REWRITE_SECONDS, self._rewrite, self.store.era)
+
+    def _rewrite(self, era: int) -> None:
+        if era != self.store.era:
+            return
+        for key in list(self.store.contents.items):
+            prefix, _, name = key.partition("/")
+            if prefix == "servers" and name not in self.engines:
+                self.store.remove(key)
+        for name in self.engines:
+            self._register(name)
+
+    def begin(self, name: str) -> Stream | None:
+        """Begin a stream at an entry; ``None`` if no engine answers."""
+        return self.loop.run_until_complete(self._begin(name))
+
+    async def _begin(self, name: str) -> Stream | None:
+        entry = self.entries[name]
+        request_id = f"id-{self.begun}"
+        chosen = None if entry is None else entry.place(request_id)
+        if entry is None or chosen is None or chosen.name not in self.engines:
+            return None
+        self.begun += 1
+        build = self.engines[chosen.name]
+        entry.stream_builds.on_begun(request_id, GROUP, build)
+        return Stream(request_id, build, self.loop.now, entry)
+
+    def resume(self, stream: Stream, name: str) -> FoundBuild | None:
+        """Resume a stream at an entry; ``None`` if that can't answer."""
+        return self.loop.run_until_complete(self._resume(stream, name))
+
+    async def _resume(self, stream: Stream, name: str) -> FoundBuild | None:
+        entry = self.entries[name]
+        if entry is None or not entry.fleet.ready:
+            return None
+        stream.entry.stream_builds.on_ended(stream.request_id, complete=False)
+        found = await entry.stream_builds.find(stream.request_id, [GROUP])
+        self.outcomes[found.known_by.value] += 1
+        if found.record is not None:
+            chosen = entry.place(stream.request_id, found.record.build)
+            if chosen is not None and chosen.name in self.engines:
+                build = self.engines[chosen.name]
+                entry.stream_builds.on_begun(stream.request_id, GROUP, build)
+                stream.entry = entry
+        return found
+
+    def complete(self, stream: Stream) -> None:
+        """End a stream whole."""
+        self.loop.run_until_complete(self._complete(stream))
+
+    async def _complete(self, stream: Stream) -> None:
+        stream.entry.stream_builds.on_ended(stream.request_id, complete=True)
