--- a/tests/test_stream_rounds.py
+++ b/tests/test_stream_rounds.py
@@ -19,9 +19,9 @@
 from bergamotmast.direct.stream_builds import StreamBuild
 from bergamotmast.direct.stream_builds import StreamBuilds
 from memory_site import GROUP
-from memory_site import Contents
 from memory_site import Site
 from memory_site import Stream
+from memory_store import Contents
 
 ENTRIES = 3
 ALL = frozenset(range(ENTRIES))
