Tests close their connections before their event loops end

Cause: CPython 3.11 (3.11.6 here) keeps the depth of the constructor of syntax trees for the whole interpreter, so an ast.parse within another one spoils the outer one's check. The garbage collector may run during ast.parse; there it finalized a writer that a test had left open after its event loop was closed, and pytest formatted the error's traceback, for which traceback.py calls ast.parse. The writers were those of stand-ins for replicas whose script still ran as the test ended.

A stand-in now keeps the writers of its connections, and closes them as it ends and as their tasks end. Two tests left writers of their own, which they now close: one of test_direct_last_callers.py in nine of its cases, if no answer comes, and one of test_clocks.py. The stand-in that crashes uses the same writers. No check changes.

--- a/tests/crash_support.py
+++ b/tests/crash_support.py
@@ -39,20 +39,10 @@
         self.inner = script
         self.runs_before = runs_before
         self.harmful: cabc.Container[bytes] = {CRASHES}
-        self.writers: set[asyncio.StreamWriter] = set()
         self.crashed_at: float | None = None
         self.arrivals: list[float] = []
         self.on_crash: cabc.Callable[[CrashingReplica], None] | None = None
 
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        self.writers.add(writer)
-        try:
-            await super()._serve(reader, writer)
-        finally:
-            self.writers.discard(writer)
-
     async def _run(
         self, replica: Replica, received: Received, writer: asyncio.StreamWriter
     ) -> None:
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -42,6 +42,7 @@
 
     :param received: all requests that were read completely.
     :param closed: ids of requests whose connection the peer closed.
+    :param writers: writers of the open connections.
     """
 
     def __init__(self, name: str, script: Script, **entry: t.Any) -> None:
@@ -51,6 +52,7 @@
         self.received: list[Received] = []
         self.closed: list[str] = []
         self.connections = 0
+        self.writers: set[asyncio.StreamWriter] = set()
         self.address = ""
         self.server: asyncio.Server | None = None
 
@@ -60,7 +62,7 @@
     async def listen(self, port: int) -> Replica:
         """Serve on a port; 0 for any free one."""
         self.server = await asyncio.start_server(
-            self._serve, "127.0.0.1", port, backlog=512
+            self._connected, "127.0.0.1", port, backlog=512
         )
         port = self.server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{port}"
@@ -69,11 +71,24 @@
     async def __aexit__(self, *error: object) -> None:
         assert self.server is not None
         self.server.close()
+        for writer in list(self.writers):
+            writer.close()
 
-    async def _serve(
+    async def _connected(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
+        self.writers.add(writer)
+        try:
+            await self._serve(reader, writer)
+        finally:
+            # A writer that outlasts its event loop can't be closed any more.
+            self.writers.discard(writer)
+            writer.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while True:
                 received = await read_request(reader)
@@ -96,7 +111,6 @@
                     await disconnected
                 if writer.is_closing():
                     break
-        writer.close()
 
     async def _watch_close(self, reader: asyncio.StreamReader) -> None:
         while not reader.at_eof():
@@ -112,7 +126,6 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        self.connections += 1
         received = await read_head(reader)
         while received is not None:
             self.received.append(received)
@@ -120,7 +133,6 @@
             if received.headers.get("content-length", "0") != "0":
                 await asyncio.sleep(10)
             received = await read_head(reader)
-        writer.close()
 
 
 async def read_head(reader: asyncio.StreamReader) -> Received | None:
--- a/tests/test_clocks.py
+++ b/tests/test_clocks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 
 from bergamotmast import clocks
@@ -36,25 +37,25 @@
 
     async def main() -> None:
         loop = asyncio.get_running_loop()
-        reader, writer = await _pipe()
-
-        def sleep_and_wake() -> None:
-            suspension.seconds += 60
-            writer.write(b"x")
-
-        loop.call_later(0.05, sleep_and_wake)
-        try:
-            async with asyncio.timeout(30):
-                seen.append(await reader.read(1))
-        except TimeoutError:
-            seen.append("timeout")
-        writer.close()
+        async with _pipe() as (reader, writer):
+
+            def sleep_and_wake() -> None:
+                suspension.seconds += 60
+                writer.write(b"x")
+
+            loop.call_later(0.05, sleep_and_wake)
+            try:
+                async with asyncio.timeout(30):
+                    seen.append(await reader.read(1))
+            except TimeoutError:
+                seen.append("timeout")
 
     with asyncio.Runner(loop_factory=clocks.BootTimeEventLoop) as runner:
         runner.run(main())
     assert seen == ["timeout"]
 
 
+@contextlib.asynccontextmanager
 async def _pipe():
     arrived = asyncio.get_running_loop().create_future()
     server = await asyncio.start_server(
@@ -62,9 +63,13 @@
     )
     port = server.sockets[0].getsockname()[1]
     _, writer = await asyncio.open_connection("127.0.0.1", port)
-    reader, _ = await arrived
+    reader, far_writer = await arrived
     server.close()
-    return reader, writer
+    try:
+        yield reader, writer
+    finally:
+        writer.close()
+        far_writer.close()
 
 
 def test_call_suspended_past_its_deadline_is_not_retried(monkeypatch):
--- a/tests/test_direct_last_callers.py
+++ b/tests/test_direct_last_callers.py
@@ -55,11 +55,13 @@
         await answer()(replica, received, writer)
 
     replica = Replica("i-1", slow)
-    async with serving(replica) as entry:
+    async with serving(replica) as entry, contextlib.AsyncExitStack() as stack:
         raw = await stop_accepting_after(entry, turns)
+        stack.callback(raw.close)
         status = 0
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             reader, writer = await asyncio.open_connection(sock=raw)
+            stack.callback(writer.close)
             await asyncio.sleep(0.5)
             writer.write(request("/read/x", request_id="late"))
             while entry.frontend.busy:
@@ -67,7 +69,5 @@
             await asyncio.sleep(0.02)
             await entry.listener.close()
             status = (await asyncio.wait_for(read_answer(reader), 2)).status
-            writer.close()
-        raw.close()
         ids = [received.request_id for received in replica.received]
     assert (status, ids) in [(0, []), (200, ["late"])]
