Tell an engine's incarnation by data that was waited for

A slow caller got events of two builds in one answer, whole: its engine crashed and came back with another build while events of the first process waited in buffers. They were read later than the new registration came, counted as sent by the new process, and the stream went on at the new build.

Data now counts for the new incarnation only if the reader asked for it after the time to settle and waited 10 ms or longer: what buffers hold is read at once. A stream of which that is never seen stays at an unknown build and goes on nowhere else.

--- a/src/bergamotmast/direct/attempt_identity.py
+++ b/src/bergamotmast/direct/attempt_identity.py
@@ -14,6 +14,10 @@
 process sent before its end, and the end of its connections, have been received by then,
 also where this process stood still meanwhile."""
 
+MIN_WAIT_SECONDS = 0.01
+"""Time after which data that was waited for has not been in a buffer. Behind a caller
+that reads slowly, what a process sent before its end is read much later."""
+
 VOUCHING_SECONDS = 0.5
 """Time in which an engine with other streams sends an event of one of them."""
 
@@ -23,7 +27,7 @@
 
     A connection lives within one incarnation. Where the engine turns out to be another
     one than was registered when the request was sent, the connection may be to either;
-    it is to the new one if it brings data after that.
+    it is to the new one if data arrives after that, which buffers did not hold.
 
     :param placed: the engine as it was registered when the request was sent.
     :param engine: the incarnation; ``None`` while it is not known.
@@ -92,9 +96,10 @@
         elif found is not None:
             self._change_to(found)
 
-    def on_data(self, received_at: float) -> None:
+    def on_data(self, asked_at: float, received_at: float) -> None:
         """Record data on the connection, which may tell the incarnation.
 
+        :param asked_at: when it was asked for; a point in time.
         :param received_at: a point in time.
         """
         if not self.settled:
@@ -111,8 +116,9 @@
                 self._set(self.placed)
             else:
                 self.incarnations.check(self.placed)
-        elif received_at >= self.data_counts_from:
-            self._set(self.candidate)
+        elif asked_at >= self.data_counts_from:
+            if received_at >= asked_at + MIN_WAIT_SECONDS:
+                self._set(self.candidate)
 
     def _verify(self, engine: Upstream) -> None:
         """Let the data vouch for an engine that was asked, or ask it."""
--- a/src/bergamotmast/direct/decode_attempt.py
+++ b/src/bergamotmast/direct/decode_attempt.py
@@ -346,7 +346,8 @@
         self.tracker.last_reply_at = self.last_reply_at = (
             asyncio.get_running_loop().time()
         )
-        self.identity.on_data(self.last_reply_at)
+        if self.reader is not None:
+            self.identity.on_data(self.reader.asked_at, self.last_reply_at)
         if self.replaced:
             self.replaced = False
             self.context.crash_detector.on_reply(self.upstream, self.last_reply_at)
--- a/src/bergamotmast/direct/response_buffer.py
+++ b/src/bergamotmast/direct/response_buffer.py
@@ -105,6 +105,7 @@
     :param task: reads ahead; ``None`` until a write has waited.
     :param error: how the response has ended, if it was read ahead and broke off.
     :param resumed_at: when reading was resumed after a wait for room; a point in time.
+    :param asked_at: when the data that came last was asked for; a point in time.
     :param writing_since: when the present write to the caller began; infinity between
         writes.
     :param timer: checks whether a write takes long.
@@ -127,6 +128,7 @@
         self.error: Exception | None = None
         self.changed = asyncio.Event()
         self.resumed_at = -math.inf
+        self.asked_at = -math.inf
         self.writing_since = math.inf
         self.timer: asyncio.TimerHandle | None = None
 
@@ -149,7 +151,7 @@
         """Yield the response as it arrives, and raise what it ends with."""
         while self.task is None:
             try:
-                data = await anext(self.source)
+                data = await self._next()
             except StopAsyncIteration:
                 return
             self.on_data()
@@ -204,7 +206,7 @@
         try:
             while True:
                 await self._wait_for_room(held)
-                data = await anext(self.source)
+                data = await self._next()
                 self.on_data()
                 self.parts.append(data)
                 self.size += len(data)
@@ -215,6 +217,10 @@
         except Exception as error:
             self.error = error
 
+    async def _next(self) -> bytes:
+        self.asked_at = asyncio.get_running_loop().time()
+        return await anext(self.source)
+
     async def _wait_for_room(self, held: HeldResponses) -> None:
         while not held.budget.has_room(self.size):
             await held.wait_for_release(self)
