Count an incarnation as a build of its own only until its registration tells

Callers got 503 for streams of a killed entry in a group of one build: an engine had come back with the same build, and streams that began there before its registration arrived were copied to other entries under a name of their own. These entries counted it as a second build for 60 s, also once the registration had told the same one.

The builds that may have streams are now named as registrations have told them since. test_restart_at_the_same_build_makes_no_second_build_at_other_entries failed before.

--- a/src/bergamotmast/direct/build_history.py
+++ b/src/bergamotmast/direct/build_history.py
@@ -54,6 +54,7 @@
     Implements :class:`~bergamotmast.direct.fleet.KeyListener` for the record.
 
     :param registered: returns the builds of a group that are registered.
+    :param told: returns what a registration has told of a build since, or its name.
     :param departed: until when streams may go on that began at a build that is not
         registered, by group and build; points in time.
     :param watched_since: since when all registrations have been seen without a gap; a
@@ -73,9 +74,11 @@
         self,
         clock: cabc.Callable[[], float],
         registered: cabc.Callable[[str], cabc.Collection[str]],
+        told: cabc.Callable[[str], str] = str,
     ) -> None:
         self.clock = clock
         self.registered = registered
+        self.told = told
         self.departed: dict[tuple[str, str], float] = {}
         self.watched_since = math.inf
         self.recorded: Builds | None = {}
@@ -94,11 +97,11 @@
     def seconds(self, group: str) -> dict[str, float]:
         """Return for how many seconds each build of a group may still have streams."""
         now = self.clock()
-        departed = {
-            build: until - now
-            for (other, build), until in self.departed.items()
-            if other == group and now < until
-        }
+        departed: dict[str, float] = {}
+        for (other, name), until in self.departed.items():
+            if other == group and now < until:
+                build = self.told(name)
+                departed[build] = max(until - now, departed.get(build, 0.0))
         return departed | dict.fromkeys(self.registered(group), RETENTION_SECONDS)
 
     def note(self, group: str, build: str, seconds: float = RETENTION_SECONDS) -> None:
--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -133,7 +133,9 @@
         self.incarnations = RegisteredIncarnations(clock)
         self.said_leaving = SaidLeaving()
         self.resting = RestingUpstreams(clock)
-        self.build_history = BuildHistory(clock, self.registered_builds)
+        self.build_history = BuildHistory(
+            clock, self.registered_builds, self.incarnations.build
+        )
         self.outdated_revisions: dict[str, int] = {}
         self.undecodable: dict[str, str] = {}
         self.planned_roles: dict[str, PlannedRole] = {}
--- a/tests/test_build_knowledge.py
+++ b/tests/test_build_knowledge.py
@@ -16,6 +16,7 @@
 from bergamotmast.direct.fleet import Fleet
 from bergamotmast.direct.stream_builds import StreamBuild
 from bergamotmast.direct.stream_builds import StreamBuilds
+from bergamotmast.direct.unregistered_builds import unregistered_build
 from bergamotmast.platform.directory import PlatformDirectory
 from bergamotmast.policy.entry_ranking import stable_hash
 from bergamotmast.ports import KeyValue
@@ -44,6 +45,7 @@
 from test_builds import streams
 from test_stream_builds import Network
 from test_stream_builds import register
+from test_stream_builds import registration_of
 
 
 def later(script, seconds: float = 0.2):
@@ -303,3 +305,20 @@
     network.alive.remove("entry-0")
     found = [await network.find("entry-5", request_id) for request_id in began]
     assert set(found) <= {"v2", None}
+
+
+async def test_restart_at_the_same_build_makes_no_second_build_at_other_entries():
+    """Guards against refusals after an engine was another incarnation for a moment."""
+    network = Network(12, versions=("v1",))
+    at_peer = network.fleets["entry-5"]
+    registered = at_peer.registered("i-0")
+    assert registered is not None
+    name = unregistered_build(("i-0", "2"))
+    record = StreamBuild(stable_hash("id-1"), "llm", name, math.inf)
+    network.builds["entry-5"].on_copy(record)
+    assert at_peer.build_history.builds("llm") == {"v1", name}
+    value = json.loads(registration_of("v1")) | {"born": 2}
+    at_peer.put(KeyValue("servers/i-0", json.dumps(value).encode(), 9))
+    assert at_peer.build_history.builds("llm") == {"v1"}
+    assert await network.find("entry-5", "id-1") == "v1"
+    assert await network.find("entry-5", "id-unknown") == "v1"
