Let an entry that was up all the time record the builds after a restore

Callers that resumed streams of a killed entry got 503 for a minute after each restore for which the store had been away for half a second or longer, also in groups of one build. A watch in which nothing changes is silent for up to 2 s, so that with the time away all entries had a gap of over 2 s, none took itself for sure, and none wrote the record's new era.

The gap may now be as long as streams go on. While the store is away nothing registers, and what an entry alone has missed others know and add before the record counts. What was in the store is still the restored record, which each entry reads besides.

test_streams_of_the_only_build_go_on_after_a_restore failed in all three cases before; it and tests/test_recorded_builds.py pass now.

--- a/src/bergamotmast/direct/build_history.py
+++ b/src/bergamotmast/direct/build_history.py
@@ -30,9 +30,10 @@
 RETENTION_SECONDS = 60.0
 """How long after the departure of a build's last upstream streams of it may go on."""
 
-MAX_GAP_SECONDS = 2.0
+MAX_GAP_SECONDS = RETENTION_SECONDS
 """Longest gap in the watch before a restore after which an entry still knows more than
-the restored record."""
+the restored record. While the store is away, nothing registers; while this entry alone
+does not reach it, others know what registers and add it."""
 
 SETTLING_SECONDS = 2.0
 """How long the record waits after a restore for what other entries know, and for the
--- a/tests/test_build_knowledge.py
+++ b/tests/test_build_knowledge.py
@@ -14,6 +14,7 @@
 from bergamotmast.direct.build_history import encode
 from bergamotmast.direct.build_recorder import BuildRecorder
 from bergamotmast.direct.fleet import Fleet
+from bergamotmast.direct.fleet import ReadReason
 from bergamotmast.direct.stream_builds import StreamBuild
 from bergamotmast.direct.stream_builds import StreamBuilds
 from bergamotmast.direct.unregistered_builds import unregistered_build
@@ -322,3 +323,28 @@
     assert at_peer.build_history.builds("llm") == {"v1"}
     assert await network.find("entry-5", "id-1") == "v1"
     assert await network.find("entry-5", "id-unknown") == "v1"
+
+
+@pytest.mark.parametrize("away", [0.5, 2.0, 30.0])
+async def test_streams_of_the_only_build_go_on_after_a_restore(away):
+    """Guards against a minute of refusals as the store was away before its restore."""
+    clock = Clock()
+    fleet = Fleet(PlatformDirectory(), clock)
+    history = fleet.build_history
+    only = KeyValue("servers/i-0", registration_of("v1"), 3)
+    record = KeyValue(BUILDS_KEY, encode({"llm": frozenset({"v1"})}), 5)
+    fleet.replace_all((only, record), clock(), ReadReason.RESYNC)
+    fleet.in_sync = True
+    clock.now += 100.0
+    history.on_store_reply(clock())
+    # The watch waits for up to two seconds while nothing changes.
+    clock.now += 1.9 + away
+    fleet.replace_all((only, record), clock(), ReadReason.RESTORE, 1)
+    history.on_store_reply(clock())
+    clock.now += 2.1
+    pending = history.pending(["llm"])
+    assert pending == ({"llm": {"v1"}}, 1)
+    history.on_written(pending[0], 9, pending[1])
+    found = await StreamBuilds(fleet).find("id-1", ["llm"])
+    assert found.record is not None
+    assert found.record.build == "v1"
