--- a/src/bergamotmast/direct/build_history.py
+++ b/src/bergamotmast/direct/build_history.py
@@ -30,9 +30,10 @@
 RETENTION_SECONDS = 60.0
 """How long after the departure of a build's last upstream streams of it may go on."""
 
-MAX_GAP_SECONDS = 2.0
+MAX_GAP_SECONDS = RETENTION_SECONDS
 """Longest gap in the watch before a restore after which an entry still knows more than
-the restored record."""
+the restored record. While the store is away, nothing registers; while this entry alone
+does not reach it, others know what registers and add it."""
 
 SETTLING_SECONDS = 2.0
 """How long the record waits after a restore for what other entries know, and for the
@@ -54,6 +55,7 @@
     Implements :class:`~bergamotmast.direct.fleet.KeyListener` for the record.
 
     :param registered: returns the builds of a group that are registered.
+    :param told: returns what a registration has told of a build since, or its name.
     :param departed: until when streams may go on that began at a build that is not
         registered, by group and build; points in time.
     :param watched_since: since when all registrations have been seen without a gap; a
@@ -73,9 +75,11 @@
         self,
         clock: cabc.Callable[[], float],
         registered: cabc.Callable[[str], cabc.Collection[str]],
+        told: cabc.Callable[[str], str] = str,
     ) -> None:
         self.clock = clock
         self.registered = registered
+        self.told = told
         self.departed: dict[tuple[str, str], float] = {}
         self.watched_since = math.inf
         self.recorded: Builds | None = {}
@@ -94,11 +98,11 @@
     def seconds(self, group: str) -> dict[str, float]:
         """Return for how many seconds each build of a group may still have streams."""
         now = self.clock()
-        departed = {
-            build: until - now
-            for (other, build), until in self.departed.items()
-            if other == group and now < until
-        }
+        departed: dict[str, float] = {}
+        for (other, name), until in self.departed.items():
+            if other == group and now < until:
+                build = self.told(name)
+                departed[build] = max(until - now, departed.get(build, 0.0))
         return departed | dict.fromkeys(self.registered(group), RETENTION_SECONDS)
 
     def note(self, group: str, build: str, seconds: float = RETENTION_SECONDS) -> None:
