Keep what an upstream says before its registration is known

An upstream that has started anew under its name asked for rest, named a limit or said that it leaves, and got requests again as soon as its registration came: what it said was kept for the incarnation before. A KV cache of the incarnation before could be imported or freed by a handle that the new one had given to another request.

While it is in doubt which incarnation answers, a rest and a limit are kept for the one that registers next, unless the known one registers again before that; an engine in doubt that leaves is asked who it is. A handle is used only if its engine is known not to have started anew since.

Open: an upstream that isn't an engine and leaves, as it can't be asked.

--- a/src/bergamotmast/direct/context.py
+++ b/src/bergamotmast/direct/context.py
@@ -15,6 +15,7 @@
 from ..policy.size_shares import SizeShares
 from ..telemetry import Telemetry
 from .crash_detector import CrashDetector
+from .doubtful_words import DoubtfulWords
 from .engine_times import EngineTimes
 from .fleet import Fleet
 from .incarnations import Incarnations
@@ -67,6 +68,7 @@
     :param liveness_probe: probe of engines; ``None`` if there is none.
     :param incarnation_probe: asks engines for their start; ``None`` if they can't tell.
     :param incarnations: which incarnations of engines answer.
+    :param doubtful_words: what was said while that was in doubt.
     :param usage: counter of the requests of each tenant; ``None`` without one.
     :param reported_loads: loads in replies; ``None`` if no replicas are ordered.
     :param shares: admission by the shares of tenants; ``None`` without it.
@@ -102,6 +104,7 @@
     liveness_checker: LivenessChecker = dataclasses.field(init=False)
     stream_builds: StreamBuilds = dataclasses.field(init=False)
     incarnations: Incarnations = dataclasses.field(init=False)
+    doubtful_words: DoubtfulWords = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
         self.quarantine.losses = self.crash_detector
@@ -115,6 +118,7 @@
             self.fleet, self.telemetry, self.incarnation_probe
         )
         self.placer.incarnations = self.incarnations
+        self.doubtful_words = DoubtfulWords(self.incarnations, self.rate_limits.limits)
 
     @property
     def decisions(self) -> Decisions:
@@ -239,6 +243,9 @@
             self.reported_loads.add(upstream, traits.load, sent_at)
         if traits.leaving:
             self.fleet.on_leaving(upstream)
+            self.incarnations.on_leaving(upstream, sent_at)
+        rest_seconds = traits.rest_seconds if status in REST_STATUSES else 0.0
+        self.doubtful_words.on_reply(upstream, traits.rate_limit, rest_seconds)
         if traits.rest_seconds and status in REST_STATUSES:
             self.telemetry.on_rest(upstream.group)
             self.fleet.resting.on_asked(upstream, traits.rest_seconds)
--- a/src/bergamotmast/direct/exported_cache.py
+++ b/src/bergamotmast/direct/exported_cache.py
@@ -33,6 +33,19 @@
         """Return whether there is a KV cache to import."""
         return bool(self.source)
 
+    @property
+    def is_available(self) -> bool:
+        """Whether the engine that has exported it is not known to have started anew.
+
+        One that has may have given the handle to another request.
+        """
+        if self.engine is None:
+            return False
+        registered = self.context.fleet.registered(self.engine.name)
+        if registered is not None and registered.boot != self.engine.boot:
+            return False
+        return not self.context.incarnations.is_doubted(self.engine)
+
     @property
     def build(self) -> str:
         """Build of the engine that has exported it."""
@@ -45,12 +58,12 @@
     def release(self) -> None:
         """Release it in the background if no engine has imported it.
 
-        At an engine that has asked for rest, it is left to expire.
+        At an engine that has asked for rest, or started anew, it is left to expire.
         """
         source, self.source = self.source, ""
         resting = self.context.fleet.resting
         at_rest = self.engine is not None and resting.ends_at(self.engine) is not None
-        if source and not at_rest:
+        if source and not at_rest and self.is_available:
             self.context.spawn(self._free(source))
 
     async def _free(self, source: str) -> None:
--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -111,6 +111,8 @@
     :param entry_share: this entry's share of budgets common to all entries.
     :param on_removal: callbacks for the removal of an existing key, by key.
     :param on_departed: callbacks for an incarnation that has departed.
+    :param on_registered: callbacks for each registration, and for an incarnation that
+        has answered before its own.
     :param existing_keys: keys of ``on_removal`` that the store is known to hold.
     :param listeners: receivers of keys that are none of the fleet's, by prefix.
     :param first_ready: set once requests can be routed for the first time.
@@ -141,6 +143,7 @@
         self.entry_share = EntryShare(own_entry)
         self.on_removal: dict[str, cabc.Callable[[], None]] = {}
         self.on_departed: list[cabc.Callable[[Upstream], None]] = []
+        self.on_registered: list[cabc.Callable[[Upstream], None]] = []
         self.existing_keys: set[str] = set()
         self.listeners: dict[str, KeyListener] = {BUILDS_KEY: self.build_history}
         self.first_ready = asyncio.Event()
@@ -420,6 +423,8 @@
             return
         self.upstream_records[key] = record.superseded(boot)
         self._record_departed(key, record.upstream)
+        for notify in self.on_registered:
+            notify(self.upstream_records[key].upstream)
 
     def on_leaving(self, upstream: Upstream) -> None:
         """Record that an upstream says in a reply that it leaves."""
@@ -570,6 +575,8 @@
             and self.incarnations.build(known.upstream.build) != upstream.build
         ):
             self.build_history.note(known.upstream.group, known.upstream.build)
+        for notify in self.on_registered:
+            notify(upstream)
         if known is None or known.upstream != upstream:
             logger.info(
                 "upstream is known",
--- a/src/bergamotmast/direct/incarnations.py
+++ b/src/bergamotmast/direct/incarnations.py
@@ -91,9 +91,9 @@
     def on_sign(self, upstream: Upstream, sign: str) -> None:
         """Record a sign that an engine may have started anew."""
         key = upstream.key
-        if not self._can_ask(upstream) or not self.fleet.is_registered(key):
+        if self.probe is None or not self.fleet.is_registered(key):
             return
-        if not self.is_doubted(upstream):
+        if self._can_ask(upstream) and not self.is_doubted(upstream):
             logger.info(
                 "engine is in doubt",
                 extra={"upstream": upstream.name, "boot": upstream.boot, "sign": sign},
@@ -116,6 +116,10 @@
         seen_at = self.seen_at.get(engine.key, -math.inf)
         return doubted_at is not None and seen_at <= doubted_at
 
+    def may_differ(self, upstream: Upstream) -> bool:
+        """Return whether another incarnation may answer than is registered."""
+        return not self.fleet.in_sync or self.is_doubted(upstream)
+
     def is_certain(self, engine: Upstream, since: float = math.inf) -> bool:
         """Return whether an engine is known to be the registered incarnation.
 
@@ -178,6 +182,21 @@
     async def _check(self, engine: Upstream, now: float) -> None:
         await self.identify(engine, now)
 
+    def on_leaving(self, upstream: Upstream, sent_at: float) -> None:
+        """Find out which incarnation has said that it leaves, if that is in doubt.
+
+        :param sent_at: when its request was sent; a point in time.
+        """
+        if not self.is_certain(upstream, sent_at):
+            task = asyncio.create_task(self._attribute_leaving(upstream, sent_at))
+            self.checks.add(task)
+            task.add_done_callback(self.checks.discard)
+
+    async def _attribute_leaving(self, upstream: Upstream, sent_at: float) -> None:
+        found = await self.identify(upstream, sent_at)
+        if found is not None and found.boot != upstream.boot:
+            self.fleet.on_leaving(found)
+
     async def _ask(self, engine: Upstream, since: float) -> tuple[str | None, float]:
         """Return the boot that an engine tells, and when it was asked.
 
--- a/src/bergamotmast/direct/stream_run.py
+++ b/src/bergamotmast/direct/stream_run.py
@@ -83,15 +83,15 @@
                 if not await permits.take(prefill_upstream):
                     continue
                 await self.remote_prefill.run(prefill_upstream, cache)
-                if cache and not await self._is_identified(prefill_upstream):
+                if cache and not await self._is_kept(cache):
                     cache.release()
                 if not cache and self.remote_prefill.may_retry:
                     continue
             if cache:
                 decode_upstream = await self._choose_importer(cache)
-                if decode_upstream is not None:
+                if decode_upstream is not None and await self._is_kept(cache):
                     return decode_upstream
-                # No engine is left that can import the KV cache.
+                # No engine is left that can import the KV cache, or it is gone.
                 cache.release()
             elif await permits.take(upstream):
                 return upstream
@@ -110,6 +110,13 @@
             if await permits.take(upstream):
                 return upstream
 
+    async def _is_kept(self, cache: ExportedCache) -> bool:
+        """Return whether the engine that has exported a KV cache has not ended since.
+
+        One that has started anew may have given the handle to another request.
+        """
+        return cache.engine is not None and await self._is_identified(cache.engine)
+
     async def _is_identified(self, engine: Upstream) -> bool:
         """Return whether an engine still is the incarnation that was chosen.
 
