Go on with streams of before a second build came in an outage

Cause: registered builds counted as builds that may have streams. Since streams begin only at builds that the store's record names, the record is the proof: while it names one build, every stream that nobody knows began there. An entry may learn of a change of the record later than a stream begins elsewhere, so it reads the record from the store after the stream was asked for, and takes it only in the store's present era. An entry that has just started leaves a build that came meanwhile unrecorded for 5 s, in which callers take their streams up.

Refused as before: the record names two builds by then, can't be read, is from before a restore, the route has several groups, or a stream is known to have begun at a build that was not recorded. Such a stream also ends the 5 s at once.

Weighed: answers of all entries that each read one build at its start. They miss an entry that began streams at the second build and died before the others knew of it, and can't tell that the one that asks is behind the store.

--- a/src/bergamotmast/direct/build_history.py
+++ b/src/bergamotmast/direct/build_history.py
@@ -37,6 +37,11 @@
 """How long the record waits after a restore for what other entries know, and for the
 registrations of upstreams that came in the gap, before it counts as complete."""
 
+HOLD_SECONDS = 5.0
+"""How long an entry that has just started leaves a second build of a group unrecorded
+which came while it did not run. Until then all streams are known to have begun at the
+recorded one, and callers resume broken streams within seconds."""
+
 Builds = dict[str, frozenset[str]]
 
 
@@ -65,6 +70,11 @@
         record or by its own watch.
     :param heard_at: when the store last replied; a point in time.
     :param is_restored: whether the record may lack builds after a restore of the store.
+    :param held: builds that were registered and not recorded when this entry started,
+        by group, where the record named one other; ``None`` before the first read.
+    :param held_until: until when they are not recorded; a point in time.
+    :param unrecorded: until when streams may go on that began at a build that the
+        record did not name, by group; points in time.
     :param changed: set when the record may have to be written.
     """
 
@@ -84,6 +94,9 @@
         self.is_sure = False
         self.heard_at = -math.inf
         self.is_restored = False
+        self.held: dict[str, frozenset[str]] | None = None
+        self.held_until = -math.inf
+        self.unrecorded: dict[str, float] = {}
         self.changed = asyncio.Event()
 
     def builds(self, group: str) -> set[str]:
@@ -142,6 +155,13 @@
         """When the record may be complete again after a restore; a point in time."""
         return self.watched_since + SETTLING_SECONDS
 
+    @property
+    def check_at(self) -> float:
+        """When the record may have to be written without a change; a point in time."""
+        now = self.clock()
+        times = (self.settles_at, self.held_until)
+        return min((at for at in times if now < at), default=math.inf)
+
     def on_read(self) -> None:
         """Record that all registrations were read, after a gap in the watch."""
         now = self.clock()
@@ -150,6 +170,31 @@
         self.watched_since = now
         self.changed.set()
 
+    def on_begun(self, group: str, build: str) -> None:
+        """Record that a stream has begun at a build, here or at another entry.
+
+        One that the record doesn't name has to be recorded at once.
+        """
+        recorded = self.recorded_builds(group)
+        if not recorded or build in recorded:
+            return
+        self.unrecorded[group] = self.clock() + RETENTION_SECONDS
+        if self.held and self.held.pop(group, None):
+            self.changed.set()
+
+    def only_recorded(self, group: str) -> str | None:
+        """Return the only build of a group that the record names.
+
+        ``None`` if it names several, can't be trusted, or streams have begun at a build
+        that it didn't name.
+        """
+        recorded = self.recorded_builds(group)
+        if not self.is_trusted or len(recorded) != 1:
+            return None
+        if self.clock() < self.unrecorded.get(group, -math.inf):
+            return None
+        return next(iter(recorded))
+
     def on_store_reply(self, now: float) -> None:
         """Record that the store has replied, and all changes before are known."""
         self.heard_at = now
@@ -165,7 +210,7 @@
             return
         self.revision = item.mod_revision
         before = self.recorded or {}
-        self.recorded, self.recorded_era = _decode(item)
+        self.recorded, self.recorded_era = decode(item)
         self.is_sure = self.is_sure or self.is_trusted
         self.changed.set()
         for group, builds in (self.recorded or {}).items():
@@ -197,12 +242,31 @@
             self.remove(BUILDS_KEY)
         for item in items:
             self.put(item)
+        if self.held is None:
+            self.held = {
+                group: frozenset(self.registered(group)) - {only}
+                for group in self.recorded or {}
+                if (only := self.only_recorded(group)) is not None
+            }
+            self.held_until = self.clock() + HOLD_SECONDS
+
+    def _due(self, group: str) -> frozenset[str]:
+        """Return the registered builds of a group that the record should name now.
+
+        A group without an upstream of the recorded build needs the others.
+        """
+        registered = frozenset(self.registered(group))
+        if self.clock() >= self.held_until or not self.held:
+            return registered
+        if self.only_recorded(group) not in registered:
+            return registered
+        return registered - self.held.get(group, frozenset())
 
     def wanted(self, groups: cabc.Iterable[str]) -> Builds | None:
         """Return what the record should be; ``None`` if it can't be told yet.
 
-        A build is added once it is registered, and dropped once this entry has watched
-        for as long as streams of it may go on.
+        A build is added once it is registered, or somewhat later if this entry has just
+        started, and dropped once it has watched for as long as streams of it may go on.
 
         :param groups: groups whose streams can be resumed.
         """
@@ -217,7 +281,7 @@
                 kept &= known
             if self.is_restored or not self.is_trusted:
                 kept |= known
-            builds = kept | frozenset(self.registered(group))
+            builds = kept | self._due(group)
             if builds:
                 wanted[group] = builds
         return wanted
@@ -244,7 +308,7 @@
     return msgspec.json.encode(_Record(groups, era))
 
 
-def _decode(item: KeyValue) -> tuple[Builds | None, int]:
+def decode(item: KeyValue) -> tuple[Builds | None, int]:
     """Return the builds and the era; ``None`` and 0 if they can't be decoded."""
     try:
         record = _decode_record(item.value)
--- a/src/bergamotmast/direct/build_recorder.py
+++ b/src/bergamotmast/direct/build_recorder.py
@@ -76,8 +76,7 @@
 
     def _seconds_to_check(self) -> float:
         """Return after how long the record is compared without a change."""
-        settling = self.history.settles_at - self.history.clock()
-        return min(CHECK_SECONDS, settling) if settling > 0 else CHECK_SECONDS
+        return min(CHECK_SECONDS, self.history.check_at - self.history.clock())
 
     def _is_first(self) -> bool:
         """Return whether this entry writes before the others."""
--- a/src/bergamotmast/direct/stream_builds.py
+++ b/src/bergamotmast/direct/stream_builds.py
@@ -48,6 +48,7 @@
     STORE = "store"
     PEERS = "peers"
     ONLY_BUILD = "only build"
+    RECORD = "record"
     GUESS = "guess"
     UNKNOWN = "unknown"
 
@@ -86,11 +87,24 @@
         ...
 
 
+class OnlyBuildCheck(t.Protocol):
+    """The store, asked for the builds at which streams may have begun."""
+
+    async def only_build(self, group: str) -> str | None:
+        """Return the build at which all unknown streams of a group have begun.
+
+        ``None`` if there may be several.
+        """
+        ...
+
+
 class StreamBuilds:
     """Records of the builds at which streams began.
 
     :param peers: other entries that keep copies; ``None`` for an entry on its own.
     :param stored: records that outlast the entries; ``None`` without a store.
+    :param check: tells of a group with several registered builds whether streams may
+        have begun at one only; ``None`` without a store.
     :param records: records by hash, oldest first.
     :param unfinished: records of this entry's streams that callers may yet resume, by
         hash, oldest first.
@@ -103,6 +117,7 @@
         self.fleet = fleet
         self.peers: StreamBuildPeers | None = None
         self.stored: StoredStreamBuilds | None = None
+        self.check: OnlyBuildCheck | None = None
         self.records: dict[int, StreamBuild] = {}
         self.unfinished: dict[int, StreamBuild] = {}
         self.broken: dict[int, float] = {}
@@ -119,6 +134,7 @@
         record = StreamBuild(stable_hash(request_id), group, build, expires_at)
         if not self._keep(record):
             return
+        self.fleet.build_history.on_begun(group, build)
         self.broken.pop(record.stream, None)
         self.unfinished[record.stream] = record
         if len(self.fleet.build_history.builds(group)) > 1 and self.peers is not None:
@@ -152,6 +168,7 @@
         Its build may be registered without this entry's notice.
         """
         self.fleet.build_history.note(record.group, record.build)
+        self.fleet.build_history.on_begun(record.group, record.build)
         self._keep(record)
 
     def _keep(self, record: StreamBuild) -> bool:
@@ -218,6 +235,9 @@
             record, known_by = self.record(stream), KnownBy.PEERS
         if record is not None and record.group in groups:
             return FoundBuild(record, known_by)
+        is_elsewhere = record is not None or set(groups) != {group}
+        if not self._has_one_build(group) and not is_elsewhere:
+            return await self._find_by_record(stream, group)
         may_guess = is_certain or self.fleet.build_history.is_trusted
         # Another entry may have told of a build that was not known here.
         if not self._has_one_build(group) or not may_guess:
@@ -226,6 +246,17 @@
         only = StreamBuild(stream, group, build, math.inf)
         return FoundBuild(only, KnownBy.ONLY_BUILD if is_certain else KnownBy.GUESS)
 
+    async def _find_by_record(self, stream: int, group: str) -> FoundBuild:
+        """Find out where a stream began that no entry knows, by the store's record."""
+        build = None if self.check is None else await self.check.only_build(group)
+        record = self.record(stream)
+        if record is not None and record.group == group:
+            return FoundBuild(record, KnownBy.PEERS)
+        if build is None:
+            return FoundBuild(None, KnownBy.UNKNOWN)
+        only = StreamBuild(stream, group, build, math.inf)
+        return FoundBuild(only, KnownBy.RECORD)
+
     def _has_one_build(self, group: str) -> bool:
         return len(self.fleet.build_history.builds(group)) == 1
 
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -44,6 +44,7 @@
 from .direct.presence import Presence
 from .direct.presence import presence_key
 from .direct.rate_limits import RateLimits
+from .direct.record_check import RecordCheck
 from .direct.reported_loads import ReportedLoads
 from .direct.response_buffer import HeldResponses
 from .direct.retry_budget import SharedRetryBudget
@@ -218,6 +219,7 @@
         )
         fleet.listeners[STREAMS_PREFIX] = stream_build_log
         context.stream_builds.stored = stream_build_log
+        context.stream_builds.check = RecordCheck(store, fleet.build_history)
         build_recorder = BuildRecorder(
             store,
             fleet.build_history,
