Keep the recorded builds of groups that an entry doesn't know

An entry without a configuration (its value can't be decoded as it starts) knows no group that streams, so the record of builds that it wanted was empty, and it would have emptied the record of all entries; builds whose engines had left would have been lost. Found by reading; no caller was seen to be hit. The same held for the groups of a configuration that is newer than the one read after a restore.

Nothing is written now before a group is known, and the recorded groups stay until the entry has watched for the retention time. The two cases of the new test failed before.

--- a/src/bergamotmast/direct/build_history.py
+++ b/src/bergamotmast/direct/build_history.py
@@ -274,7 +274,9 @@
             return None
         recorded = self.recorded or {}
         wanted = {}
-        for group in groups:
+        # A configuration that is not known yet may have the other recorded groups.
+        others = () if self.has_watched else recorded
+        for group in {*groups, *others}:
             known = self.builds(group)
             kept = recorded.get(group, frozenset())
             if self.has_watched:
@@ -296,8 +298,12 @@
 
     def pending(self, groups: cabc.Iterable[str]) -> tuple[Builds, int] | None:
         """Return the record to write, with its era; ``None`` if there is none."""
+        groups = frozenset(groups)
         wanted, era = self.wanted(groups), self.wanted_era
-        if wanted is None or (wanted, era) == (self.recorded, self.recorded_era):
+        if wanted is None or not groups:
+            # Without a configuration, no group is known.
+            return None
+        if (wanted, era) == (self.recorded, self.recorded_era):
             return None
         return wanted, era
 
--- a/tests/test_recorded_builds.py
+++ b/tests/test_recorded_builds.py
@@ -224,6 +224,15 @@
     assert await known_by(fleet) is KnownBy.UNKNOWN
 
 
+@pytest.mark.parametrize("groups", [(), ("other",)])
+async def test_entry_without_the_configuration_keeps_the_recorded_groups(groups):
+    """Guards against an entry that empties the record of groups that it has not read
+    of yet."""
+    fleet = started(Clock(), 0, V1, recorded(0, "v1", "v2"))
+    pending = fleet.build_history.pending(groups)
+    assert pending is None
+
+
 async def test_late_reply_to_a_write_does_not_undo_a_later_record():
     """Guards against an entry that compares its writes with a revision of the past."""
     fleet = started(Clock(), 0, V1, recorded(0, "v1", revision=7))
