Tell no incarnation by data that a slow caller kept waiting

Seen once in the tests beside load, on: an answer, whole, of which the first events were of one build and the last of another. The first process's events waited in the sockets' buffers behind a slow caller, were read after its engine had registered with another build, and a read took 10 ms only because the event loop was busy.

--- a/src/bergamotmast/direct/attempt_identity.py
+++ b/src/bergamotmast/direct/attempt_identity.py
@@ -36,6 +36,8 @@
     :param candidate: the incarnation if the connection brings data later on.
     :param data_counts_from: from when on such data counts; a point in time.
     :param settled: whether the first event need not wait.
+    :param lags: whether the caller has kept data waiting, so that what a process sent
+        before its end may be read much later.
     :param question: runs before the first event has come; ``None`` without one.
     """
 
@@ -48,6 +50,7 @@
         self.candidate: Upstream | None = None
         self.data_counts_from = math.inf
         self.settled = False
+        self.lags = False
         self.question: asyncio.Task[Upstream | None] | None = None
 
     @property
@@ -116,15 +119,20 @@
                 self._set(self.placed)
             else:
                 self.incarnations.check(self.placed)
-        elif asked_at >= self.data_counts_from:
+        elif asked_at >= self.data_counts_from and not self.lags:
             if received_at >= asked_at + MIN_WAIT_SECONDS:
                 self._set(self.candidate)
 
+    def on_written(self, seconds: float) -> None:
+        """Record how long a write to the caller took."""
+        if seconds >= MIN_WAIT_SECONDS:
+            self.lags = True
+
     def _verify(self, engine: Upstream) -> None:
         """Let the data vouch for an engine that was asked, or ask it."""
         if not self.asked:
             self.asked = self.incarnations.has_seen(engine, self.sent_at)
-        if self.asked:
+        if self.asked and not self.lags:
             self.incarnations.on_data(engine)
         else:
             self.incarnations.check(engine)
--- a/src/bergamotmast/direct/decode_attempt.py
+++ b/src/bergamotmast/direct/decode_attempt.py
@@ -439,12 +439,15 @@
         self.forwarding = True
         reader.on_write()
         await self._start(reply, traits)
+        began_at = asyncio.get_running_loop().time()
         await self.stream.reply.write(event.data)
+        now = asyncio.get_running_loop().time()
+        self.identity.on_written(now - began_at)
         reader.on_written()
         self.forwarding = False
         if not reader.reads_ahead:
             # A caller that reads slowly has kept the engine's next event waiting.
-            self.last_reply_at = asyncio.get_running_loop().time()
+            self.last_reply_at = now
 
     async def _end(self, reply: Reply, traits: ReplyTraits) -> None:
         """End the response normally."""
