Ask the holders of a stream's record also where one build is known

An entry that hears nothing of the store, and has not noticed yet (up to 2.7 s), took the only build that it knew for certain and asked nobody: ten of ten streams that had begun at a second build were placed at the first one (test_entry_that_hears_nothing_of_the_store_makes_no_guess, listed).

It now asks the three entries that would hold a copy of the record, which answer in any case: with the record, or with the builds that they know of. Nothing is asked for streams that begin. The test failed before and passes now, with 169 others of its kind.

--- a/src/bergamotmast/direct/peer_messages.py
+++ b/src/bergamotmast/direct/peer_messages.py
@@ -96,10 +96,12 @@
     """Builds of a group, from an entry that doesn't know a stream.
 
     :param seconds: for how many seconds each build may still have streams.
+    :param stream: hash of the stream; 0 from an entry of an earlier version.
     """
 
     group: str
     seconds: dict[str, t.Annotated[float, msgspec.Meta(ge=0, le=60)]]
+    stream: int = 0
 
 
 Rate: t.TypeAlias = t.Annotated[float, msgspec.Meta(ge=0)]
--- a/src/bergamotmast/direct/stream_build_exchange.py
+++ b/src/bergamotmast/direct/stream_build_exchange.py
@@ -11,6 +11,7 @@
 import asyncio
 import collections.abc as cabc
 import contextlib
+import dataclasses
 
 import msgspec
 
@@ -45,6 +46,33 @@
 """Maximum number of streams that all entries are being asked for at a time."""
 
 
+@dataclasses.dataclass(eq=False, slots=True)
+class Question:
+    """A question to other entries.
+
+    :param missing: addresses that have not answered yet.
+    :param found: whether the record has come.
+    :param ends_early: whether answers of all that don't know the stream end it.
+    :param ended: set once nothing is waited for.
+    """
+
+    missing: set[Address]
+    ends_early: bool
+    found: bool = False
+    ended: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+    def on_found(self) -> None:
+        """Record that the record has come."""
+        self.found = True
+        self.ended.set()
+
+    def on_unknown(self, address: Address) -> None:
+        """Record that an entry doesn't know the stream."""
+        self.missing.discard(address)
+        if self.ends_early and not self.missing:
+            self.ended.set()
+
+
 class StreamBuildExchange:
     """Implements :class:`~bergamotmast.direct.stream_builds.StreamBuildPeers`.
 
@@ -52,7 +80,7 @@
     :param entries: returns the addresses of all entries, by their keys.
     :param send: sends a datagram without blocking.
     :param pending: records that have not been sent yet.
-    :param waiting: set once a record arrives that is being asked for, by stream.
+    :param questions: questions on their way, by stream.
     :param wide_queries: number of streams that all entries are being asked for.
     """
 
@@ -68,7 +96,7 @@
         self.entries = entries
         self.send = send
         self.pending: list[StreamBuild] = []
-        self.waiting: dict[int, set[asyncio.Event]] = {}
+        self.questions: dict[int, set[Question]] = {}
         self.wide_queries = 0
 
     def listen(self, inbox: PeerInbox) -> None:
@@ -103,29 +131,42 @@
         finally:
             self.wide_queries -= 1
 
+    async def find_at_holders(self, stream: int, group: str) -> None:
+        """Ask only the entries that keep the copies, until all have answered."""
+        query = StreamBuildQuery(stream, group)
+        await self._ask(query, self._first(COPIES + 1, stream), ends_early=True)
+
     async def _ask(
-        self, query: StreamBuildQuery, addresses: cabc.Collection[Address]
+        self,
+        query: StreamBuildQuery,
+        addresses: cabc.Collection[Address],
+        *,
+        ends_early: bool = False,
     ) -> bool:
-        """Send a query, twice if need be; return whether the record has come."""
+        """Send a query, twice if need be; return whether the record has come.
+
+        :param ends_early: whether to end once all have answered; otherwise they are
+            asked again, as the record may be on its way to them.
+        """
         if not addresses:
             return False
         data = msgspec.msgpack.encode(query)
-        arrived = asyncio.Event()
-        waiting = self.waiting.setdefault(query.stream, set())
-        waiting.add(arrived)
+        question = Question(set(addresses), ends_early)
+        questions = self.questions.setdefault(query.stream, set())
+        questions.add(question)
         try:
             for _ in range(2):
                 for address in addresses:
                     self.send(data, address)
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(QUERY_SECONDS):
-                        await arrived.wait()
-                        return True
-            return False
+                        await question.ended.wait()
+                        break
+            return question.found
         finally:
-            waiting.discard(arrived)
-            if not waiting:
-                self.waiting.pop(query.stream, None)
+            questions.discard(question)
+            if not questions:
+                self.questions.pop(query.stream, None)
 
     def _others(self) -> dict[str, Address]:
         """Return the addresses of the other entries, by their keys."""
@@ -156,8 +197,8 @@
             self.stream_builds.on_copy(
                 StreamBuild(stream, group, build, now + RETENTION_SECONDS)
             )
-            for arrived in self.waiting.get(stream, ()):
-                arrived.set()
+            for question in self.questions.get(stream, ()):
+                question.on_found()
 
     def _on_query(self, message: StreamBuildQuery, address: Address) -> None:
         record = self.stream_builds.record(message.stream)
@@ -166,10 +207,11 @@
             self.send(msgspec.msgpack.encode(StreamBuildCopies(copies)), address)
             return
         seconds = self.stream_builds.fleet.build_history.seconds(message.group)
-        if len(seconds) > 1:
-            builds = GroupBuilds(message.group, seconds)
-            self.send(msgspec.msgpack.encode(builds), address)
+        builds = GroupBuilds(message.group, seconds, message.stream)
+        self.send(msgspec.msgpack.encode(builds), address)
 
     def _on_builds(self, message: GroupBuilds, address: Address) -> None:
         for build, seconds in message.seconds.items():
             self.stream_builds.fleet.build_history.note(message.group, build, seconds)
+        for question in self.questions.get(message.stream, ()):
+            question.on_unknown(address)
--- a/src/bergamotmast/direct/stream_builds.py
+++ b/src/bergamotmast/direct/stream_builds.py
@@ -85,7 +85,14 @@
     async def find(self, stream: int, group: str) -> None:
         """Ask other entries for the record of a stream, which is then kept here.
 
-        Those that don't know it tell of the group's builds if there are several.
+        Those that don't know it tell of the group's builds.
+        """
+        ...
+
+    async def find_at_holders(self, stream: int, group: str) -> None:
+        """Ask only the entries that would keep copies, once.
+
+        It ends as soon as all of them have answered.
         """
         ...
 
@@ -263,11 +270,14 @@
         stream, group = stable_hash(request_id), groups[0]
         known_by = KnownBy.MEMORY if stream in self.records else KnownBy.STORE
         record = self.record(stream)
-        is_certain = self._has_one_build(group) and self.fleet.knows_all_builds(group)
-        if record is None and not is_certain:
-            if self.peers is not None:
+        if record is None and self.peers is not None:
+            if self._is_certain(group):
+                # A change may be on its way from a store that has fallen silent.
+                await self.peers.find_at_holders(stream, group)
+            if self.record(stream) is None and not self._is_certain(group):
                 await self.peers.find(stream, group)
             record, known_by = self.record(stream), KnownBy.PEERS
+        is_certain = self._is_certain(group)
         if record is not None and record.group in groups:
             return FoundBuild(record, known_by)
         is_elsewhere = record is not None or set(groups) != {group}
@@ -309,6 +319,9 @@
         only = StreamBuild(stream, group, build, math.inf)
         return FoundBuild(only, KnownBy.RECORD)
 
+    def _is_certain(self, group: str) -> bool:
+        return self._has_one_build(group) and self.fleet.knows_all_builds(group)
+
     def _has_one_build(self, group: str) -> bool:
         return len(self.fleet.build_history.builds(group)) == 1
 
