--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -305,6 +305,34 @@
     assert "x-kv-source" not in received.headers
 
 
+@pytest.mark.parametrize("born", ["2", 1.5, None, [2], {}])
+async def test_report_without_a_start_time_tells_no_incarnation(born):
+    """Guards against a build that is known from a report that can't be read."""
+    script = telling(born, EngineScript(last=400, pause=0.02))
+    async with running(script) as (entry, one, two):
+        entry.fleet.in_sync = False
+        await begin(entry, "id-1", last=4)
+        only(entry, two, one)
+        got = await resume(entry, "id-2", "id-1")
+    assert questions(one) >= 1
+    assert streams(two) == []
+    assert got.status == 503
+
+
+async def test_engine_without_a_registered_start_time_is_not_asked():
+    """Guards against breaking streams off where there is nothing to compare."""
+    released = asyncio.Event()
+    script = telling(2, breaks_when(released))
+    async with running(script) as (entry, one, two):
+        del one.entry["born"]
+        del two.entry["born"]
+        only(entry, one, two)
+        entry.fleet.in_sync = False
+        got = await ask_and_break(entry, one, two, released)
+        assert questions(one) == questions(two) == 0
+    assert (got.complete, got.body) == (True, events(1, 4))
+
+
 async def test_registration_of_an_incarnation_that_has_ended_does_not_come_back():
     """Guards against a late write of the registration that was found to be outdated."""
     async with running(telling(2, EngineScript())) as (entry, one, _):
