--- a/src/bergamotmast/direct/decode_attempt.py
+++ b/src/bergamotmast/direct/decode_attempt.py
@@ -14,7 +14,6 @@
 from ..errors import ReplyLostError
 from ..errors import RequestError
 from ..errors import ResultCode
-from ..policy.direct_placement import decode_priority
 from .events import Event
 from .events import EventSplitter
 from .exported_cache import ExportedCache
@@ -292,16 +291,9 @@
         )
 
     def _priority(self) -> int:
-        traits, rank = self.call.traits, self.call.rank
         if self.prefill is not None:
             return self.prefill.priority
-        return decode_priority(
-            rank,
-            traits.prompt_tokens,
-            traits.max_tokens,
-            self.context.decisions,
-            goes_first=self.call.has_begun,
-        )
+        return self.stream.decode_priority
 
     def _check(self, reply: Reply) -> ReplyTraits:
         """Return the reply's traits after checking that it belongs to this request.
--- a/src/bergamotmast/direct/stream.py
+++ b/src/bergamotmast/direct/stream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from ..policy.direct_placement import decode_priority
 from .attempts import AttemptTracker
 from .caller import CallerReply
 from .context import Context
@@ -50,6 +51,18 @@
         failed = self.attempts.current_names(self.failed_prefill_engines)
         return self.attempts.excluded | failed
 
+    @property
+    def decode_priority(self) -> int:
+        """Priority at a decode engine that does not prefill the prompt."""
+        traits = self.call.traits
+        return decode_priority(
+            self.call.rank,
+            traits.prompt_tokens,
+            traits.max_tokens,
+            self.context.decisions,
+            goes_first=self.call.has_begun,
+        )
+
     def on_prefilled(self) -> None:
         """Record a completed prefill, after which its engine may decode the stream."""
         self.failed_prefill_engines.clear()
