Confirm a resumed stream's build without a read of the store

The look-up before the first event of a resumed stream read the store's record where nobody knew the stream, and held its first event up for as long as the store took to answer. It now asks memory, the values received and the other entries only.

test_first_event_does_not_wait_for_the_store failed before and passes now.

--- a/src/bergamotmast/direct/stream_builds.py
+++ b/src/bergamotmast/direct/stream_builds.py
@@ -293,9 +293,12 @@
         :param group: the group in which it goes on.
         :param build: the build at which it was to go on.
         """
-        record = self.record(stable_hash(request_id))
-        if record is None and not self._has_one_build(group):
-            record = (await self.find(request_id, [group])).record
+        stream = stable_hash(request_id)
+        record = self.record(stream)
+        may_differ = not self._has_one_build(group)
+        if record is None and may_differ and self.peers is not None:
+            await self.peers.find(stream, group)
+            record = self.record(stream)
         return build if record is None or record.group != group else record.build
 
     async def _find_by_record(self, stream: int, group: str) -> FoundBuild:
--- a/tests/test_build_knowledge.py
+++ b/tests/test_build_knowledge.py
@@ -170,6 +170,27 @@
     assert not got.complete
 
 
+async def test_first_event_does_not_wait_for_the_store():
+    """Guards against events that are held up by a store that does not answer."""
+
+    class Silent:
+        async def only_build(self, group) -> str | None:
+            await asyncio.sleep(5.0)
+            return None
+
+    one = built("i-1", "v1", later(EngineScript(last=6)))
+    two = built("i-2", "v2", EngineScript(last=6))
+    async with serving(one, two) as entry:
+        entry.fleet.remove("servers/i-2", entry.revision + 1)
+        entry.fleet.build_history.departed.clear()
+        entry.core.context.stream_builds.check = Silent()
+        answering = asyncio.create_task(resume(entry, "id-2", "id-1"))
+        await until(lambda: bool(one.received))
+        entry.register(two)
+        got = await asyncio.wait_for(answering, 1.5)
+    assert (got.status, got.complete, got.body) == (200, True, events(3, 6))
+
+
 async def test_stream_whose_resumption_fails_may_still_be_resumed():
     """Guards against forgetting a stream as its engine answers with a failure."""
     one = built("i-1", "v1", EngineScript(last=6, pause=0.02))
