--- a/tests/test_resumed_precedence.py
+++ b/tests/test_resumed_precedence.py
@@ -111,8 +111,8 @@
         builds.peers = RecordingPeers(builds, records)
 
 
-async def resume(entry: Entry, request_id: str = "id-2") -> Answer:
-    resumed = {"Resumes": BEGAN_AS, "Last_Event_Id": "2"}
+async def resume(entry: Entry, request_id: str = "id-2", **headers: str) -> Answer:
+    resumed = {"Resumes": BEGAN_AS, "Last_Event_Id": "2"} | headers
     return await entry.ask("/long/x", request_id=request_id, **resumed, **PROMPT)
 
 
@@ -167,6 +167,30 @@
     assert max(resumed_priorities) < min(sent_priorities(replicas, "id-new"))
 
 
+async def test_streams_that_nobody_recorded_go_on_while_new_ones_begin():
+    """Guards against refusing streams that began at an entry that was killed.
+
+    In a group of one build no other entry and no record of the store knows of them.
+    Their callers have less time left than those of new streams.
+    """
+    replicas = engines("v1")
+    async with serving(*replicas) as entry:
+        queue_new_prompts(entry, 2)
+        fresh = await entry.ask("/long/x", request_id="id-new", **NEW_PROMPT)
+        resumed = [
+            await resume(
+                entry, f"id-{n}", Resumes=f"id-began-{n}", X_Deadline_Ms="1000"
+            )
+            for n in range(3)
+        ]
+    assert fresh.status == 200
+    assert [answer.status for answer in resumed] == [200] * 3
+    assert all(answer.complete for answer in resumed)
+    resumed_priorities = [sent_priorities(replicas, f"id-{n}") for n in range(3)]
+    fresh_priorities = sent_priorities(replicas, "id-new")
+    assert all(max(sent) < min(fresh_priorities) for sent in resumed_priorities)
+
+
 @pytest.mark.parametrize("resumes", ["id-unheard-of", ""])
 async def test_stream_that_nobody_knows_overtakes_nothing(resumes):
     """Guards against callers that name an event to overtake others.
