Let unrecorded streams that are resumed go first, up to a limit

Callers whose entries were killed in a group with one build saw most of their streams refused while new ones began: nothing is copied or stored for such a group, so the streams were known by "only build" and had no precedence.

They now go before new streams of their rank too, up to the share of the streams in progress that can come to one entry in the time for which records are kept, worked out from the registered slots and entries. Requests beyond wait like new ones.

A stream that went first within that time counts as well, recorded or not: what a made-up name began is recorded, and one name could be used without end.

--- a/src/bergamotmast/direct/context.py
+++ b/src/bergamotmast/direct/context.py
@@ -40,6 +40,7 @@
 from .rate_limits import RateLimits
 from .reported_loads import ReportedLoads
 from .response_buffer import HeldResponses
+from .resume_precedence import ResumePrecedence
 from .retry_budget import SharedRetryBudget
 from .shares.tenant_shares import TenantShares
 from .stream_builds import StreamBuilds
@@ -75,6 +76,7 @@
     :param background: running tasks that outlive the request that started them.
     :param time_limits: deadlines of all running requests.
     :param stream_builds: builds at which streams began.
+    :param resume_precedence: which resumed streams precede new ones.
     :param held_responses: what is held for callers that read slowly; ``None`` if
         responses are not read ahead of them.
     """
@@ -103,6 +105,7 @@
     time_limits: TimeLimits = dataclasses.field(init=False)
     liveness_checker: LivenessChecker = dataclasses.field(init=False)
     stream_builds: StreamBuilds = dataclasses.field(init=False)
+    resume_precedence: ResumePrecedence = dataclasses.field(init=False)
     incarnations: Incarnations = dataclasses.field(init=False)
     doubtful_words: DoubtfulWords = dataclasses.field(init=False)
 
@@ -114,6 +117,7 @@
         self.time_limits = TimeLimits(self.rng)
         self.liveness_checker = LivenessChecker(self.placer, self.liveness_probe)
         self.stream_builds = StreamBuilds(self.fleet)
+        self.resume_precedence = ResumePrecedence(self.fleet)
         self.incarnations = Incarnations(
             self.fleet, self.telemetry, self.incarnation_probe
         )
--- a/src/bergamotmast/direct/core.py
+++ b/src/bergamotmast/direct/core.py
@@ -27,6 +27,7 @@
 from .plain_run import PlainRun
 from .routing import RouteTable
 from .routing import pick_group
+from .stream_builds import KnownBy
 from .stream_run import StreamRun
 from .tenants import Tenant
 
@@ -118,10 +119,10 @@
         )
         group = pick_group(route, self.context.rng)
         began_as = self._began_as(request, traits)
-        build, has_begun = None, False
+        build, known_by = None, None
         if traits.last_event and route.kind is CallKind.STREAM:
             found = await self._find_build(route, group, began_as, traits)
-            group, build, has_begun = found
+            group, build, known_by = found
         tenant = self._tenant(request, table.routing, route)
         connection = request.headers.get("Connection", "")
         return Call(
@@ -137,7 +138,7 @@
             caller=request.caller,
             began_as=began_as,
             build=build,
-            has_begun=has_begun,
+            has_begun=self._has_begun(began_as, group, known_by),
             parts=shared_parts(traits),
             tenant=tenant,
         )
@@ -149,11 +150,11 @@
 
     async def _find_build(
         self, route: Route, group: str, began_as: str, traits: CallTraits
-    ) -> tuple[str, str, bool]:
+    ) -> tuple[str, str, KnownBy]:
         """Return where a resumed stream can go on.
 
         :param group: the group to take if it is not known.
-        :returns: the group, the build, and whether the stream is known to have begun.
+        :returns: the group, the build, and how that is known.
         :raises RequestError: if it is not known and there are several builds.
         """
         groups = (group, *(target.group for target in route.targets))
@@ -175,7 +176,15 @@
                 "The build at which the stream began is not known.",
                 UNKNOWN_BUILD_RETRY_SECONDS,
             )
-        return record.group, record.build, found.has_begun
+        return record.group, record.build, found.known_by
+
+    def _has_begun(self, began_as: str, group: str, known_by: KnownBy | None) -> bool:
+        """Return whether a stream is taken to have begun, and count it if so.
+
+        :param known_by: how its build is known; ``None`` for a new stream.
+        """
+        precedence = self.context.resume_precedence
+        return known_by is not None and precedence.take(began_as, group, known_by)
 
     def _tenant(
         self, request: CallerRequest, routing: Routing, route: Route
--- a/src/bergamotmast/direct/model.py
+++ b/src/bergamotmast/direct/model.py
@@ -220,7 +220,8 @@
     :param began_as: id of the caller's request that brought the first event of the
         stream; its own id unless it resumes a stream.
     :param build: build at which a resumed stream must go on; ``None`` for any.
-    :param has_begun: whether an entry has recorded that the stream began.
+    :param has_begun: whether the stream is taken to have begun before, so that it
+        precedes new ones.
     :param parts: hash and length of the parts of the prompt, in order.
     :param sized_prompt: the prompt in its size class; ``None`` for a request without
         one.
--- a/src/bergamotmast/direct/stream_builds.py
+++ b/src/bergamotmast/direct/stream_builds.py
@@ -69,11 +69,6 @@
     record: StreamBuild | None
     known_by: KnownBy
 
-    @property
-    def has_begun(self) -> bool:
-        """Whether an entry has recorded that the stream began."""
-        return self.known_by in RECORDED
-
 
 class StreamBuildPeers(t.Protocol):
     """Other entries that keep copies of the records."""
