Take the record for no proof while streams began at a build that it lacks

A stream begins at a build that the record does not name where no engine of a named one is left. If all entries ended before the record was written, an unknown stream of that build was placed at the recorded one (found by review, by reading).

The values of streams in progress, written within 0.25 s, now end the proof as well, and an entry that has begun such a stream writes the record at once, without the second that others leave to the first. test_stored_streams_of_an_unrecorded_build_end_the_proof failed before.

--- a/src/bergamotmast/direct/build_history.py
+++ b/src/bergamotmast/direct/build_history.py
@@ -187,6 +187,12 @@
         if self.held and self.held.pop(group, None):
             self.changed.set()
 
+    @property
+    def has_unrecorded_streams(self) -> bool:
+        """Whether streams may go on that began at a build that was not recorded."""
+        now = self.clock()
+        return any(now < until for until in self.unrecorded.values())
+
     def only_recorded(self, group: str) -> str | None:
         """Return the only build of a group that the record names.
 
--- a/src/bergamotmast/direct/build_recorder.py
+++ b/src/bergamotmast/direct/build_recorder.py
@@ -67,7 +67,7 @@
                     await self.history.changed.wait()
             self.history.changed.clear()
             record = self.history.pending(self.groups())
-            if record is not None and not self._is_first():
+            if record is not None and not self._writes_at_once():
                 await asyncio.sleep(STANDBY_SECONDS)
                 record = self.history.pending(self.groups())
             while record is not None:
@@ -78,6 +78,13 @@
         """Return after how long the record is compared without a change."""
         return min(CHECK_SECONDS, self.history.check_at - self.history.clock())
 
+    def _writes_at_once(self) -> bool:
+        """Return whether this entry doesn't leave the write to another one.
+
+        Streams at a build that the record doesn't name must not wait for it.
+        """
+        return self.history.has_unrecorded_streams or self._is_first()
+
     def _is_first(self) -> bool:
         """Return whether this entry writes before the others."""
         return first_entries(1, self.entries(), stable_hash(BUILDS_KEY)) == [
--- a/src/bergamotmast/direct/stream_build_log.py
+++ b/src/bergamotmast/direct/stream_build_log.py
@@ -86,12 +86,25 @@
 
     def find(self, stream: int) -> tuple[str, str] | None:
         """Return the group and the build of a stream of any entry, or ``None``."""
+        for streams in self._all_decoded():
+            if stream in streams:
+                return streams[stream]
+        return None
+
+    def builds(self, group: str) -> set[str]:
+        """Return the builds of a group at which streams of any entry began."""
+        return {
+            build
+            for streams in self._all_decoded()
+            for other, build in streams.values()
+            if other == group
+        }
+
+    def _all_decoded(self) -> cabc.Iterator[dict[int, tuple[str, str]]]:
         for key, value in self.values.items():
             if key not in self.decoded:
                 self.decoded[key] = _decode(key, value)
-            if stream in self.decoded[key]:
-                return self.decoded[key][stream]
-        return None
+            yield self.decoded[key]
 
     def put(self, item: KeyValue) -> None:
         """Apply the value that an entry has written."""
--- a/src/bergamotmast/direct/stream_builds.py
+++ b/src/bergamotmast/direct/stream_builds.py
@@ -99,6 +99,10 @@
         """Return the group and the build of a stream, or ``None``."""
         ...
 
+    def builds(self, group: str) -> set[str]:
+        """Return the builds of a group at which streams began."""
+        ...
+
 
 class OnlyBuildCheck(t.Protocol):
     """The store, asked for the builds at which streams may have begun."""
@@ -312,11 +316,18 @@
         record = self.record(stream)
         if record is not None and record.group == group:
             return FoundBuild(record, KnownBy.PEERS)
-        if build is None:
+        if build is None or self._stored_builds(group) - {build}:
+            # Streams have begun at a build that the record does not name yet.
             return FoundBuild(None, KnownBy.UNKNOWN)
         only = StreamBuild(stream, group, build, math.inf)
         return FoundBuild(only, KnownBy.RECORD)
 
+    def _stored_builds(self, group: str) -> set[str]:
+        if self.stored is None:
+            return set()
+        known = self.fleet.incarnations
+        return {known.build(build) for build in self.stored.builds(group)}
+
     def _is_certain(self, group: str) -> bool:
         return self._has_one_build(group) and self.fleet.knows_all_builds(group)
 
--- a/tests/test_record_check.py
+++ b/tests/test_record_check.py
@@ -6,6 +6,7 @@
 import collections.abc as cabc
 import math
 
+import msgspec
 import pytest
 
 from bergamotmast.direct.build_history import BUILDS_KEY
@@ -14,6 +15,8 @@
 from bergamotmast.direct.fleet import Fleet
 from bergamotmast.direct.fleet import ReadReason
 from bergamotmast.direct.record_check import RecordCheck
+from bergamotmast.direct.stream_build_log import STREAMS_PREFIX
+from bergamotmast.direct.stream_build_log import StreamBuildLog
 from bergamotmast.direct.stream_builds import KnownBy
 from bergamotmast.direct.stream_builds import StreamBuild
 from bergamotmast.direct.stream_builds import StreamBuilds
@@ -125,6 +128,16 @@
     assert await find(started(record)) == UNKNOWN
 
 
+async def test_stored_streams_of_an_unrecorded_build_end_the_proof():
+    """Guards against a record that lacks a build at which an ended entry began."""
+    streams = started(Record("v1"))
+    log = StreamBuildLog(None, streams, "own", 400.0, list)
+    streams.stored = log
+    value = msgspec.msgpack.encode({"llm": {"v2": stable_hash("a").to_bytes(8)}})
+    log.put(KeyValue(f"{STREAMS_PREFIX}entry-9/1", value, 4))
+    assert await find(streams) == UNKNOWN
+
+
 @pytest.mark.parametrize("where", ["here", "at another entry", "during the read"])
 async def test_stream_at_an_unrecorded_build_ends_the_proof(where):
     """Guards against a stream that began beside the record, for want of an engine."""
