--- a/tests/test_full_upstreams.py
+++ b/tests/test_full_upstreams.py
@@ -39,7 +39,8 @@
     return types.SimpleNamespace(
         arrived_at=now - waited,
         caller_timeout_at=now - waited + patience,
-        goes_first=False,
+        has_begun=False,
+        has_size_precedence=False,
         group=types.SimpleNamespace(name="g"),
         route=types.SimpleNamespace(objective=OBJECTIVE),
         share=ticket,
