--- a/src/bergamotmast/direct/context.py
+++ b/src/bergamotmast/direct/context.py
@@ -15,7 +15,6 @@
 from ..policy.size_shares import SizeShares
 from ..telemetry import Telemetry
 from .crash_detector import CrashDetector
-from .doubtful_words import DoubtfulWords
 from .engine_times import EngineTimes
 from .fleet import Fleet
 from .incarnations import Incarnations
@@ -45,6 +44,7 @@
 from .shares.tenant_shares import TenantShares
 from .stream_builds import StreamBuilds
 from .time_limits import TimeLimits
+from .unconfirmed_replies import UnconfirmedReplies
 from .usage_exchange import UsageExchange
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -69,7 +69,7 @@
     :param liveness_probe: probe of engines; ``None`` if there is none.
     :param incarnation_probe: asks engines for their start; ``None`` if they can't tell.
     :param incarnations: which incarnations of engines answer.
-    :param doubtful_words: what was said while that was in doubt.
+    :param unconfirmed_replies: limits and rests named while that was in doubt.
     :param usage: counter of the requests of each tenant; ``None`` without one.
     :param reported_loads: loads in replies; ``None`` if no replicas are ordered.
     :param shares: admission by the shares of tenants; ``None`` without it.
@@ -107,7 +107,7 @@
     stream_builds: StreamBuilds = dataclasses.field(init=False)
     resume_precedence: ResumePrecedence = dataclasses.field(init=False)
     incarnations: Incarnations = dataclasses.field(init=False)
-    doubtful_words: DoubtfulWords = dataclasses.field(init=False)
+    unconfirmed_replies: UnconfirmedReplies = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
         self.quarantine.losses = self.crash_detector
@@ -122,7 +122,9 @@
             self.fleet, self.telemetry, self.incarnation_probe
         )
         self.placer.incarnations = self.incarnations
-        self.doubtful_words = DoubtfulWords(self.incarnations, self.rate_limits.limits)
+        self.unconfirmed_replies = UnconfirmedReplies(
+            self.incarnations, self.rate_limits.limits
+        )
 
     @property
     def decisions(self) -> Decisions:
@@ -249,7 +251,7 @@
             self.fleet.on_leaving(upstream)
             self.incarnations.on_leaving(upstream, sent_at)
         rest_seconds = traits.rest_seconds if status in REST_STATUSES else 0.0
-        self.doubtful_words.on_reply(upstream, traits.rate_limit, rest_seconds)
+        self.unconfirmed_replies.on_reply(upstream, traits.rate_limit, rest_seconds)
         if traits.rest_seconds and status in REST_STATUSES:
             self.telemetry.on_rest(upstream.group)
             self.fleet.resting.on_asked(upstream, traits.rest_seconds)
--- a/src/bergamotmast/direct/doubtful_words.py
+++ b/src/bergamotmast/direct/unconfirmed_replies.py
@@ -1,8 +1,8 @@
-"""What upstreams say of themselves while it is in doubt which incarnation says it.
+"""Limits and rests in replies whose incarnation is in doubt.
 
 What a reply says holds for the incarnation that sent it. One that has started anew may
-answer before its registration is known, and is then taken for the one before: its wish
-for rest and its limit would be forgotten as soon as it registers.
+answer before its registration is known, and is then taken for the one before: the rest
+that it asked for and its limit would be forgotten as soon as it registers.
 """
 
 from __future__ import annotations
@@ -21,8 +21,8 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Words:
-    """What replies under an upstream's name have said since its last registration.
+class ReplyHints:
+    """Limit and rest in the replies under an upstream's name since its registration.
 
     :param boot: the incarnation that was registered.
     :param heard_at: when the last of them came; a point in time.
@@ -36,20 +36,20 @@
     limit: float = NO_LIMIT
 
 
-class DoubtfulWords:
+class UnconfirmedReplies:
     """Keeps what was said in doubt, and applies it to the incarnation that registers.
 
     A registration of the incarnation that was known, once the doubt has come, shows
     that it still runs: what was said is then its own.
 
-    :param words: what was said, by the upstream's name.
+    :param hints: by the upstream's name.
     """
 
     def __init__(self, incarnations: Incarnations, limits: NamedLimits) -> None:
         self.incarnations = incarnations
         self.fleet = incarnations.fleet
         self.limits = limits
-        self.words: dict[str, Words] = {}
+        self.hints: dict[str, ReplyHints] = {}
         self.fleet.on_registered.append(self._on_registered)
 
     def on_reply(
@@ -63,13 +63,13 @@
         if not self.incarnations.may_differ(upstream):
             return
         now = asyncio.get_running_loop().time()
-        known = self.words.get(upstream.name)
+        known = self.hints.get(upstream.name)
         limit = NO_LIMIT if rate_limit is None else rate_limit
         if known is None and not rest_seconds and limit == NO_LIMIT:
             return
         if known is None or known.boot != upstream.boot:
             self._forget_expired(now)
-            known = self.words[upstream.name] = Words(upstream.boot, now)
+            known = self.hints[upstream.name] = ReplyHints(upstream.boot, now)
         known.heard_at = now
         known.limit = limit
         if rest_seconds:
@@ -77,15 +77,15 @@
 
     def _forget_expired(self, now: float) -> None:
         oldest = now - RETENTION_SECONDS
-        self.words = {n: w for n, w in self.words.items() if w.heard_at >= oldest}
+        self.hints = {n: h for n, h in self.hints.items() if h.heard_at >= oldest}
 
     def _on_registered(self, upstream: Upstream) -> None:
         """Apply what was said before to an incarnation that was not known."""
-        words = self.words.pop(upstream.name, None)
-        if words is None or words.boot == upstream.boot:
+        hints = self.hints.pop(upstream.name, None)
+        if hints is None or hints.boot == upstream.boot:
             return
         now = asyncio.get_running_loop().time()
-        if now < words.rest_until:
-            self.fleet.resting.on_asked(upstream, words.rest_until - now)
-        if words.limit != NO_LIMIT and now < words.heard_at + RETENTION_SECONDS:
-            self.limits.on_reply(upstream, words.limit, words.heard_at)
+        if now < hints.rest_until:
+            self.fleet.resting.on_asked(upstream, hints.rest_until - now)
+        if hints.limit != NO_LIMIT and now < hints.heard_at + RETENTION_SECONDS:
+            self.limits.on_reply(upstream, hints.limit, hints.heard_at)
