--- a/tests/test_build_series.py
+++ b/tests/test_build_series.py
@@ -22,9 +22,10 @@
 from direct_support import until
 from series_checks import EntryIncarnation
 
-SEEDS = (105, 107, 118)
+SEEDS = (105, 107, 118, 212)
 """In 107 and 118, all entries are killed at once; in 118, the last engine of a build
-has crashed before. 105 has a store that is restored, and engines that come back."""
+has crashed before. 105 has a store that is restored, and engines that come back. In
+212, a second build first appears as all entries are killed."""
 
 ONE = b"id: 1\ndata: v1@i-1@1.5-1\n\n"
 TWO = b"id: 2\ndata: v1@i-2@2.5-2\n\n"
