--- a/tests/memory_site.py
+++ b/tests/memory_site.py
@@ -10,6 +10,7 @@
 import collections
 import collections.abc as cabc
 import dataclasses
+import itertools
 import random
 import typing as t
 
@@ -161,6 +162,7 @@
     :param entries: the process of each entry; ``None`` while there is none.
     :param engines: builds of the running engines, by name.
     :param loses_datagrams: whether datagrams get lost.
+    :param cut_links: pairs of sender and receiver whose datagrams get lost.
     :param outcomes: number of resumptions by how the build was known.
     """
 
@@ -174,6 +176,7 @@
         self.begun = 0
         self.registered = 0
         self.loses_datagrams = False
+        self.cut_links: set[tuple[str, str]] = set()
         self.outcomes: collections.Counter[str] = collections.Counter()
         self.store.put("op/config", config())
         for number, name in enumerate(self.names):
@@ -192,8 +195,10 @@
         self.loop.close()
 
     def deliver(self, sender: str, data: bytes, address: Address) -> None:
-        target = self.entries[self.names[int(address[0].rpartition(".")[2])]]
-        if target is not None and not self.loses_datagrams:
+        receiver = self.names[int(address[0].rpartition(".")[2])]
+        target = self.entries[receiver]
+        is_lost = self.loses_datagrams or (sender, receiver) in self.cut_links
+        if target is not None and not is_lost:
             number = self.names.index(sender)
             arguments = data, (f"10.1.0.{number}", 9)
             self.loop.call_later(DATAGRAM_SECONDS, self._receive, target, *arguments)
@@ -215,6 +220,25 @@
         if ending:
             self.loop.run_until_complete(asyncio.wait(ending))
 
+    def cut_off(self, *names: str, store: str = "silent", peers: bool = True) -> None:
+        """Cut entries off from the store, and perhaps from all others.
+
+        Entries that are cut off together still reach one another.
+
+        :param store: how calls to the store fail, or ``""`` if they don't.
+        """
+        for name in names:
+            self.store.unreachable[name] = store
+        others = [name for name in self.names if name not in names]
+        if peers:
+            self.cut_links |= set(itertools.product(names, others))
+            self.cut_links |= set(itertools.product(others, names))
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self.store.unreachable.clear()
+        self.cut_links.clear()
+
     def add_build(self, build: str, engines: int = 2) -> None:
         for _ in range(engines):
             self.registered += 1
--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -47,6 +47,7 @@
 
     :param faults: what befalls the writes of a client: ``refused``, ``late``, ``lost``
         before they take effect, or ``unanswered`` after that.
+    :param unreachable: how calls of a client fail: ``silent`` or ``refused``.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -54,6 +55,7 @@
         self.contents = Contents()
         self.era = 0
         self.faults: dict[str, str] = {}
+        self.unreachable: dict[str, str] = {}
         self.waiting: set[asyncio.Future[bool]] = set()
 
     def put(self, key: str, value: object) -> None:
@@ -154,6 +156,14 @@
     async def _call(
         self, method: str, path: str, body: object, seconds: float
     ) -> _Answer:
+        timeout_at = self.store.loop.time() + seconds
+        outage = self.store.unreachable.get(self.name, "")
+        if outage == "silent":
+            await asyncio.sleep(seconds)
+            raise ReplyLostError("no reply")
+        if outage == "refused":
+            await asyncio.sleep(CALL_SECONDS)
+            return _Answer(503, b"{}", self.restores.known_era)
         fault = self.store.faults.get(self.name, "") if method == "POST" else ""
         if fault in ("late", "lost"):
             if fault == "late":
@@ -166,6 +176,9 @@
             status, answer = 503, {}
         elif path.startswith("/kv-watch"):
             status, answer = await self.store.watch(path)
+            if self.store.unreachable.get(self.name):
+                await asyncio.sleep(timeout_at - self.store.loop.time())
+                raise ReplyLostError("no reply")
         else:
             status, answer = self.store.handle(path, body)
         # A restore before the reply arrives is not known from it.
