Log what an entry went by as it lets a stream go on

A cut from the others, one from the store, and a holder that has ended looked alike in the log: known_by says how the build was known and not what had been heard. The line 'stream is resumed' now tells whether the entry was in sync, how long ago the store had replied, and how many entries there are, were asked, and answered with builds of the group. No decision changes.

--- a/src/bergamotmast/direct/build_history.py
+++ b/src/bergamotmast/direct/build_history.py
@@ -210,6 +210,13 @@
         """Record that the store has replied, and all changes before are known."""
         self.heard_at = now
 
+    @property
+    def heard_ms(self) -> float | None:
+        """Milliseconds since the store last replied; ``None`` before it has."""
+        if self.heard_at == -math.inf:
+            return None
+        return round((self.clock() - self.heard_at) * 1e3, 1)
+
     def on_registered(self, group: str, build: str) -> None:
         """Record that an upstream of a build has registered."""
         if build not in self.recorded_builds(group):
--- a/src/bergamotmast/direct/core.py
+++ b/src/bergamotmast/direct/core.py
@@ -28,6 +28,7 @@
 from .routing import RouteTable
 from .routing import pick_group
 from .stream_builds import KnownBy
+from .stream_builds import PeerAnswers
 from .stream_run import StreamRun
 from .tenants import Tenant
 
@@ -159,8 +160,9 @@
         """
         groups = (group, *(target.group for target in route.targets))
         found = await self.context.stream_builds.find(began_as, groups)
-        record = found.record
+        record, fleet = found.record, self.context.fleet
         self.telemetry.on_resumed(group, found.known_by.value)
+        answers = found.answers or PeerAnswers()
         logger.info(
             "stream is resumed",
             extra={
@@ -168,6 +170,11 @@
                 "last_event": traits.last_event,
                 "build": None if record is None else record.build,
                 "known_by": found.known_by.value,
+                "in_sync": fleet.in_sync,
+                "store_heard_ms": fleet.build_history.heard_ms,
+                "entries": answers.entries,
+                "asked": answers.asked,
+                "informed": answers.informed,
             },
         )
         if record is None:
--- a/src/bergamotmast/direct/stream_build_exchange.py
+++ b/src/bergamotmast/direct/stream_build_exchange.py
@@ -23,6 +23,7 @@
 from .peer_messages import StreamBuildCopies
 from .peer_messages import StreamBuildQuery
 from .stream_builds import RETENTION_SECONDS
+from .stream_builds import PeerAnswers
 from .stream_builds import StreamBuild
 from .stream_builds import StreamBuilds
 
@@ -50,25 +51,35 @@
 class Question:
     """A question to other entries.
 
+    :param asked: addresses that are asked.
     :param missing: addresses that have not answered yet.
+    :param informed: addresses that have answered and know builds of the group.
     :param found: whether the record has come.
     :param ends_early: whether answers of all that don't know the stream end it.
     :param ended: set once nothing is waited for.
     """
 
+    asked: frozenset[Address]
     missing: set[Address]
     ends_early: bool
+    informed: set[Address] = dataclasses.field(default_factory=set)
     found: bool = False
     ended: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
-    def on_found(self) -> None:
+    def on_found(self, address: Address) -> None:
         """Record that the record has come."""
+        self.informed.add(address)
         self.found = True
         self.ended.set()
 
-    def on_unknown(self, address: Address) -> None:
-        """Record that an entry doesn't know the stream."""
+    def on_unknown(self, address: Address, *, is_informed: bool) -> None:
+        """Record that an entry doesn't know the stream.
+
+        :param is_informed: whether it knows builds of the group.
+        """
         self.missing.discard(address)
+        if is_informed:
+            self.informed.add(address)
         if self.ends_early and not self.missing:
             self.ended.set()
 
@@ -117,24 +128,29 @@
             asyncio.get_running_loop().call_later(BATCH_WINDOW_SECONDS, self._flush)
         self.pending += records
 
-    async def find(self, stream: int, group: str) -> None:
+    async def find(self, stream: int, group: str) -> PeerAnswers:
         """Ask other entries for the record of a stream, which is then kept here."""
         query = StreamBuildQuery(stream, group)
         # One of the first may be the entry that began the stream and has ended.
-        if await self._ask(query, self._first(COPIES + 1, stream)):
-            return
-        if self.wide_queries >= MAX_WIDE_QUERIES:
-            return
+        first = await self._ask(query, self._first(COPIES + 1, stream))
+        if first.found or self.wide_queries >= MAX_WIDE_QUERIES:
+            return self._answers(first)
         self.wide_queries += 1
         try:
-            await self._ask(query, list(self._others().values()))
+            every = await self._ask(query, list(self._others().values()))
         finally:
             self.wide_queries -= 1
+        return self._answers(every)
 
-    async def find_at_holders(self, stream: int, group: str) -> None:
+    async def find_at_holders(self, stream: int, group: str) -> PeerAnswers:
         """Ask only the entries that keep the copies, until all have answered."""
         query = StreamBuildQuery(stream, group)
-        await self._ask(query, self._first(COPIES + 1, stream), ends_early=True)
+        holders = self._first(COPIES + 1, stream)
+        return self._answers(await self._ask(query, holders, ends_early=True))
+
+    def _answers(self, question: Question) -> PeerAnswers:
+        entries = 1 + len(self._others())
+        return PeerAnswers(entries, len(question.asked), len(question.informed))
 
     async def _ask(
         self,
@@ -142,16 +158,16 @@
         addresses: cabc.Collection[Address],
         *,
         ends_early: bool = False,
-    ) -> bool:
-        """Send a query, twice if need be; return whether the record has come.
+    ) -> Question:
+        """Send a query, twice if need be; return it with what was answered.
 
         :param ends_early: whether to end once all have answered; otherwise they are
             asked again, as the record may be on its way to them.
         """
+        question = Question(frozenset(addresses), set(addresses), ends_early)
         if not addresses:
-            return False
+            return question
         data = msgspec.msgpack.encode(query)
-        question = Question(set(addresses), ends_early)
         questions = self.questions.setdefault(query.stream, set())
         questions.add(question)
         try:
@@ -162,7 +178,7 @@
                     async with asyncio.timeout(QUERY_SECONDS):
                         await question.ended.wait()
                         break
-            return question.found
+            return question
         finally:
             questions.discard(question)
             if not questions:
@@ -198,7 +214,7 @@
                 StreamBuild(stream, group, build, now + RETENTION_SECONDS)
             )
             for question in self.questions.get(stream, ()):
-                question.on_found()
+                question.on_found(address)
 
     def _on_query(self, message: StreamBuildQuery, address: Address) -> None:
         record = self.stream_builds.record(message.stream)
@@ -214,4 +230,4 @@
         for build, seconds in message.seconds.items():
             self.stream_builds.fleet.build_history.note(message.group, build, seconds)
         for question in self.questions.get(message.stream, ()):
-            question.on_unknown(address)
+            question.on_unknown(address, is_informed=bool(message.seconds))
--- a/src/bergamotmast/direct/stream_builds.py
+++ b/src/bergamotmast/direct/stream_builds.py
@@ -59,15 +59,31 @@
 """Ways by which a stream itself is known, and not only the builds of its group."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerAnswers:
+    """How many other entries have answered a question.
+
+    :param entries: number of all entries, this one included.
+    :param asked: number of those asked.
+    :param informed: number of those that have answered and know builds of the group.
+    """
+
+    entries: int = 1
+    asked: int = 0
+    informed: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FoundBuild:
     """Where a stream can go on.
 
     :param record: ``None`` if it is not known.
+    :param answers: those of the other entries; ``None`` if they were not asked.
     """
 
     record: StreamBuild | None
     known_by: KnownBy
+    answers: PeerAnswers | None = None
 
 
 class StreamBuildPeers(t.Protocol):
@@ -77,14 +93,14 @@
         """Send records to the entries that keep their copies."""
         ...
 
-    async def find(self, stream: int, group: str) -> None:
+    async def find(self, stream: int, group: str) -> PeerAnswers:
         """Ask other entries for the record of a stream, which is then kept here.
 
         Those that don't know it tell of the group's builds.
         """
         ...
 
-    async def find_at_holders(self, stream: int, group: str) -> None:
+    async def find_at_holders(self, stream: int, group: str) -> PeerAnswers:
         """Ask only the entries that would keep copies, once.
 
         It ends as soon as all of them have answered.
@@ -268,14 +284,26 @@
         """
         stream, group = stable_hash(request_id), groups[0]
         known_by = KnownBy.MEMORY if stream in self.records else KnownBy.STORE
-        record = self.record(stream)
+        record, answers = self.record(stream), None
         if record is None and self.peers is not None:
             if self._is_certain(group):
                 # A change may be on its way from a store that has fallen silent.
-                await self.peers.find_at_holders(stream, group)
+                answers = await self.peers.find_at_holders(stream, group)
             if self.record(stream) is None and not self._is_certain(group):
-                await self.peers.find(stream, group)
+                answers = await self.peers.find(stream, group)
             record, known_by = self.record(stream), KnownBy.PEERS
+        found = await self._locate(stream, groups, record, known_by)
+        return dataclasses.replace(found, answers=answers)
+
+    async def _locate(
+        self,
+        stream: int,
+        groups: cabc.Sequence[str],
+        record: StreamBuild | None,
+        known_by: KnownBy,
+    ) -> FoundBuild:
+        """Return where a stream can go on, by its record or its group's builds."""
+        group = groups[0]
         is_certain = self._is_certain(group)
         if record is not None and record.group in groups:
             return FoundBuild(record, known_by)
--- a/tests/test_build_knowledge.py
+++ b/tests/test_build_knowledge.py
@@ -15,6 +15,7 @@
 from bergamotmast.direct.build_recorder import BuildRecorder
 from bergamotmast.direct.fleet import Fleet
 from bergamotmast.direct.fleet import ReadReason
+from bergamotmast.direct.stream_builds import PeerAnswers
 from bergamotmast.direct.stream_builds import StreamBuild
 from bergamotmast.direct.stream_builds import StreamBuilds
 from bergamotmast.direct.unregistered_builds import unregistered_build
@@ -73,9 +74,10 @@
     def copy(self, records) -> None:
         pass
 
-    async def find(self, stream, group) -> None:
+    async def find(self, stream, group) -> PeerAnswers:
         if self.told and stream == self.record.stream:
             self.stream_builds.on_copy(self.record)
+        return PeerAnswers()
 
 
 class Stored(Asked):
