--- a/tests/memory_site.py
+++ b/tests/memory_site.py
@@ -306,6 +306,17 @@
                 stream.entry = entry
         return found
 
+    def resume_all(
+        self, streams: cabc.Iterable[Stream], name: str
+    ) -> list[FoundBuild | None]:
+        """Resume streams at an entry, all at once."""
+        asked = [self._resume(stream, name) for stream in streams]
+
+        async def gather() -> list[FoundBuild | None]:
+            return await asyncio.gather(*asked)
+
+        return self.loop.run_until_complete(gather())
+
     def complete(self, stream: Stream) -> None:
         """End a stream whole."""
         self.loop.run_until_complete(self._complete(stream))
--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -146,17 +146,23 @@
 
 
 class StoreClient(PlatformStore):
-    """The platform's adapter, with its calls carried out by a :class:`Store`."""
+    """The platform's adapter, with its calls carried out by a :class:`Store`.
+
+    :param calls: calls made, without those that wait for changes.
+    """
 
     def __init__(self, store: Store, name: str) -> None:
         super().__init__(t.cast(t.Any, None), "store", RECOVERY_SECONDS)
         self.store = store
         self.name = name
+        self.calls: list[str] = []
 
     async def _call(
         self, method: str, path: str, body: object, seconds: float
     ) -> _Answer:
         timeout_at = self.store.loop.time() + seconds
+        if not path.startswith("/kv-watch"):
+            self.calls.append(f"{method} {path}")
         outage = self.store.unreachable.get(self.name, "")
         if outage == "silent":
             await asyncio.sleep(seconds)
