Let a stream go on at the only known build only if others confirm it

Cause: an entry that knew of one build took silence for the answer that there was no other one. It went on if the holders of copies did not answer and the store was not heard ("guess"), and in the time in which it had not noticed yet that the store was silent ("only build"). Class: absence of news taken for news of absence.

What it knows now counts only with proof from after the stream was asked for (OnlyBuildProof): all that would hold a copy answered; or the entry has caught up with the store, by a read of its revision that all waiting streams share; or, without the store, more than half of all entries answered and know of one build. An entry alone is its own majority. Otherwise the stream is refused as not run, within 0.5 s.

A refusal alone would have moved the fault to callers: in an outage of the store with entries that reach one another, all streams of a group of one build go on as before, and no call to the store is made for them while all entries answer.

--- a/src/bergamotmast/direct/core.py
+++ b/src/bergamotmast/direct/core.py
@@ -23,12 +23,12 @@
 from .model import CallTraits
 from .model import Route
 from .model import Routing
+from .only_build import KnownBy
+from .only_build import PeerAnswers
 from .placer import shared_parts
 from .plain_run import PlainRun
 from .routing import RouteTable
 from .routing import pick_group
-from .stream_builds import KnownBy
-from .stream_builds import PeerAnswers
 from .stream_run import StreamRun
 from .tenants import Tenant
 
--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -31,6 +31,7 @@
 from .resting_upstreams import RestingUpstreams
 from .routing import RouteTable
 from .said_leaving import SaidLeaving
+from .store_progress import AppliedRevision
 from .unregistered_builds import RegisteredIncarnations
 from .upstream_records import PlannedRole
 from .upstream_records import UpstreamRecord
@@ -118,6 +119,7 @@
     :param listeners: receivers of keys that are none of the fleet's, by prefix.
     :param first_ready: set once requests can be routed for the first time.
     :param in_sync: whether changes of the store are being received.
+    :param applied: up to where they are applied.
     """
 
     def __init__(
@@ -151,6 +153,7 @@
         self.listeners: dict[str, KeyListener] = {BUILDS_KEY: self.build_history}
         self.first_ready = asyncio.Event()
         self.in_sync = False
+        self.applied = AppliedRevision()
 
     @property
     def ready(self) -> bool:
--- /dev/null
+++ b/src/bergamotmast/direct/only_build.py
@@ -0,0 +1,144 @@
+"""Proof that a stream which nobody has recorded began at the only build known here.
+
+An entry that hears nothing knows of no second build either. What it knows therefore
+counts only if others confirm it after the stream was asked for: the store, the entries
+that would hold a record of the stream, or more than half of all entries.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import enum
+import typing as t
+
+from .fleet import Fleet
+
+STORE_REPLY_SECONDS = 0.5
+"""How long an entry waits for the store; callers find another entry sooner than that a
+silent store is noticed."""
+
+
+class KnownBy(enum.Enum):
+    """How the build at which a stream began is known."""
+
+    MEMORY = "memory"
+    STORE = "store"
+    PEERS = "peers"
+    ONLY_BUILD = "only build"
+    RECORD = "record"
+    AGREEMENT = "agreement"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerAnswers:
+    """What other entries have answered to a question for a stream.
+
+    :param entries: number of all entries, this one included.
+    :param asked: number of those asked.
+    :param informed: number of those that have answered and know builds of the group.
+    :param found: whether one of them knows the stream.
+    """
+
+    entries: int = 1
+    asked: int = 0
+    informed: int = 0
+    found: bool = False
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether all that were asked have answered."""
+        return 0 < self.asked == self.informed
+
+    @property
+    def is_majority(self) -> bool:
+        """Whether more than half of all entries have answered, or are this one."""
+        return 2 * (self.informed + 1) > self.entries
+
+
+class BuildPeers(t.Protocol):
+    """Other entries, which tell of a group's builds if they don't know a stream."""
+
+    async def find_at_holders(self, stream: int, group: str) -> PeerAnswers:
+        """Ask only the entries that would keep copies, until all have answered."""
+        ...
+
+    async def survey(self, stream: int, group: str) -> PeerAnswers:
+        """Ask all entries, until all have answered."""
+        ...
+
+
+class StoreCatchUp(t.Protocol):
+    """The store, whose changes this entry applies."""
+
+    async def catch_up(self) -> bool:
+        """Wait until all that the store has accepted by now is applied.
+
+        ``False`` if the store can't be reached.
+        """
+        ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Proof:
+    """Whether a stream began at the only build that is known.
+
+    :param known_by: how that is known; ``None`` if it is not.
+    """
+
+    known_by: KnownBy | None
+    answers: PeerAnswers
+
+
+class OnlyBuildProof:
+    """Finds out whether a group has had one build only.
+
+    :param store: ``None`` without one.
+    """
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.store: StoreCatchUp | None = None
+
+    async def find(self, stream: int, group: str, peers: BuildPeers | None) -> Proof:
+        """Return how it is known that a stream began at the only build of a group.
+
+        What others tell is recorded meanwhile, so that the group may have several
+        builds by the end.
+
+        :param peers: ``None`` for an entry on its own.
+        """
+        answers = PeerAnswers()
+        if self._knows_all(group):
+            if peers is not None:
+                answers = await peers.find_at_holders(stream, group)
+            is_confirmed = peers is None or answers.is_complete
+            if not is_confirmed and not answers.found:
+                is_confirmed = await self._catches_up()
+            if answers.found or not self._has_one_build(group):
+                return Proof(None, answers)
+            if is_confirmed and self._knows_all(group):
+                return Proof(KnownBy.ONLY_BUILD, answers)
+        if peers is not None:
+            answers = await peers.survey(stream, group)
+        agrees = answers.is_majority and not answers.found
+        is_known = self._has_one_build(group) and self.fleet.build_history.is_trusted
+        return Proof(KnownBy.AGREEMENT if agrees and is_known else None, answers)
+
+    async def _catches_up(self) -> bool:
+        """Return whether all that the store has accepted by now is applied in time."""
+        if self.store is None:
+            return False
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(STORE_REPLY_SECONDS):
+                return await self.store.catch_up()
+        return False
+
+    def _knows_all(self, group: str) -> bool:
+        """Return whether this entry knows of one build, and is certain by itself."""
+        return self._has_one_build(group) and self.fleet.knows_all_builds(group)
+
+    def _has_one_build(self, group: str) -> bool:
+        return len(self.fleet.build_history.builds(group)) == 1
--- a/src/bergamotmast/direct/resume_precedence.py
+++ b/src/bergamotmast/direct/resume_precedence.py
@@ -7,9 +7,9 @@
 from ..policy.resume_limit import ResumeLimit
 from ..policy.resume_limit import resumable_streams
 from .fleet import Fleet
+from .only_build import KnownBy
 from .stream_builds import RECORDED
 from .stream_builds import RETENTION_SECONDS
-from .stream_builds import KnownBy
 
 
 class ResumePrecedence:
--- a/src/bergamotmast/direct/store_watcher.py
+++ b/src/bergamotmast/direct/store_watcher.py
@@ -62,6 +62,7 @@
         reason = self._read_reason(now)
         self.restored = False
         self.fleet.replace_all(result.items, now, reason, result.era)
+        self.fleet.applied.advance(result.revision)
         self._on_reply(now)
         return result.revision
 
@@ -76,6 +77,7 @@
                 self.fleet.remove(event.key, event.mod_revision)
             else:
                 self.fleet.put(KeyValue(event.key, event.value, event.mod_revision))
+            self.fleet.applied.advance(event.mod_revision)
 
     def on_restored(self) -> None:
         """Treat the next read as the first after a restore of the store."""
--- a/src/bergamotmast/direct/stream_build_exchange.py
+++ b/src/bergamotmast/direct/stream_build_exchange.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from ..policy.entry_ranking import first_entries
+from .only_build import PeerAnswers
 from .peer_messages import Address
 from .peer_messages import GroupBuilds
 from .peer_messages import PeerInbox
@@ -23,7 +24,6 @@
 from .peer_messages import StreamBuildCopies
 from .peer_messages import StreamBuildQuery
 from .stream_builds import RETENTION_SECONDS
-from .stream_builds import PeerAnswers
 from .stream_builds import StreamBuild
 from .stream_builds import StreamBuilds
 
@@ -46,6 +46,9 @@
 MAX_WIDE_QUERIES = 10
 """Maximum number of streams that all entries are being asked for at a time."""
 
+SURVEY_WAIT_SECONDS = 0.5
+"""How long a stream waits for the answers of all entries, and for its turn to ask."""
+
 
 @dataclasses.dataclass(eq=False, slots=True)
 class Question:
@@ -66,6 +69,13 @@
     found: bool = False
     ended: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
+    def answers(self, entries: int) -> PeerAnswers:
+        """Return what was answered.
+
+        :param entries: number of all entries, the one that asks included.
+        """
+        return PeerAnswers(entries, len(self.asked), len(self.informed), self.found)
+
     def on_found(self, address: Address) -> None:
         """Record that the record has come."""
         self.informed.add(address)
@@ -92,7 +102,9 @@
     :param send: sends a datagram without blocking.
     :param pending: records that have not been sent yet.
     :param questions: questions on their way, by stream.
-    :param wide_queries: number of streams that all entries are being asked for.
+    :param wide_queries: number of streams that all entries are being asked for, of
+        groups with several builds.
+    :param surveys: limits the number of those of groups with one build.
     """
 
     def __init__(
@@ -109,6 +121,7 @@
         self.pending: list[StreamBuild] = []
         self.questions: dict[int, set[Question]] = {}
         self.wide_queries = 0
+        self.surveys = asyncio.Semaphore(MAX_WIDE_QUERIES)
 
     def listen(self, inbox: PeerInbox) -> None:
         """Receive the messages of other entries."""
@@ -131,26 +144,40 @@
     async def find(self, stream: int, group: str) -> PeerAnswers:
         """Ask other entries for the record of a stream, which is then kept here."""
         query = StreamBuildQuery(stream, group)
+        entries = 1 + len(self._others())
         # One of the first may be the entry that began the stream and has ended.
         first = await self._ask(query, self._first(COPIES + 1, stream))
         if first.found or self.wide_queries >= MAX_WIDE_QUERIES:
-            return self._answers(first)
+            return first.answers(entries)
         self.wide_queries += 1
         try:
             every = await self._ask(query, list(self._others().values()))
         finally:
             self.wide_queries -= 1
-        return self._answers(every)
+        return every.answers(entries)
 
     async def find_at_holders(self, stream: int, group: str) -> PeerAnswers:
         """Ask only the entries that keep the copies, until all have answered."""
         query = StreamBuildQuery(stream, group)
         holders = self._first(COPIES + 1, stream)
-        return self._answers(await self._ask(query, holders, ends_early=True))
+        question = await self._ask(query, holders, ends_early=True)
+        return question.answers(entries=1 + len(self._others()))
 
-    def _answers(self, question: Question) -> PeerAnswers:
-        entries = 1 + len(self._others())
-        return PeerAnswers(entries, len(question.asked), len(question.informed))
+    async def survey(self, stream: int, group: str) -> PeerAnswers:
+        """Ask all entries, until all have answered; some streams at a time."""
+        query = StreamBuildQuery(stream, group)
+        now = asyncio.get_running_loop().time()
+        known = self.stream_builds.fleet.known_entries(now) | dict(self.entries())
+        others = [known[key] for key in known if key != self.own_entry]
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(SURVEY_WAIT_SECONDS):
+                await self.surveys.acquire()
+                try:
+                    question = await self._ask(query, others, ends_early=True)
+                    return question.answers(entries=1 + len(others))
+                finally:
+                    self.surveys.release()
+        return PeerAnswers(entries=1 + len(others))
 
     async def _ask(
         self,
@@ -172,7 +199,7 @@
         questions.add(question)
         try:
             for _ in range(2):
-                for address in addresses:
+                for address in sorted(question.missing):
                     self.send(data, address)
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(QUERY_SECONDS):
--- a/src/bergamotmast/direct/stream_builds.py
+++ b/src/bergamotmast/direct/stream_builds.py
@@ -9,14 +9,19 @@
 import asyncio
 import collections
 import collections.abc as cabc
+import contextlib
 import dataclasses
-import enum
 import logging
 import math
 import typing as t
 
 from ..policy.entry_ranking import stable_hash
 from .fleet import Fleet
+from .only_build import STORE_REPLY_SECONDS
+from .only_build import BuildPeers
+from .only_build import KnownBy
+from .only_build import OnlyBuildProof
+from .only_build import PeerAnswers
 from .unregistered_builds import UNIDENTIFIED_BUILD
 from .unregistered_builds import is_unregistered
 
@@ -43,36 +48,10 @@
     expires_at: float
 
 
-class KnownBy(enum.Enum):
-    """How the build at which a stream began is known."""
-
-    MEMORY = "memory"
-    STORE = "store"
-    PEERS = "peers"
-    ONLY_BUILD = "only build"
-    RECORD = "record"
-    GUESS = "guess"
-    UNKNOWN = "unknown"
-
-
 RECORDED = frozenset({KnownBy.MEMORY, KnownBy.STORE, KnownBy.PEERS})
 """Ways by which a stream itself is known, and not only the builds of its group."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PeerAnswers:
-    """How many other entries have answered a question.
-
-    :param entries: number of all entries, this one included.
-    :param asked: number of those asked.
-    :param informed: number of those that have answered and know builds of the group.
-    """
-
-    entries: int = 1
-    asked: int = 0
-    informed: int = 0
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class FoundBuild:
     """Where a stream can go on.
@@ -86,7 +65,7 @@
     answers: PeerAnswers | None = None
 
 
-class StreamBuildPeers(t.Protocol):
+class StreamBuildPeers(BuildPeers, t.Protocol):
     """Other entries that keep copies of the records."""
 
     def copy(self, records: cabc.Sequence[StreamBuild]) -> None:
@@ -100,13 +79,6 @@
         """
         ...
 
-    async def find_at_holders(self, stream: int, group: str) -> PeerAnswers:
-        """Ask only the entries that would keep copies, once.
-
-        It ends as soon as all of them have answered.
-        """
-        ...
-
 
 class StoredStreamBuilds(t.Protocol):
     """Streams in progress of all entries, as recorded in the store."""
@@ -138,6 +110,7 @@
     :param stored: records that outlast the entries; ``None`` without a store.
     :param check: tells of a group with several registered builds whether streams may
         have begun at one only; ``None`` without a store.
+    :param proof: tells whether a group with one known build has had no other.
     :param records: records by hash, oldest first.
     :param unfinished: records of this entry's streams that callers may yet resume, by
         hash, oldest first.
@@ -151,6 +124,7 @@
         self.peers: StreamBuildPeers | None = None
         self.stored: StoredStreamBuilds | None = None
         self.check: OnlyBuildCheck | None = None
+        self.proof = OnlyBuildProof(fleet)
         self.records: dict[int, StreamBuild] = {}
         self.unfinished: dict[int, StreamBuild] = {}
         self.broken: dict[int, float] = {}
@@ -284,39 +258,26 @@
         """
         stream, group = stable_hash(request_id), groups[0]
         known_by = KnownBy.MEMORY if stream in self.records else KnownBy.STORE
-        record, answers = self.record(stream), None
-        if record is None and self.peers is not None:
-            if self._is_certain(group):
-                # A change may be on its way from a store that has fallen silent.
-                answers = await self.peers.find_at_holders(stream, group)
-            if self.record(stream) is None and not self._is_certain(group):
-                answers = await self.peers.find(stream, group)
-            record, known_by = self.record(stream), KnownBy.PEERS
-        found = await self._locate(stream, groups, record, known_by)
-        return dataclasses.replace(found, answers=answers)
-
-    async def _locate(
-        self,
-        stream: int,
-        groups: cabc.Sequence[str],
-        record: StreamBuild | None,
-        known_by: KnownBy,
-    ) -> FoundBuild:
-        """Return where a stream can go on, by its record or its group's builds."""
-        group = groups[0]
-        is_certain = self._is_certain(group)
+        record, only, answers = self.record(stream), None, None
         if record is not None and record.group in groups:
             return FoundBuild(record, known_by)
+        if self._has_one_build(group):
+            proof = await self.proof.find(stream, group, self.peers)
+            only, answers = proof.known_by, proof.answers
+        record = record or self.record(stream)
+        has_several = not self._has_one_build(group)
+        if record is None and has_several and self.peers is not None:
+            answers = await self.peers.find(stream, group)
+            record = self.record(stream)
+        if record is not None and record.group in groups:
+            return FoundBuild(record, KnownBy.PEERS, answers)
         is_elsewhere = record is not None or set(groups) != {group}
-        if not self._has_one_build(group) and not is_elsewhere:
-            return await self._find_by_record(stream, group)
-        may_guess = is_certain or self.fleet.build_history.is_trusted
-        # Another entry may have told of a build that was not known here.
-        if not self._has_one_build(group) or not may_guess:
-            return FoundBuild(None, KnownBy.UNKNOWN)
+        if has_several and not is_elsewhere:
+            return await self._find_by_record(stream, group, answers)
+        if has_several or only is None:
+            return FoundBuild(None, KnownBy.UNKNOWN, answers)
         (build,) = self.fleet.build_history.builds(group)
-        only = StreamBuild(stream, group, build, math.inf)
-        return FoundBuild(only, KnownBy.ONLY_BUILD if is_certain else KnownBy.GUESS)
+        return FoundBuild(StreamBuild(stream, group, build, math.inf), only, answers)
 
     async def confirm(
         self, request_id: str, group: str, build: str | None
@@ -338,17 +299,28 @@
             record = self.record(stream)
         return build if record is None or record.group != group else record.build
 
-    async def _find_by_record(self, stream: int, group: str) -> FoundBuild:
+    async def _find_by_record(
+        self, stream: int, group: str, answers: PeerAnswers | None
+    ) -> FoundBuild:
         """Find out where a stream began that no entry knows, by the store's record."""
-        build = None if self.check is None else await self.check.only_build(group)
+        build = await self._recorded_build(group)
         record = self.record(stream)
         if record is not None and record.group == group:
-            return FoundBuild(record, KnownBy.PEERS)
+            return FoundBuild(record, KnownBy.PEERS, answers)
         if build is None or self._stored_builds(group) - {build}:
             # Streams have begun at a build that the record does not name yet.
-            return FoundBuild(None, KnownBy.UNKNOWN)
+            return FoundBuild(None, KnownBy.UNKNOWN, answers)
         only = StreamBuild(stream, group, build, math.inf)
-        return FoundBuild(only, KnownBy.RECORD)
+        return FoundBuild(only, KnownBy.RECORD, answers)
+
+    async def _recorded_build(self, group: str) -> str | None:
+        """Return the only build that the store names, if it answers in time."""
+        if self.check is None:
+            return None
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(STORE_REPLY_SECONDS):
+                return await self.check.only_build(group)
+        return None
 
     def _stored_builds(self, group: str) -> set[str]:
         if self.stored is None:
@@ -356,9 +328,6 @@
         known = self.fleet.incarnations
         return {known.build(build) for build in self.stored.builds(group)}
 
-    def _is_certain(self, group: str) -> bool:
-        return self._has_one_build(group) and self.fleet.knows_all_builds(group)
-
     def _has_one_build(self, group: str) -> bool:
         return len(self.fleet.build_history.builds(group)) == 1
 
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -23,6 +23,7 @@
 from .crashes.records import CrashRecordWriter
 from .crashes.trials import Trials
 from .direct import liveness_exchange
+from .direct.build_history import BUILDS_KEY
 from .direct.build_recorder import BuildRecorder
 from .direct.capacity_exchange import CapacityExchange
 from .direct.context import Context
@@ -56,6 +57,8 @@
 from .direct.shares.share_exchange import ShareExchange
 from .direct.shares.tenant_shares import TenantShares
 from .direct.slot_exchange import SlotExchange
+from .direct.store_progress import CatchUp
+from .direct.store_progress import SharedRead
 from .direct.store_watcher import StoreWatcher
 from .direct.stream_build_exchange import StreamBuildExchange
 from .direct.stream_build_log import STREAMS_PREFIX
@@ -220,7 +223,9 @@
         )
         fleet.listeners[STREAMS_PREFIX] = stream_build_log
         context.stream_builds.stored = stream_build_log
-        context.stream_builds.check = RecordCheck(store, fleet.build_history)
+        record_reads = SharedRead(store, BUILDS_KEY)
+        context.stream_builds.check = RecordCheck(record_reads, fleet.build_history)
+        context.stream_builds.proof.store = CatchUp(record_reads, fleet.applied)
         build_recorder = BuildRecorder(
             store,
             fleet.build_history,
--- a/tests/memory_site.py
+++ b/tests/memory_site.py
@@ -14,6 +14,7 @@
 import random
 import typing as t
 
+from bergamotmast.direct.build_history import BUILDS_KEY
 from bergamotmast.direct.build_recorder import BuildRecorder
 from bergamotmast.direct.fleet import Fleet
 from bergamotmast.direct.model import Call
@@ -25,6 +26,9 @@
 from bergamotmast.direct.placer import RequestPlacer
 from bergamotmast.direct.placer import shared_parts
 from bergamotmast.direct.presence import presence_key
+from bergamotmast.direct.record_check import RecordCheck
+from bergamotmast.direct.store_progress import CatchUp
+from bergamotmast.direct.store_progress import SharedRead
 from bergamotmast.direct.store_watcher import StoreWatcher
 from bergamotmast.direct.stream_build_exchange import StreamBuildExchange
 from bergamotmast.direct.stream_build_log import STREAMS_PREFIX
@@ -97,6 +101,9 @@
         )
         fleet.listeners[STREAMS_PREFIX] = log
         self.stream_builds.stored = log
+        reads = SharedRead(self.client, BUILDS_KEY)
+        self.stream_builds.check = RecordCheck(reads, fleet.build_history)
+        self.stream_builds.proof.store = CatchUp(reads, fleet.applied)
         recorder = BuildRecorder(
             self.client,
             fleet.build_history,
--- a/tests/test_build_knowledge.py
+++ b/tests/test_build_knowledge.py
@@ -15,7 +15,7 @@
 from bergamotmast.direct.build_recorder import BuildRecorder
 from bergamotmast.direct.fleet import Fleet
 from bergamotmast.direct.fleet import ReadReason
-from bergamotmast.direct.stream_builds import PeerAnswers
+from bergamotmast.direct.only_build import PeerAnswers
 from bergamotmast.direct.stream_builds import StreamBuild
 from bergamotmast.direct.stream_builds import StreamBuilds
 from bergamotmast.direct.unregistered_builds import unregistered_build
@@ -79,6 +79,8 @@
             self.stream_builds.on_copy(self.record)
         return PeerAnswers()
 
+    find_at_holders = survey = find
+
 
 class Stored(Asked):
     def find(self, stream) -> tuple[str, str] | None:
--- a/tests/test_record_check.py
+++ b/tests/test_record_check.py
@@ -14,10 +14,11 @@
 from bergamotmast.direct.build_history import encode
 from bergamotmast.direct.fleet import Fleet
 from bergamotmast.direct.fleet import ReadReason
+from bergamotmast.direct.only_build import KnownBy
 from bergamotmast.direct.record_check import RecordCheck
+from bergamotmast.direct.store_progress import SharedRead
 from bergamotmast.direct.stream_build_log import STREAMS_PREFIX
 from bergamotmast.direct.stream_build_log import StreamBuildLog
-from bergamotmast.direct.stream_builds import KnownBy
 from bergamotmast.direct.stream_builds import StreamBuild
 from bergamotmast.direct.stream_builds import StreamBuilds
 from bergamotmast.errors import KeyValueUnavailableError
@@ -81,7 +82,7 @@
     items = (*engines, record.item())
     fleet.replace_all(items, fleet.clock(), ReadReason.RESYNC, record.store_era)
     streams = StreamBuilds(fleet)
-    streams.check = RecordCheck(record, fleet.build_history)
+    streams.check = RecordCheck(SharedRead(record, BUILDS_KEY), fleet.build_history)
     return streams
 
 
--- a/tests/test_recorded_builds.py
+++ b/tests/test_recorded_builds.py
@@ -15,9 +15,9 @@
 from bergamotmast.direct.build_history import encode
 from bergamotmast.direct.fleet import Fleet
 from bergamotmast.direct.fleet import ReadReason
+from bergamotmast.direct.only_build import KnownBy
 from bergamotmast.direct.placer import RequestPlacer
 from bergamotmast.direct.presence import presence_key
-from bergamotmast.direct.stream_builds import KnownBy
 from bergamotmast.direct.stream_builds import StreamBuilds
 from bergamotmast.platform.directory import PlatformDirectory
 from bergamotmast.policy.entry_ranking import first_entries
--- a/tests/test_stream_rounds.py
+++ b/tests/test_stream_rounds.py
@@ -14,8 +14,8 @@
 import pytest
 from hypothesis import strategies as st
 
+from bergamotmast.direct.only_build import KnownBy
 from bergamotmast.direct.stream_builds import FoundBuild
-from bergamotmast.direct.stream_builds import KnownBy
 from bergamotmast.direct.stream_builds import StreamBuild
 from bergamotmast.direct.stream_builds import StreamBuilds
 from memory_site import GROUP
@@ -212,13 +212,13 @@
         builds = sorted(self.fleet.registered_builds(GROUP))
         if found.record is not None or not builds:
             return found
-        return FoundBuild(StreamBuild(0, GROUP, builds[0], 0.0), KnownBy.GUESS)
+        return FoundBuild(StreamBuild(0, GROUP, builds[0], 0.0), KnownBy.AGREEMENT)
 
 
 def test_guess_is_found_out(monkeypatch):
     """Guards against rounds that bring no stream into question."""
     monkeypatch.setattr("memory_site.StreamBuilds", Guess)
-    with pytest.raises(AssertionError, match="GUESS"):
+    with pytest.raises(AssertionError, match="AGREEMENT"):
         test_kills_and_releases_misplace_no_stream()
 
 
