Record a build only once all entries may know it

Callers could still get a stream of two builds where several entries are cut off together: the entry that is asked has not noticed that the store is silent, and those that would hold a copy, all on its side of the cut, answer that they know of one build.

Cause: streams begin at a build as soon as the store's record names it, while an entry takes itself to be in sync until its watch is overdue, up to 2.7 s later.

The entry that records a build now tells all others first and writes as soon as they have answered. Where some don't, it waits until they can't take their watch for alive any more: 0.6 s, plus the pause between watch calls in larger fleets. An entry whose last word from the store is older than 0.5 s plus that pause asks the store, even if all holders answer. A group whose recorded builds have no upstream left, and streams that have begun at a build, don't wait.

It also makes the agreement of more than half of all entries a proof: more than half know a build before streams begin at it.

Where all answer, the build is used within 0.2 s as before.

--- a/src/bergamotmast/direct/build_history.py
+++ b/src/bergamotmast/direct/build_history.py
@@ -310,6 +310,21 @@
                 wanted[group] = builds
         return wanted
 
+    def additions(self, builds: Builds) -> frozenset[tuple[str, str]]:
+        """Return the groups and builds that a new record names and the present one not.
+
+        Without a record of a group, an upstream of a recorded build, or a record from
+        after the last restore, streams begin at any build.
+        """
+        if self.is_restored or not self.is_trusted:
+            return frozenset()
+        return frozenset(
+            (group, build)
+            for group, names in builds.items()
+            if self.recorded_builds(group).intersection(self.registered(group))
+            for build in names - self.recorded_builds(group)
+        )
+
     @property
     def wanted_era(self) -> int:
         """The era in which the record is complete once it is what it should be."""
--- a/src/bergamotmast/direct/build_recorder.py
+++ b/src/bergamotmast/direct/build_recorder.py
@@ -1,5 +1,9 @@
 """Writes the record of the builds of each group to the store.
 
+Streams begin at a build once the record names it, and entries that don't hear of it go
+on with streams as if there were no such build, until they notice that they hear nothing
+of the store. All entries are therefore told of a build before it is recorded.
+
 The record is compared with what it should be whenever either changes, so that a write
 that was lost, refused, carried out late or undone by a restore is made up for.
 """
@@ -9,13 +13,17 @@
 import asyncio
 import collections.abc as cabc
 import contextlib
+import dataclasses
+import itertools
 import logging
 import random
+import typing as t
 
 from ..backoff import Backoff
 from ..errors import PortError
 from ..policy.entry_ranking import first_entries
 from ..policy.entry_ranking import stable_hash
+from ..policy.watch_pause import max_reply_age
 from ..ports import Compare
 from ..ports import KeyValueService
 from ..ports import Put
@@ -35,12 +43,49 @@
 MAX_RETRY_DELAY_SECONDS = 2.0
 """Maximum delay between two attempts while the store is unavailable."""
 
+NOTICE_SECONDS = 0.1
+"""Time added to that after which an entry that hears nothing knows that it doesn't."""
+
+ANNOUNCEMENT_SECONDS = 0.1
+"""Interval between two announcements of a build to entries that have not answered."""
+
+
+MAX_LOGGED_ENTRIES = 10
+
+
+class BuildAnnouncer(t.Protocol):
+    """The other entries, which are told of builds."""
+
+    async def announce(
+        self, group: str, build: str, entries: cabc.Set[str] | None
+    ) -> frozenset[str]:
+        """Tell entries of a build; return the keys of those that have not answered.
+
+        :param entries: keys of the entries; ``None`` for all others.
+        """
+        ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Announcement:
+    """A build of which the other entries are told before it is recorded.
+
+    :param until: from when on it is recorded all the same; a point in time.
+    :param missing: keys of the entries that have not answered; ``None`` before the
+        first announcement.
+    """
+
+    until: float
+    missing: frozenset[str] | None = None
+
 
 class BuildRecorder:
     """Keeps the record up to date.
 
     :param groups: returns the groups whose streams can be resumed.
     :param entries: returns the keys of all entries, this one's included.
+    :param announcer: ``None`` for an entry on its own.
+    :param announcements: of builds that are to be recorded, by group and build.
     """
 
     def __init__(
@@ -51,9 +96,12 @@
         groups: cabc.Callable[[], cabc.Iterable[str]],
         entries: cabc.Callable[[], cabc.Iterable[str]],
         rng: random.Random,
+        announcer: BuildAnnouncer | None = None,
     ) -> None:
         self.kv = kv
         self.history = history
+        self.announcer = announcer
+        self.announcements: dict[tuple[str, str], Announcement] = {}
         self.own_entry = own_entry
         self.groups = groups
         self.entries = entries
@@ -68,11 +116,53 @@
             self.history.changed.clear()
             record = self.history.pending(self.groups())
             if record is not None and not self._writes_at_once():
+                self._unknown_to_others(record[0])
                 await asyncio.sleep(STANDBY_SECONDS)
-                record = self.history.pending(self.groups())
-            while record is not None:
-                await self._write(*record)
-                record = self.history.pending(self.groups())
+            while (record := self.history.pending(self.groups())) is not None:
+                if unknown := self._unknown_to_others(record[0]):
+                    await self._announce(unknown)
+                else:
+                    await self._write(*record)
+
+    def _unknown_to_others(self, builds: Builds) -> set[tuple[str, str]]:
+        """Return the groups and builds of a new record that not all entries know yet.
+
+        Streams that have begun at a build don't wait for entries that don't answer.
+        """
+        if self.announcer is None or self.history.has_unrecorded_streams:
+            return set()
+        now = self.history.clock()
+        seconds = NOTICE_SECONDS + max_reply_age(len(list(self.entries())))
+        if not self._is_first():
+            seconds += STANDBY_SECONDS
+        self.announcements = {
+            build: self.announcements.get(build, Announcement(now + seconds))
+            for build in self.history.additions(builds)
+        }
+        return {
+            build
+            for build, announcement in self.announcements.items()
+            if now < announcement.until and announcement.missing != frozenset()
+        }
+
+    async def _announce(self, builds: cabc.Iterable[tuple[str, str]]) -> None:
+        """Tell all entries of builds that are to be recorded."""
+        assert self.announcer is not None
+        if not self._is_first():
+            await asyncio.sleep(ANNOUNCEMENT_SECONDS)
+            return
+        for group, build in builds:
+            known = self.announcements[group, build]
+            missing = await self.announcer.announce(group, build, known.missing)
+            announcement = dataclasses.replace(known, missing=missing)
+            self.announcements[group, build] = announcement
+            if missing:
+                await asyncio.sleep(ANNOUNCEMENT_SECONDS)
+
+    def _not_told(self) -> list[str]:
+        """Return the entries that have not answered to the last announcements."""
+        missing = (each.missing or () for each in self.announcements.values())
+        return sorted(set(itertools.chain(*missing)))[:MAX_LOGGED_ENTRIES]
 
     def _seconds_to_check(self) -> float:
         """Return after how long the record is compared without a change."""
@@ -112,5 +202,6 @@
                 "groups": {group: sorted(names) for group, names in builds.items()},
                 "era": era,
                 "revision": result.revision,
+                "not_told": self._not_told(),
             },
         )
--- a/src/bergamotmast/direct/only_build.py
+++ b/src/bergamotmast/direct/only_build.py
@@ -13,11 +13,15 @@
 import enum
 import typing as t
 
+from ..policy.watch_pause import max_reply_age
 from .fleet import Fleet
 
 STORE_REPLY_SECONDS = 0.5
-"""How long an entry waits for the store; callers find another entry sooner than that a
-silent store is noticed."""
+"""How long an entry waits for the store before it refuses a stream, which the caller
+then resumes at another entry."""
+
+USUAL_REPLY_SECONDS = 0.05
+"""Time in which a store that is not slow answers."""
 
 
 class KnownBy(enum.Enum):
@@ -110,22 +114,41 @@
 
         :param peers: ``None`` for an entry on its own.
         """
-        answers = PeerAnswers()
-        if self._knows_all(group):
-            if peers is not None:
-                answers = await peers.find_at_holders(stream, group)
-            is_confirmed = peers is None or answers.is_complete
-            if not is_confirmed and not answers.found:
-                is_confirmed = await self._catches_up()
-            if answers.found or not self._has_one_build(group):
-                return Proof(None, answers)
-            if is_confirmed and self._knows_all(group):
-                return Proof(KnownBy.ONLY_BUILD, answers)
-        if peers is not None:
-            answers = await peers.survey(stream, group)
-        agrees = answers.is_majority and not answers.found
-        is_known = self._has_one_build(group) and self.fleet.build_history.is_trusted
-        return Proof(KnownBy.AGREEMENT if agrees and is_known else None, answers)
+        if not self._knows_all(group):
+            everyone = peers and await peers.survey(stream, group)
+            return self._agreement(group, everyone or PeerAnswers())
+        if peers is None:
+            return self._certainty(group, PeerAnswers())
+        answers = await peers.find_at_holders(stream, group)
+        if answers.found or (answers.is_complete and self._is_current()):
+            return self._certainty(group, answers)
+        reading = asyncio.create_task(self._catches_up())
+        try:
+            await asyncio.wait({reading}, timeout=USUAL_REPLY_SECONDS)
+            if reading.done() and reading.result():
+                return self._certainty(group, answers)
+            # The store may have fallen silent.
+            agreement = self._agreement(group, await peers.survey(stream, group))
+            if agreement.known_by is None and await reading:
+                return self._certainty(group, agreement.answers)
+            return agreement
+        finally:
+            reading.cancel()
+
+    def _certainty(self, group: str, answers: PeerAnswers) -> Proof:
+        """Return what follows where this entry is known to hear all changes."""
+        is_known = self._knows_all(group) and not answers.found
+        return Proof(KnownBy.ONLY_BUILD if is_known else None, answers)
+
+    def _agreement(self, group: str, answers: PeerAnswers) -> Proof:
+        """Return what follows from the answers of all entries that can be reached."""
+        is_known = (
+            answers.is_majority
+            and not answers.found
+            and self._has_one_build(group)
+            and self.fleet.build_history.is_trusted
+        )
+        return Proof(KnownBy.AGREEMENT if is_known else None, answers)
 
     async def _catches_up(self) -> bool:
         """Return whether all that the store has accepted by now is applied in time."""
@@ -136,6 +159,11 @@
                 return await self.store.catch_up()
         return False
 
+    def _is_current(self) -> bool:
+        """Return whether the store has replied so lately that the watch is alive."""
+        age = self.fleet.clock() - self.fleet.build_history.heard_at
+        return age <= max_reply_age(1 + len(self.fleet.entries))
+
     def _knows_all(self, group: str) -> bool:
         """Return whether this entry knows of one build, and is certain by itself."""
         return self._has_one_build(group) and self.fleet.knows_all_builds(group)
--- a/src/bergamotmast/direct/stream_build_exchange.py
+++ b/src/bergamotmast/direct/stream_build_exchange.py
@@ -16,6 +16,8 @@
 import msgspec
 
 from ..policy.entry_ranking import first_entries
+from ..policy.entry_ranking import stable_hash
+from .build_history import RETENTION_SECONDS as BUILD_RETENTION_SECONDS
 from .only_build import PeerAnswers
 from .peer_messages import Address
 from .peer_messages import GroupBuilds
@@ -56,7 +58,8 @@
 
     :param asked: addresses that are asked.
     :param missing: addresses that have not answered yet.
-    :param informed: addresses that have answered and know builds of the group.
+    :param build: the build that is asked for; ``None`` for any of the group.
+    :param informed: addresses that have answered and know such a build.
     :param found: whether the record has come.
     :param ends_early: whether answers of all that don't know the stream end it.
     :param ended: set once nothing is waited for.
@@ -65,6 +68,7 @@
     asked: frozenset[Address]
     missing: set[Address]
     ends_early: bool
+    build: str | None = None
     informed: set[Address] = dataclasses.field(default_factory=set)
     found: bool = False
     ended: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
@@ -82,13 +86,13 @@
         self.found = True
         self.ended.set()
 
-    def on_unknown(self, address: Address, *, is_informed: bool) -> None:
+    def on_unknown(self, address: Address, builds: cabc.Container[str]) -> None:
         """Record that an entry doesn't know the stream.
 
-        :param is_informed: whether it knows builds of the group.
+        :param builds: those of the group that it knows.
         """
         self.missing.discard(address)
-        if is_informed:
+        if builds if self.build is None else self.build in builds:
             self.informed.add(address)
         if self.ends_early and not self.missing:
             self.ended.set()
@@ -97,6 +101,8 @@
 class StreamBuildExchange:
     """Implements :class:`~bergamotmast.direct.stream_builds.StreamBuildPeers`.
 
+    Also implements :class:`~bergamotmast.direct.build_recorder.BuildAnnouncer`.
+
     :param own_entry: key under which this entry registers.
     :param entries: returns the addresses of all entries, by their keys.
     :param send: sends a datagram without blocking.
@@ -179,19 +185,38 @@
                     self.surveys.release()
         return PeerAnswers(entries=1 + len(others))
 
+    async def announce(
+        self, group: str, build: str, entries: cabc.Set[str] | None
+    ) -> frozenset[str]:
+        """Tell entries of a build; return the keys of those that have not answered."""
+        others = self._others()
+        if entries is not None:
+            others = {key: others[key] for key in others if key in entries}
+        notice = GroupBuilds(group, {build: BUILD_RETENTION_SECONDS})
+        data = msgspec.msgpack.encode(notice)
+        for address in others.values():
+            self.send(data, address)
+        # The answers list the builds that they know by now.
+        query = StreamBuildQuery(stable_hash(f"{group} {build}"), group)
+        addresses = set(others.values())
+        question = await self._ask(query, addresses, ends_early=True, build=build)
+        return frozenset(k for k in others if others[k] not in question.informed)
+
     async def _ask(
         self,
         query: StreamBuildQuery,
         addresses: cabc.Collection[Address],
         *,
         ends_early: bool = False,
+        build: str | None = None,
     ) -> Question:
         """Send a query, twice if need be; return it with what was answered.
 
         :param ends_early: whether to end once all have answered; otherwise they are
             asked again, as the record may be on its way to them.
+        :param build: the build of which they should know; ``None`` for any.
         """
-        question = Question(frozenset(addresses), set(addresses), ends_early)
+        question = Question(frozenset(addresses), set(addresses), ends_early, build)
         if not addresses:
             return question
         data = msgspec.msgpack.encode(query)
@@ -257,4 +282,4 @@
         for build, seconds in message.seconds.items():
             self.stream_builds.fleet.build_history.note(message.group, build, seconds)
         for question in self.questions.get(message.stream, ()):
-            question.on_unknown(address, is_informed=bool(message.seconds))
+            question.on_unknown(address, message.seconds)
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -233,6 +233,7 @@
             fleet.stream_groups,
             lambda: fleet.entries_with(presence_key(settings.name), clock()),
             rng,
+            stream_build_exchange,
         )
         if tenant_shares.is_on(settings.tenant_shares, features):
             context.shares = _tenant_shares(settings, context, peers.send)
--- a/src/bergamotmast/policy/watch_pause.py
+++ b/src/bergamotmast/policy/watch_pause.py
@@ -21,6 +21,9 @@
 """Upper bound on the pause. Entries must stop using a leaving upstream within a limit
 that is never shorter than two seconds."""
 
+REPLY_SECONDS = 0.5
+"""How long a watch call may wait for changes before it may have been cut off."""
+
 
 def watch_pause(entries: int) -> float:
     """Return the delay, in seconds, before the next watch call.
@@ -28,3 +31,14 @@
     :param entries: number of entries that watch the store.
     """
     return min(MAX_PAUSE_SECONDS, entries / MAX_WATCH_CALLS_PER_SECOND)
+
+
+def max_reply_age(entries: int) -> float:
+    """Return for how many seconds a watch is current after the store's last reply.
+
+    Upstreams rewrite their registrations about once a second, so that a watch receives
+    changes all the time.
+
+    :param entries: number of entries that watch the store.
+    """
+    return REPLY_SECONDS + watch_pause(entries)
--- a/tests/memory_site.py
+++ b/tests/memory_site.py
@@ -111,6 +111,7 @@
             fleet.stream_groups,
             lambda: fleet.entries_with(key, clock()),
             self.rng,
+            exchange,
         )
         watcher = StoreWatcher(self.client, fleet, self.rng)
         self.client.restores.on_restored.append(watcher.on_restored)
--- a/tests/test_builds_behind_a_cut.py
+++ b/tests/test_builds_behind_a_cut.py
@@ -11,10 +11,14 @@
 
 import pytest
 
+from bergamotmast.direct.build_history import BUILDS_KEY
+from bergamotmast.direct.presence import presence_key
+from bergamotmast.policy.entry_ranking import first_entries
+from bergamotmast.policy.entry_ranking import stable_hash
 from memory_site import Site
 from memory_site import Stream
 
-UNNOTICED_SECONDS = 0.2
+UNNOTICED_SECONDS = 0.1
 """Time after a cut in which an entry still takes itself to be in sync."""
 
 NOTICED_SECONDS = 4.0
@@ -79,12 +83,10 @@
     """Guards against a watch that is not overdue yet, taken for an answer."""
     with site(entries, "v1") as found:
         last = found.names[-1]
-        found.cut_off(last)
+        found.add_build("v1")
         found.run(0.01)
-        found.add_build("v2")
-        found.run(0.1)
-        streams = begin(found, others(found, last))
-        found.run(0.1)
+        found.cut_off(last)
+        streams = release(found, others(found, last))
         assert found.entries[last].fleet.in_sync
         assert resume(found, streams, last)[1] == 0
 
@@ -95,15 +97,48 @@
     """Guards against answers of entries that hear as little as the one that asks."""
     with site(entries, "v1") as found:
         parted = found.names[-cut:]
+        found.add_build("v1")
+        found.run(0.01)
         found.cut_off(*parted)
-        found.add_build("v2")
+        streams = release(found, others(found, *parted))
         found.run(seconds)
-        streams = begin(found, others(found, *parted))
-        found.run(0.1)
         for name in parted:
             assert resume(found, streams, name)[1] == 0
 
 
+@pytest.mark.parametrize("seconds", [0.2, 0.4, 0.6, 0.8])
+def test_build_is_recorded_once_all_entries_may_know_it(seconds):
+    """Guards against holders that have not noticed a cut either, as a build is used."""
+    with site(9, "v1") as found:
+        keys = {presence_key(name) for name in found.names}
+        (first,) = first_entries(1, keys, stable_hash(BUILDS_KEY))
+        parted = [name for name in found.names if presence_key(name) != first][-4:]
+        found.add_build("v1")
+        found.run(0.01)
+        found.cut_off(*parted)
+        found.add_build("v2")
+        found.run(seconds)
+        streams = begin(found, others(found, *parted), 80)
+        keys.remove(presence_key(parted[0]))
+        holders = {presence_key(name) for name in parted[1:]}
+        held = [
+            stream
+            for stream in streams
+            if set(first_entries(3, keys, stable_hash(stream.request_id))) == holders
+        ]
+        assert len(held) >= 3
+        assert resume(found, held, parted[0])[1] == 0
+
+
+def test_build_is_recorded_at_once_where_all_entries_answer():
+    """Guards against a new build that is used late while all is calm."""
+    with site(9, "v1") as found:
+        found.add_build("v2")
+        found.run(0.2)
+        builds = {stream.build for stream in begin(found, found.names)}
+        assert builds == {"v1", "v2"}
+
+
 @pytest.mark.parametrize("store", ["silent", "refused"])
 @pytest.mark.parametrize("seconds", [UNNOTICED_SECONDS, NOTICED_SECONDS])
 def test_entry_without_the_store_asks_the_others(store, seconds):
@@ -184,6 +219,9 @@
     """Guards against a call for each stream that is resumed while all is calm."""
     with site(4, "v1") as found:
         streams = begin(found, found.names)
+        # Engines rewrite their registrations about once a second.
+        found.add_build("v1")
+        found.run(0.1)
         calls = {name: len(found.entries[name].client.calls) for name in found.names}
         for name in found.names:
             assert resume(found, streams, name) == (len(streams), 0)
