Tests of odd entries in the store, listed as failing

Another writer's entries in the store, seen on:

- A usage record that can't be read is taken for an empty one: the next holder reports two windows again, with 5 requests for 10, as the holder before has been killed.
A nested one ends the duty.
- An unexpected error in the watch shuts the entry down.

--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -19,6 +19,7 @@
 from bergamotmast.bounded_log import BoundedJsonHandler
 from bergamotmast.direct import role_planner
 from bergamotmast.direct.events import EventSplitter
+from bergamotmast.direct.fleet import Fleet
 from bergamotmast.direct.presence import PRESENCE_PREFIX
 from bergamotmast.direct.presence import Presence
 from bergamotmast.direct.role_planner import RolePlanner
@@ -159,6 +160,42 @@
     assert int(order.headers["x-fencing-token"]) >= 1
 
 
+async def test_error_in_the_watch_does_not_end_the_entry(monkeypatch):
+    """Guards against an entry that ends, or follows no change, after such an error."""
+    errors = iter([RuntimeError("unforeseen"), KeyError("key"), RecursionError()])
+
+    def failing(method):
+        def call(self, *arguments):
+            method(self, *arguments)
+            if arguments[0] != "op/config" and (error := next(errors, None)):
+                raise error
+
+        return call
+
+    for name in ("remove", "replace_all"):
+        monkeypatch.setattr(Fleet, name, failing(getattr(Fleet, name)))
+    replica, late = Replica("i-1", answer()), Replica("i-2", answer(200, b"late"))
+    async with Store() as store, replica, late:
+        store.put("op/config", config())
+        store.put("servers/i-1", registration(replica))
+        store.put("other", b"")
+        async with entry_in_this_process(store) as (port, task):
+            await connect_soon(port)
+            await asyncio.sleep(1.5)
+            store.remove("other")
+            await asyncio.sleep(1.5)
+            store.put("servers/i-1", registration(replica) | {"state": "draining"})
+            store.put("servers/i-2", registration(late))
+            await asyncio.sleep(1.0)
+            assert not task.done()
+            assert next(errors, None) is None
+            reader, writer = await connect_soon(port)
+            writer.write(request("/order/x"))
+            got = await asyncio.wait_for(read_answer(reader), 2)
+            writer.close()
+            assert got.body == b"late"
+
+
 UNREADABLE = {
     HEAD_KEY: b"no plan",
     engine_key("i-9"): b"no plan",
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -461,6 +461,40 @@
     assert [r.window for r in service.arrived].count(FIRST) == 1
 
 
+UNREADABLE_RECORDS = [b"", b"\xff", b"[]", b'{"more":' + b"[" * 5_000]
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("value", UNREADABLE_RECORDS, ids=["", "ff", "list", "deep"])
+async def test_unreadable_record_does_not_allow_a_second_report(value):
+    """Guards against a record that can't be read, taken for one of no window."""
+    network, service = Network("ab"), Service()
+    running = asyncio.create_task(reporter(service, network, "a").run(1))
+    for _ in range(12):
+        network.count("a", "t")
+        network.count("b", "t")
+        await asyncio.sleep(1.0)
+    running.cancel()
+    before = [report.window for report in service.arrived]
+    assert before == [FIRST, FIRST + 1]
+    written, service.value = service.value, value
+    service.revision += 1
+    network.down.add("a")
+    running = asyncio.create_task(reporter(service, network, "b").run(2))
+    await asyncio.sleep(20.0)
+    counts = {(r.window, str(r.counts)) for r in service.arrived}
+    assert len(counts) == len(before)
+    assert [report.window for report in service.arrived] == before
+    assert service.value == value
+    service.value = written
+    service.revision += 1
+    await asyncio.sleep(10.0)
+    running.cancel()
+    windows = [report.window for report in service.arrived]
+    assert len(set(windows)) == len(windows) > len(before)
+    assert windows == sorted(windows)
+
+
 @pytest.mark.looptime
 @pytest.mark.parametrize("ahead", [12.0, 3600.0])
 async def test_holder_whose_clock_is_ahead_sets_no_window_too_early(ahead):
