Decode untrusted bytes in one place, with one error

Operators saw an entry end as it started, with a traceback, as long as a deeply nested value stood in the record of builds, or in that of a crash's parts; a running one logged a traceback, and so it did for each nested datagram.

Cause: each reader called the library's decoders and handled the errors that it knew of. Of a nested value, also in a field that nobody reads, the error is RecursionError, which is no msgspec.DecodeError. Two of 30 readers handled it. Fleet.put logs what it doesn't expect; the first read of all keys (replace_all) does not, and ended the process.

decoding.py is now the only module that calls the decoders; every error becomes DecodingError. A test looks for any other decoder in the package (but for those of two files that an operator gives a command).

Before: two of seven nested records keep an entry from starting, a nested datagram raises. After: none of them; 20 types, 30 odd values and 200 generated documents raise DecodingError or decode.

--- a/src/bergamotmast/adapters/engine_http.py
+++ b/src/bergamotmast/adapters/engine_http.py
@@ -9,6 +9,9 @@
 import aiohttp
 import msgspec
 
+from ..decoding import DecodingError
+from ..decoding import JsonDecoder
+from ..decoding import decode_json
 from ..errors import NotReachedError
 from ..errors import OrderRefusedError
 from ..errors import PortError
@@ -62,7 +65,7 @@
     kv_used: int
 
 
-_EVENT = msgspec.json.Decoder(CompletionEvent)
+_EVENT = JsonDecoder[CompletionEvent](CompletionEvent)
 
 
 class HttpEngine:
@@ -125,8 +128,8 @@
     async def _get(self, path: str, kind: type[_T]) -> _T:
         data = await self._call("GET", path)
         try:
-            return msgspec.json.decode(data, type=kind)
-        except msgspec.DecodeError as error:
+            return decode_json(data, kind)
+        except DecodingError as error:
             raise ReplyLostError(f"{path}: {error}") from error
 
     async def _call(self, method: str, path: str, data: bytes | None = None) -> bytes:
@@ -159,7 +162,7 @@
     try:
         event = _EVENT.decode(data)
         choice = event.choices[0]
-    except (msgspec.DecodeError, IndexError) as error:
+    except (DecodingError, IndexError) as error:
         raise PortError(f"an event is malformed: {error}") from error
     return TokenChunk(
         event.token_index,
--- a/src/bergamotmast/adapters/instance_list_http.py
+++ b/src/bergamotmast/adapters/instance_list_http.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import aiohttp
-import msgspec
 
+from ..decoding import DecodingError
+from ..decoding import JsonDecoder
 from ..errors import ReplyLostError
 from ..model import InstanceInfo
 from .http_calls import exchange
@@ -12,7 +13,7 @@
 CALL_TIMEOUT_SECONDS = 2.0
 """Timeout of a call."""
 
-_INSTANCES = msgspec.json.Decoder(tuple[InstanceInfo, ...])
+_INSTANCES = JsonDecoder[tuple[InstanceInfo, ...]](tuple[InstanceInfo, ...])
 
 
 class HttpInstanceList:
@@ -39,5 +40,5 @@
             data = await response.read()
         try:
             return _INSTANCES.decode(data)
-        except msgspec.DecodeError as error:
+        except DecodingError as error:
             raise ReplyLostError(f"the instance list: {error}") from error
--- a/src/bergamotmast/adapters/json_bodies.py
+++ b/src/bergamotmast/adapters/json_bodies.py
@@ -7,6 +7,9 @@
 
 import msgspec
 
+from ..decoding import DecodingError
+from ..decoding import decode_json
+from ..errors import BergamotmastError
 from ..errors import KeyValueOutcomeUnknownError
 from ..errors import KeyValueUnavailableError
 from ..errors import PortError
@@ -19,16 +22,16 @@
 
 
 def decode_body(
-    body: bytes, kind: type[_StructT], failure: type[PortError], subject: str
+    body: bytes, kind: type[_StructT], failure: type[BergamotmastError], subject: str
 ) -> _StructT:
     """Decode a body.
 
     :param subject: what the body is, for the error's message.
-    :raises PortError: of the class ``failure``, if it can't be decoded.
+    :raises BergamotmastError: of the class ``failure``, if it can't be decoded.
     """
     try:
-        return msgspec.json.decode(body, type=kind)
-    except msgspec.DecodeError as error:
+        return decode_json(body, kind)
+    except DecodingError as error:
         raise failure(f"{subject} can't be decoded: {error}") from error
 
 
--- a/src/bergamotmast/adapters/key_value_http.py
+++ b/src/bergamotmast/adapters/key_value_http.py
@@ -8,6 +8,8 @@
 import aiohttp
 import msgspec
 
+from ..decoding import DecodingError
+from ..decoding import decode_json
 from ..errors import KeyValueOutcomeUnknownError
 from ..errors import KeyValueUnavailableError
 from ..errors import LeaseLapsedError
@@ -106,9 +108,9 @@
             async with self._post("/v3/watch", body, None) as response:
                 _raise_for_error(response.status)
                 async for line in split_stream(response, b"\n"):
-                    for event in read_watch_events(msgspec.json.decode(line)):
+                    for event in read_watch_events(decode_json(line, JsonObject)):
                         yield event
-        except (NotReachedError, ReplyLostError, msgspec.DecodeError) as error:
+        except (NotReachedError, ReplyLostError, DecodingError) as error:
             raise KeyValueUnavailableError(str(error)) from error
         raise KeyValueUnavailableError("the watch ended")
 
@@ -116,7 +118,7 @@
         """Send a read, any failure of which means that the service is unavailable."""
         try:
             return await self._call(path, body)
-        except (NotReachedError, ReplyLostError, msgspec.DecodeError) as error:
+        except (NotReachedError, ReplyLostError, DecodingError) as error:
             raise KeyValueUnavailableError(str(error)) from error
 
     async def _write(self, path: str, body: JsonObject) -> JsonObject:
@@ -125,14 +127,14 @@
             return await self._call(path, body)
         except NotReachedError as error:
             raise KeyValueUnavailableError(error.message) from error
-        except (ReplyLostError, msgspec.DecodeError) as error:
+        except (ReplyLostError, DecodingError) as error:
             raise KeyValueOutcomeUnknownError(str(error)) from error
 
     async def _call(self, path: str, body: JsonObject) -> JsonObject:
         data = msgspec.json.encode(body)
         async with self._post(path, data, CALL_TIMEOUT_SECONDS) as response:
             _raise_for_error(response.status)
-            return msgspec.json.decode(await response.read(), type=JsonObject)
+            return decode_json(await response.read(), JsonObject)
 
     def _post(
         self, path: str, data: bytes, total: float | None
--- a/src/bergamotmast/adapters/weights_http.py
+++ b/src/bergamotmast/adapters/weights_http.py
@@ -7,6 +7,8 @@
 import aiohttp
 import msgspec
 
+from ..decoding import DecodingError
+from ..decoding import decode_json
 from ..errors import PortError
 from ..errors import ReplyLostError
 from .http_calls import exchange
@@ -55,8 +57,8 @@
     async def _store(self) -> WeightStoreBody:
         data = await self._call("GET", "/store", CALL_TIMEOUT_SECONDS)
         try:
-            return msgspec.json.decode(data, type=WeightStoreBody)
-        except msgspec.DecodeError as error:
+            return decode_json(data, WeightStoreBody)
+        except DecodingError as error:
             raise ReplyLostError(f"the weight store: {error}") from error
 
     async def _call(self, method: str, path: str, total: float | None) -> bytes:
--- a/src/bergamotmast/bench/capacity.py
+++ b/src/bergamotmast/bench/capacity.py
@@ -29,6 +29,7 @@
 
 from ..config.document import encode_configuration
 from ..config.holder import ConfigHolder
+from ..decoding import JsonDecoder
 from ..history import NullHistory
 from ..model import InstanceInfo
 from ..policy.subset import SUBSET_SIZE
@@ -270,7 +271,7 @@
     """Measure the size of the instance list and the time to decode it."""
     fleet = IdleFleet(MIN_TENANT_COUNT, 0, count)
     data = msgspec.json.encode(await fleet.list.instances())
-    decoder = msgspec.json.Decoder(tuple[InstanceInfo, ...])
+    decoder = JsonDecoder[tuple[InstanceInfo, ...]](tuple[InstanceInfo, ...])
     started_at = time.process_time()
     for _ in range(REPETITIONS):
         decoder.decode(data)
--- a/src/bergamotmast/bench/fleet.py
+++ b/src/bergamotmast/bench/fleet.py
@@ -9,6 +9,8 @@
 
 from ..config.document import RequestClass
 from ..config.document import Tenant
+from ..decoding import DecodingError
+from ..decoding import decode_json
 from ..model import Priority
 from ..model import Role
 from ..model import UpstreamKind
@@ -154,11 +156,11 @@
     try:
         data = path.read_bytes()
         if path.suffix == ".json":
-            return msgspec.json.decode(data, type=Fleet)
+            return decode_json(data, Fleet)
         return msgspec.yaml.decode(data, type=Fleet)
     except OSError as error:
         raise TraceError(f"--fleet: {path}: {error.strerror}.") from error
-    except msgspec.MsgspecError as error:
+    except (DecodingError, msgspec.MsgspecError) as error:
         raise TraceError(f"--fleet: {path}: {error}.") from error
 
 
--- a/src/bergamotmast/bench/sockets_client.py
+++ b/src/bergamotmast/bench/sockets_client.py
@@ -10,6 +10,7 @@
 import aiohttp
 import msgspec
 
+from ..decoding import JsonDecoder
 from ..errors import BergamotmastError
 from ..model import GenerateRequest
 from ..model import Priority
@@ -35,7 +36,7 @@
     choices: list[_Choice]
 
 
-_DECODER = msgspec.json.Decoder(_Event)
+_DECODER = JsonDecoder[_Event](_Event)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/bergamotmast/bench/trace.py
+++ b/src/bergamotmast/bench/trace.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from ..decoding import DecodingError
+from ..decoding import JsonDecoder
 from ..errors import BergamotmastError
 
 
@@ -46,7 +48,7 @@
 
     :raises TraceError: naming the first invalid line.
     """
-    decoder = msgspec.json.Decoder(TraceRequest)
+    decoder = JsonDecoder[TraceRequest](TraceRequest)
     requests = []
     try:
         lines = path.read_bytes().splitlines()
@@ -57,7 +59,7 @@
             continue
         try:
             requests.append(decoder.decode(line))
-        except msgspec.MsgspecError as error:
+        except DecodingError as error:
             raise TraceError(f"--trace: {path}, line {number}: {error}.") from error
     return tuple(sorted(requests, key=lambda r: r.at))
 
--- a/src/bergamotmast/commands/standin.py
+++ b/src/bergamotmast/commands/standin.py
@@ -8,8 +8,8 @@
 import pathlib
 import signal
 
-import msgspec
-
+from ..decoding import DecodingError
+from ..decoding import decode_json
 from ..errors import SettingError
 from ..setting_kinds import ADDRESS
 from ..standins.run import StandInKind
@@ -63,8 +63,8 @@
 
 def _options(text: str) -> StandInOptions:
     try:
-        return msgspec.json.decode(text, type=StandInOptions)
-    except msgspec.MsgspecError as error:
+        return decode_json(text, StandInOptions)
+    except DecodingError as error:
         raise SettingError("--options", text, f"a JSON object: {error}") from error
 
 
--- a/src/bergamotmast/commands/status.py
+++ b/src/bergamotmast/commands/status.py
@@ -9,6 +9,8 @@
 import aiohttp
 import msgspec
 
+from ..decoding import DecodingError
+from ..decoding import decode_json
 from ..entry.fleet_status import FleetStatus
 from ..entry.fleet_status import UpstreamStatus
 from ..errors import BergamotmastError
@@ -89,8 +91,8 @@
             body = await response.read()
             if response.status != 200:
                 raise StatusError(f"{address} answered {response.status}: {body!r}")
-            return msgspec.json.decode(body, type=FleetStatus)
-    except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError) as error:
+            return decode_json(body, FleetStatus)
+    except (aiohttp.ClientError, TimeoutError, DecodingError) as error:
         raise StatusError(f"{address}: {error}") from error
 
 
--- a/src/bergamotmast/config/delta.py
+++ b/src/bergamotmast/config/delta.py
@@ -14,6 +14,8 @@
 
 import msgspec
 
+from ..decoding import decode_json
+
 _ENCODER = msgspec.json.Encoder(order="sorted")
 _EMPTY = b"{}"
 
@@ -34,13 +36,13 @@
     The result is right only if the delta was made from this very document: the caller
     must compare its digest key.
 
-    :raises msgspec.DecodeError: if either is not a JSON object.
+    :raises DecodingError: if either is not a JSON object.
     """
     return _ENCODER.encode(_merged(_decode(document), _decode(delta)))
 
 
 def _decode(document: bytes) -> _Plain:
-    return msgspec.json.decode(document or _EMPTY, type=_Plain)
+    return decode_json(document or _EMPTY, _Plain)
 
 
 def _difference(before: _Plain, after: _Plain) -> _Plain:
--- a/src/bergamotmast/config/document.py
+++ b/src/bergamotmast/config/document.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from ..decoding import DecodingError
+from ..decoding import JsonDecoder
 from ..model import Priority
 from ..model import Role
 
@@ -209,7 +211,7 @@
 
 
 _ENCODER = msgspec.json.Encoder(order="sorted")
-_DECODER = msgspec.json.Decoder(Configuration)
+_DECODER = JsonDecoder[Configuration](Configuration)
 
 
 def encode_configuration(configuration: Configuration) -> bytes:
@@ -220,7 +222,7 @@
 def decode_configuration(data: bytes) -> Configuration:
     """Decode what :func:`encode_configuration` wrote.
 
-    :raises msgspec.DecodeError: for anything else, including a label expression
+    :raises DecodingError: for anything else, including a label expression
         that can't be parsed, which would otherwise fail when the document is put in
         force.
     """
@@ -229,5 +231,5 @@
         try:
             parse_label_expression(selector.group)
         except ValueError as error:
-            raise msgspec.ValidationError(f"{selector.name!r}: {error}") from error
+            raise DecodingError(f"{selector.name!r}: {error}") from error
     return configuration
--- a/src/bergamotmast/config/file.py
+++ b/src/bergamotmast/config/file.py
@@ -13,6 +13,8 @@
 import msgspec
 import yaml
 
+from ..decoding import DecodingError
+from ..decoding import decode_json
 from ..errors import ConfigError
 from ..errors import ContradictionError
 from ..model import Priority
@@ -143,9 +145,9 @@
 
 def _decode_json(data: bytes, name: str) -> t.Any:
     try:
-        content = msgspec.json.decode(data)
+        content = decode_json(data, object)
         json.loads(data, object_pairs_hook=_reject_duplicates)
-    except msgspec.DecodeError as error:
+    except DecodingError as error:
         raise ConfigError(f"{name}:{_json_line(data, error)}: {error}") from error
     except ValueError as error:
         raise ConfigError(f"{name}: {error}") from error
@@ -172,7 +174,7 @@
     return reader.lines
 
 
-def _json_line(data: bytes, error: msgspec.DecodeError) -> int:
+def _json_line(data: bytes, error: DecodingError) -> int:
     match = re.search(r"byte (\d+)", str(error))
     return data.count(b"\n", 0, int(match[1])) + 1 if match else 1
 
--- a/src/bergamotmast/config/holder.py
+++ b/src/bergamotmast/config/holder.py
@@ -56,7 +56,7 @@
         comparing generations is enough, whatever the source.
 
         :return: whether the document is now in force.
-        :raises msgspec.DecodeError: if it is not a valid configuration.
+        :raises DecodingError: if it is not a valid configuration.
         """
         configuration = decode_configuration(document)
         if configuration.generation <= self.generation:
--- a/src/bergamotmast/config/store.py
+++ b/src/bergamotmast/config/store.py
@@ -16,6 +16,8 @@
 
 import msgspec
 
+from ..decoding import DecodingError
+from ..decoding import JsonDecoder
 from ..errors import ConfigError
 from ..errors import EditConflictError
 from ..errors import KeyValueOutcomeUnknownError
@@ -93,7 +95,7 @@
 
 
 _RECORD_ENCODER = msgspec.json.Encoder()
-_RECORD_DECODER = msgspec.json.Decoder(ConfigRecord)
+_RECORD_DECODER = JsonDecoder[ConfigRecord](ConfigRecord)
 
 
 def history_key(generation: int) -> str:
@@ -337,7 +339,7 @@
 def _decode_stored(item: KeyValue) -> StoredConfiguration:
     try:
         configuration = decode_configuration(item.value)
-    except msgspec.DecodeError as error:
+    except DecodingError as error:
         raise ConfigError(f"{item.key} holds no configuration: {error}") from error
     return StoredConfiguration(configuration, item.value, item.mod_revision)
 
@@ -345,7 +347,7 @@
 def _decode_record(item: KeyValue) -> ConfigRecord:
     try:
         return _RECORD_DECODER.decode(item.value)
-    except msgspec.DecodeError as error:
+    except DecodingError as error:
         raise ConfigError(f"{item.key} holds no record: {error}") from error
 
 
--- a/src/bergamotmast/config/watch.py
+++ b/src/bergamotmast/config/watch.py
@@ -8,8 +8,7 @@
 import logging
 import random
 
-import msgspec
-
+from ..decoding import DecodingError
 from ..errors import BergamotmastError
 from ..key_watch import watch_keys
 from ..ports import KeyValueService
@@ -183,7 +182,7 @@
             return
         try:
             self.holder.offer(document)
-        except msgspec.DecodeError as error:
+        except DecodingError as error:
             logger.error("the service holds no configuration: %s", error)
 
     def _own_digest_key(self) -> str:
@@ -197,7 +196,7 @@
     for delta in deltas:
         try:
             document = apply_delta(document, delta)
-        except msgspec.DecodeError:
+        except DecodingError:
             return None
         if digest_key(document) == current_key:
             return document
--- a/src/bergamotmast/crashes/part_records.py
+++ b/src/bergamotmast/crashes/part_records.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from ..decoding import DecodingError
+from ..decoding import decode_json
 from ..errors import ConfigError
 from ..policy.crash_ledger import Verdict
 from ..policy.part_ledger import PartLedger
@@ -103,8 +105,8 @@
     """
     crash, _ = split_key(key, PART_CRASHES_PREFIX)
     try:
-        return crash, msgspec.json.decode(value, type=PartCrashReport)
-    except msgspec.DecodeError as error:
+        return crash, decode_json(value, PartCrashReport)
+    except DecodingError as error:
         raise ConfigError(f"the report can't be decoded: {error}") from error
 
 
--- a/src/bergamotmast/crashes/records.py
+++ b/src/bergamotmast/crashes/records.py
@@ -16,6 +16,8 @@
 import msgspec
 
 from ..backoff import Backoff
+from ..decoding import DecodingError
+from ..decoding import decode_json
 from ..errors import ConfigError
 from ..errors import PortError
 from ..policy.crash_ledger import CrashLedger
@@ -131,8 +133,8 @@
 
 def _decode_report(value: bytes) -> CrashReport | None:
     try:
-        return msgspec.json.decode(value, type=CrashReport)
-    except msgspec.DecodeError:
+        return decode_json(value, CrashReport)
+    except DecodingError:
         # Shown as unreadable: the key alone tells that there was a crash.
         return None
 
--- a/src/bergamotmast/direct/build_history.py
+++ b/src/bergamotmast/direct/build_history.py
@@ -19,6 +19,8 @@
 
 import msgspec
 
+from ..decoding import DecodingError
+from ..decoding import decode_json
 from ..ports import KeyValue
 from .unregistered_builds import is_unregistered
 
@@ -340,7 +342,7 @@
     """Return the builds and the era; ``None`` and 0 if they can't be decoded."""
     try:
         record = _decode_record(item.value)
-    except msgspec.DecodeError as error:
+    except DecodingError as error:
         logger.warning(
             "record of builds cannot be decoded", extra={"error": str(error)}
         )
@@ -351,7 +353,7 @@
 
 def _decode_record(value: bytes) -> _Record:
     try:
-        return msgspec.json.decode(value, type=_Record)
-    except msgspec.ValidationError:
+        return decode_json(value, _Record)
+    except DecodingError:
         # Entries of an earlier version write the groups alone.
-        return _Record(msgspec.json.decode(value, type=dict[str, list[str]]))
+        return _Record(decode_json(value, dict[str, list[str]]))
--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -9,8 +9,7 @@
 import logging
 import typing as t
 
-import msgspec
-
+from ..decoding import DecodingError
 from ..errors import ConfigError
 from ..model import Role
 from ..policy.entry_share import EntryShare
@@ -495,7 +494,7 @@
     def _put_planned_role(self, item: KeyValue) -> None:
         try:
             engine_plan = decode_engine_plan(item.value)
-        except msgspec.DecodeError as error:
+        except DecodingError as error:
             logger.warning(
                 "plan cannot be decoded", extra={"key": item.key, "error": str(error)}
             )
--- a/src/bergamotmast/direct/peer_messages.py
+++ b/src/bergamotmast/direct/peer_messages.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from ..decoding import DecodingError
+from ..decoding import MessagePackDecoder
 from ..policy.response_samples import STEPS
 from ..policy.scarcity import Report
 from ..policy.unresponsive_engines import MAX_NAMED
@@ -257,13 +259,13 @@
 
     def __init__(self) -> None:
         self.receivers: dict[type, cabc.Callable[[t.Any, Address], None]] = {}
-        self.decoder = msgspec.msgpack.Decoder(PeerMessage)
+        self.decoder = MessagePackDecoder[PeerMessage](PeerMessage)
 
     def receive(self, data: bytes, address: Address) -> None:
         """Handle a datagram; invalid data is dropped."""
         try:
             message = self.decoder.decode(data)
-        except msgspec.DecodeError as error:
+        except DecodingError as error:
             logger.warning("datagram cannot be decoded", extra={"error": str(error)})
             return
         receiver = self.receivers.get(type(message))
--- a/src/bergamotmast/direct/registrations.py
+++ b/src/bergamotmast/direct/registrations.py
@@ -29,8 +29,6 @@
         upstream = directory.decode_upstream(item.key, item.value)
     except ConfigError as error:
         raise ConfigError(error.message[:MAX_ERROR_CHARACTERS]) from None
-    except RecursionError:
-        raise ConfigError(f"{item.key} is nested too deeply") from None
     if not upstream.name:
         raise ConfigError(f"{item.key} has no name")
     if not 0 < upstream.slots <= MAX_SLOTS:
--- a/src/bergamotmast/direct/store_record.py
+++ b/src/bergamotmast/direct/store_record.py
@@ -13,6 +13,8 @@
 import msgspec
 
 from ..backoff import Backoff
+from ..decoding import DecodingError
+from ..decoding import decode_json
 from ..errors import KeyValueOutcomeUnknownError
 from ..errors import KeyValueUnavailableError
 from ..errors import LeadershipLostError
@@ -110,8 +112,8 @@
     def decode(self, item: KeyValue) -> _RecordT:
         """Decode the record's value."""
         try:
-            return msgspec.json.decode(item.value, type=type(self.empty))
-        except msgspec.DecodeError as error:
+            return decode_json(item.value, type(self.empty))
+        except DecodingError as error:
             logger.warning(
                 f"{self.subject} record cannot be decoded", extra={"error": str(error)}
             )
--- a/src/bergamotmast/direct/stream_build_log.py
+++ b/src/bergamotmast/direct/stream_build_log.py
@@ -16,6 +16,8 @@
 
 import msgspec
 
+from ..decoding import DecodingError
+from ..decoding import decode_msgpack
 from ..errors import LeaseLapsedError
 from ..errors import PortError
 from ..ports import Delete
@@ -202,8 +204,8 @@
 def _decode(key: str, value: bytes) -> dict[int, tuple[str, str]]:
     """Return the group and the build of each stream of a value."""
     try:
-        groups = msgspec.msgpack.decode(value, type=_VALUE_TYPE)
-    except msgspec.DecodeError as error:
+        groups = decode_msgpack(value, _VALUE_TYPE)
+    except DecodingError as error:
         logger.warning(
             "streams in progress cannot be decoded",
             extra={"key": key, "error": str(error)},
--- a/src/bergamotmast/entry/admin.py
+++ b/src/bergamotmast/entry/admin.py
@@ -29,6 +29,8 @@
 from ..config.permissions import require_edit_allowed
 from ..config.permissions import require_scope
 from ..config.store import ConfigStore
+from ..decoding import DecodingError
+from ..decoding import decode_json
 from ..errors import CODE_INFO
 from ..errors import BergamotmastError
 from ..errors import ContradictionError
@@ -251,8 +253,8 @@
 
 async def _read_body(request: web.Request, kind: type[_Body]) -> _Body:
     try:
-        return msgspec.json.decode(await request.read(), type=kind)
-    except msgspec.DecodeError as error:
+        return decode_json(await request.read(), kind)
+    except DecodingError as error:
         raise RequestError(ResultCode.MALFORMED_BODY, str(error)) from error
 
 
--- a/src/bergamotmast/entry/openai.py
+++ b/src/bergamotmast/entry/openai.py
@@ -7,6 +7,8 @@
 import msgspec
 import xxhash
 
+from ..decoding import DecodingError
+from ..decoding import JsonDecoder
 from ..errors import RequestError
 from ..errors import ResultCode
 
@@ -42,8 +44,8 @@
     stream: bool = False
 
 
-_COMPLETION = msgspec.json.Decoder(CompletionBody)
-_CHAT = msgspec.json.Decoder(ChatBody)
+_COMPLETION = JsonDecoder[CompletionBody](CompletionBody)
+_CHAT = JsonDecoder[ChatBody](ChatBody)
 
 
 def read_completion(body: bytes) -> CompletionBody:
@@ -53,7 +55,7 @@
     """
     try:
         return _COMPLETION.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DecodingError as error:
         raise RequestError(ResultCode.MALFORMED_BODY, str(error)) from error
 
 
@@ -64,7 +66,7 @@
     """
     try:
         chat = _CHAT.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DecodingError as error:
         raise RequestError(ResultCode.MALFORMED_BODY, str(error)) from error
     lines = [f"{message.role}: {message.content}" for message in chat.messages]
     prompt = "\n".join([*lines, "assistant:"])
--- a/src/bergamotmast/entry/peer.py
+++ b/src/bergamotmast/entry/peer.py
@@ -9,9 +9,8 @@
 import collections.abc as cabc
 import logging
 
-import msgspec
-
 from ..config.holder import ConfigHolder
+from ..decoding import DecodingError
 from ..errors import NotReachedError
 from ..model import NO_FENCING_TOKEN
 from ..model import Cost
@@ -272,7 +271,7 @@
         except messages.UnknownMessageError:
             self.telemetry.on_unknown_message()
             return None
-        except msgspec.MsgspecError as error:
+        except DecodingError as error:
             logger.warning("frame of %s refused: %s", self.info.name, error)
             return None
 
--- a/src/bergamotmast/explain.py
+++ b/src/bergamotmast/explain.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from .decoding import DecodingError
+from .decoding import decode_json
 from .errors import CODE_INFO
 from .errors import ResultCode
 
@@ -62,8 +64,8 @@
     if start < 0:
         return None
     try:
-        plain = msgspec.json.decode(text[start:])
-    except msgspec.DecodeError:
+        plain = decode_json(text[start:], object)
+    except DecodingError:
         return None
     if not isinstance(plain, dict) or not isinstance(plain.get("event"), str):
         return None
--- a/src/bergamotmast/history.py
+++ b/src/bergamotmast/history.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from .decoding import JsonDecoder
+
 
 class Record(msgspec.Struct, frozen=True, tag_field="kind", kw_only=True):
     """Base class of all records.
@@ -212,8 +214,8 @@
 def read_history(path: pathlib.Path) -> list[AnyRecord]:
     """Read records that were written by :func:`write_history`.
 
-    :raises msgspec.ValidationError: if a line isn't a record.
+    :raises DecodingError: if a line isn't a record.
     """
-    decoder = msgspec.json.Decoder(AnyRecord)
+    decoder = JsonDecoder[AnyRecord](AnyRecord)
     with path.open("rb") as file:
         return [decoder.decode(line) for line in file if line.strip()]
--- a/src/bergamotmast/load.py
+++ b/src/bergamotmast/load.py
@@ -11,6 +11,8 @@
 import aiohttp
 
 from .bench.trace import TraceRequest
+from .decoding import DecodingError
+from .decoding import decode_json
 from .errors import Outcome
 from .errors import ResultCode
 from .history import HistorySink
@@ -231,7 +233,7 @@
             if data == b"[DONE]":
                 done = True
             else:
-                self._on_event(json.loads(data))
+                self._on_event(decode_json(data, dict))
         self.cut_off = not done and not self.code
 
     def _on_event(self, event: dict[str, t.Any]) -> None:
@@ -247,8 +249,8 @@
 
     def _on_error(self, body: bytes) -> None:
         try:
-            self._on_detail(json.loads(body)["error"])
-        except (ValueError, KeyError, TypeError):
+            self._on_detail(decode_json(body, dict)["error"])
+        except (DecodingError, ValueError, KeyError, TypeError):
             self.cut_off = True
 
     def _on_detail(self, detail: dict[str, t.Any]) -> None:
--- a/src/bergamotmast/planner/plan_store.py
+++ b/src/bergamotmast/planner/plan_store.py
@@ -14,8 +14,7 @@
 import logging
 import random
 
-import msgspec
-
+from ..decoding import DecodingError
 from ..errors import KeyValueOutcomeUnknownError
 from ..errors import KeyValueUnavailableError
 from ..errors import LeadershipLostError
@@ -266,7 +265,7 @@
     """
     try:
         return decode_head(item.value)
-    except msgspec.DecodeError as error:
+    except DecodingError as error:
         raise KeyValueUnavailableError(
             f"The plan's head record can't be decoded: {error}"
         ) from error
@@ -276,7 +275,7 @@
     """Decode one engine's plan; one that can't be decoded is logged and ignored."""
     try:
         return decode_engine_plan(item.value)
-    except msgspec.DecodeError as error:
+    except DecodingError as error:
         logger.warning(
             "plan cannot be decoded", extra={"key": item.key, "error": str(error)}
         )
--- a/src/bergamotmast/platform/directory.py
+++ b/src/bergamotmast/platform/directory.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ..adapters.json_bodies import KebabStruct
+from ..adapters.json_bodies import decode_body
 from ..direct.addresses import check_http_address
 from ..direct.model import CallerLimits
 from ..direct.model import CallKind
@@ -123,7 +124,7 @@
     def decode_routing(self, value: bytes) -> Routing:
         """Decode the operators' configuration."""
         try:
-            config = msgspec.json.decode(value, type=_Config)
+            config = decode_body(value, _Config, ConfigError, "the configuration")
             return Routing(
                 generation=config.version,
                 routes=tuple(map(_to_route, config.routes)),
@@ -140,17 +141,17 @@
                 ),
                 tenants=_to_tenants(config.tenants),
             )
-        except (msgspec.DecodeError, KeyError) as error:
+        except KeyError as error:
             raise ConfigError(f"the configuration can't be decoded: {error}") from error
 
     def decode_upstream(self, key: str, value: bytes) -> Upstream:
         """Decode an upstream's registration."""
         try:
-            registration = msgspec.json.decode(value, type=_Registration)
+            registration = decode_body(value, _Registration, ConfigError, key)
             leaving = _LEAVING_BY_STATE[registration.state]
             role = Role(registration.stage) if registration.stage else None
             check_http_address(registration.address)
-        except (msgspec.DecodeError, KeyError, ValueError) as error:
+        except (KeyError, ValueError) as error:
             raise ConfigError(f"{key} can't be decoded: {error}") from error
         return Upstream(
             name=key.removeprefix(self.upstream_prefix),
--- a/src/bergamotmast/protocol/claim_record.py
+++ b/src/bergamotmast/protocol/claim_record.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ..decoding import MessagePackDecoder
 from ..model import ServiceAnswer
 
 CLAIMS_PREFIX = "/bergamotmast/claims/"
@@ -57,7 +58,7 @@
 
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(ClaimRecord)
+_DECODER = MessagePackDecoder[ClaimRecord](ClaimRecord)
 
 
 def encode_claim(record: ClaimRecord) -> bytes:
@@ -68,6 +69,6 @@
 def decode_claim(data: bytes) -> ClaimRecord:
     """Decode a record.
 
-    :raises msgspec.ValidationError: if the data is not a claim's record.
+    :raises DecodingError: if the data is not a claim's record.
     """
     return _DECODER.decode(data)
--- a/src/bergamotmast/protocol/config_exchange.py
+++ b/src/bergamotmast/protocol/config_exchange.py
@@ -4,9 +4,8 @@
 
 import logging
 
-import msgspec
-
 from ..config.holder import ConfigHolder
+from ..decoding import DecodingError
 from . import messages
 
 logger = logging.getLogger(__name__)
@@ -38,5 +37,5 @@
     """Offer a peer's document to the holder; log one that can't be decoded."""
     try:
         holder.offer(message.document)
-    except msgspec.MsgspecError as error:
+    except DecodingError as error:
         logger.warning("configuration refused: %s", error)
--- a/src/bergamotmast/protocol/messages.py
+++ b/src/bergamotmast/protocol/messages.py
@@ -13,6 +13,9 @@
 
 import msgspec
 
+from ..decoding import DecodingError
+from ..decoding import MessagePackDecoder
+from ..decoding import decode_msgpack
 from ..errors import ResultCode
 from ..model import Priority
 from ..model import SideReport
@@ -47,7 +50,7 @@
     return min(PROTOCOL_VERSION, peer_version)
 
 
-class UnknownMessageError(msgspec.ValidationError):
+class UnknownMessageError(DecodingError):
     """A frame holds a message of a later protocol version and is to be ignored.
 
     :param tag: tag of the message.
@@ -296,8 +299,8 @@
 """Tags of all messages in either direction."""
 
 _ENCODER = msgspec.msgpack.Encoder()
-_SIDE_DECODER = msgspec.msgpack.Decoder(ToSide)
-_ENTRY_DECODER = msgspec.msgpack.Decoder(ToEntry)
+_SIDE_DECODER = MessagePackDecoder[ToSide](ToSide)
+_ENTRY_DECODER = MessagePackDecoder[ToEntry](ToEntry)
 
 
 def encode(message: ToSide | ToEntry) -> bytes:
@@ -309,11 +312,11 @@
     """Decode a frame that a side received.
 
     :raises UnknownMessageError: for a message of a later version.
-    :raises msgspec.ValidationError: if the frame is not a valid message to a side.
+    :raises DecodingError: if the frame is not a valid message to a side.
     """
     try:
         return _SIDE_DECODER.decode(frame)
-    except msgspec.ValidationError:
+    except DecodingError:
         _raise_if_tag_unknown(frame)
         raise
 
@@ -322,11 +325,11 @@
     """Decode a frame that an entry received.
 
     :raises UnknownMessageError: for a message of a later version.
-    :raises msgspec.ValidationError: if the frame is not a valid message to an entry.
+    :raises DecodingError: if the frame is not a valid message to an entry.
     """
     try:
         return _ENTRY_DECODER.decode(frame)
-    except msgspec.ValidationError:
+    except DecodingError:
         _raise_if_tag_unknown(frame)
         raise
 
@@ -336,6 +339,6 @@
 
     :raises UnknownMessageError: if this version does not know the frame's tag.
     """
-    match msgspec.msgpack.decode(frame):
+    match decode_msgpack(frame, object):
         case [int(tag), *_] if tag not in KNOWN_TAGS:
             raise UnknownMessageError(tag)
--- a/src/bergamotmast/protocol/plan.py
+++ b/src/bergamotmast/protocol/plan.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from ..decoding import JsonDecoder
 from ..model import Assignment
 from ..model import FencingToken
 
@@ -88,8 +89,8 @@
 
 
 _ENCODER = msgspec.json.Encoder()
-_HEAD_DECODER = msgspec.json.Decoder(PlanHead)
-_PLAN_DECODER = msgspec.json.Decoder(EnginePlan)
+_HEAD_DECODER = JsonDecoder[PlanHead](PlanHead)
+_PLAN_DECODER = JsonDecoder[EnginePlan](EnginePlan)
 
 
 def encode_record(record: PlanHead | EnginePlan) -> bytes:
@@ -100,7 +101,7 @@
 def decode_head(data: bytes) -> PlanHead:
     """Decode the head record.
 
-    :raises msgspec.ValidationError: if the data is not a head record.
+    :raises DecodingError: if the data is not a head record.
     """
     return _HEAD_DECODER.decode(data)
 
@@ -108,6 +109,6 @@
 def decode_engine_plan(data: bytes) -> EnginePlan:
     """Decode one engine's plan.
 
-    :raises msgspec.ValidationError: if the data is not an engine's plan.
+    :raises DecodingError: if the data is not an engine's plan.
     """
     return _PLAN_DECODER.decode(data)
--- a/src/bergamotmast/side/orders.py
+++ b/src/bergamotmast/side/orders.py
@@ -16,9 +16,8 @@
 import random
 import typing as t
 
-import msgspec
-
 from ..backoff import Backoff
+from ..decoding import DecodingError
 from ..errors import NotReachedError
 from ..errors import OrderRefusedError
 from ..errors import PortError
@@ -184,7 +183,7 @@
         """Accept the engine's plan if its token is above those of all plans seen."""
         try:
             plan = decode_engine_plan(data)
-        except msgspec.DecodeError as error:
+        except DecodingError as error:
             logger.error("plan of engine %s can't be decoded: %s", self.name, error)
             return
         if self.plan is None or plan.token > self.plan.token:
--- a/src/bergamotmast/side/session_server.py
+++ b/src/bergamotmast/side/session_server.py
@@ -6,9 +6,8 @@
 import logging
 import typing as t
 
-import msgspec
-
 from ..config.holder import ConfigHolder
+from ..decoding import DecodingError
 from ..errors import ResultCode
 from ..model import FencingToken
 from ..model import SideReport
@@ -112,7 +111,7 @@
             except messages.UnknownMessageError:
                 self.telemetry.on_unknown_message()
                 continue
-            except msgspec.MsgspecError as error:
+            except DecodingError as error:
                 logger.warning("frame is not a valid message: %s", error)
                 continue
             await self._handle(peer, message)
--- a/src/bergamotmast/standins/http_common.py
+++ b/src/bergamotmast/standins/http_common.py
@@ -9,6 +9,8 @@
 import msgspec
 from aiohttp import web
 
+from ..decoding import DecodingError
+from ..decoding import decode_json
 from ..errors import BergamotmastError
 from ..errors import KeyValueOutcomeUnknownError
 from ..errors import LeaseLapsedError
@@ -66,8 +68,8 @@
     :raises HTTPBadRequest: if it is not valid JSON of type ``kind``.
     """
     try:
-        return msgspec.json.decode(await request.read() or b"{}", type=kind)
-    except msgspec.DecodeError as error:
+        return decode_json(await request.read() or b"{}", kind)
+    except DecodingError as error:
         raise web.HTTPBadRequest(text=str(error)) from error
 
 
