Set upstreams aside that can't be reached for any reason

Callers got 500 for all of 20 streams and for 20 of 40 plain calls, with a traceback each, for as long as an upstream was registered whose host has an empty label (a..b), 5,000 letters, or a zone of 80 letters.

Cause: the lookup of such a name fails with UnicodeError, and a URL with such an address with ValueError. The client took only the library's own errors for "not reached", so that these ended the request as an error of the entry's own. The upstream was not set aside, and as nothing ran there it looked idle and was chosen again.

The connector now turns each error into "not reached": it is done before a byte of the request is sent. So is an address that makes no URL. The probe of crashes takes such an address for one that refuses nothing.

Besides, a registration names an upstream only if its address is an IPv4 address and a port. The platform's protocol gives addresses as IP:PORT, and its network has IPv4, by address, with no name lookups; no test or deployment registers a name. A lookup would hold a thread for each connection. What can't be reached is then not even tried.

After: 60 of 60 requests get 200 beside each of the five hosts, also if the check of registrations lets the name pass; no traceback.

--- a/src/bergamotmast/adapters/connection_probe.py
+++ b/src/bergamotmast/adapters/connection_probe.py
@@ -19,7 +19,8 @@
                 _, writer = await asyncio.open_connection(host, int(port))
         except ConnectionRefusedError:
             return True
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError, ValueError, OverflowError):
+            # The last two are of an address that can't be one.
             return False
         writer.transport.abort()
         return False
--- a/src/bergamotmast/adapters/http_calls.py
+++ b/src/bergamotmast/adapters/http_calls.py
@@ -7,6 +7,8 @@
 import typing as t
 
 import aiohttp
+from aiohttp.connector import Connection
+from aiohttp.tracing import Trace
 
 from ..errors import ConnectionLostError
 from ..errors import NotReachedError
@@ -32,6 +34,28 @@
 JSON_TYPE = {"Content-Type": "application/json"}
 
 
+class Connector(aiohttp.TCPConnector):
+    """Opens connections; any other error than a timeout tells that there is none."""
+
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[Trace],
+        timeout: aiohttp.ClientTimeout,
+    ) -> Connection:
+        """Return a connection for a request, of which nothing has been sent.
+
+        :raises NotReachedError: for an error of a class that the library doesn't name,
+            such as that of a host name that can't be encoded.
+        """
+        try:
+            return await super().connect(req, traces, timeout)
+        except (aiohttp.ClientConnectorError, TimeoutError):
+            raise
+        except Exception as error:
+            raise NotReachedError(f"{req.url}: {error}") from error
+
+
 def client_session(
     connector: aiohttp.BaseConnector | None = None, *, decompress: bool = True
 ) -> aiohttp.ClientSession:
@@ -45,9 +69,7 @@
     """
     return aiohttp.ClientSession(
         connector=connector
-        or aiohttp.TCPConnector(
-            limit=MAX_CONNECTIONS, keepalive_timeout=KEEP_ALIVE_SECONDS
-        ),
+        or Connector(limit=MAX_CONNECTIONS, keepalive_timeout=KEEP_ALIVE_SECONDS),
         cookie_jar=aiohttp.DummyCookieJar(),
         middlewares=(_prevent_library_retry,),
         auto_decompress=decompress,
@@ -60,7 +82,7 @@
     If all connections to a store stall at once, a reused one would delay the read that
     follows a failed watch.
     """
-    return client_session(aiohttp.TCPConnector(force_close=True))
+    return client_session(Connector(force_close=True))
 
 
 def no_pause() -> float:
--- a/src/bergamotmast/adapters/upstream_http.py
+++ b/src/bergamotmast/adapters/upstream_http.py
@@ -22,7 +22,9 @@
 from ..direct.ports import MIN_FINAL_STATUS
 from ..direct.ports import Headers
 from ..errors import ConnectionLostError
+from ..errors import NotReachedError
 from ..errors import ReplyLostError
+from .http_calls import Connector
 from .http_calls import client_session
 from .http_calls import exchange
 
@@ -86,7 +88,7 @@
                 self.transport.close()
 
 
-class _UpstreamConnector(aiohttp.TCPConnector):
+class _UpstreamConnector(Connector):
     """Reuses only connections without unread data, and closes the others."""
 
     def __init__(self, **options: t.Any) -> None:
@@ -342,7 +344,7 @@
         async with exchange(
             session,
             method,
-            t.cast(str, yarl.URL(f"http://{address}{target}", encoded=True)),
+            t.cast(str, _url(address, target)),
             connect=CONNECT_TIMEOUT_SECONDS,
             headers=headers,
             data=body or None,
@@ -372,6 +374,22 @@
         return client_session(connector, decompress=False)
 
 
+def _url(address: str, target: str) -> yarl.URL:
+    """Return the URL of a request.
+
+    :raises NotReachedError: if the address is none; the library checks a URL that is
+        taken as it is only in part, and its port as it is used.
+    """
+    try:
+        url = yarl.URL(f"http://{address}{target}", encoded=True)
+        is_complete = bool(url.raw_host and url.port)
+    except ValueError as error:
+        raise NotReachedError(f"{address}: {error}") from error
+    if not is_complete:
+        raise NotReachedError(f"{address} is no address")
+    return url
+
+
 def _new_socket(address: aiohttp.AddrInfoType) -> socket.socket:
     family, kind, protocol, _, _ = address
     new_socket = socket.socket(family, kind, protocol)
--- a/src/bergamotmast/direct/addresses.py
+++ b/src/bergamotmast/direct/addresses.py
@@ -4,20 +4,18 @@
 
 import ipaddress
 
-import yarl
-
 MAX_PORT = 65_535
-"""Highest UDP port number."""
+"""Highest port number."""
 
 
 def check_http_address(address: str) -> None:
-    """Raise :exc:`ValueError` unless an address is ``host:port``."""
+    """Raise :exc:`ValueError` unless an address is an IPv4 address and a port.
+
+    A host name would be looked up for each connection, in a thread, and some can't be.
+    """
     host, _, port = address.rpartition(":")
-    parsed = yarl.URL.build(scheme="http", host=host, port=int(port))
-    # Python reads "+80" and "8_0" as numbers, too, which no URL may have as its port.
-    is_number = port.isascii() and port.isdigit()
-    if not parsed.port or parsed.host != host or not is_number:
-        raise ValueError(f"address {address!r} is not host:port")
+    ipaddress.IPv4Address(host)
+    _check_port(port)
 
 
 def datagram_address(value: bytes) -> tuple[str, int] | None:
@@ -29,7 +27,17 @@
     host, _, port = value.decode(errors="replace").rpartition(":")
     try:
         ipaddress.ip_address(host)
-        number = int(port)
+        return host, _check_port(port)
     except ValueError:
         return None
-    return (host, number) if 0 < number <= MAX_PORT else None
+
+
+def _check_port(text: str) -> int:
+    """Return a port number.
+
+    :raises ValueError: if it is none. Python reads "+80" and "8_0" as numbers, too.
+    """
+    is_number = text.isascii() and text.isdigit()
+    if not is_number or not 0 < int(text) <= MAX_PORT:
+        raise ValueError(f"{text!r} is no port")
+    return int(text)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -21,6 +21,7 @@
 from bergamotmast.direct.stream_build_log import STREAMS_PREFIX
 from bergamotmast.direct.usage_record import USAGE_KEY
 from bergamotmast.errors import NotReachedError
+from bergamotmast.platform import directory
 from bergamotmast.protocol.plan import engine_key
 from direct_support import engine
 from direct_support import read_answer
@@ -55,7 +56,7 @@
     good, bad = Replica("i-1", answer()), Replica("i-2", answer())
     first, second = (engine(name, EngineScript()) for name in ("e-1", "e-2"))
     async with serving(good, first) as entry:
-        bad.address = second.address = f"{host}:80"
+        bad.address = second.address = f"{host}:1"
         entry.register(bad)
         entry.register(second)
         asked = [
@@ -75,10 +76,32 @@
         for fresh in (True, False):
             with pytest.raises(NotReachedError):
                 async with client.send(
-                    f"{host}:80", "GET", "/report", (), b"", fresh=fresh
+                    f"{host}:1", "GET", "/report", (), b"", fresh=fresh
                 ):
                     pass
-    assert not await TcpConnectionProbe().is_refused(f"{host}:80")
+    assert not await TcpConnectionProbe().is_refused(f"{host}:1")
+
+
+@pytest.mark.parametrize("host", ODD_HOSTS, ids=lambda host: host[:10])
+async def test_upstream_that_cannot_be_looked_up_is_set_aside(
+    host, caplog, monkeypatch
+):
+    """Guards against failed requests where a check of the address lets a name pass."""
+    monkeypatch.setattr(directory, "check_http_address", lambda address: None)
+    good, bad = Replica("i-1", answer()), Replica("i-2", answer())
+    first, second = (engine(name, EngineScript()) for name in ("e-1", "e-2"))
+    async with serving(good, first) as entry:
+        bad.address = second.address = f"{host}:1"
+        entry.register(bad)
+        entry.register(second)
+        assert entry.fleet.registered("i-2") and entry.fleet.registered("e-2")
+        statuses = [
+            (await entry.ask(target, request_id=f"{target}{number}")).status
+            for target in ("/order/x", "/read/x", "/long/x")
+            for number in range(20)
+        ]
+    assert statuses == [200] * 60
+    assert not [record for record in caplog.records if record.exc_info]
 
 
 ODD_ENTRIES = [b"fe80::1%\xff:7", b"fe80::1%a\x00:7", b"fe80::1%:7", b"::1:7"]
