Ignore entries whose address has a scope

An entry would no longer hear or tell the others anything, until its end, after another writer had left an address such as fe80::1%\xff:7 among those of the entries.

Cause: Python takes any text for the scope of an IPv6 address. A character that can't be in a host name makes sendto fail with TypeError; the event loop takes that for fatal and closes the socket.

Entries with a scope are now skipped with the warning that there is for other odd addresses: one from another host means nothing here.

--- a/src/bergamotmast/direct/addresses.py
+++ b/src/bergamotmast/direct/addresses.py
@@ -22,11 +22,14 @@
     """Return an entry's address, or ``None`` if it is not an IP address and a port.
 
     A host name would be resolved for every datagram, blocking the event loop. A port
-    out of range would close the socket that sends the datagrams.
+    out of range, or a scope with a character that no host name has, would close the
+    socket that sends the datagrams.
     """
     host, _, port = value.decode(errors="replace").rpartition(":")
     try:
-        ipaddress.ip_address(host)
+        address = ipaddress.ip_address(host)
+        if isinstance(address, ipaddress.IPv6Address) and address.scope_id is not None:
+            return None
         return host, _check_port(port)
     except ValueError:
         return None
