Follow the store on after an unexpected error

An entry shut down, and so did each one started after it, where an error that nobody expects came up as it read or watched the store: the watch's task failed, and the failure of a task requests the shutdown.

Fleet.put alone ignored such errors. Fleet.remove and each step of Fleet.replace_all do now, too, key by key, so that one value that can't be processed keeps nothing else from being applied. Whatever is left is logged by the watch, which counts as lost: the entry is not in sync, and reads all keys again with the usual delay. A restore of the store counts until its read has been applied.

The other background tasks still request the shutdown: without them the entry can't serve, and the platform starts it again.

--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections.abc as cabc
+import contextlib
 import dataclasses
 import enum
 import logging
@@ -282,13 +283,8 @@
 
     def put(self, item: KeyValue) -> None:
         """Apply one key's new value; a value that can't be processed is ignored."""
-        try:
+        with _ignoring_errors(item.key):
             self._put(item)
-        except Exception:
-            # An unexpected value would otherwise terminate the process, with all its
-            # running requests, and every process started after it. The last known
-            # state is kept until the key changes again.
-            logger.exception("key cannot be processed", extra={"key": item.key})
 
     def _put(self, item: KeyValue) -> None:
         if item.key in self.on_removal:
@@ -308,6 +304,10 @@
 
     def remove(self, key: str, revision: int) -> None:
         """Apply a key's removal; a removed configuration stays in force."""
+        with _ignoring_errors(key):
+            self._remove(key, revision)
+
+    def _remove(self, key: str, revision: int) -> None:
         self._forget_entry(key)
         if key in self.existing_keys:
             self._notify_removal(key)
@@ -338,13 +338,16 @@
         self.build_history.store_era = era
         present = {item.key for item in items}
         for key in self.existing_keys - present:
-            self._notify_removal(key)
+            with _ignoring_errors(key):
+                self._notify_removal(key)
         upstream_prefix = self.directory.upstream_prefix
         self.replace_upstreams(_items_with_prefix(upstream_prefix, items), now, reason)
         self.replace_entries(_items_with_prefix(PRESENCE_PREFIX, items))
         restored = reason is ReadReason.RESTORE
         for prefix, listener in self.listeners.items():
-            listener.replace_all(_items_with_prefix(prefix, items), restored=restored)
+            found = _items_with_prefix(prefix, items)
+            with _ignoring_errors(prefix):
+                listener.replace_all(found, restored=restored)
         for item in items:
             if item.key == self.directory.config_key or item.key in self.on_removal:
                 self.put(item)
@@ -390,6 +393,7 @@
         try:
             upstream = decode_registration(self.directory, item)
         except ConfigError:
+            # It is logged as it is put.
             return False
         if (item.key, upstream.boot) in self.departed:
             return True
@@ -593,6 +597,22 @@
             )
 
 
+@contextlib.contextmanager
+def _ignoring_errors(key: str) -> cabc.Iterator[None]:
+    """Return a context manager in which an error is logged.
+
+    An unexpected value would otherwise terminate the process, with all its running
+    requests, and every process started after it. The last known state is kept until the
+    key changes again.
+
+    :param key: the key, or the prefix of several, that is processed.
+    """
+    try:
+        yield
+    except Exception:
+        logger.exception("key cannot be processed", extra={"key": key})
+
+
 def _items_with_prefix(
     prefix: str, items: tuple[KeyValue, ...]
 ) -> tuple[KeyValue, ...]:
--- a/src/bergamotmast/direct/store_watcher.py
+++ b/src/bergamotmast/direct/store_watcher.py
@@ -31,7 +31,7 @@
     nothing on a dead connection. The store's adapter bounds each wait, and all keys are
     read again after any end of a watch. The backoff is reset only by a watch that
     delivers: otherwise all entries would read a store whose watches fail without any
-    delay.
+    delay. After an unexpected error, all keys are read again as well.
 
     :param last_reply_at: when the store last replied; a point in time.
     :param restored: whether the store was restored from a backup since the last read.
@@ -51,7 +51,11 @@
                 revision = await self._read()
                 await self._watch(revision)
             except PortError as error:
-                self._on_disconnected(error)
+                self._on_disconnected(error.message)
+            except Exception as error:
+                # Requests would be routed by a state that is never updated again.
+                logger.exception("change of the store cannot be processed")
+                self._on_disconnected(repr(error))
             await asyncio.sleep(self.backoff.next_delay())
 
     async def _read(self) -> int:
@@ -60,8 +64,8 @@
         result = await self.kv.range("")
         now = asyncio.get_running_loop().time()
         reason = self._read_reason(now)
-        self.restored = False
         self.fleet.replace_all(result.items, now, reason, result.era)
+        self.restored = False
         self._on_reply(now)
         return result.revision
 
@@ -99,9 +103,9 @@
             self.fleet.in_sync = True
             logger.info("store is reached", extra={"dependency": "store"})
 
-    def _on_disconnected(self, error: PortError) -> None:
+    def _on_disconnected(self, error: str) -> None:
         if self.fleet.in_sync:
             self.fleet.in_sync = False
             logger.warning(
-                "store is lost", extra={"dependency": "store", "error": error.message}
+                "store is lost", extra={"dependency": "store", "error": error}
             )
