Take no other key for the record of builds

An entry took the value of any key that begins with the name of the record's key, such as /bergamotmast/builds-old, for the record of the builds at which streams may have begun, and forgot the record as that key was removed. With a wrong record streams go on at a wrong build. The record of usage was open to the same.

Cause: the fleet passes keys on by prefix, and the records are single keys, registered like prefixes. A name without a slash at its end is now that key alone. Before, builds-old and builds/x replace the record, after, neither does.

--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -115,7 +115,8 @@
     :param on_registered: callbacks for each registration, and for an incarnation that
         has answered before its own.
     :param existing_keys: keys of ``on_removal`` that the store is known to hold.
-    :param listeners: receivers of keys that are none of the fleet's, by prefix.
+    :param listeners: receivers of keys that are none of the fleet's, by prefix, which
+        ends with a slash, or by the only key.
     :param first_ready: set once requests can be routed for the first time.
     :param in_sync: whether changes of the store are being received.
     """
@@ -299,7 +300,7 @@
             self._put_entry(item)
         else:
             for prefix, listener in self.listeners.items():
-                if item.key.startswith(prefix):
+                if _is_below(prefix, item.key):
                     listener.put(item)
 
     def remove(self, key: str, revision: int) -> None:
@@ -312,7 +313,7 @@
         if key in self.existing_keys:
             self._notify_removal(key)
         for prefix, listener in self.listeners.items():
-            if key.startswith(prefix):
+            if _is_below(prefix, key):
                 listener.remove(key)
         record = self.upstream_records.get(key)
         self.undecodable.pop(key, None)
@@ -616,4 +617,9 @@
 def _items_with_prefix(
     prefix: str, items: tuple[KeyValue, ...]
 ) -> tuple[KeyValue, ...]:
-    return tuple(item for item in items if item.key.startswith(prefix))
+    return tuple(item for item in items if _is_below(prefix, item.key))
+
+
+def _is_below(prefix: str, key: str) -> bool:
+    """Return whether a key is below a prefix; one without a slash is a single key."""
+    return key == prefix or (prefix.endswith("/") and key.startswith(prefix))
