--- a/src/bergamotmast/direct/fleet.py
+++ b/src/bergamotmast/direct/fleet.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import collections.abc as cabc
+import contextlib
 import dataclasses
 import enum
 import logging
 import typing as t
 
-import msgspec
-
+from ..decoding import DecodingError
 from ..errors import ConfigError
 from ..model import Role
 from ..policy.entry_share import EntryShare
@@ -116,7 +116,8 @@
     :param on_registered: callbacks for each registration, and for an incarnation that
         has answered before its own.
     :param existing_keys: keys of ``on_removal`` that the store is known to hold.
-    :param listeners: receivers of keys that are none of the fleet's, by prefix.
+    :param listeners: receivers of keys that are none of the fleet's, by prefix, which
+        ends with a slash, or by the only key.
     :param first_ready: set once requests can be routed for the first time.
     :param in_sync: whether changes of the store are being received.
     :param applied: up to where they are applied.
@@ -286,13 +287,8 @@
 
     def put(self, item: KeyValue) -> None:
         """Apply one key's new value; a value that can't be processed is ignored."""
-        try:
+        with _ignoring_errors(item.key):
             self._put(item)
-        except Exception:
-            # An unexpected value would otherwise terminate the process, with all its
-            # running requests, and every process started after it. The last known
-            # state is kept until the key changes again.
-            logger.exception("key cannot be processed", extra={"key": item.key})
 
     def _put(self, item: KeyValue) -> None:
         if item.key in self.on_removal:
@@ -307,16 +303,20 @@
             self._put_entry(item)
         else:
             for prefix, listener in self.listeners.items():
-                if item.key.startswith(prefix):
+                if _is_below(prefix, item.key):
                     listener.put(item)
 
     def remove(self, key: str, revision: int) -> None:
         """Apply a key's removal; a removed configuration stays in force."""
+        with _ignoring_errors(key):
+            self._remove(key, revision)
+
+    def _remove(self, key: str, revision: int) -> None:
         self._forget_entry(key)
         if key in self.existing_keys:
             self._notify_removal(key)
         for prefix, listener in self.listeners.items():
-            if key.startswith(prefix):
+            if _is_below(prefix, key):
                 listener.remove(key)
         record = self.upstream_records.get(key)
         self.undecodable.pop(key, None)
@@ -342,13 +342,16 @@
         self.build_history.store_era = era
         present = {item.key for item in items}
         for key in self.existing_keys - present:
-            self._notify_removal(key)
+            with _ignoring_errors(key):
+                self._notify_removal(key)
         upstream_prefix = self.directory.upstream_prefix
         self.replace_upstreams(_items_with_prefix(upstream_prefix, items), now, reason)
         self.replace_entries(_items_with_prefix(PRESENCE_PREFIX, items))
         restored = reason is ReadReason.RESTORE
         for prefix, listener in self.listeners.items():
-            listener.replace_all(_items_with_prefix(prefix, items), restored=restored)
+            found = _items_with_prefix(prefix, items)
+            with _ignoring_errors(prefix):
+                listener.replace_all(found, restored=restored)
         for item in items:
             if item.key == self.directory.config_key or item.key in self.on_removal:
                 self.put(item)
@@ -394,6 +397,7 @@
         try:
             upstream = decode_registration(self.directory, item)
         except ConfigError:
+            # It is logged as it is put.
             return False
         if (item.key, upstream.boot) in self.departed:
             return True
@@ -498,7 +502,7 @@
     def _put_planned_role(self, item: KeyValue) -> None:
         try:
             engine_plan = decode_engine_plan(item.value)
-        except msgspec.DecodeError as error:
+        except DecodingError as error:
             logger.warning(
                 "plan cannot be decoded", extra={"key": item.key, "error": str(error)}
             )
@@ -597,7 +601,28 @@
             )
 
 
+@contextlib.contextmanager
+def _ignoring_errors(key: str) -> cabc.Iterator[None]:
+    """Return a context manager in which an error is logged.
+
+    An unexpected value would otherwise terminate the process, with all its running
+    requests, and every process started after it. The last known state is kept until the
+    key changes again.
+
+    :param key: the key, or the prefix of several, that is processed.
+    """
+    try:
+        yield
+    except Exception:
+        logger.exception("key cannot be processed", extra={"key": key})
+
+
 def _items_with_prefix(
     prefix: str, items: tuple[KeyValue, ...]
 ) -> tuple[KeyValue, ...]:
-    return tuple(item for item in items if item.key.startswith(prefix))
+    return tuple(item for item in items if _is_below(prefix, item.key))
+
+
+def _is_below(prefix: str, key: str) -> bool:
+    """Return whether a key is below a prefix; one without a slash is a single key."""
+    return key == prefix or (prefix.endswith("/") and key.startswith(prefix))
