--- a/tests/test_builds_outlast_entries.py
+++ b/tests/test_builds_outlast_entries.py
@@ -58,16 +58,21 @@
         await assert_new_streams_begin(found)
 
 
-async def test_streams_of_the_only_build_go_on_as_another_comes_in_the_outage():
+@pytest.mark.parametrize("when", ["in the outage", "just after it"])
+async def test_streams_of_the_only_build_go_on_as_another_comes(when):
     """Guards against misplacing or refusing streams that began before there were two
-    builds, where the second one came while no entry ran."""
+    builds, where the second one came while no entry ran, or just after the start."""
     async with site("v1") as found:
         await found.begin("a")
         await asyncio.sleep(1.0)
         await found.kill()
-        found.register("v2")
+        if when == "in the outage":
+            found.register("v2")
         await asyncio.sleep(0.3)
         await found.start()
+        if when == "just after it":
+            found.register("v2")
+            await asyncio.sleep(0.3)
         outcome = await found.resume()
         assert found.misplaced() == [], found.summary(outcome)
         assert found.share(outcome, "v1") >= 0.5, found.summary(outcome)
