--- a/tests/build_outage_support.py
+++ b/tests/build_outage_support.py
@@ -144,6 +144,10 @@
         for engine in self.engines[build]:
             self.store.remove(f"servers/{engine.name}")
 
+    async def open_ports(self, entries: int) -> None:
+        """Open the store's address of each entry."""
+        self.ports = [await self.store.open_port() for _ in range(entries)]
+
     async def start(self, unready: cabc.Container[int] = ()) -> None:
         """Start all entries, and wait for those that the store serves."""
         self.entries = []
@@ -169,13 +173,16 @@
             writer.close()
         self.held.clear()
 
-    async def begin(self, name: str, count: int = STREAMS, first: int = 0) -> list[str]:
+    async def begin(
+        self, name: str, count: int = STREAMS, first: int = 0, end: int | None = None
+    ) -> list[str]:
         """Begin streams and return those that have begun.
 
         :param first: the first entry that callers reach.
+        :param end: the first of the last entries, which callers do not reach.
         """
         ids = [f"{name}-{number}" for number in range(count)]
-        entries = itertools.cycle(self.entries[first:])
+        entries = itertools.cycle(self.entries[first:end])
         opened = await asyncio.gather(
             *(
                 asyncio.wait_for(begin_at(entry.port, each), 2.0)
@@ -253,20 +260,28 @@
         return f"{sorted(ends.items())}, misplaced: {len(self.misplaced())}"
 
 
+SiteT = t.TypeVar("SiteT", bound=Site)
+
+
 @contextlib.asynccontextmanager
-async def site(*builds: str, entries: int = 3) -> cabc.AsyncIterator[Site]:
+async def site(
+    *builds: str,
+    entries: int = 3,
+    site_class: type[SiteT] = Site,  # type: ignore[assignment]
+    store_class: type[FaultyStore] = FaultyStore,
+) -> cabc.AsyncIterator[SiteT]:
     """Run entries before engines of which those of some builds are registered."""
     async with contextlib.AsyncExitStack() as stack:
-        store = await stack.enter_async_context(FaultyStore())
+        store = await stack.enter_async_context(store_class())
         expiry = asyncio.create_task(store.expire_leases())
         stack.callback(expiry.cancel)
-        found = Site(stack, store)
+        found = site_class(stack, store)
         await found.add_engines()
         talk = {"resumable": True, "timeout-ms": 9000}
         document = config(routes=[route("/long/", "streaming", "llm", **talk)])
         store.put("op/config", document)
         found.register(*builds)
-        found.ports = [await store.open_port() for _ in range(entries)]
+        await found.open_ports(entries)
         try:
             await found.start()
             await asyncio.sleep(0.7)
