--- a/src/bergamotmast/direct/stream_build_exchange.py
+++ b/src/bergamotmast/direct/stream_build_exchange.py
@@ -16,6 +16,9 @@
 import msgspec
 
 from ..policy.entry_ranking import first_entries
+from ..policy.entry_ranking import stable_hash
+from .build_history import RETENTION_SECONDS as BUILD_RETENTION_SECONDS
+from .only_build import PeerAnswers
 from .peer_messages import Address
 from .peer_messages import GroupBuilds
 from .peer_messages import PeerInbox
@@ -23,7 +26,6 @@
 from .peer_messages import StreamBuildCopies
 from .peer_messages import StreamBuildQuery
 from .stream_builds import RETENTION_SECONDS
-from .stream_builds import PeerAnswers
 from .stream_builds import StreamBuild
 from .stream_builds import StreamBuilds
 
@@ -46,6 +48,9 @@
 MAX_WIDE_QUERIES = 10
 """Maximum number of streams that all entries are being asked for at a time."""
 
+SURVEY_WAIT_SECONDS = 0.5
+"""How long a stream waits for the answers of all entries, and for its turn to ask."""
+
 
 @dataclasses.dataclass(eq=False, slots=True)
 class Question:
@@ -53,7 +58,8 @@
 
     :param asked: addresses that are asked.
     :param missing: addresses that have not answered yet.
-    :param informed: addresses that have answered and know builds of the group.
+    :param build: the build that is asked for; ``None`` for any of the group.
+    :param informed: addresses that have answered and know such a build.
     :param found: whether the record has come.
     :param ends_early: whether answers of all that don't know the stream end it.
     :param ended: set once nothing is waited for.
@@ -62,23 +68,31 @@
     asked: frozenset[Address]
     missing: set[Address]
     ends_early: bool
+    build: str | None = None
     informed: set[Address] = dataclasses.field(default_factory=set)
     found: bool = False
     ended: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
+    def answers(self, entries: int) -> PeerAnswers:
+        """Return what was answered.
+
+        :param entries: number of all entries, the one that asks included.
+        """
+        return PeerAnswers(entries, len(self.asked), len(self.informed), self.found)
+
     def on_found(self, address: Address) -> None:
         """Record that the record has come."""
         self.informed.add(address)
         self.found = True
         self.ended.set()
 
-    def on_unknown(self, address: Address, *, is_informed: bool) -> None:
+    def on_unknown(self, address: Address, builds: cabc.Container[str]) -> None:
         """Record that an entry doesn't know the stream.
 
-        :param is_informed: whether it knows builds of the group.
+        :param builds: those of the group that it knows.
         """
         self.missing.discard(address)
-        if is_informed:
+        if builds if self.build is None else self.build in builds:
             self.informed.add(address)
         if self.ends_early and not self.missing:
             self.ended.set()
@@ -87,12 +101,16 @@
 class StreamBuildExchange:
     """Implements :class:`~bergamotmast.direct.stream_builds.StreamBuildPeers`.
 
+    Also implements :class:`~bergamotmast.direct.build_recorder.BuildAnnouncer`.
+
     :param own_entry: key under which this entry registers.
     :param entries: returns the addresses of all entries, by their keys.
     :param send: sends a datagram without blocking.
     :param pending: records that have not been sent yet.
     :param questions: questions on their way, by stream.
-    :param wide_queries: number of streams that all entries are being asked for.
+    :param wide_queries: number of streams that all entries are being asked for, of
+        groups with several builds.
+    :param surveys: limits the number of those of groups with one build.
     """
 
     def __init__(
@@ -109,6 +127,7 @@
         self.pending: list[StreamBuild] = []
         self.questions: dict[int, set[Question]] = {}
         self.wide_queries = 0
+        self.surveys = asyncio.Semaphore(MAX_WIDE_QUERIES)
 
     def listen(self, inbox: PeerInbox) -> None:
         """Receive the messages of other entries."""
@@ -131,26 +150,57 @@
     async def find(self, stream: int, group: str) -> PeerAnswers:
         """Ask other entries for the record of a stream, which is then kept here."""
         query = StreamBuildQuery(stream, group)
+        entries = 1 + len(self._others())
         # One of the first may be the entry that began the stream and has ended.
         first = await self._ask(query, self._first(COPIES + 1, stream))
         if first.found or self.wide_queries >= MAX_WIDE_QUERIES:
-            return self._answers(first)
+            return first.answers(entries)
         self.wide_queries += 1
         try:
             every = await self._ask(query, list(self._others().values()))
         finally:
             self.wide_queries -= 1
-        return self._answers(every)
+        return every.answers(entries)
 
     async def find_at_holders(self, stream: int, group: str) -> PeerAnswers:
         """Ask only the entries that keep the copies, until all have answered."""
         query = StreamBuildQuery(stream, group)
         holders = self._first(COPIES + 1, stream)
-        return self._answers(await self._ask(query, holders, ends_early=True))
+        question = await self._ask(query, holders, ends_early=True)
+        return question.answers(entries=1 + len(self._others()))
 
-    def _answers(self, question: Question) -> PeerAnswers:
-        entries = 1 + len(self._others())
-        return PeerAnswers(entries, len(question.asked), len(question.informed))
+    async def survey(self, stream: int, group: str) -> PeerAnswers:
+        """Ask all entries, until all have answered; some streams at a time."""
+        query = StreamBuildQuery(stream, group)
+        now = asyncio.get_running_loop().time()
+        known = self.stream_builds.fleet.known_entries(now) | dict(self.entries())
+        others = [known[key] for key in known if key != self.own_entry]
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(SURVEY_WAIT_SECONDS):
+                await self.surveys.acquire()
+                try:
+                    question = await self._ask(query, others, ends_early=True)
+                    return question.answers(entries=1 + len(others))
+                finally:
+                    self.surveys.release()
+        return PeerAnswers(entries=1 + len(others))
+
+    async def announce(
+        self, group: str, build: str, entries: cabc.Set[str] | None
+    ) -> frozenset[str]:
+        """Tell entries of a build; return the keys of those that have not answered."""
+        others = self._others()
+        if entries is not None:
+            others = {key: others[key] for key in others if key in entries}
+        notice = GroupBuilds(group, {build: BUILD_RETENTION_SECONDS})
+        data = msgspec.msgpack.encode(notice)
+        for address in others.values():
+            self.send(data, address)
+        # The answers list the builds that they know by now.
+        query = StreamBuildQuery(stable_hash(f"{group} {build}"), group)
+        addresses = set(others.values())
+        question = await self._ask(query, addresses, ends_early=True, build=build)
+        return frozenset(k for k in others if others[k] not in question.informed)
 
     async def _ask(
         self,
@@ -158,13 +208,15 @@
         addresses: cabc.Collection[Address],
         *,
         ends_early: bool = False,
+        build: str | None = None,
     ) -> Question:
         """Send a query, twice if need be; return it with what was answered.
 
         :param ends_early: whether to end once all have answered; otherwise they are
             asked again, as the record may be on its way to them.
+        :param build: the build of which they should know; ``None`` for any.
         """
-        question = Question(frozenset(addresses), set(addresses), ends_early)
+        question = Question(frozenset(addresses), set(addresses), ends_early, build)
         if not addresses:
             return question
         data = msgspec.msgpack.encode(query)
@@ -172,7 +224,7 @@
         questions.add(question)
         try:
             for _ in range(2):
-                for address in addresses:
+                for address in sorted(question.missing):
                     self.send(data, address)
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(QUERY_SECONDS):
@@ -230,4 +282,4 @@
         for build, seconds in message.seconds.items():
             self.stream_builds.fleet.build_history.note(message.group, build, seconds)
         for question in self.questions.get(message.stream, ()):
-            question.on_unknown(address, is_informed=bool(message.seconds))
+            question.on_unknown(address, message.seconds)
