A caller that hangs up is no engine that fails

Callers that hang up together (the callers of a site that breaks, or the 36 of test_entry_out_of_step) were refused for 8 s when they resumed their streams, 503 at every entry: their prompt was in quarantine.

Cause: from the moment a caller's connection is closing until the event loop cancels its handler, a write to it raises ClientConnectionResetError. It goes up through the exchange with the engine, which takes aiohttp's errors for those of its own connection: "send failed", "http://ENGINE/long/x: Cannot write to closing transport", a crash by this prompt. Seen in the logs of entry-0: 9 of 18 callers that hung up at once, crashes 0, proven false, 18 of 18 resumptions refused.

Now the reply waits there to be cancelled, as it is when the connection has closed, one turn of the event loop later. The deadline of the request limits the wait.

Test: fails before ("send failed" in the log), passes after.

--- a/src/bergamotmast/direct/http_frontend.py
+++ b/src/bergamotmast/direct/http_frontend.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import collections.abc as cabc
+import contextlib
 import logging
 import socket
 import struct
 
 import yarl
+from aiohttp import ClientConnectionResetError
 from aiohttp import HttpVersion11
 from aiohttp import web
 from aiohttp.abc import AbstractStreamWriter
@@ -65,6 +68,19 @@
             writer.output_size = 0
 
 
+@contextlib.asynccontextmanager
+async def _until_caller_has_left() -> cabc.AsyncIterator[None]:
+    """Wait to be cancelled if the caller's connection is closing.
+
+    The library's error for a write to it is the one for a lost connection to an
+    upstream. It cancels the handler once the connection is closed.
+    """
+    try:
+        yield
+    except ClientConnectionResetError:
+        await asyncio.get_running_loop().create_future()
+
+
 class HttpCallerReply:
     """A :class:`~bergamotmast.direct.caller.CallerReply` to an aiohttp request."""
 
@@ -82,26 +98,30 @@
         """Send a complete response."""
         response = self._new_response(status, headers)
         response.content_length = len(body)
-        await response.prepare(self.request)
-        self.response = response
-        await response.write_eof(body)
+        async with _until_caller_has_left():
+            await response.prepare(self.request)
+            self.response = response
+            await response.write_eof(body)
 
     async def start(self, status: int, headers: Headers) -> None:
         """Send status and headers of a streamed response."""
         self.response = self._new_response(status, headers)
         if self._has_chunks:
             self.response.enable_chunked_encoding()
-        await self.response.prepare(self.request)
+        async with _until_caller_has_left():
+            await self.response.prepare(self.request)
 
     async def write(self, data: bytes) -> None:
         """Send part of a streamed response."""
         assert self.response is not None
-        await self.response.write(data)
+        async with _until_caller_has_left():
+            await self.response.write(data)
 
     async def finish(self) -> None:
         """End a streamed response normally."""
         assert self.response is not None
-        await self.response.write_eof()
+        async with _until_caller_has_left():
+            await self.response.write_eof()
 
     def abort(self) -> None:
         """Close the connection so that the caller sees the response as truncated.
--- a/tests/test_caller_faults.py
+++ b/tests/test_caller_faults.py
@@ -8,6 +8,7 @@
 import logging
 import socket
 import time
+import typing as t
 
 import pytest
 
@@ -23,6 +24,7 @@
 from platform_standin import Received
 from platform_standin import Replica
 from platform_standin import answer
+from platform_standin import event
 from platform_standin import head
 from platform_standin import reset
 
@@ -316,3 +318,21 @@
         await asyncio.sleep(0.02)
         assert entry.listener.is_idle(connection, loop.time())
         writer.close()
+
+
+async def test_write_to_a_caller_that_has_just_left_is_no_failure_of_the_engine(caplog):
+    """Guards against callers that hang up together, which put the prompt of their
+    streams into quarantine: the error of a write to them is that of a lost engine."""
+    caplog.set_level(logging.INFO)
+    script = EngineScript(last=50, pause=0.02)
+    async with serving(engine("e-1", script)) as entry:
+        reader, writer = await entry.connect()
+        writer.write(request("/talk/1", X_Token_Count="400,80"))
+        await reader.readuntil(event(2))
+        (connection,) = entry.frontend.busy
+        # As between the end of a connection and the event loop's word of it.
+        t.cast(t.Any, connection).transport.is_closing = lambda: True
+        await asyncio.sleep(0.1)
+        writer.transport.abort()
+        await until(lambda: not entry.frontend.busy)
+    assert "send failed" not in {record.getMessage() for record in caplog.records}
