Ask all entries once for all streams that wait, until enough have answered

Callers were refused in an outage of the store (7 and 10 of 36 streams of the only build, real processes beside other load, load average about 20): all other entries were there, and did not answer twice within 60 ms. Before the proof, such streams went on by a guess.

All streams of a group that wait now share a question to all entries, which goes on for 0.3 s or until more than half have answered. That is enough for the proof: an entry that knows a stream knows its build. The number of datagrams no longer grows with the streams that are resumed. SharedCall holds what this and the reads of the record have in common.

--- a/src/bergamotmast/direct/only_build.py
+++ b/src/bergamotmast/direct/only_build.py
@@ -69,8 +69,11 @@
         """Ask only the entries that would keep copies, until all have answered."""
         ...
 
-    async def survey(self, stream: int, group: str) -> PeerAnswers:
-        """Ask all entries, until all have answered."""
+    async def survey(self, group: str) -> PeerAnswers:
+        """Ask all entries for the builds of a group.
+
+        One that knows a stream knows its build.
+        """
         ...
 
 
@@ -115,7 +118,7 @@
         :param peers: ``None`` for an entry on its own.
         """
         if not self._knows_all(group):
-            everyone = peers and await peers.survey(stream, group)
+            everyone = peers and await peers.survey(group)
             return self._agreement(group, everyone or PeerAnswers())
         if peers is None:
             return self._certainty(group, PeerAnswers())
@@ -128,7 +131,7 @@
             if reading.done() and reading.result():
                 return self._certainty(group, answers)
             # The store may have fallen silent.
-            agreement = self._agreement(group, await peers.survey(stream, group))
+            agreement = self._agreement(group, await peers.survey(group))
             if agreement.known_by is None and await reading:
                 return self._certainty(group, agreement.answers)
             return agreement
--- a/src/bergamotmast/direct/store_progress.py
+++ b/src/bergamotmast/direct/store_progress.py
@@ -6,17 +6,16 @@
 
 import asyncio
 import logging
-import math
 
 from ..errors import PortError
 from ..ports import KeyValueService
 from ..ports import RangeResult
+from .shared_call import SharedCall
 
 logger = logging.getLogger(__name__)
 
 PAUSE_SECONDS = 0.05
-"""Minimum time between two reads, which all that wait for one share: callers may ask
-for any number of streams that never were."""
+"""Minimum time between two reads."""
 
 
 class AppliedRevision:
@@ -43,33 +42,21 @@
 
 
 class SharedRead:
-    """Reads of a key, each shared by all that ask before it begins.
-
-    :param pending: a read that has not begun yet; ``None`` if there is none.
-    :param next_read_at: when the next read may begin; a point in time.
-    """
+    """Reads of a key, each shared by all that ask before it begins."""
 
     def __init__(self, kv: KeyValueService, key: str) -> None:
         self.kv = kv
         self.key = key
-        self.pending: asyncio.Task[RangeResult | None] | None = None
-        self.next_read_at = -math.inf
+        self.reads = SharedCall(self._read, lambda: PAUSE_SECONDS)
 
     async def read(self) -> RangeResult | None:
         """Return what a read finds that began after this was called.
 
         ``None`` if the store can't be read.
         """
-        if self.pending is None:
-            self.pending = asyncio.ensure_future(self._read())
-        return await asyncio.shield(self.pending)
+        return await self.reads.result()
 
     async def _read(self) -> RangeResult | None:
-        loop = asyncio.get_running_loop()
-        await asyncio.sleep(self.next_read_at - loop.time())
-        self.next_read_at = loop.time() + PAUSE_SECONDS
-        # Whoever asks from here on needs a later read.
-        self.pending = None
         try:
             return await self.kv.range(self.key)
         except PortError as error:
--- a/src/bergamotmast/direct/stream_build_exchange.py
+++ b/src/bergamotmast/direct/stream_build_exchange.py
@@ -12,6 +12,7 @@
 import collections.abc as cabc
 import contextlib
 import dataclasses
+import functools
 
 import msgspec
 
@@ -25,6 +26,7 @@
 from .peer_messages import Send
 from .peer_messages import StreamBuildCopies
 from .peer_messages import StreamBuildQuery
+from .shared_call import SharedCall
 from .stream_builds import RETENTION_SECONDS
 from .stream_builds import StreamBuild
 from .stream_builds import StreamBuilds
@@ -48,8 +50,14 @@
 MAX_WIDE_QUERIES = 10
 """Maximum number of streams that all entries are being asked for at a time."""
 
-SURVEY_WAIT_SECONDS = 0.5
-"""How long a stream waits for the answers of all entries, and for its turn to ask."""
+SURVEY_SECONDS = 0.3
+"""Time in which more than half of all entries should answer, on busy machines too."""
+
+SURVEY_PAUSE_SECONDS = 0.05
+"""Minimum time between two surveys of a group."""
+
+MAX_SURVEY_RATE = 2_000.0
+"""Maximum number of entries that are asked a second, for each group."""
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -108,9 +116,8 @@
     :param send: sends a datagram without blocking.
     :param pending: records that have not been sent yet.
     :param questions: questions on their way, by stream.
-    :param wide_queries: number of streams that all entries are being asked for, of
-        groups with several builds.
-    :param surveys: limits the number of those of groups with one build.
+    :param wide_queries: number of streams that all entries are being asked for.
+    :param surveys: questions to all entries for the builds of a group, by group.
     """
 
     def __init__(
@@ -127,7 +134,7 @@
         self.pending: list[StreamBuild] = []
         self.questions: dict[int, set[Question]] = {}
         self.wide_queries = 0
-        self.surveys = asyncio.Semaphore(MAX_WIDE_QUERIES)
+        self.surveys: dict[str, SharedCall[PeerAnswers]] = {}
 
     def listen(self, inbox: PeerInbox) -> None:
         """Receive the messages of other entries."""
@@ -169,21 +176,33 @@
         question = await self._ask(query, holders, ends_early=True)
         return question.answers(entries=1 + len(self._others()))
 
-    async def survey(self, stream: int, group: str) -> PeerAnswers:
-        """Ask all entries, until all have answered; some streams at a time."""
-        query = StreamBuildQuery(stream, group)
-        now = asyncio.get_running_loop().time()
-        known = self.stream_builds.fleet.known_entries(now) | dict(self.entries())
+    async def survey(self, group: str) -> PeerAnswers:
+        """Ask all entries for the builds of a group, for all streams that wait."""
+        if group not in self.surveys:
+            call = functools.partial(self._survey, group)
+            self.surveys[group] = SharedCall(call, self._survey_pause)
+        return await self.surveys[group].result()
+
+    def _survey_pause(self) -> float:
+        return max(SURVEY_PAUSE_SECONDS, len(self.entries()) / MAX_SURVEY_RATE)
+
+    async def _survey(self, group: str) -> PeerAnswers:
+        loop = asyncio.get_running_loop()
+        known = self.stream_builds.fleet.known_entries(loop.time())
+        known |= dict(self.entries())
         others = [known[key] for key in known if key != self.own_entry]
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(SURVEY_WAIT_SECONDS):
-                await self.surveys.acquire()
-                try:
-                    question = await self._ask(query, others, ends_early=True)
-                    return question.answers(entries=1 + len(others))
-                finally:
-                    self.surveys.release()
-        return PeerAnswers(entries=1 + len(others))
+        # No two surveys have the same number, which the answers repeat.
+        number = stable_hash(f"{self.own_entry} {group} {loop.time()}")
+        query = StreamBuildQuery(number, group)
+        until = loop.time() + SURVEY_SECONDS
+        informed: set[Address] = set()
+        while True:
+            missing = set(others) - informed
+            question = await self._ask(query, missing, ends_early=True)
+            informed |= question.informed
+            answers = PeerAnswers(1 + len(others), len(others), len(informed))
+            if answers.is_majority or loop.time() >= until:
+                return answers
 
     async def announce(
         self, group: str, build: str, entries: cabc.Set[str] | None
--- a/tests/test_build_knowledge.py
+++ b/tests/test_build_knowledge.py
@@ -79,7 +79,10 @@
             self.stream_builds.on_copy(self.record)
         return PeerAnswers()
 
-    find_at_holders = survey = find
+    find_at_holders = find
+
+    async def survey(self, group) -> PeerAnswers:
+        return await self.find(self.record.stream, group)
 
 
 class Stored(Asked):
