Series of builds with entries out of step beside a release

The plans of seeds without it stay what they are: the new plays are drawn from a generator of their own, and datagrams pass through relays only with cuts.

--- a/tests/build_fleet.py
+++ b/tests/build_fleet.py
@@ -15,6 +15,7 @@
 from direct_support import route
 from move_series import MoveFleet
 from move_series import MovePlan
+from peer_relays import PartedStore
 from series_fleet import SeriesStore
 from series_fleet import send_signal
 
@@ -30,12 +31,28 @@
     """A series of kills and releases.
 
     :param silent_share: part of the events before which some engines fall silent.
+    :param has_cuts: whether datagrams between entries pass through relays.
     """
 
     silent_share: float = 0.005
+    has_cuts: bool = False
 
 
-class BuildStore(SeriesStore):
+@dataclasses.dataclass(frozen=True)
+class Cut:
+    """What some entries are cut off from.
+
+    :param store: how, as for ``PartedStore``; empty if the store is not cut off.
+    :param way: of the datagrams between them and all others that are lost: ``both``,
+        ``in``, ``out``, or empty for none.
+    """
+
+    entries: tuple[int, ...]
+    store: str
+    way: str
+
+
+class BuildStore(PartedStore, SeriesStore):
     """The platform's store, which can turn entries away and be late.
 
     :param addresses: the address that each entry knows it by.
@@ -76,6 +93,7 @@
 
     :param releasing: build of all engines that are started from now on.
     :param born: start of each engine, in milliseconds of the wall clock, by number.
+    :param cuts: cuts at present.
     """
 
     plan: BuildPlan
@@ -93,11 +111,22 @@
         self.store = BuildStore()
         self.releasing = ""
         self.born: dict[int, int] = {}
+        self.cuts: list[Cut] = []
 
     async def _start(self) -> None:
         await self.store.listen(self.plan.entries)
+        if self.plan.has_cuts:
+            ports = (int(each.rpartition(":")[2]) for each in self.store.addresses)
+            self.store.numbers = {port: entry for entry, port in enumerate(ports)}
+            await self.store.relays.open(self.plan.entries)
         await super()._start()
 
+    async def __aexit__(self, *error: object) -> None:
+        self.cuts.clear()
+        self._apply_cuts()
+        self.store.relays.close()
+        await super().__aexit__(*error)
+
     async def _spawn(
         self, log: str, script: str, *arguments: str, **settings: str
     ) -> asyncio.subprocess.Process:
@@ -182,6 +211,28 @@
         await asyncio.sleep(seconds)
         self.store.turned_away.clear()
 
+    async def part(
+        self, entries: tuple[int, ...], store: str, way: str, seconds: float
+    ) -> None:
+        """Cut some entries off together, for some seconds."""
+        cut = Cut(entries, store, way)
+        self.cuts.append(cut)
+        self._apply_cuts()
+        await asyncio.sleep(seconds)
+        if cut in self.cuts:
+            self.cuts.remove(cut)
+        self._apply_cuts()
+
+    def _apply_cuts(self) -> None:
+        self.store.cuts.clear()
+        self.store.relays.cut.clear()
+        for cut in self.cuts:
+            others = [n for n in range(self.plan.entries) if n not in cut.entries]
+            for entry in cut.entries:
+                if cut.store:
+                    self.store.cuts[entry] = cut.store
+                self.store.relays.part(entry, others, cut.way)
+
     async def lose_replies(self, count: int) -> None:
         """Let the store lose the replies to some writes."""
         self.store.lose_replies = count
--- a/tests/build_series.py
+++ b/tests/build_series.py
@@ -5,9 +5,10 @@
 Entries are killed, all at once or single ones, stopped and paused; engines crash and
 come back, perhaps with another build, leave, fall silent, or are released anew one
 after another; the store turns entries away, loses replies, carries writes out late,
-and comes back from an older copy. Callers go on with broken streams at other entries.
-Checks that streams hold events of one build, each once, and that streams resumed in
-calm go on about as often as new ones begin.
+and comes back from an older copy. With ``--cuts`` entries are also cut off from the
+store and from one another, and stand still, beside a release. Callers go on with broken
+streams at other entries. Checks that streams hold events of one build, each once, and
+that streams resumed in calm go on about as often as new ones begin.
 """
 
 from __future__ import annotations
@@ -107,6 +108,31 @@
     )
 
 
+def draw_cut_plan(seed: int) -> BuildPlan:
+    """Return the plan of a seed with a release beside which entries are out of step."""
+    plan, rng = draw_plan(seed), random.Random(f"cuts {seed}")
+    plays = list(plan.plays)
+    released_at = [at for at, method, _ in plays if method == "release"]
+    if not released_at:
+        released_at = [rng.uniform(2.0, 5.0)]
+        plays.append((released_at[0], "release", ("v9", rng.uniform(0.2, 0.6))))
+
+    def beside() -> float:
+        return max(1.5, rng.choice(released_at) + rng.uniform(-1.0, 2.0))
+
+    for _ in range(rng.randint(1, 3)):
+        some = rng.sample(range(plan.entries), rng.randint(1, plan.entries // 2))
+        store = rng.choice(("silent", "silent", "refused", "reset", "slow", ""))
+        way = rng.choice(("both", "both", "in", "out", "") if store else ("both", "in"))
+        cut = (tuple(some), store, way, rng.uniform(0.5, 6.0))
+        plays.append((beside(), "part", cut))
+    for _ in range(rng.randint(0, 2)):
+        freeze = (rng.randrange(plan.entries), rng.uniform(1.5, 6.0))
+        plays.append((beside(), "freeze", freeze))
+    plays.sort(key=lambda play: play[0])
+    return dataclasses.replace(plan, plays=tuple(plays), has_cuts=True)
+
+
 def draw_calm_plan(seed: int) -> BuildPlan:
     """Return the plan of a seed without its faults."""
     return dataclasses.replace(draw_plan(seed), plays=(), silent_share=0.0)
@@ -414,9 +440,12 @@
 def main() -> int:
     """Play the series of a range of seeds and print the result of each."""
     parser = seed_parser(__doc__, first=100, count=50, parallel=2)
-    parser.add_argument("--calm", action="store_true", help="without any fault")
+    kinds = parser.add_mutually_exclusive_group()
+    kinds.add_argument("--calm", action="store_true", help="without any fault")
+    kinds.add_argument("--cuts", action="store_true", help="with entries out of step")
     arguments = parser.parse_args()
     draw = draw_calm_plan if arguments.calm else draw_plan
+    draw = draw_cut_plan if arguments.cuts else draw
 
     async def run(seed: int) -> BuildReport:
         return await run_series(draw(seed), seed)
