Refuse numbers that can't be calculated with as they are decoded

As long as the usage record had a last window of 400 digits, the duty of usage ended with OverflowError in each term of the planner's lease. By the code, the term ends with it, and so does all other work of the lease's holder. Other large numbers were reported to the platform as they were: a window of 400 digits, a count of 2^63.

Cause: the decoder of JSON takes integers of any length. One beyond 64 bits fails far from there: as it is converted to a float, or encoded. Errors of these kinds are expected nowhere, and end what runs.

decoding.py now refuses a value with an integer beyond 62 bits, which leaves room for counters that go on. It looks at the value only where the data has 19 digits in a row. Numbers in fields that nobody reads, and digits in text, are taken as before. MessagePack has 64 bits at most; counts in datagrams are bounded by their type.

--- a/src/bergamotmast/decoding.py
+++ b/src/bergamotmast/decoding.py
@@ -2,7 +2,8 @@
 
 Only this module calls the decoders of JSON and MessagePack. They fail with errors of
 several classes: a nested value exhausts the stack even in a field that nobody reads,
-and a long number or an odd byte has errors of its own.
+and a long number or an odd byte has errors of its own. A number that JSON may hold, but
+that can't be encoded again or converted to a float, is refused here as well.
 """
 
 from __future__ import annotations
@@ -16,6 +17,13 @@
 _T = t.TypeVar("_T")
 _Bytes: t.TypeAlias = bytes | bytearray | memoryview
 
+MAX_NUMBER = 1 << 62
+"""Largest absolute value of an integer. Encoders take 64 bits, and counters go on."""
+
+_DIGITS_TO_ZERO = bytes.maketrans(b"123456789", b"0" * 9)
+_MANY_DIGITS = b"0" * 19
+"""Larger integers have as many digits; hardly any other data does."""
+
 _ERRORS = (
     msgspec.MsgspecError,
     ValueError,
@@ -46,9 +54,11 @@
         :raises DecodingError: if the data is no value of the type.
         """
         try:
-            return self.decoder.decode(data)
+            value = self.decoder.decode(data)
+            _check_numbers(data, value)
         except _ERRORS as error:
             raise DecodingError(_reason(error)) from error
+        return value
 
 
 class MessagePackDecoder(t.Generic[_T]):
@@ -77,9 +87,11 @@
     :raises DecodingError: if the data is no value of the type.
     """
     try:
-        return msgspec.json.decode(data, type=kind)
+        value = msgspec.json.decode(data, type=kind)
+        _check_numbers(data, value)
     except _ERRORS as error:
         raise DecodingError(_reason(error)) from error
+    return value
 
 
 def decode_msgpack(data: _Bytes, kind: type[_T]) -> _T:
@@ -93,6 +105,23 @@
         raise DecodingError(_reason(error)) from error
 
 
+def _check_numbers(data: _Bytes | str, value: object) -> None:
+    """Raise :exc:`OverflowError` if a decoded value holds too large a number."""
+    text = data.encode() if isinstance(data, str) else bytes(data)
+    if _MANY_DIGITS not in text.translate(_DIGITS_TO_ZERO):
+        return
+    unchecked = [msgspec.to_builtins(value)]
+    while unchecked:
+        match unchecked.pop():
+            case dict() as members:
+                unchecked += members
+                unchecked += members.values()
+            case list() | tuple() as items:
+                unchecked += items
+            case int(number) if abs(number) > MAX_NUMBER:
+                raise OverflowError(f"a number has {number.bit_length()} bits")
+
+
 def _reason(error: Exception) -> str:
     if isinstance(error, RecursionError):
         return "the value is nested too deeply"
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -222,3 +222,29 @@
     with pytest.raises(DecodingError, match="int"):
         decode_json(b'"x"', int)
     assert issubclass(DecodingError, msgspec.DecodeError)
+
+
+LARGE = [2**63, -(2**63), 2**64 - 1, 10**30, 10**400]
+
+
+@pytest.mark.parametrize("number", LARGE, ids=range(len(LARGE)))
+def test_number_that_cannot_be_calculated_with_is_refused(number):
+    """Guards against an error far from here, as a number is converted or encoded."""
+    digits = str(number).encode()
+    for kind, data in [
+        (UsageRecord, b'{"last_window":%s}'),
+        (UsageRecord, b'{"windows":{"%s":{}}}'),
+        (UsageRecord, b'{"windows":{"1":{"t":%s}}}'),
+        (ScalingRecord, b'{"orders":{"g":{"z":{"count":%s}}}}'),
+        (PlanHead, b'{"epoch":%s,"revision":1,"nonce":"","planner":""}'),
+        (_Report, b'{"sequence":%s,"busy":false}'),
+        (dict, b'{"x":[%s]}'),
+    ]:
+        with pytest.raises(DecodingError, match="number"):
+            decode_json(data.replace(b"%s", digits), kind)
+        with pytest.raises(DecodingError, match="number"):
+            JsonDecoder(kind).decode(data.replace(b"%s", digits))
+        largest = data.replace(b"%s", str(2**62).encode())
+        assert decode_json(largest, kind) == JsonDecoder(kind).decode(largest)
+    unread = b'{"holder":"%s","more":%s}'.replace(b"%s", digits)
+    assert decode_json(unread, UsageRecord).holder == str(number)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -48,6 +48,7 @@
 from direct_support import registration
 from direct_support import request
 from direct_support import serving
+from memory_site import Site
 from memory_site import VirtualTimeLoop
 from memory_store import Store as MemoryStore
 from memory_store import StoreClient
@@ -337,3 +338,22 @@
         store.remove(key)
         loop.run_until_complete(asyncio.sleep(1.0))
         assert entry.fleet.build_history.recorded_builds("llm") == {"v1"}
+
+
+@pytest.mark.parametrize("number", [2**63, 10**30, 10**400], ids=range(3))
+def test_large_number_in_the_record_of_builds_ends_no_entry(number):
+    """Guards against a number that an entry can't write again after it was read."""
+    site = Site(2, "v1")
+    try:
+        site.store.put(BUILDS_KEY, {"groups": {"llm": ["v1"]}, "era": number})
+        site.add_build("v2")
+        site.start("entry-1")
+        site.run(3.0)
+        site.kill(["entry-1"])
+        site.start("entry-1")
+        site.run(3.0)
+        for entry in site.entries.values():
+            assert not [task for task in entry.tasks if task.done()]
+            assert entry.fleet.in_sync
+    finally:
+        site.close()
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -461,11 +461,19 @@
     assert [r.window for r in service.arrived].count(FIRST) == 1
 
 
-UNREADABLE_RECORDS = [b"", b"\xff", b"[]", b'{"more":' + b"[" * 5_000]
+UNREADABLE_RECORDS = [
+    b"",
+    b"\xff",
+    b"[]",
+    b'{"more":' + b"[" * 5_000,
+    b'{"last_window":%d}' % 10**400,
+    b'{"windows":{"%d":{"t":1}}}' % 10**400,
+    b'{"windows":{"1":{"t":%d}}}' % 2**63,
+]
 
 
 @pytest.mark.looptime
-@pytest.mark.parametrize("value", UNREADABLE_RECORDS, ids=["", "ff", "list", "deep"])
+@pytest.mark.parametrize("value", UNREADABLE_RECORDS, ids=range(7))
 async def test_unreadable_record_does_not_allow_a_second_report(value):
     """Guards against a record that can't be read, taken for one of no window."""
     network, service = Network("ab"), Service()
