--- a/src/bergamotmast/direct/build_history.py
+++ b/src/bergamotmast/direct/build_history.py
@@ -40,9 +40,9 @@
 registrations of upstreams that came in the gap, before it counts as complete."""
 
 HOLD_SECONDS = 5.0
-"""How long an entry that has just started leaves a second build of a group unrecorded.
-Until then all streams are known to have begun at the recorded one, and callers resume
-broken streams within seconds."""
+"""How long an entry that has just started leaves a second build of a group unrecorded
+which came while it did not run. Until then all streams are known to have begun at the
+recorded one, and callers resume broken streams within seconds."""
 
 Builds = dict[str, frozenset[str]]
 
@@ -73,9 +73,9 @@
         record or by its own watch.
     :param heard_at: when the store last replied; a point in time.
     :param is_restored: whether the record may lack builds after a restore of the store.
-    :param held: groups of which the record named one build when this entry started;
-        ``None`` before the first read.
-    :param held_until: until when no other build of these is recorded; a point in time.
+    :param held: builds that were registered and not recorded when this entry started,
+        by group, where the record named one other; ``None`` before the first read.
+    :param held_until: until when they are not recorded; a point in time.
     :param unrecorded: until when streams may go on that began at a build that the
         record did not name, by group; points in time.
     :param changed: set when the record may have to be written.
@@ -99,7 +99,7 @@
         self.is_sure = False
         self.heard_at = -math.inf
         self.is_restored = False
-        self.held: set[str] | None = None
+        self.held: dict[str, frozenset[str]] | None = None
         self.held_until = -math.inf
         self.unrecorded: dict[str, float] = {}
         self.changed = asyncio.Event()
@@ -184,8 +184,7 @@
         if not recorded or build in recorded:
             return
         self.unrecorded[group] = self.clock() + RETENTION_SECONDS
-        if self.held and group in self.held:
-            self.held.remove(group)
+        if self.held and self.held.pop(group, None):
             self.changed.set()
 
     @property
@@ -264,8 +263,11 @@
         for item in items:
             self.put(item)
         if self.held is None:
-            groups = self.recorded or {}
-            self.held = {g for g in groups if self.only_recorded(g) is not None}
+            self.held = {
+                group: frozenset(self.registered(group)) - {only}
+                for group in self.recorded or {}
+                if (only := self.only_recorded(group)) is not None
+            }
             self.held_until = self.clock() + HOLD_SECONDS
 
     def _due(self, group: str) -> frozenset[str]:
@@ -274,10 +276,11 @@
         A group without an upstream of the recorded build needs the others.
         """
         registered = frozenset(self.registered(group))
-        if self.clock() >= self.held_until or group not in (self.held or ()):
+        if self.clock() >= self.held_until or not self.held:
             return registered
-        only = self.only_recorded(group)
-        return registered if only not in registered else frozenset({only})
+        if self.only_recorded(group) not in registered:
+            return registered
+        return registered - self.held.get(group, frozenset())
 
     def wanted(self, groups: cabc.Iterable[str]) -> Builds | None:
         """Return what the record should be; ``None`` if it can't be told yet.
