Record a build only once half of the entries know it

Callers could get a stream of two builds where most entries are cut off from the store and from the rest, which sees a build come: those that are cut off are more than half and agree on the only build that they know; the rest recorded the new one after 0.6 s without their answer, and let streams begin there.

As long as the recorded build has upstreams, the entry that records a build now waits until it and those that have answered are half of the registered entries. Of any more than half at least one then knows it. Another one announces it if the first does not.

--- a/src/bergamotmast/direct/build_recorder.py
+++ b/src/bergamotmast/direct/build_recorder.py
@@ -57,26 +57,52 @@
     """The other entries, which are told of builds."""
 
     async def announce(
-        self, group: str, build: str, entries: cabc.Set[str] | None
-    ) -> frozenset[str]:
-        """Tell entries of a build; return the keys of those that have not answered.
+        self, group: str, build: str, answered: cabc.Set[str]
+    ) -> Answers:
+        """Tell the entries of a build that have not answered yet.
 
-        :param entries: keys of the entries; ``None`` for all others.
+        :param answered: keys of the entries that have.
         """
         ...
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answers:
+    """The entries that have answered to the announcement of a build.
+
+    :param answered: their keys.
+    :param missing: keys of the others that are registered.
+    """
+
+    answered: frozenset[str] = frozenset()
+    missing: frozenset[str] = frozenset()
+
+    @property
+    def is_half(self) -> bool:
+        """Whether they and this one are half of all, or more.
+
+        Any more than half of all entries then know the build by one of them at least.
+        """
+        return len(self.answered) + 1 >= len(self.missing)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Announcement:
     """A build of which the other entries are told before it is recorded.
 
-    :param until: from when on it is recorded all the same; a point in time.
-    :param missing: keys of the entries that have not answered; ``None`` before the
-        first announcement.
+    :param until: from when on half of the entries are enough; a point in time.
+    :param answers: ``None`` before the first announcement.
     """
 
     until: float
-    missing: frozenset[str] | None = None
+    answers: Answers | None = None
+
+    def is_done(self, now: float) -> bool:
+        """Return whether enough entries know the build for it to be recorded."""
+        if self.answers is None:
+            return False
+        has_waited = now >= self.until and self.answers.is_half
+        return has_waited or not self.answers.missing
 
 
 class BuildRecorder:
@@ -142,27 +168,31 @@
         return {
             build
             for build, announcement in self.announcements.items()
-            if now < announcement.until and announcement.missing != frozenset()
+            if not announcement.is_done(now)
         }
 
     async def _announce(self, builds: cabc.Iterable[tuple[str, str]]) -> None:
         """Tell all entries of builds that are to be recorded."""
         assert self.announcer is not None
-        if not self._is_first():
-            await asyncio.sleep(ANNOUNCEMENT_SECONDS)
-            return
+        now = self.history.clock()
         for group, build in builds:
             known = self.announcements[group, build]
-            missing = await self.announcer.announce(group, build, known.missing)
-            announcement = dataclasses.replace(known, missing=missing)
+            if now < known.until and not self._is_first():
+                # The first entry announces it.
+                await asyncio.sleep(ANNOUNCEMENT_SECONDS)
+                continue
+            answered = known.answers.answered if known.answers else frozenset()
+            answers = await self.announcer.announce(group, build, answered)
+            announcement = dataclasses.replace(known, answers=answers)
             self.announcements[group, build] = announcement
-            if missing:
+            if answers.missing:
                 await asyncio.sleep(ANNOUNCEMENT_SECONDS)
 
     def _not_told(self) -> list[str]:
         """Return the entries that have not answered to the last announcements."""
-        missing = (each.missing or () for each in self.announcements.values())
-        return sorted(set(itertools.chain(*missing)))[:MAX_LOGGED_ENTRIES]
+        answers = (each.answers for each in self.announcements.values())
+        missing = itertools.chain(*(each.missing for each in answers if each))
+        return sorted(set(missing))[:MAX_LOGGED_ENTRIES]
 
     def _seconds_to_check(self) -> float:
         """Return after how long the record is compared without a change."""
--- a/src/bergamotmast/direct/stream_build_exchange.py
+++ b/src/bergamotmast/direct/stream_build_exchange.py
@@ -19,6 +19,7 @@
 from ..policy.entry_ranking import first_entries
 from ..policy.entry_ranking import stable_hash
 from .build_history import RETENTION_SECONDS as BUILD_RETENTION_SECONDS
+from .build_recorder import Answers
 from .only_build import PeerAnswers
 from .peer_messages import Address
 from .peer_messages import GroupBuilds
@@ -205,12 +206,11 @@
                 return answers
 
     async def announce(
-        self, group: str, build: str, entries: cabc.Set[str] | None
-    ) -> frozenset[str]:
-        """Tell entries of a build; return the keys of those that have not answered."""
-        others = self._others()
-        if entries is not None:
-            others = {key: others[key] for key in others if key in entries}
+        self, group: str, build: str, answered: cabc.Set[str]
+    ) -> Answers:
+        """Tell the entries of a build that have not answered yet."""
+        registered = self._others()
+        others = {k: a for k, a in registered.items() if k not in answered}
         notice = GroupBuilds(group, {build: BUILD_RETENTION_SECONDS})
         data = msgspec.msgpack.encode(notice)
         for address in others.values():
@@ -219,7 +219,9 @@
         query = StreamBuildQuery(stable_hash(f"{group} {build}"), group)
         addresses = set(others.values())
         question = await self._ask(query, addresses, ends_early=True, build=build)
-        return frozenset(k for k in others if others[k] not in question.informed)
+        missing = {k for k, a in others.items() if a not in question.informed}
+        known = frozenset(registered.keys() - missing)
+        return Answers(known, frozenset(missing))
 
     async def _ask(
         self,
