Announce each build that comes, also one that had come before

Announcements end with the record that they are for. Whether the record is from before a restore is told by its era alone. Streams at an unrecorded build are kept by build, until the record names it, and only that build is recorded without waiting.

--- a/src/bergamotmast/direct/build_history.py
+++ b/src/bergamotmast/direct/build_history.py
@@ -79,7 +79,7 @@
         by group, where the record named one other; ``None`` before the first read.
     :param held_until: until when they are not recorded; a point in time.
     :param unrecorded: until when streams may go on that began at a build that the
-        record did not name, by group; points in time.
+        record does not name yet, by group and build; points in time.
     :param changed: set when the record may have to be written.
     """
 
@@ -103,7 +103,7 @@
         self.is_restored = False
         self.held: dict[str, frozenset[str]] | None = None
         self.held_until = -math.inf
-        self.unrecorded: dict[str, float] = {}
+        self.unrecorded: dict[tuple[str, str], float] = {}
         self.changed = asyncio.Event()
 
     def builds(self, group: str) -> set[str]:
@@ -185,7 +185,7 @@
         recorded = self.recorded_builds(group)
         if not recorded or build in recorded:
             return
-        self.unrecorded[group] = self.clock() + RETENTION_SECONDS
+        self.unrecorded[group, build] = self.clock() + RETENTION_SECONDS
         if self.held and self.held.pop(group, None):
             self.changed.set()
 
@@ -204,7 +204,8 @@
         recorded = self.recorded_builds(group)
         if not self.is_trusted or len(recorded) != 1:
             return None
-        if self.clock() < self.unrecorded.get(group, -math.inf):
+        now = self.clock()
+        if any(now < t for (other, _), t in self.unrecorded.items() if other == group):
             return None
         return next(iter(recorded))
 
@@ -231,6 +232,7 @@
         self.revision = item.mod_revision
         before = self.recorded or {}
         self.recorded, self.recorded_era = decode(item)
+        self._forget_recorded()
         self.is_sure = self.is_sure or self.is_trusted
         self.changed.set()
         for group, builds in (self.recorded or {}).items():
@@ -247,8 +249,18 @@
         if revision < self.revision:
             return
         self.recorded, self.revision, self.recorded_era = builds, revision, era
+        self._forget_recorded()
         self.is_restored = False
 
+    def _forget_recorded(self) -> None:
+        """Forget that builds were unrecorded which the record names by now."""
+        if self.is_trusted:
+            self.unrecorded = {
+                (group, build): until
+                for (group, build), until in self.unrecorded.items()
+                if build not in self.recorded_builds(group)
+            }
+
     def remove(self, key: str) -> None:
         """Apply the removal of the record."""
         self.recorded = {}
@@ -316,15 +328,18 @@
         """Return the groups and builds that a new record names and the present one not.
 
         Without a record of a group, an upstream of a recorded build, or a record from
-        after the last restore, streams begin at any build.
+        after the last restore, streams begin at any build. Those of which that is known
+        are left out.
         """
-        if self.is_restored or not self.is_trusted:
+        if not self.is_trusted:
             return frozenset()
+        now = self.clock()
         return frozenset(
             (group, build)
             for group, names in builds.items()
             if self.recorded_builds(group).intersection(self.registered(group))
             for build in names - self.recorded_builds(group)
+            if now >= self.unrecorded.get((group, build), -math.inf)
         )
 
     @property
--- a/src/bergamotmast/direct/build_recorder.py
+++ b/src/bergamotmast/direct/build_recorder.py
@@ -141,35 +141,38 @@
                     await self.history.changed.wait()
             self.history.changed.clear()
             record = self.history.pending(self.groups())
-            if record is not None and not self._writes_at_once():
-                self._unknown_to_others(record[0])
-                await asyncio.sleep(STANDBY_SECONDS)
+            if record is not None:
+                self._plan_announcements(record[0])
+                if not self._writes_at_once():
+                    await asyncio.sleep(STANDBY_SECONDS)
             while (record := self.history.pending(self.groups())) is not None:
-                if unknown := self._unknown_to_others(record[0]):
+                self._plan_announcements(record[0])
+                if unknown := self._unknown_to_others():
                     await self._announce(unknown)
                 else:
                     await self._write(*record)
+            self.announcements.clear()
 
-    def _unknown_to_others(self, builds: Builds) -> set[tuple[str, str]]:
-        """Return the groups and builds of a new record that not all entries know yet.
+    def _plan_announcements(self, builds: Builds) -> None:
+        """Keep an announcement for each build that a new record adds.
 
         Streams that have begun at a build don't wait for entries that don't answer.
         """
-        if self.announcer is None or self.history.has_unrecorded_streams:
-            return set()
-        now = self.history.clock()
+        if self.announcer is None:
+            return
         seconds = NOTICE_SECONDS + max_reply_age(len(list(self.entries())))
         if not self._is_first():
             seconds += STANDBY_SECONDS
+        planned = Announcement(self.history.clock() + seconds)
         self.announcements = {
-            build: self.announcements.get(build, Announcement(now + seconds))
+            build: self.announcements.get(build, planned)
             for build in self.history.additions(builds)
         }
-        return {
-            build
-            for build, announcement in self.announcements.items()
-            if not announcement.is_done(now)
-        }
+
+    def _unknown_to_others(self) -> set[tuple[str, str]]:
+        """Return the builds to be recorded that not enough entries know yet."""
+        now = self.history.clock()
+        return {b for b, each in self.announcements.items() if not each.is_done(now)}
 
     async def _announce(self, builds: cabc.Iterable[tuple[str, str]]) -> None:
         """Tell all entries of builds that are to be recorded."""
