Keep what others know as registered while the store isn't heard

Entries that reach one another and not the store agreed on a build 60 s after they were told of a second one, and let streams of the second go on there. What an entry is told lasts for 60 s, as the streams of a build that left; an entry that hears nothing of the store would not hear either that it has left, nor that it has not.

--- a/src/bergamotmast/direct/build_history.py
+++ b/src/bergamotmast/direct/build_history.py
@@ -37,6 +37,9 @@
 the restored record. While the store is away, nothing registers; while this entry alone
 does not reach it, others know what registers and add it."""
 
+OUTAGE_SECONDS = 3.0
+"""Time without a reply of the store after which an entry may not hear of changes."""
+
 SETTLING_SECONDS = 2.0
 """How long the record waits after a restore for what other entries know, and for the
 registrations of upstreams that came in the gap, before it counts as complete."""
@@ -117,7 +120,8 @@
         for (other, name), until in self.departed.items():
             if other == group and now < until:
                 build = self.told(name)
-                departed[build] = max(until - now, departed.get(build, 0.0))
+                seconds = min(until - now, RETENTION_SECONDS)
+                departed[build] = max(seconds, departed.get(build, 0.0))
         return departed | dict.fromkeys(self.registered(group), RETENTION_SECONDS)
 
     def note(self, group: str, build: str, seconds: float = RETENTION_SECONDS) -> None:
@@ -131,6 +135,21 @@
         known_until = self.departed.get((group, build), now)
         self.departed[group, build] = max(known_until, now + seconds)
 
+    def on_told(
+        self, group: str, build: str, seconds: float = RETENTION_SECONDS
+    ) -> None:
+        """Record that another entry knows of a build.
+
+        While the store isn't heard, one that is registered there is kept: that it has
+        left would not be heard either.
+
+        :param seconds: for how long its streams may go on, as the other entry knows it.
+        """
+        is_kept = self.clock() > self.heard_at + OUTAGE_SECONDS
+        if is_kept and seconds >= RETENTION_SECONDS:
+            seconds = math.inf
+        self.note(group, build, seconds)
+
     @property
     def has_watched(self) -> bool:
         """Whether this entry has watched for as long as streams may go on."""
@@ -172,6 +191,8 @@
     def on_read(self) -> None:
         """Record that all registrations were read, after a gap in the watch."""
         now = self.clock()
+        latest = now + RETENTION_SECONDS
+        self.departed = {b: min(until, latest) for b, until in self.departed.items()}
         has_gap = now > self.heard_at + MAX_GAP_SECONDS
         self.is_sure = (self.is_sure or self.has_watched) and not has_gap
         self.watched_since = now
--- a/src/bergamotmast/direct/stream_build_exchange.py
+++ b/src/bergamotmast/direct/stream_build_exchange.py
@@ -301,6 +301,8 @@
 
     def _on_builds(self, message: GroupBuilds, address: Address) -> None:
         for build, seconds in message.seconds.items():
-            self.stream_builds.fleet.build_history.note(message.group, build, seconds)
+            self.stream_builds.fleet.build_history.on_told(
+                message.group, build, seconds
+            )
         for question in self.questions.get(message.stream, ()):
             question.on_unknown(address, message.seconds)
--- a/src/bergamotmast/direct/stream_builds.py
+++ b/src/bergamotmast/direct/stream_builds.py
@@ -181,7 +181,7 @@
         Its build may be registered without this entry's notice.
         """
         build = self._told(record)
-        self.fleet.build_history.note(record.group, build)
+        self.fleet.build_history.on_told(record.group, build)
         self.fleet.build_history.on_begun(record.group, build)
         self._keep(record)
 
