Wait for the store as long as its watch pauses

The wait now includes that pause. All others are asked after 0.1 s in place of 0.05 s, which is the pause between two reads that streams share, so that they aren't asked while the store is sound. test_entry_without_the_others_catches_up_between_two_calls_of_its_watch: fails on, passes now.

--- a/src/bergamotmast/direct/only_build.py
+++ b/src/bergamotmast/direct/only_build.py
@@ -14,13 +14,14 @@
 import typing as t
 
 from ..policy.watch_pause import max_reply_age
+from ..policy.watch_pause import watch_pause
 from .fleet import Fleet
 
 STORE_REPLY_SECONDS = 0.5
 """How long an entry waits for the store before it refuses a stream, which the caller
 then resumes at another entry."""
 
-USUAL_REPLY_SECONDS = 0.05
+USUAL_REPLY_SECONDS = 0.1
 """Time in which a store that is not slow answers."""
 
 
@@ -157,15 +158,17 @@
         """Return whether all that the store has accepted by now is applied in time."""
         if self.store is None:
             return False
+        # A change may wait for the next call of the watch.
+        seconds = STORE_REPLY_SECONDS + watch_pause(len(self.fleet.entries))
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(STORE_REPLY_SECONDS):
+            async with asyncio.timeout(seconds):
                 return await self.store.catch_up()
         return False
 
     def _is_current(self) -> bool:
         """Return whether the store has replied so lately that the watch is alive."""
         age = self.fleet.clock() - self.fleet.build_history.heard_at
-        return age <= max_reply_age(1 + len(self.fleet.entries))
+        return age <= max_reply_age(len(self.fleet.entries))
 
     def _knows_all(self, group: str) -> bool:
         """Return whether this entry knows of one build, and is certain by itself."""
