Prove no stream by a record that a registered build still waits for

While a new build waits for an entry that is cut off, that entry may let streams begin there: no engine of the recorded build takes one, as they rest or are full. The wait before a build is recorded has made this time longer.

While a registered build isn't recorded, the record now counts only if all other entries answer: an entry at which a stream began would know it, or has sent a copy. In the 5 s after a start, in which a second build is left out on purpose, it counts as before.

--- a/src/bergamotmast/direct/build_history.py
+++ b/src/bergamotmast/direct/build_history.py
@@ -216,6 +216,15 @@
         now = self.clock()
         return any(now < until for until in self.unrecorded.values())
 
+    def awaits_record(self, group: str) -> bool:
+        """Return whether a build is registered that the record does not name yet.
+
+        After a start, it is left out of the record on purpose.
+        """
+        if self.clock() < self.held_until and self.held and group in self.held:
+            return False
+        return not self.recorded_builds(group).issuperset(self.registered(group))
+
     def only_recorded(self, group: str) -> str | None:
         """Return the only build of a group that the record names.
 
--- a/src/bergamotmast/direct/stream_builds.py
+++ b/src/bergamotmast/direct/stream_builds.py
@@ -310,6 +310,11 @@
         if build is None or self._stored_builds(group) - {build}:
             # Streams have begun at a build that the record does not name yet.
             return FoundBuild(None, KnownBy.UNKNOWN, answers)
+        if self.peers is not None and self.fleet.build_history.awaits_record(group):
+            # Where no engine of a recorded build takes a stream, it begins at another.
+            answers = await self.peers.survey(group)
+            if answers.asked and not answers.is_complete:
+                return FoundBuild(None, KnownBy.UNKNOWN, answers)
         only = StreamBuild(stream, group, build, math.inf)
         return FoundBuild(only, KnownBy.RECORD, answers)
 
