--- a/src/bergamotmast/direct/build_recorder.py
+++ b/src/bergamotmast/direct/build_recorder.py
@@ -51,6 +51,7 @@
 
 
 MAX_LOGGED_ENTRIES = 10
+"""Maximum number of entries named in a log line."""
 
 
 class BuildAnnouncer(t.Protocol):
--- a/src/bergamotmast/direct/core.py
+++ b/src/bergamotmast/direct/core.py
@@ -24,7 +24,6 @@
 from .model import Route
 from .model import Routing
 from .only_build import KnownBy
-from .only_build import PeerAnswers
 from .placer import shared_parts
 from .plain_run import PlainRun
 from .routing import RouteTable
@@ -162,7 +161,7 @@
         found = await self.context.stream_builds.find(began_as, groups)
         record, fleet = found.record, self.context.fleet
         self.telemetry.on_resumed(group, found.known_by.value)
-        answers = found.answers or PeerAnswers()
+        answers = found.answers
         logger.info(
             "stream is resumed",
             extra={
@@ -172,9 +171,9 @@
                 "known_by": found.known_by.value,
                 "in_sync": fleet.in_sync,
                 "store_heard_ms": fleet.build_history.heard_ms,
-                "entries": answers.entries,
-                "asked": answers.asked,
-                "informed": answers.informed,
+                "entries": answers and answers.entries,
+                "asked": answers and answers.asked,
+                "informed": answers and answers.informed,
             },
         )
         if record is None:
--- a/src/bergamotmast/direct/stream_build_exchange.py
+++ b/src/bergamotmast/direct/stream_build_exchange.py
@@ -95,13 +95,14 @@
         self.found = True
         self.ended.set()
 
-    def on_unknown(self, address: Address, builds: cabc.Container[str]) -> None:
+    def on_unknown(self, address: Address, builds: cabc.Collection[str]) -> None:
         """Record that an entry doesn't know the stream.
 
         :param builds: those of the group that it knows.
         """
         self.missing.discard(address)
-        if builds if self.build is None else self.build in builds:
+        knows_build = self.build is None and bool(builds)
+        if knows_build or self.build in builds:
             self.informed.add(address)
         if self.ends_early and not self.missing:
             self.ended.set()
