Streams begin and break off beside the release of a series with cuts

One cut lasts from before the release until streams begin at the new build; as they do, callers break off and come to other entries. In these series no stream may have two builds; in the older ones two may.

--- a/tests/build_series.py
+++ b/tests/build_series.py
@@ -6,9 +6,10 @@
 come back, perhaps with another build, leave, fall silent, or are released anew one
 after another; the store turns entries away, loses replies, carries writes out late,
 and comes back from an older copy. With ``--cuts`` entries are also cut off from the
-store and from one another, and stand still, beside a release. Callers go on with broken
-streams at other entries. Checks that streams hold events of one build, each once, and
-that streams resumed in calm go on about as often as new ones begin.
+store and from one another, and stand still, beside a release, as callers break off.
+Callers go on with broken streams at other entries. Checks that streams hold events of
+one build, each once, and that streams resumed in calm go on about as often as new ones
+begin.
 """
 
 from __future__ import annotations
@@ -112,23 +113,32 @@
     """Return the plan of a seed with a release beside which entries are out of step."""
     plan, rng = draw_plan(seed), random.Random(f"cuts {seed}")
     plays = list(plan.plays)
-    released_at = [at for at, method, _ in plays if method == "release"]
-    if not released_at:
-        released_at = [rng.uniform(2.0, 5.0)]
-        plays.append((released_at[0], "release", ("v9", rng.uniform(0.2, 0.6))))
+    if not any(method == "release" for _, method, _ in plays):
+        release = ("v9", rng.uniform(0.2, 0.6))
+        plays.append((rng.uniform(2.0, 5.0), "release", release))
+    released_at, interval = next((at, d[1]) for at, m, d in plays if m == "release")
+    span = interval * plan.engines
 
-    def beside() -> float:
-        return max(1.5, rng.choice(released_at) + rng.uniform(-1.0, 2.0))
-
-    for _ in range(rng.randint(1, 3)):
+    def cut() -> tuple[t.Any, ...]:
         some = rng.sample(range(plan.entries), rng.randint(1, plan.entries // 2))
         store = rng.choice(("silent", "silent", "refused", "reset", "slow", ""))
         way = rng.choice(("both", "both", "in", "out", "") if store else ("both", "in"))
-        cut = (tuple(some), store, way, rng.uniform(0.5, 6.0))
-        plays.append((beside(), "part", cut))
+        return (tuple(some), store, way)
+
+    # One lasts from before the release until streams begin at the new build.
+    from_the_release_on = (*cut(), span + rng.uniform(1.0, 4.0))
+    plays.append((released_at - rng.uniform(0.0, 0.5), "part", from_the_release_on))
+    for _ in range(rng.randint(0, 2)):
+        at = released_at + rng.uniform(0.0, span)
+        plays.append((at, "part", (*cut(), rng.uniform(0.5, 6.0))))
     for _ in range(rng.randint(0, 2)):
+        at = released_at + rng.uniform(0.0, span)
         freeze = (rng.randrange(plan.entries), rng.uniform(1.5, 6.0))
-        plays.append((beside(), "freeze", freeze))
+        plays.append((at, "freeze", freeze))
+    for part in (0.4, 0.7, 1.0):
+        at = released_at + 1.0 + span * part
+        plays.append((at, "begin_streams", (rng.randint(8, 16),)))
+        plays.append((at + rng.uniform(0.5, 1.0), "break_off", ()))
     plays.sort(key=lambda play: play[0])
     return dataclasses.replace(plan, plays=tuple(plays), has_cuts=True)
 
@@ -335,6 +345,7 @@
 
     :param counts: what was judged, and how often.
     :param in_touch_at: when the last fault had ended long enough before.
+    :param more_callers: callers of streams that begin beside a release.
     """
 
     plan: BuildPlan
@@ -342,14 +353,38 @@
     callers: BuildCallers
     fleet_class = BuildFleet
     callers_class = BuildCallers  # type: ignore[assignment]
+    more_callers: asyncio.TaskGroup
     in_touch_at = 0.0
     ended_at = 0.0
 
+    async def _call_at(self, at: float, method: str, arguments: t.Any) -> None:
+        if method not in ("begin_streams", "break_off"):
+            await super()._call_at(at, method, arguments)
+            return
+        await self._until(at)
+        await getattr(self, method)(*arguments)
+
+    async def begin_streams(self, count: int) -> None:
+        """Let more callers read a stream each."""
+        for _ in range(count):
+            self.more_callers.create_task(self.callers.begin_stream())
+
+    async def break_off(self) -> None:
+        """Let all callers break off, and go on elsewhere."""
+        await self.callers.break_off()
+
     async def _play(self) -> None:
+        async with asyncio.TaskGroup() as self.more_callers:
+            await self._play_faults()
+            await self._play_calm()
+
+    async def _play_faults(self) -> None:
         async with asyncio.TaskGroup() as group:
             group.create_task(self._until(FAULT_SECONDS))
             for at, method, arguments in self.plan.plays:
                 group.create_task(self._call_at(at, method, arguments))
+
+    async def _play_calm(self) -> None:
         await asyncio.sleep(IN_TOUCH_SECONDS)
         self.in_touch_at = time.monotonic()
         async with asyncio.TaskGroup() as group:
@@ -379,7 +414,7 @@
             print(f"  two builds: {stream.describe()}")
         self.counts = {"streams": len(streams), "mixed": len(mixed)}
         faults = []
-        if len(mixed) > MAX_MIXED_STREAMS:
+        if len(mixed) > (0 if self.plan.has_cuts else MAX_MIXED_STREAMS):
             faults.append(f"ORDER: {len(mixed)} streams of two builds")
         resumed, new = self.judge_final()
         self.counts |= {"resumed": len(resumed), "go on": sum(resumed)}
