--- a/src/bergamotmast/direct/build_recorder.py
+++ b/src/bergamotmast/direct/build_recorder.py
@@ -57,26 +57,52 @@
     """The other entries, which are told of builds."""
 
     async def announce(
-        self, group: str, build: str, entries: cabc.Set[str] | None
-    ) -> frozenset[str]:
-        """Tell entries of a build; return the keys of those that have not answered.
+        self, group: str, build: str, answered: cabc.Set[str]
+    ) -> Answers:
+        """Tell the entries of a build that have not answered yet.
 
-        :param entries: keys of the entries; ``None`` for all others.
+        :param answered: keys of the entries that have.
         """
         ...
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answers:
+    """The entries that have answered to the announcement of a build.
+
+    :param answered: their keys.
+    :param missing: keys of the others that are registered.
+    """
+
+    answered: frozenset[str] = frozenset()
+    missing: frozenset[str] = frozenset()
+
+    @property
+    def is_half(self) -> bool:
+        """Whether they and this one are half of all, or more.
+
+        Any more than half of all entries then know the build by one of them at least.
+        """
+        return len(self.answered) + 1 >= len(self.missing)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Announcement:
     """A build of which the other entries are told before it is recorded.
 
-    :param until: from when on it is recorded all the same; a point in time.
-    :param missing: keys of the entries that have not answered; ``None`` before the
-        first announcement.
+    :param until: from when on half of the entries are enough; a point in time.
+    :param answers: ``None`` before the first announcement.
     """
 
     until: float
-    missing: frozenset[str] | None = None
+    answers: Answers | None = None
+
+    def is_done(self, now: float) -> bool:
+        """Return whether enough entries know the build for it to be recorded."""
+        if self.answers is None:
+            return False
+        has_waited = now >= self.until and self.answers.is_half
+        return has_waited or not self.answers.missing
 
 
 class BuildRecorder:
@@ -115,54 +141,61 @@
                     await self.history.changed.wait()
             self.history.changed.clear()
             record = self.history.pending(self.groups())
-            if record is not None and not self._writes_at_once():
-                self._unknown_to_others(record[0])
-                await asyncio.sleep(STANDBY_SECONDS)
+            if record is not None:
+                self._plan_announcements(record[0])
+                if not self._writes_at_once():
+                    await asyncio.sleep(STANDBY_SECONDS)
             while (record := self.history.pending(self.groups())) is not None:
-                if unknown := self._unknown_to_others(record[0]):
+                self._plan_announcements(record[0])
+                if unknown := self._unknown_to_others():
                     await self._announce(unknown)
                 else:
                     await self._write(*record)
+            self.announcements.clear()
 
-    def _unknown_to_others(self, builds: Builds) -> set[tuple[str, str]]:
-        """Return the groups and builds of a new record that not all entries know yet.
+    def _plan_announcements(self, builds: Builds) -> None:
+        """Keep an announcement for each build that a new record adds.
 
         Streams that have begun at a build don't wait for entries that don't answer.
         """
-        if self.announcer is None or self.history.has_unrecorded_streams:
-            return set()
-        now = self.history.clock()
+        if self.announcer is None:
+            return
         seconds = NOTICE_SECONDS + max_reply_age(len(list(self.entries())))
         if not self._is_first():
             seconds += STANDBY_SECONDS
+        planned = Announcement(self.history.clock() + seconds)
         self.announcements = {
-            build: self.announcements.get(build, Announcement(now + seconds))
+            build: self.announcements.get(build, planned)
             for build in self.history.additions(builds)
         }
-        return {
-            build
-            for build, announcement in self.announcements.items()
-            if now < announcement.until and announcement.missing != frozenset()
-        }
+
+    def _unknown_to_others(self) -> set[tuple[str, str]]:
+        """Return the builds to be recorded that not enough entries know yet."""
+        now = self.history.clock()
+        return {b for b, each in self.announcements.items() if not each.is_done(now)}
 
     async def _announce(self, builds: cabc.Iterable[tuple[str, str]]) -> None:
         """Tell all entries of builds that are to be recorded."""
         assert self.announcer is not None
-        if not self._is_first():
-            await asyncio.sleep(ANNOUNCEMENT_SECONDS)
-            return
+        now = self.history.clock()
         for group, build in builds:
             known = self.announcements[group, build]
-            missing = await self.announcer.announce(group, build, known.missing)
-            announcement = dataclasses.replace(known, missing=missing)
+            if now < known.until and not self._is_first():
+                # The first entry announces it.
+                await asyncio.sleep(ANNOUNCEMENT_SECONDS)
+                continue
+            answered = known.answers.answered if known.answers else frozenset()
+            answers = await self.announcer.announce(group, build, answered)
+            announcement = dataclasses.replace(known, answers=answers)
             self.announcements[group, build] = announcement
-            if missing:
+            if answers.missing:
                 await asyncio.sleep(ANNOUNCEMENT_SECONDS)
 
     def _not_told(self) -> list[str]:
         """Return the entries that have not answered to the last announcements."""
-        missing = (each.missing or () for each in self.announcements.values())
-        return sorted(set(itertools.chain(*missing)))[:MAX_LOGGED_ENTRIES]
+        answers = (each.answers for each in self.announcements.values())
+        missing = itertools.chain(*(each.missing for each in answers if each))
+        return sorted(set(missing))[:MAX_LOGGED_ENTRIES]
 
     def _seconds_to_check(self) -> float:
         """Return after how long the record is compared without a change."""
