--- a/tests/test_build_series.py
+++ b/tests/test_build_series.py
@@ -17,6 +17,7 @@
 from build_series import BuildTry
 from build_series import count_statuses
 from build_series import draw_calm_plan
+from build_series import draw_cut_plan
 from build_series import draw_plan
 from build_series import run_series
 from direct_support import until
@@ -27,6 +28,9 @@
 has crashed before. 105 has a store that is restored, and engines that come back. In
 212, a second build first appears as all entries are killed."""
 
+CUT_SEEDS = (1167,)
+"""One of four entries is cut off from all throughout the release, two stand still."""
+
 ONE = b"id: 1\ndata: v1@i-1@1.5-1\n\n"
 TWO = b"id: 2\ndata: v1@i-2@2.5-2\n\n"
 
@@ -38,6 +42,14 @@
     assert report.faults == []
 
 
+@pytest.mark.parametrize("seed", CUT_SEEDS)
+async def test_series_keeps_streams_at_their_builds_behind_cuts(seed):
+    """Guards against streams of two builds where an entry is cut off or stands still as
+    a build is released."""
+    report = await run_series(draw_cut_plan(seed), seed)
+    assert report.faults == []
+
+
 async def test_series_without_faults_is_clean():
     """Guards against a series that reports what the entries are not to blame for."""
     report = await run_series(draw_calm_plan(100), 100)
