Rounds with cuts in which engines come back under their names with another build

The harness books a stream at the incarnation that answers, by the name that its build has until its registration arrives, and lets no other incarnation go on with a stream.

--- a/tests/memory_site.py
+++ b/tests/memory_site.py
@@ -35,6 +35,7 @@
 from bergamotmast.direct.stream_build_log import StreamBuildLog
 from bergamotmast.direct.stream_builds import FoundBuild
 from bergamotmast.direct.stream_builds import StreamBuilds
+from bergamotmast.direct.unregistered_builds import unregistered_build
 from bergamotmast.errors import RequestError
 from bergamotmast.platform.directory import PlatformDirectory
 from direct_support import HOST
@@ -169,6 +170,9 @@
     :param processes: all processes of entries, ended ones included.
     :param entries: the process of each entry; ``None`` while there is none.
     :param engines: builds of the running engines, by name.
+    :param boots: the incarnation of each running engine, by name.
+    :param incarnations: builds of all incarnations, by the names that these builds have
+        before a registration tells them.
     :param loses_datagrams: whether datagrams get lost.
     :param cut_links: pairs of sender and receiver whose datagrams get lost.
     :param outcomes: number of resumptions by how the build was known.
@@ -181,6 +185,8 @@
         self.names = [f"entry-{number}" for number in range(entries)]
         self.entries: dict[str, Entry | None] = dict.fromkeys(self.names)
         self.engines: dict[str, str] = {}
+        self.boots: dict[str, int] = {}
+        self.incarnations: dict[str, str] = {}
         self.begun = 0
         self.registered = 0
         self.loses_datagrams = False
@@ -251,13 +257,36 @@
         for _ in range(engines):
             self.registered += 1
             name = f"i-{self.registered}"
-            self.engines[name] = build
+            self._boot(name, build)
             self._register(name)
 
+    def exchange_build(self, build: str, other: str, seconds: float) -> None:
+        """Restart engines of a build under their names with another one.
+
+        :param seconds: time from their start to their registration.
+        """
+        for name in [name for name, b in self.engines.items() if b == build]:
+            self._boot(name, other)
+            self.loop.call_later(seconds, self._register_again, name, self.boots[name])
+
+    def _boot(self, name: str, build: str) -> None:
+        self.engines[name] = build
+        self.boots[name] = self.boots.get(name, 0) + 1
+        self.incarnations[unregistered_build((name, str(self.boots[name])))] = build
+
+    def _register_again(self, name: str, boot: int) -> None:
+        if name in self.engines and self.boots[name] == boot:
+            self._register(name)
+
+    def true_build(self, build: str) -> str:
+        """Return the build that an incarnation has, or a build as it is."""
+        return self.incarnations.get(build, build)
+
     def _register(self, name: str) -> None:
         replica = engine(name, None)
         replica.address = f"10.0.0.{name.rpartition('-')[2]}:80"
         value = registration(replica) | {"version": self.engines[name]}
+        value["born"] = self.boots[name]
         self.store.put(f"servers/{name}", value)
 
     def remove_build(self, build: str) -> None:
@@ -291,14 +320,24 @@
         if entry is None or chosen is None or chosen.name not in self.engines:
             return None
         self.begun += 1
-        build = self.engines[chosen.name]
+        build, boot = chosen.build, str(self.boots[chosen.name])
+        if chosen.boot != boot:
+            # The reply names an incarnation that has not registered here.
+            entry.fleet.on_answered_as(chosen, boot)
+            build = unregistered_build((chosen.name, boot))
+            build = entry.fleet.incarnations.build(build)
         entry.stream_builds.on_begun(request_id, GROUP, build)
-        return Stream(request_id, build, self.loop.now, entry)
+        return Stream(request_id, self.true_build(build), self.loop.now, entry)
 
     def resume(self, stream: Stream, name: str) -> FoundBuild | None:
         """Resume a stream at an entry; ``None`` if that can't answer."""
         return self.loop.run_until_complete(self._resume(stream, name))
 
+    def _runs(self, engine: Upstream) -> bool:
+        """Return whether an incarnation runs; no other one goes on with a stream."""
+        name = engine.name
+        return name in self.engines and str(self.boots[name]) == engine.boot
+
     async def _resume(self, stream: Stream, name: str) -> FoundBuild | None:
         entry = self.entries[name]
         if entry is None or not entry.fleet.ready:
@@ -308,8 +347,8 @@
         self.outcomes[found.known_by.value] += 1
         if found.record is not None:
             chosen = entry.place(stream.request_id, found.record.build)
-            if chosen is not None and chosen.name in self.engines:
-                build = self.engines[chosen.name]
+            if chosen is not None and self._runs(chosen):
+                build = found.record.build
                 entry.stream_builds.on_begun(stream.request_id, GROUP, build)
                 stream.entry = entry
         return found
--- a/tests/test_stream_cut_rounds.py
+++ b/tests/test_stream_cut_rounds.py
@@ -32,6 +32,9 @@
 """Time in which an entry notices that the store is silent, and reads it again."""
 
 MAX_ENTRIES = 5
+OTHER = {"v1": "v2", "v2": "v1"}
+REGISTER_SECONDS = 0.5
+"""Time from the start of an engine to its registration."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -62,6 +65,8 @@
     :param streams: number of streams that begin at each entry.
     :param killed: numbers of the entries that are killed and started again in the cut.
     :param stays: whether the cut lasts on into the next round.
+    :param exchanged: build whose engines crash and come back under their names with the
+        other one, as the change during the cut; ``""`` if none do.
     """
 
     cut: Cut
@@ -72,6 +77,7 @@
     killed: frozenset[int] = NONE
     meanwhile: Change = Change()
     stays: bool = False
+    exchanged: str = ""
 
 
 numbers = st.integers(0, MAX_ENTRIES - 1)
@@ -100,6 +106,7 @@
         st.one_of(st.just(NONE), parts),
         changes,
         st.booleans(),
+        st.sampled_from(["", "", *builds]),
     )
     return st.lists(one, min_size=1, max_size=max_size)
 
@@ -131,6 +138,8 @@
         self.cut(each.cut)
         site.run(waits[0])
         self.change(each.change)
+        if each.exchanged:
+            site.exchange_build(each.exchanged, OTHER[each.exchanged], REGISTER_SECONDS)
         site.run(waits[1])
         begun = [site.begin(name) for name in site.names * each.streams]
         self.streams += [stream for stream in begun if stream is not None]
@@ -187,8 +196,8 @@
 
     def judge(self, stream: Stream, name: str, found: FoundBuild | None) -> None:
         if found is not None and found.record is not None:
-            where = (found.record.group, found.record.build)
-            assert where == (GROUP, stream.build), (name, found)
+            build = self.site.true_build(found.record.build)
+            assert (found.record.group, build) == (GROUP, stream.build), (name, found)
 
 
 class OneBuildPlay(CutPlay):
@@ -240,6 +249,8 @@
 @hypothesis.example(3, {"v1"}, [CutRound(CUT_3, V2_COMES)])
 @hypothesis.example(3, {"v1", "v2"}, [CutRound(CUT_3, change=V2_GOES)])
 @hypothesis.example(3, {"v1"}, [CutRound(CUT_3, change=V2_COMES, waits=LATER)])
+@hypothesis.example(3, {"v1"}, [CutRound(CUT_3, exchanged="v1", waits=LATER)])
+@hypothesis.example(3, {"v1"}, [CutRound(CUT_3, exchanged="v1", waits=AT_ONCE)])
 @SETTINGS
 def test_cuts_kills_and_releases_misplace_no_stream(entries, builds, rounds):
     """Guards against streams of two builds at entries that are cut off."""
