Take no record for proof that names a build without an engine

Callers could get a stream of two builds where the store loses or refuses all writes during a release: v1 leaves, v2 comes, streams begin at v2, all entries are killed, and the entries that start again let these streams go on at v1 (known by "record") as soon as an engine of v1 is back.

Cause: a record of one build proves that unknown streams began there, because streams begin only at builds that it names. There is one exception, without an engine of a named build, and an entry that has just started did not count with it: it knows of no stream that began so.

Now the record proves nothing while no engine of the build that it names is registered. That refuses nothing that could be served, as there is no engine to go on at, and where writes succeed the record names the new build as soon as the last engine of the old one is gone.

--- a/src/bergamotmast/direct/build_history.py
+++ b/src/bergamotmast/direct/build_history.py
@@ -196,12 +196,14 @@
     def only_recorded(self, group: str) -> str | None:
         """Return the only build of a group that the record names.
 
-        ``None`` if it names several, can't be trusted, or streams have begun at a build
-        that it didn't name.
+        ``None`` if it names several, can't be trusted, no engine of it is left, so that
+        streams begin at any build, or some have begun at a build that it didn't name.
         """
         recorded = self.recorded_builds(group)
         if not self.is_trusted or len(recorded) != 1:
             return None
+        if not recorded.intersection(self.registered(group)):
+            return None
         if self.clock() < self.unrecorded.get(group, -math.inf):
             return None
         return next(iter(recorded))
--- a/tests/test_stream_rounds.py
+++ b/tests/test_stream_rounds.py
@@ -195,6 +195,14 @@
     Play(builds).run(rounds)
 
 
+@pytest.mark.parametrize("fault", WRITE_FAULTS)
+def test_record_of_a_build_that_has_left_misplaces_no_stream(fault):
+    """Guards against a record that names the only build without an engine: streams have
+    begun at another one, which could not be written."""
+    replaced = Change(coming=V2, going=frozenset({"v1"}))
+    Play({"v1"}).run([Round(replaced, fault, ALL, True, SHORT)])
+
+
 @hypothesis.given(builds=BUILDS_AT_FIRST, rounds=rounds_of(restores=True))
 @hypothesis.example({"v1"}, [Round(V2_COMES, meanwhile=V2_GOES, copy_age=10.0)])
 @hypothesis.example({"v1"}, [Round(V2_COMES, waits=SHORT, copy_age=10.0)])
