Streams at an engine that never registers, listed as failing

Engines come back under their names with another build; streams begin there before they register; all entries are killed within 40 ms, the engines leave, and others of the build before come. Nothing outside the entries has heard of the other build: streams go on at the one before, known by \"only build\" or \"record\".

--- a/tests/test_stream_cut_rounds.py
+++ b/tests/test_stream_cut_rounds.py
@@ -286,6 +286,16 @@
     CutPlay(entries, {"v1"}).run(rounds)
 
 
+@pytest.mark.parametrize("entries", [1, 3])
+def test_stream_at_an_engine_that_never_registers_is_misplaced_nowhere(entries):
+    """Guards against streams of an engine that came back with another build and left
+    before it registered, as all entries are killed."""
+    left = Change(frozenset({"v1"}), frozenset({"v2"}))
+    killed = frozenset(range(entries))
+    one = CutRound(Cut(), exchanged="v1", waits=AT_ONCE, killed=killed, meanwhile=left)
+    CutPlay(entries, {"v1"}).run([one])
+
+
 @hypothesis.given(entries=st.integers(1, MAX_ENTRIES), rounds=cut_rounds())
 @hypothesis.example(3, [CutRound(Cut(frozenset({0, 1, 2}), peers=False))])
 @SETTINGS
