Replays of engines register addresses as replicas do

Six tests of test_lost_engines failed after: their replay registered engines at NAME:1, which is no IPv4 address, so that the entries knew none. The replay now gives each engine an address, and that of liveness registers one as well. What the tests check is unchanged.

--- a/tests/entry_replay.py
+++ b/tests/entry_replay.py
@@ -98,6 +98,7 @@
         self.stage = stage
         self.max_queue = max_queue
         self.failure = ""
+        self.address = ""
         self.queued = 0
         self.busy = asyncio.Lock()
         self.busy_seconds = 0.0
@@ -148,7 +149,10 @@
     """Implements the upstream client and the liveness probe of all entries."""
 
     def __init__(self, engines: list[Engine]) -> None:
-        self.by_address = {f"{engine.name}:1": engine for engine in engines}
+        self.by_address: dict[str, Engine] = {}
+        for number, engine in enumerate(engines):
+            engine.address = f"10.0.{number // 250}.{number % 250}:1"
+            self.by_address[engine.address] = engine
 
     @contextlib.asynccontextmanager
     async def send(
@@ -302,7 +306,7 @@
         for engine in self.engines:
             items[f"servers/{engine.name}"] = {
                 "service": GROUP,
-                "address": f"{engine.name}:1",
+                "address": engine.address,
                 "zone": "zone-a",
                 "version": "v1",
                 "slots": 64,
--- a/tests/liveness_replay.py
+++ b/tests/liveness_replay.py
@@ -142,7 +142,10 @@
         self.fleet.put(KeyValue(key, value, self.revision))
 
     def register(self, name: str, born: int = 1, **changes: t.Any) -> None:
-        value = registration(engine(name, None)) | {"born": born, "address": "h:1"}
+        value = registration(engine(name, None)) | {
+            "born": born,
+            "address": "10.0.0.1:1",
+        }
         self.put(f"servers/{name}", json.dumps(value | changes).encode())
 
     def remove(self, name: str) -> None:
