--- a/tests/out_of_step_support.py
+++ b/tests/out_of_step_support.py
@@ -259,6 +259,14 @@
         lines = self.logs[OUT_OF_STEP]
         return [line for line in lines if line["event"] == "stream is resumed"]
 
+    def keep_logs(self) -> pathlib.Path:
+        """Write the entries' logs to a new folder, and return it."""
+        folder = pathlib.Path(tempfile.mkdtemp(prefix="out-of-step-"))
+        for number, lines in enumerate(self.logs):
+            text = "\n".join(map(json.dumps, lines))
+            (folder / f"entry-{number}.log").write_text(text)
+        return folder
+
     def faults(self, case: Case) -> list[str]:
         """Return what must not happen."""
         asks, faults = self.asks, [f"misplaced: {ask}" for ask in self.misplaced()]
@@ -388,11 +396,7 @@
         for fault in faults[:3]:
             print(f"    {fault}")
         if faults:
-            folder = pathlib.Path(tempfile.mkdtemp(prefix="out-of-step-"))
-            for number, lines in enumerate(outcome.logs):
-                text = "\n".join(map(json.dumps, lines))
-                (folder / f"entry-{number}.log").write_text(text)
-            print(f"    logs: {folder}")
+            print(f"    logs: {outcome.keep_logs()}")
     return bool(failed)
 
 
--- a/tests/test_entry_out_of_step.py
+++ b/tests/test_entry_out_of_step.py
@@ -38,15 +38,20 @@
 )
 
 
+async def assert_no_faults(name: str) -> None:
+    outcome = await play(CASES[name])
+    if faults := outcome.faults(CASES[name]):
+        logs = outcome.keep_logs()
+        raise AssertionError(f"{faults[:3]} {outcome.describe()}, logs: {logs}")
+
+
 @pytest.mark.parametrize("name", OUT_OF_STEP)
 async def test_entry_out_of_step_keeps_streams_at_their_builds(name):
     """Guards against streams that go on at the only build an entry knows of."""
-    outcome = await play(CASES[name])
-    assert outcome.faults(CASES[name]) == [], outcome.describe()
+    await assert_no_faults(name)
 
 
 @pytest.mark.parametrize("name", IN_STEP)
 async def test_streams_go_on_where_no_build_is_new(name):
     """Guards against refusing streams for want of a proof that others can give."""
-    outcome = await play(CASES[name])
-    assert outcome.faults(CASES[name]) == [], outcome.describe()
+    await assert_no_faults(name)
