Limit the wait for the end of a caller's connection

A handler that writes to a closing connection waits to be cancelled. Nothing limited the wait of a refusal, which is written outside of the request's time limit. It ends after 5 s now, as if the caller had left.

--- a/src/bergamotmast/direct/http_frontend.py
+++ b/src/bergamotmast/direct/http_frontend.py
@@ -31,6 +31,9 @@
 KEEPALIVE_SECONDS = 75.0
 """Keep-alive timeout of idle connections; above the configurable limits."""
 
+CLOSING_SECONDS = 5.0
+"""How long a handler waits for the end of a caller's connection that is closing."""
+
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 """``SO_LINGER`` of zero seconds: closing drops unsent data and sends a reset."""
 
@@ -74,11 +77,14 @@
 
     The library's error for a write to it is the one for a lost connection to an
     upstream. It cancels the handler once the connection is closed.
+
+    :raises CancelledError: if it has not done so in :data:`CLOSING_SECONDS`.
     """
     try:
         yield
     except ClientConnectionResetError:
-        await asyncio.get_running_loop().create_future()
+        await asyncio.sleep(CLOSING_SECONDS)
+        raise asyncio.CancelledError from None
 
 
 class HttpCallerReply:
