--- a/tests/test_builds_behind_a_cut.py
+++ b/tests/test_builds_behind_a_cut.py
@@ -206,6 +206,25 @@
         assert resume(found, unknown, "entry-0") == (2, 0)
 
 
+@pytest.mark.parametrize("hears", ["the others", "the store", "nothing"])
+def test_entry_that_finds_no_record_goes_by_the_others(hears):
+    """Guards against a record that is missing, taken for no other build."""
+    with site(3, "v1") as found:
+        found.store.faults = dict.fromkeys(found.names, "refused")
+        found.store.remove(BUILDS_KEY)
+        found.kill(found.names)
+        for name in found.names:
+            found.start(name)
+        found.run(1.0)
+        streams = begin(found, ["entry-0"])
+        found.kill(["entry-0"])
+        if hears != "the others":
+            found.cut_off("entry-2", store="" if hears == "the store" else "silent")
+        found.run(0.2)
+        goes_on = len(streams) if hears == "the others" else 0
+        assert resume(found, streams, "entry-2") == (goes_on, 0)
+
+
 def test_half_of_the_entries_without_the_store_guess_no_build():
     """Guards against two halves of a site that both go on with what they know."""
     with site(4, "v1") as found:
