--- a/src/bergamotmast/direct/build_recorder.py
+++ b/src/bergamotmast/direct/build_recorder.py
@@ -49,7 +49,6 @@
 ANNOUNCEMENT_SECONDS = 0.1
 """Interval between two announcements of a build to entries that have not answered."""
 
-
 MAX_LOGGED_ENTRIES = 10
 """Maximum number of entries named in a log line."""
 
--- a/src/bergamotmast/direct/stream_build_exchange.py
+++ b/src/bergamotmast/direct/stream_build_exchange.py
@@ -205,6 +205,8 @@
             answers = PeerAnswers(1 + len(others), len(others), len(informed))
             if answers.is_majority or loop.time() >= until:
                 return answers
+            # Entries that have just started answer at once, and know no builds.
+            await asyncio.sleep(QUERY_SECONDS)
 
     async def announce(
         self, group: str, build: str, answered: cabc.Set[str]
--- a/src/bergamotmast/direct/stream_builds.py
+++ b/src/bergamotmast/direct/stream_builds.py
@@ -284,8 +284,8 @@
     ) -> str | None:
         """Return where a stream goes on, as known by now.
 
-        The build may have been guessed while the other one was not known of. What
-        nobody knows by now began before there were several builds.
+        Another build may have become known since. What nobody knows by now began
+        before there were several.
 
         :param request_id: id of the request that brought its first event.
         :param group: the group in which it goes on.
--- a/tests/test_stream_builds.py
+++ b/tests/test_stream_builds.py
@@ -18,6 +18,8 @@
 from bergamotmast.direct.peer_messages import PeerInbox
 from bergamotmast.direct.peer_messages import StreamBuildCopies
 from bergamotmast.direct.stream_build_exchange import COPIES
+from bergamotmast.direct.stream_build_exchange import QUERY_SECONDS
+from bergamotmast.direct.stream_build_exchange import SURVEY_SECONDS
 from bergamotmast.direct.stream_build_exchange import StreamBuildExchange
 from bergamotmast.direct.stream_builds import StreamBuilds
 from bergamotmast.platform.directory import PlatformDirectory
@@ -265,3 +267,14 @@
         network.fleets[name].upstream_records.pop("servers/i-1")
     # What is passed on does not last longer than what the first entry knew.
     assert network.fleets["entry-2"].build_history.seconds("llm")["v2"] <= 60.0
+
+
+async def test_entries_that_know_no_builds_are_asked_at_intervals():
+    """Guards against datagrams without a pause to entries that have just started."""
+    network = Network(5, versions=("v1",))
+    for name in ("entry-1", "entry-2", "entry-3", "entry-4"):
+        network.fleets[name].remove("servers/i-0", 2)
+        network.fleets[name].build_history.departed.clear()
+    answers = await network.exchanges["entry-0"].survey("llm")
+    assert (answers.entries, answers.informed) == (5, 0)
+    assert network.sent_by["entry-0"] <= 4 * 2 * (SURVEY_SECONDS / QUERY_SECONDS + 1)
