--- a/tests/test_resumed_precedence.py
+++ b/tests/test_resumed_precedence.py
@@ -7,9 +7,9 @@
 
 import pytest
 
+from bergamotmast.direct.only_build import KnownBy
 from bergamotmast.direct.prefill_notice import PrefillNotice
 from bergamotmast.direct.stream_builds import RETENTION_SECONDS
-from bergamotmast.direct.stream_builds import KnownBy
 from bergamotmast.direct.stream_builds import StreamBuild
 from bergamotmast.direct.stream_builds import StreamBuilds
 from bergamotmast.policy.entry_ranking import stable_hash
@@ -250,7 +250,7 @@
         for number in range(entries):
             entry.fleet.entries[f"peer-{number}"] = ("127.0.0.1", 1)
         take = entry.core.context.resume_precedence.take
-        ways = [KnownBy.ONLY_BUILD, KnownBy.RECORD, KnownBy.GUESS]
+        ways = [KnownBy.ONLY_BUILD, KnownBy.RECORD, KnownBy.AGREEMENT]
         first = [take(f"id-{n}", "llm", ways[n % 3]) for n in range(20)]
     assert first == [True] * taken + [False] * (20 - taken)
 
