Callers leave sockets for other callers and for upstreams

Cause: nothing limited connections. asyncio's servers accept the whole backlog at once, and when no descriptor is free they log a traceback for each further attempt, up to the length of the backlog, and start as many retries.

Beyond it, the connection is closed whose caller has been inactive for longest, out of those that wait for their caller; a request that runs is never ended. Four connections at most replace others in one iteration of the event loop, so that a new one is read before it can be replaced.

Connections move into the package callers/, with the guard that owns the limits. Shutdown needs no duplicates of its listening sockets any more: the backlog is accepted from the sockets themselves.

--- a/src/bergamotmast/adapters/metrics.py
+++ b/src/bergamotmast/adapters/metrics.py
@@ -140,6 +140,7 @@
         self.limited_upstreams = meter.create_gauge("upstreams.limited")
         self.full_engines = meter.create_gauge("engines.full")
         self.held_bytes = meter.create_gauge("response.bytes.held")
+        self.limited_callers = meter.create_counter("callers.limited")
         self.slow_upstreams = meter.create_gauge("upstreams.slow")
         self.avoided_engines = meter.create_gauge("engines.avoided")
         self.shortages = meter.create_gauge("capacity.short")
@@ -274,6 +275,10 @@
         """Record the bytes of responses that are held for callers that read slowly."""
         self.held_bytes.set(count)
 
+    def on_limited_caller(self, limit: str) -> None:
+        """Count a connection that was closed, or a request refused, for a limit."""
+        self.limited_callers.add(1, {"limit": limit})
+
     def on_limited_upstreams(self, upstreams: int) -> None:
         """Record the number of upstreams that limit their requests."""
         self.limited_upstreams.set(upstreams)
--- a/src/bergamotmast/connections.py
+++ b/src/bergamotmast/callers/server.py
@@ -1,9 +1,4 @@
-"""HTTP connections that track whether request headers are partly received.
-
-The HTTP library calls a handler only after the complete headers have arrived. If a
-connection is closed before that, the caller doesn't consider it idle, and can't know
-whether its request was read.
-"""
+"""Servers whose connections are within the limits of a process."""
 
 from __future__ import annotations
 
@@ -14,9 +9,8 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
-HEADER_TIMEOUT_SECONDS = 0.5
-"""Time for the rest of partly received headers during a shutdown. A caller that sends
-byte by byte must not delay the end of the process for longer."""
+from .connection import Connection
+from .guard import ListenerLimits
 
 
 class Admission(t.Protocol):
@@ -32,39 +26,6 @@
         """
 
 
-class Connection(RequestHandler):
-    """Connection of one caller.
-
-    :param receive_count: number of times that data was received.
-    :param header_deadline: deadline for the rest of partly received headers, seconds on
-        the event loop's clock; ``None`` if no headers are being received.
-    """
-
-    __slots__ = ("header_deadline", "receive_count")
-
-    def __init__(self, manager: web.Server, **options: t.Any) -> None:
-        super().__init__(manager, **options)
-        self.receive_count = 0
-        self.header_deadline: float | None = None
-
-    def data_received(self, data: bytes) -> None:
-        """Process received data; start the deadline of headers that are incomplete."""
-        super().data_received(data)
-        self.receive_count += 1
-        # The request handler's waiter is pending until complete headers are parsed.
-        awaits_headers = self._waiter is not None and not self._waiter.done()
-        if not awaits_headers:
-            self.header_deadline = None
-        elif self.header_deadline is None:
-            self.header_deadline = (
-                asyncio.get_running_loop().time() + HEADER_TIMEOUT_SECONDS
-            )
-
-    def is_receiving_headers(self, now: float) -> bool:
-        """Return whether partly received headers may still be completed in time."""
-        return self.header_deadline is not None and now < self.header_deadline
-
-
 class RefusedConnection(asyncio.Protocol):
     """Connection that is closed before anything is read from it."""
 
@@ -79,27 +40,50 @@
 
     :param server: server whose handler and options are taken over.
     :param admission: which new connections are served; all if ``None``.
+    :param open: its open connections, the oldest first.
     """
 
-    def __init__(self, server: web.Server, admission: Admission | None = None) -> None:
+    def __init__(
+        self,
+        server: web.Server,
+        limits: ListenerLimits,
+        admission: Admission | None = None,
+    ) -> None:
         super().__init__(
-            server.request_handler,
+            self._serve,
             request_factory=server.request_factory,
             handler_cancellation=server.handler_cancellation,
             **server._kwargs,
         )
+        self.handler: cabc.Callable[
+            [web.BaseRequest], cabc.Awaitable[web.StreamResponse]
+        ] = server.request_handler
+        self.limits = limits
         self.admission = admission
+        self.open: dict[Connection, None] = {}
 
     def __call__(self) -> asyncio.Protocol:  # type: ignore[override]
         """Return the protocol instance for a new connection."""
         admission = self.admission
         if admission and not admission.admit(asyncio.get_running_loop().time()):
             return RefusedConnection()
-        connection = Connection(self, loop=self._loop, **self._kwargs)
+        connection = Connection(self, self, loop=self._loop, **self._kwargs)
         if admission:
             admission.under_way.add(connection)
         return connection
 
+    def is_full(self, accepted: int) -> bool:
+        """Return whether a new connection has to take the place of another one.
+
+        :param accepted: number of accepted connections that are not served yet.
+        """
+        most = self.limits.max_connections or self.limits.guard.descriptors.callers
+        return len(self.open) + accepted >= most
+
+    def make_room(self) -> bool:
+        """Close the connection that counts least; return whether one was closed."""
+        return self.limits.guard.make_room(self.open)
+
     def connection_lost(
         self, handler: RequestHandler, exc: BaseException | None = None
     ) -> None:
@@ -108,6 +92,14 @@
         if self.admission is not None:
             self.admission.under_way.discard(handler)
 
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        connection = t.cast(Connection, request.protocol)
+        connection.begin(request.content)
+        try:
+            return await self.handler(request)
+        finally:
+            connection.finish()
+
 
 class ConnectionServerRunner(web.ServerRunner):
     """Runner of a low-level server with :class:`Connection`.
@@ -118,19 +110,27 @@
     def __init__(
         self,
         server: web.Server,
-        *,
-        admission: Admission | None = None,
+        limits: ListenerLimits,
+        admission: Admission | None,
         **options: t.Any,
     ) -> None:
         super().__init__(server, **options)
+        self.limits = limits
         self.admission = admission
 
     async def _make_server(self) -> ConnectionServer:
-        return ConnectionServer(await super()._make_server(), self.admission)
+        server = await super()._make_server()
+        return ConnectionServer(server, self.limits, self.admission)
 
 
 class ConnectionAppRunner(web.AppRunner):
     """Runner of an application with :class:`Connection`."""
 
+    def __init__(
+        self, application: web.Application, limits: ListenerLimits, **options: t.Any
+    ) -> None:
+        super().__init__(application, **options)
+        self.limits = limits
+
     async def _make_server(self) -> ConnectionServer:
-        return ConnectionServer(await super()._make_server())
+        return ConnectionServer(await super()._make_server(), self.limits)
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -16,7 +16,11 @@
 from .adapters.http_calls import single_call_session
 from .adapters.metrics import OpenTelemetryMetrics
 from .adapters.upstream_http import HttpUpstreamClient
-from .connections import Admission
+from .callers.guard import MAX_PROBE_CONNECTIONS
+from .callers.guard import CallerGuard
+from .callers.guard import DescriptorLimits
+from .callers.guard import ListenerLimits
+from .callers.server import Admission
 from .crashes.part_records import PARTS_PREFIX
 from .crashes.quarantine import Quarantine
 from .crashes.records import CRASHES_PREFIX
@@ -240,16 +244,22 @@
             context.shares.exchange.listen(inbox)
         core = DirectCore(context, metrics)
         frontend = DirectHttpFrontend(core)
+        guard = CallerGuard(
+            metrics,
+            DescriptorLimits.of_process(settings.max_descriptors),
+        )
         callers = await _listen(
             stack,
             frontend.callers(),
             settings.listen_address,
+            ListenerLimits(guard),
             frontend.busy,
             frontend.admission,
         )
-        await _listen(stack, frontend.probes(), settings.ready_address)
+        few = ListenerLimits(guard, max_connections=MAX_PROBE_CONNECTIONS)
+        await _listen(stack, frontend.probes(), settings.ready_address, few)
         if settings.metrics_address:
-            await _listen(stack, _metrics(metrics), settings.metrics_address)
+            await _listen(stack, _metrics(metrics), settings.metrics_address, few)
         presence = Presence(store, settings.name, settings.peer_address, rng)
         election = _election(settings, store, context)
         duties: list[Duty] = []
@@ -418,10 +428,11 @@
     stack: contextlib.AsyncExitStack,
     server: web.Server,
     address: str,
+    limits: ListenerLimits,
     busy: cabc.Container[asyncio.BaseProtocol] = (),
     admission: Admission | None = None,
 ) -> HttpListener:
-    listener = HttpListener(server, address, busy, admission=admission)
+    listener = HttpListener(server, address, busy, admission=admission, limits=limits)
     stack.push_async_callback(listener.close)
     with bind_errors(address):
         await listener.start()
--- a/src/bergamotmast/serving.py
+++ b/src/bergamotmast/serving.py
@@ -24,11 +24,16 @@
 
 from aiohttp import web
 
-from .connections import Admission
-from .connections import Connection
-from .connections import ConnectionAppRunner
-from .connections import ConnectionServer
-from .connections import ConnectionServerRunner
+from .callers.acceptor import AcceptorSite
+from .callers.acceptor import ConnectionAcceptor
+from .callers.connection import Connection
+from .callers.guard import CallerGuard
+from .callers.guard import ListenerLimits
+from .callers.server import Admission
+from .callers.server import ConnectionAppRunner
+from .callers.server import ConnectionServer
+from .callers.server import ConnectionServerRunner
+from .telemetry import NullTelemetry
 
 BACKLOG = 1024
 """Length of the queue of unaccepted connections. If it overflows, a caller retries its
@@ -65,6 +70,7 @@
     :param busy: connections whose request is being handled.
     :param tls: TLS context with certificate and key; plain HTTP if ``None``.
     :param admission: which new connections to a server are served; all if ``None``.
+    :param limits: limits of its connections; those of a process alone if ``None``.
     """
 
     def __init__(
@@ -74,13 +80,15 @@
         busy: cabc.Container[asyncio.BaseProtocol] = (),
         tls: ssl.SSLContext | None = None,
         admission: Admission | None = None,
+        limits: ListenerLimits | None = None,
     ) -> None:
         self.busy = busy
         self.address = address
         self.tls = tls
-        self.runner = _runner(server, admission)
+        limits = limits or ListenerLimits(CallerGuard(NullTelemetry()))
+        self.runner = _runner(server, limits, admission)
         self.sockets: list[socket.socket] = []
-        self.duplicates: list[socket.socket] = []
+        self.acceptor: ConnectionAcceptor | None = None
 
     @property
     def server(self) -> ConnectionServer:
@@ -95,13 +103,10 @@
         """
         await self.runner.setup()
         self.sockets = await _create_sockets(self.address)
-        # Duplicated now: when the address closes, no file descriptor may be free.
-        self.duplicates = [listening.dup() for listening in self.sockets]
+        self.acceptor = ConnectionAcceptor(self.server, self.tls)
         for listening in self.sockets:
-            site = web.SockSite(
-                self.runner, listening, backlog=BACKLOG, ssl_context=self.tls
-            )
-            await site.start()
+            self.acceptor.start(listening)
+        await AcceptorSite(self.runner, self.acceptor).start()
 
     async def stop_accepting_requests(self) -> None:
         """Stop accepting connections and requests; running requests continue.
@@ -140,30 +145,18 @@
         """Close the address; existing connections are served.
 
         Closing a listening socket resets the connections in its backlog, on which a
-        request may have been sent. The backlog is therefore accepted here, through a
-        second file descriptor, which leaves only microseconds between the last accept
-        and the close.
+        request may have been sent. The backlog is therefore accepted here, which leaves
+        only microseconds between the last accept and the close.
         """
-        loop = asyncio.get_running_loop()
-        duplicates, self.duplicates = self.duplicates, []
-        for listening in self.sockets:
-            loop.remove_reader(listening)
-        self.sockets = []
-        # A connection that asyncio has just accepted would be lost with its server.
-        await _run_iterations(LOOP_ITERATIONS_TO_HANDLER)
+        if self.acceptor is None:
+            return
+        listening, self.sockets = self.sockets, []
         for site in self.runner.sites:
             await site.stop()
-        accepted = [c for listening in duplicates for c in _accept_and_close(listening)]
-        await asyncio.gather(*map(self._serve, accepted))
-
-    async def _serve(self, connection: socket.socket) -> None:
-        """Serve a connection that was accepted from the backlog."""
-        loop = asyncio.get_running_loop()
-        limit = TLS_HANDSHAKE_TIMEOUT_SECONDS if self.tls else None
-        with contextlib.suppress(OSError):
-            await loop.connect_accepted_socket(
-                self.server, connection, ssl=self.tls, ssl_handshake_timeout=limit
-            )
+        await self.acceptor.wait_closed()
+        accepted = [c for each in listening for c in _accept_and_close(each)]
+        timeout = TLS_HANDSHAKE_TIMEOUT_SECONDS
+        await asyncio.gather(*(self.acceptor.serve(c, timeout) for c in accepted))
 
     async def _close_idle_once(
         self, among: cabc.Container[asyncio.BaseProtocol] | None = None
@@ -270,20 +263,24 @@
 
     async def close(self) -> None:
         """Close all sockets and connections."""
-        for listening in self.duplicates:
+        if self.acceptor is not None:
+            self.acceptor.close()
+        for listening in self.sockets:
             listening.close()
         await self.runner.cleanup()
 
 
 def _runner(
-    server: web.Server | web.Application, admission: Admission | None
+    server: web.Server | web.Application,
+    limits: ListenerLimits,
+    admission: Admission | None,
 ) -> web.BaseRunner:
     if isinstance(server, web.Application):
         return ConnectionAppRunner(
-            server, shutdown_timeout=HANDLER_SHUTDOWN_SECONDS, access_log=None
+            server, limits, shutdown_timeout=HANDLER_SHUTDOWN_SECONDS, access_log=None
         )
     return ConnectionServerRunner(
-        server, admission=admission, shutdown_timeout=HANDLER_SHUTDOWN_SECONDS
+        server, limits, admission, shutdown_timeout=HANDLER_SHUTDOWN_SECONDS
     )
 
 
--- a/src/bergamotmast/settings.py
+++ b/src/bergamotmast/settings.py
@@ -271,6 +271,13 @@
         10.0,
     )
     listen_address: str = _setting(ADDRESS, _CALLERS, "address that callers connect to")
+    max_descriptors: int = _setting(
+        integer(0, 1 << 30),
+        _CALLERS,
+        "file descriptors that this process may open; 0 for the limit of the operating"
+        " system",
+        0,
+    )
     ready_address: str = _setting(ADDRESS, _CALLERS, "address of the readiness probe")
     peer_address: str = _setting(
         ADDRESS, _PROCESS, "address for datagrams from other entries"
--- a/src/bergamotmast/telemetry.py
+++ b/src/bergamotmast/telemetry.py
@@ -89,6 +89,10 @@
         """Record the number of a group's engines without memory for a request."""
         ...
 
+    def on_limited_caller(self, limit: str) -> None:
+        """Count a connection that was closed, or a request refused, for a limit."""
+        ...
+
     def on_held_bytes(self, count: int) -> None:
         """Record the bytes of responses that are held for callers that read slowly."""
         ...
@@ -195,6 +199,9 @@
     def on_full_engines(self, group: str, count: int) -> None:
         """Discard the measurement."""
 
+    def on_limited_caller(self, limit: str) -> None:
+        """Ignore the limit."""
+
     def on_held_bytes(self, count: int) -> None:
         """Discard the measurement."""
 
