Connections are charged with the memory that they cost

What callers saw: 800 requests of 64 KB short of their end cost 146 MB where 128 are allowed, endless chunk extensions 179 MB, chunks of 7 bytes at the doors for probes and metrics 147 to 163 MB and a 503 for an ordinary request.

Cause: nothing counts what is held for callers: the library reads up to 256 KB at once from each connection and buffers as much twice over, and the kernel receives megabytes more for connections that aren't read.

Now each connection is charged with its receive buffer in the kernel (32 KB, set on the listening socket), its objects, and twice what it has received or holds to be sent. Measured on x86-64 with 800 connections: 5 KB idle, 16 KB with a request that is not complete, 38 KB while one runs, 35 KB more for 16 KB of a body. A read takes 16 KB at most, into one buffer for all connections. A refused request's body is dropped for a second, so that the refusal isn't lost to a reset.

--- a/src/bergamotmast/callers/connection.py
+++ b/src/bergamotmast/callers/connection.py
@@ -5,7 +5,7 @@
 whether its request was read: connections track whether headers are partly received.
 
 Each connection tells the process's :class:`~bergamotmast.callers.guard.CallerGuard`
-whether it waits for its caller.
+what it costs.
 """
 
 from __future__ import annotations
@@ -17,12 +17,30 @@
 from aiohttp.streams import StreamReader
 from aiohttp.web_protocol import RequestHandler
 
+from ..errors import RequestError
+from .guard import RECEIVE_BUFFER_BYTES
 from .guard import ListenerLimits
 
 HEADER_TIMEOUT_SECONDS = 0.5
 """Time for the rest of partly received headers during a shutdown. A caller that sends
 byte by byte must not delay the end of the process for longer."""
 
+CONNECTION_BYTES = 16_384
+"""Cost of a connection that receives a request, beside what it receives."""
+
+REQUEST_BYTES = 24_576
+"""Additional cost of a request that runs."""
+
+MAX_SMALL_BYTES = 163_840
+"""Maximum size of a head and a small body, as far as it is charged."""
+
+COPIES = 2
+"""Copies of what has been received of a small request, or waits to be sent."""
+
+LINGER_SECONDS = 1.0
+"""Time for a caller to read a refusal while its body is received and dropped. A close
+with unread input would reset the connection, and the refusal would be lost."""
+
 
 class Listener(t.Protocol):
     """The listener of a connection.
@@ -34,14 +52,16 @@
     open: dict[Connection, None]
 
 
-class Connection(RequestHandler):
+class Connection(RequestHandler, asyncio.BufferedProtocol):
     """Connection of one caller.
 
     :param receive_count: number of times that data was received.
     :param header_deadline: deadline for the rest of partly received headers, seconds on
         the event loop's clock; ``None`` if no headers are being received.
+    :param received: bytes received since the connection was idle.
     :param current: body of the request that is handled; ``None`` between requests.
-    :param ended: whether the guard has closed the connection.
+    :param ended: whether the guard has closed the connection or refused its request.
+    :param refused: whether it has refused the request.
     """
 
     __slots__ = (
@@ -51,6 +71,8 @@
         "header_deadline",
         "listener",
         "receive_count",
+        "received",
+        "refused",
     )
 
     def __init__(
@@ -61,14 +83,16 @@
         self.guard = listener.limits.guard
         self.receive_count = 0
         self.header_deadline: float | None = None
+        self.received = 0
         self.current: StreamReader | None = None
         self.ended = False
+        self.refused = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to wait for a request."""
         super().connection_made(transport)
         self.listener.open[self] = None
-        self.guard.charges.charge(self, 0)
+        self._charge()
         self.guard.charges.on_caller_active(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -77,6 +101,14 @@
         self.guard.remove(self)
         super().connection_lost(exc)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for a read, which all connections share."""
+        return self.guard.buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Process what a read has brought."""
+        self.data_received(bytes(self.guard.buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Process received data; start the deadline of headers that are incomplete."""
         if self.ended:
@@ -101,11 +133,13 @@
     def pause_writing(self) -> None:
         """Wait for the caller to read its response."""
         super().pause_writing()
+        self._charge()
         self.guard.charges.on_caller_active(self)
 
     def resume_writing(self) -> None:
         """Go on writing, as the caller has read most of what was written."""
         super().resume_writing()
+        self._charge()
         if not self._awaits_caller:
             self.guard.charges.on_caller_done(self)
 
@@ -119,20 +153,44 @@
         self.current = body
         # Called at once for a body that is complete.
         body.on_eof(self._on_body_complete)
+        self._charge()
 
     def finish(self) -> None:
         """Record that a handler has ended."""
         self.current = None
         if self.ended or self.transport is None:
             return
+        self.received = 0
+        self._charge()
         self.guard.charges.on_caller_active(self)
 
+    def end(self, error: RequestError) -> None:
+        """Refuse the present request if it is not complete, or close the connection."""
+        if self.current is None or self.current.is_eof():
+            self.abort()
+            return
+        self.ended = self.refused = True
+        self.current.set_exception(error)
+
     def abort(self) -> None:
         """Close the connection at once."""
         self.ended = True
         if self.transport is not None:
             self.transport.abort()
 
+    async def drain_refused(self, response: web.StreamResponse) -> None:
+        """Let the caller of a refused request read its response."""
+        response.force_close()
+        if response.prepared and self.transport is not None:
+            self._resume_transport_reading()
+            if self.transport.can_write_eof():
+                self.transport.write_eof()
+            self.guard.linger(self)
+            await asyncio.sleep(LINGER_SECONDS)
+        if self.current is not None and not self.current.is_eof():
+            # The library would read the rest of the body.
+            self.current.feed_eof()
+
     # Input
 
     @property
@@ -147,11 +205,23 @@
 
     def _on_input(self, size: int) -> None:
         """Account for received data."""
+        self.received += size
         if not self._awaits_caller:
             self.guard.charges.on_caller_done(self)
         elif size:
             self.guard.charges.on_caller_active(self)
+        self._charge()
 
     def _on_body_complete(self) -> None:
         if not self.ended:
             self.guard.charges.on_caller_done(self)
+
+    def _charge(self) -> None:
+        if self.ended or self.transport is None:
+            return
+        most = MAX_SMALL_BYTES
+        buffered = min(self.received, most) + self.transport.get_write_buffer_size()
+        cost = RECEIVE_BUFFER_BYTES + CONNECTION_BYTES + COPIES * buffered
+        if self.current is not None:
+            cost += REQUEST_BYTES
+        self.guard.charge(self, cost)
--- a/src/bergamotmast/callers/guard.py
+++ b/src/bergamotmast/callers/guard.py
@@ -1,4 +1,4 @@
-"""Keeps the callers of a process within its descriptors."""
+"""Keeps the callers of a process within its memory and its descriptors."""
 
 from __future__ import annotations
 
@@ -11,11 +11,17 @@
 import resource
 import typing as t
 
+from ..errors import RequestError
+from ..errors import ResultCode
 from ..policy.caller_memory import ConnectionCharges
+from ..policy.caller_memory import MemoryLimits
 from ..telemetry import Telemetry
 
 logger = logging.getLogger(__name__)
 
+DEFAULT_MEMORY_MB = 256.0
+"""Memory of a process whose settings name none."""
+
 FILE_DESCRIPTORS = 200
 """Descriptors that are left for files."""
 
@@ -25,19 +31,35 @@
 MAX_PROBE_CONNECTIONS = 32
 """Maximum connections of a listener for probes or metrics, which has few callers."""
 
+RECEIVE_BUFFER_BYTES = 32_768
+"""Receive buffer of a connection in the kernel, which counts as memory of the process.
+It takes 5 MB/s over a distance of 3 ms."""
+
+READ_BYTES = 16_384
+"""Maximum size of one read from a caller."""
+
 LOG_SECONDS = 1.0
 """Minimum interval between two log lines about limits."""
 
+MAX_LINGERING = 64
+"""Maximum number of refused connections that are kept for their caller to read the
+refusal."""
+
 
 class Limit(enum.Enum):
-    """The limit for which a connection was closed."""
+    """The limit for which a connection was closed or its request was refused."""
 
+    MEMORY = "memory"
     CONNECTIONS = "connections"
 
 
 class GuardedConnection(t.Protocol):
     """A caller's connection."""
 
+    def end(self, error: RequestError) -> None:
+        """Refuse the present request if there is one, or close the connection."""
+        ...
+
     def abort(self) -> None:
         """Close the connection at once."""
         ...
@@ -66,26 +88,57 @@
 
 
 class CallerGuard:
-    """Keeps the callers of a process within its descriptors.
+    """Keeps the callers of a process within its memory and its descriptors.
 
-    :param closed: connections that were closed by each limit, and not
+    :param lingering: refused connections that are kept for their caller.
+    :param closed: connections that were closed or refused by each limit, and not
         logged yet.
     """
 
     def __init__(
         self,
         telemetry: Telemetry,
+        limits: MemoryLimits | None = None,
         descriptors: DescriptorLimits | None = None,
     ) -> None:
         self.telemetry = telemetry
+        self.limits = limits or MemoryLimits.of_process(DEFAULT_MEMORY_MB)
         self.descriptors = descriptors or DescriptorLimits.of_process(0)
         self.charges: ConnectionCharges[GuardedConnection] = ConnectionCharges()
+        self.buffer = memoryview(bytearray(READ_BYTES))
+        self.lingering: collections.OrderedDict[GuardedConnection, None] = (
+            collections.OrderedDict()
+        )
         self.closed: collections.Counter[Limit] = collections.Counter()
         self._log: asyncio.TimerHandle | None = None
 
+    @property
+    def is_full(self) -> bool:
+        """Whether no further request may begin."""
+        return self.charges.held > self.limits.total
+
+    def check_room(self) -> None:
+        """Check whether a request may begin.
+
+        :raises RequestError: if the memory is used up by requests that run.
+        """
+        if self.is_full:
+            self._count(Limit.MEMORY)
+            raise _refusal()
+
+    def charge(self, connection: GuardedConnection, size: int) -> None:
+        """Set what a connection costs, and close others if there is no room."""
+        self.charges.charge(connection, size)
+        while self.is_full:
+            victim = self.charges.longest_inactive()
+            if victim is None:
+                break
+            self._end(victim, Limit.MEMORY)
+
     def remove(self, connection: GuardedConnection) -> None:
         """Forget a connection that is closed."""
         self.charges.remove(connection)
+        self.lingering.pop(connection, None)
 
     def make_room(self, connections: cabc.Collection[GuardedConnection]) -> bool:
         """Close one of a listener's connections; return whether one could be closed."""
@@ -97,6 +150,22 @@
         victim.abort()
         return True
 
+    def linger(self, connection: GuardedConnection) -> None:
+        """Keep a refused connection until its caller has read the refusal."""
+        self.lingering[connection] = None
+        if len(self.lingering) > MAX_LINGERING:
+            oldest, _ = self.lingering.popitem(last=False)
+            oldest.abort()
+
+    def _end(
+        self,
+        connection: GuardedConnection,
+        limit: Limit,
+    ) -> None:
+        self._count(limit)
+        self.remove(connection)
+        connection.end(_refusal())
+
     def _count(self, limit: Limit) -> None:
         self.telemetry.on_limited_caller(limit.value)
         self.closed[limit] += 1
@@ -111,6 +180,7 @@
             extra={
                 "closed": {limit.value: n for limit, n in self.closed.items()},
                 "connections": len(self.charges.charges),
+                "held_bytes": self.charges.held,
             },
         )
         self.closed.clear()
@@ -127,3 +197,7 @@
 
     guard: CallerGuard
     max_connections: int | None = None
+
+
+def _refusal() -> RequestError:
+    return RequestError(ResultCode.CALLERS_LIMITED)
--- a/src/bergamotmast/callers/server.py
+++ b/src/bergamotmast/callers/server.py
@@ -96,7 +96,10 @@
         connection = t.cast(Connection, request.protocol)
         connection.begin(request.content)
         try:
-            return await self.handler(request)
+            response = await self.handler(request)
+            if connection.refused:
+                await connection.drain_refused(response)
+            return response
         finally:
             connection.finish()
 
--- a/src/bergamotmast/direct/caller.py
+++ b/src/bergamotmast/direct/caller.py
@@ -16,6 +16,7 @@
         """Return the whole body, or ``None`` if it is longer than the limit.
 
         :param max_bytes: maximum length in bytes.
+        :raises RequestError: if there is no memory for it.
         """
         ...
 
--- a/src/bergamotmast/direct/http_frontend.py
+++ b/src/bergamotmast/direct/http_frontend.py
@@ -8,6 +8,7 @@
 import logging
 import socket
 import struct
+import typing as t
 
 import yarl
 from aiohttp import ClientConnectionResetError
@@ -18,6 +19,7 @@
 from aiohttp.streams import StreamReader
 from aiohttp.web_protocol import RequestHandler
 
+from ..callers.connection import Connection
 from ..policy.connection_admission import ConnectionAdmission
 from .caller import CallerRequest
 from .core import DirectCore
@@ -31,6 +33,13 @@
 KEEPALIVE_SECONDS = 75.0
 """Keep-alive timeout of idle connections; above the configurable limits."""
 
+READ_BUFFER_BYTES = 32_768
+"""Part of a body that is held before a handler reads it."""
+
+LINGERING_SECONDS = 2.0
+"""How long the rest of a refused request is read and dropped, so that its caller reads
+the refusal."""
+
 CLOSING_SECONDS = 5.0
 """How long a handler waits for the end of a caller's connection that is closing."""
 
@@ -50,7 +59,11 @@
         self.request = request
 
     async def read(self, max_bytes: int) -> bytes | None:
-        """Return the whole body, or ``None`` if it is longer than the limit."""
+        """Return the whole body, or ``None`` if it is longer than the limit.
+
+        :raises RequestError: if there is no memory for it.
+        """
+        t.cast(Connection, self.request.protocol).guard.check_room()
         if (self.request.content_length or 0) > max_bytes:
             return None
         await self._send_continue()
@@ -183,13 +196,20 @@
             keepalive_timeout=KEEPALIVE_SECONDS,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
+            read_bufsize=READ_BUFFER_BYTES,
+            lingering_time=LINGERING_SECONDS,
             auto_decompress=False,
             access_log=None,
         )
 
     def probes(self) -> web.Server:
         """Return the server for readiness probes."""
-        return web.Server(self._ready, request_factory=_new_request, access_log=None)
+        return web.Server(
+            self._ready,
+            request_factory=_new_request,
+            read_bufsize=READ_BUFFER_BYTES,
+            access_log=None,
+        )
 
     async def _ready(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path != self.core.context.dialect.ready_path:
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -88,6 +88,7 @@
 from .platform.scaling import PlatformScaling
 from .platform.store import PlatformStore
 from .platform.usage import PlatformUsage
+from .policy.caller_memory import MemoryLimits
 from .policy.decisions import Decisions
 from .policy.retry_window import RetryLimits
 from .policy.shutdown_admission import ShutdownWindow
@@ -150,6 +151,7 @@
     learned = LearnedCapacity(fleet, settings.learned_capacity, features, metrics, rng)
     placer = RequestPlacer(fleet, settings.name, settings.zone, rng, decisions, learned)
     host, _, port = settings.peer_address.rpartition(":")
+    memory = MemoryLimits.of_process(settings.memory_mb)
     async with contextlib.AsyncExitStack() as stack:
         client = await stack.enter_async_context(HttpUpstreamClient())
         session = await stack.enter_async_context(single_call_session())
@@ -246,6 +248,7 @@
         frontend = DirectHttpFrontend(core)
         guard = CallerGuard(
             metrics,
+            memory,
             DescriptorLimits.of_process(settings.max_descriptors),
         )
         callers = await _listen(
--- a/src/bergamotmast/errors.py
+++ b/src/bergamotmast/errors.py
@@ -41,6 +41,7 @@
     QUARANTINED = 205
     UPSTREAMS_LIMITED = 206
     CAPACITY_SHARED = 207
+    CALLERS_LIMITED = 208
 
     NO_UPSTREAM = 300
     UPSTREAM_LEAVING = 301
@@ -149,6 +150,9 @@
         True,
         "Capacity is short, and the tenant has used its share of it.",
     ),
+    ResultCode.CALLERS_LIMITED: CodeInfo(
+        _NOT_RUN, 503, True, "The memory for requests that arrive is used up."
+    ),
     ResultCode.NO_UPSTREAM: CodeInfo(
         _NOT_RUN, 503, True, "No upstream is ready for this request."
     ),
--- a/src/bergamotmast/policy/caller_memory.py
+++ b/src/bergamotmast/policy/caller_memory.py
@@ -1,10 +1,13 @@
-"""Choice of the connection that is closed to make room for another one.
+"""Limits on the memory that a process spends on its callers.
 
-Load pattern: callers that don't behave hold many connections open.
+Load pattern: callers that don't behave. Many send large bodies at once, or requests
+ahead of their answers, and most stop just short of the end and stay connected.
 
-Without it: they take all descriptors, and neither other callers nor upstreams get one.
+Without it: what they have sent fills the memory, and the kernel ends the process with
+the requests of all other callers.
 
-The connection is closed whose caller has been inactive for longest, out of those that
+Each connection is charged with what it costs. While the charges exceed the limit, the
+connections are closed whose callers have been inactive for longest, out of those that
 wait for their caller: idle ones, those whose request is not complete, and those whose
 response is not read. An ordinary request arrives within milliseconds and is answered
 meanwhile, so that its connection is closed only if the callers of all other connections
@@ -15,11 +18,34 @@
 
 import collections
 import collections.abc as cabc
+import dataclasses
 import typing as t
 
 _C = t.TypeVar("_C")
 """A caller's connection."""
 
+CALLER_SHARE = 0.35
+"""Share of a process's memory for callers. An entry of a large fleet needs some 60 MB
+for itself, and the smallest instances have 160 MB."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemoryLimits:
+    """Limits in bytes.
+
+    :param total: for requests of all callers.
+    """
+
+    total: int
+
+    @classmethod
+    def of_process(cls, megabytes: float) -> MemoryLimits:
+        """Return the limits of a process that may use so much memory."""
+        memory = megabytes * 1e6
+        return cls(
+            total=int(memory * CALLER_SHARE),
+        )
+
 
 class ConnectionCharges(t.Generic[_C]):
     """Account of what the connections of all callers cost.
--- a/src/bergamotmast/serving.py
+++ b/src/bergamotmast/serving.py
@@ -27,6 +27,7 @@
 from .callers.acceptor import AcceptorSite
 from .callers.acceptor import ConnectionAcceptor
 from .callers.connection import Connection
+from .callers.guard import RECEIVE_BUFFER_BYTES
 from .callers.guard import CallerGuard
 from .callers.guard import ListenerLimits
 from .callers.server import Admission
@@ -300,6 +301,8 @@
     try:
         for family, _, _, _, name in dict.fromkeys(infos):
             new = socket.create_server(name[:2], family=family, backlog=BACKLOG)
+            # Accepted connections take it over.
+            new.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
             new.setblocking(False)
             found.append(new)
     except OSError:
--- a/src/bergamotmast/settings.py
+++ b/src/bergamotmast/settings.py
@@ -271,6 +271,12 @@
         10.0,
     )
     listen_address: str = _setting(ADDRESS, _CALLERS, "address that callers connect to")
+    memory_mb: float = _setting(
+        number(64, 1 << 20, "megabytes"),
+        _CALLERS,
+        "memory of this process in megabytes; a share of it is for callers",
+        256.0,
+    )
     max_descriptors: int = _setting(
         integer(0, 1 << 30),
         _CALLERS,
