Large bodies are read only if they fit into memory as a whole

What callers saw: 40 bodies of the largest size, whole, in pieces or in chunks, cost an entry 217 to 229 MB, 80 of half that size 245 MB and three such crowds one after the other 267 MB; 128 are allowed.

Cause: each body is read as far as its caller sends it. With a limit on the sum alone, parts of many bodies would fill it, and none could end.

Now a body over 64 KB is read only with a grant for twice its size (its length, or max-body-bytes for chunks); 20% of the memory is for grants. The newest request gets the next one: it has most of its time left, and a crowd that waits already can't delay it. One grant is always given, so that a single request within the limits is served whatever its size.

A body of the largest size is served beside the crowd that has stalled (test_largest_body_is_served_beside_a_crowd_of_stalled_ones).

--- a/src/bergamotmast/callers/connection.py
+++ b/src/bergamotmast/callers/connection.py
@@ -5,19 +5,23 @@
 whether its request was read: connections track whether headers are partly received.
 
 Each connection tells the process's :class:`~bergamotmast.callers.guard.CallerGuard`
-what it costs.
+what it costs, and is not read while a :class:`Hold` is in force.
 """
 
 from __future__ import annotations
 
 import asyncio
+import enum
+import functools
 import typing as t
 
 from aiohttp import web
+from aiohttp.http import RawRequestMessage
 from aiohttp.streams import StreamReader
 from aiohttp.web_protocol import RequestHandler
 
 from ..errors import RequestError
+from ..policy.caller_memory import SMALL_BODY_BYTES
 from .guard import RECEIVE_BUFFER_BYTES
 from .guard import ListenerLimits
 
@@ -42,6 +46,13 @@
 with unread input would reset the connection, and the refusal would be lost."""
 
 
+class Hold(enum.Enum):
+    """Reason not to read from a connection."""
+
+    GRANT = enum.auto()
+    """A large body waits for memory."""
+
+
 class Listener(t.Protocol):
     """The listener of a connection.
 
@@ -58,21 +69,32 @@
     :param receive_count: number of times that data was received.
     :param header_deadline: deadline for the rest of partly received headers, seconds on
         the event loop's clock; ``None`` if no headers are being received.
+    :param holds: reasons for which nothing is read.
     :param received: bytes received since the connection was idle.
     :param current: body of the request that is handled; ``None`` between requests.
+    :param newest: body of the request whose head was received last.
+    :param newest_size: its declared size; ``None`` for a body in chunks.
+    :param body_received: how much of it has been received.
+    :param asked: whether a grant was asked for.
     :param ended: whether the guard has closed the connection or refused its request.
     :param refused: whether it has refused the request.
     """
 
     __slots__ = (
+        "asked",
+        "body_received",
         "current",
         "ended",
         "guard",
         "header_deadline",
+        "holds",
         "listener",
+        "newest",
+        "newest_size",
         "receive_count",
         "received",
         "refused",
+        "requests_seen",
     )
 
     def __init__(
@@ -83,8 +105,14 @@
         self.guard = listener.limits.guard
         self.receive_count = 0
         self.header_deadline: float | None = None
+        self.holds: set[Hold] = set()
         self.received = 0
         self.current: StreamReader | None = None
+        self.newest: StreamReader | None = None
+        self.newest_size: int | None = None
+        self.body_received = 0
+        self.requests_seen = 0
+        self.asked = False
         self.ended = False
         self.refused = False
 
@@ -152,18 +180,25 @@
         """
         self.current = body
         # Called at once for a body that is complete.
-        body.on_eof(self._on_body_complete)
+        body.on_eof(functools.partial(self._on_body_complete, body))
         self._charge()
 
     def finish(self) -> None:
         """Record that a handler has ended."""
         self.current = None
+        self.asked = False
         if self.ended or self.transport is None:
             return
+        self.guard.release(self)
+        self._release(Hold.GRANT)
         self.received = 0
         self._charge()
         self.guard.charges.on_caller_active(self)
 
+    def on_granted(self) -> None:
+        """Read on, as the present body has been granted."""
+        self._release(Hold.GRANT)
+
     def end(self, error: RequestError) -> None:
         """Refuse the present request if it is not complete, or close the connection."""
         if self.current is None or self.current.is_eof():
@@ -182,6 +217,7 @@
         """Let the caller of a refused request read its response."""
         response.force_close()
         if response.prepared and self.transport is not None:
+            self.holds.clear()
             self._resume_transport_reading()
             if self.transport.can_write_eof():
                 self.transport.write_eof()
@@ -204,17 +240,47 @@
         return body is None or not body.is_eof()
 
     def _on_input(self, size: int) -> None:
-        """Account for received data."""
+        """Account for received data, and decide whether more is read."""
+        is_new = self._request_count != self.requests_seen
+        if is_new and self._messages:
+            self._on_head(*self._messages[-1])
+        if self.newest is not None:
+            self.body_received = self.newest.total_bytes
         self.received += size
         if not self._awaits_caller:
             self.guard.charges.on_caller_done(self)
         elif size:
             self.guard.charges.on_caller_active(self)
         self._charge()
-
-    def _on_body_complete(self) -> None:
         if not self.ended:
-            self.guard.charges.on_caller_done(self)
+            self._ask_if_needed()
+
+    def _on_head(self, message: t.Any, body: StreamReader) -> None:
+        self.requests_seen = self._request_count
+        self.newest = body
+        self.body_received = 0
+        self.newest_size = None
+        if isinstance(message, RawRequestMessage):
+            declared = message.headers.get("Content-Length", "")
+            self.newest_size = int(declared) if declared.isdecimal() else None
+
+    def _ask_if_needed(self) -> None:
+        """Ask for a grant for the present body if it is large and will be kept."""
+        if self.asked or self.newest is None or self.newest.is_eof():
+            return
+        limit = self.listener.limits.body_limit
+        if limit is None or (self.current is None and not self._messages):
+            return
+        size = limit() if self.newest_size is None else self.newest_size
+        received = self.body_received if self.newest_size is None else size
+        if SMALL_BODY_BYTES < received <= limit():
+            self.asked = True
+            self._hold(Hold.GRANT)
+            self.guard.ask(self, size)
+
+    def _on_body_complete(self, body: StreamReader) -> None:
+        if not self.ended:
+            self.guard.complete(self, body.total_bytes)
 
     def _charge(self) -> None:
         if self.ended or self.transport is None:
@@ -225,3 +291,18 @@
         if self.current is not None:
             cost += REQUEST_BYTES
         self.guard.charge(self, cost)
+
+    def _hold(self, hold: Hold) -> None:
+        self.holds.add(hold)
+        self._pause_transport_reading()
+
+    def _release(self, hold: Hold) -> None:
+        if hold in self.holds:
+            self.holds.discard(hold)
+            if not self._reading_paused and not self._buffer_paused:
+                self._resume_transport_reading()
+
+    def _resume_transport_reading(self) -> None:
+        """Read again unless there is another reason not to."""
+        if not self.holds:
+            super()._resume_transport_reading()
--- a/src/bergamotmast/callers/guard.py
+++ b/src/bergamotmast/callers/guard.py
@@ -13,6 +13,7 @@
 
 from ..errors import RequestError
 from ..errors import ResultCode
+from ..policy.caller_memory import BodyGrants
 from ..policy.caller_memory import ConnectionCharges
 from ..policy.caller_memory import MemoryLimits
 from ..telemetry import Telemetry
@@ -38,6 +39,9 @@
 READ_BYTES = 16_384
 """Maximum size of one read from a caller."""
 
+CHECK_SECONDS = 0.5
+"""Interval between two checks for stalled bodies while others wait."""
+
 LOG_SECONDS = 1.0
 """Minimum interval between two log lines about limits."""
 
@@ -51,11 +55,21 @@
 
     MEMORY = "memory"
     CONNECTIONS = "connections"
+    BODY_STALLED = "body stalled"
 
 
 class GuardedConnection(t.Protocol):
     """A caller's connection."""
 
+    @property
+    def body_received(self) -> int:
+        """Bytes of the present body that have been received."""
+        ...
+
+    def on_granted(self) -> None:
+        """Read on, as the present body has been granted."""
+        ...
+
     def end(self, error: RequestError) -> None:
         """Refuse the present request if there is one, or close the connection."""
         ...
@@ -105,17 +119,19 @@
         self.limits = limits or MemoryLimits.of_process(DEFAULT_MEMORY_MB)
         self.descriptors = descriptors or DescriptorLimits.of_process(0)
         self.charges: ConnectionCharges[GuardedConnection] = ConnectionCharges()
+        self.grants: BodyGrants[GuardedConnection] = BodyGrants(self.limits)
         self.buffer = memoryview(bytearray(READ_BYTES))
         self.lingering: collections.OrderedDict[GuardedConnection, None] = (
             collections.OrderedDict()
         )
         self.closed: collections.Counter[Limit] = collections.Counter()
+        self._check: asyncio.TimerHandle | None = None
         self._log: asyncio.TimerHandle | None = None
 
     @property
     def is_full(self) -> bool:
         """Whether no further request may begin."""
-        return self.charges.held > self.limits.total
+        return self.charges.held + self.grants.granted > self.limits.total
 
     def check_room(self) -> None:
         """Check whether a request may begin.
@@ -139,6 +155,7 @@
         """Forget a connection that is closed."""
         self.charges.remove(connection)
         self.lingering.pop(connection, None)
+        self.release(connection)
 
     def make_room(self, connections: cabc.Collection[GuardedConnection]) -> bool:
         """Close one of a listener's connections; return whether one could be closed."""
@@ -150,6 +167,27 @@
         victim.abort()
         return True
 
+    def ask(self, connection: GuardedConnection, body_bytes: int) -> None:
+        """Ask for a grant for a large body."""
+        self.grants.ask(connection, body_bytes)
+        self._grant()
+        if self.grants.requests and self._check is None:
+            loop = asyncio.get_running_loop()
+            self._check = loop.call_later(CHECK_SECONDS, self._check_grants)
+
+    def complete(self, connection: GuardedConnection, body_bytes: int) -> None:
+        """Record that a whole body has been received."""
+        self.charges.on_caller_done(connection)
+        if connection in self.grants.grants:
+            self.grants.complete(connection, body_bytes)
+            self._grant()
+
+    def release(self, connection: GuardedConnection) -> None:
+        """Return the grant of a connection whose request has ended."""
+        if connection in self.grants.grants or connection in self.grants.requests:
+            self.grants.release(connection)
+            self._grant()
+
     def linger(self, connection: GuardedConnection) -> None:
         """Keep a refused connection until its caller has read the refusal."""
         self.lingering[connection] = None
@@ -157,6 +195,23 @@
             oldest, _ = self.lingering.popitem(last=False)
             oldest.abort()
 
+    def _grant(self) -> None:
+        now = asyncio.get_running_loop().time()
+        while True:
+            connection = self.grants.grant_next(self.charges.held, now)
+            if connection is None:
+                return
+            connection.on_granted()
+
+    def _check_grants(self) -> None:
+        self._check = None
+        loop = asyncio.get_running_loop()
+        for connection in self.grants.overdue(_body_received, loop.time()):
+            self._end(connection, Limit.BODY_STALLED)
+        self._grant()
+        if self.grants.requests:
+            self._check = loop.call_later(CHECK_SECONDS, self._check_grants)
+
     def _end(
         self,
         connection: GuardedConnection,
@@ -181,6 +236,8 @@
                 "closed": {limit.value: n for limit, n in self.closed.items()},
                 "connections": len(self.charges.charges),
                 "held_bytes": self.charges.held,
+                "granted_bytes": self.grants.granted,
+                "waiting_bodies": len(self.grants.requests),
             },
         )
         self.closed.clear()
@@ -191,13 +248,20 @@
     """Limits of one listener.
 
     :param guard: limits of the process, which its listeners share.
+    :param body_limit: returns the maximum size of a body in bytes; ``None`` if bodies
+        are not kept.
     :param max_connections: maximum number of connections; ``None`` for that of the
         process.
     """
 
     guard: CallerGuard
+    body_limit: cabc.Callable[[], int] | None = None
     max_connections: int | None = None
 
 
+def _body_received(connection: GuardedConnection) -> int:
+    return connection.body_received
+
+
 def _refusal() -> RequestError:
     return RequestError(ResultCode.CALLERS_LIMITED)
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -255,7 +255,7 @@
             stack,
             frontend.callers(),
             settings.listen_address,
-            ListenerLimits(guard),
+            ListenerLimits(guard, lambda: core.body_limit),
             frontend.busy,
             frontend.admission,
         )
--- a/src/bergamotmast/policy/caller_memory.py
+++ b/src/bergamotmast/policy/caller_memory.py
@@ -12,6 +12,10 @@
 response is not read. An ordinary request arrives within milliseconds and is answered
 meanwhile, so that its connection is closed only if the callers of all other connections
 have been active since. A request that runs is never ended.
+
+A body beyond :data:`SMALL_BODY_BYTES` has to fit as a whole before more of it is read,
+see :class:`BodyGrants`: if every large body could grow a little, none could be
+completed. Bodies that wait are not read, so that their bytes stay at the caller.
 """
 
 from __future__ import annotations
@@ -28,15 +32,34 @@
 """Share of a process's memory for callers. An entry of a large fleet needs some 60 MB
 for itself, and the smallest instances have 160 MB."""
 
+LARGE_BODY_SHARE = 0.2
+"""Share of a process's memory for large bodies, out of that for callers."""
+
+SMALL_BODY_BYTES = 65_536
+"""Largest body that needs no grant."""
+
+BODY_COPIES = 2
+"""Copies of a body while its parts are joined and while it is sent to an upstream."""
+
+STALLED_CHECKS = 2
+"""Number of checks in a row without progress after which a grant is withdrawn. One is
+not enough: after a pause of the machine, a check may run before anything is read."""
+
+MAX_GRANT_SECONDS = 10.0
+"""Time for a large body while others wait, so that a trickle can't hold its grant. The
+body of a caller within the limits takes 7 s on the slowest link, 5 Mbit/s."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MemoryLimits:
     """Limits in bytes.
 
     :param total: for requests of all callers.
+    :param large_bodies: part of it for large bodies.
     """
 
     total: int
+    large_bodies: int
 
     @classmethod
     def of_process(cls, megabytes: float) -> MemoryLimits:
@@ -44,6 +67,7 @@
         memory = megabytes * 1e6
         return cls(
             total=int(memory * CALLER_SHARE),
+            large_bodies=int(memory * LARGE_BODY_SHARE),
         )
 
 
@@ -89,3 +113,97 @@
             if among is None or connection in among:
                 return connection
         return None
+
+
+@dataclasses.dataclass(slots=True)
+class Grant:
+    """Room for one large body.
+
+    :param size: reserved bytes.
+    :param expires_at: when it is withdrawn if others wait; a point in time.
+    :param received: bytes of the body that had been received at the last check.
+    :param stalled_checks: number of checks in a row without progress.
+    :param complete: whether the whole body has been received.
+    """
+
+    size: int
+    expires_at: float
+    received: int = -1
+    stalled_checks: int = 0
+    complete: bool = False
+
+
+class BodyGrants(t.Generic[_C]):
+    """Decides which large bodies are read; points in time are the caller's.
+
+    The request that came last is the first to get a grant: it has most of its time
+    left, and a crowd that waits already can't keep it from being read. One is given if
+    it is the only one, and none is larger than all memory for large bodies: a single
+    request within the limits is served, whatever the size of the process.
+    """
+
+    def __init__(self, limits: MemoryLimits) -> None:
+        self.limits = limits
+        self.granted = 0
+        self.grants: dict[_C, Grant] = {}
+        self.requests: dict[_C, int] = {}
+
+    def ask(self, connection: _C, body_bytes: int) -> None:
+        """Ask for a grant; :meth:`grant_next` returns when it is given."""
+        most = self.limits.large_bodies
+        self.requests[connection] = min(body_bytes * BODY_COPIES, most)
+
+    def grant_next(self, held: int, now: float) -> _C | None:
+        """Give the next grant if there is room; return the connection that gets it.
+
+        :param held: what connections cost beside the grants, in bytes.
+        """
+        if not self.requests:
+            return None
+        connection, size = next(reversed(self.requests.items()))
+        granted = self.granted + size
+        fits = (
+            granted <= self.limits.large_bodies and granted + held <= self.limits.total
+        )
+        if self.grants and not fits:
+            return None
+        del self.requests[connection]
+        self.grants[connection] = Grant(size, now + MAX_GRANT_SECONDS)
+        self.granted = granted
+        return connection
+
+    def complete(self, connection: _C, body_bytes: int) -> None:
+        """Record that a whole body has been received, and return what it left over."""
+        grant = self.grants.get(connection)
+        if grant is not None:
+            size = min(grant.size, body_bytes * BODY_COPIES)
+            self.granted += size - grant.size
+            grant.size = size
+            grant.complete = True
+
+    def release(self, connection: _C) -> None:
+        """Return a connection's grant, and withdraw its request for one."""
+        self.requests.pop(connection, None)
+        grant = self.grants.pop(connection, None)
+        if grant is not None:
+            self.granted -= grant.size
+
+    def overdue(self, received: cabc.Callable[[_C], int], now: float) -> list[_C]:
+        """Return the connections whose grant is withdrawn in favour of others.
+
+        To be called at regular intervals.
+
+        :param received: returns how much has been received of a connection's body.
+        """
+        found = []
+        for connection, grant in self.grants.items():
+            if grant.complete:
+                continue
+            size = received(connection)
+            stalled = size == grant.received
+            grant.stalled_checks = grant.stalled_checks + 1 if stalled else 0
+            grant.received = size
+            is_stalled = grant.stalled_checks >= STALLED_CHECKS
+            if self.requests and (is_stalled or now >= grant.expires_at):
+                found.append(connection)
+        return found
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -6,20 +6,41 @@
 import contextlib
 
 from bergamotmast.callers.guard import CallerGuard
+from bergamotmast.callers.guard import ListenerLimits
+from bergamotmast.errors import ResultCode
+from bergamotmast.policy.caller_memory import SMALL_BODY_BYTES
 from bergamotmast.policy.caller_memory import MemoryLimits
+from direct_support import HOST
 from direct_support import direct_entry
 from direct_support import read_answer
 from direct_support import request
 from platform_standin import Replica
 from platform_standin import answer
 
+LARGE = 2 * SMALL_BODY_BYTES
+
 
 def guard_of(entry) -> CallerGuard:
     return entry.listener.server.limits.guard
 
 
-def limit_memory(entry, total):
-    guard_of(entry).limits = MemoryLimits(total)
+def limit_memory(entry, total=20_000_000, large_bodies=10_000_000):
+    guard = guard_of(entry)
+    entry.listener.server.limits = ListenerLimits(guard, lambda: LARGE)
+    guard.limits = MemoryLimits(total, large_bodies)
+    guard.grants.limits = guard.limits
+
+
+def large_request(sent, request_id="id-1", target="/read/x", size=LARGE):
+    """Return a request with a large body of which only the first bytes are sent."""
+    lines = [
+        f"POST {target} HTTP/1.1",
+        f"Host: {HOST}",
+        f"X-Request-Id: {request_id}",
+        "X-Deadline-Ms: 60000",
+        f"Content-Length: {size}",
+    ]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + bytes(sent)
 
 
 @contextlib.asynccontextmanager
@@ -34,6 +55,35 @@
         writer.close()
 
 
+async def until(condition):
+    async with asyncio.timeout(10):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+async def test_stalled_body_is_refused_as_not_run_once_another_waits():
+    """Callers that stop short of their end keep others' bodies from being read."""
+    async with (
+        Replica("i-1", answer()) as replica,
+        direct_entry(replica) as entry,
+    ):
+        limit_memory(entry, large_bodies=2 * LARGE)
+        async with connected(entry, large_request(LARGE - 1)) as (stalled, writer):
+            await until(lambda: guard_of(entry).grants.granted)
+            waits = large_request(LARGE, "id-2")
+            async with connected(entry, waits) as (reader, _):
+                assert (await read_answer(reader)).status == 200
+            refusal = await read_answer(stalled)
+            # The rest of the body comes after the refusal, and resets nothing.
+            writer.write(b"x")
+            assert await stalled.read() == b""
+    assert refusal.status == 503
+    assert refusal.body.startswith(str(int(ResultCode.CALLERS_LIMITED)).encode())
+    assert float(refusal.headers["retry-after"]) > 0
+    assert refusal.headers["connection"] == "close"
+    assert [received.request_id for received in replica.received] == ["id-2"]
+
+
 async def test_shortage_of_memory_ends_no_request_that_runs():
     """A crowd of connections cuts off a request that is already at an upstream."""
     async with (
@@ -51,7 +101,7 @@
         async with connected(entry, request("/read/x")) as (running, _):
             await started.wait()
             async with contextlib.AsyncExitStack() as stack:
-                limit_memory(entry, 1)
+                limit_memory(entry, 1, 1)
                 for _ in range(4):
                     await stack.enter_async_context(connected(entry, b""))
                 async with connected(entry, request("/read/y")) as (reader, _):
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -194,3 +194,12 @@
         assert process.returncode is None
         assert usage.memory <= ENTRY_MEMORY_MB << 20
         assert answers == [200, 200]
+
+
+async def test_largest_body_is_served_beside_a_crowd_of_stalled_ones(tmp_path):
+    """A caller within the limits waits behind a crowd until its deadline."""
+    crowd = CROWDS["bodies short of their end"]
+    async with crowded_entry(tmp_path) as entry:
+        async with CrowdRun(crowd, entry.ports["callers"]) as run:
+            await run.until_settled()
+            assert await entry.ask(bytes(BODY_BYTES)) == 200
