Requests sent ahead of their answers are read a few at a time

What callers saw: 60 callers that send 64 requests of 60,000 bytes ahead and read no answer cost an entry 239 MB, 100 callers with heads of 15,600 bytes 187 MB; 128 are allowed.

Cause: the library reads and parses 32 requests of a connection ahead, each with a buffer for its body.

Now nothing more is read from a connection once 16 KB or 8 requests wait behind the one that is handled, until all of them have been handled.

--- a/src/bergamotmast/callers/connection.py
+++ b/src/bergamotmast/callers/connection.py
@@ -41,6 +41,12 @@
 COPIES = 2
 """Copies of what has been received of a small request, or waits to be sent."""
 
+MAX_AHEAD_BYTES = 16_384
+"""Size of the requests sent ahead of a response from which no more are read."""
+
+MAX_AHEAD_REQUESTS = 8
+"""Number of requests sent ahead of a response from which no more are read."""
+
 LINGER_SECONDS = 1.0
 """Time for a caller to read a refusal while its body is received and dropped. A close
 with unread input would reset the connection, and the refusal would be lost."""
@@ -49,6 +55,9 @@
 class Hold(enum.Enum):
     """Reason not to read from a connection."""
 
+    AHEAD = enum.auto()
+    """Requests that were sent ahead wait for their turn."""
+
     GRANT = enum.auto()
     """A large body waits for memory."""
 
@@ -71,6 +80,7 @@
         the event loop's clock; ``None`` if no headers are being received.
     :param holds: reasons for which nothing is read.
     :param received: bytes received since the connection was idle.
+    :param ahead: bytes of requests received while another one is handled.
     :param current: body of the request that is handled; ``None`` between requests.
     :param newest: body of the request whose head was received last.
     :param newest_size: its declared size; ``None`` for a body in chunks.
@@ -81,6 +91,7 @@
     """
 
     __slots__ = (
+        "ahead",
         "asked",
         "body_received",
         "current",
@@ -107,6 +118,7 @@
         self.header_deadline: float | None = None
         self.holds: set[Hold] = set()
         self.received = 0
+        self.ahead = 0
         self.current: StreamReader | None = None
         self.newest: StreamReader | None = None
         self.newest_size: int | None = None
@@ -182,6 +194,9 @@
         # Called at once for a body that is complete.
         body.on_eof(functools.partial(self._on_body_complete, body))
         self._charge()
+        if not self._messages:
+            self.ahead = 0
+            self._release(Hold.AHEAD)
 
     def finish(self) -> None:
         """Record that a handler has ended."""
@@ -191,7 +206,7 @@
             return
         self.guard.release(self)
         self._release(Hold.GRANT)
-        self.received = 0
+        self.received = self.ahead
         self._charge()
         self.guard.charges.on_caller_active(self)
 
@@ -247,13 +262,15 @@
         if self.newest is not None:
             self.body_received = self.newest.total_bytes
         self.received += size
+        if self._messages and (self.current is not None or len(self._messages) > 1):
+            self.ahead += size
         if not self._awaits_caller:
             self.guard.charges.on_caller_done(self)
         elif size:
             self.guard.charges.on_caller_active(self)
         self._charge()
         if not self.ended:
-            self._ask_if_needed()
+            self._hold_if_needed()
 
     def _on_head(self, message: t.Any, body: StreamReader) -> None:
         self.requests_seen = self._request_count
@@ -264,6 +281,12 @@
             declared = message.headers.get("Content-Length", "")
             self.newest_size = int(declared) if declared.isdecimal() else None
 
+    def _hold_if_needed(self) -> None:
+        if self.ahead > MAX_AHEAD_BYTES or len(self._messages) > MAX_AHEAD_REQUESTS:
+            self._hold(Hold.AHEAD)
+        else:
+            self._ask_if_needed()
+
     def _ask_if_needed(self) -> None:
         """Ask for a grant for the present body if it is large and will be kept."""
         if self.asked or self.newest is None or self.newest.is_eof():
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 
+from bergamotmast.callers.connection import MAX_AHEAD_REQUESTS
 from bergamotmast.callers.guard import CallerGuard
 from bergamotmast.callers.guard import ListenerLimits
 from bergamotmast.errors import ResultCode
@@ -109,3 +110,18 @@
             go_on.set()
             assert (await read_answer(running)).status == 200
     assert len(replica.received) == 1
+
+
+async def test_requests_sent_ahead_are_answered_in_order():
+    """Nothing is read any more once requests that were sent ahead are handled."""
+    count = 10 * MAX_AHEAD_REQUESTS
+    async with Replica("i-1", answer()) as replica, direct_entry(replica) as entry:
+        ahead = b"".join(
+            request(f"/read/{number}", request_id=f"id-{number}", body=bytes(3_000))
+            for number in range(count)
+        )
+        async with connected(entry, ahead) as (reader, _):
+            answers = [await read_answer(reader) for _ in range(count)]
+    assert [got.headers["x-request-id"] for got in answers] == [
+        f"id-{number}" for number in range(count)
+    ]
