Large input is read in turns, so that chunks of one byte block nobody

Cause: a read of 256 KB holds 43,000 chunks of one byte, and is parsed in one go; the event loop goes round once for all of these callers, and an ordinary request needs a dozen rounds. The limit on new connections of a late event loop then closes those of ordinary callers.

Now a connection with large input (a body beyond 64 KB, or a read with more than 4 KB of heads and chunk sizes) waits after each read of 16 KB until it is its turn; two such reads are made in an iteration. Ordinary requests never wait for a turn, and a caller that is alone has one in every iteration.

--- a/src/bergamotmast/callers/connection.py
+++ b/src/bergamotmast/callers/connection.py
@@ -47,6 +47,10 @@
 MAX_AHEAD_REQUESTS = 8
 """Number of requests sent ahead of a response from which no more are read."""
 
+MAX_FRAMING_BYTES = 4_096
+"""Framing in one read, such as heads and chunk sizes, from which a connection waits for
+its next turn. Framing takes a hundred times the time of the bytes of a body."""
+
 LINGER_SECONDS = 1.0
 """Time for a caller to read a refusal while its body is received and dropped. A close
 with unread input would reset the connection, and the refusal would be lost."""
@@ -61,6 +65,9 @@
     GRANT = enum.auto()
     """A large body waits for memory."""
 
+    TURN = enum.auto()
+    """Large input waits for its turn at the event loop."""
+
 
 class Listener(t.Protocol):
     """The listener of a connection.
@@ -259,8 +266,10 @@
         is_new = self._request_count != self.requests_seen
         if is_new and self._messages:
             self._on_head(*self._messages[-1])
+        grown = 0
         if self.newest is not None:
-            self.body_received = self.newest.total_bytes
+            grown = self.newest.total_bytes - self.body_received
+            self.body_received += grown
         self.received += size
         if self._messages and (self.current is not None or len(self._messages) > 1):
             self.ahead += size
@@ -270,7 +279,7 @@
             self.guard.charges.on_caller_active(self)
         self._charge()
         if not self.ended:
-            self._hold_if_needed()
+            self._hold_if_needed(size - grown)
 
     def _on_head(self, message: t.Any, body: StreamReader) -> None:
         self.requests_seen = self._request_count
@@ -281,11 +290,15 @@
             declared = message.headers.get("Content-Length", "")
             self.newest_size = int(declared) if declared.isdecimal() else None
 
-    def _hold_if_needed(self) -> None:
+    def _hold_if_needed(self, framing: int) -> None:
         if self.ahead > MAX_AHEAD_BYTES or len(self._messages) > MAX_AHEAD_REQUESTS:
             self._hold(Hold.AHEAD)
         else:
             self._ask_if_needed()
+        is_large = framing > MAX_FRAMING_BYTES or self.body_received > SMALL_BODY_BYTES
+        if is_large and Hold.TURN not in self.holds:
+            self._hold(Hold.TURN)
+            self.guard.turns.wait(self._take_turn)
 
     def _ask_if_needed(self) -> None:
         """Ask for a grant for the present body if it is large and will be kept."""
@@ -305,6 +318,9 @@
         if not self.ended:
             self.guard.complete(self, body.total_bytes)
 
+    def _take_turn(self) -> None:
+        self._release(Hold.TURN)
+
     def _charge(self) -> None:
         if self.ended or self.transport is None:
             return
--- a/src/bergamotmast/callers/guard.py
+++ b/src/bergamotmast/callers/guard.py
@@ -17,6 +17,7 @@
 from ..policy.caller_memory import ConnectionCharges
 from ..policy.caller_memory import MemoryLimits
 from ..telemetry import Telemetry
+from .turns import InputTurns
 
 logger = logging.getLogger(__name__)
 
@@ -120,6 +121,7 @@
         self.descriptors = descriptors or DescriptorLimits.of_process(0)
         self.charges: ConnectionCharges[GuardedConnection] = ConnectionCharges()
         self.grants: BodyGrants[GuardedConnection] = BodyGrants(self.limits)
+        self.turns = InputTurns()
         self.buffer = memoryview(bytearray(READ_BYTES))
         self.lingering: collections.OrderedDict[GuardedConnection, None] = (
             collections.OrderedDict()
