Heads and trailers without end are cut off, without a traceback each

What callers saw: nothing but a slow process; operators saw 5,813 lines of errors from 60 callers within seconds, and 145 MB (128 allowed). At the doors for probes and metrics 800 heads short of their end gave 800 errors.

Cause: the library limits the length of a line, not that of a head or a trailer, and logs each malformed request as an error with its traceback.

Now a connection that brings 96 KB without completing a head or adding to a body is ended: a request whose trailer does so is refused with 400. A malformed request is one line at the level info.

--- a/src/bergamotmast/callers/connection.py
+++ b/src/bergamotmast/callers/connection.py
@@ -13,9 +13,11 @@
 import asyncio
 import enum
 import functools
+import logging
 import typing as t
 
 from aiohttp import web
+from aiohttp.http import HttpProcessingError
 from aiohttp.http import RawRequestMessage
 from aiohttp.streams import StreamReader
 from aiohttp.web_protocol import RequestHandler
@@ -25,6 +27,8 @@
 from .guard import RECEIVE_BUFFER_BYTES
 from .guard import ListenerLimits
 
+logger = logging.getLogger(__name__)
+
 HEADER_TIMEOUT_SECONDS = 0.5
 """Time for the rest of partly received headers during a shutdown. A caller that sends
 byte by byte must not delay the end of the process for longer."""
@@ -35,12 +39,15 @@
 REQUEST_BYTES = 24_576
 """Additional cost of a request that runs."""
 
-MAX_SMALL_BYTES = 163_840
-"""Maximum size of a head and a small body, as far as it is charged."""
-
 COPIES = 2
 """Copies of what has been received of a small request, or waits to be sent."""
 
+MAX_LOGGED_ERROR = 200
+"""Maximum length of an error in the log, which may quote what was received."""
+
+MAX_HEAD_BYTES = 98_304
+"""Maximum length of a head or trailer; far above the configurable limit."""
+
 MAX_AHEAD_BYTES = 16_384
 """Size of the requests sent ahead of a response from which no more are read."""
 
@@ -88,6 +95,7 @@
     :param holds: reasons for which nothing is read.
     :param received: bytes received since the connection was idle.
     :param ahead: bytes of requests received while another one is handled.
+    :param framing: bytes received since a part of a body or a head was complete.
     :param current: body of the request that is handled; ``None`` between requests.
     :param newest: body of the request whose head was received last.
     :param newest_size: its declared size; ``None`` for a body in chunks.
@@ -103,6 +111,7 @@
         "body_received",
         "current",
         "ended",
+        "framing",
         "guard",
         "header_deadline",
         "holds",
@@ -126,6 +135,7 @@
         self.holds: set[Hold] = set()
         self.received = 0
         self.ahead = 0
+        self.framing = 0
         self.current: StreamReader | None = None
         self.newest: StreamReader | None = None
         self.newest_size: int | None = None
@@ -190,6 +200,15 @@
         if not self._awaits_caller:
             self.guard.charges.on_caller_done(self)
 
+    def log_exception(self, *args: t.Any, **kw: t.Any) -> None:
+        """Log malformed requests without a traceback each."""
+        error = kw.get("exc_info")
+        if isinstance(error, HttpProcessingError):
+            text = str(error.message)[:MAX_LOGGED_ERROR]
+            logger.info("request is malformed", extra={"error": text})
+        else:
+            super().log_exception(*args, **kw)
+
     # Requests
 
     def begin(self, body: StreamReader) -> None:
@@ -271,6 +290,7 @@
             grown = self.newest.total_bytes - self.body_received
             self.body_received += grown
         self.received += size
+        self.framing = 0 if is_new or grown else self.framing + size
         if self._messages and (self.current is not None or len(self._messages) > 1):
             self.ahead += size
         if not self._awaits_caller:
@@ -278,6 +298,8 @@
         elif size:
             self.guard.charges.on_caller_active(self)
         self._charge()
+        if self.framing > MAX_HEAD_BYTES:
+            self.guard.on_endless_head(self)
         if not self.ended:
             self._hold_if_needed(size - grown)
 
@@ -324,7 +346,7 @@
     def _charge(self) -> None:
         if self.ended or self.transport is None:
             return
-        most = MAX_SMALL_BYTES
+        most = SMALL_BODY_BYTES + MAX_HEAD_BYTES
         buffered = min(self.received, most) + self.transport.get_write_buffer_size()
         cost = RECEIVE_BUFFER_BYTES + CONNECTION_BYTES + COPIES * buffered
         if self.current is not None:
--- a/src/bergamotmast/callers/guard.py
+++ b/src/bergamotmast/callers/guard.py
@@ -57,6 +57,7 @@
     MEMORY = "memory"
     CONNECTIONS = "connections"
     BODY_STALLED = "body stalled"
+    HEAD = "head"
 
 
 class GuardedConnection(t.Protocol):
@@ -197,6 +198,14 @@
             oldest, _ = self.lingering.popitem(last=False)
             oldest.abort()
 
+    def on_endless_head(self, connection: GuardedConnection) -> None:
+        """End a connection whose head or trailer is too long."""
+        self._end(
+            connection,
+            Limit.HEAD,
+            RequestError(ResultCode.BAD_HEADER, "The head or trailer is too long."),
+        )
+
     def _grant(self) -> None:
         now = asyncio.get_running_loop().time()
         while True:
@@ -218,10 +227,11 @@
         self,
         connection: GuardedConnection,
         limit: Limit,
+        error: RequestError | None = None,
     ) -> None:
         self._count(limit)
         self.remove(connection)
-        connection.end(_refusal())
+        connection.end(error or _refusal())
 
     def _count(self, limit: Limit) -> None:
         self.telemetry.on_limited_caller(limit.value)
