Entries with sides keep their callers within the limits, too

What callers saw: 30 bodies of the largest size cost an entry with sides 290 MB, and requests sent ahead 249 MB, where its settings name 192.

Cause: only the direct entry was given limits.

Sides and planners have no other door for callers.

Whole bodies still cost 323 MB.

--- a/src/bergamotmast/daemons.py
+++ b/src/bergamotmast/daemons.py
@@ -30,6 +30,10 @@
 from .app import SideProcess
 from .app import engine_side
 from .app import service_side
+from .callers.guard import MAX_PROBE_CONNECTIONS
+from .callers.guard import CallerGuard
+from .callers.guard import DescriptorLimits
+from .callers.guard import ListenerLimits
 from .entry.core import READINESS_DRAIN_SECONDS
 from .entry.http import CallerLimits
 from .errors import SettingError
@@ -40,6 +44,7 @@
 from .lifecycle import install_signal_handlers
 from .lifecycle import metrics_handler
 from .lifecycle import run_background_tasks
+from .policy.caller_memory import MemoryLimits
 from .policy.presets import PRESETS
 from .serving import HttpListener
 from .settings import EntrySettings
@@ -83,8 +88,17 @@
         limits = CallerLimits(settings.max_body_bytes, settings.max_context_tokens)
         application = entry.application(limits)
         application.router.add_get(METRICS_PATH, metrics_handler(metrics))
+        guard = CallerGuard(
+            metrics,
+            MemoryLimits.of_process(settings.memory_mb),
+            DescriptorLimits.of_process(settings.max_descriptors),
+        )
         callers = HttpListener(
-            application, settings.listen_address, entry.busy, _tls(settings)
+            application,
+            settings.listen_address,
+            entry.busy,
+            _tls(settings),
+            limits=ListenerLimits(guard, lambda: settings.max_body_bytes),
         )
         async with (
             _serving(callers),
@@ -114,7 +128,13 @@
         application.router.add_get(METRICS_PATH, metrics_handler(metrics))
         async with contextlib.AsyncExitStack() as stack:
             if settings.metrics_address:
-                metrics_listener = HttpListener(application, settings.metrics_address)
+                few = ListenerLimits(
+                    CallerGuard(dependencies.telemetry),
+                    max_connections=MAX_PROBE_CONNECTIONS,
+                )
+                metrics_listener = HttpListener(
+                    application, settings.metrics_address, limits=few
+                )
                 await stack.enter_async_context(_serving(metrics_listener))
             await stack.enter_async_context(
                 run_background_tasks(side.background_tasks(), shutdown)
--- a/src/bergamotmast/settings.py
+++ b/src/bergamotmast/settings.py
@@ -157,6 +157,19 @@
     tls_key_file: str = _setting(
         optional(FILE), _CALLERS, "private key of the certificate, in PEM", ""
     )
+    memory_mb: float = _setting(
+        number(64, 1 << 20, "megabytes"),
+        _CALLERS,
+        "memory of this process in megabytes; a share of it is for callers",
+        512.0,
+    )
+    max_descriptors: int = _setting(
+        integer(0, 1 << 30),
+        _CALLERS,
+        "file descriptors that this process may open; 0 for the limit of the operating"
+        " system",
+        0,
+    )
     max_body_bytes: int = _setting(
         integer(1_024, 1 << 30),
         _CALLERS,
