Bodies are freed as their requests end

What callers saw: 30 whole bodies of 8 MB, all answered, cost an entry with sides 318 MB as long as their connections stayed open; a crowd that was refused left its parts behind.

Cause, found by sampling the memory of a crowd that was refused body by body, which grew by 8 MB for each: the library keeps the last request of a connection, with the body that it has cached, until the next one comes. And a body that is refused halfway stands in the frames of the error's traceback, which form a reference cycle with the future that brought the error; it is freed only by a garbage collection, for which such bodies create no occasion.

Now both references are dropped when the handler has ended.

Without the change, test_refused_body_is_freed_at_once fails.

--- a/src/bergamotmast/callers/server.py
+++ b/src/bergamotmast/callers/server.py
@@ -96,7 +96,10 @@
         connection = t.cast(Connection, request.protocol)
         connection.begin(request.content)
         try:
-            response = await self.handler(request)
+            try:
+                response = await self.handler(request)
+            finally:
+                _forget_body(request)
             if connection.refused:
                 await connection.drain_refused(response)
             return response
@@ -104,6 +107,19 @@
             connection.finish()
 
 
+def _forget_body(request: web.BaseRequest) -> None:
+    """Free a request's body, which would be kept after the request has ended.
+
+    The library keeps the last request of a connection, with the body that it has
+    cached. A body that was read in part stands in the frames of the error's traceback,
+    which form a reference cycle with it.
+    """
+    request._read_bytes = None
+    error = request.content.exception()
+    if error is not None:
+        error.__traceback__ = None
+
+
 class ConnectionServerRunner(web.ServerRunner):
     """Runner of a low-level server with :class:`Connection`.
 
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import contextlib
+import gc
 
 from bergamotmast.callers.connection import MAX_AHEAD_REQUESTS
 from bergamotmast.callers.guard import CallerGuard
 from bergamotmast.callers.guard import ListenerLimits
+from bergamotmast.direct.http_frontend import HttpCallerBody
 from bergamotmast.errors import ResultCode
 from bergamotmast.policy.caller_memory import SMALL_BODY_BYTES
 from bergamotmast.policy.caller_memory import MemoryLimits
@@ -56,6 +58,10 @@
         writer.close()
 
 
+def bodies_in_memory():
+    return sum(type(each) is HttpCallerBody for each in gc.get_objects())
+
+
 async def until(condition):
     async with asyncio.timeout(10):
         while not condition():
@@ -125,3 +131,23 @@
     assert [got.headers["x-request-id"] for got in answers] == [
         f"id-{number}" for number in range(count)
     ]
+
+
+async def test_refused_body_is_freed_at_once():
+    """The error's traceback keeps what was read until the next garbage collection."""
+    async with Replica("i-1", answer()) as replica, direct_entry(replica) as entry:
+        limit_memory(entry, large_bodies=2 * LARGE)
+        gc.collect()
+        gc.disable()
+        try:
+            async with connected(entry, large_request(LARGE - 1)) as (stalled, _):
+                await until(bodies_in_memory)
+                async with connected(entry, large_request(LARGE)) as (reader, _):
+                    assert (await read_answer(reader)).status == 200
+                assert (await read_answer(stalled)).status == 503
+            await until(lambda: not entry.listener.server.connections)
+            assert not bodies_in_memory()
+        finally:
+            gc.enable()
+        assert guard_of(entry).grants.granted == 0
+        assert guard_of(entry).charges.held == 0
