Heads are judged before a large body is read

What callers saw: a caller without a route, an id or a key had its whole body read, and held memory for it, until it was refused.

Cause: the body was read before anything else was looked at.

Now the head of a request whose body may be large is judged first, and once more when the body has come, as the configuration may have changed. The answers are the same; small requests are read first as before, so that their connections stay open after a refusal.

--- a/src/bergamotmast/direct/caller.py
+++ b/src/bergamotmast/direct/caller.py
@@ -12,6 +12,11 @@
 class CallerBody(t.Protocol):
     """Reads a request's body, which may arrive after the headers or not at all."""
 
+    @property
+    def may_be_large(self) -> bool:
+        """Whether the rest of the body may take more memory than a small request."""
+        ...
+
     async def read(self, max_bytes: int) -> bytes | None:
         """Return the whole body, or ``None`` if it is longer than the limit.
 
--- a/src/bergamotmast/direct/core.py
+++ b/src/bergamotmast/direct/core.py
@@ -102,14 +102,11 @@
 
     async def _admit(self, request: CallerRequest) -> Call:
         traits = self.context.dialect.read_call(request.headers)
+        if request.body.may_be_large:
+            # No memory is held for a body whose head is refused.
+            await self._admit_head(request, traits)
         body = await self._read_body(request, traits.time_left)
-        table = await self._route_table()
-        route = table.find(request.host, request.target)
-        if route is None:
-            raise RequestError(ResultCode.UNKNOWN_ROUTE)
-        if not traits.request_id:
-            raise RequestError(ResultCode.BAD_HEADER, "A request needs an id.")
-        _check_writable(request)
+        route, tenant = await self._admit_head(request, traits)
         seconds = route.timeout
         if traits.time_left is not None:
             seconds = min(seconds, traits.time_left)
@@ -123,7 +120,6 @@
         if traits.last_event and route.kind is CallKind.STREAM:
             found = await self._find_build(route, group, began_as, traits)
             group, build, known_by = found
-        tenant = self._tenant(request, table.routing, route)
         connection = request.headers.get("Connection", "")
         return Call(
             traits=traits,
@@ -143,6 +139,22 @@
             tenant=tenant,
         )
 
+    async def _admit_head(
+        self, request: CallerRequest, traits: CallTraits
+    ) -> tuple[Route, Tenant | None]:
+        """Return a request's route, and its tenant if it needs an API key.
+
+        :raises RequestError: if the head shows that the request can't be run.
+        """
+        table = await self._route_table()
+        route = table.find(request.host, request.target)
+        if route is None:
+            raise RequestError(ResultCode.UNKNOWN_ROUTE)
+        if not traits.request_id:
+            raise RequestError(ResultCode.BAD_HEADER, "A request needs an id.")
+        _check_writable(request)
+        return route, self._tenant(request, table.routing, route)
+
     def _began_as(self, request: CallerRequest, traits: CallTraits) -> str:
         """Return the id under which a stream began."""
         resumed = self.context.dialect.resumed_id(request.items)
--- a/src/bergamotmast/direct/http_frontend.py
+++ b/src/bergamotmast/direct/http_frontend.py
@@ -20,6 +20,7 @@
 from aiohttp.web_protocol import RequestHandler
 
 from ..callers.connection import Connection
+from ..policy.caller_memory import SMALL_BODY_BYTES
 from ..policy.connection_admission import ConnectionAdmission
 from .caller import CallerRequest
 from .core import DirectCore
@@ -58,6 +59,13 @@
     def __init__(self, request: web.BaseRequest) -> None:
         self.request = request
 
+    @property
+    def may_be_large(self) -> bool:
+        """Whether the rest of the body may take more memory than a small request."""
+        length = self.request.content_length
+        is_small = length is not None and length <= SMALL_BODY_BYTES
+        return not is_small and not self.request.content.is_eof()
+
     async def read(self, max_bytes: int) -> bytes | None:
         """Return the whole body, or ``None`` if it is longer than the limit.
 
--- a/tests/entry_replay.py
+++ b/tests/entry_replay.py
@@ -226,6 +226,7 @@
     """A request's body, by which the entries tell requests apart."""
 
     data: bytes
+    may_be_large: t.ClassVar[bool] = False
 
     async def read(self, max_bytes: int) -> bytes:
         return self.data
--- a/tests/prompt_load.py
+++ b/tests/prompt_load.py
@@ -161,6 +161,8 @@
 class SimulatedBody:
     """A body that arrived with the headers."""
 
+    may_be_large = False
+
     async def read(self, max_bytes: int) -> bytes:
         return b"hello"
 
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -6,6 +6,8 @@
 import contextlib
 import gc
 
+import pytest
+
 from bergamotmast.callers.connection import MAX_AHEAD_REQUESTS
 from bergamotmast.callers.guard import CallerGuard
 from bergamotmast.callers.guard import ListenerLimits
@@ -151,3 +153,17 @@
             gc.enable()
         assert guard_of(entry).grants.granted == 0
         assert guard_of(entry).charges.held == 0
+
+
+@pytest.mark.parametrize("target", ["/nowhere/x", "/read/x"])
+async def test_request_whose_head_is_refused_holds_no_memory_for_its_body(target):
+    """A caller without a route or an id holds a large body's memory meanwhile."""
+    async with Replica("i-1", answer()) as replica, direct_entry(replica) as entry:
+        limit_memory(entry)
+        request_id = "id-1" if target == "/nowhere/x" else ""
+        asked = large_request(100, request_id, target)
+        async with connected(entry, asked) as (reader, _):
+            refusal = await read_answer(reader)
+            await until(lambda: not guard_of(entry).grants.granted)
+    assert refusal.status == (404 if request_id else 400)
+    assert replica.received == []
