Limits on responses follow the process's memory

What callers saw: nothing yet. Responses that are read ahead of slow callers could take 16 MB and replies that are read whole 64 MB, whatever the process had: together with what requests may take now, more than the 160 MB of the smallest instances.

Cause: the settings did not tell the memory.

--- a/src/bergamotmast/adapters/upstream_http.py
+++ b/src/bergamotmast/adapters/upstream_http.py
@@ -49,7 +49,8 @@
 """Maximum body of a reply that is read whole; upstreams send much shorter ones."""
 
 MAX_BUFFERED_BYTES = 1 << 26
-"""Maximum size of all bodies together that are being read whole."""
+"""Maximum size of all bodies together that are being read whole, where no other one is
+given."""
 
 MIN_BLOCK_BYTES = 65_536
 """Size from which no further part of a body is added to a block."""
@@ -153,9 +154,13 @@
 
 
 class BodyBuffers:
-    """Bodies of one client that are being read whole."""
+    """Bodies of one client that are being read whole.
 
-    def __init__(self) -> None:
+    :param limit: maximum size of all of them together, in bytes.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
         self.bodies: set[BufferedBody] = set()
 
     @contextlib.contextmanager
@@ -173,7 +178,7 @@
     def is_full_of(self, body: BufferedBody) -> bool:
         """Return whether there is too much, and a body is among the larger ones."""
         total = sum(other.size for other in self.bodies)
-        return total > MAX_BUFFERED_BYTES and body.size * len(self.bodies) >= total
+        return total > self.limit and body.size * len(self.bodies) >= total
 
 
 class HttpReply:
@@ -307,12 +312,16 @@
 
 
 class HttpUpstreamClient:
-    """Implements :class:`~bergamotmast.direct.ports.UpstreamClient`."""
+    """Implements :class:`~bergamotmast.direct.ports.UpstreamClient`.
 
-    def __init__(self) -> None:
+    :param max_buffered_bytes: maximum size of all replies together that are being read
+        whole.
+    """
+
+    def __init__(self, max_buffered_bytes: int = MAX_BUFFERED_BYTES) -> None:
         self.pooled = self._session(force_close=False)
         self.fresh = self._session(force_close=True)
-        self.buffers = BodyBuffers()
+        self.buffers = BodyBuffers(max_buffered_bytes)
 
     async def __aenter__(self) -> HttpUpstreamClient:
         """Return itself."""
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -88,6 +88,7 @@
 from .platform.scaling import PlatformScaling
 from .platform.store import PlatformStore
 from .platform.usage import PlatformUsage
+from .policy.buffer_budget import BufferBudget
 from .policy.caller_memory import MemoryLimits
 from .policy.decisions import Decisions
 from .policy.retry_window import RetryLimits
@@ -153,7 +154,9 @@
     host, _, port = settings.peer_address.rpartition(":")
     memory = MemoryLimits.of_process(settings.memory_mb)
     async with contextlib.AsyncExitStack() as stack:
-        client = await stack.enter_async_context(HttpUpstreamClient())
+        client = await stack.enter_async_context(
+            HttpUpstreamClient(memory.whole_replies)
+        )
         session = await stack.enter_async_context(single_call_session())
         with bind_errors(settings.peer_address, "--peer-address"):
             peers = await stack.enter_async_context(datagram_port(host, int(port)))
@@ -195,7 +198,8 @@
             incarnation_probe=orders,
         )
         if features.scarcity:
-            context.held_responses = HeldResponses(metrics)
+            budget = BufferBudget(total_limit=memory.read_ahead)
+            context.held_responses = HeldResponses(metrics, budget)
             placer.memory_watch = EngineMemoryWatch(metrics)
         inbox = PeerInbox()
         peers.on_datagram = inbox.receive
--- a/src/bergamotmast/policy/buffer_budget.py
+++ b/src/bergamotmast/policy/buffer_budget.py
@@ -17,8 +17,7 @@
 """Bytes held for one response. Usual streams have some kilobytes."""
 
 TOTAL_LIMIT_BYTES = 16 << 20
-"""Bytes held for all responses: a tenth of the memory of the smallest entries (160 MB),
-which the settings do not tell."""
+"""Bytes held for all responses where no other limit is given."""
 
 SHORT_UNTIL = 0.5
 """Share of the total limit below which it no longer counts as reached. Without the
--- a/src/bergamotmast/policy/caller_memory.py
+++ b/src/bergamotmast/policy/caller_memory.py
@@ -35,6 +35,12 @@
 LARGE_BODY_SHARE = 0.2
 """Share of a process's memory for large bodies, out of that for callers."""
 
+READ_AHEAD_SHARE = 0.1
+"""Share of a process's memory for responses of callers that read slowly."""
+
+WHOLE_REPLY_SHARE = 0.15
+"""Share of a process's memory for replies that are read whole."""
+
 SMALL_BODY_BYTES = 65_536
 """Largest body that needs no grant."""
 
@@ -56,10 +62,14 @@
 
     :param total: for requests of all callers.
     :param large_bodies: part of it for large bodies.
+    :param read_ahead: for responses that are read ahead of their callers.
+    :param whole_replies: for replies that are read whole before they are sent.
     """
 
     total: int
     large_bodies: int
+    read_ahead: int
+    whole_replies: int
 
     @classmethod
     def of_process(cls, megabytes: float) -> MemoryLimits:
@@ -68,6 +78,8 @@
         return cls(
             total=int(memory * CALLER_SHARE),
             large_bodies=int(memory * LARGE_BODY_SHARE),
+            read_ahead=int(memory * READ_AHEAD_SHARE),
+            whole_replies=int(memory * WHOLE_REPLY_SHARE),
         )
 
 
