--- a/src/bergamotmast/callers/connection.py
+++ b/src/bergamotmast/callers/connection.py
@@ -76,6 +76,15 @@
     """Large input waits for its turn at the event loop."""
 
 
+def check_room(request: web.BaseRequest) -> None:
+    """Check whether there is memory for a request; only a listener has a limit.
+
+    :raises RequestError: if the memory is used up by requests that run.
+    """
+    if isinstance(request.protocol, Connection):
+        request.protocol.guard.check_room()
+
+
 class Listener(t.Protocol):
     """The listener of a connection.
 
--- a/src/bergamotmast/direct/http_frontend.py
+++ b/src/bergamotmast/direct/http_frontend.py
@@ -8,7 +8,6 @@
 import logging
 import socket
 import struct
-import typing as t
 
 import yarl
 from aiohttp import ClientConnectionResetError
@@ -19,7 +18,7 @@
 from aiohttp.streams import StreamReader
 from aiohttp.web_protocol import RequestHandler
 
-from ..callers.connection import Connection
+from ..callers.connection import check_room
 from ..policy.caller_memory import SMALL_BODY_BYTES
 from ..policy.connection_admission import ConnectionAdmission
 from .caller import CallerRequest
@@ -71,7 +70,7 @@
 
         :raises RequestError: if there is no memory for it.
         """
-        t.cast(Connection, self.request.protocol).guard.check_room()
+        check_room(self.request)
         if (self.request.content_length or 0) > max_bytes:
             return None
         await self._send_continue()
--- a/src/bergamotmast/entry/http.py
+++ b/src/bergamotmast/entry/http.py
@@ -13,7 +13,7 @@
 import msgspec
 from aiohttp import web
 
-from ..callers.connection import Connection
+from ..callers.connection import check_room
 from ..errors import RequestError
 from ..errors import ResultCode
 from ..logs import request_context
@@ -122,7 +122,7 @@
         request[_REQUEST_ID] = request_id
         with request_context(request_id):
             try:
-                t.cast(Connection, request.protocol).guard.check_room()
+                check_room(request)
                 return await handler(request)
             except RequestError as error:
                 return error_response(error, request_id)
