--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -7,8 +7,11 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
+from crowd_support import ANSWER_SECONDS
 from crowd_support import BODY_BYTES
 from crowd_support import FEW_DESCRIPTORS
 from crowd_support import FILE_DESCRIPTORS
@@ -159,6 +162,17 @@
         assert await ask(entry.ports["callers"], asked) == 200
 
 
+@pytest.mark.parametrize("name", ["bodies again and again", "requests sent ahead"])
+async def test_crowd_does_not_keep_a_process_from_ending(name, tmp_path):
+    """A process that is told to end waits for a crowd until it is killed."""
+    async with crowded_entry(tmp_path) as entry:
+        async with CrowdRun(CROWDS[name], entry.ports["callers"]) as run:
+            await run.until_settled()
+            entry.process.terminate()
+            async with asyncio.timeout(ANSWER_SECONDS):
+                assert await entry.process.wait() == 0
+
+
 ENTRY_BODY_BYTES = 8 << 20
 ENTRY_MEMORY_MB = 192
 
--- a/tests/test_direct_fuzz.py
+++ b/tests/test_direct_fuzz.py
@@ -146,6 +146,7 @@
 
 WITHOUT_VALUE = {
     "log_level",
+    "memory_mb",
     "store_recovery_ms",
     "switched_off",
     "learned_capacity",
