New connections have time for their request before they give way

Cause, by the entry's log: some 3,000 connections were closed in a second to make room for others. With 56 places a connection lives for 18 ms, less than the ordinary caller (in the test's busy process) takes from its connect to its request.

Now a connection is replaced only after 0.2 s without activity of its caller; until then new ones wait in the backlog, and accepting pauses for 20 ms at a time. Only if requests that run hold all places, new ones are closed at once, as their callers find room elsewhere.

--- a/src/bergamotmast/callers/acceptor.py
+++ b/src/bergamotmast/callers/acceptor.py
@@ -11,6 +11,7 @@
 
 from aiohttp import web
 
+from .guard import Room
 from .server import ConnectionServer
 
 logger = logging.getLogger(__name__)
@@ -18,9 +19,8 @@
 ACCEPTS_PER_ITERATION = 64
 """Connections accepted in one iteration of the event loop."""
 
-REPLACEMENTS_PER_ITERATION = 4
-"""Connections accepted in one iteration in place of others. A new connection needs some
-iterations until its request is read, and must not be replaced before that."""
+ROOM_SECONDS = 0.02
+"""Pause after which there may be room for a connection that waits in the backlog."""
 
 RETRY_SECONDS = 0.1
 """Pause after the operating system has failed to accept a connection."""
@@ -73,33 +73,36 @@
             )
 
     def _accept(self, listening: socket.socket) -> None:
-        replaced = 0
         for _ in range(ACCEPTS_PER_ITERATION):
-            is_full = self.server.is_full(len(self.tasks))
-            if is_full and replaced == REPLACEMENTS_PER_ITERATION:
+            room = self.server.room(len(self.tasks))
+            if room is Room.LATER:
+                self._pause(listening, ROOM_SECONDS)
                 return
             try:
                 connection, _ = listening.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return
             except OSError as error:
-                self._on_error(listening, error)
+                text = str(error)
+                logger.warning("no connection can be accepted", extra={"error": text})
+                self._pause(listening, RETRY_SECONDS)
                 return
-            connection.setblocking(False)
-            replaced += is_full
-            if is_full and not self.server.make_room():
+            guard = self.server.limits.guard
+            if room is Room.NONE:
+                guard.on_replaced()
                 connection.close()
                 continue
+            if room is Room.IN_PLACE:
+                guard.replace_one(self.server.open)
+            connection.setblocking(False)
             task = asyncio.create_task(self.serve(connection))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
-    def _on_error(self, listening: socket.socket, error: OSError) -> None:
-        """Pause after an error of the process, such as no free descriptor."""
-        logger.warning("no connection can be accepted", extra={"error": str(error)})
+    def _pause(self, listening: socket.socket, seconds: float) -> None:
         loop = asyncio.get_running_loop()
         loop.remove_reader(listening)
-        loop.call_later(RETRY_SECONDS, self._resume, listening)
+        loop.call_later(seconds, self._resume, listening)
 
     def _resume(self, listening: socket.socket) -> None:
         if listening in self.sockets:
--- a/src/bergamotmast/callers/connection.py
+++ b/src/bergamotmast/callers/connection.py
@@ -159,7 +159,7 @@
         super().connection_made(transport)
         self.listener.open[self] = None
         self._charge()
-        self.guard.charges.on_caller_active(self)
+        self.guard.on_caller_active(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Return what the connection has cost."""
@@ -200,7 +200,7 @@
         """Wait for the caller to read its response."""
         super().pause_writing()
         self._charge()
-        self.guard.charges.on_caller_active(self)
+        self.guard.on_caller_active(self)
 
     def resume_writing(self) -> None:
         """Go on writing, as the caller has read most of what was written."""
@@ -243,7 +243,7 @@
         self._release(Hold.GRANT)
         self.received = self.ahead
         self._charge()
-        self.guard.charges.on_caller_active(self)
+        self.guard.on_caller_active(self)
 
     def on_granted(self) -> None:
         """Read on, as the present body has been granted."""
@@ -305,7 +305,7 @@
         if not self._awaits_caller:
             self.guard.charges.on_caller_done(self)
         elif size:
-            self.guard.charges.on_caller_active(self)
+            self.guard.on_caller_active(self)
         self._charge()
         if self.framing > MAX_HEAD_BYTES:
             self.guard.on_endless_head(self)
--- a/src/bergamotmast/callers/guard.py
+++ b/src/bergamotmast/callers/guard.py
@@ -60,6 +60,21 @@
     HEAD = "head"
 
 
+class Room(enum.Enum):
+    """Room for a new connection."""
+
+    FREE = enum.auto()
+
+    IN_PLACE = enum.auto()
+    """In place of another connection."""
+
+    LATER = enum.auto()
+    """Soon, unless the callers of all connections become active."""
+
+    NONE = enum.auto()
+    """None before a request has ended, of which it isn't known when."""
+
+
 class GuardedConnection(t.Protocol):
     """A caller's connection."""
 
@@ -160,15 +175,31 @@
         self.lingering.pop(connection, None)
         self.release(connection)
 
-    def make_room(self, connections: cabc.Collection[GuardedConnection]) -> bool:
-        """Close one of a listener's connections; return whether one could be closed."""
-        victim = self.charges.longest_inactive(connections)
+    def on_caller_active(self, connection: GuardedConnection) -> None:
+        """Record that a caller has sent or read something, and has to do so again."""
+        now = asyncio.get_running_loop().time()
+        self.charges.on_caller_active(connection, now)
+
+    def room_in_place(self, connections: cabc.Collection[GuardedConnection]) -> Room:
+        """Return whether one of a listener's connections may be replaced."""
+        oldest = self.charges.longest_inactive(connections)
+        if oldest is None:
+            return Room.NONE
+        now = asyncio.get_running_loop().time()
+        replaceable = self.charges.may_be_replaced(oldest, now)
+        return Room.IN_PLACE if replaceable else Room.LATER
+
+    def replace_one(self, connections: cabc.Collection[GuardedConnection]) -> None:
+        """Close one of a listener's connections, which may be replaced."""
+        oldest = self.charges.longest_inactive(connections)
+        if oldest is not None:
+            self.on_replaced()
+            self.remove(oldest)
+            oldest.abort()
+
+    def on_replaced(self) -> None:
+        """Count a connection that is closed because there are too many."""
         self._count(Limit.CONNECTIONS)
-        if victim is None:
-            return False
-        self.remove(victim)
-        victim.abort()
-        return True
 
     def ask(self, connection: GuardedConnection, body_bytes: int) -> None:
         """Ask for a grant for a large body."""
--- a/src/bergamotmast/callers/server.py
+++ b/src/bergamotmast/callers/server.py
@@ -11,6 +11,7 @@
 
 from .connection import Connection
 from .guard import ListenerLimits
+from .guard import Room
 
 
 class Admission(t.Protocol):
@@ -72,17 +73,18 @@
             admission.under_way.add(connection)
         return connection
 
-    def is_full(self, accepted: int) -> bool:
-        """Return whether a new connection has to take the place of another one.
+    def room(self, accepted: int) -> Room:
+        """Return whether there is room for a new connection.
 
         :param accepted: number of accepted connections that are not served yet.
         """
-        most = self.limits.max_connections or self.limits.guard.descriptors.callers
-        return len(self.open) + accepted >= most
-
-    def make_room(self) -> bool:
-        """Close the connection that counts least; return whether one was closed."""
-        return self.limits.guard.make_room(self.open)
+        guard = self.limits.guard
+        most = self.limits.max_connections or guard.descriptors.callers
+        if len(self.open) + accepted < most:
+            return Room.FREE
+        room = guard.room_in_place(self.open)
+        # Those that were accepted a moment ago can't be replaced yet.
+        return Room.LATER if room is Room.NONE and accepted else room
 
     def connection_lost(
         self, handler: RequestHandler, exc: BaseException | None = None
--- a/src/bergamotmast/policy/caller_memory.py
+++ b/src/bergamotmast/policy/caller_memory.py
@@ -11,7 +11,10 @@
 wait for their caller: idle ones, those whose request is not complete, and those whose
 response is not read. An ordinary request arrives within milliseconds and is answered
 meanwhile, so that its connection is closed only if the callers of all other connections
-have been active since. A request that runs is never ended.
+have been active since. A request that runs is never ended. Where connections are the
+limit, one gives way only after :data:`MIN_INACTIVE_SECONDS`, and new ones wait for it:
+a crowd that connects again and again would otherwise replace a connection before its
+caller's first request arrives.
 
 A body beyond :data:`SMALL_BODY_BYTES` has to fit as a whole before more of it is read,
 see :class:`BodyGrants`: if every large body could grow a little, none could be
@@ -44,6 +47,9 @@
 SMALL_BODY_BYTES = 65_536
 """Largest body that needs no grant."""
 
+MIN_INACTIVE_SECONDS = 0.2
+"""Time that a caller has to send something before its connection is replaced."""
+
 BODY_COPIES = 2
 """Copies of a body while its parts are joined and while it is sent to an upstream."""
 
@@ -87,14 +93,14 @@
     """Account of what the connections of all callers cost.
 
     :param held: sum of all charges, in bytes.
-    :param waiting: connections that wait for their caller, the one whose caller has
-        been inactive for longest first.
+    :param waiting: connections that wait for their caller, and when it was active
+        last; the one whose caller has been inactive for longest comes first.
     """
 
     def __init__(self) -> None:
         self.held = 0
         self.charges: dict[_C, int] = {}
-        self.waiting: collections.OrderedDict[_C, None] = collections.OrderedDict()
+        self.waiting: collections.OrderedDict[_C, float] = collections.OrderedDict()
 
     def charge(self, connection: _C, size: int) -> None:
         """Set what a connection costs, in bytes."""
@@ -106,10 +112,10 @@
         self.held -= self.charges.pop(connection, 0)
         self.waiting.pop(connection, None)
 
-    def on_caller_active(self, connection: _C) -> None:
+    def on_caller_active(self, connection: _C, now: float) -> None:
         """Record that a caller has sent or read something, and has to do so again."""
         if connection in self.charges:
-            self.waiting[connection] = None
+            self.waiting[connection] = now
             self.waiting.move_to_end(connection)
 
     def on_caller_done(self, connection: _C) -> None:
@@ -126,6 +132,10 @@
                 return connection
         return None
 
+    def may_be_replaced(self, connection: _C, now: float) -> bool:
+        """Return whether a caller has had enough time to send something."""
+        return now >= self.waiting[connection] + MIN_INACTIVE_SECONDS
+
 
 @dataclasses.dataclass(slots=True)
 class Grant:
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -2,6 +2,7 @@
 
 from bergamotmast.policy.caller_memory import BODY_COPIES
 from bergamotmast.policy.caller_memory import MAX_GRANT_SECONDS
+from bergamotmast.policy.caller_memory import MIN_INACTIVE_SECONDS
 from bergamotmast.policy.caller_memory import BodyGrants
 from bergamotmast.policy.caller_memory import ConnectionCharges
 from bergamotmast.policy.caller_memory import MemoryLimits
@@ -14,7 +15,7 @@
     charges = ConnectionCharges()
     for name in names:
         charges.charge(name, 10)
-        charges.on_caller_active(name)
+        charges.on_caller_active(name, 0.0)
     return charges
 
 
@@ -34,7 +35,7 @@
 
 def test_caller_that_has_been_inactive_for_longest_is_closed_first():
     charges = charged("a", "b", "c")
-    charges.on_caller_active("a")
+    charges.on_caller_active("a", 1.0)
     assert charges.longest_inactive() == "b"
     assert charges.longest_inactive(among=("a", "c")) == "c"
 
@@ -52,15 +53,22 @@
     charges = charged("ordinary")
     for number in range(1_000):
         charges.charge(number, 10)
-        charges.on_caller_active(number)
+        charges.on_caller_active(number, number)
         if number % 50 == 0:
-            charges.on_caller_active("ordinary")
+            charges.on_caller_active("ordinary", number)
         while charges.held > 1_000:
             victim = charges.longest_inactive()
             assert victim != "ordinary"
             charges.remove(victim)
 
 
+def test_connection_is_replaced_only_after_time_for_a_request():
+    """A crowd that connects again and again replaces all connections at once."""
+    charges = charged("a")
+    assert not charges.may_be_replaced("a", MIN_INACTIVE_SECONDS / 2)
+    assert charges.may_be_replaced("a", MIN_INACTIVE_SECONDS)
+
+
 def test_charges_are_returned_as_connections_close():
     charges = charged("a", "b")
     charges.charge("a", 70)
