Few descriptors leave some for callers

Where an entry may open 256 descriptors, all of them were kept for files, probes and the process itself, and callers got one connection. They now get a sixteenth of all at least: 16. From some 330 on nothing changes.

--- a/src/bergamotmast/callers/acceptor.py
+++ b/src/bergamotmast/callers/acceptor.py
@@ -89,7 +89,7 @@
                 return
             guard = self.server.limits.guard
             if room is Room.NONE:
-                guard.on_replaced()
+                guard.on_surplus()
                 connection.close()
                 continue
             if room is Room.IN_PLACE:
--- a/src/bergamotmast/callers/guard.py
+++ b/src/bergamotmast/callers/guard.py
@@ -30,6 +30,9 @@
 INTERNAL_DESCRIPTORS = 24
 """Descriptors for the store, datagrams, listening sockets and the event loop."""
 
+MIN_CALLER_SHARE = 1 / 16
+"""Smallest share of all descriptors for callers, where few may be opened."""
+
 MAX_PROBE_CONNECTIONS = 32
 """Maximum connections of a listener for probes or metrics, which has few callers."""
 
@@ -115,7 +118,7 @@
         soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         most = min(descriptors or soft, soft)
         kept = FILE_DESCRIPTORS + INTERNAL_DESCRIPTORS + 2 * MAX_PROBE_CONNECTIONS
-        return cls(max(1, (most - kept) // 2))
+        return cls(max((most - kept) // 2, int(most * MIN_CALLER_SHARE)))
 
 
 class CallerGuard:
@@ -193,11 +196,11 @@
         """Close one of a listener's connections, which may be replaced."""
         oldest = self.charges.longest_inactive(connections)
         if oldest is not None:
-            self.on_replaced()
+            self.on_surplus()
             self.remove(oldest)
             oldest.abort()
 
-    def on_replaced(self) -> None:
+    def on_surplus(self) -> None:
         """Count a connection that is closed because there are too many."""
         self._count(Limit.CONNECTIONS)
 
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -5,11 +5,13 @@
 import asyncio
 import contextlib
 import gc
+import resource
 
 import pytest
 
 from bergamotmast.callers.connection import MAX_AHEAD_REQUESTS
 from bergamotmast.callers.guard import CallerGuard
+from bergamotmast.callers.guard import DescriptorLimits
 from bergamotmast.callers.guard import ListenerLimits
 from bergamotmast.direct.http_frontend import HttpCallerBody
 from bergamotmast.errors import ResultCode
@@ -70,6 +72,17 @@
             await asyncio.sleep(0.01)
 
 
+@pytest.mark.parametrize(
+    ("descriptors", "callers"), [(4_100, 1_906), (1_638, 675), (400, 56), (256, 16)]
+)
+def test_callers_get_half_of_the_descriptors_that_are_left(
+    descriptors, callers, monkeypatch
+):
+    """Callers take the descriptors of upstreams, or get none where there are few."""
+    monkeypatch.setattr(resource, "getrlimit", lambda _: (100_000, 100_000))
+    assert DescriptorLimits.of_process(descriptors).callers == callers
+
+
 async def test_stalled_body_is_refused_as_not_run_once_another_waits():
     """Callers that stop short of their end keep others' bodies from being read."""
     async with (
