The settings for memory and descriptors are declared once

Entries with and without sides declared the same two settings word for word; only the default of the memory differs. The pages written from the code are the same as before.

--- a/src/bergamotmast/settings.py
+++ b/src/bergamotmast/settings.py
@@ -87,6 +87,27 @@
 _WORK = "Work"
 
 
+def _memory_setting(default: float) -> t.Any:
+    """Return the field of the setting for the memory of a process that has callers."""
+    return _setting(
+        number(64, 1 << 20, "megabytes"),
+        _CALLERS,
+        "memory of this process in megabytes; a share of it is for callers",
+        default,
+    )
+
+
+def _descriptors_setting() -> t.Any:
+    """Return the field of the setting for its file descriptors."""
+    return _setting(
+        integer(0, 1 << 30),
+        _CALLERS,
+        "file descriptors that this process may open; 0 for the limit of the operating"
+        " system",
+        0,
+    )
+
+
 _LOG_LEVEL = choice("debug", "info", "warning", "error")
 
 
@@ -157,19 +178,8 @@
     tls_key_file: str = _setting(
         optional(FILE), _CALLERS, "private key of the certificate, in PEM", ""
     )
-    memory_mb: float = _setting(
-        number(64, 1 << 20, "megabytes"),
-        _CALLERS,
-        "memory of this process in megabytes; a share of it is for callers",
-        512.0,
-    )
-    max_descriptors: int = _setting(
-        integer(0, 1 << 30),
-        _CALLERS,
-        "file descriptors that this process may open; 0 for the limit of the operating"
-        " system",
-        0,
-    )
+    memory_mb: float = _memory_setting(512.0)
+    max_descriptors: int = _descriptors_setting()
     max_body_bytes: int = _setting(
         integer(1_024, 1 << 30),
         _CALLERS,
@@ -284,19 +294,8 @@
         10.0,
     )
     listen_address: str = _setting(ADDRESS, _CALLERS, "address that callers connect to")
-    memory_mb: float = _setting(
-        number(64, 1 << 20, "megabytes"),
-        _CALLERS,
-        "memory of this process in megabytes; a share of it is for callers",
-        256.0,
-    )
-    max_descriptors: int = _setting(
-        integer(0, 1 << 30),
-        _CALLERS,
-        "file descriptors that this process may open; 0 for the limit of the operating"
-        " system",
-        0,
-    )
+    memory_mb: float = _memory_setting(256.0)
+    max_descriptors: int = _descriptors_setting()
     ready_address: str = _setting(ADDRESS, _CALLERS, "address of the readiness probe")
     peer_address: str = _setting(
         ADDRESS, _PROCESS, "address for datagrams from other entries"
