--- a/review/common-2/replicas.py
+++ b/review/common-2/replicas.py
@@ -41,6 +41,8 @@
     :param extra: further headers of each answer.
     """
 
+    version = "v1"
+
     def __init__(
         self,
         name: str,
@@ -100,7 +102,7 @@
             "service": self.service,
             "address": self.address,
             "zone": "zone-a",
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": "ready",
             "cold-remaining-ms": 0,
