--- a/review/10/play.py
+++ b/review/10/play.py
@@ -3,8 +3,8 @@
 Two entries, four model replicas of software version v1, and the store. Callers read
 streams of some seconds. Both entries are killed in one moment and start again half a
 second later. As soon as both are ready, a replica of version v2 starts beside the others,
-as at the begin of a release. The callers of the streams that broke take them up again, as
-long as their time lasts, and others begin new streams.
+as at the begin of a release. The callers of the streams that broke take them up again, a
+few times as long as their time lasts, and others begin new streams.
 
 With ``TROUBLE=0`` nothing is killed and no replica starts; the callers then drop their
 channels themselves in that moment and take the streams up in the same way. With
@@ -36,6 +36,8 @@
 BROKEN_STREAMS = 40
 NEW_RATE = 8.0
 GAP_SECONDS = 2.0
+TRIES_AFTER_SECONDS = (0.8, 2.2, 4.9)
+"""When a caller takes its stream up again, after it broke: a few times, as the pages say."""
 
 
 def config() -> dict:
@@ -167,9 +169,12 @@
         stream = Stream("", time.monotonic() + BUDGET_SECONDS)
         self.streams.append(stream)
         await self.attempt(entry, stream, resumed=False, cut=self.broken)
-        while not stream.complete and stream.last:
-            # A caller that was refused, or couldn't connect, comes back.
-            await asyncio.sleep(self.rng.uniform(0.3, 0.9))
+        broke_at = time.monotonic()
+        for seconds in TRIES_AFTER_SECONDS:
+            if stream.complete or not stream.last:
+                return
+            due = broke_at + seconds + self.rng.uniform(0.0, 0.3)
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
             while self.patient and time.monotonic() < self.in_touch_at:
                 await asyncio.sleep(0.05)
             if time.monotonic() > stream.until - 0.5:
