--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 here=$(cd "$(dirname "$0")" && pwd)
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
-for file in "$here"/common-2/*.py "$here"/{6,7,8,9,10}/*.py; do
+for file in "$here"/{common-2,stand-ins-2}/*.py "$here"/{6,7,8,9,10}/*.py; do
     [ -f "$file" ] || continue
     python3 -c 'import py_compile, sys; py_compile.compile(sys.argv[1], sys.argv[2], doraise=True)' \
         "$file" "$folder/one.pyc"
--- a/review/stand-ins-2/fleet.py
+++ b/review/stand-ins-2/fleet.py
@@ -10,7 +10,6 @@
 import resource
 import signal
 import socket
-import subprocess
 import sys
 import tempfile
 import time
@@ -36,6 +35,10 @@
 """Settings of a machine of the site `trindade-arq`."""
 
 
+MAX_SECONDS = 112.0
+"""Time after which a case that has not ended couldn't run."""
+
+
 class Record:
     """What was sent, answered and run, with seconds since the start."""
 
@@ -64,6 +67,10 @@
     return re.sub(r"\{\{([^}]+)\}\}", lambda match: values.get(match[1], ""), text)
 
 
+STARTED: list[Entry] = []
+"""All entries of this run, which are ended with it."""
+
+
 class Entry:
     """One machine with the role of the deploy file; each start is a new process."""
 
@@ -86,6 +93,7 @@
         self.env["BERGAMOTMAST_METRICS_ADDRESS"] = f"127.0.0.1:{metrics}"
         self.env = {name: value for name, value in self.env.items() if value}
         self.process: asyncio.subprocess.Process | None = None
+        STARTED.append(self)
 
     async def start(self) -> None:
         """Start the process and wait until it is ready."""
@@ -241,15 +249,22 @@
     async def run() -> bool:
         record = Record(case / "record.txt")
         record(f"trouble: {'yes' if trouble else 'no'}")
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         with tempfile.TemporaryDirectory() as folder:
-            async with asyncio.timeout(115):
-                held = await main(trouble, record, folder)
+            try:
+                async with asyncio.timeout(MAX_SECONDS):
+                    held = await main(trouble, record, folder)
+            finally:
+                for entry in STARTED:
+                    await entry.kill()
         record("the rule held" if held else "the rule was broken")
         return held
 
     try:
         held = asyncio.run(run())
-    except (CannotRun, TimeoutError, OSError) as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"the case could not run: {error!r}")
         sys.exit(2)
     print("held" if held else "broken")
