--- a/review/stand-ins-2/fleet.py
+++ b/review/stand-ins-2/fleet.py
@@ -7,7 +7,6 @@
 import os
 import pathlib
 import re
-import resource
 import signal
 import socket
 import sys
@@ -126,12 +125,15 @@
             await self.process.wait()
 
     def memory_mb(self) -> float:
-        """Return the resident memory of the process; 0 if it has ended."""
+        """Return the resident memory without the pages of files; 0 if it has ended."""
         try:
-            pages = pathlib.Path(f"/proc/{self.process.pid}/statm").read_text().split()
+            status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
         except (FileNotFoundError, ProcessLookupError):
             return 0.0
-        return int(pages[1]) * resource.getpagesize() / 1e6
+        for line in status.splitlines():
+            if line.startswith("RssAnon:"):
+                return int(line.split()[1]) * 1024 / 1e6
+        return 0.0
 
 
 async def guard_memory(entry: Entry, most: float, state: dict, record) -> None:
--- a/review/stand-ins-2/replicas.py
+++ b/review/stand-ins-2/replicas.py
@@ -77,6 +77,7 @@
         return await self.run(name, message, writer)
 
     def begin(self, name: str) -> None:
+        self.record(f"{self.name} begins {name}")
         self.arrived[name] = time.monotonic()
 
     async def run(self, name: str, message, writer):
