Streams: what has just begun is recorded at once

What callers saw: all entries are killed while engines of two builds serve, and streams that had just begun are refused, "The build at which the stream began is not known." (503), at every entry and for as long as the callers try, while new ones begin (LOST).

Cause: an entry wrote its streams in progress every 0.25 s. What had begun since was known to the entries alone. Short answers are never older than that.

`stream is resumed` says known_by unknown, with both other entries informed, so nobody was out of reach, and nothing was read late.

A stream that begins now wakes the writer, which waits 0.05 s between writes, or as long as the share of the store's writes asks. Why this works: the record is in the store one write after the first event, and the number of writes stays bounded by the same share.

--- a/src/bergamotmast/direct/stream_build_log.py
+++ b/src/bergamotmast/direct/stream_build_log.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import collections.abc as cabc
+import contextlib
 import itertools
 import logging
 import math
@@ -30,10 +31,13 @@
 
 STREAMS_PREFIX = "/bergamotmast/streams/"
 
-WRITE_SECONDS = 0.25
+WRITE_SECONDS = 0.05
 """Minimum time between two writes of an entry. A stream that began later before the
 end of all entries can't be resumed."""
 
+CHECK_SECONDS = 0.25
+"""Interval between two checks for changes other than streams that begin."""
+
 STORE_SHARE = 0.2
 """Maximum share of the writes that the store accepts, of all entries together."""
 
@@ -141,10 +145,20 @@
         return max(WRITE_SECONDS, len(self.entries()) / rate)
 
     async def run(self) -> None:
-        """Write the streams in progress whenever they have changed, until cancelled."""
+        """Write the streams in progress whenever they have changed, until cancelled.
+
+        A stream that begins is written at once. That streams have ended, or have to be
+        told apart since another build came, may wait.
+        """
         loop = asyncio.get_running_loop()
+        begun = self.stream_builds.begun_at_several
         while True:
+            written_at = loop.time()
             await asyncio.sleep(self.interval)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout_at(written_at + CHECK_SECONDS):
+                    await begun.wait()
+            begun.clear()
             value = self._value()
             try:
                 if self.lease is not None and loop.time() >= self.renew_at:
--- a/src/bergamotmast/direct/stream_builds.py
+++ b/src/bergamotmast/direct/stream_builds.py
@@ -117,6 +117,7 @@
     :param broken: streams of these that have ended incomplete, with the point in time
         until when they may be resumed, oldest first.
     :param uncopied: records that no other entry has a copy of, oldest first.
+    :param begun_at_several: set when a stream begins in a group of several builds.
     """
 
     def __init__(self, fleet: Fleet) -> None:
@@ -131,6 +132,7 @@
         self.uncopied: collections.deque[StreamBuild] = collections.deque(
             maxlen=MAX_RECORDS
         )
+        self.begun_at_several = asyncio.Event()
 
     def on_begun(self, request_id: str, group: str, build: str) -> None:
         """Record the build at which a stream began.
@@ -148,7 +150,10 @@
         self.fleet.build_history.on_begun(group, build)
         self.broken.pop(record.stream, None)
         self.unfinished[record.stream] = record
-        if len(self.fleet.build_history.builds(group)) > 1 and self.peers is not None:
+        has_several = not self._has_one_build(group)
+        if has_several:
+            self.begun_at_several.set()
+        if has_several and self.peers is not None:
             self.peers.copy([record])
         else:
             self.uncopied.append(record)
--- a/tests/test_builds_outlast_entries.py
+++ b/tests/test_builds_outlast_entries.py
@@ -37,6 +37,21 @@
         assert min(shares) >= 0.5, found.summary(outcome)
 
 
+async def test_streams_that_have_just_begun_outlast_all_entries():
+    """Guards against losing the streams that began since an entry's last write."""
+    async with site("v1", "v2") as found:
+        await begin_at_both(found)
+        young = await found.begin("young", 3 * STREAMS)
+        await asyncio.sleep(0.1)
+        await found.kill()
+        await asyncio.sleep(0.2)
+        await found.start()
+        outcome = await found.resume()
+        assert found.misplaced() == []
+        ends = [outcome[stream][-1] for stream in young]
+        assert ends.count(200) >= 0.5 * len(young), found.summary(outcome)
+
+
 @pytest.mark.parametrize("when", ["before the kill", "while all are down"])
 async def test_stream_of_a_build_that_left_is_refused(when):
     """Guards against the only build left, which did not begin the stream."""
--- a/tests/test_stream_rounds.py
+++ b/tests/test_stream_rounds.py
@@ -237,3 +237,12 @@
     assert {stream.build for stream in play.streams} == {"v1", "v2"}
     assert set(play.site.outcomes) <= {"store", "memory"}
     assert play.site.outcomes.total() == ENTRIES * 4 * ENTRIES
+
+
+@pytest.mark.parametrize("pause", [1.0, 1.05, 1.1, 1.15, 1.2])
+def test_streams_that_have_just_begun_go_on_after_the_end_of_all_entries(pause):
+    """Guards against losing the streams that began since an entry's last write."""
+    play = Play({"v1", "v2"})
+    play.run([Round(waits=(pause, 0.1, 0.2, 0.2, 1.0), streams=4)])
+    assert set(play.site.outcomes) <= {"store", "memory"}
+    assert play.site.outcomes.total() == ENTRIES * 4 * ENTRIES
