Usage: no window is set twice after a restore

Cause: a holder continued after the last window that the record names or that it had itself seen set. A record from before the restore doesn't name what was set since the copy was made, and who remembered it may have ended.

The record now holds the number of restores before it was written. Under a record of a former era, only windows are set that ended after this process first heard of the present one. Why this works: whatever was set before the restore had ended a second or more before it, and a restore is noticed only afterwards. `usage is lost` names both eras.

--- a/src/bergamotmast/adapters/restores.py
+++ b/src/bergamotmast/adapters/restores.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections.abc as cabc
 import logging
+import math
 import typing as t
 
 from ..errors import KeyValueUnavailableError
@@ -52,11 +53,14 @@
     """The era of a service as its answers report it.
 
     :param era: number of restores; ``None`` until an answer reports it.
+    :param known_since: when an answer first reported the era; a point on the event
+        loop's clock.
     :param on_restored: callbacks for a restore that an answer reveals.
     """
 
     def __init__(self) -> None:
         self.era: int | None = None
+        self.known_since = -math.inf
         self.on_restored: list[cabc.Callable[[], None]] = []
         self._restored = asyncio.Event()
 
@@ -88,6 +92,7 @@
         if era < self.known_era:
             raise ReplyLostError("the answer is from before a restore of the store")
         former, self.era = self.era, era
+        self.known_since = asyncio.get_running_loop().time()
         if former is not None:
             logger.warning("store was restored", extra={"era": era, "former": former})
             self._restored.set()
--- a/src/bergamotmast/direct/usage_record.py
+++ b/src/bergamotmast/direct/usage_record.py
@@ -8,6 +8,7 @@
 
 import contextlib
 import random
+import typing as t
 
 import msgspec
 
@@ -27,12 +28,29 @@
     :param epoch: fencing token that it held.
     :param last_window: last window whose counts are set; 0 for none.
     :param windows: counts of the windows that are not known to have been reported.
+    :param era: number of restores of the service before it was written. A record of a
+        former era may be an older copy, which lacks windows that were set and reported.
     """
 
     holder: str = ""
     epoch: int = 0
     last_window: int = 0
     windows: dict[int, Counts] = {}
+    era: int = 0
+
+
+class StoreEras(t.Protocol):
+    """The restores of the service, as its answers report them."""
+
+    @property
+    def known_era(self) -> int:
+        """Number of restores."""
+        ...
+
+    @property
+    def known_since(self) -> float:
+        """When an answer first reported that number; a point on the loop's clock."""
+        ...
 
 
 class UsageRecordStore(StoreRecord[UsageRecord]):
@@ -42,11 +60,25 @@
         service was restored from an older backup since.
     """
 
-    def __init__(self, kv: KeyValueService, rng: random.Random) -> None:
+    def __init__(
+        self, kv: KeyValueService, rng: random.Random, eras: StoreEras
+    ) -> None:
         # Without it, windows would be set again that may have been reported.
         super().__init__(kv, rng, USAGE_KEY, "usage", UsageRecord(), is_required=True)
+        self.eras = eras
         self.last_window = 0
 
+    @property
+    def incomplete_until(self) -> float | None:
+        """Until when windows may have been set that the record lacks.
+
+        A point on the event loop's clock; ``None`` if the record is complete. A window
+        that ended later was not set before the service was restored.
+        """
+        if self.record.era == self.eras.known_era:
+            return None
+        return self.eras.known_since
+
     def put(self, item: KeyValue) -> None:
         """Apply a value that the watch has delivered."""
         with contextlib.suppress(KeyValueUnavailableError):
--- a/src/bergamotmast/direct/usage_reporter.py
+++ b/src/bergamotmast/direct/usage_reporter.py
@@ -135,9 +135,18 @@
             await asyncio.sleep(max(MIN_SLEEP_SECONDS, next_at - now))
 
     def _next_window(self) -> int:
-        """Return the next window to set: the oldest one that entries still know."""
+        """Return the next window to set: the oldest one that entries still know.
+
+        Windows that may have been set under a record that a restore has undone are left
+        out, as the platform may have accepted them with other counts.
+        """
         last = self.records.last_window or self.skipped_window
-        return max(last + 1, self.exchange.oldest_window())
+        window = max(last + 1, self.exchange.oldest_window())
+        incomplete_until = self.records.incomplete_until
+        if incomplete_until is None:
+            return window
+        ended_at = self.exchange.clock.unix_time(incomplete_until)
+        return max(window, self.exchange.ledger.window_at(ended_at))
 
     def _settled_at(self, window: int) -> float:
         """Return when a window's counts are final; a point on the loop's clock."""
@@ -163,15 +172,15 @@
             return
         last = self.records.last_window
         if last and last + 1 < window:
-            span = {"first": last + 1, "last": window - 1}
-            logger.warning("usage is lost", extra=span)
+            self._log_lost(last + 1, window - 1)
         unreported = self.records.record.windows | {window: usage.counts}
         kept = sorted(unreported)[-MAX_UNREPORTED_WINDOWS:]
         for lost in sorted(set(unreported) - set(kept)):
             logger.warning("usage is not reported", extra={"window": lost})
             self.telemetry.on_usage_window("lost")
         windows = {number: unreported[number] for number in kept}
-        await self.records.write(UsageRecord(self.name, epoch, window, windows))
+        era = self.records.eras.known_era
+        await self.records.write(UsageRecord(self.name, epoch, window, windows, era))
         logger.info(
             "usage is set",
             extra={
@@ -182,6 +191,18 @@
             },
         )
 
+    def _log_lost(self, first: int, last: int) -> None:
+        """Log the windows that are left out, and the eras that decided it."""
+        logger.warning(
+            "usage is lost",
+            extra={
+                "first": first,
+                "last": last,
+                "record_era": self.records.record.era,
+                "store_era": self.records.eras.known_era,
+            },
+        )
+
     async def _report_oldest(self, epoch: int) -> None:
         record = self.records.record
         window = min(record.windows)
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -273,7 +273,7 @@
         if settings.usage_address:
             context.usage = _usage_exchange(settings, fleet, rng, peers.send)
             context.usage.listen(inbox)
-            records = UsageRecordStore(store, rng)
+            records = UsageRecordStore(store, rng, store.restores)
             fleet.listeners[USAGE_KEY] = records
             sink = PlatformUsage(session, settings.usage_address)
             duties.append(
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -256,7 +256,7 @@
         fleet.listeners |= {
             CRASHES_PREFIX: quarantine.records,
             PARTS_PREFIX: quarantine.parts.records,
-            USAGE_KEY: UsageRecordStore(client, rng),
+            USAGE_KEY: UsageRecordStore(client, rng, client.restores),
         }
         streams = StreamBuilds(fleet)
         streams.stored = StreamBuildLog(
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -16,6 +16,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from bergamotmast.adapters.restores import RestoreTracker
 from bergamotmast.direct.fenced_call import FencedReply
 from bergamotmast.direct.peer_messages import PeerInbox
 from bergamotmast.direct.presence import presence_key
@@ -121,10 +122,12 @@
         ``unanswered``, executed without a reply; or ``late``, executed some seconds
         later without a reply.
     :param arrived: the reports that the platform has executed, in order.
+    :param restores: the restores of the service, as all processes know them.
     """
 
     def __init__(self, fates: t.Iterable[str] = ()) -> None:
         super().__init__(USAGE_KEY)
+        self.restores = RestoreTracker()
         self.fates = iter(fates)
         self.highest_token = 0
         self.arrived: list[UsageReport] = []
@@ -173,7 +176,7 @@
     return UsageReporter(
         name,
         HeldLease(),
-        UsageRecordStore(t.cast(t.Any, service), rng),
+        UsageRecordStore(t.cast(t.Any, service), rng, service.restores),
         network.exchanges[name],
         service,
         hold_off,
@@ -461,6 +464,72 @@
     assert [r.window for r in service.arrived].count(FIRST) == 1
 
 
+async def play_restore(
+    restored_at: float, copy_age: float, killed: str, away_seconds: float = 0.3
+) -> Service:
+    """Report as "a", restore the service, and go on as "b", which saw no record before.
+
+    Both count a request a second.
+
+    :param copy_age: age in seconds of the copy that the service comes back from.
+    :param killed: names of the entries whose counts are gone.
+    :param away_seconds: time until the restored service first answers.
+    """
+    network, service = Network("ab"), Service()
+    service.restores.record(0)
+    copies: list[tuple[bytes | None, int]] = []
+    running = asyncio.create_task(reporter(service, network, "a").run(1))
+    for _ in range(int(restored_at / 0.1)):
+        copies.append((service.value, service.revision))
+        if len(copies) % 10 == 0:
+            network.count("a", "t")
+            network.count("b", "t")
+        await asyncio.sleep(0.1)
+    running.cancel()
+    service.value, service.revision = copies[-min(len(copies), int(copy_age / 0.1))]
+    for number, name in enumerate(killed, start=7):
+        network.start(name, number)
+    await asyncio.sleep(away_seconds)
+    service.restores.record(1)
+    running = asyncio.create_task(reporter(service, network, "b").run(1_000_000))
+    for _ in range(30):
+        network.count("b", "t")
+        await asyncio.sleep(1.0)
+    running.cancel()
+    return service
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("restored_at", [6.1, 6.5, 9.9, 11.2, 12.0, 16.3])
+@pytest.mark.parametrize("copy_age", [0.2, 3.0, 6.0, 20.0])
+@pytest.mark.parametrize("killed", ["", "a", "ab"])
+async def test_restore_allows_no_window_with_other_counts(
+    restored_at, copy_age, killed
+):
+    """Guards against a window that is set anew by an entry that doesn't know of it."""
+    service = await play_restore(restored_at, copy_age, killed)
+    windows = {report.window for report in service.arrived}
+    assert len({(r.window, str(r.counts)) for r in service.arrived}) == len(windows)
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("killed", ["", "ab"])
+async def test_windows_that_end_after_a_restore_are_reported(killed):
+    """Guards against usage that is left out for longer than it may be known already."""
+    service = await play_restore(12.0, 3.0, killed)
+    after = {r.window: r.counts for r in service.arrived if r.token > 1}
+    assert {FIRST + 2, FIRST + 3, FIRST + 4, FIRST + 5} <= set(after)
+    assert after[FIRST + 4] == {"t": 5}
+
+
+@pytest.mark.looptime
+async def test_restore_that_is_noticed_late_allows_no_window_with_other_counts():
+    """Guards against trust in a record after an outage that ended in a restore."""
+    service = await play_restore(12.0, 3.0, "ab", 7.0)
+    windows = {report.window for report in service.arrived}
+    assert len({(r.window, str(r.counts)) for r in service.arrived}) == len(windows)
+
+
 UNREADABLE_RECORDS = [
     b"",
     b"\xff",
