Quarantine: parts of prompts are judged once for all changes

What callers saw: one engine crashes beside prompts that name 1,000 shared parts, and all entries answer nobody for half a minute, not the readiness probe either (Fault).

Cause: each part that an answer acquits, and each record of it at other entries, rebuilt and judged all parts of the crash at once, in one callback of the event loop: the square of the number of parts.

Changes are marked, and judged once: as a verdict is asked for, or in the next turn of the event loop. Why this works: the judgement depends on what is known, and not on the order in which it came, and a reader never sees an older one.

--- a/src/bergamotmast/crashes/part_quarantine.py
+++ b/src/bergamotmast/crashes/part_quarantine.py
@@ -11,6 +11,7 @@
 import asyncio
 import collections.abc as cabc
 import dataclasses
+import heapq
 import logging
 import random
 
@@ -49,6 +50,9 @@
 MAX_REPORTED_PARTS = 1_024
 """Maximum number of parts in one record, which then takes less than 200 KB."""
 
+MAX_LOGGED_PARTS = 20
+"""Maximum number of parts whose new verdicts are logged one by one."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KnownReport:
@@ -77,10 +81,12 @@
     :param answered: crashes that an answer received here acquits a part of, and when
         that may be forgotten.
     :param shared_answers: the same of all entries, from their records.
+    :param changed: crashes of which something has changed since the last judgement, in
+        this order.
     :param answered_runs: runs that upstreams have answered a moment ago, by the id that
         the upstream's crash would have.
     :param logged: verdicts that were logged last.
-    :param reporting: whether changed verdicts are about to be logged.
+    :param judging: whether the next turn of the event loop judges what has changed.
     """
 
     def __init__(
@@ -95,16 +101,36 @@
         self.rng = rng
         self.records = SharedRecords(self, writer)
         self.on_judged: cabc.Callable[[], None] = _ignore
-        self.ledger = PartLedger()
         self.answers = PartAnswers()
         self.reports: dict[str, KnownReport] = {}
         self.keys: dict[str, set[str]] = {}
         self.suspected: dict[str, set[str]] = {}
         self.answered: dict[tuple[str, str], float] = {}
         self.shared_answers: set[tuple[str, str]] = set()
+        self.changed: dict[str, None] = {}
         self.answered_runs: dict[str, list[LostRun]] = {}
         self.logged: dict[str, Verdict] = {}
-        self.reporting = False
+        self.judging = False
+        self._ledger = PartLedger()
+
+    @property
+    def ledger(self) -> PartLedger:
+        """The crashes by part, as they are known by now."""
+        self.judge()
+        return self._ledger
+
+    def judge(self) -> None:
+        """Judge anew if anything has changed.
+
+        A prompt has many parts, and the records of an answer arrive one by one. Each
+        judgement takes all parts of the changed crashes, so one serves all changes.
+        """
+        if not self.changed:
+            return
+        changed, self.changed = self.changed, {}
+        for crash in changed:
+            self._rebuild(crash)
+        self.on_judged()
 
     def harmful_part(self, parts: cabc.Iterable[str]) -> str | None:
         """Return the part for which a prompt must not run; ``None`` if it may."""
@@ -174,7 +200,7 @@
         if key.startswith(PART_ANSWERS_PREFIX):
             part, crash = parse_part_answer(key)
             self.shared_answers.add((part, crash))
-            self._rebuild(crash)
+            self._on_changed(crash)
         else:
             self._apply(key, *parse_part_crash(key, value))
 
@@ -185,17 +211,18 @@
         elif key.startswith(PART_ANSWERS_PREFIX):
             part, crash = parse_part_answer(key)
             self.shared_answers.discard((part, crash))
-            self._rebuild(crash)
+            self._on_changed(crash)
 
     def clean_up(self, now: float) -> None:
         """Remove expired records."""
         known = sorted(self.reports.values(), key=lambda known: known.received_at)
         last_at = {each.crash: each.received_at for each in known}
         oldest_first = sorted(last_at, key=last_at.__getitem__)
-        excess = set(self.ledger.excess(oldest_first, now))
+        ledger = self.ledger
+        excess = set(ledger.excess(oldest_first, now))
         for crash in oldest_first:
             is_old = now >= last_at[crash] + SUSPECT_RETENTION_SECONDS
-            if crash in excess or (is_old and not self.ledger.is_needed(crash, now)):
+            if crash in excess or (is_old and not ledger.is_needed(crash, now)):
                 self._remove_crash(crash)
         for part, crash in sorted(self.shared_answers):
             if crash not in self.keys:
@@ -208,22 +235,43 @@
     def _losses(
         self, crash: str, runs: cabc.Sequence[LostRun], now: float
     ) -> dict[str, PartLoss]:
-        """Return the loss of each part that lost runs had."""
+        """Return the losses of the parts that lost runs had, the most telling first."""
         with_part: dict[str, list[LostRun]] = {}
         for run in runs:
             for part in run.parts:
                 with_part.setdefault(part, []).append(run)
-        return {
-            part: PartLoss(
-                frozenset(run.fingerprint[:REQUEST_DIGITS] for run in lost),
-                self.answers.surprise(part, lost[0].build, len(lost), len(runs), now),
-                any(self.ledger.is_repeated(part, crash, run.sent_at) for run in lost),
-                self.answers.total(lost[0].build, now),
-                any(part in run.tried for run in lost),
-                self.answers.count(part, lost[0].build, now) > 0.0,
-            )
+        surprises = {
+            part: self.answers.surprise(part, lost[0].build, len(lost), len(runs), now)
             for part, lost in with_part.items()
         }
+        reported = heapq.nlargest(
+            MAX_REPORTED_PARTS, surprises, key=surprises.__getitem__
+        )
+        return {
+            part: self._loss(part, crash, with_part[part], surprises[part], now)
+            for part in reported
+        }
+
+    def _loss(
+        self,
+        part: str,
+        crash: str,
+        lost: cabc.Sequence[LostRun],
+        surprise: float,
+        now: float,
+    ) -> PartLoss:
+        """Return the loss of a part.
+
+        :param lost: the lost runs that had it.
+        """
+        return PartLoss(
+            frozenset(run.fingerprint[:REQUEST_DIGITS] for run in lost),
+            surprise,
+            any(self.ledger.is_repeated(part, crash, run.sent_at) for run in lost),
+            self.answers.total(lost[0].build, now),
+            any(part in run.tried for run in lost),
+            self.answers.count(part, lost[0].build, now) > 0.0,
+        )
 
     def _known_losses(self, report: PartCrashReport, now: float) -> dict[str, PartLoss]:
         """Return a report's losses, corrected by answers that its entry has not seen.
@@ -255,44 +303,52 @@
             del self.answered_runs[crash_id]
         if crash_id in self.keys:
             return
-        parts, build = run.parts, run.build
         now = asyncio.get_running_loop().time()
-        self.answers.add(parts, build, now)
-        for part in parts:
-            crashes = self._crashes_at(part, build)
+        self.answers.add(run.parts, run.build, now)
+        shared = []
+        for part, crashes in self._crashes_at(run.build, run.parts):
             for crash in crashes:
-                is_new = (part, crash) not in self.answered
+                if (part, crash) not in self.answered:
+                    self._on_changed(crash)
                 self.answered[part, crash] = now + SUSPECT_RETENTION_SECONDS
-                if is_new:
-                    self._rebuild(crash)
             if len(crashes) >= TRIAL_CRASHES:
-                delay = self.rng.uniform(0.0, PUBLISH_SPREAD_SECONDS)
-                asyncio.get_running_loop().call_later(
-                    delay, self._share_answer, part, build
-                )
-
-    def _share_answer(self, part: str, build: str) -> None:
-        """Acquit a part at all entries, unless another one has done so."""
-        for crash in self._crashes_at(part, build):
-            if (part, crash) in self.answered:
-                key = part_answer_key(part, crash)
-                self.shared_answers.add((part, crash))
-                self.records.write(key, self.name.encode(errors="replace"))
-                self._rebuild(crash)
-
-    def _crashes_at(self, part: str, build: str) -> list[str]:
-        """Return the crashes of a build that a part is suspected of by any entry."""
-        return [
+                shared.append(part)
+        if shared:
+            delay = self.rng.uniform(0.0, PUBLISH_SPREAD_SECONDS)
+            asyncio.get_running_loop().call_later(
+                delay, self._share_answer, shared, run.build
+            )
+
+    def _share_answer(self, parts: cabc.Sequence[str], build: str) -> None:
+        """Acquit parts at all entries, unless another one has done so."""
+        for part, crashes in self._crashes_at(build, parts):
+            for crash in crashes:
+                if (part, crash) in self.answered:
+                    key = part_answer_key(part, crash)
+                    self.shared_answers.add((part, crash))
+                    self.records.write(key, self.name.encode(errors="replace"))
+                    self._on_changed(crash)
+
+    def _crashes_at(
+        self, build: str, parts: cabc.Iterable[str]
+    ) -> list[tuple[str, list[str]]]:
+        """Return the crashes of a build that parts are suspected of by any entry."""
+        self.judge()
+        at_build = {
             crash
-            for crash in sorted(self.suspected.get(part, ()))
-            if all(self.reports[key].report.build == build for key in self.keys[crash])
+            for crash, keys in self.keys.items()
+            if all(self.reports[key].report.build == build for key in keys)
+        }
+        return [
+            (part, sorted(at_build.intersection(self.suspected.get(part, ()))))
+            for part in parts
         ]
 
     def _apply(self, key: str, crash: str, report: PartCrashReport) -> None:
         now = asyncio.get_running_loop().time()
         self.reports[key] = KnownReport(crash, report, now)
         self.keys.setdefault(crash, set()).add(key)
-        self._rebuild(crash)
+        self._on_changed(crash)
 
     def _forget(self, key: str) -> None:
         """Forget one entry's report of a crash."""
@@ -303,7 +359,7 @@
             del self.keys[crash]
         for part in known.report.parts:
             self._unsuspect(part, crash)
-        self._rebuild(crash)
+        self._on_changed(crash)
 
     def _remove_crash(self, crash: str) -> None:
         """Remove all records of a crash."""
@@ -321,8 +377,15 @@
         if not crashes:
             self.suspected.pop(part, None)
 
+    def _on_changed(self, crash: str) -> None:
+        """Have a crash judged anew, by the next turn of the event loop."""
+        self.changed[crash] = None
+        if not self.judging:
+            self.judging = True
+            asyncio.get_running_loop().call_soon(self._report)
+
     def _rebuild(self, crash: str) -> None:
-        """Judge anew after a change of what is known of one crash."""
+        """Replace what the ledger has of one crash."""
         now = asyncio.get_running_loop().time()
         losses: dict[str, PartLoss] = {}
         for key in self.keys.get(crash, ()):
@@ -335,24 +398,28 @@
             self.suspected.setdefault(part, set()).add(crash)
             if (part, crash) not in self.answered:
                 remaining[part] = loss
-        self.ledger.replace(crash, remaining, now)
-        self.on_judged()
-        if not self.reporting:
-            # A snapshot of the store is applied record by record.
-            self.reporting = True
-            asyncio.get_running_loop().call_soon(self._report)
+        self._ledger.replace(crash, remaining, now)
 
     def _report(self) -> None:
-        """Log the verdicts that have changed."""
-        self.reporting = False
+        """Judge what has changed, and log the verdicts that are new."""
+        self.judging = False
         judgement = self.ledger.judgement
         verdicts = dict.fromkeys(judgement.on_trial, Verdict.ON_TRIAL)
         verdicts |= dict.fromkeys(judgement.harmful, Verdict.HARMFUL)
-        for part, verdict in verdicts.items():
-            if self.logged.get(part) is not verdict:
-                self._log_verdict(part, verdict)
-        for part in self.logged.keys() - verdicts.keys():
+        # Harmful parts come last, and are few.
+        new = [
+            p for p, verdict in verdicts.items() if self.logged.get(p) is not verdict
+        ]
+        for part in new[-MAX_LOGGED_PARTS:]:
+            self._log_verdict(part, verdicts[part])
+        cleared = sorted(self.logged.keys() - verdicts.keys())
+        for part in cleared[:MAX_LOGGED_PARTS]:
             logger.info("prompt part is cleared", extra={"part": part})
+        if max(len(new), len(cleared)) > MAX_LOGGED_PARTS:
+            logger.info(
+                "more prompt parts are judged",
+                extra={"suspected": len(new), "cleared": len(cleared)},
+            )
         self.logged = verdicts
         self.telemetry.on_part_quarantine(len(judgement.harmful))
 
--- a/src/bergamotmast/crashes/quarantine.py
+++ b/src/bergamotmast/crashes/quarantine.py
@@ -124,6 +124,7 @@
         Until it is known whether its last run was lost in a crash, a request must not
         go on to the next upstream and crash that one too.
         """
+        self.parts.judge()
         verdict = self.ledger.verdict(fingerprint)
         pending = self.losses.unexplained(fingerprint)
         if not pending or verdict is Verdict.HARMFUL:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 import json
 import logging
@@ -14,6 +15,7 @@
 from bergamotmast.adapters.metrics import OpenTelemetryMetrics
 from bergamotmast.crashes.model import Incarnation
 from bergamotmast.crashes.model import LostRun
+from bergamotmast.crashes.part_quarantine import MAX_LOGGED_PARTS
 from bergamotmast.crashes.part_quarantine import SURVIVAL_SECONDS
 from bergamotmast.crashes.part_records import PARTS_PREFIX
 from bergamotmast.crashes.part_records import part_answer_key
@@ -28,10 +30,13 @@
 from bergamotmast.errors import RequestError
 from bergamotmast.errors import ResultCode
 from bergamotmast.platform.directory import PlatformDirectory
+from bergamotmast.policy import part_ledger
 from bergamotmast.policy.crash_ledger import HARMFUL_RETENTION_SECONDS
 from bergamotmast.policy.crash_ledger import MAX_CRASHES
 from bergamotmast.policy.crash_ledger import SUSPECT_RETENTION_SECONDS
 from bergamotmast.policy.part_ledger import MAX_PROBED_CRASHES
+from bergamotmast.policy.part_ledger import PartLedger
+from bergamotmast.policy.part_ledger import judge_parts
 from bergamotmast.policy.retry_window import RetryLimits
 from bergamotmast.ports import Delete
 from bergamotmast.ports import KeyValue
@@ -673,6 +678,63 @@
         assert len(stored_parts(kv)) == 2
 
 
+@pytest.mark.looptime
+@pytest.mark.parametrize("parts", [100, 1_000])
+@pytest.mark.parametrize("crashes", [1, 3])
+async def test_work_for_an_answer_does_not_grow_with_its_parts(
+    parts, crashes, monkeypatch
+):
+    """Guards against an entry that judges all parts anew for each part of a prompt, and
+    answers nobody meanwhile."""
+    names = [f"p{number}" for number in range(parts)]
+    async with members(2) as (_, joined):
+        for number in range(crashes):
+            crash_parts(joined[0], number, *names)
+            await asyncio.sleep(0.3)
+        counts = count_judgements(monkeypatch)
+        for number in range(4):
+            run = run_with(f"a{number}", *names)
+            joined[number % 2].quarantine.parts.on_answered(upstream(9), run)
+        await asyncio.sleep(60.0)
+        assert not refuses_part(joined[1], *names)
+    turns = 4 + 2 * (crashes * parts / MAX_WRITES_PER_TXN if crashes > 1 else 0)
+    assert counts["judgements"] <= 2 * turns + 4
+    assert counts["rebuilds"] <= crashes * (2 * turns + 4)
+
+
+def count_judgements(monkeypatch) -> collections.Counter[str]:
+    """Count the judgements of all parts, and the crashes that these go through."""
+    counts: collections.Counter[str] = collections.Counter()
+    replace = PartLedger.replace
+
+    def counted_replace(*arguments) -> None:
+        counts["rebuilds"] += 1
+        replace(*arguments)
+
+    def counted_judgement(records):
+        counts["judgements"] += 1
+        return judge_parts(records)
+
+    monkeypatch.setattr(PartLedger, "replace", counted_replace)
+    monkeypatch.setattr(part_ledger, "judge_parts", counted_judgement)
+    return counts
+
+
+@pytest.mark.looptime
+async def test_many_parts_on_trial_are_logged_in_few_lines(caplog):
+    """Guards against a line for each part of a prompt of a thousand."""
+    names = [f"p{number}" for number in range(1_000)]
+    async with members(1) as (_, [member]):
+        with caplog.at_level(logging.INFO, "bergamotmast.crashes.part_quarantine"):
+            for number in range(3):
+                crash_parts(member, number, *names)
+                await asyncio.sleep(0.3)
+            member.quarantine.parts.on_answered(upstream(9), run_with("a", *names))
+            await asyncio.sleep(2.0)
+    assert member.quarantine.parts.parts_on_trial(names) == []
+    assert 0 < len(caplog.records) <= 3 * (MAX_LOGGED_PARTS + 1)
+
+
 @pytest.mark.looptime
 async def test_answer_acquits_a_part_at_all_entries():
     """Guards against adding up the crashes that a sound part has survived."""
