Replies: only a final HTTP/1 response is an answer

Cause: the HTTP library takes any three digits and any version that it can read, and only statuses below 200 were looked at, on the path of requests alone. A prefill's handle and the store's contents were taken from such replies too.

The check stands where a head becomes a response, for all clients of an entry: HTTP/1 and a status from 200 to 599 (RFC 9110, section 15). Anything else is a lost reply, as the request may have run, and its connection is closed.

--- a/src/bergamotmast/adapters/http_calls.py
+++ b/src/bergamotmast/adapters/http_calls.py
@@ -31,6 +31,11 @@
 MAX_BODY_BYTES = 1 << 24
 """Maximum body of a response of the platform; a page of the store has 1 MB."""
 
+FINAL_STATUSES = range(200, 600)
+"""Statuses with which a response may end a request (RFC 9110, section 15)."""
+
+HTTP_MAJOR_VERSION = 1
+
 JSON_TYPE = {"Content-Type": "application/json"}
 
 
@@ -108,7 +113,7 @@
     :raises NotReachedError: if no connection was made, so that nothing was sent.
     :raises ConnectionLostError: if the connection ended before the response did.
     :raises ReplyLostError: for every other failure, including one while the body is
-        read.
+        read, and for a head that is none of a final HTTP/1 response.
     """
     timeout = aiohttp.ClientTimeout(
         total=total, sock_connect=connect, sock_read=read_timeout
@@ -117,6 +122,7 @@
         async with session.request(
             method, url, timeout=timeout, allow_redirects=False, **options
         ) as response:
+            _check_head(response)
             yield response
     except _NOT_SENT as error:
         raise NotReachedError(f"{url}: {error}") from error
@@ -126,6 +132,22 @@
         raise ReplyLostError(f"{url}: {error or 'timed out'}") from error
 
 
+def _check_head(response: aiohttp.ClientResponse) -> None:
+    """Check that a response is one of HTTP/1 and final; the library takes any number.
+
+    :raises ReplyLostError: if it isn't; its connection is closed.
+    """
+    version = response.version
+    is_http1 = version is not None and version.major == HTTP_MAJOR_VERSION
+    if is_http1 and response.status in FINAL_STATUSES:
+        return
+    response.close()
+    raise ReplyLostError(
+        f"{response.url}: HTTP version {version} with status {response.status} is no "
+        "response"
+    )
+
+
 async def read_body(response: aiohttp.ClientResponse) -> bytes:
     """Return the whole body of a response.
 
--- a/tests/test_reply_faults.py
+++ b/tests/test_reply_faults.py
@@ -9,8 +9,11 @@
 from answer_support import CALLER
 from answer_support import ROUTES
 from bergamotmast.adapters import upstream_http
+from bergamotmast.adapters.http_calls import single_call_session
+from bergamotmast.errors import KeyValueUnavailableError
 from bergamotmast.model import Assignment
 from bergamotmast.model import Role
+from bergamotmast.platform.store import PlatformStore
 from bergamotmast.protocol.plan import EnginePlan
 from bergamotmast.protocol.plan import encode_record
 from bergamotmast.protocol.plan import engine_key
@@ -20,6 +23,7 @@
 from platform_standin import EngineScript
 from platform_standin import Received
 from platform_standin import Replica
+from platform_standin import Script
 from platform_standin import answer
 from platform_standin import chunk
 from platform_standin import event
@@ -60,6 +64,57 @@
     assert got.status == 502
 
 
+NO_RESPONSES = [
+    *(f"HTTP/1.1 {status} Word" for status in ("000", "007", "099", "600", "999")),
+    *(f"HTTP/{version} 200 Word" for version in ("0.9", "2.0", "3.0", "9.9")),
+]
+
+
+def status_line(line: str, *lines: str, body: bytes = b"fine") -> Script:
+    """Return the script of a replica whose answer has another status line."""
+
+    async def script(replica: Replica, received: Received, writer) -> None:
+        length = f"Content-Length: {len(body)}"
+        _, _, rest = head(200, received.request_id, length, *lines).partition(b"\r\n")
+        writer.write(line.encode() + b"\r\n" + rest + body)
+        await writer.drain()
+
+    return script
+
+
+@pytest.mark.parametrize("path", ["/read/x", "/order/x", "/talk/x"])
+@pytest.mark.parametrize("line", NO_RESPONSES)
+async def test_reply_without_a_status_of_http_1_is_not_forwarded(line, path):
+    """Guards against an answer whose status or version no HTTP/1 response has."""
+    plain, llm = Replica("i-1", status_line(line)), engine("i-2", status_line(line))
+    async with serving(plain, llm) as entry:
+        got = await asyncio.wait_for(entry.ask(path, X_Token_Count="400,9"), 3)
+    assert got.status == 502
+
+
+@pytest.mark.parametrize("line", ["HTTP/1.1 200 Word", *NO_RESPONSES])
+async def test_prefill_without_a_status_of_http_1_is_not_used(line):
+    """Guards against a handle from a reply that is no HTTP/1 response."""
+    body = b'{"transfer-handle":"h1","tokens":4000,"version":1}'
+    prefill = engine("i-1", status_line(line, body=body), "prefill")
+    decode = engine("i-2", EngineScript(), "decode")
+    async with serving(prefill, decode) as entry:
+        got = await asyncio.wait_for(entry.ask("/talk/x", X_Token_Count="4000,9"), 3)
+    assert got.status == 200
+    sources = [r.headers.get("x-kv-source", "") for r in decode.received]
+    assert sources[-1].endswith("/h1") is (line == "HTTP/1.1 200 Word")
+
+
+@pytest.mark.parametrize("line", NO_RESPONSES)
+async def test_answer_of_the_store_without_a_status_of_http_1_is_none(line):
+    """Guards against keys from an answer that is no HTTP/1 response."""
+    script = status_line(line, body=b'{"items":[],"store-revision":7}')
+    async with Replica("store", script) as replica, single_call_session() as session:
+        store = PlatformStore(session, replica.address, 3.0)
+        with pytest.raises(KeyValueUnavailableError):
+            await store.range("servers/")
+
+
 async def test_group_removed_while_a_stream_waits():
     """Guards against an error when a group is removed while a stream waits for it.
 
