Replies: a body that was reset is nowhere taken for whole

In an entry, a part of an answer of the store counted as the whole: a write as carried out.

Cause: the HTTP library takes the reset of a body without a length for its end. Only the client of upstreams asked how the connection had ended.

The check now is a class of its own (response_end.py), by which all bodies are read. Why this works: whoever needs a whole body gets it from read_body, which sees the connection before the library lets go of it.

--- a/src/bergamotmast/adapters/engine_http.py
+++ b/src/bergamotmast/adapters/engine_http.py
@@ -24,6 +24,7 @@
 from ..model import TokenChunk
 from .http_calls import JSON_TYPE
 from .http_calls import exchange
+from .http_calls import read_body
 from .http_calls import split_stream
 
 CALL_TIMEOUT_SECONDS = 2.0
@@ -142,7 +143,7 @@
             headers=JSON_TYPE,
         ) as response:
             _raise_for_error(response)
-            return await response.read()
+            return await read_body(response)
 
 
 def _raise_for_error(response: aiohttp.ClientResponse) -> None:
--- a/src/bergamotmast/adapters/http_calls.py
+++ b/src/bergamotmast/adapters/http_calls.py
@@ -13,6 +13,7 @@
 from ..errors import ConnectionLostError
 from ..errors import NotReachedError
 from ..errors import ReplyLostError
+from .response_end import ResponseEnd
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 """Timeout for opening a connection within a region."""
@@ -29,7 +30,8 @@
 """Maximum number of connections of one session."""
 
 MAX_BODY_BYTES = 1 << 24
-"""Maximum body of a response of the platform; a page of the store has 1 MB."""
+"""Maximum body of a response, where the caller names no other; a page of the store has
+1 MB."""
 
 FINAL_STATUSES = range(200, 600)
 """Statuses with which a response may end a request (RFC 9110, section 15)."""
@@ -148,16 +150,19 @@
     )
 
 
-async def read_body(response: aiohttp.ClientResponse) -> bytes:
+async def read_body(
+    response: aiohttp.ClientResponse, max_bytes: int = MAX_BODY_BYTES
+) -> bytes:
     """Return the whole body of a response.
 
-    :raises ReplyLostError: if it is longer than a limit, as an endless one would be.
+    :raises ReplyLostError: if it is not whole, or longer than a limit, as an endless
+        one would be.
     """
     body = bytearray()
-    async for part in response.content.iter_any():
+    async for part in ResponseEnd(response).chunks():
         body += part
-        if len(body) > MAX_BODY_BYTES:
-            raise ReplyLostError(f"the response's body exceeds {MAX_BODY_BYTES} bytes")
+        if len(body) > max_bytes:
+            raise ReplyLostError(f"the response's body exceeds {max_bytes} bytes")
     return bytes(body)
 
 
--- a/src/bergamotmast/adapters/instance_list_http.py
+++ b/src/bergamotmast/adapters/instance_list_http.py
@@ -9,6 +9,7 @@
 from ..errors import ReplyLostError
 from ..model import InstanceInfo
 from .http_calls import exchange
+from .http_calls import read_body
 
 CALL_TIMEOUT_SECONDS = 2.0
 """Timeout of a call."""
@@ -37,7 +38,7 @@
         ) as response:
             if response.status != 200:
                 raise ReplyLostError(f"the instance list answered {response.status}")
-            data = await response.read()
+            data = await read_body(response)
         try:
             return _INSTANCES.decode(data)
         except DecodingError as error:
--- a/src/bergamotmast/adapters/key_value_http.py
+++ b/src/bergamotmast/adapters/key_value_http.py
@@ -24,6 +24,7 @@
 from ..ports import WatchEvent
 from .http_calls import JSON_TYPE
 from .http_calls import exchange
+from .http_calls import read_body
 from .http_calls import split_stream
 from .key_value_json import JsonObject
 from .key_value_json import encode_text
@@ -134,7 +135,7 @@
         data = msgspec.json.encode(body)
         async with self._post(path, data, CALL_TIMEOUT_SECONDS) as response:
             _raise_for_error(response.status)
-            return decode_json(await response.read(), JsonObject)
+            return decode_json(await read_body(response), JsonObject)
 
     def _post(
         self, path: str, data: bytes, total: float | None
--- a/src/bergamotmast/adapters/service_http.py
+++ b/src/bergamotmast/adapters/service_http.py
@@ -12,6 +12,7 @@
 from ..model import ServiceCall
 from .connection_probe import TcpConnectionProbe
 from .http_calls import exchange
+from .http_calls import read_body
 
 IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
 REQUEST_ID_HEADER = "X-Request-Id"
@@ -44,7 +45,7 @@
             data=call.body or None,
             headers=_headers(call),
         ) as response:
-            body = await response.read()
+            body = await read_body(response)
         content_type = response.headers.get("Content-Type", DEFAULT_CONTENT_TYPE)
         return ServiceAnswer(response.status, body, content_type)
 
--- a/src/bergamotmast/adapters/upstream_http.py
+++ b/src/bergamotmast/adapters/upstream_http.py
@@ -21,12 +21,12 @@
 
 from ..direct.ports import MIN_FINAL_STATUS
 from ..direct.ports import Headers
-from ..errors import ConnectionLostError
 from ..errors import NotReachedError
 from ..errors import ReplyLostError
 from .http_calls import Connector
 from .http_calls import client_session
 from .http_calls import exchange
+from .response_end import ResponseEnd
 
 CONNECT_TIMEOUT_SECONDS = 0.4
 """Timeout for opening a connection. Zones are a few milliseconds apart; an instance
@@ -187,16 +187,14 @@
     def __init__(self, response: aiohttp.ClientResponse, buffers: BodyBuffers) -> None:
         self.response = response
         self.buffers = buffers
-        self.closed = _end_of_connection(response)
-        self.unframed = _is_unframed(response)
-        if self.closed is not None:
-            self.closed.add_done_callback(self._on_closed)
-            _mark_exception_retrieved(self.closed)
+        self.end = ResponseEnd(response)
+        if self.end.closed is not None:
+            self.end.closed.add_done_callback(self._on_closed)
 
     def stop_watching(self) -> None:
         """Stop watching the connection for its end, as it may be reused."""
-        if self.closed is not None:
-            self.closed.remove_done_callback(self._on_closed)
+        if self.end.closed is not None:
+            self.end.closed.remove_done_callback(self._on_closed)
 
     @property
     def status(self) -> int:
@@ -231,14 +229,10 @@
     async def chunks(self) -> cabc.AsyncIterator[bytes]:
         """Yield the body as it arrives.
 
-        :raises ReplyLostError: if the head does not say where the body ends.
+        :raises ReplyLostError: if the body is not whole, or it can't be told.
         """
-        if not _is_framing_clear(self.response):
-            self.response.close()
-            raise ReplyLostError("the reply's head does not say where its body ends")
-        async for part in self.response.content.iter_any():
+        async for part in self.end.chunks():
             yield part
-        self._raise_if_reset()
 
     def _on_closed(self, closed: asyncio.Future[None]) -> None:
         """End a body whose connection was closed.
@@ -254,62 +248,6 @@
                 )
             )
 
-    def _raise_if_reset(self) -> None:
-        """Raise for a body without a length whose connection was reset.
-
-        The library takes a reset for the end of such a body, and the caller would
-        receive a truncated answer as a complete one.
-        """
-        if self.unframed and self.closed is not None and self.closed.done():
-            error = self.closed.exception()
-            if error is not None:
-                raise ConnectionLostError(
-                    f"a reply without a length was reset: {error}"
-                )
-
-
-def _end_of_connection(
-    response: aiohttp.ClientResponse,
-) -> asyncio.Future[None] | None:
-    """Return the future that is done when the connection of a body ends."""
-    connection = response.connection
-    if connection is None or connection.protocol is None:
-        return None
-    return connection.protocol.closed
-
-
-def _mark_exception_retrieved(closed: asyncio.Future[None]) -> None:
-    """Keep the event loop from logging a reset that affects no request.
-
-    A connection has one such callback, however many replies it carries.
-    """
-    closed.remove_done_callback(asyncio.Future.exception)
-    closed.add_done_callback(asyncio.Future.exception)
-
-
-def _is_unframed(response: aiohttp.ClientResponse) -> bool:
-    """Return whether a body ends only with its connection."""
-    if "Content-Length" in response.headers:
-        return False
-    return _transfer_codings(response) != ["chunked"]
-
-
-def _transfer_codings(response: aiohttp.ClientResponse) -> list[str]:
-    """Return the codings of all ``Transfer-Encoding`` lines, in lower case."""
-    lines = response.headers.getall("Transfer-Encoding", [])
-    return [coding.strip().lower() for line in lines for coding in line.split(",")]
-
-
-def _is_framing_clear(response: aiohttp.ClientResponse) -> bool:
-    """Return whether a head says where its body ends, or that its connection ends it.
-
-    The library decodes no other coding than a single ``chunked``. It takes the body of
-    an unknown one for whole, and the first of several lengths for the right one.
-    """
-    if len(response.headers.getall("Content-Length", [])) > 1:
-        return False
-    return _transfer_codings(response) in ([], ["chunked"], ["identity"])
-
 
 class HttpUpstreamClient:
     """Implements :class:`~bergamotmast.direct.ports.UpstreamClient`.
--- a/src/bergamotmast/adapters/weights_http.py
+++ b/src/bergamotmast/adapters/weights_http.py
@@ -12,6 +12,7 @@
 from ..errors import PortError
 from ..errors import ReplyLostError
 from .http_calls import exchange
+from .http_calls import read_body
 
 CALL_TIMEOUT_SECONDS = 2.0
 """Timeout of a call; loads have no timeout."""
@@ -67,4 +68,4 @@
         ) as response:
             if response.status != 200:
                 raise PortError(f"the weight store answered {response.status}")
-            return await response.read()
+            return await read_body(response)
