Side: the answer of a plain service has a limit

What callers saw: nothing yet; a service that sends a body without end takes all memory of its side, which ends with the requests of others.

Cause: the body was read whole, whatever its size.

--- a/src/bergamotmast/adapters/service_http.py
+++ b/src/bergamotmast/adapters/service_http.py
@@ -18,6 +18,9 @@
 REQUEST_ID_HEADER = "X-Request-Id"
 DEFAULT_CONTENT_TYPE = "application/octet-stream"
 
+MAX_ANSWER_BYTES = 1 << 26
+"""Maximum body of an answer; one without end would exhaust memory."""
+
 
 class HttpService:
     """Implements :class:`~bergamotmast.ports.PlainService`.
@@ -45,7 +48,7 @@
             data=call.body or None,
             headers=_headers(call),
         ) as response:
-            body = await read_body(response)
+            body = await read_body(response, MAX_ANSWER_BYTES)
         content_type = response.headers.get("Content-Type", DEFAULT_CONTENT_TYPE)
         return ServiceAnswer(response.status, body, content_type)
 
--- a/tests/test_early_replies.py
+++ b/tests/test_early_replies.py
@@ -7,12 +7,14 @@
 
 import pytest
 
+from bergamotmast.adapters import service_http
 from bergamotmast.adapters.http_calls import client_session
 from bergamotmast.adapters.http_calls import single_call_session
 from bergamotmast.adapters.key_value_http import HttpKeyValueService
 from bergamotmast.adapters.service_http import HttpService
 from bergamotmast.errors import ConnectionLostError
 from bergamotmast.errors import KeyValueOutcomeUnknownError
+from bergamotmast.errors import ReplyLostError
 from bergamotmast.model import ServiceCall
 from bergamotmast.platform.store import PlatformStore
 from bergamotmast.ports import Put
@@ -185,6 +187,27 @@
             await kv.txn([], [Put("/bergamotmast/x", UPLOAD)])
 
 
+async def test_endless_answer_of_a_service_is_limited(monkeypatch):
+    """Guards against a service that takes all memory of a side."""
+    monkeypatch.setattr(service_http, "MAX_ANSWER_BYTES", 1 << 20)
+    sent = 0
+
+    async def endless(replica, received, writer):
+        nonlocal sent
+        writer.write(head(200, received.request_id))
+        while True:
+            writer.write(b"a" * 60_000)
+            sent += 60_000
+            await writer.drain()
+
+    loop = asyncio.get_running_loop()
+    async with Replica("s-1", endless) as replica, client_session() as session:
+        service = HttpService(session, f"http://{replica.address}")
+        with pytest.raises(ReplyLostError):
+            await service.call(service_call(b"", loop.time() + 5.0))
+    assert sent < 32 << 20
+
+
 def service_call(body: bytes, deadline: float) -> ServiceCall:
     return ServiceCall(
         "id-1", "t", "c", 0, "r", "POST", "/x", body, "", False, "", deadline, 0.0
