Streams: unfinished events have a limit together

What callers saw: nothing yet. An engine that sends events without end on each of its channels takes 1 MB of the entry for each, some 370 MB with the channels of one engine, and the entry ends with all other requests (LOST).

Cause: the limit of 1 MB stood for each stream alone.

The account of heads serves for events too: 1 MB each, 5% of the process's memory together; those at the average or above break off.

--- a/src/bergamotmast/direct/context.py
+++ b/src/bergamotmast/direct/context.py
@@ -12,10 +12,13 @@
 from ..policy.decisions import Decisions
 from ..policy.direct_roles import MixMeter
 from ..policy.prefix_cache import PrefillKey
+from ..policy.reply_memory import MAX_EVENT_BYTES
+from ..policy.reply_memory import ReplyMemory
 from ..policy.size_shares import SizeShares
 from ..telemetry import Telemetry
 from .crash_detector import CrashDetector
 from .engine_times import EngineTimes
+from .events import EventSplitter
 from .fleet import Fleet
 from .incarnations import Incarnations
 from .liveness import LivenessChecker
@@ -77,6 +80,8 @@
     :param time_limits: deadlines of all running requests.
     :param stream_builds: builds at which streams began.
     :param resume_precedence: which resumed streams precede new ones.
+    :param partial_events: account of the events that streams have begun and not
+        completed.
     :param held_responses: what is held for callers that read slowly; ``None`` if
         responses are not read ahead of them.
     """
@@ -100,6 +105,9 @@
     shares: TenantShares | None = None
     mix: MixMeter = dataclasses.field(default_factory=MixMeter)
     size_shares: SizeShares = dataclasses.field(default_factory=SizeShares)
+    partial_events: ReplyMemory[EventSplitter] = dataclasses.field(
+        default_factory=lambda: ReplyMemory(most=MAX_EVENT_BYTES)
+    )
     background: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
     engine_times: EngineTimes = dataclasses.field(init=False)
     time_limits: TimeLimits = dataclasses.field(init=False)
--- a/src/bergamotmast/direct/decode_attempt.py
+++ b/src/bergamotmast/direct/decode_attempt.py
@@ -252,10 +252,12 @@
             )
             self.reader = reader
             try:
-                async for event in read_events(reader, self.splitter):
+                memory = self.context.partial_events
+                async for event in read_events(reader, self.splitter, memory):
                     self._on_event()
                     await self._forward(event, reply, traits, reader)
             finally:
+                self.context.partial_events.release(self.splitter)
                 self.order.on_ended(self.splitter.rest)
                 self.identity.close()
                 await reader.close()
--- a/src/bergamotmast/direct/event_reader.py
+++ b/src/bergamotmast/direct/event_reader.py
@@ -6,15 +6,12 @@
 import collections.abc as cabc
 
 from ..errors import ConnectionLostError
+from ..policy.reply_memory import ReplyMemory
 from .events import BrokenStreamError
 from .events import Event
 from .events import EventSplitter
 from .response_buffer import ResponseReader
 
-MAX_EVENT_BYTES = 1 << 20
-"""Maximum size of one event, which usually carries a few words. Without a limit, an
-event that never ends would exhaust the process's memory."""
-
 MAX_FEED_BYTES = 4_096
 """Maximum number of bytes that are parsed before other requests get their turn: they
 may hold a thousand tiny events."""
@@ -25,13 +22,16 @@
 
 
 async def read_events(
-    reader: ResponseReader, splitter: EventSplitter
+    reader: ResponseReader,
+    splitter: EventSplitter,
+    memory: ReplyMemory[EventSplitter],
 ) -> cabc.AsyncIterator[Event]:
     """Yield complete events.
 
     :param splitter: keeps the event that the response has begun, and not completed.
+    :param memory: account of such events of all responses, which the caller releases.
     :raises ConnectionLostError: if the stream ends within an event.
-    :raises BrokenStreamError: if an event is longer than :data:`MAX_EVENT_BYTES`.
+    :raises BrokenStreamError: if an event is longer than the account allows.
     """
     # Counted across the data: the next part may already have arrived.
     count = 0
@@ -46,7 +46,7 @@
                     await asyncio.sleep(0)
                 count += 1
                 yield event
-        if len(splitter.rest) > MAX_EVENT_BYTES:
-            raise BrokenStreamError("event is longer than the limit")
+            if memory.set(splitter, len(splitter.rest)):
+                raise BrokenStreamError("event is longer than the limit")
     if splitter.rest:
         raise ConnectionLostError("the stream ended within an event")
--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -197,6 +197,7 @@
             liveness_probe=orders,
             incarnation_probe=orders,
         )
+        context.partial_events.limit = memory.partial_events
         if features.scarcity:
             budget = BufferBudget(total_limit=memory.read_ahead)
             context.held_responses = HeldResponses(metrics, budget)
--- a/src/bergamotmast/policy/caller_memory.py
+++ b/src/bergamotmast/policy/caller_memory.py
@@ -48,6 +48,9 @@
 """Share of a process's memory for heads and trailers of replies. What is parsed of them
 takes two to three times as much."""
 
+PARTIAL_EVENT_SHARE = 0.05
+"""Share of a process's memory for events of streams that are not complete."""
+
 SMALL_BODY_BYTES = 65_536
 """Largest body that needs no grant."""
 
@@ -75,6 +78,7 @@
     :param read_ahead: for responses that are read ahead of their callers.
     :param whole_replies: for replies that are read whole before they are sent.
     :param unparsed_replies: for heads and trailers of replies that are not complete.
+    :param partial_events: for events of streams that are not complete.
     """
 
     total: int
@@ -82,6 +86,7 @@
     read_ahead: int
     whole_replies: int
     unparsed_replies: int
+    partial_events: int
 
     @classmethod
     def of_process(cls, megabytes: float) -> MemoryLimits:
@@ -93,6 +98,7 @@
             read_ahead=int(memory * READ_AHEAD_SHARE),
             whole_replies=int(memory * WHOLE_REPLY_SHARE),
             unparsed_replies=int(memory * UNPARSED_REPLY_SHARE),
+            partial_events=int(memory * PARTIAL_EVENT_SHARE),
         )
 
 
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -34,7 +34,7 @@
 def limit_memory(entry, total=20_000_000, large_bodies=10_000_000):
     guard = guard_of(entry)
     entry.listener.server.limits = ListenerLimits(guard, lambda: LARGE)
-    guard.limits = MemoryLimits(total, large_bodies, 1, 1, 1)
+    guard.limits = MemoryLimits(total, large_bodies, 1, 1, 1, 1)
     guard.grants.limits = guard.limits
 
 
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -8,7 +8,7 @@
 from bergamotmast.policy.caller_memory import MemoryLimits
 
 MB = 1_000_000
-LIMITS = MemoryLimits(20 * MB, 10 * MB, 1, 1, 1)
+LIMITS = MemoryLimits(20 * MB, 10 * MB, 1, 1, 1, 1)
 
 
 def charged(*names):
--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -350,6 +350,40 @@
     assert largest - before < MAX_GROWTH_BYTES
 
 
+@pytest.mark.parametrize("path", ["/talk/x", "/long/x"])
+async def test_endless_events_together_are_limited_in_size(path):
+    """Guards against many events without end, each of which is within a limit."""
+
+    def parts(request_id):
+        yield head(200, request_id, STREAM, CHUNKED) + chunk(b"id: 1\ndata: ")
+        for _ in range(15):
+            yield chunk(b"a" * 60_000)
+        while True:
+            yield chunk(b"a")
+
+    script = EndlessScript(parts)
+    largest, statuses = 0, set()
+    async with serving(engine("i-1", script), Replica("i-2", answer())) as entry:
+        memory_of_events = entry.core.context.partial_events
+        asked = [
+            asyncio.create_task(
+                entry.ask(path, request_id=f"id-{number}", X_Token_Count="40,9")
+            )
+            for number in range(40)
+        ]
+        while not all(task.done() for task in asked):
+            assert (await entry.ask("/read/y")).status == 200
+            held = sum(len(each.rest) for each in memory_of_events.charges)
+            largest = max(largest, held)
+            await asyncio.sleep(0.01)
+        for task in asked:
+            with contextlib.suppress(asyncio.IncompleteReadError):
+                statuses.add((await task).status)
+        assert not memory_of_events.charges
+    assert statuses <= {502, 503, 504}
+    assert 0 < largest < memory_of_events.limit + (1 << 20)
+
+
 @pytest.mark.parametrize("lines", [b"", b"HTTP/1.1 200 OK\r\n"])
 async def test_idle_connection_that_brings_bytes_without_end_is_closed(lines):
     """Guards against an upstream that goes on sending after a whole answer."""
