Registrations: a version that is no text names no upstream

Cause: a version of another type counted as the unknown build, and upstreams of that are taken for equal.

--- a/src/bergamotmast/direct/model.py
+++ b/src/bergamotmast/direct/model.py
@@ -283,12 +283,12 @@
         return min(self.deadline, self.arrived_at + self.route.patience)
 
 
-def build_name(version: object) -> str:
+def build_name(version: str | None) -> str:
     """Return the name of a build from a registration's software version.
 
-    :param version: should be a string; any other value is the unknown build.
+    :param version: ``None`` for the unknown build.
     """
-    name = version if isinstance(version, str) else UNKNOWN_BUILD
+    name = UNKNOWN_BUILD if version is None else version
     is_taken = name.startswith(UNREGISTERED_PREFIX)
     if len(name) <= MAX_BUILD_CHARACTERS and not is_taken:
         return name
