Usage: a store that reports no restores is no error

A record names an era, and a process whose store sends no Store-Era has none to compare it with: the moment since when the present one is known is infinite, and no window follows from it. The duty would end with an error at each term.

test_record_of_an_era_is_used_where_the_service_no_longer_reports_any failed before / passes.

--- a/src/bergamotmast/direct/usage_record.py
+++ b/src/bergamotmast/direct/usage_record.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 import random
 import typing as t
 
@@ -72,12 +73,13 @@
     def incomplete_until(self) -> float | None:
         """Until when windows may have been set that the record lacks.
 
-        A point on the event loop's clock; ``None`` if the record is complete. A window
-        that ended later was not set before the service was restored.
+        A point on the event loop's clock; ``None`` if the record is complete, or the
+        service reports no restores. A window that ended later was not set before it was
+        restored.
         """
-        if self.record.era == self.eras.known_era:
-            return None
-        return self.eras.known_since
+        since = self.eras.known_since
+        is_current = self.record.era == self.eras.known_era
+        return None if is_current or math.isinf(since) else since
 
     def put(self, item: KeyValue) -> None:
         """Apply a value that the watch has delivered."""
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -530,6 +530,19 @@
     assert len({(r.window, str(r.counts)) for r in service.arrived}) == len(windows)
 
 
+@pytest.mark.looptime
+async def test_record_of_an_era_is_used_where_the_service_no_longer_reports_any():
+    """Guards against an error, or usage that is left out for ever, without eras."""
+    network, service = Network("a"), Service()
+    service.value = msgspec.json.encode(UsageRecord("b", 1, FIRST - 1, {}, era=7))
+    service.revision = 1
+    running = asyncio.create_task(reporter(service, network, "a").run(2))
+    network.count("a", "t")
+    await asyncio.sleep(12.0)
+    running.cancel()
+    assert service.accepted[FIRST] == {"t": 1}
+
+
 UNREADABLE_RECORDS = [
     b"",
     b"\xff",
