Registrations: the version's default is the unknown build

The version is decoded as a text whose default is the unknown build, so that nothing tells a missing one apart. Same behaviour; the tests of versions are unchanged.

--- a/src/bergamotmast/platform/directory.py
+++ b/src/bergamotmast/platform/directory.py
@@ -101,9 +101,8 @@
 class _Registration(KebabStruct, frozen=True):
     """An upstream's registration.
 
-    ``sequence``, a counter of writes, is ignored. ``version`` is that of its software;
-    one of another type spoils the registration, as nothing would keep streams of two
-    such versions apart. ``born`` is its start time, in milliseconds of the wall clock.
+    ``sequence``, a counter of writes, is ignored. ``version`` is that of its software.
+    ``born`` is its start time, in milliseconds of the wall clock.
     """
 
     service: str
@@ -113,7 +112,7 @@
     state: str
     stage: str = ""
     born: int = 0
-    version: str | msgspec.UnsetType = msgspec.UNSET
+    version: str = ""
 
 
 class PlatformDirectory:
@@ -154,7 +153,6 @@
             check_http_address(registration.address)
         except (KeyError, ValueError) as error:
             raise ConfigError(f"{key} can't be decoded: {error}") from error
-        version = registration.version
         return Upstream(
             name=key.removeprefix(self.upstream_prefix),
             boot=str(registration.born),
@@ -164,7 +162,7 @@
             slots=registration.slots,
             leaving=leaving,
             role=role,
-            build=build_name(None if version is msgspec.UNSET else version),
+            build=build_name(registration.version),
         )
 
 
