Stop: no connection is reset as the address closes

Cause: closing a listening socket resets its backlog. It was accepted before, but a connection opened between the last accept and the close was lost.

Why this works: a filter on the socket drops the first segment of new handshakes, so that a caller either is connected before the last accept or has sent nothing. Handshakes that have begun have 0.05 s; the time for the last responses grows by as much.

--- a/src/bergamotmast/direct_daemon.py
+++ b/src/bergamotmast/direct_daemon.py
@@ -110,7 +110,7 @@
 SHUTDOWN_MARGIN_SECONDS = 1.0
 """Time left between the last response and the platform's SIGKILL."""
 
-FINAL_RESPONSE_SECONDS = 0.3
+FINAL_RESPONSE_SECONDS = 0.35
 """Part of that margin for the responses to requests that the shutdown ended."""
 
 IDLE_POLL_SECONDS = 0.05
--- a/src/bergamotmast/serving.py
+++ b/src/bergamotmast/serving.py
@@ -34,6 +34,7 @@
 from .callers.server import ConnectionAppRunner
 from .callers.server import ConnectionServer
 from .callers.server import ConnectionServerRunner
+from .callers.socket_filter import ignore_handshakes
 from .telemetry import NullTelemetry
 
 BACKLOG = 1024
@@ -52,6 +53,9 @@
 """Time in which a caller sends its first request after connecting, including network
 latency over long distances."""
 
+HANDSHAKE_SECONDS = 0.05
+"""Time in which a TCP handshake that has begun is completed."""
+
 TLS_HANDSHAKE_TIMEOUT_SECONDS = 1.0
 """Timeout of a TLS handshake that begins while the address is being closed."""
 
@@ -146,12 +150,16 @@
         """Close the address; existing connections are served.
 
         Closing a listening socket resets the connections in its backlog, on which a
-        request may have been sent. The backlog is therefore accepted here, which leaves
-        only microseconds between the last accept and the close.
+        request may have been sent. The backlog is therefore accepted here, after the
+        last handshake is complete: new ones are ignored, and their callers connect once
+        more after a second, when the address is closed.
         """
-        if self.acceptor is None:
+        if self.acceptor is None or not self.sockets:
             return
         listening, self.sockets = self.sockets, []
+        for each in listening:
+            ignore_handshakes(each)
+        await asyncio.sleep(HANDSHAKE_SECONDS)
         for site in self.runner.sites:
             await site.stop()
         await self.acceptor.wait_closed()
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 
 import pytest
@@ -166,3 +167,53 @@
     assert isinstance(dripping.exception(), OSError)
     caller.close()
     await listening.close()
+
+
+class LateCallers:
+    """Callers that connect right after the last accept of an address that is closed.
+
+    :param connected: whether each caller's connection was opened.
+    """
+
+    def __init__(self, address) -> None:
+        self.address = address
+        self.callers: list[socket.socket] = []
+        self.connected: list[bool] = []
+
+    def connect(self) -> None:
+        """Connect without waiting, and send a request if the connection is opened."""
+        caller = socket.socket()
+        caller.setblocking(False)
+        caller.connect_ex(self.address)
+        opened = bool(select.select([], [caller], [], 0.01)[1])
+        if opened:
+            caller.send(REQUEST)
+        self.callers.append(caller)
+        self.connected.append(opened)
+
+
+async def test_connection_opened_right_after_the_last_accept_is_not_reset(monkeypatch):
+    """Guards against a request that is lost as the address is closed."""
+    frontend = Frontend()
+    listening = await frontend.listen()
+    late = LateCallers(listening.runner.addresses[0])
+    accept = socket.socket.accept
+
+    def accept_and_connect(self):
+        try:
+            return accept(self)
+        except BlockingIOError:
+            late.connect()
+            raise
+
+    monkeypatch.setattr(socket.socket, "accept", accept_and_connect)
+    await listening.stop_accepting_requests()
+    opened = [
+        c for c, is_open in zip(late.callers, late.connected, strict=True) if is_open
+    ]
+    answers = await asyncio.gather(*map(read, opened))
+    assert late.callers
+    assert [answer.count(b"200 OK") for answer in answers] == [1] * len(opened)
+    for caller in late.callers:
+        caller.close()
+    await listening.close()
