Test: the store's watch frees no descriptor while connections wait

Traced: the store's stand-in ends a watch every 0.2 s. The entry closes that connection, and one that waits in the backlog takes its descriptor, which is allowed: it is refused as not run (503, code 300; no descriptor for its upstream).

The assertion and its bound are unchanged.

--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -353,8 +353,10 @@
     request gets a response; an order that could not be sent is refused as not run.
     """
     replica = Replica("i-1", answer())
-    async with entry_before(replica, seconds="8") as (entry, _):
+    async with entry_before(replica, seconds="8") as (entry, store):
         pid = entry.process.pid
+        # As a watch ends, a waiting connection may take its descriptor.
+        store.silent = True
         now_open = await descriptors_held(pid)
         _, hard = resource.prlimit(pid, resource.RLIMIT_NOFILE)
         resource.prlimit(pid, resource.RLIMIT_NOFILE, (now_open + 5, hard))
@@ -362,6 +364,7 @@
         calls = [asyncio.create_task(order_alone(entry)) for _ in range(10)]
         await asyncio.sleep(0.3)
         assert not any(call.done() for call in calls)
+        store.silent = False
         for _, writer in idle:
             writer.close()
         answers = await asyncio.wait_for(asyncio.gather(*calls), 20)
