Stop: unused connections that are closed are logged

Two causes were left that neither log nor test could tell apart: a connection reset as the address closes, and one closed unused, 0.2 s after it. The log now counts the latter, and the test prints port, error and time of its call, and the log.

--- a/src/bergamotmast/serving.py
+++ b/src/bergamotmast/serving.py
@@ -18,6 +18,7 @@
 import asyncio
 import collections.abc as cabc
 import contextlib
+import logging
 import select
 import socket
 import ssl
@@ -37,6 +38,8 @@
 from .callers.socket_filter import ignore_handshakes
 from .telemetry import NullTelemetry
 
+logger = logging.getLogger(__name__)
+
 BACKLOG = 1024
 """Length of the queue of unaccepted connections. If it overflows, a caller retries its
 connect after seconds."""
@@ -187,6 +190,7 @@
         await _run_iterations(LOOP_ITERATIONS_TO_HANDLER)
         now = asyncio.get_running_loop().time()
         receives_data = False
+        unused = 0
         for connection, before in zip(candidates, counts, strict=True):
             transport = connection.transport
             if transport is None or transport.is_closing():
@@ -195,9 +199,12 @@
             if not self.is_idle(connection, now):
                 continue
             if connection.receive_count == before and not _has_unread(transport):
+                unused += not connection.receive_count
                 self._close(transport)
             else:
                 receives_data = True
+        if unused:
+            logger.info("unused connections are closed", extra={"closed": unused})
         return receives_data
 
     def is_idle(self, connection: Connection, now: float) -> bool:
--- a/tests/keep_alive_callers.py
+++ b/tests/keep_alive_callers.py
@@ -8,6 +8,7 @@
 import dataclasses
 import itertools
 import json
+import time
 
 from bergamotmast.history import Execution
 
@@ -24,12 +25,14 @@
     :param kept: whether the connection had carried an earlier call.
     :param outcome: outcome in the body of an error: ``not_run``, ``ran`` or
         ``unknown``.
+    :param error: how the connection ended, with its port and the time since the call.
     """
 
     request_id: str
     status: int
     kept: bool
     outcome: str
+    error: str = ""
 
 
 class KeepAliveCallers:
@@ -85,13 +88,17 @@
             f"POST {self.path} HTTP/1.1\r\nHost: x\r\n"
             f"X-Request-Id: {request_id}\r\nContent-Length: 3\r\n\r\n"
         )
+        port = writer.get_extra_info("sockname")[1]
+        sent_at = time.monotonic()
         try:
             writer.write(head.encode() + b"box")
             answer = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
             length = answer.partition("content-length:")[2].partition("\r\n")[0]
             body = await reader.readexactly(int(length))
-        except (asyncio.IncompleteReadError, ConnectionError):
-            return Call(request_id, 0, kept, ""), True
+        except (asyncio.IncompleteReadError, ConnectionError) as error:
+            seconds = time.monotonic() - sent_at
+            end = f"{type(error).__name__}, port {port}, {seconds:.3f} s"
+            return Call(request_id, 0, kept, "", end), True
         status = int(answer.split()[1])
         outcome = "" if status == 200 else json.loads(body)["error"]["outcome"]
         closes = "connection: close" in answer
--- a/tests/test_daemon_stopping.py
+++ b/tests/test_daemon_stopping.py
@@ -22,6 +22,7 @@
 CALLERS = 40
 LOAD_SECONDS = 1.0
 END_SECONDS = 30.0
+LOG_CHARACTERS = 3_000
 
 
 async def exit_status(f, name):
@@ -272,7 +273,8 @@
     # The planner, a background task that isn't involved in requests, fails in an entry
     # under load. The process shuts down as after SIGTERM, without cutting off a call.
     program = FAILING.format(module="bergamotmast.planner.planner", kind="Planner")
-    async with process_fleet(tmp_path, 0, 2, 1) as f:
+    flags = ("--log-level", "info")
+    async with process_fleet(tmp_path, 0, 2, 1, entry_flags=flags) as f:
         await f.kill("entry-1")
         await f.launch("entry-1", f.commands["entry-1"], ("-c", program))
         await f.wait_until_serving("entry-1", 2)
@@ -284,7 +286,7 @@
     assert (callers.closed_unanswered, callers.outcomes - {"", "not_run"}) == (
         [],
         set(),
-    )
+    ), log[-LOG_CHARACTERS:]
     assert "a fault of ours" in log
 
 
