Replies: no generator around a body's chunks, one lowest final status

HttpReply.chunks wrapped ResponseEnd.chunks in a generator of its own, a step more for each part of each body; it now returns it. The statuses of responses begin at MIN_FINAL_STATUS, which was written again as 200. Same behaviour.

--- a/src/bergamotmast/adapters/http_calls.py
+++ b/src/bergamotmast/adapters/http_calls.py
@@ -12,6 +12,7 @@
 from aiohttp.connector import Connection
 from aiohttp.tracing import Trace
 
+from ..direct.ports import MIN_FINAL_STATUS
 from ..errors import ConnectionLostError
 from ..errors import NotReachedError
 from ..errors import ReplyLostError
@@ -37,7 +38,7 @@
 """Maximum body of a response, where the caller names no other; a page of the store has
 1 MB."""
 
-FINAL_STATUSES = range(200, 600)
+FINAL_STATUSES = range(MIN_FINAL_STATUS, 600)
 """Statuses with which a response may end a request (RFC 9110, section 15)."""
 
 HTTP_MAJOR_VERSION = 1
--- a/src/bergamotmast/adapters/upstream_http.py
+++ b/src/bergamotmast/adapters/upstream_http.py
@@ -186,13 +186,12 @@
                     raise ReplyLostError("the replies' bodies exceed the memory")
             return b"".join(body.blocks)
 
-    async def chunks(self) -> cabc.AsyncIterator[bytes]:
+    def chunks(self) -> cabc.AsyncIterator[bytes]:
         """Yield the body as it arrives.
 
         :raises ReplyLostError: if the body is not whole, or it can't be told.
         """
-        async for part in self.end.chunks():
-            yield part
+        return self.end.chunks()
 
     def _on_closed(self, closed: asyncio.Future[None]) -> None:
         """End a body whose connection was closed.
