Tests: one choice of an endless and a sound upstream, one kind of late request

Two tests of endless replies chose their upstreams with the same lines, a third with half of them; the requests late in a grace had two builders that differed in a header. EXCUSED_SECONDS is described as it is used.

--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -191,17 +191,22 @@
 }
 
 
+def endless_and_sound(path, script, stream):
+    """Return an upstream of a path with a script, and a sound one with its own path.
+
+    :param stream: script of the sound upstream if it is an engine.
+    """
+    if PATHS[path] == "plain":
+        return Replica("i-1", script), engine("i-2", stream), "/talk/y"
+    return engine("i-1", script), Replica("i-2", answer()), "/read/y"
+
+
 @pytest.mark.parametrize("path", PATHS)
 @pytest.mark.parametrize("parts", ENDLESS, ids=lambda parts: parts.__name__)
 async def test_endless_reply_ends_its_request_and_no_other(parts, path):
     """Guards against a reply without end that takes all memory or all time."""
     script = EndlessScript(parts)
-    if PATHS[path] == "plain":
-        endless, sound = Replica("i-1", script), engine("i-2", answer())
-        other = "/talk/y"
-    else:
-        endless, sound = engine("i-1", script), Replica("i-2", answer())
-        other = "/read/y"
+    endless, sound, other = endless_and_sound(path, script, answer())
     before = memory()
     async with serving(endless, sound) as entry:
         began = time.monotonic()
@@ -259,10 +264,7 @@
 async def test_interim_responses_without_end_end_their_request_at_once(path):
     """Guards against parsing interim responses until the deadline."""
     script = EndlessScript(endless_interim_heads)
-    if PATHS[path] == "plain":
-        endless = Replica("i-1", script)
-    else:
-        endless = engine("i-1", script)
+    endless, _, _ = endless_and_sound(path, script, answer())
     async with serving(endless) as entry:
         began = time.monotonic()
         got = await entry.ask(path, X_Token_Count="40,9")
@@ -324,12 +326,7 @@
     """Guards against many replies whose heads or trailers never end, each of which is
     within a limit of its own."""
     script = EndlessScript(parts)
-    if PATHS[path] == "plain":
-        endless, sound = Replica("i-1", script), engine("i-2", EngineScript())
-        other = "/talk/y"
-    else:
-        endless, sound = engine("i-1", script), Replica("i-2", answer())
-        other = "/read/y"
+    endless, sound, other = endless_and_sound(path, script, EngineScript())
     before = memory()
     largest, statuses = 0, set()
     async with serving(endless, sound) as entry:
--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -28,8 +28,8 @@
 GRACE_SECONDS = 8.0
 
 EXCUSED_SECONDS = 3.0
-"""A request that was sent so long after SIGTERM may be cut off if its upstream is still
-at work in the last sixth of the grace."""
+"""A request that was sent within this time after SIGTERM may be cut off if its upstream
+is still at work in the last sixth of the grace."""
 
 SENT_UNTIL = 8.5
 INTERVAL_SECONDS = 0.25
@@ -125,19 +125,10 @@
                 await asyncio.sleep(INTERVAL_SECONDS)
 
 
-def _plain(milliseconds: int, budget_ms: int):
+def _single(target: str, budget_ms: int, **headers: str):
     def parts(request_id: str):
-        target = f"/order/{milliseconds}"
-        headers = {"X_Deadline_Ms": str(budget_ms)}
-        yield request(target, request_id=request_id, **headers)
-
-    return parts
-
-
-def _stream(path: str, tokens: str, budget_ms: int):
-    def parts(request_id: str):
-        headers = {"X_Token_Count": tokens, "X_Deadline_Ms": str(budget_ms)}
-        yield request(path, request_id=request_id, **headers)
+        deadline = {"X_Deadline_Ms": str(budget_ms)}
+        yield request(target, request_id=request_id, **headers, **deadline)
 
     return parts
 
@@ -149,13 +140,13 @@
 
 
 PARTS = {
-    "short": _plain(300, 2_000),
-    "short, patient": _plain(300, 9_000),
-    "long": _plain(2_500, 9_000),
+    "short": _single("/order/300", 2_000),
+    "short, patient": _single("/order/300", 9_000),
+    "long": _single("/order/2500", 9_000),
     "upload": _upload,
-    "stream": _stream("/talk/x", "40,9", 2_500),
-    "long stream": _stream("/long/x", "40,9", 9_000),
-    "prefilled": _stream("/talk/x", "6000,9", 4_000),
+    "stream": _single("/talk/x", 2_500, X_Token_Count="40,9"),
+    "long stream": _single("/long/x", 9_000, X_Token_Count="40,9"),
+    "prefilled": _single("/talk/x", 4_000, X_Token_Count="6000,9"),
 }
 
 
